--- /dev/null
+++ b/src/main/java/cranedeal/Call.java
@@ -0,0 +1,77 @@
+package cranedeal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request being worked on, with its attempts: what happened, no decisions. */
+final class Call {
+
+    /** One attempt; {@code result} is null while it is out. */
+    static final class Attempt {
+        final Call call;
+        final Server server;
+        final int number;
+        final double sentAt;
+        LoadBalancer.Result result;
+        boolean streaming;
+        /** Whether it was taken as a sign of overload while it was out. */
+        boolean strained;
+
+        Attempt(Call call, Server server, double sentAt) {
+            this.call = call;
+            this.server = server;
+            this.number = call.attempts.size();
+            this.sentAt = sentAt;
+        }
+    }
+
+    final LoadBalancer.Request request;
+    final LoadBalancer.ServiceClass type;
+    final ClassRecord record;
+    final long id;
+    final double arrivedAt;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    /** The unfinished requests of its key in order of arrival, itself among them; null if it is free. */
+    ArrayDeque<Call> line;
+    /** Until when an attempt that was given up may still be running. */
+    double restsUntil = Double.NEGATIVE_INFINITY;
+    /** When an answer stops being worth its work. */
+    double usefulEnd;
+    int running;
+    boolean done;
+    boolean streaming;
+
+    Call(LoadBalancer.Request request, ClassRecord record, double arrivedAt) {
+        this.request = request;
+        this.record = record;
+        this.type = record.type;
+        this.id = request.id();
+        this.arrivedAt = arrivedAt;
+    }
+
+    /** The request's hinted work relative to the mean of its class. */
+    double size() {
+        double mean = record.hint.value();
+        return request.cost() > 0 && mean > 0 ? request.cost() / mean : 1;
+    }
+
+    boolean tried(Server server) {
+        for (Attempt attempt : attempts) {
+            if (attempt.server == server) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The earliest attempt that is out or was not proven never to have run; null if there is none. */
+    Attempt firstMaybeRun() {
+        for (Attempt attempt : attempts) {
+            if (attempt.result == null || !attempt.result.neverRan()) {
+                return attempt;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/ClassRecord.java
@@ -0,0 +1,43 @@
+package cranedeal;
+
+import java.util.Objects;
+
+/** What was seen of a class of requests over all servers. */
+final class ClassRecord {
+
+    final int index;
+    final LoadBalancer.ServiceClass type;
+    /** Served latency in ms for a request of mean cost on a mean server. */
+    final Mean latency;
+    /** Hinted cost. */
+    final Mean hint;
+    /** Its share of the requests that arrive. */
+    double share;
+    /** The part of them to refuse at once. */
+    double refused;
+    /** The first class of the same placement: the two below are kept there for all of them. */
+    ClassRecord leader;
+    /** Share of the work asked for that is refused at once, and when it was last moved. */
+    double pressure;
+    double feltAt;
+    /** How many times the expected latency only the slowest calls take. */
+    double slowRatio;
+
+    ClassRecord(int index, LoadBalancer.ServiceClass type, double firstLatency, double firstRatio,
+            double gain) {
+        this.index = index;
+        this.type = type;
+        latency = new Mean(firstLatency, gain);
+        hint = new Mean(0, gain);
+        slowRatio = firstRatio;
+    }
+
+    boolean sharesPlacement(ClassRecord other) {
+        return Objects.equals(type.zones(), other.type.zones())
+                && Objects.equals(type.kinds(), other.type.kinds());
+    }
+
+    boolean isBound() {
+        return type.zones() != null || type.kinds() != null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -0,0 +1,658 @@
+package cranedeal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import cranedeal.Call.Attempt;
+
+/**
+ * All decisions of cranedeal. Read {@link LoadBalancer} (LoadBalancer.java) first: it is the interface.
+ *
+ * <p>The ordinary path: every server has a cost l = base + p * (1/s - 1), where base is its smoothed served
+ * latency, s its windowed success share and p the class's steady time-out; each call goes to a ready server
+ * drawn at random in proportion to 1/l. The file follows a request: arrival, the draw, the send, the
+ * outcome, the next attempt or the final answer; then the evidence behind l, then the server list.
+ */
+public final class LatencyWeightedBalancer implements LoadBalancer {
+
+    /** Ms in which evidence fades to 1/e: shorter than most troubles, so a sick server is retried. */
+    private static final double EVIDENCE_FADE = 8_000;
+    /** Ms between refreshes of a server's faded evidence; far below the fade, it only saves CPU. */
+    private static final double FADE_STEP = 200;
+    /** Samples that the mean of a server's machine type weighs in its base, as most bases rest on few. */
+    private static final double BASE_POOL = 2;
+    /** Calls that its machine type's record weighs in s: a type in trouble shows in all its servers. */
+    private static final double SUCCESS_POOL = 2;
+    /**
+     * Calls that a server's record over all classes weighs in s for one class: a server may fail a class
+     * and serve the others well, or fail all; which one it is shows in the class's own few calls.
+     */
+    private static final double CLASS_POOL = 1;
+    /** Least s: keeps l finite, so that even a dead server is drawn now and then. */
+    private static final double SUCCESS_FLOOR = 0.05;
+    /** Weight of a sample in the averages over all servers (class latency, machine type, cost hints). */
+    private static final double FLEET_GAIN = 0.02;
+    /** Expected latency before any was seen, as a share of the class's aim. */
+    private static final double FIRST_GUESS = 0.2;
+    /** Ms below which latencies are not told apart; keeps every l above zero. */
+    private static final double LEAST_LATENCY = 0.01;
+    /** Share of an expected latency that goes with the hinted work; the rest is waiting that all share. */
+    private static final double HINT_SHARE = 0.5;
+    /** Growth of l for each own call in flight there: they will be served first. */
+    private static final double IN_FLIGHT = 1.4;
+    /** Ms added to l per ms that the oldest call there is overdue: a hang shows before it times out. */
+    private static final double OVERDUE_WEIGHT = 4;
+    /** Growth of l across zones, times the root of the price: a dear crossing must still be possible. */
+    private static final double CROSSING = 150;
+    /** Servers in the subset that an instance prefers: enough to lose a few, few enough to know. */
+    private static final double SUBSET = 8;
+    /** Growth of l outside the subset while there is no evidence; it shrinks as servers become known. */
+    private static final double OUTSIDE = 60;
+    /** Growth of l outside it for each point of price on connections: all to all fills every table. */
+    private static final double CONNECTION = 200;
+    /** Growth of a server's l with the pressure of a class bound there, for those that may go elsewhere. */
+    private static final double RELIEF = 40;
+    /** Share of calls slower than the delay after which a second copy or attempt is worth its work. */
+    private static final double SLOW_SHARE = 0.05;
+    /** Step of the quantile estimate behind that delay, relative to its value. */
+    private static final double SLOW_STEP = 0.05;
+    /** That delay over the expected latency, at first and within bounds: for even and long-tailed classes. */
+    private static final double FIRST_SLOW_RATIO = 3;
+    private static final double LEAST_SLOW_RATIO = 1.5;
+    private static final double MOST_SLOW_RATIO = 10;
+    /** Without second copies an attempt that may be repeated is given up after this many such delays. */
+    private static final double GIVE_UP = 2;
+    /** Calls beyond the first that each request earns: bounds retries and copies when all is slow. */
+    private static final double EXTRA_PER_REQUEST = 0.1;
+    /** Most unused earnings kept, and those granted at start. */
+    private static final double EXTRA_SAVED = 3;
+    /** Least share of the expected latency that must be left for a send to make sense. */
+    private static final double TOO_LATE = 0.25;
+    /** Share of the allowed multiple of a cold server's capacity that its send budget uses. */
+    private static final double COLD_MARGIN = 0.3;
+    /** Ms after which a request that finds no server to go to looks again; well below any aim. */
+    private static final double LOOK_AGAIN = 20;
+    /** Least and, with as much again at random, most wait before the registry is asked again, of askEvery. */
+    private static final double ASK_AGAIN = 0.1;
+
+    /**
+     * A first-tier call that takes more of its aim than this is a sign of overload; the worth of a late
+     * answer is added, since where it is none the warning must come earlier.
+     */
+    private static final double STRAINED = 0.5;
+    /** Change of the share of work refused in a second of signs of overload, and in one of the opposite. */
+    private static final double PRESSURE_UP = 0.9;
+    private static final double PRESSURE_DOWN = 0.22;
+    /** The longest time in ms for which one outcome stands. */
+    private static final double LONGEST_GAP = 250;
+    private static final double MOST_PRESSURE = 0.95;
+    private static final int PLAN_STEPS = 10;
+    /** Above this share of work refused nothing is sent in a second copy: it would deepen the jam. */
+    private static final double CALM = 0.05;
+    /** Least share of the requests that a class is reckoned with; keeps ratios finite. */
+    private static final double SEEN_LEAST = 1e-6;
+
+    private static final long WATCH_TOKEN = -1;
+    private static final int HOLD_TIMER = 0xff;
+    private static final int STRAIN_TIMER = 0x80;
+
+    private final Actions actions;
+    private Settings settings;
+    private SplittableRandom random;
+    private final Map<Long, Server> servers = new LinkedHashMap<>();
+    private List<Server> ready = List.of();
+    private final Map<Long, Call> calls = new HashMap<>();
+    /** Rule 5: the requests of each key that are not settled; looked up by key only, dropped when empty. */
+    private final Map<Long, ArrayDeque<Call>> lines = new HashMap<>();
+    private ClassRecord[] classes;
+    private Server.Kind[] kinds;
+    private double extraCalls = EXTRA_SAVED;
+    private double coldUntil = Double.NEGATIVE_INFINITY;
+    /** Own calls of late for each ready server. */
+    private double evidence;
+
+    /** Creates an instance that asks its host for actions through {@code actions}. */
+    public LatencyWeightedBalancer(Actions actions) {
+        this.actions = actions;
+    }
+
+    @Override
+    public void start(double now, Settings given, long seed) {
+        settings = given;
+        random = new SplittableRandom(seed);
+        classes = new ClassRecord[given.classes().size()];
+        Arrays.setAll(classes, i -> new ClassRecord(i, given.classes().get(i),
+                FIRST_GUESS * given.classes().get(i).aim(), FIRST_SLOW_RATIO, FLEET_GAIN));
+        for (ClassRecord c : classes) {
+            c.leader = Arrays.stream(classes).filter(c::sharesPlacement).findFirst().orElse(c);
+        }
+        kinds = new Server.Kind[given.kinds()];
+        Arrays.setAll(kinds, i -> new Server.Kind(FLEET_GAIN));
+        if (given.subscribe()) {
+            actions.watch(true);
+        }
+    }
+
+    // ---- A request arrives -------------------------------------------------------------------------
+
+    @Override
+    public void request(double now, Request request) {
+        Call call = new Call(request, classes[request.serviceClass()], now);
+        calls.put(request.id(), call);
+        extraCalls = Math.min(EXTRA_SAVED, extraCalls + EXTRA_PER_REQUEST);
+        if (request.cost() > 0) {
+            call.record.hint.add(request.cost());
+        }
+        // Where a late answer is worth nothing, the work for it is better spent on others.
+        double stretched = call.type.aim() + call.type.aimStretch() * request.cost();
+        double aim = now + Math.min(call.type.deadline(), stretched);
+        call.usefulEnd = call.type.lateWorth() > 0 ? request.deadline() : Math.min(request.deadline(), aim);
+        if (shed(call)) {
+            answerUnserved(call, now);
+            return;
+        }
+        earnColdBudget(call, now);
+        if (call.type.inOrder() && request.key() != 0) {
+            call.line = lines.computeIfAbsent(request.key(), key -> new ArrayDeque<>());
+            call.line.addLast(call);
+        }
+        dispatch(call, now);
+    }
+
+    /**
+     * Sends the next attempt. A request that never ran is held while it waits for its turn, or for a server
+     * that is ready, open to it and warm enough; it is refused as soon as that cannot end in time.
+     */
+    private void dispatch(Call call, double now) {
+        double latest = call.usefulEnd - TOO_LATE * expected(call) - ahead(call);
+        boolean itsTurn = call.line == null || call.line.peekFirst() == call;
+        Server server = itsTurn && now < latest ? draw(call, true, now) : null;
+        if (server != null) {
+            send(call, server, now);
+        } else if (now < latest && call.attempts.isEmpty()) {
+            double again = itsTurn ? Math.min(latest, now + LOOK_AGAIN) : latest;
+            actions.setTimer(call.id << 8 | HOLD_TIMER, again);
+        } else {
+            answerUnserved(call, now);
+        }
+    }
+
+    /** Rule 5: the time that the requests before it in its line are expected to take. */
+    private static double ahead(Call call) {
+        return call.line == null ? 0 : call.line.stream().takeWhile(other -> other != call)
+                .mapToDouble(LatencyWeightedBalancer::expected).sum();
+    }
+
+    /**
+     * Rule 5: a request leaves its line once it is over, no attempt is out and none that was given up may
+     * still be running; then the next one goes. One that leaves before its turn moves nobody.
+     */
+    private void leaveLine(Call call, double now) {
+        boolean first = call.line.peekFirst() == call;
+        call.line.remove(call);
+        if (call.line.isEmpty()) {
+            lines.remove(call.request.key());
+        } else if (first) {
+            dispatch(call.line.peekFirst(), now);
+        }
+    }
+
+    // ---- Overload: when every l rises together, weights say nothing ---------------------------------
+
+    /**
+     * Under overload all would be late, so a part of the work is refused before any is spent on it: only
+     * where clients arrive, since further down a refusal wastes what was done above.
+     */
+    private boolean shed(Call call) {
+        for (ClassRecord c : classes) {
+            c.share += FLEET_GAIN * ((c == call.record ? 1 : 0) - c.share);
+        }
+        if (call.record.leader.pressure == 0) {
+            return false;
+        }
+        planShedding(call.record.leader);
+        return random.nextDouble() < call.record.refused;
+    }
+
+    /**
+     * How much of each class to refuse so that the pressure's share of their work goes, at least loss: the
+     * cheapest worth per work first, but no class more than pays: the worst one counts by itself too.
+     * Classes of one placement share their pressure: what is bound to crowded servers is shed alone.
+     */
+    private void planShedding(ClassRecord leader) {
+        ClassRecord[] cheapestFirst = Arrays.stream(classes).filter(c -> c.leader == leader)
+                .sorted(Comparator.comparingDouble(c -> worth(c) / work(c))).toArray(ClassRecord[]::new);
+        double allWork = Arrays.stream(cheapestFirst).mapToDouble(this::work).sum();
+        double allWorth = Arrays.stream(cheapestFirst).mapToDouble(this::worth).sum();
+        double forWorst = settings.goal().worstClass();
+        double[] parts = new double[cheapestFirst.length];
+        double least = Double.MAX_VALUE;
+        for (int step = 1; step <= PLAN_STEPS; step++) {
+            double most = (double) step / PLAN_STEPS;
+            double left = leader.pressure * allWork;
+            double loss = forWorst * most;
+            for (int i = 0; i < parts.length; i++) {
+                parts[i] = Math.min(most, left / work(cheapestFirst[i]));
+                left -= parts[i] * work(cheapestFirst[i]);
+                loss += (1 - forWorst) * parts[i] * worth(cheapestFirst[i]) / allWorth;
+            }
+            if (left < allWork / 1_000 && loss < least) {
+                least = loss;
+                for (int i = 0; i < parts.length; i++) {
+                    cheapestFirst[i].refused = parts[i];
+                }
+            }
+        }
+    }
+
+    /** A class's part of the work asked for; hints tell it best, else served latencies. */
+    private double work(ClassRecord c) {
+        return (c.share + SEEN_LEAST) * (c.hint.value() > 0 ? c.hint.value() : c.latency.value());
+    }
+
+    private double worth(ClassRecord c) {
+        return c.type.worth() * (settings.worthByWork() ? work(c) : c.share + SEEN_LEAST);
+    }
+
+    // ---- The draw ----------------------------------------------------------------------------------
+
+    /**
+     * A ready server at random in proportion to 1/l, or null if none may be used; one that the request has
+     * tried only when all have been tried and nothing is out.
+     */
+    private Server draw(Call call, boolean untried, double now) {
+        double total = 0;
+        double tries = 0;
+        for (Server server : ready) {
+            tries += server.tries;
+            boolean usable = mayGoTo(call, server, now) && !(untried && call.tried(server))
+                    && (server.coldBudget >= 1 || warmth(server, now) >= 1);
+            server.weight = usable ? 1 / cost(server, call, now) : 0;
+            total += server.weight;
+        }
+        evidence = tries / Math.max(1, ready.size());
+        double point = random.nextDouble() * total;
+        Server drawn = null;
+        for (Server server : ready) {
+            if (server.weight > 0 && point >= 0) {
+                drawn = server;
+                point -= server.weight;
+            }
+        }
+        return drawn == null && untried && call.running == 0 ? draw(call, false, now) : drawn;
+    }
+
+    /** The server's l for this request. */
+    private double cost(Server server, Call call, double now) {
+        server.fade(now, EVIDENCE_FADE, FADE_STEP);
+        double l = server.base(BASE_POOL) * call.record.latency.value();
+        double success = server.success(call.record.index, SUCCESS_POOL, CLASS_POOL);
+        l += call.type.aim() * (1 / Math.max(SUCCESS_FLOOR, success) - 1);
+        l *= 1 + IN_FLIGHT * server.out.size();
+        if (!server.out.isEmpty()) {
+            Attempt oldest = server.out.peekFirst();
+            l += OVERDUE_WEIGHT * Math.max(0, now - oldest.sentAt - slowAfter(oldest.call));
+        }
+        if (server.listed.zone() != settings.zone()) {
+            l *= 1 + CROSSING * Math.sqrt(settings.prices().crossZone());
+        }
+        if (!server.preferred) {
+            l *= 1 + OUTSIDE / Math.pow(1 + evidence, 2)
+                    + CONNECTION * (settings.prices().connection() + settings.prices().handshake());
+        }
+        // Weights even out latencies, yet only those who are free can make room for those who are bound.
+        for (ClassRecord c : classes) {
+            if (c.leader == c && c != call.record.leader && c.isBound() && c.type.admits(server.listed)) {
+                l *= 1 + RELIEF * (CALM / 2 + c.pressure);
+            }
+        }
+        return l / warmth(server, now);
+    }
+
+    /** Rules 6 and 2: placement; an attempt that may have run ties a request to its group, or ends it. */
+    private boolean mayGoTo(Call call, Server server, double now) {
+        Limits limits = settings.limits();
+        if (call.attempts.size() >= limits.maxAttempts() || call.running > 0 && !limits.parallel()
+                || !call.type.admits(server.listed)) {
+            return false;
+        }
+        Attempt first = call.firstMaybeRun();
+        ServiceClass c = call.type;
+        if (first == null || c.repeat() == Repeat.IDEMPOTENT) {
+            return true;
+        }
+        Upstream from = first.server.listed;
+        Upstream to = server.listed;
+        return c.repeat() == Repeat.DEDUPLICATED && now < first.sentAt + c.memory()
+                && (c.group() == Group.ALL || (c.group() == Group.ZONE
+                ? from.zone() == to.zone() : from.cell() == to.cell()));
+    }
+
+    // ---- Rule 4: servers that have just started ----------------------------------------------------
+
+    /** The share of its capacity that a server can be trusted to have: an even ramp over the warm-up. */
+    private double warmth(Server server, double now) {
+        double age = now - server.listed.startedAt();
+        if (server.listed.startedAt() == 0 || age >= settings.rules().warmUp()) {
+            return 1;
+        }
+        double from = settings.rules().startCapacity();
+        return from + (1 - from) * Math.max(0, age) / settings.rules().warmUp();
+    }
+
+    /**
+     * Every request earns the cold servers open to it a part of a call: their warmth's share of the traffic
+     * times what the rule allows, less a margin. Shares need no history and add up over siblings that do
+     * alike. Counting requests, not sends, lets a fleet that is cold as a whole begin; the half that is
+     * taken as warm at least keeps it from being pushed over.
+     */
+    private void earnColdBudget(Call call, double now) {
+        if (now >= coldUntil) {
+            return;
+        }
+        List<Server> open = ready.stream().filter(server -> call.type.admits(server.listed)).toList();
+        double warm = open.stream().mapToDouble(server -> warmth(server, now)).sum();
+        double part = Math.min(1, COLD_MARGIN * settings.rules().fallMultiple());
+        part /= Math.max(warm, open.size() / 2.0);
+        for (Server server : open) {
+            server.coldBudget = Math.min(1, server.coldBudget + part * warmth(server, now));
+        }
+    }
+
+    // ---- The send ----------------------------------------------------------------------------------
+
+    private void send(Call call, Server server, double now) {
+        Attempt attempt = new Attempt(call, server, now);
+        double timeout = call.usefulEnd - now;
+        double slowAfter = slowAfter(call);
+        boolean repeatable = call.type.repeat() != Repeat.AT_MOST_ONCE && !call.type.streamed();
+        if (repeatable && settings.limits().parallel() && slowAfter + expected(call) < timeout) {
+            actions.setTimer(call.id << 8 | attempt.number, now + slowAfter);
+        } else if (repeatable && extraCalls >= 1 && GIVE_UP * slowAfter + expected(call) < timeout) {
+            timeout = GIVE_UP * slowAfter;
+        }
+        call.attempts.add(attempt);
+        call.running++;
+        server.out.addLast(attempt);
+        if (warmth(server, now) < 1) {
+            server.coldBudget -= 1;
+        }
+        if (settings.tier() == 0) {
+            actions.setTimer(call.id << 8 | STRAIN_TIMER | attempt.number, now + strainedAfter(call));
+        }
+        actions.send(call.id, server.listed.id(), timeout);
+    }
+
+    /** A call is slower than nearly all: a second copy elsewhere, if the budget has one. */
+    @Override
+    public void timer(double now, long token) {
+        if (token == WATCH_TOKEN) {
+            actions.watch(true);
+            return;
+        }
+        Call call = calls.get(token >>> 8);
+        int number = (int) (token & 0xff);
+        if (call == null) {
+            return;
+        }
+        if (call.done) {
+            forgetIfSettled(call, now);
+        } else if (number == HOLD_TIMER && call.attempts.isEmpty()) {
+            dispatch(call, now);
+        } else if (number >= STRAIN_TIMER && number < HOLD_TIMER) {
+            // Overload is felt when a call becomes overdue: by the time it ends, a crowd has gathered.
+            Attempt attempt = call.attempts.get(number - STRAIN_TIMER);
+            if (attempt.result == null && !attempt.streaming) {
+                attempt.strained = true;
+                feelPressure(call.record.leader, false, now);
+            }
+        } else if (!call.streaming && call.attempts.size() == number + 1
+                && call.attempts.get(number).result == null
+                && extraCalls >= 1 && call.record.leader.pressure < CALM
+                && call.usefulEnd - now > expected(call)) {
+            Server server = draw(call, true, now);
+            if (server != null) {
+                extraCalls -= 1;
+                send(call, server, now);
+            }
+        }
+    }
+
+    // ---- The outcome -------------------------------------------------------------------------------
+
+    @Override
+    public void attemptFinished(double now, Outcome outcome) {
+        Call call = calls.get(outcome.requestId());
+        if (call == null || outcome.attempt() >= call.attempts.size()
+                || call.attempts.get(outcome.attempt()).result != null) {
+            return;
+        }
+        Attempt attempt = call.attempts.get(outcome.attempt());
+        attempt.result = outcome.result();
+        attempt.server.out.remove(attempt);
+        call.running--;
+        if (outcome.result() == Result.TIMEOUT || outcome.result() == Result.RESET
+                || outcome.result() == Result.CANCELLED) {
+            call.restsUntil = now + settings.rules().orderSettle();
+        }
+        learn(attempt, outcome, now);
+        if (settings.tier() == 0 && !attempt.strained && outcome.result() != Result.CANCELLED) {
+            boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
+            feelPressure(call.record.leader, outcome.result() == Result.OK && inGoodTime, now);
+        }
+        if (outcome.result() == Result.OK && attempt.number > 0) {
+            // It served where another did not: sick servers, not a jam, and worth as many again.
+            extraCalls = Math.min(EXTRA_SAVED, extraCalls + 1);
+        }
+        freeConnection(attempt.server, outcome.result(), now);
+        if (outcome.closed() || call.done) {
+            over(call, now);
+        } else if (call.running == 0) {
+            tryAgain(call, outcome.result(), now);
+        }
+    }
+
+    /**
+     * Idle connections of many balancers fill a server's table, and it turns callers away though it has
+     * time to spare. Whoever meets a full table gives back what it does not use there, as long as idle ones
+     * last. Elsewhere connections stay: a failed connect may as well mean that a server is down.
+     */
+    private void freeConnection(Server server, Result result, double now) {
+        if (result == Result.CONNECT_FAILED) {
+            server.crowdedUntil = now + settings.limits().connectionIdle();
+        }
+        if (now < server.crowdedUntil && server.out.isEmpty()) {
+            actions.closeIdle(server.listed.id());
+        }
+    }
+
+    /** Another attempt if rule, time and budget allow; otherwise the final answer. */
+    private void tryAgain(Call call, Result result, double now) {
+        if (result == Result.NOT_SENT || extraCalls < 1) {
+            answerUnserved(call, now);
+        } else {
+            extraCalls -= 1;
+            dispatch(call, now);
+        }
+    }
+
+    /** Rule 1's one final answer: a refusal only where trying again is known to be harmless. */
+    private void answerUnserved(Call call, double now) {
+        ServiceClass c = call.type;
+        boolean harmless = c.repeat() == Repeat.IDEMPOTENT || call.firstMaybeRun() == null
+                || c.repeat() == Repeat.DEDUPLICATED && c.group() == Group.ALL;
+        if (harmless) {
+            actions.refuse(call.id, 0);
+        } else {
+            actions.fail(call.id);
+        }
+        over(call, now);
+    }
+
+    /** The request has its answer: copies still out only waste work. */
+    private void over(Call call, double now) {
+        for (Attempt attempt : call.attempts) {
+            if (!call.done && attempt.result == null && !attempt.streaming && settings.limits().cancel()) {
+                actions.cancel(call.id, attempt.number);
+            }
+        }
+        call.done = true;
+        forgetIfSettled(call, now);
+    }
+
+    private void forgetIfSettled(Call call, double now) {
+        if (call.running > 0) {
+            return;
+        }
+        if (call.line != null && now < call.restsUntil) {
+            actions.setTimer(call.id << 8 | HOLD_TIMER, call.restsUntil);
+        } else if (calls.remove(call.id) != null && call.line != null) {
+            leaveLine(call, now);
+        }
+    }
+
+    @Override
+    public void streamStarted(double now, long requestId, int attempt, double elapsed) {
+        Call call = calls.get(requestId);
+        if (call != null && attempt < call.attempts.size()) {
+            call.streaming = true;
+            call.attempts.get(attempt).streaming = true;
+            observeLatency(call.attempts.get(attempt), elapsed);
+        }
+    }
+
+    @Override
+    public void clientGone(double now, long requestId) {
+        Call call = calls.get(requestId);
+        if (call != null) {
+            over(call, now);
+        }
+    }
+
+    // ---- The evidence behind l ---------------------------------------------------------------------
+
+    /** Served calls succeed; errors, full, time-outs, failed and reset connections count against s. */
+    private void learn(Attempt attempt, Outcome outcome, double now) {
+        Server server = attempt.server;
+        Result result = outcome.result();
+        // The copy that lost is evidence only when overdue, and then the same as a time-out.
+        boolean tooEarly = result == Result.CANCELLED && outcome.elapsed() <= slowAfter(attempt.call);
+        if (result == Result.NOT_SENT || tooEarly) {
+            return;
+        }
+        server.fade(now, EVIDENCE_FADE, FADE_STEP);
+        server.count(attempt.call.record.index, result == Result.OK);
+        if (result == Result.OK) {
+            if (!attempt.streaming) {
+                observeLatency(attempt, outcome.elapsed());
+            }
+        } else if (result == Result.CANCELLED || result == Result.TIMEOUT) {
+            observeRatio(attempt.call.record, Double.MAX_VALUE);
+        }
+    }
+
+    private static double strainedAfter(Call call) {
+        return (STRAINED + call.type.lateWorth()) * call.type.aim() * Math.max(1, call.size());
+    }
+
+    /**
+     * Each sign stands for the time since the one before: the level moves as fast where traffic is thin, or
+     * where so much is refused that few outcomes come, and does not outlast its cause.
+     */
+    private static void feelPressure(ClassRecord leader, boolean fine, double now) {
+        double seconds = Math.min(LONGEST_GAP, now - leader.feltAt) / 1_000;
+        leader.feltAt = now;
+        double changed = leader.pressure + (fine ? -PRESSURE_DOWN : PRESSURE_UP) * seconds;
+        leader.pressure = Math.min(MOST_PRESSURE, Math.max(0, changed));
+    }
+
+    private void observeLatency(Attempt attempt, double elapsed) {
+        Call call = attempt.call;
+        Server server = attempt.server;
+        double perHint = Math.max(LEAST_LATENCY, elapsed) / hintFactor(call);
+        double relative = perHint / call.record.latency.value();
+        observeRatio(call.record, relative);
+        call.record.latency.add(perHint / server.base(BASE_POOL));
+        server.latencySum += relative;
+        server.latencyCount += 1;
+        server.kind.latency.add(relative);
+    }
+
+    /** Moves the estimate of the latency over the expected one that only SLOW_SHARE of calls exceed. */
+    private static void observeRatio(ClassRecord c, double ratio) {
+        double slow = c.slowRatio * (1 + SLOW_STEP * (ratio > c.slowRatio ? 1 - SLOW_SHARE : -SLOW_SHARE));
+        c.slowRatio = Math.min(MOST_SLOW_RATIO, Math.max(LEAST_SLOW_RATIO, slow));
+    }
+
+    private static double hintFactor(Call call) {
+        return 1 - HINT_SHARE + HINT_SHARE * call.size();
+    }
+
+    private static double expected(Call call) {
+        return call.record.latency.value() * hintFactor(call);
+    }
+
+    private static double slowAfter(Call call) {
+        return expected(call) * call.record.slowRatio;
+    }
+
+    // ---- The list of servers -----------------------------------------------------------------------
+
+    @Override
+    public void upstreamsChanged(double now, Change change, List<Upstream> upstreams) {
+        if (change == Change.FAILED) {
+            double wait = ASK_AGAIN * (1 + random.nextDouble());
+            actions.setTimer(WATCH_TOKEN, now + wait * settings.rules().askEvery());
+            return;
+        }
+        Map<Long, Server> before = new LinkedHashMap<>(servers);
+        if (change != Change.DELTA) {
+            servers.clear();
+        }
+        for (Upstream upstream : upstreams) {
+            Server known = before.get(upstream.id());
+            if (upstream.state() == State.REMOVED) {
+                servers.remove(upstream.id());
+            } else if (known == null || known.listed.startedAt() != upstream.startedAt()) {
+                // A restart is a new server: cold, with a clean record.
+                Server.Kind kind = kinds[Math.min(upstream.kind(), kinds.length - 1)];
+                servers.put(upstream.id(),
+                        new Server(upstream, kind, classes.length, now, random.nextDouble()));
+                if (upstream.startedAt() != 0) {
+                    coldUntil = Math.max(coldUntil, upstream.startedAt() + settings.rules().warmUp());
+                }
+            } else {
+                known.listed = upstream;
+                servers.put(upstream.id(), known);
+            }
+        }
+        // Rule 3: only ready servers are ever drawn; what drains or is gone leaves at once.
+        ready = servers.values().stream().filter(s -> s.listed.state() == State.READY).toList();
+        chooseSubset();
+    }
+
+    /**
+     * Every so many-th server in an order by zone and machine type, each sibling beginning at its own place:
+     * a subset is a small picture of the fleet, and every server is in as many subsets as the others. Each
+     * round of siblings shuffles anew, so that no two servers share all their callers.
+     */
+    private void chooseSubset() {
+        int stride = (int) Math.max(1, ready.size() / SUBSET);
+        long round = settings.position() / stride;
+        List<Server> ordered = new ArrayList<>(ready);
+        ordered.forEach(server -> server.weight =
+                new SplittableRandom(server.listed.id() * 31 + round).nextDouble());
+        ordered.sort(Comparator.<Server>comparingInt(server -> server.listed.zone())
+                .thenComparingInt(server -> server.listed.kind())
+                .thenComparingDouble(server -> server.weight));
+        for (int i = 0; i < ordered.size(); i++) {
+            ordered.get(i).preferred = (i + settings.position()) % stride == 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/LoadBalancer.java
@@ -0,0 +1,226 @@
+package cranedeal;
+
+import java.util.List;
+
+/**
+ * The decisions of one load balancer instance: events go in, actions come out.
+ *
+ * <p>An instance has no clock, thread or socket of its own. Its host calls one event method at a time,
+ * each with the time at which the event happens, and carries out what the instance asks of its
+ * {@link Actions} during that call. All times and durations are milliseconds; the clock has no special
+ * zero and never goes back. The same events, settings and seed give the same actions.
+ */
+public interface LoadBalancer {
+
+    /** Begins the instance's life; the first call, followed by a {@link Change#CACHED} list. */
+    void start(double now, Settings settings, long seed);
+
+    /**
+     * News of the upstreams. {@link Change#DELTA} brings changed entries only, {@link Change#FULL} and
+     * {@link Change#CACHED} the whole list, {@link Change#FAILED} none: a call to the registry failed.
+     */
+    void upstreamsChanged(double now, Change change, List<Upstream> upstreams);
+
+    /** A request has arrived; the instance now owes it exactly one final answer. */
+    void request(double now, Request request);
+
+    /** How an attempt ended; one such event for every {@link Actions#send}. */
+    void attemptFinished(double now, Outcome outcome);
+
+    /** The streamed answer of an attempt has begun; neither time-out nor deadline counts any more. */
+    void streamStarted(double now, long requestId, int attempt, double elapsed);
+
+    /** The client has left; nothing more is owed. Outcomes of running attempts still follow. */
+    void clientGone(double now, long requestId);
+
+    /** A timer set by {@link Actions#setTimer} is due. */
+    void timer(double now, long token);
+
+    /** The result of a probe; {@code report} is null where none came. */
+    default void probeResult(double now, long upstream, Result result, double elapsed, double[] report) { }
+
+    /** A message from another instance of the same tier. */
+    default void peerMessage(double now, int sender, byte[] payload) { }
+
+    /** What an instance can ask of its host; all of it takes effect at the time of the event at hand. */
+    interface Actions {
+
+        /** Sends an attempt; those of a request are numbered 0, 1, 2 ... in the order of these calls. */
+        void send(long requestId, long upstream, double timeout);
+
+        /** Final answer: refused, and trying again is harmless. 0 gives no advice on when. */
+        void refuse(long requestId, double retryAfter);
+
+        /** Final answer: failed, with no promise about effects. */
+        void fail(long requestId);
+
+        /** Stops waiting for one attempt. */
+        void cancel(long requestId, int attempt);
+
+        /** Checks on an upstream. */
+        void probe(long upstream);
+
+        /** Closes this instance's idle connections to an upstream. */
+        void closeIdle(long upstream);
+
+        /** Asks the registry once for the whole list. */
+        void fetch();
+
+        /** Subscribes to the registry's changes, or ends the subscription. */
+        void watch(boolean on);
+
+        /** Asks for a {@link LoadBalancer#timer} event at or after the given time. */
+        void setTimer(long token, double at);
+
+        /** Sends a message to one instance of this tier, or to all with {@link #ALL_PEERS}. */
+        void tell(int peer, byte[] payload);
+
+        /** Writes a line to the host's log. */
+        void log(String text);
+
+        /** Every other instance of the tier. */
+        int ALL_PEERS = -1;
+    }
+
+    /** The kinds of news about upstreams. */
+    enum Change { DELTA, FULL, CACHED, FAILED }
+
+    /** An upstream's state; a removed one is listed only in a {@link Change#DELTA}. */
+    enum State { REMOVED, READY, DRAINING }
+
+    /**
+     * One upstream as listed.
+     *
+     * @param id opaque address
+     * @param zone index of its zone
+     * @param kind index of its machine type
+     * @param cell the handful of upstreams that share which keys they have seen
+     * @param weight relative size, see {@link Settings#weightKind}
+     * @param startedAt when its process last started; 0 for long ago
+     */
+    record Upstream(long id, int zone, int kind, int cell, State state, double weight, double startedAt) { }
+
+    /**
+     * A client's request.
+     *
+     * @param serviceClass index into {@link Settings#classes}
+     * @param tenant index into {@link Settings#tenants}
+     * @param key what ties requests together; 0 for none
+     * @param deadline when the client gives this try up
+     * @param cost expected work in ms of a standard core; 0 when not known
+     * @param retry whether the client marked it as a repeat
+     * @param write whether it changes something
+     */
+    record Request(long id, int serviceClass, int tenant, long key, double deadline, double cost,
+            boolean retry, boolean write) { }
+
+    /** How an attempt or a probe ended. */
+    enum Result {
+        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT;
+
+        /** Whether this proves that the attempt never ran. */
+        public boolean neverRan() {
+            return this == FULL || this == CONNECT_FAILED || this == NOT_SENT;
+        }
+    }
+
+    /**
+     * The end of one attempt.
+     *
+     * @param closed whether the request is over; otherwise it is still owed its final answer
+     * @param elapsed time since the attempt was sent
+     * @param report the upstream's load report in the order of {@link Settings#reportFields}, or null
+     */
+    record Outcome(long requestId, int attempt, long upstream, Result result, boolean closed, double elapsed,
+            double[] report) { }
+
+    /** Whether a request of a class may run more than once. */
+    enum Repeat { IDEMPOTENT, DEDUPLICATED, AT_MOST_ONCE }
+
+    /** Which upstreams drop repeats of a request of a deduplicated class. */
+    enum Group { ALL, ZONE, CELL }
+
+    /** How load reports come, if at all. */
+    enum Reports { PIGGYBACK, PROBE, NONE }
+
+    /** What an upstream's weight means. */
+    enum WeightKind { NONE, NOMINAL, ROUGH, LIVE }
+
+    /**
+     * A class of requests.
+     *
+     * @param aim answered within this it earns its full worth
+     * @param aimStretch the aim grows by this many times the request's own work
+     * @param deadline how long a client waits over all its tries
+     * @param lateWorth the share of the worth left after the aim
+     * @param memory how long repeats are dropped, from the first attempt that may have run
+     * @param streamed whether answers are streams
+     * @param inOrder whether requests with the same key take turns in order of arrival; all such classes
+     *     share their keys, and a request without a key is free
+     * @param zones the only zones it may be sent to; null where any will do, empty where none will
+     * @param kinds the only machine types it may be sent to; null where any will do, empty where none will
+     */
+    record ServiceClass(String name, double aim, double aimStretch, double deadline, double worth,
+            double lateWorth, Repeat repeat, Group group, double memory, boolean streamed, boolean inOrder,
+            List<Integer> zones, List<Integer> kinds) {
+
+        /** Whether placement allows an upstream for this class, at any attempt. */
+        public boolean admits(Upstream upstream) {
+            return (zones == null || zones.contains(upstream.zone()))
+                    && (kinds == null || kinds.contains(upstream.kind()));
+        }
+    }
+
+    /** A tenant, its share of the service and its quota in requests per second over all instances. */
+    record Tenant(String name, double share, double quotaPerSecond) { }
+
+    /**
+     * What a site allows.
+     *
+     * @param cpuPerRequest microseconds of CPU for a request with its outcomes; 0 for no limit
+     * @param cpuPerSecond microseconds of CPU for an instance in a second
+     */
+    record Limits(int maxAttempts, int maxOpen, boolean cancel, boolean parallel, boolean probes,
+            boolean peers, boolean retryAfter, double maxRetryAfter, double connectTimeout,
+            double connectionIdle, int streamsPerConnection, double cpuPerRequest, double cpuPerSecond) { }
+
+    /**
+     * The figures of the rules; see {@code docs/design.md}.
+     *
+     * @param orderSettle how long a key rests after an attempt that may still run was given up
+     */
+    record Rules(double answerGrace, double drainGrace, double askEvery, double startCapacity, double warmUp,
+            double fallMultiple, double fallAfter, double orderSettle) { }
+
+    /**
+     * The weights of the parts of the result; a part that a site leaves out weighs 0.
+     *
+     * @param tail worth counts in full only while at most the share {@code tailMiss} misses its aim;
+     *     what is refused inside the aim is no miss
+     * @param nines tenfold steps by which the unserved worth lies below the whole, full at {@code topNines}
+     */
+    record Goal(double whole, double worstWindow, double worstClass, double worstTenant, double tail,
+            double tailMiss, double nines, double topNines) { }
+
+    /** Points taken off the result, each for its share or rate. */
+    record Prices(double crossZone, double probe, double waste, double lateFail, double connection,
+            double handshake, double peer, double registry) { }
+
+    /**
+     * What an instance is told at its start.
+     *
+     * @param position this instance's number among its siblings
+     * @param siblings how many instances its tier has
+     * @param tier the tier it sends to, 0 being the one that clients reach
+     * @param subscribe whether the registry tells only those who ask
+     * @param passesDeadline whether calls between tiers carry the time their caller has left
+     * @param warmKeys whether an upstream that served a key lately serves it cheaper
+     * @param worthByWork whether worth counts per unit of work rather than per request
+     * @param overShareWorth what a request beyond its tenant's share is worth, of its class's worth
+     */
+    record Settings(int position, int siblings, int tier, int tiers, int zone, int zones, int kinds,
+            boolean subscribe, boolean passesDeadline, boolean warmKeys, boolean retriesMarked,
+            boolean worthByWork, double overShareWorth, WeightKind weightKind, Reports reports,
+            List<String> reportFields, List<ServiceClass> classes, List<Tenant> tenants, Limits limits,
+            Rules rules, Goal goal, Prices prices) { }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/wire/MalformedInputException.java
@@ -0,0 +1,11 @@
+package cranedeal.wire;
+
+/** Input that the wire does not allow; the message says what and where, in one line. */
+final class MalformedInputException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    MalformedInputException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -0,0 +1,755 @@
+package cranedeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import cranedeal.LoadBalancer.Change;
+import cranedeal.LoadBalancer.Group;
+import cranedeal.LoadBalancer.Repeat;
+import cranedeal.LoadBalancer.Result;
+import cranedeal.LoadBalancer.State;
+
+/** Hand-made events in virtual time. */
+class ModuleTest {
+
+    private static final double NOW = 100_000;
+
+    @Test
+    void picksAreInProportionToOneOverL() {
+        // Two servers, one answering in half the time of the other: it is drawn twice as often.
+        Bench bench = new Bench(Sites.plain().build(), 7);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 0; i < 2_000; i++) {
+            bench.request(i, 0);
+            bench.advance(bench.lastSend().upstream() == 1 ? 100 : 200);
+            bench.finish(bench.lastSend(), Result.OK);
+        }
+        Map<Long, Integer> drawn = new HashMap<>();
+        bench.sends.forEach(s -> drawn.merge(s.upstream(), 1, Integer::sum));
+        // Both bases are pooled with two samples of their common mean, so the ratio lies a little under 2.
+        double ratio = drawn.get(1L) / (double) drawn.get(2L);
+        assertTrue(ratio > 1.6 && ratio < 2.15, "ratio " + ratio);
+    }
+
+    @Test
+    void failuresLowerAServersShareButDoNotEndIt() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 3);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        int toFailing = 0;
+        for (int i = 0; i < 2_000; i++) {
+            bench.request(i, 0);
+            bench.advance(100);
+            while (bench.isOpen(i)) {
+                Bench.Sent sent = bench.lastSend();
+                toFailing += sent.upstream() == 1 ? 1 : 0;
+                bench.finish(sent, sent.upstream() == 1 ? Result.ERROR : Result.OK);
+            }
+        }
+        assertTrue(toFailing > 5 && toFailing < 300, "sent to the failing server: " + toFailing);
+    }
+
+    @Test
+    void aHungServerLosesItsShareBeforeItsCallsTimeOut() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).build(), 5);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+        int hung = 0;
+        for (int i = 0; i < 600; i++) {
+            bench.request(i, 0);
+            bench.advance(10);
+            Bench.Sent sent = bench.lastSend();
+            if (sent.upstream() != 1 || i < 300) {
+                bench.finish(sent, Result.OK);
+            } else {
+                hung++;
+            }
+        }
+        assertTrue(hung > 0 && hung < 30, "sent to the hung server: " + hung);
+    }
+
+    @Test
+    void oneOverdueCallIsEnoughToAvoidItsServer() {
+        Bench bench = new Bench(Sites.plain().tier(1).repeat(Repeat.AT_MOST_ONCE).build(), 5);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.request(0, 0);
+        long hung = bench.lastSend().upstream();
+        bench.advance(1_500);
+        int toHung = 0;
+        for (int i = 1; i <= 200; i++) {
+            bench.request(i, 0);
+            toHung += bench.lastSend().upstream() == hung ? 1 : 0;
+            bench.finishAfter(bench.lastSend(), Result.OK, 100);
+        }
+        assertTrue(toHung < 20, "sent to the server with the overdue call: " + toHung);
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunFails() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.request(1, 0);
+        bench.finish(bench.lastSend(), Result.TIMEOUT);
+        assertEquals(1, bench.sends.size());
+        assertEquals(List.of(1L), bench.failed);
+        assertTrue(bench.refused.isEmpty());
+    }
+
+    @Test
+    void anUnsafeRequestThatProvablyNeverRanIsSentAgain() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.request(1, 0);
+        bench.finish(bench.lastSend(), Result.FULL);
+        assertEquals(2, bench.sends.size());
+        assertFalse(bench.sends.get(0).upstream() == bench.sends.get(1).upstream());
+    }
+
+    @Test
+    void aKeyedRequestStaysInItsGroupAndWindow() {
+        Bench bench = new Bench(Sites.plain().tier(1).repeat(Repeat.DEDUPLICATED).group(Group.CELL)
+                .memory(500).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1).cell(0), Sites.server(2).cell(0), Sites.server(3).cell(1));
+        for (int i = 0; i < 50; i++) {
+            bench.request(i, 0);
+            Bench.Sent first = bench.lastSend();
+            bench.finish(first, Result.ERROR);
+            if (first.upstream() == 3) {
+                assertTrue(bench.failed.contains((long) i) || bench.lastSend().upstream() == 3);
+            } else {
+                assertTrue(bench.lastSend().upstream() < 3);
+            }
+            if (bench.isOpen(i)) {
+                int sent = bench.sends.size();
+                bench.advance(500);
+                bench.finish(bench.lastSend(), Result.ERROR);
+                assertEquals(sent, bench.sends.size(), "sent after the window");
+                assertTrue(bench.failed.contains((long) i));
+            }
+            bench.advance(2_000);
+        }
+    }
+
+    @Test
+    void nothingGoesToAServerThatDrainsOrIsGone() {
+        Bench bench = new Bench(Sites.plain().build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+        bench.list(Change.DELTA, Sites.server(1).state(State.DRAINING), Sites.server(2).state(State.REMOVED));
+        for (int i = 0; i < 100; i++) {
+            bench.request(i, 0);
+            assertEquals(3, bench.lastSend().upstream());
+            bench.finish(bench.lastSend(), Result.OK);
+        }
+    }
+
+    @Test
+    void aRequestWithoutAnyReadyServerWaitsForOneAndIsAnsweredInTime() {
+        Bench bench = new Bench(Sites.plain().build(), 1);
+        bench.list(Change.CACHED);
+        bench.request(1, 0);
+        bench.request(2, 0);
+        assertTrue(bench.isOpen(1) && bench.sends.isEmpty());
+        bench.advance(100);
+        bench.list(Change.FULL, Sites.server(1));
+        bench.advance(50);
+        assertEquals(2, bench.sends.size());
+        bench.list(Change.DELTA, Sites.server(1).state(State.REMOVED));
+        bench.request(3, 0);
+        bench.advance(5_000);
+        assertEquals(List.of(3L), bench.refused);
+    }
+
+    @Test
+    void aSecondCopyFollowsASlowCallAndTheLoserIsCancelled() {
+        Bench bench = new Bench(Sites.plain().parallel(true).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.request(1, 0);
+        Bench.Sent first = bench.lastSend();
+        bench.advance(1_000);
+        assertEquals(2, bench.sends.size());
+        bench.finish(bench.lastSend(), Result.OK);
+        assertEquals(List.of(first), bench.cancelled);
+        bench.finish(first, Result.CANCELLED);
+        assertEquals(2, bench.sends.size());
+    }
+
+    @Test
+    void extraAttemptsStayBoundedWhenEverythingFails() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+        for (int i = 0; i < 1_000; i++) {
+            bench.request(i, 0);
+            while (bench.isOpen(i)) {
+                bench.finish(bench.lastSend(), Result.ERROR);
+            }
+            bench.advance(10);
+        }
+        int sends = bench.sends.size();
+        assertTrue(sends > 1_050 && sends < 1_150, sends + " sends for 1000 requests");
+    }
+
+    @Test
+    void extraAttemptsThatServeAreNotBoundedByTheBudget() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+        int served = 0;
+        for (int i = 0; i < 500; i++) {
+            bench.request(i, 0);
+            for (int attempt = 0; bench.isOpen(i); attempt++) {
+                served += attempt;
+                bench.finish(bench.lastSend(), attempt == 0 ? Result.ERROR : Result.OK);
+            }
+            bench.advance(10);
+        }
+        assertEquals(500, served);
+    }
+
+    @Test
+    void idleConnectionsAreGivenBackOnlyToTheServerThatTurnsConnectionsAway() {
+        Bench bench = new Bench(Sites.plain().build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.request(1, 0);
+        bench.finish(bench.lastSend(), Result.OK);
+        assertEquals(0, bench.closed);
+        bench.request(2, 0);
+        long full = bench.lastSend().upstream();
+        bench.finish(bench.lastSend(), Result.CONNECT_FAILED);
+        assertEquals(1, bench.closed);
+        assertTrue(bench.lastSend().upstream() != full);
+        bench.finish(bench.lastSend(), Result.OK);
+        assertEquals(1, bench.closed, "the other server's connections are kept");
+    }
+
+    @Test
+    void aColdServersShareStaysUnderItsBudgetWithoutAnyHistory() {
+        int siblings = 60;
+        int servers = 10;
+        int toCold = 0;
+        for (int s = 0; s < siblings; s++) {
+            Bench bench = new Bench(Sites.plain().siblings(siblings).build(), s);
+            Sites.Server[] list = new Sites.Server[servers];
+            for (int i = 0; i < servers; i++) {
+                list[i] = Sites.server(i + 1);
+            }
+            list[0].startedAt(NOW);
+            bench.list(Change.CACHED, list);
+            for (int i = 0; i < 40; i++) {
+                bench.request(i, 0);
+                toCold += bench.lastSend().upstream() == 1 ? 1 : 0;
+                bench.finish(bench.lastSend(), Result.OK);
+            }
+        }
+        // A warm server takes 240 of the 2400 calls; a cold one can do 0.2 of that and falls at 3 times it.
+        assertTrue(toCold > 0 && toCold < 0.2 * 3 * 240, "sent to the cold server: " + toCold);
+    }
+
+    @Test
+    void aSubscriptionIsAskedForAtStartAndAgainAfterAFailure() {
+        Bench bench = new Bench(Sites.plain().subscribe(true).build(), 1);
+        assertEquals(1, bench.watches);
+        bench.list(Change.CACHED, Sites.server(1));
+        bench.list(Change.FAILED);
+        assertEquals(1, bench.watches);
+        bench.advance(10_000);
+        assertEquals(2, bench.watches);
+    }
+
+    @Test
+    void answersInNoTimeAtAllDoNotUpsetTheDraw() {
+        Bench bench = new Bench(Sites.plain().build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 0; i < 3_000; i++) {
+            bench.request(i, 0);
+            bench.finish(bench.lastSend(), Result.OK);
+        }
+        assertEquals(3_000, bench.sends.size());
+    }
+
+    @Test
+    void aColdServersEarningsAndItsRampBothHoldItBack() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
+        Sites.Server[] list = new Sites.Server[10];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = Sites.server(i + 1);
+        }
+        list[0].startedAt(NOW);
+        bench.list(Change.CACHED, list);
+        int toCold = 0;
+        for (int i = 0; i < 10_000; i++) {
+            bench.request(i, 0);
+            toCold += bench.lastSend().upstream() == 1 ? 1 : 0;
+            bench.finishAfter(bench.lastSend(), Result.OK, 100);
+        }
+        // Its ramp alone would give it 0.2 of 9.2 shares (217 calls), its earnings alone about 160; it waits
+        // for a whole call to be earned and then for the draw: about 100.
+        assertTrue(toCold > 70 && toCold < 130, "sent to the cold server: " + toCold);
+    }
+
+    @Test
+    void aColdServerIsNotFloodedWhenAllOthersFail() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
+        bench.list(Change.CACHED, Sites.server(1).startedAt(NOW), Sites.server(2), Sites.server(3),
+                Sites.server(4));
+        int toCold = 0;
+        for (int i = 0; i < 1_000; i++) {
+            bench.request(i, 0);
+            while (bench.isOpen(i)) {
+                boolean cold = bench.lastSend().upstream() == 1;
+                toCold += cold ? 1 : 0;
+                bench.finish(bench.lastSend(), cold ? Result.OK : Result.ERROR);
+            }
+        }
+        // 1100 calls over 3.2 warm servers' worth; it can do 0.2 of one share and falls at 3 times that.
+        assertTrue(toCold < 0.2 * 3 * 1_100 / 3.2, "sent to the cold server: " + toCold);
+    }
+
+    @Test
+    void aRestartedServerIsColdAgain() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.list(Change.DELTA, Sites.server(1).startedAt(NOW));
+        int toCold = 0;
+        for (int i = 0; i < 1_000; i++) {
+            bench.request(i, 0);
+            toCold += bench.lastSend().upstream() == 1 ? 1 : 0;
+            bench.finishAfter(bench.lastSend(), Result.OK, 100);
+        }
+        assertTrue(toCold < 170, "sent to the restarted server: " + toCold);
+    }
+
+    @Test
+    void aRestartClearsTheRecord() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        int toFirst = 0;
+        for (int i = 0; i < 1_000; i++) {
+            if (i == 500) {
+                toFirst = 0;
+                bench.list(Change.DELTA, Sites.server(1).startedAt(NOW - 9_500));
+            }
+            bench.request(i, 0);
+            while (bench.isOpen(i)) {
+                boolean first = bench.lastSend().upstream() == 1;
+                toFirst += first ? 1 : 0;
+                bench.finishAfter(bench.lastSend(), first && i < 500 ? Result.ERROR : Result.OK, 100);
+            }
+        }
+        assertTrue(toFirst > 80, "sent after the restart: " + toFirst);
+    }
+
+    @Test
+    void aStrayTimerSendsNoSecondCopyWhereTwoAtOnceAreForbidden() {
+        Bench bench = new Bench(Sites.plain().build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.request(1, 0);
+        bench.timer(1 << 8);
+        assertEquals(1, bench.sends.size());
+    }
+
+    @Test
+    void anOutcomeThatCrossesTheClientsLeavingSendsNothing() {
+        Bench bench = new Bench(Sites.plain().build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.request(1, 0);
+        Bench.Sent sent = bench.lastSend();
+        bench.clientGone(1);
+        bench.finishUnclosed(sent, Result.FULL);
+        assertEquals(1, bench.sends.size());
+        assertTrue(bench.refused.isEmpty() && bench.failed.isEmpty());
+    }
+
+    @Test
+    void underOverloadTheCheapClassIsRefusedFirstAndOnlyWhereClientsArrive() {
+        for (int tier = 0; tier < 2; tier++) {
+            Bench bench = new Bench(Sites.plain().tier(tier).lateWorth(0).build(), 1);
+            bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+            int[] sent = new int[2];
+            for (int i = 0; i < 400; i++) {
+                int before = bench.sends.size();
+                bench.request(i, i % 2);
+                bench.advance(10);
+                if (bench.sends.size() > before) {
+                    sent[i % 2]++;
+                    // A third of the calls take most of their aim.
+                    bench.finishAfter(bench.lastSend(), Result.OK, i % 3 == 0 ? 700 : 100);
+                }
+            }
+            if (tier == 0) {
+                assertTrue(sent[1] < 190 && sent[1] < sent[0], sent[0] + " and " + sent[1]);
+            } else {
+                assertEquals(400, sent[0] + sent[1]);
+            }
+        }
+    }
+
+    @Test
+    void refusingEndsSoonAfterItsCauseEvenIfFewCallsAreLeftToTell() {
+        Bench bench = new Bench(Sites.plain().lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 0; i < 200; i++) {
+            bench.request(i, 0);
+            bench.advance(20);
+            if (bench.isOpen(i)) {
+                bench.finishAfter(bench.lastSend(), Result.OK, 900);
+            }
+        }
+        int refusedInTrouble = bench.refused.size();
+        assertTrue(refusedInTrouble > 20, refusedInTrouble + " refused");
+        for (int i = 200; i < 1_000; i++) {
+            bench.request(i, 0);
+            bench.advance(20);
+            if (bench.isOpen(i)) {
+                bench.finishAfter(bench.lastSend(), Result.OK, 50);
+            }
+            if (i == 600) {
+                // Eight seconds on.
+                refusedInTrouble = bench.refused.size();
+            }
+        }
+        assertEquals(refusedInTrouble, bench.refused.size());
+    }
+
+    @Test
+    void noSecondCopyIsSentWhileWorkIsRefused() {
+        Bench bench = new Bench(Sites.plain().parallel(true).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 0; i < 60; i++) {
+            bench.request(i, 0);
+            bench.advance(50);
+            while (bench.isOpen(i)) {
+                bench.finish(bench.lastSend(), Result.ERROR);
+            }
+        }
+        // Otherwise a copy would follow after three times the first guess, 600 ms.
+        int sends = bench.sends.size();
+        for (int i = 60; bench.sends.size() == sends; i++) {
+            bench.request(i, 0);
+        }
+        bench.advance(900);
+        assertEquals(sends + 1, bench.sends.size());
+    }
+
+    @Test
+    void overloadIsFeltWhileCallsAreStillOut() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        int i = 0;
+        for (; i < 40; i++) {
+            bench.request(i, 0);
+            bench.advance(20);
+        }
+        // No call has ended, but the oldest are past half their aim.
+        int refused = bench.refused.size();
+        for (; i < 60; i++) {
+            bench.request(i, 0);
+            bench.advance(20);
+        }
+        assertTrue(bench.refused.size() > refused, bench.refused.size() + " refused");
+    }
+
+    @Test
+    void aDearCrossingIsRareAndAPreferredPartTakesMostCalls() {
+        Bench bench = new Bench(Sites.plain().tier(1).crossZone(0.03).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2).zone(1));
+        for (int i = 0; i < 1_000; i++) {
+            bench.request(i, 0);
+            bench.finishAfter(bench.lastSend(), Result.OK, 100);
+        }
+        long crossed = bench.sends.stream().filter(s -> s.upstream() == 2).count();
+        assertTrue(crossed > 0 && crossed < 100, crossed + " crossed");
+    }
+
+    @Test
+    void whereEvidenceIsThinMostCallsGoToASubsetThatIsBalancedOverInstances() {
+        int siblings = 40;
+        int[] drawn = new int[49];
+        int inEight = 0;
+        for (int position = 0; position < siblings; position++) {
+            Bench bench = new Bench(Sites.plain().tier(1).siblings(siblings).position(position).build(), 1);
+            Sites.Server[] list = new Sites.Server[48];
+            for (int i = 0; i < list.length; i++) {
+                list[i] = Sites.server(i + 1).kind(i % 2);
+            }
+            bench.list(Change.CACHED, list);
+            int[] own = new int[49];
+            for (int i = 0; i < 100; i++) {
+                bench.request(i, 0);
+                own[(int) bench.lastSend().upstream()]++;
+                drawn[(int) bench.lastSend().upstream()]++;
+                bench.finishAfter(bench.lastSend(), Result.OK, 200);
+                bench.advance(1_000);
+            }
+            inEight += Arrays.stream(own).sorted().skip(41).sum();
+        }
+        assertTrue(inEight > 0.8 * 4_000, inEight + " of 4000 in the eight most used of each");
+        // 83 each on average.
+        int most = Arrays.stream(drawn).max().orElseThrow();
+        int least = Arrays.stream(drawn).skip(1).min().orElseThrow();
+        assertTrue(most < 150 && least > 40, "from " + least + " to " + most);
+    }
+
+    @Test
+    void whereServersAreKnownTheSubsetHardlyCounts() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 1);
+        Sites.Server[] list = new Sites.Server[48];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = Sites.server(i + 1);
+        }
+        bench.list(Change.CACHED, list);
+        int[] drawn = new int[49];
+        for (int i = 0; i < 8_000; i++) {
+            bench.request(i, 0);
+            drawn[(int) bench.lastSend().upstream()] += i < 4_000 ? 0 : 1;
+            bench.finishAfter(bench.lastSend(), Result.OK, 200);
+        }
+        int inEight = Arrays.stream(drawn).sorted().skip(41).sum();
+        assertTrue(inEight < 1_200, inEight + " of 4000 in the eight most used");
+    }
+
+    @Test
+    void aSubsetWhoseServersFailIsLeft() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 1);
+        Sites.Server[] list = new Sites.Server[48];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = Sites.server(i + 1);
+        }
+        bench.list(Change.CACHED, list);
+        Set<Long> failing = new HashSet<>();
+        int served = 0;
+        for (int i = 0; i < 400; i++) {
+            bench.request(i, 0);
+            if (failing.size() < 8) {
+                failing.add(bench.lastSend().upstream());
+            }
+            while (bench.isOpen(i)) {
+                boolean fails = failing.contains(bench.lastSend().upstream());
+                served += fails || i < 200 ? 0 : 1;
+                bench.finishAfter(bench.lastSend(), fails ? Result.ERROR : Result.OK, 200);
+            }
+            bench.advance(100);
+        }
+        assertTrue(served > 150, served + " of 200 served");
+    }
+
+    @Test
+    void workStopsAtTheAimWhereALateAnswerIsWorthNothing() {
+        Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1));
+        bench.request(1, 0);
+        assertEquals(Sites.AIM, bench.lastSend().timeout());
+    }
+
+    @Test
+    void aStartedStreamIsLeftAloneAndItsCopiesAreNot() {
+        Bench bench = new Bench(Sites.plain().streamed(true).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1));
+        bench.request(1, 0);
+        bench.streamStarted(bench.lastSend());
+        bench.advance(10_000);
+        bench.finish(bench.lastSend(), Result.OK);
+        assertEquals(1, bench.sends.size());
+        assertTrue(bench.cancelled.isEmpty() && bench.failed.isEmpty() && bench.refused.isEmpty());
+    }
+
+    @Test
+    void aServerThatFailsOneClassLosesThatClassAndKeepsTheOther() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 3);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3), Sites.server(4));
+        int[] toFailing = new int[2];
+        for (int i = 0; i < 2_000; i++) {
+            bench.request(i, i % 2);
+            bench.advance(20);
+            while (bench.isOpen(i)) {
+                Bench.Sent sent = bench.lastSend();
+                toFailing[i % 2] += sent.upstream() == 1 ? 1 : 0;
+                bench.finishAfter(sent, sent.upstream() == 1 && i % 2 == 0 ? Result.ERROR : Result.OK, 100);
+            }
+        }
+        // A quarter would be 250 of each.
+        assertTrue(toFailing[0] < 60, "of the failing class: " + toFailing[0]);
+        assertTrue(toFailing[1] > 150, "of the other: " + toFailing[1]);
+    }
+
+    @Test
+    void aMachineTypeThatFailsIsAvoidedAlsoAtServersNotYetTried() {
+        Bench bench = new Bench(Sites.plain().tier(1).repeat(Repeat.AT_MOST_ONCE).build(), 3);
+        Sites.Server[] list = new Sites.Server[80];
+        for (int i = 0; i < list.length; i++) {
+            list[i] = Sites.server(i + 1).kind(i % 2);
+        }
+        bench.list(Change.CACHED, list);
+        int toFailing = 0;
+        for (int i = 0; i < 60; i++) {
+            bench.request(i, 0);
+            boolean failing = bench.lastSend().upstream() % 2 == 0;
+            toFailing += failing && i >= 20 ? 1 : 0;
+            bench.finishAfter(bench.lastSend(), failing ? Result.ERROR : Result.OK, 100);
+            // So rarely that no server's own record lasts until it is met again.
+            bench.advance(20_000);
+        }
+        assertTrue(toFailing < 10, "of 40 calls to the failing type: " + toFailing);
+    }
+
+    // ---- Rule 5, order -------------------------------------------------------------------------------
+
+    @Test
+    void requestsOfOneKeyTakeTurnsInOrderOfArrivalAndOthersAreFree() {
+        Bench bench = new Bench(Sites.plain().inOrder(true).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.keyed(1, 0, 7);
+        bench.keyed(2, 1, 7);
+        bench.keyed(3, 0, 8);
+        bench.keyed(4, 0, 0);
+        bench.keyed(5, 0, 0);
+        assertEquals(List.of(1L, 3L, 4L, 5L), bench.sends.stream().map(Bench.Sent::request).toList());
+        bench.advance(50);
+        bench.finish(bench.sends.get(0), Result.OK);
+        assertEquals(2, bench.lastSend().request());
+    }
+
+    @Test
+    void aKeyRestsAfterAnAttemptThatMayStillRunAlsoWhenItsClientHasLeft() {
+        Bench bench = new Bench(Sites.plain().inOrder(true).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.keyed(1, 0, 7);
+        bench.keyed(2, 0, 7);
+        bench.clientGone(1);
+        bench.advance(100);
+        assertEquals(1, bench.sends.size(), "an attempt of the first is still out");
+        bench.finish(bench.lastSend(), Result.CANCELLED);
+        bench.advance(99);
+        assertEquals(1, bench.sends.size(), "the key rests");
+        bench.advance(2);
+        assertEquals(2, bench.lastSend().request());
+    }
+
+    @Test
+    void theRequestWhoseTurnItIsMayBeSentAgain() {
+        Bench bench = new Bench(Sites.plain().inOrder(true).tier(1).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.keyed(1, 0, 7);
+        bench.keyed(2, 0, 7);
+        bench.finish(bench.lastSend(), Result.RESET);
+        assertEquals(1, bench.lastSend().request());
+        assertEquals(2, bench.sends.size());
+    }
+
+    @Test
+    void aRequestWhoseTurnCannotComeInTimeIsRefusedOnArrival() {
+        Bench bench = new Bench(Sites.plain().inOrder(true).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        for (int i = 1; i <= 20; i++) {
+            bench.keyed(i, 0, 7);
+        }
+        // The first guess is 200 ms a call and the aim 1000 ms: five or so have a chance.
+        assertEquals(1, bench.sends.size());
+        assertTrue(bench.refused.size() > 10 && bench.refused.size() < 18, bench.refused + " refused");
+        assertTrue(bench.isOpen(2) && !bench.isOpen(20));
+    }
+
+    @Test
+    void aWaitingRequestIsAnsweredInTime() {
+        Bench bench = new Bench(Sites.plain().inOrder(true).repeat(Repeat.AT_MOST_ONCE).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2));
+        bench.keyed(1, 0, 7);
+        bench.keyed(2, 0, 7);
+        bench.advance(2_000);
+        assertEquals(List.of(2L), bench.refused);
+    }
+
+    // ---- Rule 6, placement ---------------------------------------------------------------------------
+
+    @Test
+    void aBoundClassGoesOnlyWhereItMayAlsoWhenItsServersFail() {
+        Bench bench = new Bench(Sites.plain().onlyZones(1).onlyKinds(1).tier(1).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1).zone(1), Sites.server(2).kind(1),
+                Sites.server(3).zone(1).kind(1));
+        for (int i = 0; i < 200; i++) {
+            bench.request(i, 0);
+            while (bench.isOpen(i)) {
+                assertEquals(3, bench.lastSend().upstream());
+                bench.finish(bench.lastSend(), i % 2 == 0 ? Result.ERROR : Result.OK);
+            }
+        }
+    }
+
+    @Test
+    void aBoundClassWithoutAServerIsHeldAndAnOpenOneIsNot() {
+        for (Integer[] kinds : new Integer[][] {{1}, {}}) {
+            Bench bench = new Bench(Sites.plain().onlyKinds(kinds).build(), 1);
+            bench.list(Change.CACHED, Sites.server(1));
+            bench.request(1, 0);
+            bench.request(2, 1);
+            assertEquals(2, bench.lastSend().request());
+            assertTrue(bench.isOpen(1));
+            bench.list(Change.DELTA, Sites.server(2).kind(1));
+            bench.advance(100);
+            assertEquals(kinds.length == 1 ? 1 : 2, bench.lastSend().request());
+            bench.advance(2_000);
+            assertEquals(kinds.length == 1, bench.refused.isEmpty());
+        }
+    }
+
+    @Test
+    void overloadOfABoundClassRefusesNothingOfTheOthers() {
+        Bench bench = new Bench(Sites.plain().onlyKinds(1).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2).kind(1));
+        int[] refused = new int[2];
+        for (int i = 0; i < 400; i++) {
+            bench.request(i, i % 2);
+            bench.advance(20);
+            if (bench.isOpen(i)) {
+                bench.finishAfter(bench.lastSend(), Result.OK, i % 2 == 0 ? 900 : 100);
+            } else {
+                refused[i % 2]++;
+            }
+        }
+        assertTrue(refused[0] > 40, refused[0] + " refused of the bound class");
+        assertEquals(0, refused[1]);
+    }
+
+    @Test
+    void thoseWhoMayGoElsewhereMakeRoomForABoundClass() {
+        Bench bench = new Bench(Sites.plain().onlyKinds(1).lateWorth(0).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2).kind(1));
+        int[] free = new int[3];
+        for (int i = 0; i < 600; i++) {
+            bench.request(i, i % 2);
+            bench.advance(20);
+            if (bench.isOpen(i)) {
+                free[i % 2 == 1 && i > 200 ? (int) bench.lastSend().upstream() : 0]++;
+                // Equally quick for the free class, so that latencies alone would share it evenly.
+                bench.finishAfter(bench.lastSend(), Result.OK, i % 2 == 0 ? 900 : 100);
+            }
+        }
+        assertTrue(free[2] > 0 && free[2] < free[1] / 5, free[1] + " and " + free[2]);
+    }
+
+    // ---- Rule 4 when nothing is warm -----------------------------------------------------------------
+
+    @Test
+    void aFleetThatIsColdAsAWholeIsNotLeftIdle() {
+        Bench bench = new Bench(Sites.plain().tier(1).build(), 4);
+        bench.list(Change.CACHED, Sites.server(1).startedAt(NOW), Sites.server(2).startedAt(NOW),
+                Sites.server(3).startedAt(NOW), Sites.server(4).startedAt(NOW));
+        for (int i = 0; i < 400; i++) {
+            bench.request(i, 0);
+            int before = bench.sends.size();
+            bench.advance(5);
+            for (Bench.Sent s : bench.sends.subList(Math.max(0, before - 1), bench.sends.size())) {
+                if (bench.isOpen(s.request())) {
+                    bench.finish(s, Result.OK);
+                }
+            }
+        }
+        // All can do a fifth of their capacity and fall at three times that; half of 400 is far from both.
+        int sent = bench.sends.size();
+        assertTrue(sent > 60 && sent < 0.2 * 3 * 400, sent + " sent");
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/Sites.java
@@ -0,0 +1,186 @@
+package cranedeal;
+
+import java.util.List;
+import cranedeal.LoadBalancer.Goal;
+import cranedeal.LoadBalancer.Group;
+import cranedeal.LoadBalancer.Limits;
+import cranedeal.LoadBalancer.Prices;
+import cranedeal.LoadBalancer.Repeat;
+import cranedeal.LoadBalancer.Reports;
+import cranedeal.LoadBalancer.Rules;
+import cranedeal.LoadBalancer.ServiceClass;
+import cranedeal.LoadBalancer.Settings;
+import cranedeal.LoadBalancer.State;
+import cranedeal.LoadBalancer.Upstream;
+import cranedeal.LoadBalancer.WeightKind;
+
+/** Settings and server entries for tests. */
+final class Sites {
+
+    static final double AIM = 1_000;
+    static final double DEADLINE = 2_000;
+
+    private Sites() {
+    }
+
+    static Builder plain() {
+        return new Builder();
+    }
+
+    static Server server(long id) {
+        return new Server(id);
+    }
+
+    static final class Server {
+        private final long id;
+        private int zone;
+        private int cell;
+        private int kind;
+        private State state = State.READY;
+        private double startedAt;
+
+        private Server(long id) {
+            this.id = id;
+        }
+
+        Server zone(int value) {
+            zone = value;
+            return this;
+        }
+
+        Server cell(int value) {
+            cell = value;
+            return this;
+        }
+
+        Server kind(int value) {
+            kind = value;
+            return this;
+        }
+
+        Server state(State value) {
+            state = value;
+            return this;
+        }
+
+        Server startedAt(double value) {
+            startedAt = value;
+            return this;
+        }
+
+        Upstream listed() {
+            return new Upstream(id, zone, kind, cell, state, 1, startedAt);
+        }
+    }
+
+    static final class Builder {
+        private Repeat repeat = Repeat.IDEMPOTENT;
+        private Group group = Group.ALL;
+        private double memory = 5_000;
+        private double lateWorth = 0.5;
+        private boolean parallel;
+        private boolean subscribe;
+        private boolean streamed;
+        private int siblings = 1;
+        private int position;
+        private int tier;
+        private double crossZone;
+        private double connection;
+        private boolean inOrder;
+        private List<Integer> onlyZones;
+        private List<Integer> onlyKinds;
+
+        /** Both classes take turns per key; keys rest for 100 ms. */
+        Builder inOrder(boolean value) {
+            inOrder = value;
+            return this;
+        }
+
+        /** The first class may only go to these zones. */
+        Builder onlyZones(Integer... values) {
+            onlyZones = List.of(values);
+            return this;
+        }
+
+        /** The first class may only go to these machine types. */
+        Builder onlyKinds(Integer... values) {
+            onlyKinds = List.of(values);
+            return this;
+        }
+
+        Builder repeat(Repeat value) {
+            repeat = value;
+            return this;
+        }
+
+        Builder group(Group value) {
+            group = value;
+            return this;
+        }
+
+        Builder memory(double value) {
+            memory = value;
+            return this;
+        }
+
+        Builder lateWorth(double value) {
+            lateWorth = value;
+            return this;
+        }
+
+        Builder parallel(boolean value) {
+            parallel = value;
+            return this;
+        }
+
+        Builder subscribe(boolean value) {
+            subscribe = value;
+            return this;
+        }
+
+        Builder streamed(boolean value) {
+            streamed = value;
+            return this;
+        }
+
+        Builder siblings(int value) {
+            siblings = value;
+            return this;
+        }
+
+        Builder position(int value) {
+            position = value;
+            return this;
+        }
+
+        Builder tier(int value) {
+            tier = value;
+            return this;
+        }
+
+        Builder crossZone(double value) {
+            crossZone = value;
+            return this;
+        }
+
+        Builder connection(double value) {
+            connection = value;
+            return this;
+        }
+
+        Settings build() {
+            List<ServiceClass> classes = List.of(
+                    new ServiceClass("first", AIM, 0, DEADLINE, 5, lateWorth, repeat, group, memory,
+                            streamed, inOrder, onlyZones, onlyKinds),
+                    new ServiceClass("second", AIM, 0, DEADLINE, 1, lateWorth, repeat, group, memory,
+                            streamed, inOrder, null, null));
+            return new Settings(position, siblings, tier, 3, 0, 2, 2, subscribe, true, false, false, false,
+                    0.1, WeightKind.NONE, Reports.NONE, List.of(), classes, List.of(),
+                    new Limits(4, 1_000, true, parallel, false, false, false, 2_000, 100, 30_000, 1, 0,
+                            800_000),
+                    new Rules(20, 500, 10_000, 0.2, 10_000, 3, 1_500, 100),
+                    new Goal(0.6, 0.2, 0.2, 0, 0, 0, 0, 0),
+                    new Prices(crossZone, 0, 0.02, 0.03, connection, 0, 0, 0));
+        }
+    }
+}
