--- /dev/null
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -0,0 +1,242 @@
+package cranedeal.node;
+
+import cranedeal.LoadBalancer.Change;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Asks discovery for the list of upstreams and watches its changes. Whatever goes wrong with a call, a
+ * garbled answer or none at all, is {@link Change#FAILED} once, and the old list holds; when to ask again is
+ * the module's decision.
+ */
+final class Discovery {
+
+    private static final int MAX_LIST = 4 * 1024 * 1024;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    /** How long a watch may wait for news: each new call costs discovery work. */
+    private static final int WATCH_MS = 20_000;
+    /** How long after that an answer may still be under way; what was not told by then counts as told. */
+    private static final int LATE_MS = 1_500;
+
+    /** What the list is told to. */
+    interface Listener {
+
+        /** News; the roster is null if the call failed. */
+        void told(Change change, Roster roster);
+    }
+
+    private final EventLoop loop;
+    private final NodeConfig config;
+    private final Listener listener;
+    private final Bootstrap bootstrap;
+    private long version;
+    private boolean watching;
+    /** The watch's connection, kept from call to call, and its call that is out. */
+    private Channel kept;
+    private Call watch;
+
+    Discovery(EventLoop loop, NodeConfig config, ByteBufAllocator memory, Listener listener) {
+        this.loop = loop;
+        this.config = config;
+        this.listener = listener;
+        version = config.known().version();
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(),
+                                new HttpObjectAggregator(MAX_LIST), new Answers());
+                    }
+                });
+    }
+
+    /** Begins the watch, or ends it. */
+    void watch(boolean on) {
+        watching = on;
+        if (on && watch == null) {
+            watchOn();
+        } else if (!on && watch != null) {
+            watch.abandon();
+            watch = null;
+        }
+    }
+
+    private void watchOn() {
+        watch = new Call("?index=" + version + "&wait=" + WATCH_MS, WATCH_MS + LATE_MS, this::watched);
+        watch.start(kept);
+    }
+
+    private void watched(Roster roster) {
+        kept = roster == null ? null : watch.channel;
+        watch = null;
+        tell(roster);
+        // The watch goes on only if its next call comes soon, so it must not wait for the module.
+        if (roster != null && watching && watch == null) {
+            watchOn();
+        }
+    }
+
+    /** Asks once for the whole list. */
+    void fetch() {
+        new Call("", CONNECT_TIMEOUT_MS + LATE_MS, this::fetched).start(null);
+    }
+
+    private void fetched(Roster roster) {
+        // Changes are no answer to a call for the whole list.
+        tell(roster != null && roster.full() ? roster : null);
+    }
+
+    private void tell(Roster roster) {
+        if (roster == null) {
+            listener.told(Change.FAILED, null);
+        } else {
+            version = roster.version();
+            listener.told(roster.full() ? Change.FULL : Change.DELTA, roster);
+        }
+    }
+
+    /** One call; its end is reported once, with null for a failure. */
+    private final class Call {
+
+        private final String query;
+        private final Consumer<Roster> end;
+        private final Future<?> expiry;
+        private Channel channel;
+        private boolean over;
+
+        Call(String query, long patience, Consumer<Roster> end) {
+            this.query = query;
+            this.end = end;
+            expiry = loop.schedule(this::fail, patience, TimeUnit.MILLISECONDS);
+        }
+
+        /** Asks over the given connection if it still stands, otherwise over a new one. */
+        private void start(Channel connection) {
+            if (connection != null && connection.isActive()) {
+                ask(connection);
+                return;
+            }
+            bootstrap.connect(config.discovery()).addListener((io.netty.channel.ChannelFuture up) -> {
+                channel = up.channel();
+                if (over) {
+                    channel.close();
+                } else if (up.isSuccess()) {
+                    ask(channel);
+                } else {
+                    fail();
+                }
+            });
+        }
+
+        private void ask(Channel connection) {
+            channel = connection;
+            channel.pipeline().get(Answers.class).asked = this;
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/catalog/members" + query, Unpooled.EMPTY_BUFFER);
+            request.headers().set("Host", config.discovery().getHostString());
+            channel.writeAndFlush(request).addListener(write -> {
+                if (!write.isSuccess()) {
+                    fail();
+                }
+            });
+        }
+
+        private void abandon() {
+            over = true;
+            expiry.cancel(false);
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        private void fail() {
+            if (!over) {
+                abandon();
+                end.accept(null);
+            }
+        }
+
+        private void answered(FullHttpResponse response) {
+            if (over) {
+                return;
+            }
+            Roster roster;
+            try {
+                roster = read(response);
+            } catch (IOException | IllegalArgumentException e) {
+                Node.LOG.warning("discovery's answer is of no use: " + e.getMessage());
+                fail();
+                return;
+            }
+            over = true;
+            expiry.cancel(false);
+            end.accept(roster);
+        }
+
+        private Roster read(FullHttpResponse response) throws IOException {
+            if (!response.decoderResult().isSuccess() || response.status().code() != 200) {
+                throw new IOException("status " + response.status().code());
+            }
+            try (InputStream body = new ByteBufInputStream(response.content())) {
+                return Roster.parse(NodeConfig.JSON.readTree(body), config.zones(), config.kinds());
+            }
+        }
+    }
+
+    /** Hands what comes on a connection to the call that waits for it. */
+    private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        private Call asked;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Call call = asked;
+            asked = null;
+            if (call == null || !HttpUtil.isKeepAlive(response)) {
+                ctx.close();
+            }
+            if (call != null) {
+                call.answered(response);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (asked != null) {
+                asked.fail();
+            }
+            ctx.fireChannelInactive();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (asked != null) {
+                asked.fail();
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -0,0 +1,387 @@
+package cranedeal.node;
+
+import cranedeal.LoadBalancer.Result;
+import cranedeal.LoadBalancer.Settings;
+import cranedeal.LoadBalancer.State;
+import cranedeal.node.Roster.Member;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Carries attempts and probes to upstreams, one at a time on a connection, and reports how each ended. It
+ * sends nothing twice: what breaks is an outcome.
+ */
+final class UpstreamClient {
+
+    static final int MAX_BODY = 64 * 1024;
+    /** The part of an upstream's idle limit after which a connection is closed from this side. */
+    private static final double IDLE_SHARE = 0.7;
+    private static final long SWEEP_MS = 1_000;
+
+    /** Who waits for an attempt. */
+    interface Listener {
+
+        /** Called once, when the attempt is over; the response, null if none came, is not to be kept. */
+        void finished(Result result, FullHttpResponse response);
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Settings settings;
+    private final Sockets sockets;
+    private final Bootstrap bootstrap;
+    private final Map<Long, Target> targets = new HashMap<>();
+
+    UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, ByteBufAllocator memory) {
+        this.loop = loop;
+        this.clock = clock;
+        this.settings = settings;
+        this.sockets = sockets;
+        int connectTimeout = (int) Math.max(1, settings.limits().connectTimeout());
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(),
+                                new HttpObjectAggregator(MAX_BODY), new Connection(channel));
+                    }
+                });
+        sockets.evictWith(this::evictIdle);
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** An upstream, its idle connections, the longest idle first, and when it last was told to be ready. */
+    private static final class Target {
+        Member member;
+        /** When this balancer was told that it wants nothing new; NaN while it does. */
+        double toldOff = Double.NaN;
+        final ArrayDeque<Connection> idle = new ArrayDeque<>();
+
+        void closeIdle() {
+            // Closing may call back and take the connection out of the queue.
+            for (Connection c = idle.pollFirst(); c != null; c = idle.pollFirst()) {
+                c.channel.close();
+            }
+        }
+    }
+
+    /** Takes in a list; what an upstream that left or drains still holds idle is of no more use. */
+    void update(Roster roster) {
+        double now = clock.now();
+        Map<Long, Target> left = roster.full() ? new HashMap<>(targets) : Map.of();
+        for (Member member : roster.members()) {
+            left.remove(member.upstream().id());
+            if (member.upstream().state() == State.REMOVED) {
+                tellOff(targets.get(member.upstream().id()), now);
+                continue;
+            }
+            Target target = targets.computeIfAbsent(member.upstream().id(), id -> new Target());
+            Member before = target.member;
+            if (before != null && (before.upstream().startedAt() != member.upstream().startedAt()
+                    || !before.address().equals(member.address()))) {
+                target.closeIdle();
+            }
+            target.member = member;
+            if (member.upstream().state() == State.READY) {
+                target.toldOff = Double.NaN;
+            } else {
+                tellOff(target, now);
+            }
+        }
+        left.values().forEach(target -> tellOff(target, now));
+    }
+
+    private static void tellOff(Target target, double now) {
+        if (target != null && Double.isNaN(target.toldOff)) {
+            target.toldOff = now;
+            target.closeIdle();
+        }
+    }
+
+    /**
+     * Sends a request to an upstream and waits until the given time. {@code body} and {@code listener} are
+     * used until the listener has been called.
+     */
+    Attempt send(long upstream, FullHttpRequest request, double until, Listener listener) {
+        Attempt attempt = new Attempt(request, until, listener);
+        attempt.start(targets.get(upstream));
+        return attempt;
+    }
+
+    /** Asks an upstream how it does; the answer's body holds its load report if the site has any. */
+    void probe(long upstream, double until, Listener listener) {
+        String path = settings.reportFields().isEmpty() ? "/ping" : "/_load";
+        send(upstream, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
+                Unpooled.EMPTY_BUFFER), until, listener);
+    }
+
+    void closeIdle(long upstream) {
+        Target target = targets.get(upstream);
+        if (target != null) {
+            target.closeIdle();
+        }
+    }
+
+    private void sweep() {
+        double oldest = clock.now() - IDLE_SHARE * settings.limits().connectionIdle();
+        for (Target target : targets.values()) {
+            while (!target.idle.isEmpty() && target.idle.peekFirst().idleSince < oldest) {
+                target.idle.pollFirst().channel.close();
+            }
+        }
+        // Whoever left long ago and holds nothing need not be remembered.
+        double grace = settings.rules().drainGrace();
+        targets.values().removeIf(t -> t.member.upstream().state() != State.DRAINING
+                && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
+    }
+
+    /** Closes the connection that has been idle for longest; false if there is none. */
+    private boolean evictIdle() {
+        Target longest = null;
+        for (Target target : targets.values()) {
+            if (!target.idle.isEmpty() && (longest == null
+                    || target.idle.peekFirst().idleSince < longest.idle.peekFirst().idleSince)) {
+                longest = target;
+            }
+        }
+        if (longest != null) {
+            longest.idle.pollFirst().channel.close();
+        }
+        return longest != null;
+    }
+
+    /** One request on its way to one upstream. */
+    final class Attempt {
+
+        private final FullHttpRequest request;
+        private final double until;
+        private final Listener listener;
+        private final Future<?> expiry;
+        private Target target;
+        private Channel channel;
+        private boolean written;
+        private boolean over;
+
+        private Attempt(FullHttpRequest request, double until, Listener listener) {
+            this.request = request;
+            this.until = until;
+            this.listener = listener;
+            expiry = loop.schedule(this::expire, clock.nanosUntil(until), TimeUnit.NANOSECONDS);
+        }
+
+        private void start(Target to) {
+            target = to;
+            if (to == null) {
+                end(Result.CONNECT_FAILED, null);
+                return;
+            }
+            Connection idle = takeIdle(to);
+            if (idle != null) {
+                begin(idle);
+            } else if (!sockets.roomForUpstream()) {
+                end(Result.CONNECT_FAILED, null);
+            } else {
+                ChannelFuture connect = bootstrap.connect(to.member.address());
+                channel = connect.channel();
+                sockets.count(channel);
+                connect.addListener(up -> {
+                    if (over) {
+                        channel.close();
+                    } else if (up.isSuccess()) {
+                        begin(channel.pipeline().get(Connection.class));
+                    } else {
+                        end(Result.CONNECT_FAILED, null);
+                    }
+                });
+            }
+        }
+
+        /** Writes the request, unless it has waited too long for its connection. */
+        private void begin(Connection connection) {
+            channel = connection.channel;
+            double now = clock.now();
+            // NaN compares false: a ready upstream takes anything.
+            boolean drained = now >= target.toldOff + settings.rules().drainGrace();
+            if (drained || now >= until) {
+                connection.park(target);
+                end(Result.CONNECT_FAILED, null);
+                return;
+            }
+            connection.carry(this);
+            FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
+                    request.uri(), request.content().retainedDuplicate());
+            copy.headers().set(request.headers());
+            copy.headers().set("Host", target.member.address().getHostString());
+            // Rounded down: the upstream must not take this balancer to be more patient than it is.
+            copy.headers().set("X-Remaining", seconds(Math.floor(until - now)));
+            channel.writeAndFlush(copy).addListener(write -> {
+                written = write.isSuccess();
+                if (!written) {
+                    broke();
+                }
+            });
+        }
+
+        /** The connection is of no more use: what was not written whole can't have run. */
+        private void broke() {
+            end(written ? Result.RESET : Result.CONNECT_FAILED, null);
+            channel.close();
+        }
+
+        private void expire() {
+            if (!over) {
+                end(written ? Result.TIMEOUT : Result.CONNECT_FAILED, null);
+                close();
+            }
+        }
+
+        /** Stops waiting, and lets the upstream know by closing the connection. */
+        void cancel() {
+            if (!over) {
+                end(Result.CANCELLED, null);
+                close();
+            }
+        }
+
+        private void close() {
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        private void answered(FullHttpResponse response) {
+            int status = response.status().code();
+            boolean turnedAway = (status == 503 || status == 504)
+                    && "1".equals(response.headers().get("X-Turned-Away"));
+            Result result = turnedAway ? Result.FULL : status == 200 ? Result.OK : Result.ERROR;
+            end(result, response);
+        }
+
+        private void end(Result result, FullHttpResponse response) {
+            if (!over) {
+                over = true;
+                expiry.cancel(false);
+                listener.finished(result, response);
+            }
+        }
+    }
+
+    private static Connection takeIdle(Target target) {
+        for (Connection c = target.idle.pollLast(); c != null; c = target.idle.pollLast()) {
+            // The upstream may have closed it, and what is written to it then would count as run.
+            Sockets.readNow(c.channel);
+            if (c.channel.isActive()) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    static String seconds(double millis) {
+        return String.format(Locale.ROOT, "%.3f", millis / 1_000);
+    }
+
+    /** A connection to an upstream; it belongs to one attempt at a time. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+        final Channel channel;
+        double idleSince;
+        private Attempt carried;
+        private Target home;
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        void carry(Attempt attempt) {
+            carried = attempt;
+            home = attempt.target;
+        }
+
+        /** Keeps the connection for the next attempt. */
+        void park(Target target) {
+            carried = null;
+            home = target;
+            if (!Double.isNaN(target.toldOff)) {
+                channel.close();
+                return;
+            }
+            idleSince = clock.now();
+            target.idle.addLast(this);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                    && response.decoderResult().isSuccess()) {
+                return;
+            }
+            Attempt attempt = carried;
+            carried = null;
+            if (attempt == null) {
+                channel.close();
+            } else if (!response.decoderResult().isSuccess()) {
+                attempt.end(Result.ERROR, null);
+                channel.close();
+            } else if (!channel.isActive()) {
+                // It has no length but the connection's end, which a crash would look like too.
+                attempt.broke();
+            } else {
+                if (!attempt.over && attempt.written && HttpUtil.isKeepAlive(response)) {
+                    park(home);
+                } else {
+                    channel.close();
+                }
+                attempt.answered(response);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (home != null) {
+                home.idle.remove(this);
+            }
+            if (carried != null) {
+                carried.broke();
+            }
+            ctx.fireChannelInactive();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (carried != null && !(cause instanceof IOException)) {
+                // An answer that is too large or no HTTP: the upstream has had the request.
+                carried.end(carried.written ? Result.ERROR : Result.CONNECT_FAILED, null);
+            }
+            // For a broken connection, the end of the channel tells the attempt.
+            channel.close();
+        }
+    }
+}
--- a/src/main/java/cranedeal/wire/MalformedInputException.java
+++ b/src/main/java/cranedeal/wire/MalformedInputException.java
@@ -1,7 +1,7 @@
 package cranedeal.wire;
 
 /** Input that the wire does not allow; the message says what and where, in one line. */
-final class MalformedInputException extends RuntimeException {
+public final class MalformedInputException extends RuntimeException {
 
     private static final long serialVersionUID = 1L;
 
--- a/src/main/java/cranedeal/wire/SettingsParser.java
+++ b/src/main/java/cranedeal/wire/SettingsParser.java
@@ -21,7 +21,7 @@
 import cranedeal.LoadBalancer.WeightKind;
 
 /** Turns the {@code path=value} lines of a start event into {@link Settings}. */
-final class SettingsParser {
+public final class SettingsParser {
 
     private static final int MAX_ITEMS = 10_000;
 
@@ -44,7 +44,7 @@
         }
     }
 
-    static Settings parse(byte[] text) {
+    public static Settings parse(byte[] text) {
         try {
             String decoded = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(text)).toString();
             return new SettingsParser(decoded).settings();
