Host fixes that the first loopback tests found: lists, resets, order of close

Tests over sockets for every row of the outcome table, the pool, the connect time-out, a drain while connecting, probes and descriptors. What they found:

- Every list of changes ended the watch for good and unheard: update() took entries out of an immutable map (UpstreamClient.update), and the exception was dropped with the connection (Discovery.Answers).
An exception while a list is taken in now counts as a failed call and is logged.
Ruled out first: the second call of the watch does go out, on the same connection.
- A 200 cut off by the end of its connection was ERROR, not RESET: Netty reports it as PrematureChannelClosureException before the channel's end.
- A given-up attempt told the module before it closed its connection, so the next send could overtake it and count as a second copy.
- Events could have stuck for good had a handler thrown while one failed.
- Hop-by-hop headers of a caller no longer go on to upstreams.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.logging.Level;
 
 /**
  * Asks discovery for the list of upstreams and watches its changes. Whatever goes wrong with a call, a
@@ -109,12 +110,18 @@
         tell(roster != null && roster.full() ? roster : null);
     }
 
+    /** A list that its listener can't take must not end the watch for good: it counts as a failed call. */
     private void tell(Roster roster) {
         if (roster == null) {
             listener.told(Change.FAILED, null);
-        } else {
-            version = roster.version();
+            return;
+        }
+        try {
             listener.told(roster.full() ? Change.FULL : Change.DELTA, roster);
+            version = roster.version();
+        } catch (RuntimeException e) {
+            Node.LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
+            listener.told(Change.FAILED, null);
         }
     }
 
@@ -233,6 +240,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                Node.LOG.log(Level.WARNING, "the connection to discovery failed", cause);
+            }
             if (asked != null) {
                 asked.fail();
             }
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/cranedeal/node/Exchange.java
@@ -24,7 +24,7 @@
     final FullHttpRequest request;
     final double deadline;
     final List<UpstreamClient.Attempt> attempts = new ArrayList<>(2);
-    /** How many attempts were asked for, and how many of them are out. */
+    /** How many attempts were asked for, and how many of them are out; one not sent is null in the list. */
     int sends;
     int running;
     Future<?> overdue;
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -157,7 +157,8 @@
             sockets.count(channel);
             connections.add(this);
             if (!sockets.roomForCaller() && !evictIdle()) {
-                Node.LOG.warning("more callers than there are descriptors for");
+                // Failing to accept for want of a descriptor would stop Netty from trying for a second.
+                listening.config().setAutoRead(false);
             }
             ctx.fireChannelActive();
         }
@@ -241,6 +242,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
+            listening.config().setAutoRead(true);
             ahead.forEach(FullHttpRequest::release);
             ahead.clear();
             Exchange left = exchange;
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -128,8 +128,8 @@
     }
 
     /** Ends at once, whatever is under way; for tests. */
-    void kill() throws InterruptedException {
-        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    void kill() {
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
     // ---- What happens ------------------------------------------------------------------------------
@@ -144,16 +144,19 @@
             return;
         }
         deciding = true;
-        for (Event event = events.poll(); event != null; event = events.poll()) {
-            subject = event.about();
-            try {
-                event.call().run();
-            } catch (Throwable e) {
-                broken(event.about(), e);
+        try {
+            for (Event event = events.poll(); event != null; event = events.poll()) {
+                subject = event.about();
+                try {
+                    event.call().run();
+                } catch (Throwable e) {
+                    broken(event.about(), e);
+                }
             }
+        } finally {
+            subject = null;
+            deciding = false;
         }
-        subject = null;
-        deciding = false;
     }
 
     /** A call of the module broke off: what it was about fails, as nobody knows what has run. */
@@ -167,7 +170,7 @@
     /** Fails a request over the module's head and tells it that the client waits no more. */
     private void fail(Exchange exchange, HttpResponseStatus status) {
         exchange.answer(status, Unpooled.EMPTY_BUFFER, 0);
-        exchange.attempts.forEach(UpstreamClient.Attempt::cancel);
+        exchange.attempts.forEach(Node::cancel);
         tell(null, () -> balancer.clientGone(clock.now(), exchange.id));
         settle(exchange);
     }
@@ -246,6 +249,7 @@
         exchange.running++;
         if (!exchange.isOpen() || now >= exchange.deadline
                 || number >= config.settings().limits().maxAttempts()) {
+            exchange.attempts.add(null);
             finished(exchange, number, upstream, now, Result.NOT_SENT, null);
             return;
         }
@@ -276,7 +280,13 @@
     public void cancel(long requestId, int attempt) {
         Exchange exchange = exchanges.get(requestId);
         if (exchange != null && attempt < exchange.attempts.size()) {
-            exchange.attempts.get(attempt).cancel();
+            cancel(exchange.attempts.get(attempt));
+        }
+    }
+
+    private static void cancel(UpstreamClient.Attempt attempt) {
+        if (attempt != null) {
+            attempt.cancel();
         }
     }
 
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -15,6 +15,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -25,9 +26,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.Locale;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +44,10 @@
     /** The part of an upstream's idle limit after which a connection is closed from this side. */
     private static final double IDLE_SHARE = 0.7;
     private static final long SWEEP_MS = 1_000;
+    private static final int MILLI = 3;
+    /** What a caller says of its own connection is not for the next. */
+    private static final List<String> HOP_BY_HOP = List.of("Connection", "Keep-Alive", "Proxy-Connection",
+            "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect");
 
     /** Who waits for an attempt. */
     interface Listener {
@@ -95,7 +101,7 @@
     /** Takes in a list; what an upstream that left or drains still holds idle is of no more use. */
     void update(Roster roster) {
         double now = clock.now();
-        Map<Long, Target> left = roster.full() ? new HashMap<>(targets) : Map.of();
+        Map<Long, Target> left = new HashMap<>(roster.full() ? targets : Map.of());
         for (Member member : roster.members()) {
             left.remove(member.upstream().id());
             if (member.upstream().state() == State.REMOVED) {
@@ -238,9 +244,10 @@
             FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
                     request.uri(), request.content().retainedDuplicate());
             copy.headers().set(request.headers());
+            HOP_BY_HOP.forEach(copy.headers()::remove);
             copy.headers().set("Host", target.member.address().getHostString());
             // Rounded down: the upstream must not take this balancer to be more patient than it is.
-            copy.headers().set("X-Remaining", seconds(Math.floor(until - now)));
+            copy.headers().set("X-Remaining", seconds(until - now));
             channel.writeAndFlush(copy).addListener(write -> {
                 written = write.isSuccess();
                 if (!written) {
@@ -251,28 +258,30 @@
 
         /** The connection is of no more use: what was not written whole can't have run. */
         private void broke() {
-            end(written ? Result.RESET : Result.CONNECT_FAILED, null);
-            channel.close();
+            giveUp(written ? Result.RESET : Result.CONNECT_FAILED);
         }
 
         private void expire() {
-            if (!over) {
-                end(written ? Result.TIMEOUT : Result.CONNECT_FAILED, null);
-                close();
-            }
+            giveUp(written ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
         /** Stops waiting, and lets the upstream know by closing the connection. */
         void cancel() {
-            if (!over) {
-                end(Result.CANCELLED, null);
-                close();
-            }
+            giveUp(Result.CANCELLED);
         }
 
-        private void close() {
-            if (channel != null) {
-                channel.close();
+        /**
+         * Ends the attempt with its connection. That is closed first: what the module sends in answer to the
+         * outcome would otherwise overtake it, and be a second copy.
+         */
+        private void giveUp(Result result) {
+            if (!over) {
+                over = true;
+                expiry.cancel(false);
+                if (channel != null) {
+                    channel.close();
+                }
+                listener.finished(result, null);
             }
         }
 
@@ -304,8 +313,9 @@
         return null;
     }
 
+    /** Whole ms as a decimal number of seconds. */
     static String seconds(double millis) {
-        return String.format(Locale.ROOT, "%.3f", millis / 1_000);
+        return BigDecimal.valueOf((long) millis, MILLI).toPlainString();
     }
 
     /** A connection to an upstream; it belongs to one attempt at a time. */
@@ -347,19 +357,20 @@
             carried = null;
             if (attempt == null) {
                 channel.close();
-            } else if (!response.decoderResult().isSuccess()) {
-                attempt.end(Result.ERROR, null);
-                channel.close();
             } else if (!channel.isActive()) {
-                // It has no length but the connection's end, which a crash would look like too.
+                // What the end of the connection completes is no answer: a crash would look like that too.
                 attempt.broke();
+            } else if (!response.decoderResult().isSuccess()) {
+                attempt.giveUp(Result.ERROR);
             } else {
-                if (!attempt.over && attempt.written && HttpUtil.isKeepAlive(response)) {
+                boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response);
+                attempt.answered(response);
+                // Only now: the module's next send must not read from a connection that is being read.
+                if (keep && channel.isActive()) {
                     park(home);
                 } else {
                     channel.close();
                 }
-                attempt.answered(response);
             }
         }
 
@@ -376,9 +387,11 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (carried != null && !(cause instanceof IOException)) {
+            boolean broken = cause instanceof IOException
+                    || cause instanceof PrematureChannelClosureException;
+            if (carried != null && !broken) {
                 // An answer that is too large or no HTTP: the upstream has had the request.
-                carried.end(carried.written ? Result.ERROR : Result.CONNECT_FAILED, null);
+                carried.giveUp(carried.written ? Result.ERROR : Result.CONNECT_FAILED);
             }
             // For a broken connection, the end of the channel tells the attempt.
             channel.close();
--- /dev/null
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -0,0 +1,62 @@
+package cranedeal.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Listens on a port of its own and hands each connection to the test, which plays the server. */
+final class Listener implements AutoCloseable {
+
+    private final ServerSocket server;
+    private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
+
+    Listener() throws IOException {
+        this(0);
+    }
+
+    /** With a receive buffer of a size, 0 for the system's choice. */
+    Listener(int receiveBuffer) throws IOException {
+        server = new ServerSocket();
+        if (receiveBuffer > 0) {
+            server.setReceiveBufferSize(receiveBuffer);
+        }
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    accepted.add(new Peer(server.accept()));
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /** The next connection; fails the test if none comes. */
+    Peer accept() throws InterruptedException {
+        Peer peer = accepted.poll(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        if (peer == null) {
+            throw new AssertionError("no connection came");
+        }
+        return peer;
+    }
+
+    /** How many connections have come that the test has not looked at. */
+    int waiting() {
+        return accepted.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/node/Script.java
@@ -0,0 +1,95 @@
+package cranedeal.node;
+
+import cranedeal.LoadBalancer;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** A module that does what the test says, and remembers what its host told it. */
+final class Script implements LoadBalancer {
+
+    Actions actions;
+    volatile List<Upstream> upstreams = List.of();
+    /** What to do with a request; by default it goes to the first upstream until its deadline. */
+    volatile Consumer<Request> onRequest = request -> sendTo(0, request, 0);
+    volatile Consumer<Outcome> onOutcome = outcome -> { };
+    /** What to do with an outcome that leaves its request open; by default it fails. */
+    volatile BiConsumer<Actions, Outcome> onOpen = (to, outcome) -> to.fail(outcome.requestId());
+    volatile Runnable onTimer = () -> { };
+    volatile Runnable onStart = () -> { };
+    final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    final LinkedBlockingQueue<Change> changes = new LinkedBlockingQueue<>();
+    final LinkedBlockingQueue<Long> gone = new LinkedBlockingQueue<>();
+    final LinkedBlockingQueue<String> probes = new LinkedBlockingQueue<>();
+
+    LoadBalancer with(Actions given) {
+        actions = given;
+        return this;
+    }
+
+    /** Sends a request to an upstream by its place in the list. */
+    void sendTo(int place, Request request, double timeout) {
+        actions.send(request.id(), upstreams.get(place).id(), timeout);
+    }
+
+    static <T> T next(LinkedBlockingQueue<T> queue) throws InterruptedException {
+        T item = queue.poll(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        if (item == null) {
+            throw new AssertionError("nothing came");
+        }
+        return item;
+    }
+
+    Result result() throws InterruptedException {
+        return next(outcomes).result();
+    }
+
+    @Override
+    public void start(double now, Settings settings, long seed) {
+        onStart.run();
+    }
+
+    @Override
+    public void upstreamsChanged(double now, Change change, List<Upstream> list) {
+        if (change == Change.CACHED || change == Change.FULL) {
+            upstreams = list;
+        }
+        changes.add(change);
+    }
+
+    @Override
+    public void request(double now, Request request) {
+        onRequest.accept(request);
+    }
+
+    @Override
+    public void attemptFinished(double now, Outcome outcome) {
+        outcomes.add(outcome);
+        onOutcome.accept(outcome);
+        if (!outcome.closed()) {
+            onOpen.accept(actions, outcome);
+        }
+    }
+
+    @Override
+    public void streamStarted(double now, long requestId, int attempt, double elapsed) {
+        throw new AssertionError("nothing is streamed here");
+    }
+
+    @Override
+    public void clientGone(double now, long requestId) {
+        gone.add(requestId);
+    }
+
+    @Override
+    public void timer(double now, long token) {
+        onTimer.run();
+    }
+
+    @Override
+    public void probeResult(double now, long upstream, Result result, double elapsed, double[] report) {
+        probes.add(result + " " + java.util.Arrays.toString(report));
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -0,0 +1,143 @@
+package cranedeal.node;
+
+import cranedeal.LoadBalancer;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+/** A node on loopback addresses between listeners that the test plays upstreams and discovery on. */
+final class Stage implements AutoCloseable {
+
+    final Script script = new Script();
+    final Listener discovery = new Listener();
+    final List<Listener> upstreams = new ArrayList<>();
+    private final List<Peer> callers = new ArrayList<>();
+    /** Settings that a test may change before it starts the node. */
+    int sockets = 1_024;
+    int connectTimeout = 3_000;
+    int drainGrace = 2_000;
+    Node node;
+
+    Stage() throws IOException {
+        this(1);
+    }
+
+    Stage(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            upstreams.add(new Listener());
+        }
+    }
+
+    /** Starts the node with the scripted module. */
+    Stage start() throws Exception {
+        return start(script::with);
+    }
+
+    Stage start(Function<LoadBalancer.Actions, LoadBalancer> module) throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        try {
+            Files.writeString(file, config());
+            node = Node.start(NodeConfig.read(file.toString()), module);
+        } finally {
+            Files.delete(file);
+        }
+        return this;
+    }
+
+    static String entry(int number, String address, String state) {
+        return """
+                {"id":"s-%08x","addr":"%s","zone":"dakar-a","kind":"front-mid","cell":%d,"state":"%s",
+                 "weight":1.0,"started_ms":0}""".formatted(number, address, number, state);
+    }
+
+    static String roster(long version, boolean full, String... entries) {
+        return "{\"version\":%d,\"full\":%b,\"servers\":[%s]}".formatted(version, full,
+                String.join(",", entries));
+    }
+
+    String config() {
+        String[] entries = new String[upstreams.size()];
+        for (int i = 0; i < entries.length; i++) {
+            entries[i] = entry(i, upstreams.get(i).address(), "up");
+        }
+        return """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
+                 "settings":{"position":0,"siblings":1,"tier":0,"stages":["front"],"zone":0,
+                 "zones":["dakar-a"],"machineTypes":["front-mid"],"registryMode":"subscribe",
+                 "familyInfo":{"passesDeadline":true},"callers":{"marksRetry":false},"worthBy":"request",
+                 "overShareWorth":0.1,"weightKind":"silent",
+                 "stats":{"how":"pull","fields":["queue","eps","latency_ms"]},"tenants":[],
+                 "services":[
+                 {"name":"look-up","aim":1000.0,"deadline":2500.0,"worth":1.0,"lateValue":0.5,
+                  "idempotency":"idempotent","streamed":false},
+                 {"name":"tile-order","aim":1000.0,"deadline":2500.0,"worth":8.0,"lateValue":0.5,
+                  "idempotency":"deduplicated","group":"cell","memorySpan":4000.0,"streamed":false},
+                 {"name":"credit-spend","aim":1500.0,"deadline":2500.0,"worth":2.0,"lateValue":0.3,
+                  "idempotency":"at_most_once","streamed":false}],
+                 "limits":{"attemptsCap":4,"maxOpen":20000,"cancel":true,"parallelTries":true,"probes":true,
+                  "peers":false,"retryAfter":true,"maxRetryAfter":2000.0,"connectTimeout":%d,
+                  "connIdle":30000.0,"streamsPerConn":1},
+                 "rules":{"graceToAnswer":20.0,"drainGrace":%d,"askEvery":1000.0,"startCapacity":0.13,
+                  "warmUp":24000.0,"fallMultiple":3.0,"tipAfter":1500.0},
+                 "goal":{"whole":0.55,"worstWindow":0.15,"worstClass":0.3,"worstTenant":0.0},
+                 "prices":{"crossZone":0.22,"probe":0.01,"waste":0.2,"lateFail":0.03,"connection":0.0,
+                  "handshake":0.0,"peer":0.0,"registryMode":0.0}}}
+                """.formatted(discovery.address(), sockets,
+                        roster(41, true, entries), connectTimeout, drainGrace);
+    }
+
+    /** A new connection of a caller. */
+    Peer caller() throws IOException {
+        Peer caller = Peer.to(node.address());
+        callers.add(caller);
+        return caller;
+    }
+
+    /** A request of the class that is safe to repeat. */
+    static String get(String id, String remaining) {
+        return "GET /look-up/7?z=3 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
+                + "\r\nX-Lane: look-up\r\nX-Remaining: " + remaining + "\r\n\r\n";
+    }
+
+    /** A request of the class that must never run twice. */
+    static String spend(String id, String body) {
+        return "POST /credit-spend HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
+                + "\r\nX-Lane: credit-spend\r\nX-Remaining: 10\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body;
+    }
+
+    static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Serves a request and asserts that the caller has its answer: the node is well. */
+    void servesStill() throws Exception {
+        Peer caller = caller();
+        caller.write(get("still", "10"));
+        Peer upstream = upstreams.get(0).accept();
+        upstream.read();
+        upstream.write(ok("well"));
+        Peer.Message answer = caller.read();
+        if (answer == null || answer.status() != 200 || !answer.body().equals("well")) {
+            throw new AssertionError("not served: " + answer);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Peer caller : callers) {
+            caller.close();
+        }
+        if (node != null) {
+            node.kill();
+        }
+        for (Listener upstream : upstreams) {
+            upstream.close();
+        }
+        discovery.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -0,0 +1,382 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.LoadBalancer.Change;
+import cranedeal.LoadBalancer.Result;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** How attempts go out, and how each way in which they end is told to the module. */
+@Timeout(60)
+class UpstreamClientTest {
+
+    @Test
+    void aRequestGoesOnUnchangedAndItsAnswerComesBack() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write("POST /tile-order/a?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 9b1f03aa5c7e2d41\r\n"
+                    + "X-Lane: tile-order\r\nX-Remaining: 5\r\nIdempotency-Key: 5c0f\r\n"
+                    + "Connection: keep-alive\r\nContent-Length: 4\r\n\r\nbody");
+            Peer upstream = stage.upstreams.get(0).accept();
+            Peer.Message request = upstream.read();
+            assertEquals("POST /tile-order/a?x=1 HTTP/1.1", request.first());
+            assertEquals("9b1f03aa5c7e2d41", request.header("X-Txn"));
+            assertEquals("5c0f", request.header("Idempotency-Key"));
+            assertEquals("body", request.body());
+            double remaining = Double.parseDouble(request.header("X-Remaining"));
+            assertTrue(remaining > 0 && remaining <= 5, "remaining " + remaining);
+            upstream.write(Stage.ok("served"));
+            Peer.Message answer = caller.read();
+            assertEquals(200, answer.status());
+            assertEquals("served", answer.body());
+            assertEquals(Result.OK, stage.script.result());
+        }
+    }
+
+    @Test
+    void anUpstreamIsToldNoMoreThanTheAttemptsOwnTimeout() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            stage.script.onRequest = request -> stage.script.sendTo(0, request, 3_000);
+            stage.caller().write(Stage.get("1", "9"));
+            String remaining = stage.upstreams.get(0).accept().read().header("X-Remaining");
+            assertTrue(Double.parseDouble(remaining) <= 3, remaining);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"500,,ERROR", "503,1,FULL", "504,1,FULL", "503,,ERROR", "404,,ERROR", "500,1,ERROR"})
+    void anAnswersStatusTellsItsOutcome(int status, String turnedAway, Result expected) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write("HTTP/1.1 " + status + " No\r\nContent-Length: 0\r\n"
+                    + (turnedAway == null ? "" : "X-Turned-Away: " + turnedAway + "\r\n") + "\r\n");
+            assertEquals(expected, stage.script.result());
+            assertEquals(502, caller.read().status());
+        }
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            stage.upstreams.get(0).close();
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            assertEquals(Result.CONNECT_FAILED, stage.script.result());
+            assertEquals(502, caller.read().status());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        // Delimited by the end of the connection only: a crash would look the same.
+        "HTTP/1.1 200 OK\r\n\r\nhalf"})
+    void aConnectionThatEndsBeforeTheWholeAnswerIsAReset(String part) throws Exception {
+        for (boolean abruptly : new boolean[] {false, true}) {
+            try (Stage stage = new Stage().start()) {
+                Peer caller = stage.caller();
+                caller.write(Stage.spend("1", "x"));
+                Peer upstream = stage.upstreams.get(0).accept();
+                upstream.read();
+                upstream.write(part);
+                if (abruptly) {
+                    upstream.reset();
+                } else {
+                    upstream.close();
+                }
+                assertEquals(Result.RESET, stage.script.result());
+                Peer.Message answer = caller.read();
+                assertEquals(502, answer.status());
+                assertEquals("", answer.body());
+            }
+        }
+    }
+
+    @Test
+    void aRequestNotWrittenWholeNeverRan() throws Exception {
+        try (Stage stage = new Stage()) {
+            // Large bodies that nobody reads fill the buffers between; the last one can't be written.
+            stage.upstreams.set(0, new Listener(1_024));
+            stage.start();
+            String body = "b".repeat(UpstreamClient.MAX_BODY);
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", body));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.reset();
+            assertEquals(Result.CONNECT_FAILED, stage.script.result());
+            assertEquals(502, caller.read().status());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
+    void aMalformedAnswerIsAnError(String answer) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(answer);
+            assertEquals(Result.ERROR, stage.script.result());
+            assertEquals(502, caller.read().status());
+            assertTrue(upstream.ended());
+            stage.servesStill();
+        }
+    }
+
+    @Test
+    void anAnswerOverTheLimitIsAnErrorAndOneAtItIsNot() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            for (int extra = 0; extra < 2; extra++) {
+                caller.write(Stage.get("1", "10"));
+                Peer upstream = stage.upstreams.get(0).accept();
+                upstream.read();
+                String body = "b".repeat(UpstreamClient.MAX_BODY + extra);
+                try {
+                    upstream.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + body.length()
+                            + "\r\n\r\n" + body);
+                } catch (IOException e) {
+                    assertEquals(1, extra, "only the answer that is too large may be cut off");
+                }
+                assertEquals(extra == 0 ? Result.OK : Result.ERROR, stage.script.result());
+                assertEquals(extra == 0 ? 200 : 502, caller.read().status());
+            }
+            stage.servesStill();
+        }
+    }
+
+    @Test
+    void aSilentUpstreamTimesOutAndItsConnectionIsClosed() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            stage.script.onRequest = request -> stage.script.sendTo(0, request, 100);
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            assertNotNull(upstream.read());
+            assertTrue(upstream.ended());
+            assertEquals(Result.TIMEOUT, stage.script.result());
+            assertEquals(502, caller.read().status());
+        }
+    }
+
+    @Test
+    void aCancelledAttemptClosesItsConnection() throws Exception {
+        try (Stage stage = new Stage(2).start()) {
+            // A second copy: the first answer wins, the other is called off.
+            stage.script.onRequest = request -> {
+                stage.script.sendTo(0, request, 0);
+                stage.script.sendTo(1, request, 0);
+            };
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer slow = stage.upstreams.get(0).accept();
+            slow.read();
+            Peer fast = stage.upstreams.get(1).accept();
+            fast.read();
+            stage.script.onOutcome = outcome -> stage.script.actions.cancel(outcome.requestId(), 0);
+            fast.write(Stage.ok("fast"));
+            assertEquals("fast", caller.read().body());
+            assertEquals(Result.OK, stage.script.result());
+            assertTrue(slow.ended());
+            assertEquals(Result.CANCELLED, stage.script.result());
+        }
+    }
+
+    @Test
+    void aConnectionIsUsedAgainWhileItIsAlive() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            Peer upstream = null;
+            for (int i = 0; i < 3; i++) {
+                caller.write(Stage.get("r" + i, "10"));
+                upstream = upstream == null ? stage.upstreams.get(0).accept() : upstream;
+                assertEquals("r" + i, upstream.read().header("X-Txn"));
+                upstream.write(Stage.ok("a" + i));
+                assertEquals("a" + i, caller.read().body());
+            }
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aPooledConnectionThatItsUpstreamClosedIsNotUsed(boolean abruptly) throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("one"));
+            caller.read();
+            if (abruptly) {
+                upstream.reset();
+            } else {
+                upstream.close();
+            }
+            caller.write(Stage.get("2", "10"));
+            Peer fresh = stage.upstreams.get(0).accept();
+            assertEquals("2", fresh.read().header("X-Txn"));
+            fresh.write(Stage.ok("two"));
+            assertEquals("two", caller.read().body());
+            assertEquals(Result.OK, stage.script.result());
+            assertEquals(Result.OK, stage.script.result());
+        }
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpNeverRan() throws Exception {
+        try (Stage stage = new Stage(); Backlog full = new Backlog()) {
+            stage.connectTimeout = 200;
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            tell(stage, Stage.entry(9, full.address(), "up"));
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            assertEquals(Result.CONNECT_FAILED, stage.script.result());
+            assertEquals(502, caller.read().status());
+        }
+    }
+
+    @Test
+    void anAttemptThatWaitsToConnectDoesNotBeginAfterTheGraceOfADrain() throws Exception {
+        try (Stage stage = new Stage(); Backlog full = new Backlog()) {
+            stage.connectTimeout = 15_000;
+            stage.drainGrace = 50;
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            Peer watch = tell(stage, Stage.entry(9, full.address(), "up"));
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            // The node has the request once it has answered what came after it on its one thread.
+            Peer other = stage.caller();
+            other.write("GET /_health HTTP/1.1\r\n\r\n");
+            other.read();
+            watch.read();
+            watch.write(Stage.ok(Stage.roster(43, false, Stage.entry(9, full.address(), "draining"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            // The kernel tries to connect again only after a second, long past the grace.
+            try (Peer late = full.acceptLast()) {
+                assertTrue(late.ended(), "the request was written after the grace");
+            }
+            assertEquals(Result.CONNECT_FAILED, stage.script.result());
+            assertEquals(502, caller.read().status());
+        }
+    }
+
+    @Test
+    void aProbeBringsTheLoadReport() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            stage.script.onRequest = request -> {
+                stage.script.actions.probe(stage.script.upstreams.get(0).id());
+                stage.script.actions.refuse(request.id(), 0);
+            };
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            assertEquals(503, caller.read().status());
+            Peer upstream = stage.upstreams.get(0).accept();
+            assertEquals("GET /_load HTTP/1.1", upstream.read().first());
+            upstream.write(Stage.ok("TEXT queue=2, eps=0.5, latency_ms=61"));
+            assertEquals("OK [2.0, 0.5, 61.0]", Script.next(stage.script.probes));
+        }
+    }
+
+    @Test
+    void idleConnectionsGiveWayToCallersWhenDescriptorsRunShort() throws Exception {
+        try (Stage stage = new Stage(6)) {
+            stage.sockets = 64 + 10;
+            stage.start();
+            Peer caller = stage.caller();
+            List<Peer> idle = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                int to = i;
+                stage.script.onRequest = request -> stage.script.sendTo(to, request, 0);
+                caller.write(Stage.get("r" + i, "10"));
+                idle.add(stage.upstreams.get(i).accept());
+                idle.get(i).read();
+                idle.get(i).write(Stage.ok("a"));
+                caller.read();
+            }
+            for (int i = 0; i < 6; i++) {
+                Peer more = stage.caller();
+                more.write("GET /_health HTTP/1.1\r\n\r\n");
+                assertEquals(200, more.read().status());
+            }
+            assertTrue(idle.get(0).ended() && idle.get(1).ended() && idle.get(2).ended());
+        }
+    }
+
+    /** Answers the node's first watch with a whole list of one upstream. */
+    private static Peer tell(Stage stage, String entry) throws Exception {
+        Script.next(stage.script.changes);
+        Peer watch = stage.discovery.accept();
+        watch.read();
+        watch.write(Stage.ok(Stage.roster(42, true, entry)));
+        assertEquals(Change.FULL, Script.next(stage.script.changes));
+        return watch;
+    }
+
+    /** A listening socket whose queue is full: further connections hang until someone is accepted. */
+    private static final class Backlog implements AutoCloseable {
+
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<SocketChannel> filling = new ArrayList<>();
+
+        Backlog() throws Exception {
+            for (int i = 0; i < 4; i++) {
+                SocketChannel channel = SocketChannel.open();
+                channel.configureBlocking(false);
+                channel.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                channel.connect(server.getLocalSocketAddress());
+                filling.add(channel);
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** Lets those in that fill the queue, then the next one that is none of them. */
+        Peer acceptLast() throws Exception {
+            List<Integer> own = new ArrayList<>();
+            for (SocketChannel channel : filling) {
+                own.add(((InetSocketAddress) channel.getLocalAddress()).getPort());
+            }
+            server.setSoTimeout(Peer.PATIENCE_MS);
+            Peer next = new Peer(server.accept());
+            while (own.contains(next.socket.getPort())) {
+                next.close();
+                next = new Peer(server.accept());
+            }
+            return next;
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (SocketChannel channel : filling) {
+                channel.close();
+            }
+            server.close();
+        }
+    }
+}
