Tests over sockets for callers, discovery, the drain and the command line

They cover malformed callers, one answer only, callers that leave, exceptions in the module, a module that forgets a request, re-entry, every way in which discovery's answer can be of no use, SIGTERM on the real process, and bad configurations. All passed as the code stood; the watch's wait became a parameter so that a silent discovery can be tested without its 20 s.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -36,7 +36,7 @@
     private static final int MAX_LIST = 4 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** How long a watch may wait for news: each new call costs discovery work. */
-    private static final int WATCH_MS = 20_000;
+    static final int WATCH_MS = 20_000;
     /** How long after that an answer may still be under way; what was not told by then counts as told. */
     private static final int LATE_MS = 1_500;
 
@@ -50,6 +50,7 @@
     private final EventLoop loop;
     private final NodeConfig config;
     private final Listener listener;
+    private final int watchMillis;
     private final Bootstrap bootstrap;
     private long version;
     private boolean watching;
@@ -57,10 +58,12 @@
     private Channel kept;
     private Call watch;
 
-    Discovery(EventLoop loop, NodeConfig config, ByteBufAllocator memory, Listener listener) {
+    Discovery(EventLoop loop, NodeConfig config, ByteBufAllocator memory, Listener listener,
+            int watchMillis) {
         this.loop = loop;
         this.config = config;
         this.listener = listener;
+        this.watchMillis = watchMillis;
         version = config.known().version();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
@@ -86,7 +89,8 @@
     }
 
     private void watchOn() {
-        watch = new Call("?index=" + version + "&wait=" + WATCH_MS, WATCH_MS + LATE_MS, this::watched);
+        watch = new Call("?index=" + version + "&wait=" + watchMillis, watchMillis + LATE_MS,
+                this::watched);
         watch.start(kept);
     }
 
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -73,7 +73,7 @@
         Sockets sockets = new Sockets(config.sockets());
         balancer = module.apply(this);
         upstreams = new UpstreamClient(loop, clock, config.settings(), sockets, memory);
-        discovery = new Discovery(loop, config, memory, this::told);
+        discovery = new Discovery(loop, config, memory, this::told, Discovery.WATCH_MS);
         frontend = new Frontend(loop, config, sockets, memory, this);
     }
 
@@ -123,10 +123,15 @@
         while (!done && clock.now() < begun + longest + DRAIN_LIMIT_MS) {
             Thread.sleep(DRAIN_CHECK_MS);
             boolean late = clock.now() < begun + LATE_CONNECTIONS_MS;
-            done = !late && loop.submit(frontend::endDrain).sync().getNow();
+            done = !late && endDrain();
         }
     }
 
+    /** Closes callers' connections that are idle; whether none is left. */
+    boolean endDrain() throws InterruptedException {
+        return loop.submit(frontend::endDrain).sync().getNow();
+    }
+
     /** Ends at once, whatever is under way; for tests. */
     void kill() {
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- /dev/null
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -0,0 +1,133 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cranedeal.LoadBalancer.Change;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The list and the watch, and what becomes of answers that are of no use. */
+@Timeout(60)
+class DiscoveryTest {
+
+    private final Stage stage = new Stage();
+
+    DiscoveryTest() throws IOException {
+        stage.script.onStart = () -> stage.script.actions.watch(true);
+    }
+
+    private void started() throws Exception {
+        stage.start();
+        assertEquals(Change.CACHED, Script.next(stage.script.changes));
+    }
+
+    @Test
+    void aWatchGoesOnFromWhatItWasTold() throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1", watch.read().first());
+            watch.write(Stage.ok(Stage.roster(45, false, Stage.entry(0, "127.0.0.1:1", "draining"))));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            assertEquals("GET /catalog/members?index=45&wait=20000 HTTP/1.1", watch.read().first());
+            watch.write(Stage.ok(Stage.roster(46, false)));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            assertEquals("GET /catalog/members?index=46&wait=20000 HTTP/1.1", watch.read().first());
+            watch.write(Stage.ok(Stage.roster(47, false, "{\"id\":\"s-00000000\",\"state\":\"removed\"}")));
+            assertEquals(Change.DELTA, Script.next(stage.script.changes));
+            assertEquals("GET /catalog/members?index=47&wait=20000 HTTP/1.1", watch.read().first());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "",
+        "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        "garbage\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"version\":",
+        "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"version\":",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+        "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"version\":50,\"servers\":[{}]}"})
+    void anAnswerOfNoUseIsAFailureAndTheOldListHolds(String answer) throws Exception {
+        try (stage) {
+            started();
+            Peer watch = stage.discovery.accept();
+            watch.read();
+            watch.write(answer);
+            watch.close();
+            assertEquals(Change.FAILED, Script.next(stage.script.changes));
+            stage.servesStill();
+            // One failure for one call, and the module can ask again from where it was.
+            assertTrue(stage.script.changes.isEmpty());
+            stage.script.onRequest = request -> {
+                stage.script.actions.refuse(request.id(), 0);
+                stage.script.actions.watch(true);
+            };
+            stage.caller().write(Stage.get("again", "10"));
+            assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1",
+                    stage.discovery.accept().read().first());
+        }
+    }
+
+    @Test
+    void aDiscoveryThatIsDownIsAFailure() throws Exception {
+        try (stage) {
+            stage.discovery.close();
+            started();
+            assertEquals(Change.FAILED, Script.next(stage.script.changes));
+        }
+    }
+
+    @Test
+    void theModuleAsksAgainAfterAFailure() throws Exception {
+        try (stage) {
+            stage.start(cranedeal.LatencyWeightedBalancer::new);
+            stage.discovery.accept().reset();
+            assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1",
+                    stage.discovery.accept().read().first());
+        }
+    }
+
+    @Test
+    void aSilentDiscoveryIsAFailureOnceItsWaitIsOver() throws Exception {
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Path file = Files.createTempFile("node", ".json");
+        try (stage) {
+            Files.writeString(file, stage.config());
+            LinkedBlockingQueue<Change> told = new LinkedBlockingQueue<>();
+            Discovery discovery = new Discovery(loop, NodeConfig.read(file.toString()),
+                    ByteBufAllocator.DEFAULT, (change, roster) -> told.add(change), 100);
+            loop.execute(() -> discovery.watch(true));
+            Peer watch = stage.discovery.accept();
+            assertEquals("GET /catalog/members?index=41&wait=100 HTTP/1.1", watch.read().first());
+            assertTrue(watch.ended());
+            assertEquals(Change.FAILED, Script.next(told));
+        } finally {
+            Files.delete(file);
+            loop.parent().shutdownGracefully();
+        }
+    }
+
+    @Test
+    void theWholeListIsAskedForOnItsOwn() throws Exception {
+        try (stage) {
+            stage.script.onStart = () -> stage.script.actions.fetch();
+            started();
+            Peer call = stage.discovery.accept();
+            assertEquals("GET /catalog/members HTTP/1.1", call.read().first());
+            call.write(Stage.ok(Stage.roster(50, true)));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -0,0 +1,146 @@
+package cranedeal.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The program as a process: its command line, and how it ends. */
+@Timeout(120)
+class DrainTest {
+
+    private static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+
+    private static Process start(Path config, String... arguments) throws IOException {
+        String[] command = new String[arguments.length + 4];
+        command[0] = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        command[1] = "-cp";
+        command[2] = System.getProperty("java.class.path");
+        command[3] = Main.class.getName();
+        System.arraycopy(arguments, 0, command, 4, arguments.length);
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().remove("PROXY_CONFIG");
+        if (config != null) {
+            builder.environment().put("PROXY_CONFIG", config.toString());
+        }
+        return builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+    }
+
+    private static void endsWithOneLine(int status, Path config, String... arguments) throws Exception {
+        Process process = start(config, arguments);
+        try (BufferedReader error = process.errorReader()) {
+            assertEquals(1, error.lines().filter(line -> !line.isBlank()).count());
+        }
+        assertTrue(process.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(status, process.exitValue());
+    }
+
+    @Test
+    void aBadCommandLineOrConfigurationIsToldInOneLine() throws Exception {
+        endsWithOneLine(2, null);
+        endsWithOneLine(2, null, "server");
+        endsWithOneLine(1, null, "serve");
+        endsWithOneLine(1, Path.of("no-such-file"), "serve");
+        Path file = Files.createTempFile("node", ".json");
+        try (Stage stage = new Stage()) {
+            for (String bad : new String[] {"", "{", "[]", "{\"listen\":\"nowhere\"}",
+                stage.config().replace("127.0.0.1:0", "127.0.0.1:notaport"),
+                stage.config().replace("\"aim\":1000.0", "\"aim\":\"soon\""),
+                stage.config().replace("8c1f30d27a5be964", "no number"),
+                stage.config().replace("\"up\"", "\"sideways\""),
+                stage.config().replace("127.0.0.1:0", stage.discovery.address())}) {
+                Files.writeString(file, bad);
+                endsWithOneLine(1, file, "serve");
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    void sigtermLetsAllThatIsTakenBeAnswered() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Process process = null;
+        try (Stage stage = new Stage()) {
+            Files.writeString(file, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
+            process = start(file, "serve");
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+            Peer taken = connect(address, process);
+            Peer idle = Peer.to(address);
+            idle.write(HEALTH);
+            assertEquals("keep-alive", idle.read().headers().getOrDefault("connection", "keep-alive"));
+            taken.write(Stage.get("taken", "2"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            process.destroy();
+            // A late caller, one on a connection that it had, and the one that was taken before.
+            Peer.Message late = null;
+            while (late == null || late.header("Connection") == null) {
+                // Until the signal has come through, answers keep the connection.
+                Peer caller = Peer.to(address);
+                caller.write(HEALTH);
+                late = caller.read();
+                assertEquals(200, late.status());
+            }
+            idle.write(Stage.get("reused", "2"));
+            Peer second = stage.upstreams.get(0).accept();
+            second.read();
+            second.write(Stage.ok("reused"));
+            Peer.Message reused = idle.read();
+            assertEquals("reused", reused.body());
+            assertEquals("close", reused.header("Connection"));
+            assertTrue(idle.ended());
+            upstream.write(Stage.ok("taken"));
+            assertEquals("taken", taken.read().body());
+            assertTrue(process.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        } finally {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+            Files.delete(file);
+        }
+    }
+
+    private static Peer connect(InetSocketAddress address, Process process) throws Exception {
+        while (true) {
+            try {
+                Peer peer = Peer.to(address);
+                peer.write(HEALTH);
+                assertEquals(200, peer.read().status());
+                return peer;
+            } catch (IOException e) {
+                assertTrue(process.isAlive(), "the node has ended");
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    @Test
+    void aDrainDoesNotCloseAConnectionWithARequestInIt() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(HEALTH);
+            caller.read();
+            caller.write(Stage.get("1", "10"));
+            // The request lies in the kernel or is at work; either way it must not be lost.
+            assertFalse(stage.node.endDrain());
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("kept"));
+            assertEquals("kept", caller.read().body());
+        }
+    }
+}
