--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -78,7 +78,7 @@
             Files.writeString(file, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
             process = start(file, "serve");
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
-            Peer taken = connect(address, process);
+            Peer taken = Peer.toServing(address, process);
             Peer idle = Peer.to(address);
             idle.write(HEALTH);
             assertEquals("keep-alive", idle.read().headers().getOrDefault("connection", "keep-alive"));
@@ -114,20 +114,6 @@
         }
     }
 
-    private static Peer connect(InetSocketAddress address, Process process) throws Exception {
-        while (true) {
-            try {
-                Peer peer = Peer.to(address);
-                peer.write(HEALTH);
-                assertEquals(200, peer.read().status());
-                return peer;
-            } catch (IOException e) {
-                assertTrue(process.isAlive(), "the node has ended");
-                Thread.onSpinWait();
-            }
-        }
-    }
-
     @Test
     void aDrainDoesNotCloseAConnectionWithARequestInIt() throws Exception {
         try (Stage stage = new Stage().start()) {
--- a/src/test/java/cranedeal/node/Peer.java
+++ b/src/test/java/cranedeal/node/Peer.java
@@ -41,6 +41,25 @@
         return new Peer(new Socket(InetAddress.getLoopbackAddress(), address.getPort()));
     }
 
+    /** Connects as soon as the process serves. */
+    static Peer toServing(InetSocketAddress address, Process process) throws IOException {
+        while (true) {
+            try {
+                Peer peer = to(address);
+                peer.write("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+                if (peer.read().status() != 200) {
+                    throw new AssertionError("not healthy");
+                }
+                return peer;
+            } catch (IOException e) {
+                if (!process.isAlive()) {
+                    throw new AssertionError("the node has ended", e);
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     void write(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
