Refusals say when to come back; a drain leaves nothing for SIGKILL

The module gave every refusal without advice, so Retry-After was never sent (LatencyWeightedBalancer.answerUnserved). It now advises 20 ms up to half the aim, more under more pressure, where the site allows advice.

A drain that ran into its limit left open requests to SIGKILL, and its limit, the longest deadline and 0.6 s, lay past the 3.7 s after which SIGKILL may come, since this site's longest deadline is 4 s. It is now capped at 3.55 s, and what is open then fails. Found by reading; the test takes the real path.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -93,6 +93,8 @@
     private static final double LONGEST_GAP = 250;
     private static final double MOST_PRESSURE = 0.95;
     private static final int PLAN_STEPS = 10;
+    /** The longest wait advised to a refused client, of its aim: it should come back in good time. */
+    private static final double RETURN_SHARE = 0.5;
     /** Above this share of work refused nothing is sent in a second copy: it would deepen the jam. */
     private static final double CALM = 0.05;
     /** Least share of the requests that a class is reckoned with; keeps ratios finite. */
@@ -488,13 +490,19 @@
         boolean harmless = c.repeat() == Repeat.IDEMPOTENT || call.firstMaybeRun() == null
                 || c.repeat() == Repeat.DEDUPLICATED && c.group() == Group.ALL;
         if (harmless) {
-            actions.refuse(call.id, 0);
+            actions.refuse(call.id, settings.limits().retryAfter() ? comeBackAfter(call) : 0);
         } else {
             actions.fail(call.id);
         }
         over(call, now);
     }
 
+    /** When a refused client ought to return: the later, the more has to go before there is room for it. */
+    private double comeBackAfter(Call call) {
+        double longest = Math.min(settings.limits().maxRetryAfter(), RETURN_SHARE * call.type.aim());
+        return Math.min(longest, LOOK_AGAIN + longest * call.record.leader.pressure);
+    }
+
     /** The request has its answer: copies still out only waste work. */
     private void over(Call call, double now) {
         for (Attempt attempt : call.attempts) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -45,8 +45,9 @@
     /** How long new connections may still come after SIGTERM, with time to spare. */
     private static final long LATE_CONNECTIONS_MS = 550;
     private static final long DRAIN_CHECK_MS = 10;
-    /** How long a drain may take; SIGKILL comes no sooner than the longest deadline and 0.7 s more. */
-    private static final long DRAIN_LIMIT_MS = 600;
+    /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
+    private static final double LONGEST_DRAIN_MS = 3_000;
+    private static final double DRAIN_SLACK_MS = 550;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -118,13 +119,17 @@
         double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadline).max()
                 .orElse(0);
         double begun = clock.now();
+        double latest = begun + Math.min(longest, LONGEST_DRAIN_MS) + DRAIN_SLACK_MS;
         loop.submit(frontend::beginDrain).sync();
         boolean done = false;
-        while (!done && clock.now() < begun + longest + DRAIN_LIMIT_MS) {
+        while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
             boolean late = clock.now() < begun + LATE_CONNECTIONS_MS;
             done = !late && endDrain();
         }
+        // What SIGKILL found unanswered would be lost; a failure is an answer.
+        loop.submit(() -> List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
+                .forEach(exchange -> fail(exchange, HttpResponseStatus.GATEWAY_TIMEOUT))).sync();
     }
 
     /** Closes callers' connections that are idle; whether none is left. */
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/cranedeal/Bench.java
@@ -24,6 +24,8 @@
 
     final List<Sent> sends = new ArrayList<>();
     final List<Long> refused = new ArrayList<>();
+    /** The advice of the last refusal on when to return. */
+    double retryAfter;
     final List<Long> failed = new ArrayList<>();
     final List<Sent> cancelled = new ArrayList<>();
     final Set<Long> open = new HashSet<>();
@@ -130,6 +132,7 @@
     public void refuse(long requestId, double retryAfter) {
         open.remove(requestId);
         refused.add(requestId);
+        this.retryAfter = retryAfter;
     }
 
     @Override
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -163,6 +163,7 @@
         bench.request(3, 0);
         bench.advance(5_000);
         assertEquals(List.of(3L), bench.refused);
+        assertTrue(bench.retryAfter > 0 && bench.retryAfter <= Sites.AIM / 2, "after " + bench.retryAfter);
     }
 
     @Test
--- a/src/test/java/cranedeal/Sites.java
+++ b/src/test/java/cranedeal/Sites.java
@@ -176,7 +176,7 @@
                             streamed, inOrder, null, null));
             return new Settings(position, siblings, tier, 3, 0, 2, 2, subscribe, true, false, false, false,
                     0.1, WeightKind.NONE, Reports.NONE, List.of(), classes, List.of(),
-                    new Limits(4, 1_000, true, parallel, false, false, false, 2_000, 100, 30_000, 1, 0,
+                    new Limits(4, 1_000, true, parallel, false, false, true, 2_000, 100, 30_000, 1, 0,
                             800_000),
                     new Rules(20, 500, 10_000, 0.2, 10_000, 3, 1_500, 100),
                     new Goal(0.6, 0.2, 0.2, 0, 0, 0, 0, 0),
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -114,6 +114,19 @@
         }
     }
 
+    @Test
+    void whatADrainCannotFinishFailsBeforeItIsKilled() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            stage.node.drain();
+            assertEquals(504, caller.read().status());
+            assertTrue(upstream.ended());
+        }
+    }
+
     @Test
     void aDrainDoesNotCloseAConnectionWithARequestInIt() throws Exception {
         try (Stage stage = new Stage().start()) {
