A last answer is followed by a lingering close

A caller's connection was closed right behind its last answer (malformed framing, Connection: close, drain). Bytes still coming in would then reset it and could take the answer along. The node now ends its sending, reads on, and closes when the caller does or after 0.5 s.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -7,12 +7,12 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -36,6 +36,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 
 /** Takes callers' requests, checks that they are well formed, and writes each one's answer. */
@@ -47,6 +48,8 @@
     /** The longest wait that a caller can ask for, in seconds. */
     private static final double LONGEST_WAIT = 3_600;
     private static final int MS = 1_000;
+    /** How long a caller that was answered for the last time may go on sending. */
+    private static final long LINGER_MS = 500;
 
     private final EventLoop loop;
     private final NodeConfig config;
@@ -229,7 +232,7 @@
             connections.remove(this);
             connections.add(this);
             if (closing && ahead.isEmpty()) {
-                channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+                channel.writeAndFlush(response).addListener(written -> linger());
                 return;
             }
             channel.writeAndFlush(response);
@@ -239,6 +242,15 @@
             }
         }
 
+        /**
+         * Ends the sending, and closes once the caller has done so too or has had its time: to close on bytes
+         * that are still coming in would reset the connection and could take the answer with it.
+         */
+        private void linger() {
+            ((SocketChannel) channel).shutdownOutput();
+            loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -60,6 +60,19 @@
         }
     }
 
+    @Test
+    void aCallerThatStillSendsHasItsAnswerAllTheSame() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write("no request at all\r\n\r\n");
+            // The answer may be out before the rest comes in; it must not be lost to a reset.
+            caller.write("x".repeat(200_000));
+            assertEquals(400, caller.read().status());
+            caller.socket.shutdownOutput();
+            assertTrue(caller.ended());
+        }
+    }
+
     @Test
     void headersOverTheLimitAreTurnedDown() throws Exception {
         try (Stage stage = new Stage().start()) {
