SIGHUP moves a balancer to another discovery instead of ending it

Cause: Main set no handler for SIGHUP, and the virtual machine's own one ends it. Ruled out by the logs: an out-of-memory kill (43 of 144 MB) and an exception. The file is read off the loop and checked; a bad one leaves all as it was, with one line. The old watch ends with no FAILED, the new discovery is asked for its whole list, as its versions may start anew.

--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,6 +40,8 @@
     static final int WATCH_MS = 20_000;
     /** How long after that an answer may still be under way; what was not told by then counts as told. */
     private static final int LATE_MS = 1_500;
+    /** The version of a list from a discovery that has told nothing yet. */
+    private static final long UNTOLD = -1;
 
     /** What the list is told to. */
     interface Listener {
@@ -52,6 +55,7 @@
     private final Listener listener;
     private final int watchMillis;
     private final Bootstrap bootstrap;
+    private InetSocketAddress address;
     private long version;
     private boolean watching;
     /** The watch's connection, kept from call to call, and its call that is out. */
@@ -64,6 +68,7 @@
         this.config = config;
         this.listener = listener;
         this.watchMillis = watchMillis;
+        address = config.discovery();
         version = config.known().version();
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
@@ -88,16 +93,41 @@
         }
     }
 
+    /**
+     * Goes over to another discovery. The call that is out there ends quietly, as nothing has failed, and
+     * the new one is asked for its whole list at once: its versions need not go on from the old one's.
+     */
+    void moveTo(InetSocketAddress other) {
+        if (other.equals(address)) {
+            return;
+        }
+        address = other;
+        version = UNTOLD;
+        if (watch != null) {
+            watch.abandon();
+            watch = null;
+        }
+        if (kept != null) {
+            kept.close();
+            kept = null;
+        }
+        if (watching) {
+            watchOn();
+        }
+    }
+
     private void watchOn() {
-        watch = new Call("?index=" + version + "&wait=" + watchMillis, watchMillis + LATE_MS,
-                this::watched);
+        watch = version == UNTOLD ? new Call("", CONNECT_TIMEOUT_MS + LATE_MS, this::watched)
+                : new Call("?index=" + version + "&wait=" + watchMillis, watchMillis + LATE_MS,
+                        this::watched);
         watch.start(kept);
     }
 
     private void watched(Roster roster) {
         kept = roster == null ? null : watch.channel;
         watch = null;
-        tell(roster);
+        // Changes say nothing of the rest to somebody who has no list of that discovery.
+        tell(roster != null && (version != UNTOLD || roster.full()) ? roster : null);
         // The watch goes on only if its next call comes soon, so it must not wait for the module.
         if (roster != null && watching && watch == null) {
             watchOn();
@@ -106,10 +136,16 @@
 
     /** Asks once for the whole list. */
     void fetch() {
-        new Call("", CONNECT_TIMEOUT_MS + LATE_MS, this::fetched).start(null);
+        Call call = new Call("", CONNECT_TIMEOUT_MS + LATE_MS, null);
+        call.end = roster -> fetched(call, roster);
+        call.start(null);
     }
 
-    private void fetched(Roster roster) {
+    private void fetched(Call call, Roster roster) {
+        // Nobody asks on this connection again; left open, it would cost a descriptor for good.
+        if (call.channel != null) {
+            call.channel.close();
+        }
         // Changes are no answer to a call for the whole list.
         tell(roster != null && roster.full() ? roster : null);
     }
@@ -133,8 +169,8 @@
     private final class Call {
 
         private final String query;
-        private final Consumer<Roster> end;
         private final Future<?> expiry;
+        private Consumer<Roster> end;
         private Channel channel;
         private boolean over;
 
@@ -150,7 +186,7 @@
                 ask(connection);
                 return;
             }
-            bootstrap.connect(config.discovery()).addListener((io.netty.channel.ChannelFuture up) -> {
+            bootstrap.connect(address).addListener((io.netty.channel.ChannelFuture up) -> {
                 channel = up.channel();
                 if (over) {
                     channel.close();
@@ -167,7 +203,7 @@
             channel.pipeline().get(Answers.class).asked = this;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     "/catalog/members" + query, Unpooled.EMPTY_BUFFER);
-            request.headers().set("Host", config.discovery().getHostString());
+            request.headers().set("Host", address.getHostString());
             channel.writeAndFlush(request).addListener(write -> {
                 if (!write.isSuccess()) {
                     fail();
--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -1,6 +1,9 @@
 package cranedeal.node;
 
+import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 
 /** The command line: {@code serve} runs one balancer, {@code wire} the same decisions for the simulator. */
 public final class Main {
@@ -27,6 +30,7 @@
             exit("sablehinge: " + e.getMessage(), 1);
         }
         drainAtShutdown(node);
+        reloadAtHangup(node);
         // The node's own threads are daemons, so that the end of the shutdown hook ends the process.
         new CountDownLatch(1).await();
     }
@@ -42,6 +46,43 @@
         }, "drain"));
     }
 
+    /**
+     * SIGHUP would end the virtual machine; here it means that the configuration was replaced. The file is
+     * read off the node's loop, one reading after another, so that the last signal sees the last file. One
+     * that is of no use changes nothing.
+     */
+    private static void reloadAtHangup(Node node) {
+        ExecutorService readings = Executors.newSingleThreadExecutor(work -> {
+            Thread thread = new Thread(work, "reload");
+            thread.setDaemon(true);
+            return thread;
+        });
+        onHangup(() -> readings.execute(() -> {
+            try {
+                node.reload(NodeConfig.read(System.getenv("PROXY_CONFIG")));
+            } catch (ConfigException | RuntimeException e) {
+                Node.LOG.warning("the configuration stays as it was: " + e.getMessage());
+            }
+        }));
+    }
+
+    /** By reflection, as javac has a warning for each use of this class that nothing can silence. */
+    private static void onHangup(Runnable reaction) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object handling = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, arguments) -> {
+                        reaction.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), handling);
+        } catch (ReflectiveOperationException e) {
+            exit("sablehinge: SIGHUP can't be handled: " + e, 1);
+        }
+    }
+
     private static void exit(String message, int status) {
         System.err.println(message);
         System.exit(status);
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -137,6 +137,11 @@
         return loop.submit(frontend::endDrain).sync().getNow();
     }
 
+    /** Takes over what may change while a balancer runs, which is where discovery is. */
+    void reload(NodeConfig changed) {
+        loop.execute(() -> discovery.moveTo(changed.discovery()));
+    }
+
     /** Ends at once, whatever is under way; for tests. */
     void kill() {
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/cranedeal/node/DiscoveryTest.java
@@ -130,4 +130,65 @@
             assertEquals(Change.FULL, Script.next(stage.script.changes));
         }
     }
+
+    @Test
+    void aCallForTheWholeListLeavesNoConnectionBehind() throws Exception {
+        try (stage) {
+            stage.script.onStart = () -> stage.script.actions.fetch();
+            started();
+            Peer call = stage.discovery.accept();
+            call.read();
+            call.write(Stage.ok(Stage.roster(50, true)));
+            assertEquals(Change.FULL, Script.next(stage.script.changes));
+            assertTrue(call.ended());
+        }
+    }
+
+    @Test
+    void anotherDiscoveryIsAskedForItsWholeListAndTheOldOneLeftQuietly() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        try (stage; Listener second = new Listener(); Listener third = new Listener()) {
+            started();
+            Peer old = stage.discovery.accept();
+            old.read();
+            Listener[] moves = {second, third};
+            for (Listener move : moves) {
+                Files.writeString(file, stage.config().replace(stage.discovery.address(), move.address()));
+                stage.node.reload(NodeConfig.read(file.toString()));
+                Peer fresh = move.accept();
+                assertEquals("GET /catalog/members HTTP/1.1", fresh.read().first());
+                assertTrue(old.ended());
+                fresh.write(Stage.ok(Stage.roster(7, true,
+                        Stage.entry(0, stage.upstreams.get(0).address(), "up"))));
+                // No failure came before it.
+                assertEquals(Change.FULL, Script.next(stage.script.changes));
+                assertEquals("GET /catalog/members?index=7&wait=20000 HTTP/1.1", fresh.read().first());
+                old = fresh;
+            }
+            stage.servesStill();
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    void aNewDiscoveryThatFailsIsStillAskedForItsWholeList() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        try (stage; Listener second = new Listener()) {
+            started();
+            stage.discovery.accept().read();
+            Files.writeString(file, stage.config().replace(stage.discovery.address(), second.address()));
+            stage.node.reload(NodeConfig.read(file.toString()));
+            second.accept().reset();
+            assertEquals(Change.FAILED, Script.next(stage.script.changes));
+            stage.script.onRequest = request -> {
+                stage.script.actions.refuse(request.id(), 0);
+                stage.script.actions.watch(true);
+            };
+            stage.caller().write(Stage.get("again", "10"));
+            assertEquals("GET /catalog/members HTTP/1.1", second.accept().read().first());
+        } finally {
+            Files.delete(file);
+        }
+    }
 }
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/cranedeal/node/DrainTest.java
@@ -114,6 +114,41 @@
         }
     }
 
+    @Test
+    void sighupReadsTheFileAgainAndABadOneChangesNothing() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        Process process = null;
+        try (Stage stage = new Stage(); Listener second = new Listener()) {
+            String config = stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port);
+            Files.writeString(file, config);
+            process = start(file, "serve");
+            Peer caller = Peer.toServing(new InetSocketAddress("127.0.0.1", port), process);
+            stage.discovery.accept().read();
+            Files.writeString(file, "{");
+            hangUp(process);
+            // Its complaint tells that it has been read.
+            assertTrue(process.errorReader().lines().anyMatch(line -> line.contains("stays as it was")));
+            Files.writeString(file, config.replace(stage.discovery.address(), second.address()));
+            hangUp(process);
+            assertEquals("GET /catalog/members HTTP/1.1", second.accept().read().first());
+            caller.write(HEALTH);
+            assertEquals(200, caller.read().status());
+        } finally {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+            Files.delete(file);
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
     @Test
     void whatADrainCannotFinishFailsBeforeItIsKilled() throws Exception {
         try (Stage stage = new Stage().start()) {
