--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/cranedeal/node/Discovery.java
@@ -281,7 +281,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                Node.LOG.log(Level.WARNING, "the connection to discovery failed", cause);
+                Node.LOG.warning("the connection to discovery failed: " + cause);
             }
             if (asked != null) {
                 asked.fail();
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -1,31 +1,33 @@
 package cranedeal.node;
 
-import cranedeal.LoadBalancer.Repeat;
-import cranedeal.LoadBalancer.Request;
+import cranedeal.node.RequestCheck.BadRequestException;
+import cranedeal.node.RequestCheck.Template;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.cookie.Cookie;
-import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -37,28 +39,39 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
 
-/** Takes callers' requests, checks that they are well formed, and writes each one's answer. */
+/**
+ * Takes callers' requests and writes each one's answer. A caller that sends what is of no use, or nothing,
+ * has an error or the end of its connection soon, and can't hold memory or descriptors for longer.
+ */
 final class Frontend {
 
     private static final int BACKLOG = 1_024;
-    /** Requests that a connection may send ahead of their turn. */
+    /** Requests that a connection may send ahead of their turn, and their bytes before it is read no more. */
     private static final int MAX_AHEAD = 16;
-    /** The longest wait that a caller can ask for, in seconds. */
-    private static final double LONGEST_WAIT = 3_600;
-    private static final int MS = 1_000;
-    /** How long a caller that was answered for the last time may go on sending. */
+    private static final int MAX_AHEAD_BYTES = UpstreamClient.MAX_BODY;
+    private static final long SWEEP_MS = 200;
+    /** A new caller's first request, and the rest of one that has begun, must be there after so long. */
+    private static final double REQUEST_MS = 2_300;
+    /** How long a connection may stay without a request, before its first one and between two. */
+    private static final double SILENT_MS = 2_300;
+    private static final double IDLE_MS = 3_000;
+    /** How long a caller that was answered for the last time may go on sending, and how much is read. */
     private static final long LINGER_MS = 500;
+    private static final int LINGER_BYTES = 1024 * 1024;
+    /** An answer that its caller has not let in by then is given up. */
+    private static final double WRITE_MS = 10_000;
 
     private final EventLoop loop;
     private final NodeConfig config;
     private final Sockets sockets;
     private final ByteBufAllocator memory;
     private final Node node;
-    private final Map<String, Integer> classes = new HashMap<>();
+    private final RequestCheck check;
     /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
+    /** Who waits for the answer to a request, by its X-Txn. */
+    private final Map<String, Connection> open = new HashMap<>();
     private Channel listening;
     private boolean draining;
 
@@ -68,9 +81,8 @@
         this.sockets = sockets;
         this.memory = memory;
         this.node = node;
-        for (int i = 0; i < config.classes().size(); i++) {
-            classes.put(config.classes().get(i), i);
-        }
+        check = new RequestCheck(config);
+        sockets.callersGiveWay(this::evictIdle);
     }
 
     void bind() throws ConfigException, InterruptedException {
@@ -80,8 +92,10 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(UpstreamClient.MAX_BODY), new Connection(channel));
+                        // Known before anybody who was let in can leave again.
+                        listening = channel.parent();
+                        Connection connection = new Connection(channel);
+                        channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection);
                     }
                 });
         var bound = server.bind(config.listen()).await();
@@ -90,6 +104,7 @@
                     + bound.cause().getMessage());
         }
         listening = bound.channel();
+        loop.scheduleAtFixedRate(() -> sweep(node.now()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     InetSocketAddress address() {
@@ -105,19 +120,28 @@
     boolean endDrain() {
         Sockets.readNow(listening);
         for (Connection connection : new ArrayList<>(connections)) {
-            // A request that lies unread in the kernel would be lost with its connection.
-            Sockets.readNow(connection.channel);
-            if (connection.isIdle()) {
-                connection.channel.close();
-            }
+            connection.closeIfIdle();
         }
         return connections.isEmpty();
     }
 
-    /** Closes the caller's connection that has been idle for longest, as it may between requests. */
-    private boolean evictIdle() {
-        for (Connection connection : connections) {
-            if (connection.isIdle() && connection.served) {
+    /** Ends what has taken too long by the given time. */
+    void sweep(double now) {
+        for (Connection connection : new ArrayList<>(connections)) {
+            connection.sweep(now);
+        }
+        if (sockets.roomForCaller(now)) {
+            listening.config().setAutoRead(true);
+        }
+    }
+
+    /**
+     * Closes a caller's connection that nothing is at work on since before the given time, the longest such
+     * first, as it may between requests.
+     */
+    private boolean evictIdle(double before) {
+        for (Connection connection : new ArrayList<>(connections)) {
+            if (connection.since < before && (connection.lingers() || connection.closeIfIdle())) {
                 connection.channel.close();
                 return true;
             }
@@ -125,41 +149,84 @@
         return false;
     }
 
-    /** A request that its caller has got wrong, and how to say so. */
-    private static final class BadRequestException extends Exception {
-
-        private static final long serialVersionUID = 1;
-
-        BadRequestException(String message) {
-            super(message, null, false, false);
-        }
-    }
-
     /** One caller's connection: one request at a time, those sent ahead wait for their turn. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest>
-            implements Exchange.Caller {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Exchange.Caller {
 
         private final Channel channel;
+        private final Decoder decoder = new Decoder(this);
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
+        private int aheadBytes;
+        /** The request that is coming in, and its body so far. */
+        private HttpRequest head;
+        private ByteBuf body;
+        /** What came that is no request: said once what came before it is answered, and nothing after it. */
+        private BadRequestException flaw;
         /** The request at work; the exchange is known once the node has it. */
         private FullHttpRequest current;
         private Exchange exchange;
+        private String txn;
+        /** When it came, had its last answer, or began the request that is coming in. */
+        private double since = node.now();
         private boolean served;
+        private boolean advancing;
+        /** Answers that are not yet written out. */
+        private int unsent;
         private boolean closing;
+        private int drained;
 
         Connection(Channel channel) {
             this.channel = channel;
         }
 
         boolean isIdle() {
-            return current == null && !closing;
+            return current == null && ahead.isEmpty() && flaw == null && !decoder.amid && unsent == 0
+                    && !closing;
+        }
+
+        /** Whether it has had its last answer. */
+        boolean lingers() {
+            return closing && unsent == 0;
+        }
+
+        /** Closes it if it is idle: a request that lies unread in the kernel would be lost with it. */
+        boolean closeIfIdle() {
+            if (isIdle()) {
+                Sockets.readNow(channel);
+                if (isIdle()) {
+                    channel.close();
+                }
+            }
+            return !channel.isOpen();
+        }
+
+        void sweep(double now) {
+            double age = now - since;
+            if (closing || unsent > 0) {
+                if (age > WRITE_MS) {
+                    channel.close();
+                }
+            } else if (decoder.amid) {
+                if (current == null && age > REQUEST_MS) {
+                    spoil(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT, "too slow"));
+                    advance();
+                }
+            } else if (age > (served ? IDLE_MS : SILENT_MS)) {
+                closeIfIdle();
+            }
+        }
+
+        /** The first byte of a message has come. */
+        void begins() {
+            if (served && current == null) {
+                since = node.now();
+            }
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             sockets.count(channel);
             connections.add(this);
-            if (!sockets.roomForCaller() && !evictIdle()) {
+            if (!sockets.roomForCaller(since)) {
                 // Failing to accept for want of a descriptor would stop Netty from trying for a second.
                 listening.config().setAutoRead(false);
             }
@@ -167,79 +234,220 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (closing || ahead.size() >= MAX_AHEAD) {
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            try {
+                if (message instanceof ByteBuf bytes) {
+                    drained += bytes.readableBytes();
+                    if (drained > LINGER_BYTES) {
+                        // Whoever sends without end must not keep the loop busy.
+                        channel.config().setAutoRead(false);
+                    }
+                } else if (!closing && flaw == null) {
+                    take(message);
+                }
+            } catch (BadRequestException e) {
+                spoil(e);
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void take(Object message) throws BadRequestException {
+            if (message instanceof HttpRequest begun) {
+                RequestCheck.head(begun);
+                head = begun;
+                body = Unpooled.EMPTY_BUFFER;
+                // One that waits behind another will send its body without being asked.
+                if (HttpUtil.is100ContinueExpected(begun) && current == null && ahead.isEmpty()) {
+                    channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                }
+            }
+            if (message instanceof HttpContent content && head != null) {
+                if (!content.decoderResult().isSuccess()) {
+                    throw new BadRequestException("malformed HTTP");
+                }
+                append(content.content());
+                if (content instanceof LastHttpContent) {
+                    complete();
+                }
+            }
+        }
+
+        private void append(ByteBuf part) throws BadRequestException {
+            if (body.readableBytes() + part.readableBytes() > UpstreamClient.MAX_BODY) {
+                throw RequestCheck.tooLarge();
+            }
+            if (part.isReadable()) {
+                if (body == Unpooled.EMPTY_BUFFER) {
+                    body = memory.buffer(part.readableBytes(), UpstreamClient.MAX_BODY);
+                }
+                body.writeBytes(part);
+            }
+        }
+
+        private void complete() throws BadRequestException {
+            aheadBytes += body.readableBytes();
+            ahead.addLast(new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body,
+                    head.headers(), EmptyHttpHeaders.INSTANCE));
+            head = null;
+            body = null;
+            if (ahead.size() > MAX_AHEAD) {
+                // None of them is answered, the one at work neither: it could take its whole time.
+                dropAhead();
+                abandon();
+                throw new BadRequestException("too many requests sent ahead");
+            }
+            if (current != null && aheadBytes > MAX_AHEAD_BYTES) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        /** Begins what came only now: of a crowd sent at once, none is to be served. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            advance();
+            ctx.fireChannelReadComplete();
+        }
+
+        private void spoil(BadRequestException why) {
+            flaw = why;
+            dropPart();
+            if (current != null) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        /** Goes on to what is next, as long as nothing is at work. */
+        private void advance() {
+            if (advancing) {
                 return;
             }
-            if (current == null) {
-                handle(request.retain());
-            } else {
-                ahead.addLast(request.retain());
+            advancing = true;
+            try {
+                while (current == null && !closing && (flaw != null || !ahead.isEmpty())) {
+                    FullHttpRequest next = ahead.pollFirst();
+                    if (next == null) {
+                        reject(flaw);
+                    } else {
+                        aheadBytes -= next.content().readableBytes();
+                        handle(next);
+                    }
+                }
+            } finally {
+                advancing = false;
+            }
+            if (aheadBytes <= MAX_AHEAD_BYTES && flaw == null && !closing) {
+                channel.config().setAutoRead(true);
             }
         }
 
         private void handle(FullHttpRequest request) {
             current = request;
-            exchange = null;
-            if (!request.decoderResult().isSuccess()) {
-                closing = true;
-                reject(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
-                return;
-            }
-            if (request.uri().equals("/_health")) {
+            if (request.uri().equals("/_health") && request.method().equals(HttpMethod.GET)) {
                 write(HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER, 0);
                 return;
             }
             try {
-                double now = node.now();
-                Template template = read(request, now);
+                Template template = check.read(request, node.now());
+                Connection first = open.get(template.txn());
+                if (first != null) {
+                    // Its client may have left, and sent the request again here.
+                    Sockets.readNow(first.channel);
+                }
+                if (open.containsKey(template.txn())) {
+                    throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
+                }
+                txn = template.txn();
+                open.put(txn, this);
                 Exchange begun = node.request(template::withId, request.retain(), this);
                 // The answer may have come already, and with it the next request.
                 if (begun.isOpen()) {
                     exchange = begun;
                 }
             } catch (BadRequestException e) {
-                reject(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+                reject(e);
             }
         }
 
-        private void reject(HttpResponseStatus status, String why) {
-            write(status, Unpooled.copiedBuffer(why + "\n", StandardCharsets.UTF_8), 0);
+        /** An error is the last answer: what else comes from there may be no better. */
+        private void reject(BadRequestException why) {
+            closing = true;
+            dropAhead();
+            write(why.status(), Unpooled.copiedBuffer(why.getMessage() + "\n", StandardCharsets.UTF_8), 0);
         }
 
         @Override
-        public void answer(HttpResponseStatus status, ByteBuf body, double retryAfter) {
-            write(status, body.retain(), retryAfter);
+        public void answer(HttpResponseStatus status, ByteBuf content, double retryAfter) {
+            write(status, content.retain(), retryAfter);
         }
 
-        /** Writes an answer and goes on to the next request; takes the body over. */
-        private void write(HttpResponseStatus status, ByteBuf body, double retryAfter) {
-            FullHttpRequest request = current;
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-            response.headers().set("Content-Length", body.readableBytes());
+        /** Writes an answer and goes on to the next request; takes the content over. */
+        private void write(HttpResponseStatus status, ByteBuf content, double retryAfter) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
+            response.headers().set("Content-Length", content.readableBytes());
             if (retryAfter > 0) {
                 response.headers().set("Retry-After", UpstreamClient.seconds(Math.ceil(retryAfter)));
             }
-            closing |= draining || !HttpUtil.isKeepAlive(request);
+            boolean wantsMore = current != null && HttpUtil.isKeepAlive(current);
+            // What has come whole already was taken, and is still answered here.
+            closing |= !wantsMore || draining && ahead.isEmpty() && !decoder.amid;
             if (closing) {
                 response.headers().set("Connection", "close");
             }
-            request.release();
-            current = null;
-            exchange = null;
+            finish();
             served = true;
+            since = node.now();
             // The longest idle come first.
             connections.remove(this);
             connections.add(this);
-            if (closing && ahead.isEmpty()) {
-                channel.writeAndFlush(response).addListener(written -> linger());
-                return;
+            unsent++;
+            channel.writeAndFlush(response).addListener(written -> {
+                unsent--;
+                if (closing && unsent == 0) {
+                    linger();
+                }
+            });
+            if (closing) {
+                dropAhead();
+            } else {
+                advance();
             }
-            channel.writeAndFlush(response);
-            FullHttpRequest next = ahead.pollFirst();
-            if (next != null) {
-                handle(next);
+        }
+
+        /** Nothing is at work any more. */
+        private void finish() {
+            if (txn != null) {
+                open.remove(txn);
+                txn = null;
             }
+            if (current != null) {
+                current.release();
+                current = null;
+            }
+            exchange = null;
+        }
+
+        private void abandon() {
+            Exchange left = exchange;
+            finish();
+            if (left != null) {
+                node.clientGone(left);
+            }
+        }
+
+        private void dropPart() {
+            if (body != null) {
+                body.release();
+            }
+            body = null;
+            head = null;
+        }
+
+        private void dropAhead() {
+            ahead.forEach(FullHttpRequest::release);
+            ahead.clear();
+            aheadBytes = 0;
         }
 
         /**
@@ -247,114 +455,63 @@
          * that are still coming in would reset the connection and could take the answer with it.
          */
         private void linger() {
+            if (!channel.isActive()) {
+                return;
+            }
             ((SocketChannel) channel).shutdownOutput();
-            loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            if (channel.pipeline().context(decoder) != null) {
+                // What still comes is not looked at.
+                channel.pipeline().remove(decoder);
+                channel.config().setAutoRead(true);
+                loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
             listening.config().setAutoRead(true);
-            ahead.forEach(FullHttpRequest::release);
-            ahead.clear();
-            Exchange left = exchange;
-            exchange = null;
-            if (current != null) {
-                current.release();
-                current = null;
-            }
-            if (left != null) {
-                node.clientGone(left);
-            }
+            dropAhead();
+            dropPart();
+            abandon();
             ctx.fireChannelInactive();
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                Node.LOG.log(Level.WARNING, "a caller's connection failed", cause);
+                Node.LOG.warning("a caller's connection failed: " + cause);
             }
             ctx.close();
         }
     }
 
-    /** A request as the module wants it, but for its id. */
-    private record Template(int serviceClass, int tenant, long key, double deadline, double cost,
-            boolean retry, boolean write) {
+    /** Knows, beside its work, whether a request has come in part. */
+    private static final class Decoder extends RequestCheck.Decoder {
 
-        Request withId(long id) {
-            return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write);
-        }
-    }
+        private final Connection connection;
+        /** Whether bytes have come since the last whole request. */
+        private boolean amid;
 
-    private Template read(FullHttpRequest request, double now) throws BadRequestException {
-        HttpHeaders headers = request.headers();
-        Integer serviceClass = classes.get(headers.get("X-Lane", firstPart(request.uri())));
-        if (serviceClass == null) {
-            throw new BadRequestException("unknown class");
-        }
-        if (headers.get("X-Txn", "").isBlank()) {
-            throw new BadRequestException("X-Txn is missing");
-        }
-        Repeat repeat = config.settings().classes().get(serviceClass).repeat();
-        boolean get = request.method().equals(HttpMethod.GET);
-        if (get != (repeat == Repeat.IDEMPOTENT) || !get && !request.method().equals(HttpMethod.POST)) {
-            throw new BadRequestException("the class wants another method");
+        Decoder(Connection connection) {
+            this.connection = connection;
         }
-        if (repeat == Repeat.DEDUPLICATED && headers.get("Idempotency-Key", "").isBlank()) {
-            throw new BadRequestException("Idempotency-Key is missing");
-        }
-        String tenant = headers.get("X-Org");
-        int tenantIndex = config.tenants().isEmpty() || tenant == null ? 0 : config.tenants().indexOf(tenant);
-        if (tenantIndex < 0) {
-            throw new BadRequestException("unknown tenant");
-        }
-        double remaining = number(headers, "X-Remaining");
-        if (Double.isNaN(remaining)) {
-            throw new BadRequestException("X-Remaining is missing");
-        }
-        double estimate = number(headers, "X-Estimate");
-        return new Template(serviceClass, tenantIndex, key(headers.get("Cookie")),
-                now + Math.min(LONGEST_WAIT, remaining) * MS, Double.isNaN(estimate) ? 0 : estimate / MS,
-                "1".equals(headers.get("X-Resent")), !get);
-    }
 
-    private static String firstPart(String uri) {
-        List<String> parts = List.of(uri.split("[/?]", 3));
-        return parts.size() > 1 ? parts.get(1) : "";
-    }
-
-    /** A header's number, not below 0; NaN where the header is absent. */
-    private static double number(HttpHeaders headers, String name) throws BadRequestException {
-        String text = headers.get(name);
-        if (text == null) {
-            return Double.NaN;
-        }
-        try {
-            double value = Double.parseDouble(text);
-            if (Double.isFinite(value) && value >= 0) {
-                return value;
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+            if (!amid) {
+                amid = true;
+                connection.begins();
             }
-        } catch (NumberFormatException e) {
-            // Reported below, like a value out of range.
+            super.channelRead(ctx, bytes);
         }
-        throw new BadRequestException(name + " is no number of use");
-    }
 
-    /** What the request is about, as the cookie {@code key} has it; 0 for none. */
-    private static long key(String cookies) {
-        if (cookies == null) {
-            return 0;
-        }
-        for (Cookie cookie : ServerCookieDecoder.LAX.decode(cookies)) {
-            if (cookie.name().equals("key")) {
-                try {
-                    return Long.parseUnsignedLong(cookie.value(), 16);
-                } catch (NumberFormatException e) {
-                    return cookie.value().hashCode();
-                }
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            super.decode(ctx, in, out);
+            if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+                amid = in.isReadable();
             }
         }
-        return 0;
     }
 }
--- a/src/main/java/cranedeal/node/LoadReport.java
+++ b/src/main/java/cranedeal/node/LoadReport.java
@@ -7,11 +7,13 @@
 final class LoadReport {
 
     private static final String PREFIX = "TEXT";
+    /** Beyond it no figure of a load is meant. */
+    private static final double MOST = 1e9;
 
     private LoadReport() {
     }
 
-    /** The values of the given fields in their order; null unless the text holds them all. */
+    /** The values of the given fields in their order; null unless the text holds them all, in range. */
     static double[] parse(String text, List<String> fields) {
         if (text == null || fields.isEmpty()) {
             return null;
@@ -33,6 +35,7 @@
                 }
             }
         }
-        return Arrays.stream(values).allMatch(Double::isFinite) ? values : null;
+        // NaN compares false.
+        return Arrays.stream(values).allMatch(value -> value >= 0 && value <= MOST) ? values : null;
     }
 }
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -69,6 +70,8 @@
     private Node(NodeConfig config, EventLoop loop, Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.config = config;
         this.loop = loop;
+        // Written by the loop and, of a reload, by one more thread: a count may be off, which does no harm.
+        LOG.setFilter(new LogLimit(clock::now));
         PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
         Sockets sockets = new Sockets(config.sockets());
@@ -142,6 +145,11 @@
         loop.execute(() -> discovery.moveTo(changed.discovery()));
     }
 
+    /** Its parts, for tests; they are to be used on the loop only. */
+    <T> T onLoop(BiFunction<Frontend, UpstreamClient, T> look) throws InterruptedException {
+        return loop.submit(() -> look.apply(frontend, upstreams)).sync().getNow();
+    }
+
     /** Ends at once, whatever is under way; for tests. */
     void kill() {
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
@@ -335,9 +343,10 @@
 
     @Override
     public void setTimer(long token, double at) {
-        Exchange about = subject;
-        loop.schedule(() -> tell(about, () -> balancer.timer(clock.now(), token)), clock.nanosUntil(at),
-                TimeUnit.NANOSECONDS);
+        // The number and not the request itself, which the timer would keep in memory until it is due.
+        long about = subject == null ? 0 : subject.id;
+        loop.schedule(() -> tell(exchanges.get(about), () -> balancer.timer(clock.now(), token)),
+                clock.nanosUntil(at), TimeUnit.NANOSECONDS);
     }
 
     /** Balancers of this deployment have no way to talk to each other. */
--- /dev/null
+++ b/src/main/java/cranedeal/node/RequestCheck.java
@@ -0,0 +1,214 @@
+package cranedeal.node;
+
+import cranedeal.LoadBalancer.Repeat;
+import cranedeal.LoadBalancer.Request;
+import cranedeal.LoadBalancer.ServiceClass;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.codec.http.cookie.Cookie;
+import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Checks what callers send against the protocol before anything of it goes further. What an upstream might
+ * read in another way than this balancer, such as where a body ends, must not reach it.
+ */
+final class RequestCheck {
+
+    private static final int MS = 1_000;
+    /** An id or a key: it goes on as it came, so it must be plain. */
+    private static final Pattern TOKEN = Pattern.compile("[!-~]{1,128}");
+    private static final Pattern TARGET = Pattern.compile("/[!-~]{0,2047}");
+    private static final Pattern DIGITS = Pattern.compile("[0-9]{1,18}");
+    /** Narrower than what Java takes for a number, which includes NaN, hexadecimals and suffixes. */
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{0,12})?");
+
+    private final NodeConfig config;
+    private final Map<String, Integer> classes = new HashMap<>();
+
+    RequestCheck(NodeConfig config) {
+        this.config = config;
+        for (int i = 0; i < config.classes().size(); i++) {
+            classes.put(config.classes().get(i), i);
+        }
+    }
+
+    /** A request that its caller has got wrong, and how to say so. */
+    static final class BadRequestException extends Exception {
+
+        private static final long serialVersionUID = 1;
+        private final transient HttpResponseStatus status;
+
+        BadRequestException(HttpResponseStatus status, String message) {
+            super(message, null, false, false);
+            this.status = status;
+        }
+
+        BadRequestException(String message) {
+            this(HttpResponseStatus.BAD_REQUEST, message);
+        }
+
+        HttpResponseStatus status() {
+            return status;
+        }
+    }
+
+    /** Netty would drop the length of a message that has both framings, and go on. */
+    static class Decoder extends HttpRequestDecoder {
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both framings");
+        }
+    }
+
+    /** A request as the module wants it, but for its id. */
+    record Template(String txn, int serviceClass, int tenant, long key, double deadline, double cost,
+            boolean retry, boolean write) {
+
+        Request withId(long id) {
+            return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write);
+        }
+    }
+
+    /** Looks at a head before its body has come: whether it can be read, and where the body will end. */
+    static void head(HttpRequest head) throws BadRequestException {
+        if (!head.decoderResult().isSuccess()) {
+            Throwable cause = head.decoderResult().cause();
+            throw new BadRequestException(cause instanceof TooLongHttpLineException
+                    ? HttpResponseStatus.REQUEST_URI_TOO_LONG : cause instanceof TooLongHttpHeaderException
+                    ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
+                    "malformed HTTP");
+        }
+        if (head.protocolVersion().majorVersion() != 1) {
+            throw new BadRequestException(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "not HTTP/1.1");
+        }
+        HttpHeaders headers = head.headers();
+        String coding = single(headers, HttpHeaderNames.TRANSFER_ENCODING);
+        String length = single(headers, HttpHeaderNames.CONTENT_LENGTH);
+        if (coding != null && (length != null || !coding.strip().equalsIgnoreCase("chunked")
+                || head.protocolVersion().equals(HttpVersion.HTTP_1_0))) {
+            throw new BadRequestException("the end of the body is in doubt");
+        }
+        if (length != null && !DIGITS.matcher(length).matches()) {
+            throw new BadRequestException("Content-Length is no length");
+        }
+        if (length != null && Long.parseLong(length) > UpstreamClient.MAX_BODY) {
+            throw tooLarge();
+        }
+        String expect = single(headers, HttpHeaderNames.EXPECT);
+        if (expect != null && !expect.equalsIgnoreCase("100-continue")) {
+            throw new BadRequestException(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
+        }
+    }
+
+    static BadRequestException tooLarge() {
+        return new BadRequestException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+    }
+
+    /** Reads a whole request that came at the given time. */
+    Template read(FullHttpRequest request, double now) throws BadRequestException {
+        if (!TARGET.matcher(request.uri()).matches()) {
+            throw new BadRequestException("the target is no path");
+        }
+        HttpHeaders headers = request.headers();
+        String name = single(headers, "X-Lane");
+        Integer place = classes.get(name);
+        if (place == null || !name.equals(firstPart(request.uri()))) {
+            throw new BadRequestException("unknown class");
+        }
+        ServiceClass type = config.settings().classes().get(place);
+        boolean get = request.method().equals(HttpMethod.GET);
+        if (get != (type.repeat() == Repeat.IDEMPOTENT)
+                || !get && !request.method().equals(HttpMethod.POST)) {
+            throw new BadRequestException("the class wants another method");
+        }
+        if (get && request.content().isReadable()) {
+            throw new BadRequestException("a body that nobody reads");
+        }
+        if (token(headers, "Idempotency-Key") == null ^ type.repeat() != Repeat.DEDUPLICATED) {
+            throw new BadRequestException("the class wants Idempotency-Key otherwise");
+        }
+        String txn = token(headers, "X-Txn");
+        if (txn == null) {
+            throw new BadRequestException("X-Txn is missing");
+        }
+        String tenant = single(headers, "X-Org");
+        int tenantIndex = config.tenants().isEmpty() || tenant == null ? 0 : config.tenants().indexOf(tenant);
+        if (tenantIndex < 0) {
+            throw new BadRequestException("unknown tenant");
+        }
+        double remaining = number(headers, "X-Remaining");
+        if (Double.isNaN(remaining)) {
+            throw new BadRequestException("X-Remaining is missing");
+        }
+        double estimate = number(headers, "X-Estimate");
+        // No client of this class waits longer, whatever it says; what is kept for it must not stay either.
+        return new Template(txn, place, tenantIndex, key(single(headers, "Cookie")),
+                now + Math.min(type.deadline(), remaining * MS), Double.isNaN(estimate) ? 0 : estimate / MS,
+                "1".equals(single(headers, "X-Resent")), !get);
+    }
+
+    private static String firstPart(String uri) {
+        String[] parts = uri.split("[/?]", 3);
+        return parts.length > 1 ? parts[1] : "";
+    }
+
+    /** A header's one value, or null; two could be read as either. */
+    private static String single(HttpHeaders headers, CharSequence name) throws BadRequestException {
+        List<String> values = headers.getAll(name);
+        if (values.size() > 1) {
+            throw new BadRequestException(name + " is repeated");
+        }
+        return values.isEmpty() ? null : values.get(0);
+    }
+
+    private static String token(HttpHeaders headers, String name) throws BadRequestException {
+        String text = single(headers, name);
+        if (text != null && !TOKEN.matcher(text).matches()) {
+            throw new BadRequestException(name + " is of no use");
+        }
+        return text;
+    }
+
+    /** A header's number, not below 0; NaN where the header is absent. */
+    private static double number(HttpHeaders headers, String name) throws BadRequestException {
+        String text = single(headers, name);
+        if (text == null) {
+            return Double.NaN;
+        }
+        if (!DECIMAL.matcher(text).matches()) {
+            throw new BadRequestException(name + " is no number of use");
+        }
+        return Double.parseDouble(text);
+    }
+
+    /** What the request is about, as the cookie {@code key} has it; 0 for none. */
+    private static long key(String cookies) {
+        if (cookies == null) {
+            return 0;
+        }
+        for (Cookie cookie : ServerCookieDecoder.LAX.decode(cookies)) {
+            if (cookie.name().equals("key")) {
+                try {
+                    return Long.parseUnsignedLong(cookie.value(), 16);
+                } catch (NumberFormatException e) {
+                    return cookie.value().hashCode();
+                }
+            }
+        }
+        return 0;
+    }
+}
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
 import java.util.function.BooleanSupplier;
+import java.util.function.DoublePredicate;
 
 /**
  * Counts the process's connections against the descriptors that it may hold. A caller that waits in the
@@ -11,32 +12,45 @@
  */
 final class Sockets {
 
-    /** Descriptors of the virtual machine itself: jars, selectors, logs, the listening socket, discovery. */
-    private static final int OF_THE_PROCESS = 64;
+    /** Descriptors of the virtual machine, the listening socket and discovery, and callers let in at once. */
+    private static final int OF_THE_PROCESS = 44;
     /** The part of the rest that only callers may use. */
     private static final int CALLERS_SHARE = 5;
+    /** A caller that has been idle for so long (ms) is hardly about to send. */
+    private static final double RESTING_MS = 300;
 
     private final int limit;
     private int open;
-    private BooleanSupplier evictIdle = () -> false;
+    private DoublePredicate evictCaller = before -> false;
+    private BooleanSupplier evictUpstream = () -> false;
 
     Sockets(int descriptors) {
         limit = Math.max(CALLERS_SHARE, descriptors - OF_THE_PROCESS);
     }
 
     /** Names what closes one idle upstream connection and tells whether there was one. */
-    void evictWith(BooleanSupplier evict) {
-        evictIdle = evict;
+    void upstreamsGiveWay(BooleanSupplier evict) {
+        evictUpstream = evict;
+    }
+
+    /** Names what closes one caller's connection that was idle before a time; likewise. */
+    void callersGiveWay(DoublePredicate evict) {
+        evictCaller = evict;
     }
 
     /** Whether a connection to an upstream may be opened, after an idle one has gone for it if need be. */
-    boolean roomForUpstream() {
-        return open < limit - limit / CALLERS_SHARE || evictIdle.getAsBoolean();
+    boolean roomForUpstream(double now) {
+        return open < limit - limit / CALLERS_SHARE || evict(now);
     }
 
     /** Whether a caller may stay: the one just accepted is counted already. */
-    boolean roomForCaller() {
-        return open <= limit || evictIdle.getAsBoolean();
+    boolean roomForCaller(double now) {
+        return open <= limit || evict(now);
+    }
+
+    /** Resting callers go first: to come back costs them less than a new connection costs an upstream. */
+    private boolean evict(double now) {
+        return evictCaller.test(now - RESTING_MS) || evictUpstream.getAsBoolean() || evictCaller.test(now);
     }
 
     /** Counts a connection until it is closed. */
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/cranedeal/node/UpstreamClient.java
@@ -5,9 +5,11 @@
 import cranedeal.LoadBalancer.State;
 import cranedeal.node.Roster.Member;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -19,14 +21,18 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -45,9 +51,16 @@
     private static final double IDLE_SHARE = 0.7;
     private static final long SWEEP_MS = 1_000;
     private static final int MILLI = 3;
-    /** What a caller says of its own connection is not for the next. */
-    private static final List<String> HOP_BY_HOP = List.of("Connection", "Keep-Alive", "Proxy-Connection",
-            "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect");
+    /** The headers of a request that go on with it; the rest is a caller's own affair or worse. */
+    private static final List<String> PASSED_ON = List.of("X-Txn", "Idempotency-Key", "X-Lane", "X-Org",
+            "Cookie", "X-Resent", "X-Estimate", "X-Labels");
+    /** How each answer begins. */
+    private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    /** An answer that has begun must go on after so long at most, and be whole after this many times that. */
+    private static final long STALL_MS = 300;
+    private static final int MOST_STALLS = 5;
+    /** Most answers of the kind 1xx that may come ahead of one. */
+    private static final int MOST_AHEAD = 16;
 
     /** Who waits for an attempt. */
     interface Listener {
@@ -75,11 +88,12 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(),
-                                new HttpObjectAggregator(MAX_BODY), new Connection(channel));
+                        Connection connection = new Connection(channel);
+                        channel.pipeline().addLast(connection.decoder, new HttpRequestEncoder(),
+                                new HttpObjectAggregator(MAX_BODY), connection);
                     }
                 });
-        sockets.evictWith(this::evictIdle);
+        sockets.upstreamsGiveWay(this::evictIdle);
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -88,6 +102,8 @@
         Member member;
         /** When this balancer was told that it wants nothing new; NaN while it does. */
         double toldOff = Double.NaN;
+        /** Whether it is on the list no more. */
+        boolean gone;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
 
         void closeIdle() {
@@ -105,7 +121,7 @@
         for (Member member : roster.members()) {
             left.remove(member.upstream().id());
             if (member.upstream().state() == State.REMOVED) {
-                tellOff(targets.get(member.upstream().id()), now);
+                remove(targets.get(member.upstream().id()), now);
                 continue;
             }
             Target target = targets.computeIfAbsent(member.upstream().id(), id -> new Target());
@@ -115,13 +131,21 @@
                 target.closeIdle();
             }
             target.member = member;
+            target.gone = false;
             if (member.upstream().state() == State.READY) {
                 target.toldOff = Double.NaN;
             } else {
                 tellOff(target, now);
             }
         }
-        left.values().forEach(target -> tellOff(target, now));
+        left.values().forEach(target -> remove(target, now));
+    }
+
+    private static void remove(Target target, double now) {
+        tellOff(target, now);
+        if (target != null) {
+            target.gone = true;
+        }
     }
 
     private static void tellOff(Target target, double now) {
@@ -156,7 +180,12 @@
     }
 
     private void sweep() {
-        double oldest = clock.now() - IDLE_SHARE * settings.limits().connectionIdle();
+        sweep(clock.now());
+    }
+
+    /** Closes what has been idle for long and forgets upstreams that left; the time is now. */
+    void sweep(double now) {
+        double oldest = now - IDLE_SHARE * settings.limits().connectionIdle();
         for (Target target : targets.values()) {
             while (!target.idle.isEmpty() && target.idle.peekFirst().idleSince < oldest) {
                 target.idle.pollFirst().channel.close();
@@ -164,8 +193,17 @@
         }
         // Whoever left long ago and holds nothing need not be remembered.
         double grace = settings.rules().drainGrace();
-        targets.values().removeIf(t -> t.member.upstream().state() != State.DRAINING
-                && t.toldOff < clock.now() - 2 * grace && t.idle.isEmpty());
+        targets.values().removeIf(t -> t.gone && t.toldOff < now - 2 * grace && t.idle.isEmpty());
+    }
+
+    /** How many upstreams it remembers. */
+    int remembered() {
+        return targets.size();
+    }
+
+    /** Has the kernel hold no more than so many bytes unsent; for tests. */
+    void sendBuffer(int bytes) {
+        bootstrap.option(ChannelOption.SO_SNDBUF, bytes);
     }
 
     /** Closes the connection that has been idle for longest; false if there is none. */
@@ -211,10 +249,16 @@
             Connection idle = takeIdle(to);
             if (idle != null) {
                 begin(idle);
-            } else if (!sockets.roomForUpstream()) {
-                end(Result.CONNECT_FAILED, null);
+            } else if (!sockets.roomForUpstream(clock.now())) {
+                // A shortage here says nothing of the upstream.
+                end(Result.NOT_SENT, null);
             } else {
                 ChannelFuture connect = bootstrap.connect(to.member.address());
+                if (connect.cause() instanceof ChannelException) {
+                    // There is no socket, for want of a descriptor.
+                    end(Result.NOT_SENT, null);
+                    return;
+                }
                 channel = connect.channel();
                 sockets.count(channel);
                 connect.addListener(up -> {
@@ -243,9 +287,16 @@
             connection.carry(this);
             FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
                     request.uri(), request.content().retainedDuplicate());
-            copy.headers().set(request.headers());
-            HOP_BY_HOP.forEach(copy.headers()::remove);
             copy.headers().set("Host", target.member.address().getHostString());
+            for (String name : PASSED_ON) {
+                String value = request.headers().get(name);
+                if (value != null) {
+                    copy.headers().set(name, value);
+                }
+            }
+            if (copy.content().isReadable() || copy.method().equals(HttpMethod.POST)) {
+                copy.headers().set("Content-Length", copy.content().readableBytes());
+            }
             // Rounded down: the upstream must not take this balancer to be more patient than it is.
             copy.headers().set("X-Remaining", seconds(until - now));
             channel.writeAndFlush(copy).addListener(write -> {
@@ -318,13 +369,68 @@
         return BigDecimal.valueOf((long) millis, MILLI).toPlainString();
     }
 
+    /**
+     * Looks at the bytes ahead of the decoder. That keeps part of a line unseen, so bytes that no request
+     * waits for could lie there and be taken for the start of the next answer.
+     */
+    private static final class Decoder extends HttpResponseDecoder {
+
+        private final Connection connection;
+        /** How much of the beginning of an answer has come. */
+        private int matched;
+
+        Decoder(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            if (connection.carried == null || !begins((ByteBuf) message)) {
+                ReferenceCountUtil.release(message);
+                connection.spoilt();
+                return;
+            }
+            connection.bytesCame();
+            super.channelRead(ctx, message);
+        }
+
+        /** Whether this may be part of an answer: noise without a line's end would else wait for more. */
+        private boolean begins(ByteBuf bytes) {
+            int at = bytes.readerIndex();
+            while (matched < BEGINNING.length && at < bytes.writerIndex()) {
+                if (bytes.getByte(at++) != BEGINNING[matched++]) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        /** Whether bytes have come that belong to no message so far. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+
+        /** Netty would drop the length of a message that has both framings, and go on. */
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both framings");
+        }
+    }
+
     /** A connection to an upstream; it belongs to one attempt at a time. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         final Channel channel;
+        final Decoder decoder = new Decoder(this);
         double idleSince;
         private Attempt carried;
         private Target home;
+        /** Whether an answer has come in part, and more since the last check; the checks so far. */
+        private boolean amid;
+        private boolean moved;
+        private int checks;
+        private int informational;
+        private Future<?> check;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -333,6 +439,9 @@
         void carry(Attempt attempt) {
             carried = attempt;
             home = attempt.target;
+            decoder.matched = 0;
+            informational = 0;
+            checks = 0;
         }
 
         /** Keeps the connection for the next attempt. */
@@ -347,35 +456,88 @@
             target.idle.addLast(this);
         }
 
+        /** What came is no answer: the attempt may have run, and the connection is of no further use. */
+        void spoilt() {
+            Attempt attempt = carried;
+            carried = null;
+            channel.close();
+            if (attempt != null) {
+                attempt.giveUp(attempt.written ? Result.ERROR : Result.CONNECT_FAILED);
+            }
+        }
+
+        void bytesCame() {
+            amid = true;
+            moved = true;
+        }
+
+        /** Upstreams write an answer at once: one that stays in parts will not be whole in time. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (amid && carried != null && check == null) {
+                moved = false;
+                check = loop.schedule(this::checkProgress, STALL_MS, TimeUnit.MILLISECONDS);
+            }
+            ctx.fireChannelReadComplete();
+        }
+
+        private void checkProgress() {
+            check = null;
+            if (!moved || ++checks >= MOST_STALLS) {
+                spoilt();
+            } else {
+                moved = false;
+                check = loop.schedule(this::checkProgress, STALL_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /** The message is whole, and with it what had come of it. */
+        private void endMessage() {
+            amid = decoder.holdsMore();
+            // What is there already is not looked at again: it is read as the next message.
+            decoder.matched = amid ? BEGINNING.length : 0;
+            if (check != null) {
+                check.cancel(false);
+                check = null;
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                    && response.decoderResult().isSuccess()) {
+            endMessage();
+            if (carried != null && !channel.isActive()) {
+                // What the end of the connection completes is no answer: a crash would look like that too.
+                carried.broke();
+                return;
+            }
+            if (carried == null || !response.decoderResult().isSuccess()) {
+                spoilt();
+                return;
+            }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                if (response.status().code() == 101 || ++informational > MOST_AHEAD) {
+                    spoilt();
+                }
                 return;
             }
             Attempt attempt = carried;
             carried = null;
-            if (attempt == null) {
-                channel.close();
-            } else if (!channel.isActive()) {
-                // What the end of the connection completes is no answer: a crash would look like that too.
-                attempt.broke();
-            } else if (!response.decoderResult().isSuccess()) {
-                attempt.giveUp(Result.ERROR);
+            boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response)
+                    && !decoder.holdsMore();
+            attempt.answered(response);
+            // Only now: the module's next send must not read from a connection that is being read.
+            if (keep && channel.isActive()) {
+                park(home);
             } else {
-                boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response);
-                attempt.answered(response);
-                // Only now: the module's next send must not read from a connection that is being read.
-                if (keep && channel.isActive()) {
-                    park(home);
-                } else {
-                    channel.close();
-                }
+                channel.close();
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            if (check != null) {
+                check.cancel(false);
+            }
             if (home != null) {
                 home.idle.remove(this);
             }
@@ -387,14 +549,13 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            boolean broken = cause instanceof IOException
-                    || cause instanceof PrematureChannelClosureException;
-            if (carried != null && !broken) {
+            if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+                // The end of the channel tells the attempt.
+                channel.close();
+            } else {
                 // An answer that is too large or no HTTP: the upstream has had the request.
-                carried.giveUp(carried.written ? Result.ERROR : Result.CONNECT_FAILED);
+                spoilt();
             }
-            // For a broken connection, the end of the channel tells the attempt.
-            channel.close();
         }
     }
 }
