A sick server at home is left, and a held request is given back in time

Cause, from a probe that logged every outcome and refusal: one front server in the balancers' own zone answered 500 at once from 3 to 14 s. The price of a crossing multiplied the cost of all others by 71 and not that server's failures, so it kept two thirds of the calls; and its quick errors counted as overload, so 2,000 requests were refused untried. Ruled out: reload itself (lists came whole, nothing cold), the tiers behind (hardly an error of their own), refused input. In Node: a drain serves its callers as before until 1.65 s before its end, since both balancers were found leaving at once with nowhere to go.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -78,6 +78,8 @@
     private static final double COLD_MARGIN = 0.3;
     /** Ms after which a request that finds no server to go to looks again; well below any aim. */
     private static final double LOOK_AGAIN = 20;
+    /** Share of its time for which a request is held that finds no server: the rest is its client's. */
+    private static final double HOLD_SHARE = 0.45;
     /** Least and, with as much again at random, most wait before the registry is asked again, of askEvery. */
     private static final double ASK_AGAIN = 0.1;
 
@@ -173,12 +175,14 @@
      */
     private void dispatch(Call call, double now) {
         double latest = call.usefulEnd - TOO_LATE * expected(call) - ahead(call);
+        double patient = Math.min(latest,
+                call.arrivedAt + HOLD_SHARE * (call.request.deadline() - call.arrivedAt));
         boolean itsTurn = call.line == null || call.line.peekFirst() == call;
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
         if (server != null) {
             send(call, server, now);
-        } else if (now < latest && call.attempts.isEmpty()) {
-            double again = itsTurn ? Math.min(latest, now + LOOK_AGAIN) : latest;
+        } else if (now < patient && call.attempts.isEmpty()) {
+            double again = itsTurn ? Math.min(patient, now + LOOK_AGAIN) : patient;
             actions.setTimer(call.id << 8 | HOLD_TIMER, again);
         } else {
             answerUnserved(call, now);
@@ -295,14 +299,17 @@
         server.fade(now, EVIDENCE_FADE, FADE_STEP);
         double l = server.base(BASE_POOL) * call.record.latency.value();
         double success = server.success(call.record.index, SUCCESS_POOL, CLASS_POOL);
-        l += call.type.aim() * (1 / Math.max(SUCCESS_FLOOR, success) - 1);
+        // Where to leave a zone is dear, a sick server at home would else keep the calls that it loses. A
+        // failure or two, which may befall any server, is not yet worth a crossing.
+        double dear = 1 + crossing() * (1 - success) * (1 - success);
+        l += call.type.aim() * (1 / Math.max(SUCCESS_FLOOR, success) - 1) * dear;
         l *= 1 + IN_FLIGHT * server.out.size();
         if (!server.out.isEmpty()) {
             Attempt oldest = server.out.peekFirst();
             l += OVERDUE_WEIGHT * Math.max(0, now - oldest.sentAt - slowAfter(oldest.call));
         }
         if (server.listed.zone() != settings.zone()) {
-            l *= 1 + CROSSING * Math.sqrt(settings.prices().crossZone());
+            l *= 1 + crossing();
         }
         if (!server.preferred) {
             l *= 1 + OUTSIDE / Math.pow(1 + evidence, 2)
@@ -317,6 +324,10 @@
         return l / warmth(server, now);
     }
 
+    private double crossing() {
+        return CROSSING * Math.sqrt(settings.prices().crossZone());
+    }
+
     /** Rules 6 and 2: placement; an attempt that may have run ties a request to its group, or ends it. */
     private boolean mayGoTo(Call call, Server server, double now) {
         Limits limits = settings.limits();
@@ -444,8 +455,11 @@
             call.restsUntil = now + settings.rules().orderSettle();
         }
         learn(attempt, outcome, now);
-        if (settings.tier() == 0 && !attempt.strained && outcome.result() != Result.CANCELLED) {
-            boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
+        boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
+        // What breaks at once tells of a sick server: to refuse others would not help.
+        boolean sick = inGoodTime && (outcome.result() == Result.ERROR || outcome.result() == Result.RESET
+                || outcome.result() == Result.CONNECT_FAILED);
+        if (settings.tier() == 0 && !attempt.strained && outcome.result() != Result.CANCELLED && !sick) {
             feelPressure(call.record.leader, outcome.result() == Result.OK && inGoodTime, now);
         }
         if (outcome.result() == Result.OK && attempt.number > 0) {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/cranedeal/node/Node.java
@@ -49,6 +49,8 @@
     /** SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more: less is used of it. */
     private static final double LONGEST_DRAIN_MS = 3_000;
     private static final double DRAIN_SLACK_MS = 550;
+    /** The time that is kept of it to answer what has come, once callers are asked to leave. */
+    private static final double LAST_ANSWERS_MS = 1_650;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -115,20 +117,21 @@
     }
 
     /**
-     * Stops as SIGTERM wants it: goes on serving until the late connections have come and all that was taken
-     * is answered. Returns when the process may end.
+     * Stops as SIGTERM wants it. Callers go on using the connections that they have, and may have nowhere
+     * else to go while another balancer restarts too, so they are served as before for as long as there is
+     * time to answer what has come. Then they are asked to leave. Returns when the process may end.
      */
     void drain() throws InterruptedException {
         double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadline).max()
                 .orElse(0);
         double begun = clock.now();
         double latest = begun + Math.min(longest, LONGEST_DRAIN_MS) + DRAIN_SLACK_MS;
+        Thread.sleep((long) Math.max(LATE_CONNECTIONS_MS, latest - begun - LAST_ANSWERS_MS));
         loop.submit(frontend::beginDrain).sync();
-        boolean done = false;
+        boolean done = endDrain();
         while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
-            boolean late = clock.now() < begun + LATE_CONNECTIONS_MS;
-            done = !late && endDrain();
+            done = endDrain();
         }
         // What SIGKILL found unanswered would be lost; a failure is an answer.
         loop.submit(() -> List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -163,6 +163,10 @@
         bench.request(3, 0);
         bench.advance(5_000);
         assertEquals(List.of(3L), bench.refused);
+        // A request that nothing was sent for is given back while its client can still use its time.
+        bench.request(4, 0);
+        bench.advance(Sites.DEADLINE * 0.48);
+        assertEquals(List.of(3L, 4L), bench.refused);
         assertTrue(bench.retryAfter > 0 && bench.retryAfter <= Sites.AIM / 2, "after " + bench.retryAfter);
     }
 
@@ -454,6 +458,36 @@
         assertTrue(bench.refused.size() > refused, bench.refused.size() + " refused");
     }
 
+    @Test
+    void errorsThatComeAtOnceAreNoSignOfOverload() {
+        for (Result result : new Result[] {Result.ERROR, Result.FULL}) {
+            Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).lateWorth(0).build(), 1);
+            bench.list(Change.CACHED, Sites.server(1));
+            for (int i = 0; i < 200; i++) {
+                bench.request(i, 0);
+                if (bench.isOpen(i)) {
+                    bench.finishAfter(bench.lastSend(), result, 5);
+                }
+            }
+            long shed = 200 - bench.sends.stream().map(Bench.Sent::request).distinct().count();
+            assertEquals(result == Result.FULL, shed > 0, shed + " refused without a try");
+        }
+    }
+
+    @Test
+    void aSickServerAtHomeIsLeftEvenWhereACrossingIsDear() {
+        Bench bench = new Bench(Sites.plain().tier(1).repeat(Repeat.AT_MOST_ONCE).crossZone(0.2).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2).zone(1), Sites.server(3).zone(1));
+        long sick = 0;
+        for (int i = 0; i < 1_000; i++) {
+            bench.request(i, 0);
+            boolean home = bench.lastSend().upstream() == 1;
+            sick += home ? 1 : 0;
+            bench.finishAfter(bench.lastSend(), home && i % 10 < 7 ? Result.ERROR : Result.OK, 100);
+        }
+        assertTrue(sick > 5 && sick < 250, sick + " sent to the sick server");
+    }
+
     @Test
     void aDearCrossingIsRareAndAPreferredPartTakesMostCalls() {
         Bench bench = new Bench(Sites.plain().tier(1).crossZone(0.03).build(), 1);
