A crowd finds room: evicting passes over what is closed already, and frees a batch at once

Causes, from a probe of who holds the connections: one resting caller was closed each 200 ms; and evictIdle counted a closed connection as closed anew until its end was told, so evictions made no room and the limit was passed by 30. Ruled out: half requests, lingering and unsent answers (0 of each). The descriptors kept for the process are 64 again. Also: SIGHUP is heard before the node serves; its test met that gap once.

--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/cranedeal/node/Frontend.java
@@ -131,7 +131,6 @@
         for (Connection connection : new ArrayList<>(connections)) {
             connection.sweep(now);
         }
-        sockets.roomForCaller(now);
         resume();
     }
 
@@ -140,7 +139,7 @@
      * leave and use up the descriptors, without which the virtual machine can't even load a class.
      */
     private void resume() {
-        if (sockets.roomForMore()) {
+        if (!listening.config().isAutoRead() && sockets.roomForCaller(node.now())) {
             listening.config().setAutoRead(true);
         }
     }
@@ -151,7 +150,9 @@
      */
     private boolean evictIdle(double before) {
         for (Connection connection : new ArrayList<>(connections)) {
-            if (connection.since < before && (connection.lingers() || connection.closeIfIdle())) {
+            // One that is closed stays here until its end is told: to count it again would make no room.
+            if (connection.channel.isOpen() && connection.since < before
+                    && (connection.lingers() || connection.closeIfIdle())) {
                 connection.channel.close();
                 return true;
             }
@@ -433,6 +434,8 @@
             } else {
                 advance();
             }
+            // A caller that rests now may give way to one that waits to be let in.
+            resume();
         }
 
         /** Nothing is at work any more. */
--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/cranedeal/node/Main.java
@@ -1,6 +1,7 @@
 package cranedeal.node;
 
 import java.lang.reflect.Proxy;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -24,13 +25,15 @@
 
     private static void serve() throws InterruptedException {
         Node node = null;
+        CompletableFuture<Node> started = new CompletableFuture<>();
+        reloadAtHangup(started);
         try {
             node = Node.start(NodeConfig.read(System.getenv("PROXY_CONFIG")));
         } catch (ConfigException e) {
             exit("sablehinge: " + e.getMessage(), 1);
         }
         drainAtShutdown(node);
-        reloadAtHangup(node);
+        started.complete(node);
         // The node's own threads are daemons, so that the end of the shutdown hook ends the process.
         new CountDownLatch(1).await();
     }
@@ -47,11 +50,11 @@
     }
 
     /**
-     * SIGHUP would end the virtual machine; here it means that the configuration was replaced. The file is
-     * read off the node's loop, one reading after another, so that the last signal sees the last file. One
-     * that is of no use changes nothing.
+     * SIGHUP would end the virtual machine, also one that has only just begun to serve; here it means that
+     * the configuration was replaced. The file is read off the node's loop, one reading after another, so
+     * that the last signal sees the last file. One that is of no use changes nothing.
      */
-    private static void reloadAtHangup(Node node) {
+    private static void reloadAtHangup(CompletableFuture<Node> started) {
         ExecutorService readings = Executors.newSingleThreadExecutor(work -> {
             Thread thread = new Thread(work, "reload");
             thread.setDaemon(true);
@@ -59,6 +62,7 @@
         });
         onHangup(() -> readings.execute(() -> {
             try {
+                Node node = started.join();
                 node.reload(NodeConfig.read(System.getenv("PROXY_CONFIG")));
             } catch (ConfigException | RuntimeException e) {
                 Node.LOG.warning("the configuration stays as it was: " + e.getMessage());
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/cranedeal/node/Sockets.java
@@ -13,12 +13,16 @@
 final class Sockets {
 
     /** Descriptors of the virtual machine, the listening socket and discovery, and callers let in at once. */
-    private static final int OF_THE_PROCESS = 44;
+    private static final int OF_THE_PROCESS = 64;
     /** The part of the rest that only callers may use. */
     private static final int CALLERS_SHARE = 5;
     /** A caller that has been idle for so long (ms) is hardly about to send. */
     private static final double RESTING_MS = 300;
 
+    /** Callers that are accepted at once at most, and the part of all connections kept free for them. */
+    private static final int BATCH = 16;
+    private static final int SPARE_SHARE = 10;
+
     private final int limit;
     private int open;
     private DoublePredicate evictCaller = before -> false;
@@ -43,13 +47,16 @@
         return open < limit - limit / CALLERS_SHARE || evict(now);
     }
 
-    /** Whether a caller may stay: the one just accepted is counted already. */
+    /**
+     * Whether one more caller may be let in, after idle connections have gone for a batch of them: callers
+     * are accepted several at a time, and a crowd must not wait while others only rest here.
+     */
     boolean roomForCaller(double now) {
-        return open <= limit || evict(now);
-    }
-
-    /** Whether one more caller may be let in; more than one may come before it is counted. */
-    boolean roomForMore() {
+        int spare = Math.min(BATCH, limit / SPARE_SHARE);
+        boolean gone = true;
+        while (gone && open >= limit - spare) {
+            gone = evict(now);
+        }
         return open < limit;
     }
 
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/cranedeal/node/FrontendTest.java
@@ -183,10 +183,24 @@
         }
     }
 
+    @Test
+    void aCrowdDoesNotWaitWhileOthersOnlyRest() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.sockets = 64 + 20;
+            stage.start();
+            for (int i = 0; i < 200; i++) {
+                // Each keeps its connection for good, as far as it is asked.
+                Peer caller = stage.caller();
+                caller.write(HEALTH);
+                assertEquals(200, caller.read().status());
+            }
+        }
+    }
+
     @Test
     void aCrowdIsNotLetInBeyondTheDescriptorsWhenSomeOfItLeave() throws Exception {
         try (Stage stage = new Stage()) {
-            stage.sockets = 44 + 5;
+            stage.sockets = 64 + 5;
             stage.start();
             java.util.concurrent.atomic.AtomicInteger taken = new java.util.concurrent.atomic.AtomicInteger();
             stage.script.onRequest = request -> taken.incrementAndGet();
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/cranedeal/node/UpstreamClientTest.java
@@ -260,7 +260,7 @@
     @Test
     void aShortageOfDescriptorsHereIsNotHeldAgainstAnUpstream() throws Exception {
         try (Stage stage = new Stage()) {
-            stage.sockets = 44 + 5;
+            stage.sockets = 64 + 5;
             stage.start();
             stage.script.onRequest = request -> { };
             for (int i = 0; i < 4; i++) {
@@ -307,7 +307,7 @@
     @Test
     void callersThatRestGiveWayToACallOfAnother() throws Exception {
         try (Stage stage = new Stage()) {
-            stage.sockets = 44 + 5;
+            stage.sockets = 64 + 5;
             stage.start();
             List<Peer> resting = new ArrayList<>();
             for (int i = 0; i < 4; i++) {
@@ -480,7 +480,7 @@
     @Test
     void idleConnectionsGiveWayToCallersWhenDescriptorsRunShort() throws Exception {
         try (Stage stage = new Stage(6)) {
-            stage.sockets = 44 + 10;
+            stage.sockets = 64 + 10;
             stage.start();
             Peer caller = stage.caller();
             List<Peer> idle = new ArrayList<>();
