A test's closed port stays bound, so that no connection can meet itself there

Observation: anAttemptOverTheLimitIsNotSent failed once, after 10 s, with two outcomes instead of five: a connect to the closed port stood open and silent. Cause, by reasoning and not caught in the act: the kernel may give a connecting socket that very port. The closed listener keeps it bound now; the callers' and discovery's tests pass.

--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/cranedeal/node/Listener.java
@@ -11,6 +11,7 @@
 final class Listener implements AutoCloseable {
 
     private final ServerSocket server;
+    private final java.net.Socket kept = new java.net.Socket();
     private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
 
     Listener() throws IOException {
@@ -55,8 +56,15 @@
         return accepted.size();
     }
 
+    /** Keeps the port, with nobody listening: a connection could else be given it and meet itself there. */
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            kept.setReuseAddress(true);
+            kept.bind(server.getLocalSocketAddress());
+        } catch (IOException e) {
+            // Closed before, or somebody has it already.
+        }
     }
 }
