A crowd at home offsets the price of crossing before its calls are late

A probe of each send and outcome shows why: in the first tier one zone has a single server, and up to 73 own calls stood in flight there, served after 1 to 2 s, while the three servers of the other zones held 3 to 8 each and served in 250 ms. Those late calls are what feelPressure takes for a jam of all, so up to 0.8 of the work was refused with servers idle; clients came back at once, up to 1.9 tries a request. Cause: cost() multiplies l by 71 across zones however full home is; 1 + 1.4 n in flight balances that only at 50 calls, twice what such a server works off within the aim. Mend: l also grows by the crossing's factor times the fourth power of the latency to expect behind the calls in flight there (Little's law) over the aim. The loopback test holds 100 calls: 72 gather at home without it, 40 with it.

--- a/src/main/java/cranedeal/Call.java
+++ b/src/main/java/cranedeal/Call.java
@@ -13,6 +13,8 @@
         final Server server;
         final int number;
         final double sentAt;
+        /** Own attempts that were in flight there when it was sent. */
+        final int behind;
         LoadBalancer.Result result;
         boolean streaming;
         /** Whether it was taken as a sign of overload while it was out. */
@@ -23,6 +25,7 @@
             this.server = server;
             this.number = call.attempts.size();
             this.sentAt = sentAt;
+            this.behind = server.out.size();
         }
     }
 
--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -50,6 +50,13 @@
     private static final double OVERDUE_WEIGHT = 4;
     /** Growth of l across zones, times the root of the price: a dear crossing must still be possible. */
     private static final double CROSSING = 150;
+    /**
+     * Power with which a crowd at a server offsets the price of crossing: nothing to speak of at half the
+     * aim, all of it at the aim, so that a zone is left where its calls would be late and not before.
+     */
+    private static final double CROWD_POWER = 4;
+    /** Own calls that a server takes beside each other; so few in flight are no crowd. */
+    private static final double ROOM = 4;
     /** Servers in the subset that an instance prefers: enough to lose a few, few enough to know. */
     private static final double SUBSET = 8;
     /** Growth of l outside the subset while there is no evidence; it shrinks as servers become known. */
@@ -308,6 +315,7 @@
             Attempt oldest = server.out.peekFirst();
             l += OVERDUE_WEIGHT * Math.max(0, now - oldest.sentAt - slowAfter(oldest.call));
         }
+        l *= 1 + crossing() * Math.pow(crowding(server, call) / call.type.aim(), CROWD_POWER);
         if (server.listed.zone() != settings.zone()) {
             l *= 1 + crossing();
         }
@@ -324,6 +332,19 @@
         return l / warmth(server, now);
     }
 
+    /**
+     * The latency to expect behind the calls in flight there, by Little's law: served latencies and the
+     * calls in flight when they were sent tell at what rate the server works. The price of crossing keeps
+     * calls at home even where they queue until they are late, while other zones stand idle and clients
+     * are refused. That shows here as soon as the calls gather, before any comes back late, and is over as
+     * soon as they are gone, whatever made the server slow: a burst, a pause, a sick core. Does harm where
+     * one call is worth less than a crossing, or where a server got faster and its record tells of a jam.
+     */
+    private static double crowding(Server server, Call call) {
+        double each = server.base(BASE_POOL) * expected(call) / (1 + Math.max(ROOM, server.crowd(BASE_POOL)));
+        return each * (1 + server.out.size());
+    }
+
     private double crossing() {
         return CROSSING * Math.sqrt(settings.prices().crossZone());
     }
@@ -603,6 +624,7 @@
         call.record.latency.add(perHint / server.base(BASE_POOL));
         server.latencySum += relative;
         server.latencyCount += 1;
+        server.crowdSum += attempt.behind;
         server.kind.latency.add(relative);
     }
 
--- a/src/main/java/cranedeal/Server.java
+++ b/src/main/java/cranedeal/Server.java
@@ -23,6 +23,8 @@
     /** Served latencies relative to what was expected, and how many. */
     double latencySum;
     double latencyCount;
+    /** Own calls in flight there when these were sent. */
+    double crowdSum;
     /** Calls served and ended there, of all classes and of each. */
     double served;
     double tries;
@@ -55,6 +57,7 @@
         double kept = Math.exp((fadedAt - now) / constant);
         latencySum *= kept;
         latencyCount *= kept;
+        crowdSum *= kept;
         served *= kept;
         tries *= kept;
         for (int i = 0; i < triesOf.length; i++) {
@@ -79,6 +82,11 @@
         return (latencySum + pool * kind.latency.value()) / (latencyCount + pool);
     }
 
+    /** Mean of own calls in flight ahead of those served, pooled with {@code pool} that found none. */
+    double crowd(double pool) {
+        return crowdSum / (latencyCount + pool);
+    }
+
     /** A class's share of calls served, pooled with that of all classes, and that with its machine type's. */
     double success(int serviceClass, double kindPool, double classPool) {
         double all = (served + kindPool * kind.served.value()) / (tries + kindPool);
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/cranedeal/node/Stage.java
@@ -19,6 +19,10 @@
     int sockets = 1_024;
     int connectTimeout = 3_000;
     int drainGrace = 2_000;
+    /** How many of the upstreams, the first ones, stand in the node's own zone. */
+    int atHome = Integer.MAX_VALUE;
+    /** The aim of the class that must never run twice. */
+    String aim = "\"aim\":1500.0";
     Node node;
 
     Stage() throws IOException {
@@ -62,12 +66,15 @@
         String[] entries = new String[upstreams.size()];
         for (int i = 0; i < entries.length; i++) {
             entries[i] = entry(i, upstreams.get(i).address(), "up");
+            if (i >= atHome) {
+                entries[i] = entries[i].replace("dakar-a", "thies-b");
+            }
         }
         return """
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
                  "settings":{"position":0,"siblings":1,"tier":0,"stages":["front"],"zone":0,
-                 "zones":["dakar-a"],"machineTypes":["front-mid"],"registryMode":"subscribe",
+                 "zones":["dakar-a","thies-b"],"machineTypes":["front-mid"],"registryMode":"subscribe",
                  "familyInfo":{"passesDeadline":true},"callers":{"marksRetry":false},"worthBy":"request",
                  "overShareWorth":0.1,"weightKind":"silent",
                  "stats":{"how":"pull","fields":["queue","eps","latency_ms"]},"tenants":[],
@@ -87,7 +94,8 @@
                  "prices":{"crossZone":0.22,"probe":0.01,"waste":0.2,"lateFail":0.03,"connection":0.0,
                   "handshake":0.0,"peer":0.0,"registryMode":0.0}}}
                 """.formatted(discovery.address(), sockets,
-                        roster(41, true, entries), connectTimeout, drainGrace);
+                        roster(41, true, entries), connectTimeout, drainGrace)
+                .replace("\"aim\":1500.0", aim);
     }
 
     /** A new connection of a caller. */
