A sick server that fails at once is not taken for a free one

A probe of outcomes: one server of the first tier, at home, fails 0.73 of its calls at once, and each of the two balancers sent it 180, a quarter of all, for 12 s. All 250 errors came from there; the tiers below had one. Cause: cost() adds the penalty of the failed share to l, and the calls in flight and the crossing multiply it. What fails at once has none in flight, so at a failed share of 0.7 it drew as much as sound servers abroad with two or three. The test, in virtual time, loses 282 calls without it and 109 with it; over sockets it has none of its own.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -55,6 +55,10 @@
      * aim, all of it at the aim, so that a zone is left where its calls would be late and not before.
      */
     private static final double CROWD_POWER = 4;
+    /** Share of calls lost at a server that is worth a crossing, about what a crossing costs of a call. */
+    private static final double WORTH_LEAVING = 0.4;
+    /** Bound of the factor for that: a server left for good could not show that it is well again. */
+    private static final double MOST_LEAVING = 4;
     /** Own calls that a server takes beside each other; so few in flight are no crowd. */
     private static final double ROOM = 4;
     /** Servers in the subset that an instance prefers: enough to lose a few, few enough to know. */
@@ -316,10 +320,11 @@
         server.fade(now, EVIDENCE_FADE, FADE_STEP);
         double l = server.base(BASE_POOL) * call.record.latency.value();
         double success = server.success(call.record.index, SUCCESS_POOL, CLASS_POOL);
-        // Where to leave a zone is dear, a sick server at home would else keep the calls that it loses. A
-        // failure or two, which may befall any server, is not yet worth a crossing.
-        double dear = 1 + crossing() * (1 - success) * (1 - success);
-        l += call.type.aim() * (1 / Math.max(SUCCESS_FLOOR, success) - 1) * dear;
+        l += call.type.aim() * (1 / Math.max(SUCCESS_FLOOR, success) - 1);
+        // Where to leave a zone is dear, a sick server at home would else keep the calls that it loses: it
+        // fails them at once, so none are in flight there, while those that serve seem busy. A failure or
+        // two, which may befall any server, is not yet worth a crossing.
+        l *= 1 + crossing() * Math.min(MOST_LEAVING, Math.pow((1 - success) / WORTH_LEAVING, CROWD_POWER));
         l *= 1 + IN_FLIGHT * server.out.size();
         if (!server.out.isEmpty()) {
             Attempt oldest = server.out.peekFirst();
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -488,6 +489,29 @@
         assertTrue(sick > 5 && sick < 250, sick + " sent to the sick server");
     }
 
+    @Test
+    void aSickServerThatFailsAtOnceIsNotTakenForAFreeOne() {
+        Bench bench = new Bench(Sites.plain().tier(1).repeat(Repeat.AT_MOST_ONCE).crossZone(0.2).build(), 1);
+        bench.list(Change.CACHED, Sites.server(1), Sites.server(2).zone(1), Sites.server(3).zone(1));
+        ArrayDeque<Bench.Sent> out = new ArrayDeque<>();
+        int lost = 0;
+        for (int i = 0; i < 1_000; i++) {
+            bench.request(i, 0);
+            if (bench.lastSend().upstream() == 1 && i % 10 < 7) {
+                lost++;
+                bench.finishAfter(bench.lastSend(), Result.ERROR, 5);
+            } else {
+                out.addLast(bench.lastSend());
+            }
+            // What is served takes 300 ms, so that some calls are always in flight elsewhere.
+            bench.advance(30);
+            if (out.size() > 10) {
+                bench.finishAfter(out.pollFirst(), Result.OK, 300);
+            }
+        }
+        assertTrue(lost < 150, lost + " lost at the sick server");
+    }
+
     @Test
     void aDearCrossingIsRareAndAPreferredPartTakesMostCalls() {
         Bench bench = new Bench(Sites.plain().tier(1).crossZone(0.03).build(), 1);
