--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/cranedeal/LatencyWeightedBalancer.java
@@ -49,7 +49,7 @@
     /** Ms added to l per ms that the oldest call there is overdue: a hang shows before it times out. */
     private static final double OVERDUE_WEIGHT = 4;
     /** Growth of l across zones, times the root of the price: a dear crossing must still be possible. */
-    private static final double CROSSING = 150;
+    private static final double CROSSING = 400;
     /**
      * Power with which a crowd at a server offsets the price of crossing: nothing to speak of at half the
      * aim, all of it at the aim, so that a zone is left where its calls would be late and not before.
@@ -57,8 +57,8 @@
     private static final double CROWD_POWER = 4;
     /** Share of calls lost at a server that is worth a crossing, about what a crossing costs of a call. */
     private static final double WORTH_LEAVING = 0.4;
-    /** Bound of the factor for that: a server left for good could not show that it is well again. */
-    private static final double MOST_LEAVING = 4;
+    /** Bound of the factor for that: its few calls must still show when it is well again. */
+    private static final double MOST_LEAVING = 16;
     /** Own calls that a server takes beside each other; so few in flight are no crowd. */
     private static final double ROOM = 4;
     /** Servers in the subset that an instance prefers: enough to lose a few, few enough to know. */
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/cranedeal/ModuleTest.java
@@ -485,6 +485,8 @@
             boolean home = bench.lastSend().upstream() == 1;
             sick += home ? 1 : 0;
             bench.finishAfter(bench.lastSend(), home && i % 10 < 7 ? Result.ERROR : Result.OK, 100);
+            // Evidence fades with time alone: a server that is left is tried again by and by.
+            bench.advance(40);
         }
         assertTrue(sick > 5 && sick < 250, sick + " sent to the sick server");
     }
