The packages are called sablehinge, the name of the program

Need: cranedeal was the inherited name; everything that is to come lands in packages under sablehinge. Result: the tests pass as before.

--- a/src/main/java/cranedeal/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/LatencyWeightedBalancer.java
@@ -1,4 +1,4 @@
-package cranedeal;
+package sablehinge;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,10 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import cranedeal.Call.Attempt;
+import sablehinge.Call.Attempt;
 
 /**
- * All decisions of cranedeal. Read {@link LoadBalancer} (LoadBalancer.java) first: it is the interface.
+ * All decisions of sablehinge. Read {@link LoadBalancer} (LoadBalancer.java) first: it is the interface.
  *
  * <p>The ordinary path: every server has a cost l = base + p * (1/s - 1), where base is its smoothed served
  * latency, s its windowed success share and p the class's steady time-out; each call goes to a ready server
--- a/src/main/java/cranedeal/LoadBalancer.java
+++ b/src/main/java/sablehinge/LoadBalancer.java
@@ -1,4 +1,4 @@
-package cranedeal;
+package sablehinge;
 
 import java.util.List;
 
--- a/src/main/java/cranedeal/node/Clock.java
+++ b/src/main/java/sablehinge/node/Clock.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 /**
  * The time in ms since 1970, read off the monotonic clock. It is set by the system's clock once, at the
--- a/src/main/java/cranedeal/node/ConfigException.java
+++ b/src/main/java/sablehinge/node/ConfigException.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 /** The node was started with a configuration that it cannot run on; the message is for its operator. */
 final class ConfigException extends Exception {
--- a/src/main/java/cranedeal/node/Discovery.java
+++ b/src/main/java/sablehinge/node/Discovery.java
@@ -1,6 +1,6 @@
-package cranedeal.node;
+package sablehinge.node;
 
-import cranedeal.LoadBalancer.Change;
+import sablehinge.LoadBalancer.Change;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufInputStream;
--- a/src/main/java/cranedeal/node/Exchange.java
+++ b/src/main/java/sablehinge/node/Exchange.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
--- a/src/main/java/cranedeal/node/Freshness.java
+++ b/src/main/java/sablehinge/node/Freshness.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 /**
  * How long a kept connection may have rested and still be trusted with a request. Its other end may have
--- a/src/main/java/cranedeal/node/Frontend.java
+++ b/src/main/java/sablehinge/node/Frontend.java
@@ -1,7 +1,7 @@
-package cranedeal.node;
+package sablehinge.node;
 
-import cranedeal.node.RequestCheck.BadRequestException;
-import cranedeal.node.RequestCheck.Template;
+import sablehinge.node.RequestCheck.BadRequestException;
+import sablehinge.node.RequestCheck.Template;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
--- a/src/main/java/cranedeal/node/LoadReport.java
+++ b/src/main/java/sablehinge/node/LoadReport.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import java.util.Arrays;
 import java.util.List;
--- a/src/main/java/cranedeal/node/LogLimit.java
+++ b/src/main/java/sablehinge/node/LogLimit.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import java.util.function.DoubleSupplier;
 import java.util.logging.Filter;
--- a/src/main/java/cranedeal/node/Main.java
+++ b/src/main/java/sablehinge/node/Main.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import java.lang.reflect.Proxy;
 import java.util.concurrent.CompletableFuture;
@@ -15,7 +15,7 @@
     /** Runs the subcommand that the arguments name. */
     public static void main(String[] args) throws InterruptedException {
         if (args.length == 1 && args[0].equals("wire")) {
-            cranedeal.wire.Main.main(args);
+            sablehinge.wire.Main.main(args);
         } else if (args.length == 1 && args[0].equals("serve")) {
             serve();
         } else {
--- a/src/main/java/cranedeal/node/Node.java
+++ b/src/main/java/sablehinge/node/Node.java
@@ -1,14 +1,14 @@
-package cranedeal.node;
-
-import cranedeal.LatencyWeightedBalancer;
-import cranedeal.LoadBalancer;
-import cranedeal.LoadBalancer.Change;
-import cranedeal.LoadBalancer.Outcome;
-import cranedeal.LoadBalancer.Reports;
-import cranedeal.LoadBalancer.Request;
-import cranedeal.LoadBalancer.Result;
-import cranedeal.LoadBalancer.ServiceClass;
-import cranedeal.LoadBalancer.Upstream;
+package sablehinge.node;
+
+import sablehinge.LatencyWeightedBalancer;
+import sablehinge.LoadBalancer;
+import sablehinge.LoadBalancer.Change;
+import sablehinge.LoadBalancer.Outcome;
+import sablehinge.LoadBalancer.Reports;
+import sablehinge.LoadBalancer.Request;
+import sablehinge.LoadBalancer.Result;
+import sablehinge.LoadBalancer.ServiceClass;
+import sablehinge.LoadBalancer.Upstream;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/cranedeal/node/NodeConfig.java
+++ b/src/main/java/sablehinge/node/NodeConfig.java
@@ -1,10 +1,10 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import cranedeal.LoadBalancer.Settings;
-import cranedeal.wire.MalformedInputException;
-import cranedeal.wire.SettingsParser;
+import sablehinge.LoadBalancer.Settings;
+import sablehinge.wire.MalformedInputException;
+import sablehinge.wire.SettingsParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/cranedeal/node/RequestCheck.java
+++ b/src/main/java/sablehinge/node/RequestCheck.java
@@ -1,8 +1,8 @@
-package cranedeal.node;
+package sablehinge.node;
 
-import cranedeal.LoadBalancer.Repeat;
-import cranedeal.LoadBalancer.Request;
-import cranedeal.LoadBalancer.ServiceClass;
+import sablehinge.LoadBalancer.Repeat;
+import sablehinge.LoadBalancer.Request;
+import sablehinge.LoadBalancer.ServiceClass;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
--- a/src/main/java/cranedeal/node/Roster.java
+++ b/src/main/java/sablehinge/node/Roster.java
@@ -1,8 +1,8 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import cranedeal.LoadBalancer.State;
-import cranedeal.LoadBalancer.Upstream;
+import sablehinge.LoadBalancer.State;
+import sablehinge.LoadBalancer.Upstream;
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/main/java/cranedeal/node/Sockets.java
+++ b/src/main/java/sablehinge/node/Sockets.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
--- a/src/main/java/cranedeal/node/UpstreamClient.java
+++ b/src/main/java/sablehinge/node/UpstreamClient.java
@@ -1,9 +1,9 @@
-package cranedeal.node;
+package sablehinge.node;
 
-import cranedeal.LoadBalancer.Result;
-import cranedeal.LoadBalancer.Settings;
-import cranedeal.LoadBalancer.State;
-import cranedeal.node.Roster.Member;
+import sablehinge.LoadBalancer.Result;
+import sablehinge.LoadBalancer.Settings;
+import sablehinge.LoadBalancer.State;
+import sablehinge.node.Roster.Member;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
--- a/src/main/java/cranedeal/wire/LittleEndian.java
+++ b/src/main/java/sablehinge/wire/LittleEndian.java
@@ -1,4 +1,4 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 import java.lang.invoke.MethodHandles;
 import java.lang.invoke.VarHandle;
--- a/src/main/java/cranedeal/wire/Main.java
+++ b/src/main/java/sablehinge/wire/Main.java
@@ -1,4 +1,4 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
@@ -9,7 +9,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import cranedeal.LatencyWeightedBalancer;
+import sablehinge.LatencyWeightedBalancer;
 
 /** The command line: {@code wire} reads batches on standard input and answers on standard output. */
 public final class Main {
@@ -28,14 +28,14 @@
 
     static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
         if (args.length != 1 || !args[0].equals("wire")) {
-            err.println("usage: java -jar cranedeal.jar wire");
+            err.println("usage: java -jar sablehinge.jar wire");
             return 2;
         }
         try {
             new WireHost(LatencyWeightedBalancer::new).serve(in, out);
             return 0;
         } catch (MalformedInputException | IOException e) {
-            err.println("cranedeal: " + e.getMessage());
+            err.println("sablehinge: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/cranedeal/wire/MalformedInputException.java
+++ b/src/main/java/sablehinge/wire/MalformedInputException.java
@@ -1,4 +1,4 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 /** Input that the wire does not allow; the message says what and where, in one line. */
 public final class MalformedInputException extends RuntimeException {
--- a/src/main/java/cranedeal/wire/ReplyWriter.java
+++ b/src/main/java/sablehinge/wire/ReplyWriter.java
@@ -1,10 +1,10 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import cranedeal.LoadBalancer;
+import sablehinge.LoadBalancer;
 
 /** Collects one reply: the actions of each instance as fixed records, texts and payloads in the tail. */
 final class ReplyWriter implements LoadBalancer.Actions {
--- a/src/main/java/cranedeal/wire/SettingsParser.java
+++ b/src/main/java/sablehinge/wire/SettingsParser.java
@@ -1,4 +1,4 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
@@ -8,17 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import cranedeal.LoadBalancer.Goal;
-import cranedeal.LoadBalancer.Group;
-import cranedeal.LoadBalancer.Limits;
-import cranedeal.LoadBalancer.Prices;
-import cranedeal.LoadBalancer.Repeat;
-import cranedeal.LoadBalancer.Reports;
-import cranedeal.LoadBalancer.Rules;
-import cranedeal.LoadBalancer.ServiceClass;
-import cranedeal.LoadBalancer.Settings;
-import cranedeal.LoadBalancer.Tenant;
-import cranedeal.LoadBalancer.WeightKind;
+import sablehinge.LoadBalancer.Goal;
+import sablehinge.LoadBalancer.Group;
+import sablehinge.LoadBalancer.Limits;
+import sablehinge.LoadBalancer.Prices;
+import sablehinge.LoadBalancer.Repeat;
+import sablehinge.LoadBalancer.Reports;
+import sablehinge.LoadBalancer.Rules;
+import sablehinge.LoadBalancer.ServiceClass;
+import sablehinge.LoadBalancer.Settings;
+import sablehinge.LoadBalancer.Tenant;
+import sablehinge.LoadBalancer.WeightKind;
 
 /** Turns the {@code path=value} lines of a start event into {@link Settings}. */
 public final class SettingsParser {
--- a/src/main/java/cranedeal/wire/WireHost.java
+++ b/src/main/java/sablehinge/wire/WireHost.java
@@ -1,4 +1,4 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,14 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import cranedeal.LoadBalancer;
-import cranedeal.LoadBalancer.Change;
-import cranedeal.LoadBalancer.Outcome;
-import cranedeal.LoadBalancer.Request;
-import cranedeal.LoadBalancer.Result;
-import cranedeal.LoadBalancer.Settings;
-import cranedeal.LoadBalancer.State;
-import cranedeal.LoadBalancer.Upstream;
+import sablehinge.LoadBalancer;
+import sablehinge.LoadBalancer.Change;
+import sablehinge.LoadBalancer.Outcome;
+import sablehinge.LoadBalancer.Request;
+import sablehinge.LoadBalancer.Result;
+import sablehinge.LoadBalancer.Settings;
+import sablehinge.LoadBalancer.State;
+import sablehinge.LoadBalancer.Upstream;
 
 /** Reads batches of events, hands each to its instance, and answers every batch with one reply. */
 final class WireHost {
--- a/src/test/java/cranedeal/Bench.java
+++ b/src/test/java/sablehinge/Bench.java
@@ -1,4 +1,4 @@
-package cranedeal;
+package sablehinge;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,11 +9,11 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import cranedeal.LoadBalancer.Change;
-import cranedeal.LoadBalancer.Outcome;
-import cranedeal.LoadBalancer.Request;
-import cranedeal.LoadBalancer.Result;
-import cranedeal.LoadBalancer.Settings;
+import sablehinge.LoadBalancer.Change;
+import sablehinge.LoadBalancer.Outcome;
+import sablehinge.LoadBalancer.Request;
+import sablehinge.LoadBalancer.Result;
+import sablehinge.LoadBalancer.Settings;
 
 /** One instance in virtual time: hands it events, keeps its actions, rings its timers. */
 final class Bench implements LoadBalancer.Actions {
--- a/src/test/java/cranedeal/ModuleTest.java
+++ b/src/test/java/sablehinge/ModuleTest.java
@@ -1,4 +1,4 @@
-package cranedeal;
+package sablehinge;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,11 +12,11 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import cranedeal.LoadBalancer.Change;
-import cranedeal.LoadBalancer.Group;
-import cranedeal.LoadBalancer.Repeat;
-import cranedeal.LoadBalancer.Result;
-import cranedeal.LoadBalancer.State;
+import sablehinge.LoadBalancer.Change;
+import sablehinge.LoadBalancer.Group;
+import sablehinge.LoadBalancer.Repeat;
+import sablehinge.LoadBalancer.Result;
+import sablehinge.LoadBalancer.State;
 
 /** Hand-made events in virtual time. */
 class ModuleTest {
--- a/src/test/java/cranedeal/ProjectTest.java
+++ b/src/test/java/sablehinge/ProjectTest.java
@@ -1,4 +1,4 @@
-package cranedeal;
+package sablehinge;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -14,7 +14,7 @@
 /** What the project promises about its own files. */
 class ProjectTest {
 
-    private static final Path MODULE = Path.of("src/main/java/cranedeal/LatencyWeightedBalancer.java");
+    private static final Path MODULE = Path.of("src/main/java/sablehinge/LatencyWeightedBalancer.java");
 
     @Test
     void theModuleStaysWithinItsLimits() throws IOException {
--- a/src/test/java/cranedeal/Sites.java
+++ b/src/test/java/sablehinge/Sites.java
@@ -1,18 +1,18 @@
-package cranedeal;
+package sablehinge;
 
 import java.util.List;
-import cranedeal.LoadBalancer.Goal;
-import cranedeal.LoadBalancer.Group;
-import cranedeal.LoadBalancer.Limits;
-import cranedeal.LoadBalancer.Prices;
-import cranedeal.LoadBalancer.Repeat;
-import cranedeal.LoadBalancer.Reports;
-import cranedeal.LoadBalancer.Rules;
-import cranedeal.LoadBalancer.ServiceClass;
-import cranedeal.LoadBalancer.Settings;
-import cranedeal.LoadBalancer.State;
-import cranedeal.LoadBalancer.Upstream;
-import cranedeal.LoadBalancer.WeightKind;
+import sablehinge.LoadBalancer.Goal;
+import sablehinge.LoadBalancer.Group;
+import sablehinge.LoadBalancer.Limits;
+import sablehinge.LoadBalancer.Prices;
+import sablehinge.LoadBalancer.Repeat;
+import sablehinge.LoadBalancer.Reports;
+import sablehinge.LoadBalancer.Rules;
+import sablehinge.LoadBalancer.ServiceClass;
+import sablehinge.LoadBalancer.Settings;
+import sablehinge.LoadBalancer.State;
+import sablehinge.LoadBalancer.Upstream;
+import sablehinge.LoadBalancer.WeightKind;
 
 /** Settings and server entries for tests. */
 final class Sites {
--- a/src/test/java/cranedeal/node/CrowdTest.java
+++ b/src/test/java/sablehinge/node/CrowdTest.java
@@ -1,8 +1,8 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cranedeal.LatencyWeightedBalancer;
+import sablehinge.LatencyWeightedBalancer;
 import java.io.IOException;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/cranedeal/node/DiscoveryTest.java
+++ b/src/test/java/sablehinge/node/DiscoveryTest.java
@@ -1,10 +1,10 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cranedeal.LatencyWeightedBalancer;
-import cranedeal.LoadBalancer.Change;
+import sablehinge.LatencyWeightedBalancer;
+import sablehinge.LoadBalancer.Change;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -121,7 +121,7 @@
     @Test
     void theModuleAsksAgainAfterAFailure() throws Exception {
         try (stage) {
-            stage.start(cranedeal.LatencyWeightedBalancer::new);
+            stage.start(sablehinge.LatencyWeightedBalancer::new);
             stage.discovery.accept().reset();
             assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1",
                     stage.discovery.accept().read().first());
--- a/src/test/java/cranedeal/node/DrainTest.java
+++ b/src/test/java/sablehinge/node/DrainTest.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/cranedeal/node/FrontendTest.java
+++ b/src/test/java/sablehinge/node/FrontendTest.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -436,7 +436,7 @@
         try (Stage stage = new Stage().start()) {
             stage.upstreams.get(0).close();
             stage.script.onOpen = (actions, outcome) -> {
-                if (outcome.result() == cranedeal.LoadBalancer.Result.NOT_SENT) {
+                if (outcome.result() == sablehinge.LoadBalancer.Result.NOT_SENT) {
                     actions.refuse(outcome.requestId(), 0);
                 } else {
                     actions.send(outcome.requestId(), outcome.upstream(), 0);
--- a/src/test/java/cranedeal/node/Listener.java
+++ b/src/test/java/sablehinge/node/Listener.java
@@ -1,4 +1,4 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/test/java/cranedeal/node/Script.java
+++ b/src/test/java/sablehinge/node/Script.java
@@ -1,6 +1,6 @@
-package cranedeal.node;
+package sablehinge.node;
 
-import cranedeal.LoadBalancer;
+import sablehinge.LoadBalancer;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
--- a/src/test/java/cranedeal/node/Stage.java
+++ b/src/test/java/sablehinge/node/Stage.java
@@ -1,6 +1,6 @@
-package cranedeal.node;
+package sablehinge.node;
 
-import cranedeal.LoadBalancer;
+import sablehinge.LoadBalancer;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/cranedeal/node/UpstreamClientTest.java
+++ b/src/test/java/sablehinge/node/UpstreamClientTest.java
@@ -1,12 +1,12 @@
-package cranedeal.node;
+package sablehinge.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cranedeal.LoadBalancer.Change;
-import cranedeal.LoadBalancer.Result;
+import sablehinge.LoadBalancer.Change;
+import sablehinge.LoadBalancer.Result;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/test/java/cranedeal/wire/SettingsParserTest.java
+++ b/src/test/java/sablehinge/wire/SettingsParserTest.java
@@ -1,4 +1,4 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,13 +9,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import cranedeal.LoadBalancer.Goal;
-import cranedeal.LoadBalancer.Group;
-import cranedeal.LoadBalancer.Repeat;
-import cranedeal.LoadBalancer.Settings;
-import cranedeal.LoadBalancer.State;
-import cranedeal.LoadBalancer.Upstream;
-import cranedeal.LoadBalancer.WeightKind;
+import sablehinge.LoadBalancer.Goal;
+import sablehinge.LoadBalancer.Group;
+import sablehinge.LoadBalancer.Repeat;
+import sablehinge.LoadBalancer.Settings;
+import sablehinge.LoadBalancer.State;
+import sablehinge.LoadBalancer.Upstream;
+import sablehinge.LoadBalancer.WeightKind;
 
 class SettingsParserTest {
 
--- a/src/test/java/cranedeal/wire/WireHostTest.java
+++ b/src/test/java/sablehinge/wire/WireHostTest.java
@@ -1,4 +1,4 @@
-package cranedeal.wire;
+package sablehinge.wire;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -15,7 +15,7 @@
 import java.util.HexFormat;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import cranedeal.LoadBalancer;
+import sablehinge.LoadBalancer;
 
 /** The wire, byte for byte: good frames, and what bad input gets. */
 class WireHostTest {
@@ -264,7 +264,7 @@
             assertTrue(run.status == 0 || run.status == 1);
             if (run.status == 1) {
                 refused++;
-                assertTrue(run.err.startsWith("cranedeal: "), run.err);
+                assertTrue(run.err.startsWith("sablehinge: "), run.err);
                 assertFalse(run.err.contains("\tat "), run.err);
             } else {
                 assertEquals("", run.err);
