--- a/src/main/java/sablehinge/node/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -1,10 +1,14 @@
-package sablehinge.node;
+package sablehinge.cli;
 
 import java.lang.reflect.Proxy;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import sablehinge.config.ConfigException;
+import sablehinge.config.PlatformConfig;
+import sablehinge.core.Log;
+import sablehinge.node.Node;
 
 /** The command line: {@code serve} runs one balancer, {@code wire} the same decisions for the simulator. */
 public final class Main {
@@ -28,7 +32,7 @@
         CompletableFuture<Node> started = new CompletableFuture<>();
         reloadAtHangup(started);
         try {
-            node = Node.start(NodeConfig.read(System.getenv("PROXY_CONFIG")));
+            node = Node.start(PlatformConfig.read(System.getenv("PROXY_CONFIG")));
         } catch (ConfigException e) {
             exit("sablehinge: " + e.getMessage(), 1);
         }
@@ -63,9 +67,9 @@
         onHangup(() -> readings.execute(() -> {
             try {
                 Node node = started.join();
-                node.reload(NodeConfig.read(System.getenv("PROXY_CONFIG")));
+                node.reload(PlatformConfig.read(System.getenv("PROXY_CONFIG")));
             } catch (ConfigException | RuntimeException e) {
-                Node.LOG.warning("the configuration stays as it was: " + e.getMessage());
+                Log.LOG.warning("the configuration stays as it was: " + e.getMessage());
             }
         }));
     }
--- a/src/main/java/sablehinge/node/ConfigException.java
+++ b/src/main/java/sablehinge/config/ConfigException.java
@@ -1,11 +1,11 @@
-package sablehinge.node;
+package sablehinge.config;
 
 /** The node was started with a configuration that it cannot run on; the message is for its operator. */
-final class ConfigException extends Exception {
+public final class ConfigException extends Exception {
 
     private static final long serialVersionUID = 1;
 
-    ConfigException(String message) {
+    public ConfigException(String message) {
         super(message);
     }
 }
--- a/src/main/java/sablehinge/node/NodeConfig.java
+++ b/src/main/java/sablehinge/config/PlatformConfig.java
@@ -1,10 +1,7 @@
-package sablehinge.node;
+package sablehinge.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import sablehinge.LoadBalancer.Settings;
-import sablehinge.wire.MalformedInputException;
-import sablehinge.wire.SettingsParser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -12,6 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import sablehinge.core.Roster;
+import sablehinge.core.Version;
+import sablehinge.membership.RosterParser;
+import sablehinge.policy.LoadBalancer.Settings;
+import sablehinge.settings.Addresses;
+import sablehinge.settings.MalformedInputException;
+import sablehinge.settings.SettingsParser;
 
 /**
  * What the platform tells a balancer in the file that {@code PROXY_CONFIG} names.
@@ -20,13 +24,14 @@
  * @param zones the names of the zones, by the index that the module uses; likewise the others
  * @param known the upstreams as this balancer last had them
  */
-record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Settings settings, List<String> zones, List<String> kinds, List<String> classes,
+public record PlatformConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, Settings settings, List<String> zones, List<String> kinds, List<String> classes,
         List<String> tenants, Roster known) {
 
-    static final JsonMapper JSON = new JsonMapper();
+    private static final JsonMapper JSON = new JsonMapper();
 
-    static NodeConfig read(String path) throws ConfigException {
+    /** Reads the file at a path; the error says in one line what is wrong with it. */
+    public static PlatformConfig read(String path) throws ConfigException {
         if (path == null || path.isEmpty()) {
             throw new ConfigException("PROXY_CONFIG names no file");
         }
@@ -40,23 +45,28 @@
         }
     }
 
-    private static NodeConfig parse(JsonNode root) {
+    /** Its one version: the platform changes nothing of it while a balancer runs. */
+    public Version version() {
+        return new Version(1, settings, classes, tenants);
+    }
+
+    private static PlatformConfig parse(JsonNode root) {
         JsonNode given = root.path("settings");
         StringBuilder lines = new StringBuilder();
         flatten("", given, lines);
         Settings settings = SettingsParser.parse(lines.toString().getBytes(StandardCharsets.UTF_8));
         List<String> zones = names(given.path("zones"));
         List<String> kinds = names(given.path("machineTypes"));
-        return new NodeConfig(root.path("name").asText("balancer"), address(root, "listen"),
+        return new PlatformConfig(root.path("name").asText("balancer"), address(root, "listen"),
                 address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
                 names(given.path("services")), names(given.path("tenants")),
-                Roster.parse(root.path("known"), zones, kinds));
+                new RosterParser(zones, kinds).parse(root.path("known")));
     }
 
     private static InetSocketAddress address(JsonNode root, String key) {
         try {
-            return Roster.address(root.path(key).asText(""));
+            return Addresses.parse(root.path(key).asText(""));
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(key + ": " + e.getMessage(), e);
         }
--- /dev/null
+++ b/src/main/java/sablehinge/core/Arrival.java
@@ -0,0 +1,22 @@
+package sablehinge.core;
+
+import sablehinge.policy.LoadBalancer.Request;
+
+/**
+ * A request as a front has read it, before core gives it its number.
+ *
+ * @param serviceClass index into the classes of the version under which it arrived
+ * @param tenant index into the tenants of that version
+ * @param key what ties requests together; 0 for none
+ * @param deadline when its caller gives up, in ms of the {@link Clock}
+ * @param cost expected work in ms of a standard core; 0 where not known
+ * @param retry whether its caller marked it as a repeat
+ * @param write whether it changes something
+ */
+public record Arrival(int serviceClass, int tenant, long key, double deadline, double cost, boolean retry,
+        boolean write) {
+
+    Request withId(long id) {
+        return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write);
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/core/Core.java
@@ -0,0 +1,269 @@
+package sablehinge.core;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.logging.Level;
+import sablehinge.policy.LoadBalancer;
+import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.Outcome;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.Upstream;
+
+/**
+ * Owns the decision module: tells it what happens, carries out what it asks for, and sees to it that each
+ * request has exactly one final answer. It decides nothing itself and knows no protocol. One thread owns it
+ * with all that it calls, so nothing is locked.
+ */
+public final class Core implements LoadBalancer.Actions {
+
+    private final Clock clock;
+    private final Timers timers;
+    private final LoadBalancer balancer;
+    private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private Transport transport;
+    private Registry registry;
+    private Version version;
+    private long lastId;
+    private boolean deciding;
+    /** The request that the module's present call is about, if it is about one. */
+    private Exchange subject;
+
+    /** Something to tell the module, and the request that it is about or null. */
+    private record Event(Exchange about, Runnable call) { }
+
+    /** A core with the given module, which is handed its actions. */
+    public Core(Clock clock, Timers timers, Function<LoadBalancer.Actions, LoadBalancer> module) {
+        this.clock = clock;
+        this.timers = timers;
+        balancer = module.apply(this);
+    }
+
+    /** Begins to decide with a first version and the servers as they were last known. */
+    public void start(Version first, long seed, Roster known, Transport carriesOut, Registry source) {
+        version = first;
+        transport = carriesOut;
+        registry = source;
+        transport.adopt(first);
+        transport.update(known);
+        tell(null, () -> balancer.start(clock.now(), first.settings(), seed));
+        List<Upstream> upstreams = known.upstreams();
+        tell(null, () -> balancer.upstreamsChanged(clock.now(), Change.CACHED, upstreams));
+    }
+
+    /** The version under which a request arrives now. */
+    public Version version() {
+        return version;
+    }
+
+    /** The time, in ms of the clock that all of the program reads. */
+    public double now() {
+        return clock.now();
+    }
+
+    // ---- What happens ------------------------------------------------------------------------------
+
+    /**
+     * Tells the module of an event. An action may cause an event at once, such as a connection that is
+     * refused; it waits here until the module has returned from the call in which it acted.
+     */
+    private void tell(Exchange about, Runnable call) {
+        events.add(new Event(about, call));
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            for (Event event = events.poll(); event != null; event = events.poll()) {
+                subject = event.about();
+                try {
+                    event.call().run();
+                } catch (Throwable e) {
+                    broken(event.about(), e);
+                }
+            }
+        } finally {
+            subject = null;
+            deciding = false;
+        }
+    }
+
+    /** A call of the module broke off: what it was about fails, as nobody knows what has run. */
+    private void broken(Exchange about, Throwable cause) {
+        Log.LOG.log(Level.SEVERE, "the decision module failed", cause);
+        if (about != null && about.isOpen()) {
+            giveUp(about, Answer.Kind.BROKEN);
+        }
+    }
+
+    /** Answers a request over the module's head and tells it that the client waits no more. */
+    private void giveUp(Exchange exchange, Answer.Kind kind) {
+        exchange.answer(Answer.of(kind));
+        exchange.attempts.forEach(Core::cancel);
+        tell(null, () -> balancer.clientGone(clock.now(), exchange.id));
+        settle(exchange);
+    }
+
+    /** What has become of a call to the registry; the list is null if it failed. */
+    public void told(Change change, Roster roster) {
+        List<Upstream> upstreams = roster == null ? List.of() : roster.upstreams();
+        if (roster != null) {
+            transport.update(roster);
+        }
+        tell(null, () -> balancer.upstreamsChanged(clock.now(), change, upstreams));
+    }
+
+    /**
+     * Takes a request in, which from here on is owed exactly one answer.
+     *
+     * @param arrivedUnder the version by which the arrival was read
+     * @param payload handed over: released once the request is forgotten
+     * @return the request; its answer may have been given already
+     */
+    public Exchange request(Version arrivedUnder, Arrival arrival, Payload payload, Caller caller) {
+        Exchange exchange = new Exchange(++lastId, arrivedUnder, payload, arrival.deadline(), caller);
+        exchanges.put(exchange.id, exchange);
+        double latest = exchange.deadline + arrivedUnder.settings().rules().answerGrace() / 2;
+        exchange.overdue = timers.at(latest, () -> overdue(exchange));
+        tell(exchange, () -> balancer.request(clock.now(), arrival.withId(exchange.id)));
+        return exchange;
+    }
+
+    /** The module has left a request without its answer; it must not stay so. */
+    private void overdue(Exchange exchange) {
+        if (exchange.isOpen()) {
+            Log.LOG.warning("a request was left without an answer");
+            giveUp(exchange, Answer.Kind.UNANSWERED);
+        }
+    }
+
+    /** The client has left. */
+    public void clientGone(Exchange exchange) {
+        if (exchange.isOpen()) {
+            exchange.close();
+            tell(exchange, () -> balancer.clientGone(clock.now(), exchange.id));
+            settle(exchange);
+        }
+    }
+
+    /** Fails what still waits for an answer, as the process is about to end. */
+    public void giveUpAll() {
+        List.copyOf(exchanges.values()).stream().filter(Exchange::isOpen)
+                .forEach(exchange -> giveUp(exchange, Answer.Kind.UNANSWERED));
+    }
+
+    private void finished(Exchange exchange, int number, long upstream, double sentAt, AttemptResult end) {
+        exchange.running--;
+        if (end.result() == Result.OK) {
+            exchange.answer(new Answer(Answer.Kind.SERVED, end.payload(), 0));
+        }
+        tell(exchange, () -> balancer.attemptFinished(clock.now(), new Outcome(exchange.id, number, upstream,
+                end.result(), !exchange.isOpen(), clock.now() - sentAt, end.report())));
+        settle(exchange);
+    }
+
+    /** Forgets a request once nothing more can come of it. */
+    private void settle(Exchange exchange) {
+        if (!exchange.isOpen() && exchange.running == 0 && exchanges.remove(exchange.id) != null) {
+            exchange.request.release();
+        }
+    }
+
+    // ---- What the module asks for ------------------------------------------------------------------
+
+    @Override
+    public void send(long requestId, long upstream, double timeout) {
+        Exchange exchange = exchanges.get(requestId);
+        if (exchange == null) {
+            return;
+        }
+        double now = clock.now();
+        int number = exchange.sends++;
+        exchange.running++;
+        if (!exchange.isOpen() || now >= exchange.deadline
+                || number >= exchange.version.settings().limits().maxAttempts()) {
+            exchange.attempts.add(null);
+            finished(exchange, number, upstream, now, AttemptResult.without(Result.NOT_SENT));
+            return;
+        }
+        double until = timeout == 0 ? exchange.deadline : Math.min(exchange.deadline, now + timeout);
+        exchange.attempts.add(transport.send(exchange.version, upstream, exchange.request, until,
+                end -> finished(exchange, number, upstream, now, end)));
+    }
+
+    @Override
+    public void refuse(long requestId, double retryAfter) {
+        answer(requestId, new Answer(Answer.Kind.REFUSED, Payload.NONE, retryAfter));
+    }
+
+    @Override
+    public void fail(long requestId) {
+        answer(requestId, Answer.of(Answer.Kind.FAILED));
+    }
+
+    private void answer(long requestId, Answer answer) {
+        Exchange exchange = exchanges.get(requestId);
+        if (exchange != null) {
+            exchange.answer(answer);
+            settle(exchange);
+        }
+    }
+
+    @Override
+    public void cancel(long requestId, int attempt) {
+        Exchange exchange = exchanges.get(requestId);
+        if (exchange != null && attempt < exchange.attempts.size()) {
+            cancel(exchange.attempts.get(attempt));
+        }
+    }
+
+    private static void cancel(Transport.Attempt attempt) {
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    @Override
+    public void probe(long upstream) {
+        double sentAt = clock.now();
+        transport.probe(version, upstream, sentAt + version.settings().limits().connectTimeout() * 2,
+                end -> tell(null, () -> balancer.probeResult(clock.now(), upstream, end.result(),
+                        clock.now() - sentAt, end.report())));
+    }
+
+    @Override
+    public void closeIdle(long upstream) {
+        transport.closeIdle(upstream);
+    }
+
+    @Override
+    public void fetch() {
+        registry.fetch();
+    }
+
+    @Override
+    public void watch(boolean on) {
+        registry.watch(on);
+    }
+
+    @Override
+    public void setTimer(long token, double at) {
+        // The number and not the request itself, which the timer would keep in memory until it is due.
+        long about = subject == null ? 0 : subject.id;
+        timers.at(at, () -> tell(exchanges.get(about), () -> balancer.timer(clock.now(), token)));
+    }
+
+    /** Balancers of this deployment have no way to talk to each other. */
+    @Override
+    public void tell(int peer, byte[] payload) {
+        Log.LOG.warning("the module wants to talk to its peers, which it can't here");
+    }
+
+    @Override
+    public void log(String text) {
+        Log.LOG.info(text);
+    }
+}
--- a/src/main/java/sablehinge/node/LogLimit.java
+++ b/src/main/java/sablehinge/core/LogLimit.java
@@ -1,11 +1,11 @@
-package sablehinge.node;
+package sablehinge.core;
 
 import java.util.function.DoubleSupplier;
 import java.util.logging.Filter;
 import java.util.logging.LogRecord;
 
 /** Lets a few lines through in a while: what peers do wrong must not fill the log, which is memory here. */
-final class LogLimit implements Filter {
+public final class LogLimit implements Filter {
 
     private static final int LINES = 10;
     private static final double WHILE_MS = 5_000;
@@ -15,7 +15,8 @@
     private int lines;
     private int dropped;
 
-    LogLimit(DoubleSupplier clock) {
+    /** A limit that reads the time, in ms, off the given clock. */
+    public LogLimit(DoubleSupplier clock) {
         this.clock = clock;
     }
 
--- /dev/null
+++ b/src/main/java/sablehinge/core/Roster.java
@@ -0,0 +1,23 @@
+package sablehinge.core;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import sablehinge.policy.LoadBalancer.Upstream;
+
+/**
+ * A list of servers: the whole one, or what has changed.
+ *
+ * @param version as its source counts, which need not be as a configuration counts
+ */
+public record Roster(long version, boolean full, List<Member> members) {
+
+    /** A server as the module knows it, and where it listens; null for one that is gone. */
+    public record Member(Upstream upstream, InetSocketAddress address) { }
+
+    List<Upstream> upstreams() {
+        List<Upstream> upstreams = new ArrayList<>(members.size());
+        members.forEach(member -> upstreams.add(member.upstream()));
+        return upstreams;
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/core/Transport.java
@@ -0,0 +1,39 @@
+package sablehinge.core;
+
+import java.util.function.Consumer;
+
+/**
+ * Carries attempts and probes to servers, and nothing on its own account: what breaks is a result. All calls
+ * are made, and all results come, on the thread that owns the core.
+ */
+public interface Transport {
+
+    /** An attempt that is out. */
+    interface Attempt {
+
+        /** Stops waiting; the result comes before this returns, unless it has come already. */
+        void cancel();
+    }
+
+    /**
+     * Sends a request to a server and waits until the given time.
+     *
+     * @param version whose limits and rules hold for the attempt
+     * @param request lent until the result has come
+     * @param until in ms of the {@link Clock}
+     * @param end called once, perhaps before this returns
+     */
+    Attempt send(Version version, long upstream, Payload request, double until, Consumer<AttemptResult> end);
+
+    /** Asks a server how it does. */
+    void probe(Version version, long upstream, double until, Consumer<AttemptResult> end);
+
+    /** Gives back what is kept for a server between attempts. */
+    void closeIdle(long upstream);
+
+    /** Takes in a list of servers, whole or in part. */
+    void update(Roster roster);
+
+    /** From now on requests arrive under this version; its limits hold for what is kept between attempts. */
+    void adopt(Version version);
+}
--- a/src/main/java/sablehinge/node/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -1,7 +1,5 @@
-package sablehinge.node;
+package sablehinge.http1;
 
-import sablehinge.node.RequestCheck.BadRequestException;
-import sablehinge.node.RequestCheck.Template;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -39,12 +37,20 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import sablehinge.core.Answer;
+import sablehinge.core.Caller;
+import sablehinge.core.Core;
+import sablehinge.core.Exchange;
+import sablehinge.core.Log;
+import sablehinge.core.Version;
+import sablehinge.http1.RequestCheck.BadRequestException;
+import sablehinge.http1.RequestCheck.Checked;
 
 /**
  * Takes callers' requests and writes each one's answer. A caller that sends what is of no use, or nothing,
  * has an error or the end of its connection soon, and can't hold memory or descriptors for longer.
  */
-final class Frontend {
+public final class Frontend {
 
     private static final int BACKLOG = 1_024;
     /** Requests that a connection may send ahead of their turn, and their bytes before it is read no more. */
@@ -63,11 +69,10 @@
     private static final double WRITE_MS = 10_000;
 
     private final EventLoop loop;
-    private final NodeConfig config;
     private final Sockets sockets;
     private final ByteBufAllocator memory;
-    private final Node node;
-    private final RequestCheck check;
+    private final Core core;
+    private RequestCheck check;
     /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Who waits for the answer to a request, by its X-Txn. */
@@ -75,17 +80,17 @@
     private Channel listening;
     private boolean draining;
 
-    Frontend(EventLoop loop, NodeConfig config, Sockets sockets, ByteBufAllocator memory, Node node) {
+    /** A front on the given loop, whose connections count among the given sockets. */
+    public Frontend(EventLoop loop, Sockets sockets, ByteBufAllocator memory, Core core) {
         this.loop = loop;
-        this.config = config;
         this.sockets = sockets;
         this.memory = memory;
-        this.node = node;
-        check = new RequestCheck(config);
+        this.core = core;
         sockets.callersGiveWay(this::evictIdle);
     }
 
-    void bind() throws ConfigException, InterruptedException {
+    /** Lets callers in at the given address. */
+    public void bind(InetSocketAddress address) throws IOException, InterruptedException {
         ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Acceptor()).childOption(ChannelOption.ALLOCATOR, memory)
@@ -99,26 +104,26 @@
                         channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection);
                     }
                 });
-        var bound = server.bind(config.listen()).await();
+        var bound = server.bind(address).await();
         if (!bound.isSuccess()) {
-            throw new ConfigException("cannot listen on " + config.listen() + ": "
-                    + bound.cause().getMessage());
+            throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage());
         }
         listening = bound.channel();
-        loop.scheduleAtFixedRate(() -> sweep(node.now()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(() -> sweep(core.now()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    InetSocketAddress address() {
+    /** Where it listens. */
+    public InetSocketAddress address() {
         return (InetSocketAddress) listening.localAddress();
     }
 
     /** From now on every answer asks its caller to leave. */
-    void beginDrain() {
+    public void beginDrain() {
         draining = true;
     }
 
     /** Closes what is idle and tells whether nothing is left, so that the process may end. */
-    boolean endDrain() {
+    public boolean endDrain() {
         Sockets.readNow(listening);
         for (Connection connection : new ArrayList<>(connections)) {
             connection.closeIfIdle();
@@ -126,6 +131,15 @@
         return connections.isEmpty();
     }
 
+    /** The check of the version under which requests arrive now. */
+    private RequestCheck check() {
+        Version now = core.version();
+        if (check == null || check.version() != now) {
+            check = new RequestCheck(now);
+        }
+        return check;
+    }
+
     /** Ends what has taken too long by the given time. */
     void sweep(double now) {
         for (Connection connection : new ArrayList<>(connections)) {
@@ -139,7 +153,7 @@
      * leave and use up the descriptors, without which the virtual machine can't even load a class.
      */
     private void resume() {
-        if (!listening.config().isAutoRead() && sockets.roomForCaller(node.now())) {
+        if (!listening.config().isAutoRead() && sockets.roomForCaller(core.now())) {
             listening.config().setAutoRead(true);
         }
     }
@@ -166,12 +180,12 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.channel().config().setAutoRead(false);
-            Node.LOG.warning("a caller could not be let in: " + cause);
+            Log.LOG.warning("a caller could not be let in: " + cause);
         }
     }
 
     /** One caller's connection: one request at a time, those sent ahead wait for their turn. */
-    private final class Connection extends ChannelInboundHandlerAdapter implements Exchange.Caller {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Caller {
 
         private final Channel channel;
         private final Decoder decoder = new Decoder(this);
@@ -187,7 +201,7 @@
         private Exchange exchange;
         private String txn;
         /** When it came, had its last answer, or began the request that is coming in. */
-        private double since = node.now();
+        private double since = core.now();
         private boolean served;
         private boolean advancing;
         /** Answers that are not yet written out. */
@@ -239,7 +253,7 @@
         /** The first byte of a message has come. */
         void begins() {
             if (served && current == null) {
-                since = node.now();
+                since = core.now();
             }
         }
 
@@ -370,18 +384,19 @@
                 return;
             }
             try {
-                Template template = check.read(request, node.now());
-                Connection first = open.get(template.txn());
+                Checked checked = check().read(request, core.now());
+                Connection first = open.get(checked.txn());
                 if (first != null) {
                     // Its client may have left, and sent the request again here.
                     Sockets.readNow(first.channel);
                 }
-                if (open.containsKey(template.txn())) {
+                if (open.containsKey(checked.txn())) {
                     throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
                 }
-                txn = template.txn();
+                txn = checked.txn();
                 open.put(txn, this);
-                Exchange begun = node.request(template::withId, request.retain(), this);
+                Exchange begun = core.request(check.version(), checked.arrival(),
+                        new HttpPayload(request.retain()), this);
                 // The answer may have come already, and with it the next request.
                 if (begun.isOpen()) {
                     exchange = begun;
@@ -399,8 +414,15 @@
         }
 
         @Override
-        public void answer(HttpResponseStatus status, ByteBuf content, double retryAfter) {
-            write(status, content.retain(), retryAfter);
+        public void answer(Answer answer) {
+            write(switch (answer.kind()) {
+                case SERVED -> HttpResponseStatus.OK;
+                case REFUSED -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+                case FAILED -> HttpResponseStatus.BAD_GATEWAY;
+                case UNANSWERED -> HttpResponseStatus.GATEWAY_TIMEOUT;
+                case BROKEN -> HttpResponseStatus.INTERNAL_SERVER_ERROR;
+            }, answer.payload() instanceof HttpPayload served ? served.message().content().retain()
+                    : Unpooled.EMPTY_BUFFER, answer.retryAfter());
         }
 
         /** Writes an answer and goes on to the next request; takes the content over. */
@@ -418,7 +440,7 @@
             }
             finish();
             served = true;
-            since = node.now();
+            since = core.now();
             // The longest idle come first.
             connections.remove(this);
             connections.add(this);
@@ -455,7 +477,7 @@
             Exchange left = exchange;
             finish();
             if (left != null) {
-                node.clientGone(left);
+                core.clientGone(left);
             }
         }
 
@@ -503,7 +525,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                Node.LOG.warning("a caller's connection failed: " + cause);
+                Log.LOG.warning("a caller's connection failed: " + cause);
             }
             ctx.close();
         }
--- /dev/null
+++ b/src/main/java/sablehinge/http1/HttpPayload.java
@@ -0,0 +1,13 @@
+package sablehinge.http1;
+
+import io.netty.handler.codec.http.FullHttpMessage;
+import sablehinge.core.Payload;
+
+/** A whole HTTP/1.1 request or response. */
+record HttpPayload(FullHttpMessage message) implements Payload {
+
+    @Override
+    public void release() {
+        message.release();
+    }
+}
--- a/src/main/java/sablehinge/node/LoadReport.java
+++ b/src/main/java/sablehinge/http1/LoadReport.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.http1;
 
 import java.util.Arrays;
 import java.util.List;
--- a/src/main/java/sablehinge/node/RequestCheck.java
+++ b/src/main/java/sablehinge/http1/RequestCheck.java
@@ -1,8 +1,5 @@
-package sablehinge.node;
+package sablehinge.http1;
 
-import sablehinge.LoadBalancer.Repeat;
-import sablehinge.LoadBalancer.Request;
-import sablehinge.LoadBalancer.ServiceClass;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -20,6 +17,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import sablehinge.core.Arrival;
+import sablehinge.core.Version;
+import sablehinge.policy.LoadBalancer.Repeat;
+import sablehinge.policy.LoadBalancer.ServiceClass;
 
 /**
  * Checks what callers send against the protocol before anything of it goes further. What an upstream might
@@ -35,13 +36,14 @@
     /** Narrower than what Java takes for a number, which includes NaN, hexadecimals and suffixes. */
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{0,12})?");
 
-    private final NodeConfig config;
+    private final Version version;
     private final Map<String, Integer> classes = new HashMap<>();
 
-    RequestCheck(NodeConfig config) {
-        this.config = config;
-        for (int i = 0; i < config.classes().size(); i++) {
-            classes.put(config.classes().get(i), i);
+    /** A check by what the given version allows. */
+    RequestCheck(Version version) {
+        this.version = version;
+        for (int i = 0; i < version.classes().size(); i++) {
+            classes.put(version.classes().get(i), i);
         }
     }
 
@@ -74,13 +76,11 @@
         }
     }
 
-    /** A request as the module wants it, but for its id. */
-    record Template(String txn, int serviceClass, int tenant, long key, double deadline, double cost,
-            boolean retry, boolean write) {
+    /** A request that can be taken in, and its caller's name for it. */
+    record Checked(String txn, Arrival arrival) { }
 
-        Request withId(long id) {
-            return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write);
-        }
+    Version version() {
+        return version;
     }
 
     /** Looks at a head before its body has come: whether it can be read, and where the body will end. */
@@ -119,7 +119,7 @@
     }
 
     /** Reads a whole request that came at the given time. */
-    Template read(FullHttpRequest request, double now) throws BadRequestException {
+    Checked read(FullHttpRequest request, double now) throws BadRequestException {
         if (!TARGET.matcher(request.uri()).matches()) {
             throw new BadRequestException("the target is no path");
         }
@@ -129,7 +129,7 @@
         if (place == null || !name.equals(firstPart(request.uri()))) {
             throw new BadRequestException("unknown class");
         }
-        ServiceClass type = config.settings().classes().get(place);
+        ServiceClass type = version.settings().classes().get(place);
         boolean get = request.method().equals(HttpMethod.GET);
         if (get != (type.repeat() == Repeat.IDEMPOTENT)
                 || !get && !request.method().equals(HttpMethod.POST)) {
@@ -146,7 +146,8 @@
             throw new BadRequestException("X-Txn is missing");
         }
         String tenant = single(headers, "X-Org");
-        int tenantIndex = config.tenants().isEmpty() || tenant == null ? 0 : config.tenants().indexOf(tenant);
+        List<String> tenants = version.tenants();
+        int tenantIndex = tenants.isEmpty() || tenant == null ? 0 : tenants.indexOf(tenant);
         if (tenantIndex < 0) {
             throw new BadRequestException("unknown tenant");
         }
@@ -156,9 +157,9 @@
         }
         double estimate = number(headers, "X-Estimate");
         // No client of this class waits longer, whatever it says; what is kept for it must not stay either.
-        return new Template(txn, place, tenantIndex, key(single(headers, "Cookie")),
+        return new Checked(txn, new Arrival(place, tenantIndex, key(single(headers, "Cookie")),
                 now + Math.min(type.deadline(), remaining * MS), Double.isNaN(estimate) ? 0 : estimate / MS,
-                "1".equals(single(headers, "X-Resent")), !get);
+                "1".equals(single(headers, "X-Resent")), !get));
     }
 
     private static String firstPart(String uri) {
--- a/src/main/java/sablehinge/node/Sockets.java
+++ b/src/main/java/sablehinge/http1/Sockets.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.http1;
 
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
@@ -10,7 +10,7 @@
  * backlog already counts as taken, so calls to upstreams leave room for callers, and an idle connection
  * gives way to whoever needs its descriptor.
  */
-final class Sockets {
+public final class Sockets {
 
     /** Descriptors of the virtual machine, the listening socket and discovery, and callers let in at once. */
     private static final int OF_THE_PROCESS = 64;
@@ -28,7 +28,8 @@
     private DoublePredicate evictCaller = before -> false;
     private BooleanSupplier evictUpstream = () -> false;
 
-    Sockets(int descriptors) {
+    /** Counts against so many descriptors of the process. */
+    public Sockets(int descriptors) {
         limit = Math.max(CALLERS_SHARE, descriptors - OF_THE_PROCESS);
     }
 
--- a/src/main/java/sablehinge/node/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -1,9 +1,5 @@
-package sablehinge.node;
+package sablehinge.http1;
 
-import sablehinge.LoadBalancer.Result;
-import sablehinge.LoadBalancer.Settings;
-import sablehinge.LoadBalancer.State;
-import sablehinge.node.Roster.Member;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -40,18 +36,32 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import sablehinge.core.AttemptResult;
+import sablehinge.core.Clock;
+import sablehinge.core.Payload;
+import sablehinge.core.Roster;
+import sablehinge.core.Roster.Member;
+import sablehinge.core.Transport;
+import sablehinge.core.Version;
+import sablehinge.policy.LoadBalancer.Reports;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.Settings;
+import sablehinge.policy.LoadBalancer.State;
 
 /**
  * Carries attempts and probes to upstreams, one at a time on a connection, and reports how each ended. It
  * sends nothing twice: what breaks is an outcome.
  */
-final class UpstreamClient {
+public final class UpstreamClient implements Transport {
 
     static final int MAX_BODY = 64 * 1024;
     /** The part of an upstream's idle limit after which a connection is closed from this side. */
     private static final double IDLE_SHARE = 0.7;
     private static final long SWEEP_MS = 1_000;
     private static final int MILLI = 3;
+    private static final double NANOS_PER_MS = 1e6;
     /** The headers of a request that go on with it; the rest is a caller's own affair or worse. */
     private static final List<String> PASSED_ON = List.of("X-Txn", "Idempotency-Key", "X-Lane", "X-Org",
             "Cookie", "X-Resent", "X-Estimate", "X-Labels");
@@ -63,31 +73,22 @@
     /** Most answers of the kind 1xx that may come ahead of one. */
     private static final int MOST_AHEAD = 16;
 
-    /** Who waits for an attempt. */
-    interface Listener {
-
-        /** Called once, when the attempt is over; the response, null if none came, is not to be kept. */
-        void finished(Result result, FullHttpResponse response);
-    }
-
     private final EventLoop loop;
     private final Clock clock;
-    private final Settings settings;
     private final Sockets sockets;
     private final Bootstrap bootstrap;
     private final Map<Long, Target> targets = new HashMap<>();
+    /** Of the version under which requests arrive. */
+    private Settings settings;
     private Freshness freshness;
 
-    UpstreamClient(EventLoop loop, Clock clock, Settings settings, Sockets sockets, ByteBufAllocator memory) {
+    /** A transport on the given loop, whose connections count among the given sockets. */
+    public UpstreamClient(EventLoop loop, Clock clock, Sockets sockets, ByteBufAllocator memory) {
         this.loop = loop;
         this.clock = clock;
-        this.settings = settings;
         this.sockets = sockets;
-        trustYoung(Freshness.YOUNG_MS);
-        int connectTimeout = (int) Math.max(1, settings.limits().connectTimeout());
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -117,8 +118,18 @@
         }
     }
 
+    @Override
+    public void adopt(Version version) {
+        Settings before = settings;
+        settings = version.settings();
+        if (before == null || before.limits().connectionIdle() != settings.limits().connectionIdle()) {
+            trustYoung(Freshness.YOUNG_MS);
+        }
+    }
+
     /** Takes in a list; what an upstream that left or drains still holds idle is of no more use. */
-    void update(Roster roster) {
+    @Override
+    public void update(Roster roster) {
         double now = clock.now();
         Map<Long, Target> left = new HashMap<>(roster.full() ? targets : Map.of());
         for (Member member : roster.members()) {
@@ -158,30 +169,48 @@
         }
     }
 
-    /**
-     * Sends a request to an upstream and waits until the given time. {@code body} and {@code listener} are
-     * used until the listener has been called.
-     */
-    Attempt send(long upstream, FullHttpRequest request, double until, Listener listener) {
-        Attempt attempt = new Attempt(request, until, listener);
+    @Override
+    public Transport.Attempt send(Version version, long upstream, Payload request, double until,
+            Consumer<AttemptResult> end) {
+        FullHttpRequest message = (FullHttpRequest) ((HttpPayload) request).message();
+        Attempt attempt = new Attempt(version.settings(), message, until, (result, response) ->
+                end.accept(result(version.settings(), result, response)));
         attempt.start(targets.get(upstream));
         return attempt;
     }
 
+    private static AttemptResult result(Settings settings, Result result, FullHttpResponse response) {
+        if (response == null) {
+            return AttemptResult.without(result);
+        }
+        return new AttemptResult(result, new HttpPayload(response), settings.reports() != Reports.PIGGYBACK
+                ? null : LoadReport.parse(response.headers().get("X-Pressure"), settings.reportFields()));
+    }
+
     /** Asks an upstream how it does; the answer's body holds its load report if the site has any. */
-    void probe(long upstream, double until, Listener listener) {
-        String path = settings.reportFields().isEmpty() ? "/ping" : "/_load";
-        send(upstream, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
-                Unpooled.EMPTY_BUFFER), until, listener);
+    @Override
+    public void probe(Version version, long upstream, double until, Consumer<AttemptResult> end) {
+        List<String> fields = version.settings().reportFields();
+        FullHttpRequest question = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                fields.isEmpty() ? "/ping" : "/_load", Unpooled.EMPTY_BUFFER);
+        new Attempt(version.settings(), question, until, (result, response) ->
+                end.accept(new AttemptResult(result, Payload.NONE, result != Result.OK ? null
+                        : LoadReport.parse(response.content().toString(StandardCharsets.UTF_8), fields))))
+                .start(targets.get(upstream));
     }
 
-    void closeIdle(long upstream) {
+    @Override
+    public void closeIdle(long upstream) {
         Target target = targets.get(upstream);
         if (target != null) {
             target.closeIdle();
         }
     }
 
+    private long nanosUntil(double at) {
+        return (long) Math.ceil(Math.max(0, at - clock.now()) * NANOS_PER_MS);
+    }
+
     private void sweep() {
         freshness.recover();
         sweep(clock.now());
@@ -231,11 +260,12 @@
     }
 
     /** One request on its way to one upstream. */
-    final class Attempt {
+    private final class Attempt implements Transport.Attempt {
 
+        private final Settings terms;
         private final FullHttpRequest request;
         private final double until;
-        private final Listener listener;
+        private final BiConsumer<Result, FullHttpResponse> end;
         private final Future<?> expiry;
         private Target target;
         private Channel channel;
@@ -245,11 +275,14 @@
         private double begunAt;
         private double rested = Double.NaN;
 
-        private Attempt(FullHttpRequest request, double until, Listener listener) {
+        /** {@code end} is called once; the response, null if none came, is not to be kept. */
+        private Attempt(Settings terms, FullHttpRequest request, double until,
+                BiConsumer<Result, FullHttpResponse> end) {
+            this.terms = terms;
             this.request = request;
             this.until = until;
-            this.listener = listener;
-            expiry = loop.schedule(this::expire, clock.nanosUntil(until), TimeUnit.NANOSECONDS);
+            this.end = end;
+            expiry = loop.schedule(this::expire, nanosUntil(until), TimeUnit.NANOSECONDS);
         }
 
         private void start(Target to) {
@@ -265,6 +298,8 @@
                 // A shortage here says nothing of the upstream.
                 end(Result.NOT_SENT, null);
             } else {
+                int patience = (int) Math.max(1, terms.limits().connectTimeout());
+                bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, patience);
                 ChannelFuture connect = bootstrap.connect(to.member.address());
                 if (connect.cause() instanceof ChannelException) {
                     // There is no socket, for want of a descriptor.
@@ -292,7 +327,7 @@
             begunAt = now;
             rested = now - connection.idleSince;
             // NaN compares false: a ready upstream takes anything.
-            boolean drained = now >= target.toldOff + settings.rules().drainGrace();
+            boolean drained = now >= target.toldOff + terms.rules().drainGrace();
             if (drained || now >= until) {
                 connection.park(target);
                 end(Result.CONNECT_FAILED, null);
@@ -339,7 +374,8 @@
         }
 
         /** Stops waiting, and lets the upstream know by closing the connection. */
-        void cancel() {
+        @Override
+        public void cancel() {
             giveUp(Result.CANCELLED);
         }
 
@@ -354,7 +390,7 @@
                 if (channel != null) {
                     channel.close();
                 }
-                listener.finished(result, null);
+                end.accept(result, null);
             }
         }
 
@@ -370,7 +406,7 @@
             if (!over) {
                 over = true;
                 expiry.cancel(false);
-                listener.finished(result, response);
+                end.accept(result, response);
             }
         }
     }
--- a/src/main/java/sablehinge/node/Discovery.java
+++ b/src/main/java/sablehinge/membership/Discovery.java
@@ -1,6 +1,6 @@
-package sablehinge.node;
+package sablehinge.membership;
 
-import sablehinge.LoadBalancer.Change;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufInputStream;
@@ -26,32 +26,37 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Level;
+import sablehinge.core.Log;
+import sablehinge.core.Registry;
+import sablehinge.core.Roster;
+import sablehinge.policy.LoadBalancer.Change;
 
 /**
  * Asks discovery for the list of upstreams and watches its changes. Whatever goes wrong with a call, a
  * garbled answer or none at all, is {@link Change#FAILED} once, and the old list holds; when to ask again is
  * the module's decision.
  */
-final class Discovery {
+public final class Discovery implements Registry {
 
+    private static final JsonMapper JSON = new JsonMapper();
     private static final int MAX_LIST = 4 * 1024 * 1024;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** How long a watch may wait for news: each new call costs discovery work. */
-    static final int WATCH_MS = 20_000;
+    public static final int WATCH_MS = 20_000;
     /** How long after that an answer may still be under way; what was not told by then counts as told. */
     private static final int LATE_MS = 1_500;
     /** The version of a list from a discovery that has told nothing yet. */
     private static final long UNTOLD = -1;
 
     /** What the list is told to. */
-    interface Listener {
+    public interface Listener {
 
         /** News; the roster is null if the call failed. */
         void told(Change change, Roster roster);
     }
 
     private final EventLoop loop;
-    private final NodeConfig config;
+    private final RosterParser parser;
     private final Listener listener;
     private final int watchMillis;
     private final Bootstrap bootstrap;
@@ -62,14 +67,20 @@
     private Channel kept;
     private Call watch;
 
-    Discovery(EventLoop loop, NodeConfig config, ByteBufAllocator memory, Listener listener,
-            int watchMillis) {
+    /**
+     * Discovery at an address, on the given loop.
+     *
+     * @param known the version of the list that the listener has already
+     * @param watchMillis how long a watch waits for news, in ms
+     */
+    public Discovery(EventLoop loop, InetSocketAddress address, long known, RosterParser parser,
+            ByteBufAllocator memory, Listener listener, int watchMillis) {
         this.loop = loop;
-        this.config = config;
+        this.parser = parser;
         this.listener = listener;
         this.watchMillis = watchMillis;
-        address = config.discovery();
-        version = config.known().version();
+        this.address = address;
+        version = known;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, memory).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -86,7 +97,8 @@
      * Begins the watch, or ends it. One that is out ends quietly, and the new one goes over a connection of
      * its own: nothing but the want of an answer tells a dead connection from one with no news.
      */
-    void watch(boolean on) {
+    @Override
+    public void watch(boolean on) {
         watching = on;
         if (watch != null) {
             watch.abandon();
@@ -101,7 +113,7 @@
      * Goes over to another discovery. The call that is out there ends quietly, as nothing has failed, and
      * the new one is asked for its whole list at once: its versions need not go on from the old one's.
      */
-    void moveTo(InetSocketAddress other) {
+    public void moveTo(InetSocketAddress other) {
         if (other.equals(address)) {
             return;
         }
@@ -138,8 +150,8 @@
         }
     }
 
-    /** Asks once for the whole list. */
-    void fetch() {
+    @Override
+    public void fetch() {
         Call call = new Call("", CONNECT_TIMEOUT_MS + LATE_MS, null);
         call.end = roster -> fetched(call, roster);
         call.start(null);
@@ -164,7 +176,7 @@
             listener.told(roster.full() ? Change.FULL : Change.DELTA, roster);
             version = roster.version();
         } catch (RuntimeException e) {
-            Node.LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
+            Log.LOG.log(Level.SEVERE, "a list of upstreams could not be taken in", e);
             listener.told(Change.FAILED, null);
         }
     }
@@ -238,7 +250,7 @@
             try {
                 roster = read(response);
             } catch (IOException | IllegalArgumentException e) {
-                Node.LOG.warning("discovery's answer is of no use: " + e.getMessage());
+                Log.LOG.warning("discovery's answer is of no use: " + e.getMessage());
                 fail();
                 return;
             }
@@ -252,7 +264,7 @@
                 throw new IOException("status " + response.status().code());
             }
             try (InputStream body = new ByteBufInputStream(response.content())) {
-                return Roster.parse(NodeConfig.JSON.readTree(body), config.zones(), config.kinds());
+                return parser.parse(JSON.readTree(body));
             }
         }
     }
@@ -285,7 +297,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                Node.LOG.warning("the connection to discovery failed: " + cause);
+                Log.LOG.warning("the connection to discovery failed: " + cause);
             }
             if (asked != null) {
                 asked.fail();
--- a/src/main/java/sablehinge/node/Roster.java
+++ b/src/main/java/sablehinge/membership/RosterParser.java
@@ -1,40 +1,41 @@
-package sablehinge.node;
+package sablehinge.membership;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import sablehinge.LoadBalancer.State;
-import sablehinge.LoadBalancer.Upstream;
-import io.netty.util.NetUtil;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
+import sablehinge.core.Roster;
+import sablehinge.core.Roster.Member;
+import sablehinge.policy.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Upstream;
+import sablehinge.settings.Addresses;
 
-/** A list of upstreams in discovery's form: the whole one, or what has changed. */
-record Roster(long version, boolean full, List<Member> members) {
-
-    /** An upstream as the module knows it, and where it listens. */
-    record Member(Upstream upstream, InetSocketAddress address) { }
+/**
+ * Reads lists of upstreams in discovery's form.
+ *
+ * @param zones the names of the zones, by the index that the module uses
+ * @param kinds likewise of the machine types
+ */
+public record RosterParser(List<String> zones, List<String> kinds) {
 
     /**
      * Reads a list; throws {@link IllegalArgumentException} if any part of it is amiss, since half a list
      * would drop upstreams that are well.
      */
-    static Roster parse(JsonNode list, List<String> zones, List<String> kinds) {
+    public Roster parse(JsonNode list) {
         JsonNode servers = list.get("servers");
         if (servers == null || !servers.isArray() || !list.path("version").isIntegralNumber()) {
             throw new IllegalArgumentException("a list of upstreams needs a version and servers");
         }
         List<Member> members = new ArrayList<>(servers.size());
         for (JsonNode entry : servers) {
-            members.add(member(entry, zones, kinds));
+            members.add(member(entry));
         }
         return new Roster(list.get("version").longValue(), list.path("full").asBoolean(), members);
     }
 
-    private static Member member(JsonNode entry, List<String> zones, List<String> kinds) {
+    private Member member(JsonNode entry) {
         String id = entry.path("id").asText("");
         if (id.isEmpty()) {
             throw new IllegalArgumentException("an upstream without an id");
@@ -50,11 +51,12 @@
                 entry.path("weight").asDouble(1), entry.path("started_ms").asDouble(0));
         String address = entry.path("addr").asText("");
         // Who is gone needs no address.
-        return new Member(upstream, address.isEmpty() && state == State.REMOVED ? null : address(address));
+        boolean none = address.isEmpty() && state == State.REMOVED;
+        return new Member(upstream, none ? null : Addresses.parse(address));
     }
 
     /** The same number for an id at every balancer, as the module's subsets rest on it. */
-    private static long number(String id) {
+    public static long number(String id) {
         CRC32C low = new CRC32C();
         low.update(id.getBytes(StandardCharsets.UTF_8));
         return (long) id.hashCode() << Integer.SIZE | low.getValue();
@@ -65,20 +67,4 @@
         int at = names.indexOf(name);
         return at < 0 ? names.size() : at;
     }
-
-    /** A numeric address with its port; there is no DNS to ask for any other. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        byte[] ip = NetUtil.createByteArrayFromIpAddressString(
-                colon < 0 ? text : text.substring(0, colon));
-        if (ip == null) {
-            throw new IllegalArgumentException("'" + text + "' is no address with a port");
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByAddress(ip),
-                    Integer.parseInt(text.substring(colon + 1)));
-        } catch (UnknownHostException | IllegalArgumentException e) {
-            throw new IllegalArgumentException("'" + text + "' is no address with a port", e);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/sablehinge/node/LoopTimers.java
@@ -0,0 +1,20 @@
+package sablehinge.node;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import sablehinge.core.Clock;
+import sablehinge.core.Timers;
+
+/** Timers on an event loop. */
+record LoopTimers(EventLoop loop, Clock clock) implements Timers {
+
+    private static final double NANOS_PER_MS = 1e6;
+
+    @Override
+    public Timer at(double time, Runnable call) {
+        long delay = (long) Math.ceil(Math.max(0, time - clock.now()) * NANOS_PER_MS);
+        Future<?> future = loop.schedule(call, delay, TimeUnit.NANOSECONDS);
+        return () -> future.cancel(false);
+    }
+}
--- a/src/main/java/sablehinge/ClassRecord.java
+++ b/src/main/java/sablehinge/policy/ClassRecord.java
@@ -1,4 +1,4 @@
-package sablehinge;
+package sablehinge.policy;
 
 import java.util.Objects;
 
--- a/src/main/java/sablehinge/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
@@ -1,4 +1,4 @@
-package sablehinge;
+package sablehinge.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import sablehinge.Call.Attempt;
+import sablehinge.policy.Call.Attempt;
 
 /**
  * All decisions of sablehinge. Read {@link LoadBalancer} (LoadBalancer.java) first: it is the interface.
--- a/src/main/java/sablehinge/Mean.java
+++ b/src/main/java/sablehinge/policy/Mean.java
@@ -1,4 +1,4 @@
-package sablehinge;
+package sablehinge.policy;
 
 /** An average that forgets: its first samples weigh more, down to a steady gain. */
 final class Mean {
--- a/src/main/java/sablehinge/wire/MalformedInputException.java
+++ b/src/main/java/sablehinge/settings/MalformedInputException.java
@@ -1,11 +1,11 @@
-package sablehinge.wire;
+package sablehinge.settings;
 
 /** Input that the wire does not allow; the message says what and where, in one line. */
 public final class MalformedInputException extends RuntimeException {
 
     private static final long serialVersionUID = 1L;
 
-    MalformedInputException(String message) {
+    public MalformedInputException(String message) {
         super(message);
     }
 }
--- a/src/main/java/sablehinge/wire/SettingsParser.java
+++ b/src/main/java/sablehinge/settings/SettingsParser.java
@@ -1,4 +1,4 @@
-package sablehinge.wire;
+package sablehinge.settings;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
@@ -8,17 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import sablehinge.LoadBalancer.Goal;
-import sablehinge.LoadBalancer.Group;
-import sablehinge.LoadBalancer.Limits;
-import sablehinge.LoadBalancer.Prices;
-import sablehinge.LoadBalancer.Repeat;
-import sablehinge.LoadBalancer.Reports;
-import sablehinge.LoadBalancer.Rules;
-import sablehinge.LoadBalancer.ServiceClass;
-import sablehinge.LoadBalancer.Settings;
-import sablehinge.LoadBalancer.Tenant;
-import sablehinge.LoadBalancer.WeightKind;
+import sablehinge.policy.LoadBalancer.Goal;
+import sablehinge.policy.LoadBalancer.Group;
+import sablehinge.policy.LoadBalancer.Limits;
+import sablehinge.policy.LoadBalancer.Prices;
+import sablehinge.policy.LoadBalancer.Repeat;
+import sablehinge.policy.LoadBalancer.Reports;
+import sablehinge.policy.LoadBalancer.Rules;
+import sablehinge.policy.LoadBalancer.ServiceClass;
+import sablehinge.policy.LoadBalancer.Settings;
+import sablehinge.policy.LoadBalancer.Tenant;
+import sablehinge.policy.LoadBalancer.WeightKind;
 
 /** Turns the {@code path=value} lines of a start event into {@link Settings}. */
 public final class SettingsParser {
--- a/src/main/java/sablehinge/wire/Main.java
+++ b/src/main/java/sablehinge/wire/Main.java
@@ -1,5 +1,6 @@
 package sablehinge.wire;
 
+import sablehinge.settings.MalformedInputException;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.FileInputStream;
@@ -9,7 +10,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import sablehinge.LatencyWeightedBalancer;
+import sablehinge.policy.LatencyWeightedBalancer;
 
 /** The command line: {@code wire} reads batches on standard input and answers on standard output. */
 public final class Main {
--- a/src/main/java/sablehinge/wire/ReplyWriter.java
+++ b/src/main/java/sablehinge/wire/ReplyWriter.java
@@ -4,7 +4,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import sablehinge.LoadBalancer;
+import sablehinge.policy.LoadBalancer;
 
 /** Collects one reply: the actions of each instance as fixed records, texts and payloads in the tail. */
 final class ReplyWriter implements LoadBalancer.Actions {
--- a/src/main/java/sablehinge/wire/WireHost.java
+++ b/src/main/java/sablehinge/wire/WireHost.java
@@ -1,5 +1,7 @@
 package sablehinge.wire;
 
+import sablehinge.settings.MalformedInputException;
+import sablehinge.settings.SettingsParser;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -8,14 +10,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import sablehinge.LoadBalancer;
-import sablehinge.LoadBalancer.Change;
-import sablehinge.LoadBalancer.Outcome;
-import sablehinge.LoadBalancer.Request;
-import sablehinge.LoadBalancer.Result;
-import sablehinge.LoadBalancer.Settings;
-import sablehinge.LoadBalancer.State;
-import sablehinge.LoadBalancer.Upstream;
+import sablehinge.policy.LoadBalancer;
+import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.Outcome;
+import sablehinge.policy.LoadBalancer.Request;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.Settings;
+import sablehinge.policy.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Upstream;
 
 /** Reads batches of events, hands each to its instance, and answers every batch with one reply. */
 final class WireHost {
--- a/src/test/java/sablehinge/node/DrainTest.java
+++ b/src/test/java/sablehinge/cli/DrainTest.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,9 +10,13 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import sablehinge.rig.Listener;
+import sablehinge.rig.Peer;
+import sablehinge.rig.Stage;
 
 /** The program as a process: its command line, and how it ends. */
 @Timeout(120)
@@ -38,7 +42,8 @@
     private static void endsWithOneLine(int status, Path config, String... arguments) throws Exception {
         Process process = start(config, arguments);
         try (BufferedReader error = process.errorReader()) {
-            assertEquals(1, error.lines().filter(line -> !line.isBlank()).count());
+            List<String> said = error.lines().filter(line -> !line.isBlank()).toList();
+            assertEquals(1, said.size(), said::toString);
         }
         assertTrue(process.waitFor(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS));
         assertEquals(status, process.exitValue());
--- a/src/test/java/sablehinge/node/LogLimitTest.java
+++ b/src/test/java/sablehinge/core/LogLimitTest.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- /dev/null
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -0,0 +1,83 @@
+package sablehinge.house;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The layers of docs/design.md: arrows point down only. */
+class LayersTest {
+
+    /** What each package may use, beside itself and the Java platform. */
+    private static final Map<String, Set<String>> MAY_USE = Map.ofEntries(
+            Map.entry("policy", Set.of()),
+            Map.entry("settings", Set.of("policy", "io.netty.util")),
+            Map.entry("core", Set.of("policy")),
+            Map.entry("membership", Set.of("policy", "settings", "core", "io.netty",
+                    "com.fasterxml.jackson")),
+            Map.entry("config", Set.of("policy", "settings", "core", "membership", "com.fasterxml.jackson")),
+            Map.entry("http1", Set.of("policy", "core", "io.netty")),
+            Map.entry("wire", Set.of("policy", "settings")),
+            Map.entry("node", Set.of("policy", "settings", "core", "membership", "config", "http1",
+                    "io.netty")),
+            Map.entry("cli", Set.of("policy", "settings", "core", "membership", "config", "http1", "wire",
+                    "node")));
+
+    private static final JavaClasses MAIN = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("sablehinge");
+
+    private static String[] allowed(String layer) {
+        return Stream.concat(Stream.of("java..", "sablehinge." + layer + ".."), MAY_USE.get(layer).stream()
+                .map(name -> (name.contains(".") ? name : "sablehinge." + name) + ".."))
+                .toArray(String[]::new);
+    }
+
+    private static ArchRule rule(String layer) {
+        return classes().that().resideInAPackage("sablehinge." + layer + "..").should()
+                .onlyDependOnClassesThat().resideInAnyPackage(allowed(layer));
+    }
+
+    @Test
+    void eachPackageUsesOnlyWhatLiesBelowIt() {
+        MAY_USE.keySet().forEach(layer -> rule(layer).check(MAIN));
+    }
+
+    /** A package without a place in the house would be held to nothing. */
+    @Test
+    void everyPackageHasItsPlace() {
+        Set<String> packages = new TreeSet<>();
+        MAIN.forEach(one -> packages.add(one.getPackageName().split("\\.")[1]));
+        packages.removeAll(MAY_USE.keySet());
+        assertFalse(packages.iterator().hasNext(), "not in the table: " + packages);
+    }
+
+    @Test
+    void decidersHaveNoClockThreadOrFile() {
+        noClasses().that().resideInAPackage("sablehinge.policy..").should().dependOnClassesThat()
+                .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
+                        "java.util.concurrent..", "java.util.logging..").check(MAIN);
+        for (String clock : new String[] {"currentTimeMillis", "nanoTime"}) {
+            noClasses().that().resideInAnyPackage("sablehinge.policy..").should()
+                    .callMethod(System.class, clock).check(MAIN);
+        }
+        noClasses().that().resideInAPackage("sablehinge.policy..").should().callMethod(Math.class, "random")
+                .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(MAIN);
+    }
+
+    /** The check itself is one that can fail. */
+    @Test
+    void aBreachIsFound() {
+        assertThrows(AssertionError.class, () -> classes().that().resideInAPackage("sablehinge.http1..")
+                .should().onlyDependOnClassesThat().resideInAnyPackage(allowed("core")).check(MAIN));
+    }
+}
--- a/src/test/java/sablehinge/node/CrowdTest.java
+++ b/src/test/java/sablehinge/http1/CrowdTest.java
@@ -1,12 +1,16 @@
-package sablehinge.node;
+package sablehinge.http1;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import sablehinge.LatencyWeightedBalancer;
+import sablehinge.policy.LatencyWeightedBalancer;
 import java.io.IOException;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import sablehinge.rig.Listener;
+import sablehinge.rig.Peer;
+import sablehinge.rig.Script;
+import sablehinge.rig.Stage;
 
 /** The module's weights over sockets: where calls go while a server lets them gather. */
 @Timeout(120)
--- a/src/test/java/sablehinge/node/FrontendTest.java
+++ b/src/test/java/sablehinge/http1/FrontendTest.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.http1;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,6 +10,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import sablehinge.rig.Peer;
+import sablehinge.rig.Script;
+import sablehinge.rig.Stage;
 
 /** What callers see: every request has one answer, whatever they or the module get wrong. */
 @Timeout(60)
@@ -436,7 +439,7 @@
         try (Stage stage = new Stage().start()) {
             stage.upstreams.get(0).close();
             stage.script.onOpen = (actions, outcome) -> {
-                if (outcome.result() == sablehinge.LoadBalancer.Result.NOT_SENT) {
+                if (outcome.result() == sablehinge.policy.LoadBalancer.Result.NOT_SENT) {
                     actions.refuse(outcome.requestId(), 0);
                 } else {
                     actions.send(outcome.requestId(), outcome.upstream(), 0);
--- a/src/test/java/sablehinge/node/UpstreamClientTest.java
+++ b/src/test/java/sablehinge/http1/UpstreamClientTest.java
@@ -1,12 +1,12 @@
-package sablehinge.node;
+package sablehinge.http1;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import sablehinge.LoadBalancer.Change;
-import sablehinge.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.Result;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -19,6 +19,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import sablehinge.rig.Listener;
+import sablehinge.rig.Peer;
+import sablehinge.rig.Script;
+import sablehinge.rig.Stage;
 
 /** How attempts go out, and how each way in which they end is told to the module. */
 @Timeout(60)
--- a/src/test/java/sablehinge/node/DiscoveryTest.java
+++ b/src/test/java/sablehinge/membership/DiscoveryTest.java
@@ -1,10 +1,10 @@
-package sablehinge.node;
+package sablehinge.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import sablehinge.LatencyWeightedBalancer;
-import sablehinge.LoadBalancer.Change;
+import sablehinge.policy.LatencyWeightedBalancer;
+import sablehinge.policy.LoadBalancer.Change;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -17,6 +17,11 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import sablehinge.config.PlatformConfig;
+import sablehinge.rig.Listener;
+import sablehinge.rig.Peer;
+import sablehinge.rig.Script;
+import sablehinge.rig.Stage;
 
 /** The list and the watch, and what becomes of answers that are of no use. */
 @Timeout(60)
@@ -121,7 +126,7 @@
     @Test
     void theModuleAsksAgainAfterAFailure() throws Exception {
         try (stage) {
-            stage.start(sablehinge.LatencyWeightedBalancer::new);
+            stage.start(sablehinge.policy.LatencyWeightedBalancer::new);
             stage.discovery.accept().reset();
             assertEquals("GET /catalog/members?index=41&wait=20000 HTTP/1.1",
                     stage.discovery.accept().read().first());
@@ -135,8 +140,10 @@
         try (stage) {
             Files.writeString(file, stage.config());
             LinkedBlockingQueue<Change> told = new LinkedBlockingQueue<>();
-            Discovery discovery = new Discovery(loop, NodeConfig.read(file.toString()),
-                    ByteBufAllocator.DEFAULT, (change, roster) -> told.add(change), 100);
+            PlatformConfig config = PlatformConfig.read(file.toString());
+            Discovery discovery = new Discovery(loop, config.discovery(), config.known().version(),
+                    new RosterParser(config.zones(), config.kinds()), ByteBufAllocator.DEFAULT,
+                    (change, roster) -> told.add(change), 100);
             loop.execute(() -> discovery.watch(true));
             Peer watch = stage.discovery.accept();
             assertEquals("GET /catalog/members?index=41&wait=100 HTTP/1.1", watch.read().first());
@@ -183,7 +190,7 @@
             Listener[] moves = {second, third};
             for (Listener move : moves) {
                 Files.writeString(file, stage.config().replace(stage.discovery.address(), move.address()));
-                stage.node.reload(NodeConfig.read(file.toString()));
+                stage.node.reload(PlatformConfig.read(file.toString()));
                 Peer fresh = move.accept();
                 assertEquals("GET /catalog/members HTTP/1.1", fresh.read().first());
                 assertTrue(old.ended());
@@ -207,7 +214,7 @@
             started();
             stage.discovery.accept().read();
             Files.writeString(file, stage.config().replace(stage.discovery.address(), second.address()));
-            stage.node.reload(NodeConfig.read(file.toString()));
+            stage.node.reload(PlatformConfig.read(file.toString()));
             second.accept().reset();
             assertEquals(Change.FAILED, Script.next(stage.script.changes));
             stage.script.onRequest = request -> {
--- a/src/test/java/sablehinge/Bench.java
+++ b/src/test/java/sablehinge/policy/Bench.java
@@ -1,4 +1,4 @@
-package sablehinge;
+package sablehinge.policy;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,11 +9,11 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import sablehinge.LoadBalancer.Change;
-import sablehinge.LoadBalancer.Outcome;
-import sablehinge.LoadBalancer.Request;
-import sablehinge.LoadBalancer.Result;
-import sablehinge.LoadBalancer.Settings;
+import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.Outcome;
+import sablehinge.policy.LoadBalancer.Request;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.Settings;
 
 /** One instance in virtual time: hands it events, keeps its actions, rings its timers. */
 final class Bench implements LoadBalancer.Actions {
--- a/src/test/java/sablehinge/EmbeddingExampleTest.java
+++ b/src/test/java/sablehinge/policy/EmbeddingExampleTest.java
@@ -1,4 +1,4 @@
-package sablehinge;
+package sablehinge.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -37,7 +37,7 @@
 
     @Test
     void theReadmeShowsThisExample() throws IOException {
-        String own = Files.readString(Path.of("src/test/java/sablehinge/EmbeddingExampleTest.java"));
+        String own = Files.readString(Path.of("src/test/java/sablehinge/policy/EmbeddingExampleTest.java"));
         String begin = "// example begins\n";
         String code = own.substring(own.indexOf(begin) + begin.length(), own.indexOf("    // example ends"));
         assertTrue(Files.readString(Path.of("README.md")).contains("```java\n" + code.indent(-4) + "```"));
--- a/src/test/java/sablehinge/RandomEventsTest.java
+++ b/src/test/java/sablehinge/policy/RandomEventsTest.java
@@ -1,4 +1,4 @@
-package sablehinge;
+package sablehinge.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,11 +12,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import sablehinge.LoadBalancer.Change;
-import sablehinge.LoadBalancer.Group;
-import sablehinge.LoadBalancer.Repeat;
-import sablehinge.LoadBalancer.Result;
-import sablehinge.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.Group;
+import sablehinge.policy.LoadBalancer.Repeat;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.State;
 
 /** Random legal event sequences; the rules are checked after every step against the test's own books. */
 class RandomEventsTest {
--- a/src/test/java/sablehinge/Sites.java
+++ b/src/test/java/sablehinge/policy/Sites.java
@@ -1,18 +1,18 @@
-package sablehinge;
+package sablehinge.policy;
 
 import java.util.List;
-import sablehinge.LoadBalancer.Goal;
-import sablehinge.LoadBalancer.Group;
-import sablehinge.LoadBalancer.Limits;
-import sablehinge.LoadBalancer.Prices;
-import sablehinge.LoadBalancer.Repeat;
-import sablehinge.LoadBalancer.Reports;
-import sablehinge.LoadBalancer.Rules;
-import sablehinge.LoadBalancer.ServiceClass;
-import sablehinge.LoadBalancer.Settings;
-import sablehinge.LoadBalancer.State;
-import sablehinge.LoadBalancer.Upstream;
-import sablehinge.LoadBalancer.WeightKind;
+import sablehinge.policy.LoadBalancer.Goal;
+import sablehinge.policy.LoadBalancer.Group;
+import sablehinge.policy.LoadBalancer.Limits;
+import sablehinge.policy.LoadBalancer.Prices;
+import sablehinge.policy.LoadBalancer.Repeat;
+import sablehinge.policy.LoadBalancer.Reports;
+import sablehinge.policy.LoadBalancer.Rules;
+import sablehinge.policy.LoadBalancer.ServiceClass;
+import sablehinge.policy.LoadBalancer.Settings;
+import sablehinge.policy.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Upstream;
+import sablehinge.policy.LoadBalancer.WeightKind;
 
 /** Settings and server entries for tests. */
 final class Sites {
--- a/src/test/java/sablehinge/node/Listener.java
+++ b/src/test/java/sablehinge/rig/Listener.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.rig;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -8,18 +8,18 @@
 import java.util.concurrent.TimeUnit;
 
 /** Listens on a port of its own and hands each connection to the test, which plays the server. */
-final class Listener implements AutoCloseable {
+public final class Listener implements AutoCloseable {
 
     private final ServerSocket server;
     private final java.net.Socket kept = new java.net.Socket();
     private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
 
-    Listener() throws IOException {
+    public Listener() throws IOException {
         this(0);
     }
 
     /** With a receive buffer of a size, 0 for the system's choice. */
-    Listener(int receiveBuffer) throws IOException {
+    public Listener(int receiveBuffer) throws IOException {
         server = new ServerSocket();
         if (receiveBuffer > 0) {
             server.setReceiveBufferSize(receiveBuffer);
@@ -38,12 +38,12 @@
         thread.start();
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
     /** The next connection; fails the test if none comes. */
-    Peer accept() throws InterruptedException {
+    public Peer accept() throws InterruptedException {
         Peer peer = accepted.poll(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS);
         if (peer == null) {
             throw new AssertionError("no connection came");
@@ -52,7 +52,7 @@
     }
 
     /** How many connections have come that the test has not looked at. */
-    int waiting() {
+    public int waiting() {
         return accepted.size();
     }
 
--- a/src/test/java/sablehinge/node/Peer.java
+++ b/src/test/java/sablehinge/rig/Peer.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.rig;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -11,38 +11,38 @@
 import java.util.TreeMap;
 
 /** One end of a plain HTTP/1.1 connection, with nothing between the test and the bytes. */
-final class Peer implements AutoCloseable {
+public final class Peer implements AutoCloseable {
 
     /** A message as it came: its first line, its headers by lower-case name, its body. */
-    record Message(String first, Map<String, String> headers, String body) {
+    public record Message(String first, Map<String, String> headers, String body) {
 
-        int status() {
+        public int status() {
             return Integer.parseInt(first.split(" ")[1]);
         }
 
-        String header(String name) {
+        public String header(String name) {
             return headers.get(name.toLowerCase(Locale.ROOT));
         }
     }
 
-    static final int PATIENCE_MS = 20_000;
+    public static final int PATIENCE_MS = 20_000;
 
-    final Socket socket;
+    public final Socket socket;
     private final InputStream in;
 
-    Peer(Socket socket) throws IOException {
+    public Peer(Socket socket) throws IOException {
         this.socket = socket;
         socket.setSoTimeout(PATIENCE_MS);
         socket.setTcpNoDelay(true);
         in = socket.getInputStream();
     }
 
-    static Peer to(InetSocketAddress address) throws IOException {
+    public static Peer to(InetSocketAddress address) throws IOException {
         return new Peer(new Socket(InetAddress.getLoopbackAddress(), address.getPort()));
     }
 
     /** Connects as soon as the process serves. */
-    static Peer toServing(InetSocketAddress address, Process process) throws IOException {
+    public static Peer toServing(InetSocketAddress address, Process process) throws IOException {
         while (true) {
             try {
                 Peer peer = to(address);
@@ -60,12 +60,12 @@
         }
     }
 
-    void write(String text) throws IOException {
+    public void write(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** The next message, or null at the end of the stream. */
-    Message read() throws IOException {
+    public Message read() throws IOException {
         String first = line();
         if (first == null) {
             return null;
@@ -80,7 +80,7 @@
     }
 
     /** Whether the other side has ended the connection; waits for that. */
-    boolean ended() {
+    public boolean ended() {
         try {
             return in.read() < 0;
         } catch (java.net.SocketTimeoutException e) {
@@ -104,7 +104,7 @@
     }
 
     /** Breaks the connection off with a reset. */
-    void reset() throws IOException {
+    public void reset() throws IOException {
         socket.setSoLinger(true, 0);
         socket.close();
     }
--- a/src/test/java/sablehinge/node/Rehearsal.java
+++ b/src/test/java/sablehinge/rig/Rehearsal.java
@@ -1,4 +1,4 @@
-package sablehinge.node;
+package sablehinge.rig;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,7 +11,7 @@
  * Run by the build: starts the packed program by the given command, lets it serve for a moment and ends it
  * as the platform does, so that the virtual machine archives the classes that it has loaded by then.
  */
-final class Rehearsal {
+public final class Rehearsal {
 
     private static final int REQUESTS = 300;
 
--- a/src/test/java/sablehinge/node/Script.java
+++ b/src/test/java/sablehinge/rig/Script.java
@@ -1,6 +1,6 @@
-package sablehinge.node;
+package sablehinge.rig;
 
-import sablehinge.LoadBalancer;
+import sablehinge.policy.LoadBalancer;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -8,33 +8,33 @@
 import java.util.function.Consumer;
 
 /** A module that does what the test says, and remembers what its host told it. */
-final class Script implements LoadBalancer {
+public final class Script implements LoadBalancer {
 
-    Actions actions;
-    volatile List<Upstream> upstreams = List.of();
+    public Actions actions;
+    public volatile List<Upstream> upstreams = List.of();
     /** What to do with a request; by default it goes to the first upstream until its deadline. */
-    volatile Consumer<Request> onRequest = request -> sendTo(0, request, 0);
-    volatile Consumer<Outcome> onOutcome = outcome -> { };
+    public volatile Consumer<Request> onRequest = request -> sendTo(0, request, 0);
+    public volatile Consumer<Outcome> onOutcome = outcome -> { };
     /** What to do with an outcome that leaves its request open; by default it fails. */
-    volatile BiConsumer<Actions, Outcome> onOpen = (to, outcome) -> to.fail(outcome.requestId());
-    volatile Runnable onTimer = () -> { };
-    volatile Runnable onStart = () -> { };
-    final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
-    final LinkedBlockingQueue<Change> changes = new LinkedBlockingQueue<>();
-    final LinkedBlockingQueue<Long> gone = new LinkedBlockingQueue<>();
-    final LinkedBlockingQueue<String> probes = new LinkedBlockingQueue<>();
+    public volatile BiConsumer<Actions, Outcome> onOpen = (to, outcome) -> to.fail(outcome.requestId());
+    public volatile Runnable onTimer = () -> { };
+    public volatile Runnable onStart = () -> { };
+    public final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    public final LinkedBlockingQueue<Change> changes = new LinkedBlockingQueue<>();
+    public final LinkedBlockingQueue<Long> gone = new LinkedBlockingQueue<>();
+    public final LinkedBlockingQueue<String> probes = new LinkedBlockingQueue<>();
 
-    LoadBalancer with(Actions given) {
+    public LoadBalancer with(Actions given) {
         actions = given;
         return this;
     }
 
     /** Sends a request to an upstream by its place in the list. */
-    void sendTo(int place, Request request, double timeout) {
+    public void sendTo(int place, Request request, double timeout) {
         actions.send(request.id(), upstreams.get(place).id(), timeout);
     }
 
-    static <T> T next(LinkedBlockingQueue<T> queue) throws InterruptedException {
+    public static <T> T next(LinkedBlockingQueue<T> queue) throws InterruptedException {
         T item = queue.poll(Peer.PATIENCE_MS, TimeUnit.MILLISECONDS);
         if (item == null) {
             throw new AssertionError("nothing came");
@@ -42,7 +42,7 @@
         return item;
     }
 
-    Result result() throws InterruptedException {
+    public Result result() throws InterruptedException {
         return next(outcomes).result();
     }
 
--- a/src/test/java/sablehinge/node/Stage.java
+++ b/src/test/java/sablehinge/rig/Stage.java
@@ -1,6 +1,8 @@
-package sablehinge.node;
+package sablehinge.rig;
 
-import sablehinge.LoadBalancer;
+import sablehinge.policy.LoadBalancer;
+import sablehinge.config.PlatformConfig;
+import sablehinge.node.Node;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,64 +11,64 @@
 import java.util.function.Function;
 
 /** A node on loopback addresses between listeners that the test plays upstreams and discovery on. */
-final class Stage implements AutoCloseable {
+public final class Stage implements AutoCloseable {
 
-    final Script script = new Script();
-    final Listener discovery = new Listener();
-    final List<Listener> upstreams = new ArrayList<>();
+    public final Script script = new Script();
+    public final Listener discovery = new Listener();
+    public final List<Listener> upstreams = new ArrayList<>();
     private final List<Peer> callers = new ArrayList<>();
     /** Settings that a test may change before it starts the node. */
-    int sockets = 1_024;
-    int connectTimeout = 3_000;
-    int drainGrace = 2_000;
+    public int sockets = 1_024;
+    public int connectTimeout = 3_000;
+    public int drainGrace = 2_000;
     /** How many of the upstreams, the first, are in the node's own zone; the others are of another type. */
-    int atHome = Integer.MAX_VALUE;
+    public int atHome = Integer.MAX_VALUE;
     /** How many of them the node knows from its start. */
-    int listed = Integer.MAX_VALUE;
-    int askEvery = 1_000;
-    int maxAttempts = 4;
+    public int listed = Integer.MAX_VALUE;
+    public int askEvery = 1_000;
+    public int maxAttempts = 4;
     /** The aim of the class that must never run twice. */
-    String aim = "\"aim\":1500.0";
-    Node node;
+    public String aim = "\"aim\":1500.0";
+    public Node node;
 
-    Stage() throws IOException {
+    public Stage() throws IOException {
         this(1);
     }
 
-    Stage(int count) throws IOException {
+    public Stage(int count) throws IOException {
         for (int i = 0; i < count; i++) {
             upstreams.add(new Listener());
         }
     }
 
     /** Starts the node with the scripted module. */
-    Stage start() throws Exception {
+    public Stage start() throws Exception {
         return start(script::with);
     }
 
-    Stage start(Function<LoadBalancer.Actions, LoadBalancer> module) throws Exception {
+    public Stage start(Function<LoadBalancer.Actions, LoadBalancer> module) throws Exception {
         Path file = Files.createTempFile("node", ".json");
         try {
             Files.writeString(file, config());
-            node = Node.start(NodeConfig.read(file.toString()), module);
+            node = Node.start(PlatformConfig.read(file.toString()), module);
         } finally {
             Files.delete(file);
         }
         return this;
     }
 
-    static String entry(int number, String address, String state) {
+    public static String entry(int number, String address, String state) {
         return """
                 {"id":"s-%08x","addr":"%s","zone":"dakar-a","kind":"front-mid","cell":%d,"state":"%s",
                  "weight":1.0,"started_ms":0}""".formatted(number, address, number, state);
     }
 
-    static String roster(long version, boolean full, String... entries) {
+    public static String roster(long version, boolean full, String... entries) {
         return "{\"version\":%d,\"full\":%b,\"servers\":[%s]}".formatted(version, full,
                 String.join(",", entries));
     }
 
-    String config() {
+    public String config() {
         String[] entries = new String[Math.min(listed, upstreams.size())];
         for (int i = 0; i < entries.length; i++) {
             entries[i] = entry(i, upstreams.get(i).address(), "up");
@@ -105,31 +107,31 @@
     }
 
     /** A new connection of a caller. */
-    Peer caller() throws IOException {
+    public Peer caller() throws IOException {
         Peer caller = Peer.to(node.address());
         callers.add(caller);
         return caller;
     }
 
     /** A request of the class that is safe to repeat. */
-    static String get(String id, String remaining) {
+    public static String get(String id, String remaining) {
         return "GET /look-up/7?z=3 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
                 + "\r\nX-Lane: look-up\r\nX-Remaining: " + remaining + "\r\n\r\n";
     }
 
     /** A request of the class that must never run twice. */
-    static String spend(String id, String body) {
+    public static String spend(String id, String body) {
         return "POST /credit-spend HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
                 + "\r\nX-Lane: credit-spend\r\nX-Remaining: 10\r\nContent-Length: " + body.length()
                 + "\r\n\r\n" + body;
     }
 
-    static String ok(String body) {
+    public static String ok(String body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
     /** Serves a request and asserts that the caller has its answer: the node is well. */
-    void servesStill() throws Exception {
+    public void servesStill() throws Exception {
         Peer caller = caller();
         caller.write(get("still", "10"));
         Peer upstream = upstreams.get(0).accept();
--- a/src/test/java/sablehinge/wire/SettingsParserTest.java
+++ b/src/test/java/sablehinge/settings/SettingsParserTest.java
@@ -1,4 +1,4 @@
-package sablehinge.wire;
+package sablehinge.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,18 +9,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import sablehinge.LoadBalancer.Goal;
-import sablehinge.LoadBalancer.Group;
-import sablehinge.LoadBalancer.Repeat;
-import sablehinge.LoadBalancer.Settings;
-import sablehinge.LoadBalancer.State;
-import sablehinge.LoadBalancer.Upstream;
-import sablehinge.LoadBalancer.WeightKind;
+import sablehinge.policy.LoadBalancer.Goal;
+import sablehinge.policy.LoadBalancer.Group;
+import sablehinge.policy.LoadBalancer.Repeat;
+import sablehinge.policy.LoadBalancer.Settings;
+import sablehinge.policy.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Upstream;
+import sablehinge.policy.LoadBalancer.WeightKind;
 
-class SettingsParserTest {
+public class SettingsParserTest {
 
     /** A site of two classes; every setting that has no default. */
-    static final String COMPLETE = String.join("\n",
+    public static final String COMPLETE = String.join("\n",
             "position=4", "siblings=9", "tier=1", "stages=edge,core", "zone=0", "zones=north,south",
             "machineTypes=big,small", "registryMode=automatic", "worthBy=work", "weightKind=rough",
             "stats.how=silent", "stats.fields=",
--- a/src/test/java/sablehinge/wire/WireHostTest.java
+++ b/src/test/java/sablehinge/wire/WireHostTest.java
@@ -15,7 +15,8 @@
 import java.util.HexFormat;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import sablehinge.LoadBalancer;
+import sablehinge.settings.SettingsParserTest;
+import sablehinge.policy.LoadBalancer;
 
 /** The wire, byte for byte: good frames, and what bad input gets. */
 class WireHostTest {
