The module takes other settings while it decides: a request keeps those under which it came

Need: a changed configuration must not mix with the one before in any request, retries included, while rules 3 and 4 hold over both, and what was learnt of servers stays. Change: LoadBalancer.adopt and forget. One module with a view for each version (its settings, classes and listed servers) over one record of the servers. Weighed against a module a version with evidence handed over: there the old one's outcomes would be lost to the new one, calls in flight would not show, and two cold budgets and drains would need a judge between them. A class keeps its place in the servers' records by its name; places are used again. A server that a version drops keeps its record while a version that lists it may come back.

--- a/src/main/java/sablehinge/policy/Call.java
+++ b/src/main/java/sablehinge/policy/Call.java
@@ -30,6 +30,7 @@
     }
 
     final LoadBalancer.Request request;
+    final View view;
     final LoadBalancer.ServiceClass type;
     final ClassRecord record;
     final long id;
@@ -45,14 +46,19 @@
     boolean done;
     boolean streaming;
 
-    Call(LoadBalancer.Request request, ClassRecord record, double arrivedAt) {
+    Call(LoadBalancer.Request request, View view, double arrivedAt) {
         this.request = request;
-        this.record = record;
+        this.view = view;
+        this.record = view.classes[request.serviceClass()];
         this.type = record.type;
         this.id = request.id();
         this.arrivedAt = arrivedAt;
     }
 
+    LoadBalancer.Limits limits() {
+        return view.settings.limits();
+    }
+
     /** The request's hinted work relative to the mean of its class. */
     double size() {
         double mean = record.hint.value();
--- a/src/main/java/sablehinge/policy/ClassRecord.java
+++ b/src/main/java/sablehinge/policy/ClassRecord.java
@@ -5,6 +5,7 @@
 /** What was seen of a class of requests over all servers. */
 final class ClassRecord {
 
+    /** Its place in the servers' records; a class keeps it from one version of the settings to the next. */
     final int index;
     final LoadBalancer.ServiceClass type;
     /** Served latency in ms for a request of mean cost on a mean server. */
@@ -32,6 +33,18 @@
         slowRatio = firstRatio;
     }
 
+    /** The class in another version: what was seen of it stays. */
+    ClassRecord(ClassRecord before, LoadBalancer.ServiceClass type) {
+        index = before.index;
+        this.type = type;
+        latency = before.latency;
+        hint = before.hint;
+        share = before.share;
+        pressure = before.pressure;
+        feltAt = before.feltAt;
+        slowRatio = before.slowRatio;
+    }
+
     boolean sharesPlacement(ClassRecord other) {
         return Objects.equals(type.zones(), other.type.zones())
                 && Objects.equals(type.kinds(), other.type.kinds());
--- a/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
@@ -3,11 +3,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import sablehinge.policy.Call.Attempt;
 
@@ -123,14 +126,15 @@
     private static final int STRAIN_TIMER = 0x80;
 
     private final Actions actions;
+    /** Of the version of the settings that holds for what arrives now, and all that are not forgotten. */
     private Settings settings;
+    private View current;
+    private final List<View> views = new ArrayList<>();
     private SplittableRandom random;
     private final Map<Long, Server> servers = new LinkedHashMap<>();
-    private List<Server> ready = List.of();
     private final Map<Long, Call> calls = new HashMap<>();
     /** Rule 5: the requests of each key that are not settled; looked up by key only, dropped when empty. */
     private final Map<Long, ArrayDeque<Call>> lines = new HashMap<>();
-    private ClassRecord[] classes;
     private Server.Kind[] kinds;
     private double extraCalls = EXTRA_SAVED;
     private double coldUntil = Double.NEGATIVE_INFINITY;
@@ -139,6 +143,8 @@
     private double trust;
     /** Own calls of late for each ready server. */
     private double evidence;
+    /** Places for classes in the servers' records. */
+    private int places;
 
     /** Creates an instance that asks its host for actions through {@code actions}. */
     public LatencyWeightedBalancer(Actions actions) {
@@ -147,28 +153,68 @@
 
     @Override
     public void start(double now, Settings given, long seed) {
-        settings = given;
         random = new SplittableRandom(seed);
-        classes = new ClassRecord[given.classes().size()];
-        Arrays.setAll(classes, i -> new ClassRecord(i, given.classes().get(i),
-                FIRST_GUESS * given.classes().get(i).aim(), FIRST_SLOW_RATIO, FLEET_GAIN));
-        for (ClassRecord c : classes) {
-            c.leader = Arrays.stream(classes).filter(c::sharesPlacement).findFirst().orElse(c);
-        }
-        kinds = new Server.Kind[given.kinds()];
-        Arrays.setAll(kinds, i -> new Server.Kind(FLEET_GAIN));
+        kinds = new Server.Kind[0];
         heardAt = now;
-        trust = DOUBT_AFTER * given.rules().askEvery();
+        adopt(now, given);
         if (given.subscribe()) {
             actions.watch(true);
         }
     }
 
+    // ---- Versions of the settings ------------------------------------------------------------------
+
+    /** A view for each, and one record of the servers: rules 3 and 4 hold over all versions together. */
+    @Override
+    public void adopt(double now, Settings given) {
+        current = views.stream().filter(view -> view.settings == given).findFirst()
+                .orElseGet(() -> begin(given, current));
+        settings = given;
+        kinds = Arrays.copyOf(kinds, Math.max(kinds.length, given.kinds()));
+        Arrays.setAll(kinds, i -> kinds[i] == null ? new Server.Kind(FLEET_GAIN) : kinds[i]);
+        trust = DOUBT_AFTER * given.rules().askEvery();
+        chooseReady();
+    }
+
+    private View begin(Settings given, View before) {
+        ClassRecord[] records = new ClassRecord[given.classes().size()];
+        View view = new View(given, records, before == null ? Set.of() : before.listed);
+        BitSet taken = new BitSet();
+        views.forEach(other -> Arrays.stream(other.classes).forEach(c -> taken.set(c.index)));
+        for (int i = 0; i < records.length; i++) {
+            ServiceClass type = given.classes().get(i);
+            ClassRecord old = before == null ? null : before.named(type.name());
+            int place = old != null ? old.index : taken.nextClearBit(0);
+            records[i] = old != null ? new ClassRecord(old, type) : new ClassRecord(place, type,
+                    FIRST_GUESS * type.aim(), FIRST_SLOW_RATIO, FLEET_GAIN);
+            if (old == null) {
+                taken.set(place);
+                places = Math.max(places, place + 1);
+                servers.values().forEach(server -> server.begin(place, places));
+            }
+        }
+        for (ClassRecord c : records) {
+            c.leader = Arrays.stream(records).filter(c::sharesPlacement).findFirst().orElse(c);
+        }
+        views.add(view);
+        return view;
+    }
+
+    @Override
+    public void forget(double now, Settings old) {
+        views.removeIf(view -> view.settings == old && view != current);
+        servers.keySet().removeIf(id -> !isListed(id));
+    }
+
+    private boolean isListed(long id) {
+        return views.stream().anyMatch(view -> view.listed.contains(id));
+    }
+
     // ---- A request arrives -------------------------------------------------------------------------
 
     @Override
     public void request(double now, Request request) {
-        Call call = new Call(request, classes[request.serviceClass()], now);
+        Call call = new Call(request, current, now);
         calls.put(request.id(), call);
         extraCalls = Math.min(EXTRA_SAVED, extraCalls + EXTRA_PER_REQUEST);
         if (request.cost() > 0) {
@@ -237,7 +283,7 @@
      * where clients arrive, since further down a refusal wastes what was done above.
      */
     private boolean shed(Call call) {
-        for (ClassRecord c : classes) {
+        for (ClassRecord c : current.classes) {
             c.share += FLEET_GAIN * ((c == call.record ? 1 : 0) - c.share);
         }
         if (call.record.leader.pressure == 0) {
@@ -253,7 +299,7 @@
      * Classes of one placement share their pressure: what is bound to crowded servers is shed alone.
      */
     private void planShedding(ClassRecord leader) {
-        ClassRecord[] cheapestFirst = Arrays.stream(classes).filter(c -> c.leader == leader)
+        ClassRecord[] cheapestFirst = Arrays.stream(current.classes).filter(c -> c.leader == leader)
                 .sorted(Comparator.comparingDouble(c -> worth(c) / work(c))).toArray(ClassRecord[]::new);
         double allWork = Arrays.stream(cheapestFirst).mapToDouble(this::work).sum();
         double allWorth = Arrays.stream(cheapestFirst).mapToDouble(this::worth).sum();
@@ -296,17 +342,17 @@
     private Server draw(Call call, boolean untried, double now) {
         double total = 0;
         double tries = 0;
-        for (Server server : ready) {
+        for (Server server : call.view.ready) {
             tries += server.tries;
             boolean usable = mayGoTo(call, server, now) && !(untried && call.tried(server))
                     && (server.coldBudget >= 1 || warmth(server, now) >= 1);
             server.weight = usable ? 1 / cost(server, call, now) : 0;
             total += server.weight;
         }
-        evidence = tries / Math.max(1, ready.size());
+        evidence = tries / Math.max(1, call.view.ready.size());
         double point = random.nextDouble() * total;
         Server drawn = null;
-        for (Server server : ready) {
+        for (Server server : call.view.ready) {
             if (server.weight > 0 && point >= 0) {
                 drawn = server;
                 point -= server.weight;
@@ -324,22 +370,24 @@
         // Where to leave a zone is dear, a sick server at home would else keep the calls that it loses: it
         // fails them at once, so none are in flight there, while those that serve seem busy. A failure or
         // two, which may befall any server, is not yet worth a crossing.
-        l *= 1 + crossing() * Math.min(MOST_LEAVING, Math.pow((1 - success) / WORTH_LEAVING, CROWD_POWER));
+        Settings terms = call.view.settings;
+        double crossing = CROSSING * Math.sqrt(terms.prices().crossZone());
+        l *= 1 + crossing * Math.min(MOST_LEAVING, Math.pow((1 - success) / WORTH_LEAVING, CROWD_POWER));
         l *= 1 + IN_FLIGHT * server.out.size();
         if (!server.out.isEmpty()) {
             Attempt oldest = server.out.peekFirst();
             l += OVERDUE_WEIGHT * Math.max(0, now - oldest.sentAt - slowAfter(oldest.call));
         }
-        l *= 1 + crossing() * Math.pow(crowding(server, call) / call.type.aim(), CROWD_POWER);
-        if (server.listed.zone() != settings.zone()) {
-            l *= 1 + crossing();
+        l *= 1 + crossing * Math.pow(crowding(server, call) / call.type.aim(), CROWD_POWER);
+        if (server.listed.zone() != terms.zone()) {
+            l *= 1 + crossing;
         }
         if (!server.preferred) {
             l *= 1 + OUTSIDE / Math.pow(1 + evidence, 2)
-                    + CONNECTION * (settings.prices().connection() + settings.prices().handshake());
+                    + CONNECTION * (terms.prices().connection() + terms.prices().handshake());
         }
         // Weights even out latencies, yet only those who are free can make room for those who are bound.
-        for (ClassRecord c : classes) {
+        for (ClassRecord c : call.view.classes) {
             if (c.leader == c && c != call.record.leader && c.isBound() && c.type.admits(server.listed)) {
                 l *= 1 + RELIEF * (CALM / 2 + c.pressure);
             }
@@ -360,13 +408,9 @@
         return each * (1 + server.out.size());
     }
 
-    private double crossing() {
-        return CROSSING * Math.sqrt(settings.prices().crossZone());
-    }
-
     /** Rules 6 and 2: placement; an attempt that may have run ties a request to its group, or ends it. */
     private boolean mayGoTo(Call call, Server server, double now) {
-        Limits limits = settings.limits();
+        Limits limits = call.limits();
         if (call.attempts.size() >= limits.maxAttempts() || call.running > 0 && !limits.parallel()
                 || !call.type.admits(server.listed)) {
             return false;
@@ -405,7 +449,8 @@
         if (now >= coldUntil) {
             return;
         }
-        List<Server> open = ready.stream().filter(server -> call.type.admits(server.listed)).toList();
+        List<Server> open = call.view.ready.stream().filter(server ->
+                call.type.admits(server.listed)).toList();
         double warm = open.stream().mapToDouble(server -> warmth(server, now)).sum();
         double part = Math.min(1, COLD_MARGIN * settings.rules().fallMultiple());
         part /= Math.max(warm, open.size() / 2.0);
@@ -421,7 +466,7 @@
         double timeout = call.usefulEnd - now;
         double slowAfter = slowAfter(call);
         boolean repeatable = call.type.repeat() != Repeat.AT_MOST_ONCE && !call.type.streamed();
-        if (repeatable && settings.limits().parallel() && slowAfter + expected(call) < timeout) {
+        if (repeatable && call.limits().parallel() && slowAfter + expected(call) < timeout) {
             actions.setTimer(call.id << 8 | attempt.number, now + slowAfter);
         } else if (repeatable && extraCalls >= 1 && GIVE_UP * slowAfter + expected(call) < timeout) {
             timeout = GIVE_UP * slowAfter;
@@ -488,7 +533,7 @@
         call.running--;
         if (outcome.result() == Result.TIMEOUT || outcome.result() == Result.RESET
                 || outcome.result() == Result.CANCELLED) {
-            call.restsUntil = now + settings.rules().orderSettle();
+            call.restsUntil = now + call.view.settings.rules().orderSettle();
         }
         learn(attempt, outcome, now);
         boolean inGoodTime = outcome.elapsed() < strainedAfter(call);
@@ -561,7 +606,7 @@
         boolean harmless = c.repeat() == Repeat.IDEMPOTENT || call.firstMaybeRun() == null
                 || c.repeat() == Repeat.DEDUPLICATED && c.group() == Group.ALL;
         if (harmless) {
-            actions.refuse(call.id, settings.limits().retryAfter() ? comeBackAfter(call) : 0);
+            actions.refuse(call.id, call.limits().retryAfter() ? comeBackAfter(call) : 0);
         } else {
             actions.fail(call.id);
         }
@@ -570,14 +615,14 @@
 
     /** When a refused client ought to return: the later, the more has to go before there is room for it. */
     private double comeBackAfter(Call call) {
-        double longest = Math.min(settings.limits().maxRetryAfter(), RETURN_SHARE * call.type.aim());
+        double longest = Math.min(call.limits().maxRetryAfter(), RETURN_SHARE * call.type.aim());
         return Math.min(longest, LOOK_AGAIN + longest * call.record.leader.pressure);
     }
 
     /** The request has its answer: copies still out only waste work. */
     private void over(Call call, double now) {
         for (Attempt attempt : call.attempts) {
-            if (!call.done && attempt.result == null && !attempt.streaming && settings.limits().cancel()) {
+            if (!call.done && attempt.result == null && !attempt.streaming && call.limits().cancel()) {
                 actions.cancel(call.id, attempt.number);
             }
         }
@@ -696,18 +741,22 @@
             return;
         }
         Map<Long, Server> before = new LinkedHashMap<>(servers);
-        if (change != Change.DELTA) {
+        Set<Long> listed = new HashSet<>();
+        if (change == Change.DELTA) {
+            listed.addAll(current.listed);
+        } else {
             servers.clear();
         }
         for (Upstream upstream : upstreams) {
             Server known = before.get(upstream.id());
+            listed.add(upstream.id());
             if (upstream.state() == State.REMOVED) {
-                servers.remove(upstream.id());
+                listed.remove(upstream.id());
             } else if (known == null || known.listed.startedAt() != upstream.startedAt()) {
                 // A restart is a new server: cold, with a clean record.
                 Server.Kind kind = kinds[Math.min(upstream.kind(), kinds.length - 1)];
                 servers.put(upstream.id(),
-                        new Server(upstream, kind, classes.length, now, random.nextDouble()));
+                        new Server(upstream, kind, places, now, random.nextDouble()));
                 if (upstream.startedAt() != 0) {
                     coldUntil = Math.max(coldUntil, upstream.startedAt() + settings.rules().warmUp());
                 }
@@ -716,9 +765,22 @@
                 servers.put(upstream.id(), known);
             }
         }
-        // Rule 3: only ready servers are ever drawn; what drains or is gone leaves at once.
-        ready = servers.values().stream().filter(s -> s.listed.state() == State.READY).toList();
-        chooseSubset();
+        current.listed = listed;
+        // What is gone is remembered while another version lists it, which may come back into force.
+        servers.keySet().retainAll(listed);
+        before.keySet().removeIf(id -> listed.contains(id) || !isListed(id));
+        before.values().forEach(server -> server.listed = server.listed.gone());
+        servers.putAll(before);
+        chooseReady();
+    }
+
+    /** Rule 3: only ready servers are ever drawn; what drains or is gone leaves at once, for all versions. */
+    private void chooseReady() {
+        for (View view : views) {
+            view.ready = servers.values().stream().filter(s -> s.listed.state() == State.READY
+                    && view.listed.contains(s.listed.id())).toList();
+        }
+        chooseSubset(current.ready);
     }
 
     /**
@@ -726,7 +788,7 @@
      * a subset is a small picture of the fleet, and every server is in as many subsets as the others. Each
      * round of siblings shuffles anew, so that no two servers share all their callers.
      */
-    private void chooseSubset() {
+    private void chooseSubset(List<Server> ready) {
         int stride = (int) Math.max(1, ready.size() / SUBSET);
         long round = settings.position() / stride;
         List<Server> ordered = new ArrayList<>(ready);
--- a/src/main/java/sablehinge/policy/LoadBalancer.java
+++ b/src/main/java/sablehinge/policy/LoadBalancer.java
@@ -24,6 +24,18 @@
     /** A request has arrived; the instance now owes it exactly one final answer. */
     void request(double now, Request request);
 
+    /**
+     * Other settings hold for requests that arrive from now on; those that have come keep theirs until they
+     * are over, retries and all, and go only to servers listed under both. The very object may be handed in
+     * again, to go back to it. A {@link Change#FULL} list follows where the servers are others.
+     */
+    default void adopt(double now, Settings settings) {
+        throw new UnsupportedOperationException("the settings stay as they were at the start");
+    }
+
+    /** Nothing that came under such settings is left, and nothing goes back to them. */
+    default void forget(double now, Settings settings) { }
+
     /** How an attempt ended; one such event for every {@link Actions#send}. */
     void attemptFinished(double now, Outcome outcome);
 
@@ -98,7 +110,12 @@
      * @param weight relative size, see {@link Settings#weightKind}
      * @param startedAt when its process last started; 0 for long ago
      */
-    record Upstream(long id, int zone, int kind, int cell, State state, double weight, double startedAt) { }
+    record Upstream(long id, int zone, int kind, int cell, State state, double weight, double startedAt) {
+
+        Upstream gone() {
+            return new Upstream(id, zone, kind, cell, State.REMOVED, weight, startedAt);
+        }
+    }
 
     /**
      * A client's request.
--- a/src/main/java/sablehinge/policy/Server.java
+++ b/src/main/java/sablehinge/policy/Server.java
@@ -1,6 +1,7 @@
 package sablehinge.policy;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 
 /** What was seen of one server by this instance: sums of evidence that fade, no decisions. */
 final class Server {
@@ -28,8 +29,8 @@
     /** Calls served and ended there, of all classes and of each. */
     double served;
     double tries;
-    final double[] servedOf;
-    final double[] triesOf;
+    double[] servedOf;
+    double[] triesOf;
     /** Whether it belongs to the subset of the fleet that this instance prefers. */
     boolean preferred;
     /** Sends that it has earned while cold. */
@@ -69,6 +70,14 @@
         fadedAt = now;
     }
 
+    /** Has a place for a class that was not there before, in so many places in all. */
+    void begin(int serviceClass, int places) {
+        servedOf = Arrays.copyOf(servedOf, Math.max(places, servedOf.length));
+        triesOf = Arrays.copyOf(triesOf, servedOf.length);
+        servedOf[serviceClass] = 0;
+        triesOf[serviceClass] = 0;
+    }
+
     void count(int serviceClass, boolean wasServed) {
         kind.served.add(wasServed ? 1 : 0);
         tries += 1;
--- a/src/test/java/sablehinge/policy/Bench.java
+++ b/src/test/java/sablehinge/policy/Bench.java
@@ -34,7 +34,7 @@
     int watches;
     double now = 100_000;
 
-    private final Settings settings;
+    private Settings settings;
     private final LoadBalancer balancer;
     private final Map<Long, Integer> attempts = new HashMap<>();
     private final PriorityQueue<Alarm> alarms =
@@ -51,6 +51,15 @@
         balancer.upstreamsChanged(now, change, Arrays.stream(servers).map(Sites.Server::listed).toList());
     }
 
+    void adopt(Settings next) {
+        settings = next;
+        balancer.adopt(now, next);
+    }
+
+    void forget(Settings old) {
+        balancer.forget(now, old);
+    }
+
     void request(long id, int serviceClass) {
         request(id, serviceClass, now + settings.classes().get(serviceClass).deadline(), 0);
     }
