--- /dev/null
+++ b/src/main/java/sablehinge/admin/AdminServer.java
@@ -0,0 +1,174 @@
+package sablehinge.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.MessageDigest;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Lets operators in: HTTP/1.1 with JSON, one request a connection, on a Unix socket that only its owner may
+ * open
+ * or on a loopback port for those who know a token. Connections, bodies and waiting are bounded.
+ */
+public final class AdminServer {
+
+    private static final JsonMapper JSON = new JsonMapper();
+    private static final int MOST_CONNECTIONS = 16;
+    private static final int MOST_BYTES = (1 << 20) + 1;
+    private static final int PATIENCE_S = 60;
+
+    /** Does what operators ask for; called on the loop. */
+    public interface Handler {
+
+        /** Answers a request once, now or later, on the loop. */
+        void handle(Request request, Consumer<Reply> reply);
+    }
+
+    /** A request; the query's last value counts where a name is repeated. */
+    public record Request(String method, String path, Map<String, String> query, byte[] body) { }
+
+    /** An answer: an HTTP status and what to say. */
+    public record Reply(int status, JsonNode body) { }
+
+    private final EventLoop loop;
+    private final Handler handler;
+    private final byte[] token;
+    private int open;
+    private Channel channel;
+
+    /** An admin listener on a loop; {@code token} is null where the socket's permissions guard it. */
+    public AdminServer(EventLoop loop, Handler handler, String token) {
+        this.loop = loop;
+        this.handler = handler;
+        this.token = token == null ? null : ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Listens on a Unix socket; one left behind there is replaced, so whoever calls must own the place. */
+    public void bind(Path socket) throws IOException, InterruptedException {
+        Files.deleteIfExists(socket);
+        try {
+            listen(NioServerDomainSocketChannel.class, UnixDomainSocketAddress.of(socket));
+        } catch (RuntimeException e) {
+            throw new IOException("admin socket " + socket + ": " + e.getMessage(), e);
+        }
+        Files.setPosixFilePermissions(socket, PosixFilePermissions.fromString("rw-------"));
+    }
+
+    /** Listens on a loopback port. */
+    public void bind(InetSocketAddress address) throws IOException, InterruptedException {
+        if (token == null) {
+            throw new IllegalStateException("a port without a token");
+        }
+        listen(NioServerSocketChannel.class, address);
+    }
+
+    private void listen(Class<? extends ServerChannel> type, SocketAddress address)
+            throws IOException, InterruptedException {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(type)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel child) {
+                        admit(child);
+                    }
+                }).bind(address).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("admin listener " + address + ": " + bound.cause().getMessage());
+        }
+        channel = bound.channel();
+    }
+
+    private void admit(Channel child) {
+        if (open >= MOST_CONNECTIONS) {
+            child.close();
+            return;
+        }
+        open++;
+        child.closeFuture().addListener(closed -> open--);
+        child.pipeline().addLast(new ReadTimeoutHandler(PATIENCE_S, TimeUnit.SECONDS), new HttpServerCodec(),
+                new HttpObjectAggregator(MOST_BYTES), new Requests());
+    }
+
+    /** Where it listens. */
+    public SocketAddress address() {
+        return channel.localAddress();
+    }
+
+    /** Lets nobody in any more. */
+    public void close() {
+        channel.close();
+    }
+
+    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+            if (!message.decoderResult().isSuccess()) {
+                answer(ctx, error(400, "no HTTP/1.1 request"));
+                return;
+            }
+            String given = message.headers().get("Authorization");
+            // Compared in constant time: how far a guess is right must not show.
+            if (token != null && !MessageDigest.isEqual(token,
+                    (given == null ? "" : given).getBytes(StandardCharsets.UTF_8))) {
+                answer(ctx, error(401, "the token is another"));
+                return;
+            }
+            QueryStringDecoder target = new QueryStringDecoder(message.uri());
+            Map<String, String> query = new LinkedHashMap<>();
+            target.parameters().forEach((name, values) -> query.put(name, values.get(values.size() - 1)));
+            handler.handle(new Request(message.method().name(), target.path(), query,
+                    ByteBufUtil.getBytes(message.content())), reply -> answer(ctx, reply));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** An answer that says why not. */
+    public static Reply error(int status, String message) {
+        return new Reply(status, JSON.createObjectNode().put("error", message));
+    }
+
+    private static void answer(ChannelHandlerContext ctx, Reply reply) {
+        byte[] body = (reply.body().toPrettyString() + "\n").getBytes(StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(body));
+        response.headers().set("Content-Type", "application/json").set("Content-Length", body.length)
+                .set("Connection", "close");
+        ctx.writeAndFlush(response).addListener(written -> ctx.close());
+    }
+}
--- a/src/main/java/sablehinge/cli/Commands.java
+++ b/src/main/java/sablehinge/cli/Commands.java
@@ -3,6 +3,8 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
@@ -12,6 +14,7 @@
 import picocli.CommandLine.Spec;
 import sablehinge.config.operator.OperatorFile;
 import sablehinge.config.operator.Problem;
+import sablehinge.node.OperatorNode;
 
 /**
  * The operators' verbs. Exit status 0: done; 1: refused, with the reason; 2: a bad command line or file. The
@@ -19,7 +22,8 @@
  */
 @Command(name = "sablehinge", mixinStandardHelpOptions = true, versionProvider = Commands.Versions.class,
         description = "A load balancer that runs inside every caller.",
-        subcommands = {Commands.Serve.class, Commands.Wire.class, Commands.Check.class})
+        subcommands = {Commands.Serve.class, Commands.Wire.class, Commands.Check.class,
+            ConfigCommand.class})
 final class Commands implements Callable<Integer> {
 
     static final int REFUSED = 1;
@@ -57,7 +61,7 @@
 
     @Override
     public Integer call() {
-        throw new ParameterException(spec.commandLine(), "expected a verb: serve, check or wire");
+        throw new ParameterException(spec.commandLine(), "expected a verb: serve, check, config or wire");
     }
 
     /** The version that the build wrote into the packed program. */
@@ -104,13 +108,33 @@
         @Option(names = "--operator", paramLabel = "FILE", description = "The operator file.")
         private Path operator;
 
+        @Option(names = "--adopt",
+                description = "Serve the operator file as a new confirmed version, also where "
+                + "another one was confirmed last.")
+        private boolean adopt;
+
         @Override
         public Integer call() throws Exception {
             if (operator == null) {
                 Main.serve();
                 return 0;
             }
-            throw misuse("--operator can't be served yet");
+            CompletableFuture<OperatorNode> started = new CompletableFuture<>();
+            Main.onHangup(() -> started.thenAccept(OperatorNode::reload));
+            OperatorNode node;
+            try {
+                node = OperatorNode.start(operator, adopt);
+            } catch (OperatorNode.StartException e) {
+                report(operator, e.problems());
+                if (!e.problems().isEmpty()) {
+                    return BAD_INPUT;
+                }
+                throw e;
+            }
+            Main.drainAtShutdown(node::drain);
+            started.complete(node);
+            new CountDownLatch(1).await();
+            return 0;
         }
     }
 
--- a/src/main/java/sablehinge/cli/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -42,17 +42,22 @@
         } catch (ConfigException e) {
             exit("sablehinge: " + e.getMessage(), 1);
         }
-        drainAtShutdown(node);
+        drainAtShutdown(node::drain);
         started.complete(node);
         // The node's own threads are daemons, so that the end of the shutdown hook ends the process.
         new CountDownLatch(1).await();
     }
 
+    /** What waits until all that came has been answered. */
+    interface Draining {
+        void run() throws InterruptedException;
+    }
+
     /** SIGTERM starts the hook, and the virtual machine lives on until the hook returns. */
-    private static void drainAtShutdown(Node node) {
+    static void drainAtShutdown(Draining draining) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
-                node.drain();
+                draining.run();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -81,7 +86,7 @@
     }
 
     /** By reflection, as javac has a warning for each use of this class that nothing can silence. */
-    private static void onHangup(Runnable reaction) {
+    static void onHangup(Runnable reaction) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/sablehinge/config/PlatformConfig.java
+++ b/src/main/java/sablehinge/config/PlatformConfig.java
@@ -47,7 +47,7 @@
 
     /** Its one version: the platform changes nothing of it while a balancer runs. */
     public Version version() {
-        return new Version(1, settings, classes, tenants);
+        return new Version(1, settings, classes, tenants, false);
     }
 
     private static PlatformConfig parse(JsonNode root) {
--- a/src/main/java/sablehinge/config/operator/OperatorConfig.java
+++ b/src/main/java/sablehinge/config/operator/OperatorConfig.java
@@ -94,7 +94,7 @@
                 new Goal(1 - worstClassWeight, 0, worstClassWeight, 0, 0, 0, 0, 0),
                 new Prices(crossZonePrice, 0, 0, 0, 0, 0, 0, 0));
         return new Version(number, settings, classes.stream().map(ClassPart::name).toList(),
-                tenants.stream().map(TenantPart::name).toList());
+                tenants.stream().map(TenantPart::name).toList(), node.versionHeader);
     }
 
     /** The servers that the file lists, by the same names as {@link #version}; empty under discovery. */
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -27,11 +27,26 @@
     private Transport transport;
     private Registry registry;
     private Version version;
+    private Observer observer;
+    /** Versions that are not forgotten yet, by their numbers. */
+    private final Map<Integer, Live> live = new HashMap<>();
     private long lastId;
     private boolean deciding;
     /** The request that the module's present call is about, if it is about one. */
     private Exchange subject;
 
+    /** A version, and how many requests that arrived under it are not forgotten. */
+    private static final class Live {
+        final Version version;
+        int requests;
+        /** Whether nothing goes back to it. */
+        boolean released;
+
+        Live(Version version) {
+            this.version = version;
+        }
+    }
+
     /** Something to tell the module, and the request that it is about or null. */
     private record Event(Exchange about, Runnable call) { }
 
@@ -45,6 +60,7 @@
     /** Begins to decide with a first version and the servers as they were last known. */
     public void start(Version first, long seed, Roster known, Transport carriesOut, Registry source) {
         version = first;
+        live.put(first.number(), new Live(first));
         transport = carriesOut;
         registry = source;
         transport.adopt(first);
@@ -59,6 +75,61 @@
         return version;
     }
 
+    /**
+     * Lets requests arrive under another version from now on, or again under one that was not released. Those
+     * that have arrived keep theirs.
+     *
+     * @param servers the whole list of the servers of that version
+     */
+    public void adopt(Version next, Roster servers) {
+        version = next;
+        live.computeIfAbsent(next.number(), number -> new Live(next)).released = false;
+        List<Upstream> upstreams = servers.upstreams();
+        transport.adopt(next);
+        transport.update(servers);
+        tell(null, () -> balancer.adopt(clock.now(), next.settings()));
+        tell(null, () -> balancer.upstreamsChanged(clock.now(), Change.FULL, upstreams));
+    }
+
+    /** Nothing goes back to a version: it is forgotten with the last request that arrived under it. */
+    public void release(int number) {
+        Live old = live.get(number);
+        if (old != null) {
+            old.released = true;
+            forgetIfLeft(old);
+        }
+    }
+
+    private void forgetIfLeft(Live old) {
+        if (old.released && old.requests == 0 && old.version != version
+                && live.remove(old.version.number()) != null) {
+            tell(null, () -> balancer.forget(clock.now(), old.version.settings()));
+        }
+    }
+
+    /**
+     * Servers that a source which is not the current one's says are draining or gone: requests of an older
+     * version must not go there either.
+     */
+    public void warn(Roster toldOff) {
+        transport.update(toldOff);
+    }
+
+    /** How many versions there are under which requests arrive, may arrive again, or are at work. */
+    public int versions() {
+        return live.size();
+    }
+
+    /** Requests that are not forgotten yet. */
+    public int requests() {
+        return exchanges.size();
+    }
+
+    /** Names who sees every answer; null for nobody. */
+    public void observe(Observer sees) {
+        observer = sees;
+    }
+
     /** The time, in ms of the clock that all of the program reads. */
     public double now() {
         return clock.now();
@@ -101,7 +172,7 @@
 
     /** Answers a request over the module's head and tells it that the client waits no more. */
     private void giveUp(Exchange exchange, Answer.Kind kind) {
-        exchange.answer(Answer.of(kind));
+        answer(exchange, Answer.of(kind));
         exchange.attempts.forEach(Core::cancel);
         tell(null, () -> balancer.clientGone(clock.now(), exchange.id));
         settle(exchange);
@@ -124,8 +195,9 @@
      * @return the request; its answer may have been given already
      */
     public Exchange request(Version arrivedUnder, Arrival arrival, Payload payload, Caller caller) {
-        Exchange exchange = new Exchange(++lastId, arrivedUnder, payload, arrival.deadline(), caller);
+        Exchange exchange = new Exchange(++lastId, arrivedUnder, arrival, payload, clock.now(), caller);
         exchanges.put(exchange.id, exchange);
+        live.get(arrivedUnder.number()).requests++;
         double latest = exchange.deadline + arrivedUnder.settings().rules().answerGrace() / 2;
         exchange.overdue = timers.at(latest, () -> overdue(exchange));
         tell(exchange, () -> balancer.request(clock.now(), arrival.withId(exchange.id)));
@@ -158,7 +230,7 @@
     private void finished(Exchange exchange, int number, long upstream, double sentAt, AttemptResult end) {
         exchange.running--;
         if (end.result() == Result.OK) {
-            exchange.answer(new Answer(Answer.Kind.SERVED, end.payload(), 0));
+            answer(exchange, new Answer(Answer.Kind.SERVED, end.payload(), 0));
         }
         tell(exchange, () -> balancer.attemptFinished(clock.now(), new Outcome(exchange.id, number, upstream,
                 end.result(), !exchange.isOpen(), clock.now() - sentAt, end.report())));
@@ -169,6 +241,9 @@
     private void settle(Exchange exchange) {
         if (!exchange.isOpen() && exchange.running == 0 && exchanges.remove(exchange.id) != null) {
             exchange.request.release();
+            Live own = live.get(exchange.version.number());
+            own.requests--;
+            forgetIfLeft(own);
         }
     }
 
@@ -207,11 +282,19 @@
     private void answer(long requestId, Answer answer) {
         Exchange exchange = exchanges.get(requestId);
         if (exchange != null) {
-            exchange.answer(answer);
+            answer(exchange, answer);
             settle(exchange);
         }
     }
 
+    private void answer(Exchange exchange, Answer answer) {
+        if (exchange.answer(answer) && observer != null) {
+            observer.answered(exchange.id, exchange.version, exchange.serviceClass, answer.kind(),
+                    exchange.sends,
+                    clock.now() - exchange.arrivedAt);
+        }
+    }
+
     @Override
     public void cancel(long requestId, int attempt) {
         Exchange exchange = exchanges.get(requestId);
--- a/src/main/java/sablehinge/core/Exchange.java
+++ b/src/main/java/sablehinge/core/Exchange.java
@@ -10,6 +10,8 @@
     final Version version;
     final Payload request;
     final double deadline;
+    final int serviceClass;
+    final double arrivedAt;
     final List<Transport.Attempt> attempts = new ArrayList<>(2);
     /** How many attempts were asked for, and how many of them are out; one not sent is null in the list. */
     int sends;
@@ -17,11 +19,13 @@
     Timers.Timer overdue;
     private Caller caller;
 
-    Exchange(long id, Version version, Payload request, double deadline, Caller caller) {
+    Exchange(long id, Version version, Arrival arrival, Payload request, double arrivedAt, Caller caller) {
         this.id = id;
         this.version = version;
         this.request = request;
-        this.deadline = deadline;
+        this.arrivedAt = arrivedAt;
+        deadline = arrival.deadline();
+        serviceClass = arrival.serviceClass();
         this.caller = caller;
     }
 
@@ -30,13 +34,15 @@
         return caller != null;
     }
 
-    /** Answers unless that is done already or nobody waits any more. */
-    void answer(Answer answer) {
+    /** Answers unless that is done already or nobody waits any more; tells whether it did. */
+    boolean answer(Answer answer) {
         Caller waiting = caller;
-        if (waiting != null) {
-            close();
-            waiting.answer(answer);
+        if (waiting == null) {
+            return false;
         }
+        close();
+        waiting.answer(answer);
+        return true;
     }
 
     /** Nobody waits for an answer any more. */
--- /dev/null
+++ b/src/main/java/sablehinge/core/Observer.java
@@ -0,0 +1,16 @@
+package sablehinge.core;
+
+/** Sees every answer that core gives; for records and for deciders beside the requests' own. */
+public interface Observer {
+
+    /**
+     * An answer was handed to its caller.
+     *
+     * @param id core's number of the request
+     * @param version under which the request arrived
+     * @param serviceClass index into the classes of that version
+     * @param attempts how many were asked for
+     * @param elapsed ms since the request arrived
+     */
+    void answered(long id, Version version, int serviceClass, Answer.Kind kind, int attempts, double elapsed);
+}
--- a/src/main/java/sablehinge/core/Version.java
+++ b/src/main/java/sablehinge/core/Version.java
@@ -10,5 +10,7 @@
  * @param number counts up from 1; shown to operators
  * @param classes the names of the classes by which callers ask for them, in the order of the settings
  * @param tenants likewise of the tenants
+ * @param shown whether answers name it to their callers
  */
-public record Version(int number, Settings settings, List<String> classes, List<String> tenants) { }
+public record Version(int number, Settings settings, List<String> classes, List<String> tenants,
+        boolean shown) { }
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -36,7 +37,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.DoublePredicate;
 import sablehinge.core.Answer;
 import sablehinge.core.Caller;
 import sablehinge.core.Core;
@@ -77,8 +81,13 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Who waits for the answer to a request, by its X-Txn. */
     private final Map<String, Connection> open = new HashMap<>();
+    private final DoublePredicate evict = this::evictIdle;
     private Channel listening;
+    private ScheduledFuture<?> sweeps;
     private boolean draining;
+    /** Once its callers have been told to go elsewhere: when it lets in no more, and what then follows. */
+    private double closesAt = Double.POSITIVE_INFINITY;
+    private Runnable afterwards;
 
     /** A front on the given loop, whose connections count among the given sockets. */
     public Frontend(EventLoop loop, Sockets sockets, ByteBufAllocator memory, Core core) {
@@ -86,11 +95,38 @@
         this.sockets = sockets;
         this.memory = memory;
         this.core = core;
-        sockets.callersGiveWay(this::evictIdle);
+        sockets.callersGiveWay(evict);
     }
 
-    /** Lets callers in at the given address. */
+    /** Lets callers in at the given address; waits until it does. */
     public void bind(InetSocketAddress address) throws IOException, InterruptedException {
+        ChannelFuture bound = listen(address).await();
+        if (!bound.isSuccess()) {
+            throw new IOException(cannot(address, bound.cause()));
+        }
+        listens(bound.channel());
+    }
+
+    /** Lets callers in at the given address; {@code done} hears, on the loop, why not, or null. */
+    public void open(InetSocketAddress address, Consumer<String> done) {
+        listen(address).addListener((ChannelFuture bound) -> {
+            if (bound.isSuccess()) {
+                listens(bound.channel());
+            }
+            done.accept(bound.isSuccess() ? null : cannot(address, bound.cause()));
+        });
+    }
+
+    private static String cannot(InetSocketAddress address, Throwable cause) {
+        return "cannot listen on " + address + ": " + cause.getMessage();
+    }
+
+    private void listens(Channel bound) {
+        listening = bound;
+        sweeps = loop.scheduleAtFixedRate(() -> sweep(core.now()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private ChannelFuture listen(InetSocketAddress address) {
         ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Acceptor()).childOption(ChannelOption.ALLOCATOR, memory)
@@ -104,12 +140,7 @@
                         channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection);
                     }
                 });
-        var bound = server.bind(address).await();
-        if (!bound.isSuccess()) {
-            throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage());
-        }
-        listening = bound.channel();
-        loop.scheduleAtFixedRate(() -> sweep(core.now()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        return server.bind(address);
     }
 
     /** Where it listens. */
@@ -145,7 +176,45 @@
         for (Connection connection : new ArrayList<>(connections)) {
             connection.sweep(now);
         }
-        resume();
+        if (now >= closesAt) {
+            leave();
+        } else {
+            resume();
+        }
+    }
+
+    /**
+     * Gives its address up while the balancer goes on elsewhere: answers ask their callers to leave, for so
+     * many
+     * ms it lets in those who don't know yet, then it closes. Callers that are at work have their answers.
+     *
+     * @param done called once no connection is left
+     */
+    public void retire(double grace, Runnable done) {
+        draining = true;
+        closesAt = core.now() + grace;
+        afterwards = done;
+    }
+
+    private void leave() {
+        if (listening.isOpen()) {
+            int before;
+            do {
+                // Who has been let in by the kernel is owed an answer; to close now would reset them.
+                before = connections.size();
+                Sockets.readNow(listening);
+            } while (connections.size() > before);
+            listening.close();
+        }
+        for (Connection connection : new ArrayList<>(connections)) {
+            connection.closeIfIdle();
+        }
+        if (connections.isEmpty() && sweeps != null) {
+            sweeps.cancel(false);
+            sweeps = null;
+            sockets.callersLeft(evict);
+            afterwards.run();
+        }
     }
 
     /**
@@ -153,7 +222,7 @@
      * leave and use up the descriptors, without which the virtual machine can't even load a class.
      */
     private void resume() {
-        if (!listening.config().isAutoRead() && sockets.roomForCaller(core.now())) {
+        if (listening.isOpen() && !listening.config().isAutoRead() && sockets.roomForCaller(core.now())) {
             listening.config().setAutoRead(true);
         }
     }
@@ -200,6 +269,8 @@
         private FullHttpRequest current;
         private Exchange exchange;
         private String txn;
+        /** The version under which it came, once it is read. */
+        private Version version;
         /** When it came, had its last answer, or began the request that is coming in. */
         private double since = core.now();
         private boolean served;
@@ -394,6 +465,7 @@
                     throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
                 }
                 txn = checked.txn();
+                version = check.version();
                 open.put(txn, this);
                 Exchange begun = core.request(check.version(), checked.arrival(),
                         new HttpPayload(request.retain()), this);
@@ -432,6 +504,9 @@
             if (retryAfter > 0) {
                 response.headers().set("Retry-After", UpstreamClient.seconds(Math.ceil(retryAfter)));
             }
+            if (version != null && version.shown()) {
+                response.headers().set("Sablehinge-Version", version.number());
+            }
             boolean wantsMore = current != null && HttpUtil.isKeepAlive(current);
             // What has come whole already was taken, and is still answered here.
             closing |= !wantsMore || draining && ahead.isEmpty() && !decoder.amid;
@@ -471,6 +546,7 @@
                 current = null;
             }
             exchange = null;
+            version = null;
         }
 
         private void abandon() {
--- a/src/main/java/sablehinge/http1/Sockets.java
+++ b/src/main/java/sablehinge/http1/Sockets.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoublePredicate;
 
@@ -25,7 +27,7 @@
 
     private final int limit;
     private int open;
-    private DoublePredicate evictCaller = before -> false;
+    private final List<DoublePredicate> evictCaller = new ArrayList<>(1);
     private BooleanSupplier evictUpstream = () -> false;
 
     /** Counts against so many descriptors of the process. */
@@ -38,9 +40,19 @@
         evictUpstream = evict;
     }
 
-    /** Names what closes one caller's connection that was idle before a time; likewise. */
+    /** Adds to what closes one caller's connection that was idle before a time; likewise. */
     void callersGiveWay(DoublePredicate evict) {
-        evictCaller = evict;
+        evictCaller.add(evict);
+    }
+
+    /** Takes out what was added. */
+    void callersLeft(DoublePredicate evict) {
+        evictCaller.remove(evict);
+    }
+
+    /** How many connections there are. */
+    public int open() {
+        return open;
     }
 
     /** Whether a connection to an upstream may be opened, after an idle one has gone for it if need be. */
@@ -63,7 +75,16 @@
 
     /** Resting callers go first: to come back costs them less than a new connection costs an upstream. */
     private boolean evict(double now) {
-        return evictCaller.test(now - RESTING_MS) || evictUpstream.getAsBoolean() || evictCaller.test(now);
+        return evictCaller(now - RESTING_MS) || evictUpstream.getAsBoolean() || evictCaller(now);
+    }
+
+    private boolean evictCaller(double before) {
+        for (DoublePredicate evict : evictCaller) {
+            if (evict.test(before)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Counts a connection until it is closed. */
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -29,6 +29,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.math.BigDecimal;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -229,6 +230,21 @@
         targets.values().removeIf(t -> t.gone && t.toldOff < now - 2 * grace && t.idle.isEmpty());
     }
 
+    /** Tells whether a connection to an address comes up within so many ms, and closes it. */
+    public void reach(InetSocketAddress address, int patience, Consumer<Boolean> end) {
+        if (!sockets.roomForUpstream(clock.now())) {
+            end.accept(false);
+            return;
+        }
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, patience));
+        ChannelFuture connect = bootstrap.connect(address);
+        sockets.count(connect.channel());
+        connect.addListener(up -> {
+            connect.channel().close();
+            end.accept(up.isSuccess());
+        });
+    }
+
     /** How many upstreams it remembers. */
     int remembered() {
         return targets.size();
--- /dev/null
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -0,0 +1,311 @@
+package sablehinge.node;
+
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import sablehinge.admin.AdminServer;
+import sablehinge.config.operator.OperatorConfig;
+import sablehinge.config.operator.OperatorConfig.ListenerPart;
+import sablehinge.config.operator.OperatorFile;
+import sablehinge.config.operator.Problem;
+import sablehinge.config.versions.VersionStore;
+import sablehinge.core.Clock;
+import sablehinge.core.Core;
+import sablehinge.core.Log;
+import sablehinge.core.LogLimit;
+import sablehinge.core.Timers;
+import sablehinge.http1.Frontend;
+import sablehinge.http1.Sockets;
+import sablehinge.http1.UpstreamClient;
+import sablehinge.membership.Discovery;
+import sablehinge.membership.RosterParser;
+import sablehinge.policy.LatencyWeightedBalancer;
+import sablehinge.policy.LoadBalancer;
+
+/** One balancer by an operator file, whose configuration may change while it runs. */
+public final class OperatorNode {
+
+    private static final double DRAIN_SLACK_MS = 1_000;
+    private static final long DRAIN_CHECK_MS = 10;
+
+    private final EventLoop loop;
+    private final Clock clock = Clock.system();
+    private final Timers timers;
+    private final PooledByteBufAllocator memory = PooledByteBufAllocator.DEFAULT;
+    private final Sockets sockets;
+    private final Core core;
+    private final UpstreamClient transport;
+    private final VersionStore store;
+    private final ExecutorService files = Executors.newSingleThreadExecutor(
+            new DefaultThreadFactory("files", true));
+    private final Versions versions;
+    private final Path file;
+    private AdminServer admin;
+
+    /** A start that failed, with the problems of a file if it was those. */
+    public static final class StartException extends Exception {
+
+        private static final long serialVersionUID = 1;
+        private final transient List<Problem> problems;
+
+        StartException(String message, List<Problem> problems) {
+            super(message);
+            this.problems = problems;
+        }
+
+        /** What is wrong with the operator file; empty where something else is. */
+        public List<Problem> problems() {
+            return problems;
+        }
+    }
+
+    private OperatorNode(Path file, OperatorConfig first, VersionStore store,
+            Function<LoadBalancer.Actions, LoadBalancer> module) {
+        this.file = file;
+        this.store = store;
+        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("node", true),
+                NioIoHandler.newFactory()).next();
+        Log.LOG.setFilter(new LogLimit(clock::now));
+        timers = new LoopTimers(loop, clock);
+        sockets = new Sockets(first.node().descriptors());
+        core = new Core(clock, timers, module);
+        transport = new UpstreamClient(loop, clock, sockets, memory);
+        versions = new Versions(this, store, files, first);
+    }
+
+    /**
+     * Starts by an operator file. The version that was last confirmed is served, not the file, if there is
+     * one.
+     *
+     * @param adopt whether the file is to be served in any case, as a new confirmed version
+     */
+    public static OperatorNode start(Path file, boolean adopt) throws StartException, InterruptedException {
+        return start(file, adopt, LatencyWeightedBalancer::new);
+    }
+
+    static OperatorNode start(Path file, boolean adopt, Function<LoadBalancer.Actions, LoadBalancer> module)
+            throws StartException, InterruptedException {
+        byte[] bytes;
+        try {
+            bytes = OperatorFile.bytes(file);
+        } catch (IOException e) {
+            throw new StartException("", List.of(new Problem(0, "", e.getMessage())));
+        }
+        OperatorFile.Checked checked = OperatorFile.parse(bytes);
+        if (checked.config() == null) {
+            throw new StartException("", checked.problems());
+        }
+        Path state = file.toAbsolutePath().getParent().resolve(checked.config().node().state());
+        VersionStore store;
+        try {
+            store = VersionStore.in(state);
+        } catch (IOException e) {
+            throw new StartException(state + ": " + e.getMessage(), List.of());
+        }
+        OperatorNode node = null;
+        try {
+            OperatorConfig first = first(store, bytes, checked.config(), adopt);
+            node = new OperatorNode(file, first, store, module);
+            node.begin(first, state);
+            return node;
+        } catch (IOException e) {
+            if (node != null) {
+                node.kill();
+            } else {
+                closeQuietly(store);
+            }
+            throw new StartException(e.getMessage(), List.of());
+        }
+    }
+
+    private static void closeQuietly(VersionStore store) {
+        try {
+            store.close();
+        } catch (IOException e) {
+            // The process ends.
+        }
+    }
+
+    /** The version to serve first; the store has it confirmed when this returns. */
+    private static OperatorConfig first(VersionStore store, byte[] bytes, OperatorConfig given, boolean adopt)
+            throws IOException {
+        if (store.cutOff() != 0) {
+            Log.LOG.warning("configuration: version " + store.cutOff()
+                    + " was on trial when the process ended"
+                    + " and is undone; version " + store.confirmed() + " serves");
+            store.mark(0);
+        }
+        if (store.confirmed() == 0 || adopt) {
+            store.confirm(store.stage(bytes));
+            return given;
+        }
+        byte[] confirmed = store.content(store.confirmed());
+        if (!Arrays.equals(confirmed, bytes)) {
+            Log.LOG.warning("configuration: the operator file is not version " + store.confirmed()
+                    + ", which serves; `config apply` or SIGHUP would try it, --adopt at the"
+                    + " start takes it as it is");
+        }
+        OperatorFile.Checked checked = OperatorFile.parse(confirmed);
+        if (checked.config() == null) {
+            throw new IOException("version " + store.confirmed() + " can't be served by this program: "
+                    + checked.problems().get(0).in("its file") + "; --adopt takes the operator file instead");
+        }
+        return checked.config();
+    }
+
+    private void begin(OperatorConfig first, Path state) throws IOException, InterruptedException {
+        loop.submit(() -> versions.start(ThreadLocalRandom.current().nextLong())).sync();
+        for (ListenerPart part : Versions.places(first)) {
+            Frontend front = front();
+            front.bind(part.address());
+            loop.submit(() -> versions.fronts().put(part, front)).sync();
+        }
+        AdminHandler handler = new AdminHandler(this, versions);
+        if (first.admin().listen() == null) {
+            admin = new AdminServer(loop, handler, null);
+            admin.bind(state.resolve(first.admin().socket()));
+        } else {
+            Path token = file.toAbsolutePath().getParent().resolve(first.admin().tokenFile());
+            String secret = Files.readString(token).strip();
+            if (secret.length() < 16) {
+                throw new IOException(token + " holds no token of at least 16 characters");
+            }
+            admin = new AdminServer(loop, handler, secret);
+            admin.bind(first.admin().listen());
+        }
+        Log.LOG.info("serves as " + first.node().name() + " under version " + store.confirmed());
+    }
+
+    // ---- The parts, for those that work on them -----------------------------------------------------
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    Core core() {
+        return core;
+    }
+
+    UpstreamClient transport() {
+        return transport;
+    }
+
+    Sockets sockets() {
+        return sockets;
+    }
+
+    Frontend front() {
+        return new Frontend(loop, sockets, memory, core);
+    }
+
+    Discovery discovery(InetSocketAddress address, List<String> zones, List<String> kinds,
+            Discovery.Listener listener) {
+        return new Discovery(loop, address, -1, new RosterParser(zones, kinds), memory, listener,
+                Discovery.WATCH_MS);
+    }
+
+    /** Where operators are let in. */
+    public SocketAddress adminAddress() {
+        return admin.address();
+    }
+
+    /** Where callers are let in, in the order of the file. */
+    public List<InetSocketAddress> addresses() throws InterruptedException {
+        return onLoop(() -> versions.fronts().values().stream().map(Frontend::address).toList());
+    }
+
+    <T> T onLoop(Callable<T> look) throws InterruptedException {
+        return loop.submit(look).sync().getNow();
+    }
+
+    /** Stages and applies the operator file as it is now, to be confirmed if it stands its trial. */
+    public void reload() {
+        files.execute(() -> {
+            try {
+                byte[] bytes = OperatorFile.bytes(file);
+                loop.execute(() -> versions.stage(bytes, 0, this::reloaded));
+            } catch (IOException e) {
+                Log.LOG.warning("configuration: the operator file " + e.getMessage());
+            }
+        });
+    }
+
+    private void reloaded(Versions.Staged staged) {
+        String why = staged.refusal();
+        if (why == null && staged.version() != 0) {
+            ChangeReply applied = new ChangeReply(versions.apply(staged.version(), 0, true));
+            why = applied.refusal();
+            if (why != null) {
+                versions.drop(staged.version());
+            }
+        }
+        for (Problem problem : staged.problems()) {
+            Log.LOG.warning("configuration: " + problem.in(file.getFileName().toString()));
+        }
+        if (why != null) {
+            Log.LOG.warning("configuration: the operator file is not applied: " + why);
+        }
+    }
+
+    /** A reply as a refusal or none. */
+    private record ChangeReply(sablehinge.change.ChangeDecider.Reply reply) {
+
+        String refusal() {
+            return reply.done() ? null : reply.message();
+        }
+    }
+
+    /**
+     * Stops as SIGTERM wants it: answers what has come, lets callers go, and returns when nothing is left.
+     */
+    public void drain() throws InterruptedException {
+        double longest = onLoop(() -> versions.config().classes().stream().mapToDouble(c ->
+                c.deadline()).max()
+                .orElse(0));
+        double latest = clock.now() + longest + DRAIN_SLACK_MS;
+        loop.submit(() -> versions.fronts().values().forEach(Frontend::beginDrain)).sync();
+        while (!onLoop(this::endDrain) && clock.now() < latest) {
+            Thread.sleep(DRAIN_CHECK_MS);
+        }
+        loop.submit(core::giveUpAll).sync();
+        closeQuietly(store);
+    }
+
+    private boolean endDrain() {
+        boolean done = true;
+        for (Frontend front : versions.fronts().values()) {
+            done &= front.endDrain();
+        }
+        return done && core.requests() == 0;
+    }
+
+    /** Ends at once, whatever is under way. */
+    public void kill() {
+        files.shutdownNow();
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        closeQuietly(store);
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/node/ServerSource.java
@@ -0,0 +1,96 @@
+package sablehinge.node;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import sablehinge.core.Registry;
+import sablehinge.core.Roster;
+import sablehinge.core.Roster.Member;
+import sablehinge.membership.Discovery;
+import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.State;
+
+/** Where the servers of a version come from, and the whole list as it is now. */
+final class ServerSource implements Registry {
+
+    private final Map<Long, Member> members = new LinkedHashMap<>();
+    private final BiConsumer<Change, Roster> listener;
+    /** Null where the file lists the servers. */
+    private Discovery discovery;
+    private boolean told;
+    private long version;
+
+    private ServerSource(BiConsumer<Change, Roster> listener) {
+        this.listener = listener;
+    }
+
+    /** Servers that an operator file lists. */
+    static ServerSource listed(Roster roster) {
+        ServerSource source = new ServerSource((change, news) -> { });
+        source.take(roster);
+        return source;
+    }
+
+    /** Servers that a discovery tells of; {@code maker} makes it, given what hears of them. */
+    static ServerSource discovered(java.util.function.Function<Discovery.Listener, Discovery> maker,
+            BiConsumer<Change, Roster> listener) {
+        ServerSource source = new ServerSource(listener);
+        source.discovery = maker.apply(source::told);
+        return source;
+    }
+
+    private void told(Change change, Roster roster) {
+        if (roster != null) {
+            take(roster);
+        }
+        listener.accept(change, roster);
+    }
+
+    private void take(Roster roster) {
+        if (roster.full()) {
+            members.clear();
+            told = true;
+        }
+        version = roster.version();
+        for (Member member : roster.members()) {
+            if (member.upstream().state() == State.REMOVED) {
+                members.remove(member.upstream().id());
+            } else {
+                members.put(member.upstream().id(), member);
+            }
+        }
+    }
+
+    /** Whether a whole list has come. */
+    boolean isTold() {
+        return told;
+    }
+
+    /** The whole list. */
+    Roster roster() {
+        return new Roster(version, true, List.copyOf(members.values()));
+    }
+
+    /** Those that are ready. */
+    List<Member> ready() {
+        List<Member> ready = new ArrayList<>(members.values());
+        ready.removeIf(member -> member.upstream().state() != State.READY);
+        return ready;
+    }
+
+    @Override
+    public void fetch() {
+        if (discovery != null) {
+            discovery.fetch();
+        }
+    }
+
+    @Override
+    public void watch(boolean on) {
+        if (discovery != null) {
+            discovery.watch(on);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/node/Versions.java
@@ -0,0 +1,411 @@
+package sablehinge.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import sablehinge.change.ChangeDecider;
+import sablehinge.change.ChangeDecider.Phase;
+import sablehinge.change.ChangeDecider.Reply;
+import sablehinge.change.ChangeDecider.Terms;
+import sablehinge.change.Shares.Outcome;
+import sablehinge.config.operator.OperatorConfig;
+import sablehinge.config.operator.OperatorConfig.ListenerPart;
+import sablehinge.config.operator.OperatorFile;
+import sablehinge.config.operator.Problem;
+import sablehinge.config.versions.VersionStore;
+import sablehinge.core.Answer;
+import sablehinge.core.Log;
+import sablehinge.core.Observer;
+import sablehinge.core.Roster;
+import sablehinge.core.Version;
+import sablehinge.http1.Frontend;
+import sablehinge.policy.LoadBalancer.Change;
+
+/**
+ * Carries changes of the configuration out: what {@link ChangeDecider} asks for, on the sockets, in core and
+ * on the
+ * disk. All of it runs on the loop but for files and parsing, which have a thread of their own, one task
+ * after
+ * another; the loop never waits for it.
+ */
+final class Versions implements ChangeDecider.Actions, Observer {
+
+    private static final double TICK_MS = 50;
+    /** For so long after it is given up, a listener lets in callers who don't know yet. */
+    private static final double LISTENER_GRACE_MS = 2_000;
+    /** Versions that may have requests at work at once. */
+    static final int MOST_ALIVE = 8;
+    /** Names of zones and machine types over the life of the process. */
+    private static final int MOST_NAMES = 10_000;
+
+    /** A version that was read: what it says, and what it stands on once it is applied. */
+    private static final class Running {
+        final OperatorConfig config;
+        final Version version;
+        final Roster listed;
+        ServerSource source;
+
+        Running(OperatorConfig config, Version version, Roster listed) {
+            this.config = config;
+            this.version = version;
+            this.listed = listed;
+        }
+    }
+
+    private final OperatorNode node;
+    private final VersionStore store;
+    private final ExecutorService files;
+    private final ChangeDecider decider;
+    private final Map<Integer, Running> known = new HashMap<>();
+    private final Map<ListenerPart, Frontend> fronts = new LinkedHashMap<>();
+    private final Map<InetSocketAddress, ServerSource> discovered = new HashMap<>();
+    private final List<String> zones = new ArrayList<>();
+    private final List<String> kinds = new ArrayList<>();
+    private Preparation preparation;
+    private boolean ticking;
+    /** How long the last undoing took, from its decision until requests arrived under the version before. */
+    private double undoMs;
+    /** Since when fewer servers are ready than the version on trial asks for; NaN while enough are. */
+    private double bare = Double.NaN;
+
+    /** Begins with a version that the store has confirmed. */
+    Versions(OperatorNode node, VersionStore store, ExecutorService files, OperatorConfig first) {
+        this.node = node;
+        this.store = store;
+        this.files = files;
+        decider = new ChangeDecider(store.confirmed(), this);
+        Running running = read(store.confirmed(), first);
+        running.source = source(running);
+    }
+
+    private Running read(int number, OperatorConfig config) {
+        Version version = config.version(number, zones, kinds);
+        Running running = new Running(config, version, config.roster(number, zones, kinds));
+        known.put(number, running);
+        return running;
+    }
+
+    private Running current() {
+        return known.get(node.core().version() == null ? decider.confirmed()
+                : node.core().version().number());
+    }
+
+    /** Starts core with the first version. */
+    void start(long seed) {
+        Running first = known.get(decider.confirmed());
+        node.core().observe(this);
+        node.core().start(first.version, seed, first.source.roster(), node.transport(), new CurrentSource());
+    }
+
+    /** Its listeners without their names, which may change; only a port that the system picks needs one. */
+    static List<ListenerPart> places(OperatorConfig config) {
+        List<ListenerPart> places = new ArrayList<>();
+        config.listeners().forEach(part -> places.add(part.address().getPort() == 0 ? part
+                : new ListenerPart("", part.address())));
+        return places;
+    }
+
+    /** The listeners of the first version, to be bound before it serves. */
+    Map<ListenerPart, Frontend> fronts() {
+        return fronts;
+    }
+
+    OperatorConfig config() {
+        return current().config;
+    }
+
+    /** The module asks whatever source the current version has. */
+    private final class CurrentSource implements sablehinge.core.Registry {
+
+        @Override
+        public void fetch() {
+            current().source.fetch();
+        }
+
+        @Override
+        public void watch(boolean on) {
+            current().source.watch(on);
+        }
+    }
+
+    private ServerSource source(Running running) {
+        InetSocketAddress address = running.config.discovery();
+        if (address == null) {
+            return ServerSource.listed(running.listed);
+        }
+        return discovered.computeIfAbsent(address, a -> {
+            AtomicReference<ServerSource> made = new AtomicReference<>();
+            made.set(ServerSource.discovered(told -> node.discovery(a, zones, kinds, told),
+                    (change, roster) -> told(made.get(), change, roster)));
+            return made.get();
+        });
+    }
+
+    private void told(ServerSource source, Change change, Roster roster) {
+        if (source == current().source) {
+            node.core().told(change, roster);
+        } else if (roster != null) {
+            List<Roster.Member> off = new ArrayList<>(roster.members());
+            off.removeIf(m -> m.upstream().state() == sablehinge.policy.LoadBalancer.State.READY);
+            node.core().warn(new Roster(roster.version(), false, off));
+        }
+    }
+
+    // ---- What operators ask for ---------------------------------------------------------------------
+
+    /** Runs a task that waits for files, and hands its end to the loop. */
+    private <T> void onFiles(Callable<T> task, BiConsumer<T, String> end) {
+        files.execute(() -> {
+            T value = null;
+            String failure = null;
+            try {
+                value = task.call();
+            } catch (Exception e) {
+                failure = e.getMessage() == null ? e.getClass().getSimpleName()
+                        : e.getMessage().lines().findFirst().orElse("");
+            }
+            T made = value;
+            String why = failure;
+            node.loop().execute(() -> end.accept(made, why));
+        });
+    }
+
+    /** What a staging came to: a number, or problems of the file, or a refusal. */
+    record Staged(int version, List<Problem> problems, String refusal) { }
+
+    /** Checks content and puts it down as a version over a base; a base of 0 is the confirmed one. */
+    void stage(byte[] content, int base, Consumer<Staged> end) {
+        int over = base == 0 ? decider.confirmed() : base;
+        OperatorConfig running = current().config;
+        onFiles(() -> OperatorFile.parse(content), (checked, failure) -> {
+            Reply may = decider.mayStage(over);
+            String refusal = failure != null ? failure : !may.done() ? may.message()
+                    : checked.config() == null ? null : fixed(running, checked.config());
+            if (refusal != null || checked.config() == null) {
+                end.accept(new Staged(0, checked == null ? List.of() : checked.problems(), refusal));
+                return;
+            }
+            onFiles(() -> store.stage(content), (number, unwritten) -> {
+                if (unwritten != null) {
+                    end.accept(new Staged(0, List.of(), unwritten));
+                    return;
+                }
+                Reply still = decider.mayStage(over);
+                if (!still.done()) {
+                    end.accept(new Staged(0, List.of(), still.message()));
+                    return;
+                }
+                read(number, checked.config());
+                decider.staged(number, over);
+                known.keySet().removeIf(n -> n != decider.confirmed() && n != decider.candidate()
+                        && !decider.stagedVersions().containsKey(n));
+                end.accept(new Staged(number, List.of(), null));
+            });
+        });
+    }
+
+    /** What a version may not change while the process runs; null if it leaves that alone. */
+    private String fixed(OperatorConfig running, OperatorConfig next) {
+        if (!running.admin().equals(next.admin())) {
+            return "admin can't change while the process runs";
+        }
+        if (!running.node().state().equals(next.node().state())
+                || running.node().descriptors() != next.node().descriptors()
+                || !running.node().name().equals(next.node().name())) {
+            return "node.name, node.state and node.descriptors can't change while the process runs";
+        }
+        long names = zones.size() + kinds.size() + next.zones().size() + next.kinds().size();
+        return names <= MOST_NAMES ? null : "over " + MOST_NAMES
+                + " names of zones and kinds since the process began; restart it to forget the old ones";
+    }
+
+    Reply drop(int version) {
+        Reply reply = decider.drop(version);
+        if (reply.done()) {
+            known.remove(version);
+        }
+        return reply;
+    }
+
+    /** Applies a staged version; {@code confirmWithin} is 0 for what its file says. */
+    Reply apply(int version, double confirmWithin, boolean automatic) {
+        Running running = known.get(version);
+        if (running != null && node.core().versions() >= MOST_ALIVE) {
+            return new Reply(false, "requests of " + node.core().versions()
+                    + " versions are at work; try again when they are answered");
+        }
+        OperatorConfig.ChangePart part = running == null ? current().config.change()
+                : running.config.change();
+        Reply reply = decider.apply(node.clock().now(), version, new Terms(
+                confirmWithin > 0 ? confirmWithin : part.confirmWithin(), part.readyWithin(),
+                part.failedRise(), part.refusedRise(), part.leastCount(), automatic));
+        if (reply.done()) {
+            Log.LOG.info("configuration: version " + version + " is applied");
+            tickSoon();
+        }
+        return reply;
+    }
+
+    Reply confirm(int version) {
+        return decider.confirm(node.clock().now(), version);
+    }
+
+    Reply rollback() {
+        return decider.rollback(node.clock().now());
+    }
+
+    ChangeDecider decider() {
+        return decider;
+    }
+
+    double undoMs() {
+        return undoMs;
+    }
+
+    /** The content of a version. */
+    void content(int version, BiConsumer<byte[], String> end) {
+        onFiles(() -> store.content(version), end);
+    }
+
+    // ---- What the decider asks for ------------------------------------------------------------------
+
+    private void tickSoon() {
+        if (!ticking && decider.phase() != Phase.NONE) {
+            ticking = true;
+            node.timers().at(node.clock().now() + TICK_MS, () -> {
+                ticking = false;
+                double now = node.clock().now();
+                watchServers(now);
+                decider.tick(now);
+                tickSoon();
+            });
+        }
+    }
+
+    private void watchServers(double now) {
+        if (decider.phase() != Phase.TRIAL) {
+            bare = Double.NaN;
+            return;
+        }
+        Running trial = known.get(decider.candidate());
+        OperatorConfig.ChangePart terms = trial.config.change();
+        int ready = trial.source.ready().size();
+        if (ready >= terms.readyLeast()) {
+            bare = Double.NaN;
+        } else if (Double.isNaN(bare)) {
+            bare = now;
+        } else if (now - bare >= terms.readyWithin()) {
+            decider.partFailed(now, decider.candidate(), ready + " servers are ready, at least "
+                    + terms.readyLeast() + " must be");
+        }
+    }
+
+    @Override
+    public void mark(int version) {
+        write(() -> store.mark(version), failure -> decider.marked(node.clock().now(), version, failure));
+    }
+
+    private interface Writing {
+        void run() throws IOException;
+    }
+
+    private void write(Writing writing, Consumer<String> end) {
+        onFiles(() -> {
+            writing.run();
+            return null;
+        }, (nothing, failure) -> end.accept(failure));
+    }
+
+    @Override
+    public void prepare(int version) {
+        Running running = known.get(version);
+        running.source = source(running);
+        List<ListenerPart> missing = places(running.config);
+        missing.removeAll(fronts.keySet());
+        preparation = new Preparation(running.config, running.source, node.transport(), node.clock(),
+                node.timers(), failure -> decider.prepared(node.clock().now(), version, failure));
+        preparation.start(missing, node::front);
+    }
+
+    @Override
+    public void begin(int version) {
+        fronts.putAll(preparation.bound());
+        preparation = null;
+        adopt(known.get(version));
+        Log.LOG.info("configuration: version " + version + " is on trial");
+    }
+
+    private void adopt(Running running) {
+        node.core().adopt(running.version, running.source.roster());
+        if (running.config.discovery() != null) {
+            running.source.watch(true);
+        }
+    }
+
+    @Override
+    public void writeConfirmed(int version) {
+        write(() -> store.confirm(version), failure -> decider.written(node.clock().now(), version, failure));
+    }
+
+    @Override
+    public void undo(int version, int to, String reason) {
+        double begun = node.clock().now();
+        if (preparation != null) {
+            preparation.abandon();
+            preparation.bound().values().forEach(front -> front.retire(0, () -> { }));
+            preparation = null;
+        }
+        if (node.core().version().number() == version) {
+            adopt(known.get(to));
+        }
+        undoMs = node.clock().now() - begun;
+        Log.LOG.warning("configuration: version " + version + " is undone, version " + to + " is current: "
+                + reason);
+        giveUp(version, to);
+        // If the disk fails here too, the mark stays, which says the same to the next start.
+        write(() -> store.mark(0), failure -> { });
+    }
+
+    @Override
+    public void keep(int version, int before) {
+        Log.LOG.info("configuration: version " + version + " is confirmed");
+        giveUp(before, version);
+    }
+
+    /** Gives up what only one version has and another has not. */
+    private void giveUp(int version, int stays) {
+        Running left = known.remove(version);
+        Running kept = known.get(stays);
+        for (ListenerPart part : List.copyOf(fronts.keySet())) {
+            if (!places(kept.config).contains(part)) {
+                fronts.remove(part).retire(LISTENER_GRACE_MS, () -> { });
+            }
+        }
+        node.core().release(version);
+        if (left != null && left.source != null && left.source != kept.source
+                && left.config.discovery() != null) {
+            left.source.watch(false);
+            discovered.remove(left.config.discovery());
+        }
+    }
+
+    @Override
+    public void answered(long id, Version version, int serviceClass, Answer.Kind kind, int attempts,
+            double elapsed) {
+        Outcome outcome = switch (kind) {
+            case SERVED -> Outcome.SERVED;
+            case REFUSED -> Outcome.REFUSED;
+            case FAILED, UNANSWERED, BROKEN -> Outcome.FAILED;
+        };
+        decider.answered(node.clock().now(), version.number(), outcome);
+    }
+}
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -21,6 +21,7 @@
     /** What each package may use, beside itself and the Java platform. */
     private static final Map<String, Set<String>> MAY_USE = Map.ofEntries(
             Map.entry("policy", Set.of()),
+            Map.entry("change", Set.of()),
             Map.entry("settings", Set.of("policy", "io.netty.util")),
             Map.entry("core", Set.of("policy")),
             Map.entry("membership", Set.of("policy", "settings", "core", "io.netty",
@@ -28,11 +29,12 @@
             Map.entry("config", Set.of("policy", "settings", "core", "membership",
                     "com.fasterxml.jackson", "org.tomlj")),
             Map.entry("http1", Set.of("policy", "core", "io.netty")),
+            Map.entry("admin", Set.of("io.netty", "com.fasterxml.jackson")),
             Map.entry("wire", Set.of("policy", "settings")),
             Map.entry("node", Set.of("policy", "settings", "core", "membership", "config", "http1",
-                    "io.netty")),
+                    "admin", "change", "com.fasterxml.jackson", "io.netty")),
             Map.entry("cli", Set.of("policy", "settings", "core", "membership", "config", "http1", "wire",
-                    "node", "picocli", "io.netty", "com.fasterxml.jackson")));
+                    "node", "picocli", "com.github.difflib", "io.netty", "com.fasterxml.jackson")));
 
     private static final JavaClasses MAIN = new ClassFileImporter()
             .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("sablehinge");
@@ -65,14 +67,16 @@
 
     @Test
     void decidersHaveNoClockThreadOrFile() {
-        noClasses().that().resideInAPackage("sablehinge.policy..").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..").should()
+                .dependOnClassesThat()
                 .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
                         "java.util.concurrent..", "java.util.logging..").check(MAIN);
         for (String clock : new String[] {"currentTimeMillis", "nanoTime"}) {
-            noClasses().that().resideInAnyPackage("sablehinge.policy..").should()
+            noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..").should()
                     .callMethod(System.class, clock).check(MAIN);
         }
-        noClasses().that().resideInAPackage("sablehinge.policy..").should().callMethod(Math.class, "random")
+        noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..").should()
+                .callMethod(Math.class, "random")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(MAIN);
     }
 
