--- a/src/main/java/sablehinge/node/Preparation.java
+++ b/src/main/java/sablehinge/node/Preparation.java
@@ -62,7 +62,7 @@
                     bound.put(part, front);
                     servers();
                 } else {
-                    finish("listener " + part.name() + ": " + failure);
+                    finish(failure);
                 }
             });
         }
--- a/src/main/java/sablehinge/node/Versions.java
+++ b/src/main/java/sablehinge/node/Versions.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -175,7 +176,11 @@
             }
             T made = value;
             String why = failure;
-            node.loop().execute(() -> end.accept(made, why));
+            try {
+                node.loop().execute(() -> end.accept(made, why));
+            } catch (RejectedExecutionException e) {
+                Log.LOG.fine("the process has ended");
+            }
         });
     }
 
--- /dev/null
+++ b/src/test/java/sablehinge/node/OperatorNodeTest.java
@@ -0,0 +1,451 @@
+package sablehinge.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sablehinge.rig.Listener;
+import sablehinge.rig.OperatorStage;
+import sablehinge.rig.Peer;
+import sablehinge.rig.Stage;
+import sablehinge.rig.StandIn;
+import sablehinge.rig.StandIn.Plan;
+
+/** Changes of the configuration over loopback sockets, with what goes wrong in their middle. */
+@Timeout(120)
+class OperatorNodeTest {
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return free.getLocalPort();
+        }
+    }
+
+    private static String version(Peer.Message answer) {
+        return answer.header("Sablehinge-Version");
+    }
+
+    private static String reason(JsonNode refused) {
+        return refused.path("error").asText();
+    }
+
+    @Test
+    void aChangeIsTriedConfirmedAndShown() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2)) {
+            stage.start(stage.text(0));
+            assertEquals("1", version(stage.ask(Stage.get("a", "5"))));
+            int next = stage.stage(stage.text(1));
+            assertEquals(2, next);
+            assertEquals("1", version(stage.ask(Stage.get("b", "5"))));
+            assertEquals("trial", stage.apply(next).path("change").path("phase").asText());
+            assertEquals("2", version(stage.ask(Stage.get("c", "5"))));
+            assertEquals(2, stage.confirm().path("confirmed").asInt());
+            assertEquals(2, stage.servers.get(0).seen.size());
+            assertEquals(1, stage.servers.get(1).seen.size());
+        }
+    }
+
+    @Test
+    void aRollbackWith500InFlightLeavesEachOneAnswer() throws Exception {
+        try (OperatorStage stage = new OperatorStage(4)) {
+            stage.start(stage.text(0, 1));
+            stage.apply(stage.stage(stage.text(2, 3)));
+            // The first try of every third request fails once it is let go: safe ones are then tried again.
+            for (StandIn server : stage.servers) {
+                server.plan = seen -> new Plan(0, 0);
+            }
+            List<Peer> callers = new ArrayList<>();
+            try {
+                for (int i = 0; i < 500; i++) {
+                    Peer caller = stage.caller();
+                    callers.add(caller);
+                    caller.write(i % 2 == 0 ? Stage.get("r" + i, "10") : Stage.spend("r" + i, "x"));
+                }
+                while (stage.servers.get(2).seen.size() + stage.servers.get(3).seen.size() < 500) {
+                    Thread.onSpinWait();
+                }
+                assertEquals(500, stage.status().path("requests_at_work").asInt());
+                JsonNode back = stage.admin("POST", "/config/rollback", "");
+                assertEquals(1, back.path("current").asInt());
+                assertTrue(back.path("last_undo_ms").asDouble() < 1_000);
+                stage.servers.get(0).plan = seen -> new Plan(200, 0);
+                stage.servers.get(1).plan = seen -> new Plan(200, 0);
+                assertEquals("1", version(stage.ask(Stage.get("new", "5"))));
+                // One server breaks off what it has, the other answers.
+                stage.servers.get(2).close();
+                stage.servers.get(3).plan = seen -> new Plan(200, 0);
+                stage.servers.get(3).release();
+                int served = 0;
+                for (int i = 0; i < 500; i++) {
+                    Peer.Message answer = callers.get(i).read();
+                    assertEquals("2", version(answer), "r" + i);
+                    assertTrue(answer.status() == 200 || answer.status() == 502 || i % 2 == 0
+                            && answer.status() == 503, "r" + i + ": " + answer);
+                    served += answer.status() == 200 ? 1 : 0;
+                    assertNull(second(callers.get(i)));
+                }
+                assertTrue(served > 100, served + " served");
+                for (int i = 0; i < 500; i++) {
+                    String txn = "r" + i;
+                    assertEquals(0, stage.servers.get(0).count(txn) + stage.servers.get(1).count(txn), txn);
+                    long sent = stage.servers.get(2).count(txn) + stage.servers.get(3).count(txn);
+                    assertTrue(i % 2 == 0 ? sent >= 1 : sent == 1, txn + " was sent " + sent + " times");
+                }
+                stage.until(status -> status.path("versions_at_work").asInt() == 1);
+            } finally {
+                for (Peer caller : callers) {
+                    caller.close();
+                }
+            }
+        }
+    }
+
+    /** What comes after an answer: the end, once this side has ended too. */
+    private static Peer.Message second(Peer caller) throws IOException {
+        caller.socket.shutdownOutput();
+        return caller.read();
+    }
+
+    @Test
+    void aServerThatVanishesWhileAChangeIsAppliedCostsNothing() throws Exception {
+        try (OperatorStage stage = new OperatorStage(3)) {
+            stage.start(stage.text(0));
+            int next = stage.stage(stage.text(0, 1, 2));
+            stage.servers.get(1).close();
+            assertEquals(200, stage.apply(next).path("status").asInt());
+            stage.servers.get(2).close();
+            for (int i = 0; i < 30; i++) {
+                Peer.Message answer = stage.ask(i % 2 == 0 ? Stage.get("r" + i, "5") : Stage.spend("r" + i,
+                        ""));
+                assertEquals(200, answer.status(), "r" + i);
+                assertEquals("2", version(answer));
+            }
+        }
+    }
+
+    @Test
+    void aChangeThatReachesTooFewServersNeverHasTraffic() throws Exception {
+        try (OperatorStage stage = new OperatorStage(3)) {
+            stage.start(stage.text(0));
+            stage.servers.get(2).close();
+            int next = stage.stage(stage.text("127.0.0.1:0",
+                    "[change]\nready-within = \"400ms\"\nready-least = 2\n",
+                    1, 2));
+            JsonNode refused = stage.apply(next);
+            assertEquals("version 2 is undone: reached 1 of at least 2 servers within 400 ms",
+                    reason(refused));
+            assertEquals("1", version(stage.ask(Stage.get("a", "5"))));
+            assertEquals(0, stage.servers.get(1).seen.size());
+        }
+    }
+
+    @Test
+    void aListenerThatCantBeHadUndoesTheChange() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1); ServerSocket taken = new ServerSocket(0, 1,
+                java.net.InetAddress.getLoopbackAddress())) {
+            stage.start(stage.text(0));
+            JsonNode refused = stage.apply(stage.stage(stage.text("127.0.0.1:" + taken.getLocalPort(), "",
+                    0)));
+            assertTrue(reason(refused).startsWith("version 2 is undone: cannot listen on"),
+                    reason(refused));
+            assertEquals("1", version(stage.ask(Stage.get("a", "5"))));
+        }
+    }
+
+    @Test
+    void whatDrainsInOneVersionGetsNothingNewFromAny() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2)) {
+            stage.start(stage.text(0, 1));
+            StandIn drains = stage.servers.get(0);
+            StandIn stays = stage.servers.get(1);
+            drains.plan = seen -> new Plan(0, 0);
+            stays.plan = seen -> new Plan(0, 0);
+            List<Peer> callers = new ArrayList<>();
+            while (drains.seen.isEmpty() || stays.seen.isEmpty()) {
+                Peer caller = stage.caller();
+                callers.add(caller);
+                caller.write(Stage.get("old" + callers.size(), "8"));
+                int sent = callers.size();
+                while (drains.seen.size() + stays.seen.size() < sent) {
+                    Thread.onSpinWait();
+                }
+            }
+            String draining = stage.text(0, 1).replaceFirst("cell = 0", "cell = 0\nstate = \"draining\"");
+            stage.apply(stage.stage(draining));
+            stage.confirm();
+            int before = drains.seen.size();
+            // In the middle of the drain, another change that has nothing to do with it.
+            stage.apply(stage.stage(draining + "[limits]\nattempts = 3\n"));
+            stays.plan = seen -> new Plan(200, 0);
+            for (int i = 0; i < 30; i++) {
+                assertEquals(200, stage.ask(Stage.get("new" + i, "5")).status());
+            }
+            // Requests of the first version that the other server breaks off may not go there any more
+            // either.
+            stays.close();
+            drains.release();
+            for (Peer caller : callers) {
+                Peer.Message answer = caller.read();
+                assertEquals("1", version(answer));
+                caller.close();
+            }
+            assertEquals(before, drains.seen.size());
+        }
+    }
+
+    @Test
+    void aClassThatIsRemovedIsServedToItsEnd() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text(0));
+            stage.servers.get(0).plan = seen -> new Plan(0, 0);
+            try (Peer caller = stage.caller()) {
+                caller.write(Stage.spend("a", "x"));
+                stage.servers.get(0).await(1);
+                stage.apply(stage.stage(stage.text(0).replace("credit-spend", "tile-order")));
+                stage.confirm();
+                stage.servers.get(0).release();
+                Peer.Message answer = caller.read();
+                assertEquals(200, answer.status());
+                assertEquals("1", version(answer));
+                assertEquals("for a", answer.body());
+            }
+            assertEquals(400, stage.ask(Stage.spend("b", "x")).status());
+        }
+    }
+
+    @Test
+    void aListenerMovesWhileCallersHoldConnections() throws Exception {
+        int first = freePort();
+        int second = freePort();
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text("127.0.0.1:" + first, "", 0));
+            try (Peer held = Peer.to(new InetSocketAddress("127.0.0.1", first))) {
+                held.write(Stage.get("a", "5"));
+                assertEquals("1", version(held.read()));
+                stage.apply(stage.stage(stage.text("127.0.0.1:" + second, "", 0)));
+                // Both serve while it is on trial, and the callers are not sent away yet.
+                held.write(Stage.get("b", "5"));
+                Peer.Message tried = held.read();
+                assertEquals("2", version(tried));
+                assertNull(tried.header("Connection"));
+                assertEquals("2", version(stage.ask(Stage.get("c", "5"))));
+                stage.confirm();
+                held.write(Stage.get("d", "5"));
+                Peer.Message last = held.read();
+                assertEquals(200, last.status());
+                assertEquals("close", last.header("Connection"));
+            }
+            stage.until(status -> {
+                try (Peer late = Peer.to(new InetSocketAddress("127.0.0.1", first))) {
+                    return !late.socket.isConnected();
+                } catch (IOException e) {
+                    return true;
+                }
+            });
+            assertEquals("2", version(stage.ask(Stage.get("e", "5"))));
+        }
+    }
+
+    @Test
+    void answersThatFailUndoTheChangeByThemselves() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2)) {
+            stage.start(stage.text(0));
+            stage.servers.get(1).plan = seen -> new Plan(500, 0);
+            for (int i = 0; i < 50; i++) {
+                stage.ask(Stage.get("g" + i, "5"));
+            }
+            stage.apply(stage.stage(stage.text("127.0.0.1:0", "[change]\nleast-count = 20\n", 1)));
+            int asked = 0;
+            try (Peer caller = stage.caller()) {
+                while (stage.status().path("change").path("phase").asText().equals("trial")) {
+                    for (int i = 0; i < 10; i++) {
+                        caller.write(Stage.spend("b" + asked++, ""));
+                        assertNotEquals(null, caller.read());
+                    }
+                    assertTrue(asked < 10_000, "never undone");
+                }
+            }
+            JsonNode past = stage.status().path("past").get(0);
+            assertEquals("undone", past.path("outcome").asText());
+            assertTrue(past.path("reason").asText().startsWith("failed answers rose from 0.0% to "),
+                    past.toString());
+            assertEquals("1", version(stage.ask(Stage.get("after", "5"))));
+        }
+    }
+
+    @Test
+    void theEndAmidAChangeAnswersAllAndLeavesTheConfirmedVersion() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2)) {
+            stage.start(stage.text(0));
+            stage.servers.get(0).plan = seen -> new Plan(0, 0);
+            try (Peer caller = stage.caller()) {
+                caller.write(Stage.spend("a", "x"));
+                stage.servers.get(0).await(1);
+                stage.apply(stage.stage(stage.text(1)));
+                Thread end = new Thread(() -> {
+                    try {
+                        stage.node.drain();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                end.start();
+                stage.servers.get(0).release();
+                assertEquals(200, caller.read().status());
+                end.join();
+            }
+            stage.node.kill();
+            stage.node = OperatorNode.start(stage.file, false);
+            assertEquals(1, stage.status().path("confirmed").asInt());
+            stage.servers.get(0).plan = seen -> new Plan(200, 0);
+            assertEquals("1", version(stage.ask(Stage.get("b", "5"))));
+        }
+    }
+
+    @Test
+    void aHundredChangesInARowLeaveNothingBehind() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2)) {
+            stage.start(stage.text(0));
+            change(stage, 0);
+            int files = descriptors();
+            int threads = Thread.activeCount();
+            for (int i = 1; i <= 100; i++) {
+                change(stage, i);
+            }
+            JsonNode status = stage.until(now -> now.path("versions_at_work").asInt() == 1
+                    && now.path("requests_at_work").asInt() == 0 && now.path("connections").asInt() <= 4);
+            assertEquals(0, status.path("staged").size());
+            assertTrue(descriptors() <= files + 4, descriptors() + " descriptors after " + files);
+            assertTrue(Thread.activeCount() <= threads + 2, Thread.activeCount() + " threads after "
+                    + threads);
+        }
+    }
+
+    private static void change(OperatorStage stage, int i) throws Exception {
+        int version = stage.stage(stage.text("127.0.0.1:0", "[limits]\nopen = " + (100 + i) + "\n", i % 2));
+        assertEquals(200, stage.apply(version).path("status").asInt());
+        assertEquals(200, stage.ask(Stage.get("r" + i, "5")).status());
+        if (i % 2 == 0) {
+            stage.confirm();
+        } else {
+            stage.admin("POST", "/config/rollback", "");
+        }
+    }
+
+    private static int descriptors() throws IOException {
+        try (var files = Files.list(Path.of("/proc/self/fd"))) {
+            return (int) files.count();
+        }
+    }
+
+    @Test
+    void aDiskThatTakesNothingRefusesTheStagingAndLeavesTraffic() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text(0));
+            // What is to be written is a directory, so that no user, not even root, can write it.
+            Files.createDirectory(stage.folder.resolve("sablehinge-state/v000002.toml.new"));
+            JsonNode refused = stage.admin("POST", "/config/stage", stage.text(0));
+            assertEquals(409, refused.path("status").asInt());
+            assertTrue(reason(refused).startsWith("v000002.toml could not be written: "), reason(refused));
+            assertEquals("1", version(stage.ask(Stage.get("a", "5"))));
+            Files.createDirectory(stage.folder.resolve("sablehinge-state/state.json.new"));
+            Files.delete(stage.folder.resolve("sablehinge-state/v000002.toml.new"));
+            assertEquals(409, stage.admin("POST", "/config/stage", stage.text(0)).path("status").asInt());
+            Files.delete(stage.folder.resolve("sablehinge-state/state.json.new"));
+            assertEquals(2, stage.stage(stage.text(0)));
+        }
+    }
+
+    @Test
+    void badFilesAndStaleBasesAreRefusedWithReasons() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2)) {
+            stage.start(stage.text(0));
+            JsonNode wrong = stage.admin("POST", "/config/stage", stage.text(0) + "[limit]\n");
+            assertEquals(422, wrong.path("status").asInt());
+            assertEquals("unknown key, did you mean limits?",
+                    wrong.path("problems").get(0).path("message").asText());
+            int two = stage.stage(stage.text(1));
+            int three = stage.stage(stage.text(0, 1));
+            stage.apply(two);
+            assertEquals("version 2 is on trial; confirm it or roll it back first",
+                    reason(stage.apply(three)));
+            stage.confirm();
+            assertEquals("version 3 was staged over version 1, but version 2 is current",
+                    reason(stage.apply(three)));
+            assertEquals("it is based on version 1, but version 2 is current",
+                    reason(stage.admin("POST", "/config/stage?base=1", stage.text(0))));
+            assertEquals("node.name, node.state and node.descriptors can't change while the process runs",
+                    reason(stage.admin("POST", "/config/stage", stage.text(0).replace("[node]",
+                            "[node]\nname = \"other\""))));
+        }
+    }
+
+    @Test
+    void theOperatorFileIsTakenAgainAtASignal() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2)) {
+            stage.start(stage.text(0));
+            Files.writeString(stage.file, stage.text("127.0.0.1:0", "[change]\nconfirm-within = \"1s\"\n",
+                    1));
+            stage.node.reload();
+            stage.until(status -> status.path("confirmed").asInt() == 2);
+            Files.writeString(stage.file, "nonsense");
+            stage.node.reload();
+            assertEquals("2", version(stage.ask(Stage.get("a", "5"))));
+        }
+    }
+
+    @Test
+    void aVersionOfAnotherDiscoveryWaitsForItsFirstList() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2); Listener silent = new Listener()) {
+            stage.start(stage.text(0));
+            String bySilent = "discovery = \"" + silent.address() + "\"\n"
+                    + stage.text("127.0.0.1:0", "[change]\nready-within = \"400ms\"\n");
+            assertEquals(0, silent.waiting());
+            assertEquals("version 2 is undone: no list of servers came within 400 ms",
+                    reason(stage.apply(stage.stage(bySilent))));
+            assertEquals("1", version(stage.ask(Stage.get("a", "5"))));
+        }
+    }
+
+    @Test
+    void anAdminPortWantsItsToken() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1)) {
+            Files.writeString(stage.folder.resolve("token"), "a token of some length\n");
+            stage.start(stage.text("127.0.0.1:0",
+                    "[admin]\nlisten = \"127.0.0.1:0\"\ntoken-file = \"token\"\n",
+                    0));
+            var address = stage.node.adminAddress();
+            assertEquals(200, OperatorStage.admin(address, "a token of some length", "GET", "/config/status",
+                    "")
+                    .path("status").asInt());
+            for (String token : new String[] {null, "", "a token of some lengtH"}) {
+                assertEquals(401, OperatorStage.admin(address, token, "POST", "/config/rollback", "")
+                        .path("status").asInt());
+            }
+        }
+    }
+
+    @Test
+    void theSocketIsItsOwnersOnly() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text(0));
+            assertEquals("rw-------", java.nio.file.attribute.PosixFilePermissions.toString(
+                    Files.getPosixFilePermissions(stage.folder.resolve("sablehinge-state/admin.sock"))));
+            OperatorNode.StartException taken = assertThrows(OperatorNode.StartException.class,
+                    () -> OperatorNode.start(stage.file, false));
+            assertTrue(taken.getMessage().contains("is in use by another process"), taken.getMessage());
+        }
+    }
+}
