--- a/src/main/java/sablehinge/config/PlatformConfig.java
+++ b/src/main/java/sablehinge/config/PlatformConfig.java
@@ -61,7 +61,7 @@
                 address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
                 names(given.path("services")), names(given.path("tenants")),
-                new RosterParser(zones, kinds).parse(root.path("known")));
+                new RosterParser(zones, kinds, false).parse(root.path("known")));
     }
 
     private static InetSocketAddress address(JsonNode root, String key) {
--- a/src/main/java/sablehinge/config/operator/OperatorConfig.java
+++ b/src/main/java/sablehinge/config/operator/OperatorConfig.java
@@ -38,9 +38,10 @@
      * @param descriptors how many file descriptors the process may hold
      * @param state the directory of the versions, relative to the operator file
      * @param versionHeader whether answers carry {@code Sablehinge-Version}
+     * @param accessLog the file of a line for each answer, relative to the operator file; null for none
      */
     public record NodePart(String name, String zone, int position, int siblings, int descriptors,
-            String state, boolean versionHeader) { }
+            String state, boolean versionHeader, String accessLog) { }
 
     /** The admin listener: a Unix socket's path, relative to the state directory, or a port with a token. */
     public record AdminPart(String socket, InetSocketAddress listen, String tokenFile) { }
@@ -89,7 +90,8 @@
         }
         List<Tenant> shares = tenants.stream().map(t -> new Tenant(t.name, t.share, 0)).toList();
         Settings settings = new Settings(node.position, node.siblings, 0, 1, place(zoneNames, node.zone),
-                zoneNames.size(), kindNames.size(), discovery != null, true, false, false, false, 1,
+                Math.max(1, zoneNames.size()), Math.max(1, kindNames.size()), discovery != null, true, false,
+                        false, false, 1,
                 WeightKind.NONE, Reports.NONE, List.of(), types, shares, limits, rules,
                 new Goal(1 - worstClassWeight, 0, worstClassWeight, 0, 0, 0, 0, 0),
                 new Prices(crossZonePrice, 0, 0, 0, 0, 0, 0, 0));
--- a/src/main/java/sablehinge/config/operator/OperatorFile.java
+++ b/src/main/java/sablehinge/config/operator/OperatorFile.java
@@ -287,7 +287,7 @@
         }
         NodePart node = new NodePart(name, zone, position, siblings,
                 s.integer("descriptors", 4_096, 256, 1_000_000), s.text("state", "sablehinge-state"),
-                s.flag("version-header", false));
+                s.flag("version-header", false), s.text("access-log", null));
         s.end();
         return node;
     }
--- a/src/main/java/sablehinge/core/Caller.java
+++ b/src/main/java/sablehinge/core/Caller.java
@@ -5,4 +5,9 @@
 
     /** Takes the answer; called once at most, on the thread that owns the core. */
     void answer(Answer answer);
+
+    /** What the caller calls its request; empty if it has no name for it. Asked for before the answer. */
+    default String name() {
+        return "";
+    }
 }
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -288,9 +288,9 @@
     }
 
     private void answer(Exchange exchange, Answer answer) {
+        String name = observer == null ? null : exchange.name();
         if (exchange.answer(answer) && observer != null) {
-            observer.answered(exchange.id, exchange.version, exchange.serviceClass, answer.kind(),
-                    exchange.sends,
+            observer.answered(name, exchange.version, exchange.serviceClass, answer.kind(), exchange.sends,
                     clock.now() - exchange.arrivedAt);
         }
     }
--- a/src/main/java/sablehinge/core/Exchange.java
+++ b/src/main/java/sablehinge/core/Exchange.java
@@ -45,6 +45,11 @@
         return true;
     }
 
+    /** What its caller calls it. */
+    String name() {
+        return caller == null ? "" : caller.name();
+    }
+
     /** Nobody waits for an answer any more. */
     void close() {
         caller = null;
--- a/src/main/java/sablehinge/core/Observer.java
+++ b/src/main/java/sablehinge/core/Observer.java
@@ -6,11 +6,12 @@
     /**
      * An answer was handed to its caller.
      *
-     * @param id core's number of the request
+     * @param request what its caller calls it; empty if it has no name
      * @param version under which the request arrived
      * @param serviceClass index into the classes of that version
      * @param attempts how many were asked for
      * @param elapsed ms since the request arrived
      */
-    void answered(long id, Version version, int serviceClass, Answer.Kind kind, int attempts, double elapsed);
+    void answered(String request, Version version, int serviceClass, Answer.Kind kind, int attempts,
+            double elapsed);
 }
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -196,6 +196,16 @@
         afterwards = done;
     }
 
+    /** Takes a retirement back; false if it lets in nobody any more. */
+    public boolean stay() {
+        if (!listening.isOpen()) {
+            return false;
+        }
+        draining = false;
+        closesAt = Double.POSITIVE_INFINITY;
+        return true;
+    }
+
     private void leave() {
         if (listening.isOpen()) {
             int before;
@@ -497,6 +507,11 @@
                     : Unpooled.EMPTY_BUFFER, answer.retryAfter());
         }
 
+        @Override
+        public String name() {
+            return txn == null ? "" : txn;
+        }
+
         /** Writes an answer and goes on to the next request; takes the content over. */
         private void write(HttpResponseStatus status, ByteBuf content, double retryAfter) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
--- a/src/main/java/sablehinge/membership/RosterParser.java
+++ b/src/main/java/sablehinge/membership/RosterParser.java
@@ -16,8 +16,12 @@
  *
  * @param zones the names of the zones, by the index that the module uses
  * @param kinds likewise of the machine types
+ * @param learns whether a name that is not among them is added to them, to keep its number from then on
  */
-public record RosterParser(List<String> zones, List<String> kinds) {
+public record RosterParser(List<String> zones, List<String> kinds, boolean learns) {
+
+    /** Names that are learnt at most; those beyond share a place. */
+    private static final int MOST_NAMES = 1_000;
 
     /**
      * Reads a list; throws {@link IllegalArgumentException} if any part of it is amiss, since half a list
@@ -62,9 +66,13 @@
         return (long) id.hashCode() << Integer.SIZE | low.getValue();
     }
 
-    /** A name that the settings lack gets a place of its own behind those that they have. */
-    private static int index(List<String> names, String name) {
+    /** A name that the settings lack gets a place behind those that they have. */
+    private int index(List<String> names, String name) {
         int at = names.indexOf(name);
+        if (at < 0 && learns && names.size() < MOST_NAMES) {
+            names.add(name);
+            return names.size() - 1;
+        }
         return at < 0 ? names.size() : at;
     }
 }
--- a/src/main/java/sablehinge/node/AdminHandler.java
+++ b/src/main/java/sablehinge/node/AdminHandler.java
@@ -131,6 +131,7 @@
                 .put("at_ms", Math.round(one.at())).put("outcome", one.kept() ? "confirmed" : "undone")
                 .put("reason", one.reason()));
         return status.put("last_undo_ms", versions.undoMs()).put("versions_at_work", node.core().versions())
-                .put("requests_at_work", node.core().requests()).put("connections", node.sockets().open());
+                .put("requests_at_work", node.core().requests()).put("connections", node.sockets().open())
+                .put("access_log_dropped", node.droppedLines());
     }
 }
--- a/src/main/java/sablehinge/node/Node.java
+++ b/src/main/java/sablehinge/node/Node.java
@@ -61,7 +61,8 @@
         core = new Core(clock, new LoopTimers(loop, clock), module);
         upstreams = new UpstreamClient(loop, clock, sockets, memory);
         discovery = new Discovery(loop, config.discovery(), config.known().version(),
-                new RosterParser(config.zones(), config.kinds()), memory, core::told, Discovery.WATCH_MS);
+                new RosterParser(config.zones(), config.kinds(), false), memory, core::told,
+                        Discovery.WATCH_MS);
         frontend = new Frontend(loop, sockets, memory, core);
     }
 
--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -24,11 +24,13 @@
 import sablehinge.config.operator.OperatorFile;
 import sablehinge.config.operator.Problem;
 import sablehinge.config.versions.VersionStore;
+import sablehinge.core.Answer;
 import sablehinge.core.Clock;
 import sablehinge.core.Core;
 import sablehinge.core.Log;
 import sablehinge.core.LogLimit;
 import sablehinge.core.Timers;
+import sablehinge.core.Version;
 import sablehinge.http1.Frontend;
 import sablehinge.http1.Sockets;
 import sablehinge.http1.UpstreamClient;
@@ -42,6 +44,7 @@
 
     private static final double DRAIN_SLACK_MS = 1_000;
     private static final long DRAIN_CHECK_MS = 10;
+    private static final long ACCESS_LOG_BYTES = 256L << 20;
 
     private final EventLoop loop;
     private final Clock clock = Clock.system();
@@ -56,6 +59,7 @@
     private final Versions versions;
     private final Path file;
     private AdminServer admin;
+    private AccessLog accessLog;
 
     /** A start that failed, with the problems of a file if it was those. */
     public static final class StartException extends Exception {
@@ -169,6 +173,10 @@
     }
 
     private void begin(OperatorConfig first, Path state) throws IOException, InterruptedException {
+        if (first.node().accessLog() != null) {
+            accessLog = new AccessLog(file.toAbsolutePath().getParent().resolve(first.node().accessLog()),
+                    ACCESS_LOG_BYTES);
+        }
         loop.submit(() -> versions.start(ThreadLocalRandom.current().nextLong())).sync();
         for (ListenerPart part : Versions.places(first)) {
             Frontend front = front();
@@ -223,7 +231,7 @@
 
     Discovery discovery(InetSocketAddress address, List<String> zones, List<String> kinds,
             Discovery.Listener listener) {
-        return new Discovery(loop, address, -1, new RosterParser(zones, kinds), memory, listener,
+        return new Discovery(loop, address, -1, new RosterParser(zones, kinds, true), memory, listener,
                 Discovery.WATCH_MS);
     }
 
@@ -237,6 +245,19 @@
         return onLoop(() -> versions.fronts().values().stream().map(Frontend::address).toList());
     }
 
+    /** Notes an answer in the access log, if there is one. */
+    void note(String request, Version version, int serviceClass, Answer.Kind kind, int attempts,
+            double elapsed) {
+        if (accessLog != null) {
+            accessLog.note(clock.now(), request, version, serviceClass, kind, attempts, elapsed);
+        }
+    }
+
+    /** Lines that the access log had to drop. */
+    long droppedLines() {
+        return accessLog == null ? 0 : accessLog.dropped();
+    }
+
     <T> T onLoop(Callable<T> look) throws InterruptedException {
         return loop.submit(look).sync().getNow();
     }
@@ -291,6 +312,9 @@
             Thread.sleep(DRAIN_CHECK_MS);
         }
         loop.submit(core::giveUpAll).sync();
+        if (accessLog != null) {
+            accessLog.close();
+        }
         closeQuietly(store);
     }
 
--- a/src/main/java/sablehinge/node/ServerSource.java
+++ b/src/main/java/sablehinge/node/ServerSource.java
@@ -20,6 +20,7 @@
     /** Null where the file lists the servers. */
     private Discovery discovery;
     private boolean told;
+    private boolean fetching;
     private long version;
 
     private ServerSource(BiConsumer<Change, Roster> listener) {
@@ -42,6 +43,7 @@
     }
 
     private void told(Change change, Roster roster) {
+        fetching = false;
         if (roster != null) {
             take(roster);
         }
@@ -82,7 +84,9 @@
 
     @Override
     public void fetch() {
-        if (discovery != null) {
+        // One question at a time: whoever waits asks again and again.
+        if (discovery != null && !fetching) {
+            fetching = true;
             discovery.fetch();
         }
     }
--- a/src/main/java/sablehinge/node/Versions.java
+++ b/src/main/java/sablehinge/node/Versions.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
@@ -68,6 +69,8 @@
     private final ChangeDecider decider;
     private final Map<Integer, Running> known = new HashMap<>();
     private final Map<ListenerPart, Frontend> fronts = new LinkedHashMap<>();
+    /** Those that are being given up, which a change may want back. */
+    private final Map<ListenerPart, Frontend> leaving = new HashMap<>();
     private final Map<InetSocketAddress, ServerSource> discovered = new HashMap<>();
     private final List<String> zones = new ArrayList<>();
     private final List<String> kinds = new ArrayList<>();
@@ -225,8 +228,9 @@
         }
         if (!running.node().state().equals(next.node().state())
                 || running.node().descriptors() != next.node().descriptors()
+                || !Objects.equals(running.node().accessLog(), next.node().accessLog())
                 || !running.node().name().equals(next.node().name())) {
-            return "node.name, node.state and node.descriptors can't change while the process runs";
+            return "node.name, state, descriptors and access-log can't change while the process runs";
         }
         long names = zones.size() + kinds.size() + next.zones().size() + next.kinds().size();
         return names <= MOST_NAMES ? null : "over " + MOST_NAMES
@@ -336,8 +340,14 @@
         running.source = source(running);
         List<ListenerPart> missing = places(running.config);
         missing.removeAll(fronts.keySet());
+        Map<ListenerPart, Frontend> back = new LinkedHashMap<>();
+        missing.removeIf(part -> {
+            Frontend left = leaving.remove(part);
+            return left != null && left.stay() && back.put(part, left) == null;
+        });
         preparation = new Preparation(running.config, running.source, node.transport(), node.clock(),
                 node.timers(), failure -> decider.prepared(node.clock().now(), version, failure));
+        preparation.bound().putAll(back);
         preparation.start(missing, node::front);
     }
 
@@ -350,8 +360,9 @@
     }
 
     private void adopt(Running running) {
+        ServerSource before = current().source;
         node.core().adopt(running.version, running.source.roster());
-        if (running.config.discovery() != null) {
+        if (running.source != before && running.config.discovery() != null) {
             running.source.watch(true);
         }
     }
@@ -366,7 +377,7 @@
         double begun = node.clock().now();
         if (preparation != null) {
             preparation.abandon();
-            preparation.bound().values().forEach(front -> front.retire(0, () -> { }));
+            preparation.bound().forEach((part, front) -> leave(part, front, 0));
             preparation = null;
         }
         if (node.core().version().number() == version) {
@@ -386,13 +397,18 @@
         giveUp(before, version);
     }
 
+    private void leave(ListenerPart part, Frontend front, double grace) {
+        leaving.put(part, front);
+        front.retire(grace, () -> leaving.remove(part, front));
+    }
+
     /** Gives up what only one version has and another has not. */
     private void giveUp(int version, int stays) {
         Running left = known.remove(version);
         Running kept = known.get(stays);
         for (ListenerPart part : List.copyOf(fronts.keySet())) {
             if (!places(kept.config).contains(part)) {
-                fronts.remove(part).retire(LISTENER_GRACE_MS, () -> { });
+                leave(part, fronts.remove(part), LISTENER_GRACE_MS);
             }
         }
         node.core().release(version);
@@ -404,7 +420,7 @@
     }
 
     @Override
-    public void answered(long id, Version version, int serviceClass, Answer.Kind kind, int attempts,
+    public void answered(String request, Version version, int serviceClass, Answer.Kind kind, int attempts,
             double elapsed) {
         Outcome outcome = switch (kind) {
             case SERVED -> Outcome.SERVED;
@@ -412,5 +428,6 @@
             case FAILED, UNANSWERED, BROKEN -> Outcome.FAILED;
         };
         decider.answered(node.clock().now(), version.number(), outcome);
+        node.note(request, version, serviceClass, kind, attempts, elapsed);
     }
 }
--- a/src/test/java/sablehinge/cli/DrainTest.java
+++ b/src/test/java/sablehinge/cli/DrainTest.java
@@ -71,6 +71,41 @@
         }
     }
 
+    /** What is off costs nothing: the platform's serve loads no class of the operators' part. */
+    @Test
+    void thePlatformLoadsNothingOfTheOperators() throws Exception {
+        Path file = Files.createTempFile("node", ".json");
+        Path loaded = Files.createTempFile("classes", ".log");
+        Process process = null;
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        try (Stage stage = new Stage()) {
+            Files.writeString(file, stage.config().replace("127.0.0.1:0", "127.0.0.1:" + port));
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin",
+                    "java")
+                    .toString(), "-Xlog:class+load:file=" + loaded, "-cp",
+                    System.getProperty("java.class.path"), Main.class.getName(), "serve");
+            builder.environment().put("PROXY_CONFIG", file.toString());
+            process = builder.redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            Peer.toServing(new InetSocketAddress("127.0.0.1", port), process).close();
+            String classes = Files.readString(loaded);
+            assertTrue(classes.contains("sablehinge.core.Core "));
+            for (String off : new String[] {"picocli.", "org.tomlj.", "org.antlr.", "com.github.difflib.",
+                "sablehinge.change.", "sablehinge.admin.", "sablehinge.config.operator.",
+                "sablehinge.config.versions.", "sablehinge.node.Operator", "sablehinge.node.Versions"}) {
+                assertFalse(classes.contains(" " + off), off);
+            }
+        } finally {
+            if (process != null) {
+                process.destroyForcibly().waitFor();
+            }
+            Files.delete(file);
+            Files.delete(loaded);
+        }
+    }
+
     @Test
     void sigtermLetsAllThatIsTakenBeAnswered() throws Exception {
         Path file = Files.createTempFile("node", ".json");
--- a/src/test/java/sablehinge/membership/DiscoveryTest.java
+++ b/src/test/java/sablehinge/membership/DiscoveryTest.java
@@ -142,7 +142,7 @@
             LinkedBlockingQueue<Change> told = new LinkedBlockingQueue<>();
             PlatformConfig config = PlatformConfig.read(file.toString());
             Discovery discovery = new Discovery(loop, config.discovery(), config.known().version(),
-                    new RosterParser(config.zones(), config.kinds()), ByteBufAllocator.DEFAULT,
+                    new RosterParser(config.zones(), config.kinds(), false), ByteBufAllocator.DEFAULT,
                     (change, roster) -> told.add(change), 100);
             loop.execute(() -> discovery.watch(true));
             Peer watch = stage.discovery.accept();
--- a/src/test/java/sablehinge/node/OperatorNodeTest.java
+++ b/src/test/java/sablehinge/node/OperatorNodeTest.java
@@ -386,7 +386,7 @@
                     reason(stage.apply(three)));
             assertEquals("it is based on version 1, but version 2 is current",
                     reason(stage.admin("POST", "/config/stage?base=1", stage.text(0))));
-            assertEquals("node.name, node.state and node.descriptors can't change while the process runs",
+            assertEquals("node.name, state, descriptors and access-log can't change while the process runs",
                     reason(stage.admin("POST", "/config/stage", stage.text(0).replace("[node]",
                             "[node]\nname = \"other\""))));
         }
@@ -419,6 +419,78 @@
         }
     }
 
+    /**
+     * A discovery that goes on through a change: its news counts for both versions, and is not asked for
+     * anew.
+     */
+    @Test
+    void aDiscoveryGoesOnThroughAChange() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2); Listener discovery = new Listener()) {
+            String[] up = {Stage.entry(0, stage.servers.get(0).address(), "up"),
+                Stage.entry(1, stage.servers.get(1).address(), "up")};
+            String text = "discovery = \"" + discovery.address() + "\"\n" + stage.text("127.0.0.1:0", "");
+            stage.start(text);
+            Peer watch = discovery.accept();
+            assertEquals("GET /catalog/members HTTP/1.1", watch.read().first());
+            watch.write(Stage.ok(Stage.roster(5, true, up)));
+            assertTrue(watch.read().first().startsWith("GET /catalog/members?index=5&"));
+            assertEquals(200, stage.ask(Stage.get("a", "5")).status());
+            stage.apply(stage.stage(text + "[limits]\nattempts = 2\n"));
+            assertEquals("2", version(stage.ask(Stage.get("b", "5"))));
+            watch.write(Stage.ok(Stage.roster(6, false, Stage.entry(0, stage.servers.get(0).address(),
+                    "draining"))));
+            assertTrue(watch.read().first().startsWith("GET /catalog/members?index=6&"));
+            int before = stage.servers.get(0).seen.size();
+            stage.admin("POST", "/config/rollback", "");
+            for (int i = 0; i < 20; i++) {
+                assertEquals("1", version(stage.ask(Stage.get("c" + i, "5"))));
+            }
+            assertEquals(before, stage.servers.get(0).seen.size());
+            assertEquals(0, discovery.waiting());
+        }
+    }
+
+    /** Undone and applied again at once: the port is still held by what is being given up. */
+    @Test
+    void aListenerThatIsBeingGivenUpIsTakenBack() throws Exception {
+        int other = freePort();
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text(0));
+            for (int i = 0; i < 3; i++) {
+                int next = stage.stage(stage.text("127.0.0.1:" + other, "", 0));
+                assertEquals(200, stage.apply(next).path("status").asInt());
+                Peer.Message answer = stage.ask(Stage.get("r" + i, "5"));
+                assertEquals(Integer.toString(next), version(answer));
+                assertNull(answer.header("Connection"));
+                stage.admin("POST", "/config/rollback", "");
+            }
+        }
+    }
+
+    @Test
+    void theAccessLogNamesTheVersionOfEachAnswer() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text(0).replace("[node]", "[node]\naccess-log = \"access.log\""));
+            stage.ask(Stage.get("a\"b\\\\", "5"));
+            stage.apply(stage.stage(Files.readString(stage.file) + "[limits]\nattempts = 1\n"));
+            stage.servers.get(0).plan = seen -> new Plan(500, 0);
+            stage.ask(Stage.spend("c", ""));
+            stage.node.drain();
+            List<String> lines = Files.readAllLines(stage.folder.resolve("access.log"));
+            assertEquals(2, lines.size());
+            var json = new com.fasterxml.jackson.databind.json.JsonMapper();
+            JsonNode first = json.readTree(lines.get(0));
+            assertEquals("a\"b\\\\", first.path("request").asText());
+            assertEquals("1 look-up served 1", first.path("version").asText() + " "
+                    + first.path("class").asText()
+                    + " " + first.path("outcome").asText() + " " + first.path("attempts").asText());
+            JsonNode second = json.readTree(lines.get(1));
+            assertEquals("2 credit-spend failed 1", second.path("version").asText() + " "
+                    + second.path("class").asText() + " " + second.path("outcome").asText() + " "
+                    + second.path("attempts").asText());
+        }
+    }
+
     @Test
     void anAdminPortWantsItsToken() throws Exception {
         try (OperatorStage stage = new OperatorStage(1)) {
