The decider's random stories reach every phase: an undoing amid a confirmation fails them

Need: a mutant that let a rollback undo a version while its confirmation was being written passed. Change: events mostly name the version under way, and follow each other within its time limits. Result: the mutant fails the property; the code as it is passes 3,000 stories.

--- a/src/test/java/sablehinge/change/ChangeDeciderPropertyTest.java
+++ b/src/test/java/sablehinge/change/ChangeDeciderPropertyTest.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
 import org.junit.jupiter.api.Assertions;
 import sablehinge.change.ChangeDecider.Phase;
 import sablehinge.change.ChangeDecider.Terms;
@@ -83,8 +84,9 @@
 
     @Provide
     Arbitrary<List<Event>> stories() {
-        return Combinators.combine(Arbitraries.of(Kind.class), Arbitraries.integers().between(0, 12_000),
-                Arbitraries.integers().between(0, 12), Arbitraries.of(false, false, false, true))
+        return Combinators.combine(Arbitraries.of(Kind.class), Arbitraries.integers().between(0, 2_000),
+                Arbitraries.frequencyOf(Tuple.of(8, Arbitraries.just(0)),
+                        Tuple.of(2, Arbitraries.integers().between(0, 12))), Arbitraries.of(false, false, false, true))
                 .as(Event::new).list().ofMaxSize(80);
     }
 
