A file that could not be served is not what the next start insists on

Need: seen by hand. A first start with a port that was taken had put its file down as the confirmed version, so that the mended file was not served. Change: the first version is confirmed once it serves, on the thread that has the store. CoreTest has a module that breaks its word: nothing is sent for what has its answer.

--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -78,7 +79,7 @@
         }
     }
 
-    private OperatorNode(Path file, OperatorConfig first, VersionStore store,
+    private OperatorNode(Path file, First first, VersionStore store,
             Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.file = file;
         this.store = store;
@@ -86,10 +87,10 @@
                 NioIoHandler.newFactory()).next();
         Log.LOG.setFilter(new LogLimit(clock::now));
         timers = new LoopTimers(loop, clock);
-        sockets = new Sockets(first.node().descriptors());
+        sockets = new Sockets(first.config().node().descriptors());
         core = new Core(clock, timers, module);
         transport = new UpstreamClient(loop, clock, sockets, memory);
-        versions = new Versions(this, store, files, first);
+        versions = new Versions(this, store, files, first.number(), first.config());
     }
 
     /**
@@ -123,9 +124,14 @@
         }
         OperatorNode node = null;
         try {
-            OperatorConfig first = first(store, bytes, checked.config(), adopt);
+            First first = first(store, bytes, checked.config(), adopt);
             node = new OperatorNode(file, first, store, module);
-            node.begin(first, state);
+            node.begin(first.config(), state);
+            if (store.confirmed() != first.number()) {
+                // Only now: a file that could not be served must not be what the next start insists on.
+                node.confirm(first.number());
+            }
+            Log.LOG.info("serves as " + first.config().node().name() + " under version " + first.number());
             return node;
         } catch (IOException e) {
             if (node != null) {
@@ -145,8 +151,10 @@
         }
     }
 
-    /** The version to serve first; the store has it confirmed when this returns. */
-    private static OperatorConfig first(VersionStore store, byte[] bytes, OperatorConfig given, boolean adopt)
+    /** A version to serve first. */
+    private record First(int number, OperatorConfig config) { }
+
+    private static First first(VersionStore store, byte[] bytes, OperatorConfig given, boolean adopt)
             throws IOException {
         if (store.cutOff() != 0) {
             Log.LOG.warning("configuration: version " + store.cutOff()
@@ -155,8 +163,7 @@
             store.mark(0);
         }
         if (store.confirmed() == 0 || adopt) {
-            store.confirm(store.stage(bytes));
-            return given;
+            return new First(store.stage(bytes), given);
         }
         byte[] confirmed = store.content(store.confirmed());
         if (!Arrays.equals(confirmed, bytes)) {
@@ -169,7 +176,19 @@
             throw new IOException("version " + store.confirmed() + " can't be served by this program: "
                     + checked.problems().get(0).in("its file") + "; --adopt takes the operator file instead");
         }
-        return checked.config();
+        return new First(store.confirmed(), checked.config());
+    }
+
+    /** On the thread that has the store: operators may be at work already. */
+    private void confirm(int number) throws IOException, InterruptedException {
+        try {
+            files.submit(() -> {
+                store.confirm(number);
+                return null;
+            }).get();
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e);
+        }
     }
 
     private void begin(OperatorConfig first, Path state) throws IOException, InterruptedException {
@@ -196,7 +215,6 @@
             admin = new AdminServer(loop, handler, secret);
             admin.bind(first.admin().listen());
         }
-        Log.LOG.info("serves as " + first.node().name() + " under version " + store.confirmed());
     }
 
     // ---- The parts, for those that work on them -----------------------------------------------------
--- a/src/main/java/sablehinge/node/Versions.java
+++ b/src/main/java/sablehinge/node/Versions.java
@@ -81,13 +81,13 @@
     /** Since when fewer servers are ready than the version on trial asks for; NaN while enough are. */
     private double bare = Double.NaN;
 
-    /** Begins with a version that the store has confirmed. */
-    Versions(OperatorNode node, VersionStore store, ExecutorService files, OperatorConfig first) {
+    /** Begins with a version that counts as confirmed; the store hears of that once it serves. */
+    Versions(OperatorNode node, VersionStore store, ExecutorService files, int number, OperatorConfig first) {
         this.node = node;
         this.store = store;
         this.files = files;
-        decider = new ChangeDecider(store.confirmed(), this);
-        Running running = read(store.confirmed(), first);
+        decider = new ChangeDecider(number, this);
+        Running running = read(number, first);
         running.source = source(running);
     }
 
--- a/src/test/java/sablehinge/core/CoreTest.java
+++ b/src/test/java/sablehinge/core/CoreTest.java
@@ -318,10 +318,38 @@
         }
         world.core.giveUpAll();
         world.asked.forEach(one -> assertEquals(1, one.answers));
+        assertEquals(0, world.out.size(), "attempts go on for what is answered");
         world.advance(2_000);
         world.asked.forEach(one -> assertEquals(1, one.answers + one.released - 1));
     }
 
+    /** Also a module that breaks its word sends nothing for what has its answer. */
+    @Test
+    void nothingIsSentOnceItIsAnswered() {
+        World world = new World(6);
+        Core core = new Core(() -> world.now, world, actions -> (LoadBalancer) java.lang.reflect.Proxy
+                .newProxyInstance(CoreTest.class.getClassLoader(), new Class<?>[] {LoadBalancer.class},
+                (self, method, arguments) -> {
+                    if (method.getName().equals("request")) {
+                        long id = ((LoadBalancer.Request) arguments[1]).id();
+                        actions.send(id, 1, 0);
+                        actions.fail(id);
+                        actions.send(id, 1, 0);
+                        actions.fail(id);
+                    }
+                    return null;
+                }));
+        Version only = version(1, world.random);
+        core.start(only, 6, roster(new SplittableRandom(8)), world, world);
+        World.Asked one = world.new Asked(only);
+        core.request(only, new Arrival(0, 0, 0, world.now + 1_000, 0, false, true), one, one);
+        assertEquals(1, one.sends);
+        assertEquals(1, one.answers);
+        world.out.get(0).finish(Result.OK);
+        assertEquals(1, one.answers);
+        assertEquals(1, one.released);
+    }
+
     /** A version may be gone back to until it is released, whether or not a request holds it. */
     @Test
     void aVersionLivesUntilItIsReleasedAndItsRequestsAreForgotten() {
--- a/src/test/java/sablehinge/node/OperatorNodeTest.java
+++ b/src/test/java/sablehinge/node/OperatorNodeTest.java
@@ -491,6 +491,27 @@
         }
     }
 
+    @Test
+    void aFileThatCouldNotBeServedIsNotWhatTheNextStartInsistsOn() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1); ServerSocket taken = new ServerSocket(0, 1,
+                java.net.InetAddress.getLoopbackAddress())) {
+            Files.writeString(stage.file, stage.text("127.0.0.1:" + taken.getLocalPort(), "", 0));
+            OperatorNode.StartException failed = assertThrows(OperatorNode.StartException.class,
+                    () -> OperatorNode.start(stage.file, false));
+            assertTrue(failed.getMessage().startsWith("cannot listen on "), failed.getMessage());
+            stage.start(stage.text(0));
+            assertEquals(200, stage.ask(Stage.get("a", "5")).status());
+            stage.node.kill();
+            // Once one has served it is the one, whatever the file says, until that is adopted.
+            Files.writeString(stage.file, stage.text(0) + "[limits]\nattempts = 1\n");
+            stage.node = OperatorNode.start(stage.file, false);
+            assertEquals("2", version(stage.ask(Stage.get("b", "5"))));
+            stage.node.kill();
+            stage.node = OperatorNode.start(stage.file, true);
+            assertEquals("3", version(stage.ask(Stage.get("c", "5"))));
+        }
+    }
+
     @Test
     void whatComesBeyondTheBoundIsRefusedAtOnce() throws Exception {
         try (OperatorStage stage = new OperatorStage(1)) {
