--- /dev/null
+++ b/src/main/java/sablehinge/replay/JsonLinesFormat.java
@@ -0,0 +1,120 @@
+package sablehinge.replay;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.time.DateTimeException;
+import java.time.OffsetDateTime;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Reads lines that are each a JSON object, by a map from what is wanted to the name of the field that has it.
+ * A name
+ * may lead into inner objects with dots. A time may be text of ISO 8601 with its zone, or a number: seconds
+ * since
+ * 1970, or milliseconds where it is too large for seconds of this century.
+ */
+public final class JsonLinesFormat implements LogFormat {
+
+    /** What a map may name. */
+    public static final Set<String> WANTED = Set.of("time", "duration_ms", "duration_s", "caller", "method",
+            "target", "status", "bytes", "id", "user_agent");
+    /** Seconds up to the year 2100. */
+    private static final double MOST_SECONDS = 4.1e9;
+    private static final int MOST_DEPTH = 32;
+
+    private final ObjectMapper json = new JsonMapper(JsonFactory.builder().streamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).build()).build())
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private final Map<String, String[]> paths;
+
+    /** A format by its map; the error says which name is not known. */
+    public JsonLinesFormat(Map<String, String> fields) {
+        for (String name : fields.keySet()) {
+            if (!WANTED.contains(name)) {
+                throw new IllegalArgumentException("nothing is called " + name + ", expected one of "
+                        + WANTED);
+            }
+        }
+        paths = fields.entrySet().stream().collect(java.util.stream.Collectors.toUnmodifiableMap(
+                Map.Entry::getKey, entry -> entry.getValue().split("\\.")));
+    }
+
+    @Override
+    public LogEntry parse(String line) throws UnreadableLineException {
+        JsonNode object;
+        try {
+            object = json.readTree(line);
+        } catch (JsonProcessingException e) {
+            long column = e.getLocation() == null ? 1 : e.getLocation().getColumnNr();
+            throw new UnreadableLineException((int) Math.max(0, column - 1), "a JSON object");
+        }
+        if (object == null || !object.isObject()) {
+            throw new UnreadableLineException(0, "a JSON object");
+        }
+        double duration = number(object, "duration_ms", Double.NaN);
+        if (Double.isNaN(duration)) {
+            duration = number(object, "duration_s", Double.NaN) * 1_000;
+        }
+        String method = text(object, "method");
+        String target = text(object, "target");
+        if (target == null) {
+            throw new UnreadableLineException(0, "a target in " + String.join(".",
+                    paths.getOrDefault("target",
+                    new String[] {"no field, as the map names none"})));
+        }
+        String caller = text(object, "caller");
+        double status = number(object, "status", 0);
+        return new LogEntry(time(object), duration, caller == null ? "-" : caller, method == null ? "GET"
+                : method,
+                target, status >= 0 && status <= 999 ? (int) status : 0, (long) Math.max(0,
+                number(object, "bytes", 0)), text(object, "id"), text(object, "user_agent"));
+    }
+
+    private JsonNode field(JsonNode object, String wanted) {
+        JsonNode value = object;
+        for (String name : paths.getOrDefault(wanted, new String[] {""})) {
+            value = value.path(name);
+        }
+        return value;
+    }
+
+    private String text(JsonNode object, String wanted) {
+        JsonNode value = field(object, wanted);
+        return value.isValueNode() && !value.isNull() && !value.asText().isEmpty() ? value.asText() : null;
+    }
+
+    private double number(JsonNode object, String wanted, double fallback) throws UnreadableLineException {
+        JsonNode value = field(object, wanted);
+        if (value.isMissingNode() || value.isNull()) {
+            return fallback;
+        }
+        double number = value.asDouble(Double.NaN);
+        if (!Double.isFinite(number)) {
+            throw new UnreadableLineException(0, "a number in " + String.join(".", paths.get(wanted)));
+        }
+        return number;
+    }
+
+    private double time(JsonNode object) throws UnreadableLineException {
+        JsonNode value = field(object, "time");
+        if (value.isMissingNode() || value.isNull()) {
+            return Double.NaN;
+        }
+        if (value.isNumber()) {
+            double number = value.asDouble();
+            return Math.abs(number) > MOST_SECONDS ? number : number * 1_000;
+        }
+        try {
+            return OffsetDateTime.parse(value.asText()).toInstant().toEpochMilli();
+        } catch (DateTimeException e) {
+            throw new UnreadableLineException(0, "a time such as 2026-12-01T06:30:05Z in "
+                    + String.join(".", paths.get("time")));
+        }
+    }
+}
