Tidied: a record of no use and names written out in full

Need: seen in reading the whole change once more. Change: OperatorNode reads the decider's reply as it is; imports in place of full names.

--- a/src/main/java/sablehinge/change/RiseGuard.java
+++ b/src/main/java/sablehinge/change/RiseGuard.java
@@ -1,5 +1,6 @@
 package sablehinge.change;
 
+import java.util.Locale;
 import sablehinge.change.Shares.Outcome;
 
 /**
@@ -51,9 +52,9 @@
         seen = all;
         long bad = shares.of(now, WINDOW, outcome);
         agreed = all >= leastCount && lowerEnd(bad, all) > bound ? agreed + 1 : 0;
-        return agreed < CHECKS ? null : String.format(java.util.Locale.ROOT,
+        return agreed < CHECKS ? null : String.format(Locale.ROOT,
                 "%s answers rose from %.1f%% to %.1f%% (%d of %d)",
-                outcome.name().toLowerCase(java.util.Locale.ROOT), 100 * before, 100.0 * bad / all, bad, all);
+                outcome.name().toLowerCase(Locale.ROOT), 100 * before, 100.0 * bad / all, bad, all);
     }
 
     /** The lower end of the Wilson score interval of a share. */
--- a/src/main/java/sablehinge/cli/ConfigCommand.java
+++ b/src/main/java/sablehinge/cli/ConfigCommand.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import picocli.CommandLine.ArgGroup;
@@ -91,7 +92,7 @@
         }
 
         /** Asks the balancer; {@code said} prints an answer that it is willing to give. */
-        final int ask(String method, String target, byte[] body, java.util.function.Consumer<JsonNode> said)
+        final int ask(String method, String target, byte[] body, Consumer<JsonNode> said)
                 throws IOException {
             Answer answer = client().ask(method, target, body);
             if (json) {
--- a/src/main/java/sablehinge/config/operator/OperatorFile.java
+++ b/src/main/java/sablehinge/config/operator/OperatorFile.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.Files;
 import java.nio.file.LinkOption;
 import java.nio.file.Path;
@@ -99,7 +100,7 @@
                         + " at most");
             }
             return bytes;
-        } catch (java.nio.file.AccessDeniedException e) {
+        } catch (AccessDeniedException e) {
             throw new IOException("may not be read by this user", e);
         }
     }
--- a/src/main/java/sablehinge/node/AdminHandler.java
+++ b/src/main/java/sablehinge/node/AdminHandler.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.function.Consumer;
 import sablehinge.admin.AdminServer;
 import sablehinge.admin.AdminServer.Reply;
@@ -119,7 +120,7 @@
         ObjectNode status = JSON.createObjectNode().put("current", node.core().version().number())
                 .put("confirmed", decider.confirmed());
         ObjectNode change = status.putObject("change");
-        change.put("phase", decider.phase().name().toLowerCase(java.util.Locale.ROOT));
+        change.put("phase", decider.phase().name().toLowerCase(Locale.ROOT));
         if (decider.phase() != Phase.NONE) {
             change.put("version", decider.candidate());
             change.put("ends_in_ms", Math.round(decider.deadline() - now));
--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import sablehinge.admin.AdminServer;
+import sablehinge.change.ChangeDecider;
 import sablehinge.config.operator.OperatorConfig;
 import sablehinge.config.operator.OperatorConfig.ListenerPart;
 import sablehinge.config.operator.OperatorFile;
@@ -295,9 +296,9 @@
     private void reloaded(Versions.Staged staged) {
         String why = staged.refusal();
         if (why == null && staged.version() != 0) {
-            ChangeReply applied = new ChangeReply(versions.apply(staged.version(), 0, true));
-            why = applied.refusal();
-            if (why != null) {
+            ChangeDecider.Reply applied = versions.apply(staged.version(), 0, true);
+            if (!applied.done()) {
+                why = applied.message();
                 versions.drop(staged.version());
             }
         }
@@ -309,14 +310,6 @@
         }
     }
 
-    /** A reply as a refusal or none. */
-    private record ChangeReply(sablehinge.change.ChangeDecider.Reply reply) {
-
-        String refusal() {
-            return reply.done() ? null : reply.message();
-        }
-    }
-
     /**
      * Stops as SIGTERM wants it: answers what has come, lets callers go, and returns when nothing is left.
      */
--- a/src/main/java/sablehinge/node/Preparation.java
+++ b/src/main/java/sablehinge/node/Preparation.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import sablehinge.config.operator.OperatorConfig;
 import sablehinge.config.operator.OperatorConfig.ListenerPart;
 import sablehinge.core.Clock;
@@ -50,7 +51,7 @@
     }
 
     /** Begins with the listeners that are missing, each made by {@code maker}. */
-    void start(List<ListenerPart> missing, java.util.function.Supplier<Frontend> maker) {
+    void start(List<ListenerPart> missing, Supplier<Frontend> maker) {
         binding = missing.size();
         for (ListenerPart part : missing) {
             Frontend front = maker.get();
--- a/src/main/java/sablehinge/node/ServerSource.java
+++ b/src/main/java/sablehinge/node/ServerSource.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import sablehinge.core.Registry;
 import sablehinge.core.Roster;
 import sablehinge.core.Roster.Member;
@@ -35,7 +36,7 @@
     }
 
     /** Servers that a discovery tells of; {@code maker} makes it, given what hears of them. */
-    static ServerSource discovered(java.util.function.Function<Discovery.Listener, Discovery> maker,
+    static ServerSource discovered(Function<Discovery.Listener, Discovery> maker,
             BiConsumer<Change, Roster> listener) {
         ServerSource source = new ServerSource(listener);
         source.discovery = maker.apply(source::told);
--- a/src/main/java/sablehinge/node/Versions.java
+++ b/src/main/java/sablehinge/node/Versions.java
@@ -27,10 +27,12 @@
 import sablehinge.core.Answer;
 import sablehinge.core.Log;
 import sablehinge.core.Observer;
+import sablehinge.core.Registry;
 import sablehinge.core.Roster;
 import sablehinge.core.Version;
 import sablehinge.http1.Frontend;
 import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.State;
 
 /**
  * Carries changes of the configuration out: what {@link ChangeDecider} asks for, on the sockets, in core and
@@ -128,7 +130,7 @@
     }
 
     /** The module asks whatever source the current version has. */
-    private final class CurrentSource implements sablehinge.core.Registry {
+    private final class CurrentSource implements Registry {
 
         @Override
         public void fetch() {
@@ -159,7 +161,7 @@
             node.core().told(change, roster);
         } else if (roster != null) {
             List<Roster.Member> off = new ArrayList<>(roster.members());
-            off.removeIf(m -> m.upstream().state() == sablehinge.policy.LoadBalancer.State.READY);
+            off.removeIf(m -> m.upstream().state() == State.READY);
             node.core().warn(new Roster(roster.version(), false, off));
         }
     }
--- a/src/main/java/sablehinge/replay/JsonLinesFormat.java
+++ b/src/main/java/sablehinge/replay/JsonLinesFormat.java
@@ -11,6 +11,7 @@
 import java.time.OffsetDateTime;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Reads lines that are each a JSON object, by a map from what is wanted to the name of the field that has it.
@@ -41,7 +42,7 @@
                         + WANTED);
             }
         }
-        paths = fields.entrySet().stream().collect(java.util.stream.Collectors.toUnmodifiableMap(
+        paths = fields.entrySet().stream().collect(Collectors.toUnmodifiableMap(
                 Map.Entry::getKey, entry -> entry.getValue().split("\\.")));
     }
 
