--- a/src/test/java/sablehinge/node/OperatorNodeTest.java
+++ b/src/test/java/sablehinge/node/OperatorNodeTest.java
@@ -450,6 +450,36 @@
         }
     }
 
+    @Test
+    void aTrialWithoutReadyServersIsUndone() throws Exception {
+        try (OperatorStage stage = new OperatorStage(2); Listener discovery = new Listener()) {
+            stage.start(stage.text(0));
+            int next = stage.stage("discovery = \"" + discovery.address() + "\"\n" + stage.text("127.0.0.1:0",
+                    "[change]\nready-within = \"500ms\"\n"));
+            Thread lists = new Thread(() -> {
+                try {
+                    Peer fetch = discovery.accept();
+                    fetch.read();
+                    fetch.write(Stage.ok(Stage.roster(5, true,
+                            Stage.entry(1, stage.servers.get(1).address(), "up"))));
+                    Peer watch = discovery.accept();
+                    watch.read();
+                    watch.write(Stage.ok(Stage.roster(6, false,
+                            Stage.entry(1, stage.servers.get(1).address(), "removed"))));
+                } catch (IOException | InterruptedException e) {
+                    // The test then waits in vain for the undoing, and fails.
+                }
+            });
+            lists.start();
+            stage.apply(next);
+            JsonNode status = stage.until(now -> now.path("past").size() == 1);
+            assertEquals("0 servers are ready, at least 1 must be",
+                    status.path("past").get(0).path("reason").asText());
+            assertEquals("1", version(stage.ask(Stage.get("a", "5"))));
+            lists.join();
+        }
+    }
+
     /** Undone and applied again at once: the port is still held by what is being given up. */
     @Test
     void aListenerThatIsBeingGivenUpIsTakenBack() throws Exception {
