The end waits for callers of listeners that are being given up

Need: seen in reading the change once more. SIGTERM within 2 s of a listener's move looked at the new listeners only, and left callers of the old one unheard. The access log could stay dead after a beginning anew that failed half way, and had no test at its bounds. A test of a bad reload could pass before the file was read, and core's own ending of attempts was shown by no test.

--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -148,6 +148,11 @@
         return (InetSocketAddress) listening.localAddress();
     }
 
+    /** How many connections it has. */
+    public int callers() {
+        return connections.size();
+    }
+
     /** From now on every answer asks its caller to leave. */
     public void beginDrain() {
         draining = true;
--- a/src/main/java/sablehinge/node/AccessLog.java
+++ b/src/main/java/sablehinge/node/AccessLog.java
@@ -86,8 +86,11 @@
                 }
                 if (bytes + line.length() > mostBytes) {
                     out.close();
-                    Files.move(file, file.resolveSibling(file.getFileName() + ".1"),
-                            StandardCopyOption.REPLACE_EXISTING);
+                    // A beginning anew that failed half way must not fail for good for want of the old file.
+                    if (Files.exists(file)) {
+                        Files.move(file, file.resolveSibling(file.getFileName() + ".1"),
+                                StandardCopyOption.REPLACE_EXISTING);
+                    }
                     out = open();
                 }
                 out.write(line);
--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -318,7 +318,7 @@
                 c.deadline()).max()
                 .orElse(0));
         double latest = clock.now() + longest + DRAIN_SLACK_MS;
-        loop.submit(() -> versions.fronts().values().forEach(Frontend::beginDrain)).sync();
+        loop.submit(() -> versions.listening().forEach(Frontend::beginDrain)).sync();
         while (!onLoop(this::endDrain) && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
         }
@@ -329,9 +329,14 @@
         closeQuietly(store);
     }
 
+    /** Connections of callers, on the loop. */
+    int callers() {
+        return versions.listening().stream().mapToInt(Frontend::callers).sum();
+    }
+
     private boolean endDrain() {
         boolean done = true;
-        for (Frontend front : versions.fronts().values()) {
+        for (Frontend front : versions.listening()) {
             done &= front.endDrain();
         }
         return done && core.requests() == 0;
--- a/src/main/java/sablehinge/node/Versions.java
+++ b/src/main/java/sablehinge/node/Versions.java
@@ -125,6 +125,16 @@
         return fronts;
     }
 
+    /** All that let callers in, also those being given up and those bound for a change that is not begun. */
+    List<Frontend> listening() {
+        List<Frontend> all = new ArrayList<>(fronts.values());
+        all.addAll(leaving.values());
+        if (preparation != null) {
+            all.addAll(preparation.bound().values());
+        }
+        return all;
+    }
+
     OperatorConfig config() {
         return current().config;
     }
--- a/src/test/java/sablehinge/core/CoreTest.java
+++ b/src/test/java/sablehinge/core/CoreTest.java
@@ -361,6 +361,28 @@
         assertEquals(1, one.released);
     }
 
+    /** Core itself ends what is out for a request that it gives up, also where the module doesn't. */
+    @Test
+    void nothingIsLeftOutForWhatIsGivenUp() {
+        World world = new World(7);
+        Core core = new Core(() -> world.now, world, actions -> (LoadBalancer) java.lang.reflect.Proxy
+                .newProxyInstance(CoreTest.class.getClassLoader(), new Class<?>[] {LoadBalancer.class},
+                (self, method, arguments) -> {
+                    if (method.getName().equals("request")) {
+                        actions.send(((LoadBalancer.Request) arguments[1]).id(), 1, 0);
+                    }
+                    return null;
+                }));
+        Version only = version(1, world.random);
+        core.start(only, 7, roster(new SplittableRandom(8)), world, world);
+        World.Asked one = world.new Asked(only);
+        core.request(only, new Arrival(0, 0, 0, world.now + 1_000, 0, false, true), one, one);
+        core.giveUpAll();
+        assertEquals(1, one.answers);
+        assertEquals(0, world.out.size());
+        assertEquals(1, one.released);
+    }
+
     /** A version may be gone back to until it is released, whether or not a request holds it. */
     @Test
     void aVersionLivesUntilItIsReleasedAndItsRequestsAreForgotten() {
--- a/src/test/java/sablehinge/node/OperatorNodeTest.java
+++ b/src/test/java/sablehinge/node/OperatorNodeTest.java
@@ -62,7 +62,6 @@
         try (OperatorStage stage = new OperatorStage(4)) {
             stage.start(stage.text(0, 1));
             stage.apply(stage.stage(stage.text(2, 3)));
-            // The first try of every third request fails once it is let go: safe ones are then tried again.
             for (StandIn server : stage.servers) {
                 server.plan = seen -> new Plan(0, 0);
             }
@@ -314,6 +313,23 @@
         }
     }
 
+    /** Callers of a listener that is being given up are owed as much at the end as all others. */
+    @Test
+    void theEndWaitsForCallersOfAListenerThatIsBeingGivenUp() throws Exception {
+        int first = freePort();
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text("127.0.0.1:" + first, "", 0));
+            try (Peer held = Peer.to(new InetSocketAddress("127.0.0.1", first))) {
+                held.write(Stage.get("a", "5"));
+                assertEquals(200, held.read().status());
+                stage.apply(stage.stage(stage.text("127.0.0.1:" + freePort(), "", 0)));
+                stage.confirm();
+                stage.node.drain();
+                assertTrue(stage.node.onLoop(() -> stage.node.callers()) == 0, "callers are left");
+            }
+        }
+    }
+
     @Test
     void aHundredChangesInARowLeaveNothingBehind() throws Exception {
         try (OperatorStage stage = new OperatorStage(2)) {
@@ -402,6 +418,10 @@
             stage.until(status -> status.path("confirmed").asInt() == 2);
             Files.writeString(stage.file, "nonsense");
             stage.node.reload();
+            // Files are read one after another: once these are staged, that one has been read and refused.
+            stage.stage(stage.text(0));
+            assertEquals(4, stage.stage(stage.text(0)));
+            assertEquals(1, stage.status().path("past").size());
             assertEquals("2", version(stage.ask(Stage.get("a", "5"))));
         }
     }
