Operators' calls, settings taken at SIGHUP, and a new version beside the old one

A second process could not bind the address, new settings were ignored, and operators had nowhere to call.

Change: membership.Maintenance passes those that operators took out on as draining, and as started anew once they are back; admin.CallServer takes one line a connection; node.Shared holds what two processes of one balancer tell each other in $TMPDIR; PlatformConfig.successor takes a file whole or not at all; core lets a late request arrive under the version before; Frontend listens with SO_REUSEPORT and hands over.

DrainTest.sigtermLetsAllThatIsTakenBeAnswered was reset once in a whole run and passed twice alone; cause not found yet.

--- a/src/main/java/sablehinge/cli/LocalBalancers.java
+++ b/src/main/java/sablehinge/cli/LocalBalancers.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.logging.Level;
@@ -120,7 +121,7 @@
         // Its list may be older than the directory's: it asks for all at its first watch.
         return new PlatformConfig(spec.name(), spec.listen(), spec.discovery(), spec.seed(), SOCKETS,
                 settings(spec, kinds.size()), scenario.zones(), kinds, classes, List.of(),
-                new Roster(0, true, members));
+                new Roster(0, true, members), null, null, Set.of());
     }
 
     private static Settings settings(Spec spec, int kinds) {
--- a/src/main/java/sablehinge/cli/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -78,7 +78,7 @@
         onHangup(() -> readings.execute(() -> {
             try {
                 Node node = started.join();
-                node.reload(PlatformConfig.read(System.getenv("PROXY_CONFIG")));
+                node.reload(node.config().successor(System.getenv("PROXY_CONFIG")));
             } catch (ConfigException | RuntimeException e) {
                 Log.LOG.warning("the configuration stays as it was: " + e.getMessage());
             }
--- a/src/main/java/sablehinge/config/PlatformConfig.java
+++ b/src/main/java/sablehinge/config/PlatformConfig.java
@@ -1,5 +1,6 @@
 package sablehinge.config;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
@@ -7,8 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import sablehinge.core.Roster;
 import sablehinge.core.Version;
 import sablehinge.membership.RosterParser;
@@ -23,12 +27,16 @@
  * @param sockets how many file descriptors the process may hold
  * @param zones the names of the zones, by the index that the module uses; likewise the others
  * @param known the upstreams as this balancer last had them
+ * @param operator where operators call; null where they don't
+ * @param scratch a folder that only the processes of this balancer share; null where there is none
+ * @param keys the paths of all keys that the file has, those in lists left out
  */
 public record PlatformConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, Settings settings, List<String> zones, List<String> kinds, List<String> classes,
-        List<String> tenants, Roster known) {
+        List<String> tenants, Roster known, InetSocketAddress operator, Path scratch, Set<String> keys) {
 
-    private static final JsonMapper JSON = new JsonMapper();
+    private static final JsonMapper JSON = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
     /** Reads the file at a path; the error says in one line what is wrong with it. */
     public static PlatformConfig read(String path) throws ConfigException {
@@ -45,15 +53,33 @@
         }
     }
 
-    /** Its one version: the platform changes nothing of it while a balancer runs. */
-    public Version version() {
-        return new Version(1, settings, classes, tenants, false);
+    /** What holds for requests, as the version of the given number. */
+    public Version version(int number) {
+        return new Version(number, settings, classes, tenants, false);
+    }
+
+    /**
+     * Reads the file that takes the place of this one while a balancer runs. All that this one has must be
+     * there, also what has a default: a file that lacks it was cut short or is another's.
+     */
+    public PlatformConfig successor(String path) throws ConfigException {
+        PlatformConfig next = read(path);
+        Set<String> missing = new TreeSet<>(keys);
+        missing.removeAll(next.keys);
+        if (!missing.isEmpty()) {
+            throw new ConfigException(path + ": missing: " + String.join(", ", missing));
+        }
+        if (!next.zones.equals(zones) || !next.kinds.equals(kinds)) {
+            throw new ConfigException(path + ": zones and machineTypes can't change while a balancer runs");
+        }
+        return next;
     }
 
     private static PlatformConfig parse(JsonNode root) {
         JsonNode given = root.path("settings");
         StringBuilder lines = new StringBuilder();
         flatten("", given, lines);
+        requireBounds(given);
         Settings settings = SettingsParser.parse(lines.toString().getBytes(StandardCharsets.UTF_8));
         List<String> zones = names(given.path("zones"));
         List<String> kinds = names(given.path("machineTypes"));
@@ -61,7 +87,56 @@
                 address(root, "discovery"), seed(root.path("seed").asText("")),
                 root.path("limits").path("sockets").asInt(1_024), settings, zones, kinds,
                 names(given.path("services")), names(given.path("tenants")),
-                new RosterParser(zones, kinds, false).parse(root.path("known")));
+                new RosterParser(zones, kinds, false).parse(root.path("known")), operator(root),
+                ownFolder(), Set.copyOf(keys("", root, new HashSet<>())));
+    }
+
+    /** Java's own temporary folder is everybody's. */
+    private static Path ownFolder() {
+        String folder = System.getenv("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    }
+
+    /** The environment's word counts: two processes may share a file, and never this address. */
+    private static InetSocketAddress operator(JsonNode root) {
+        String given = System.getenv("PROXY_OPERATOR");
+        String address = given == null || given.isEmpty() ? root.path("operator").asText("") : given;
+        try {
+            return address.isEmpty() ? null : Addresses.parse(address);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("operator: " + e.getMessage(), e);
+        }
+    }
+
+    private static Set<String> keys(String path, JsonNode value, Set<String> found) {
+        for (Map.Entry<String, JsonNode> field : value.properties()) {
+            String name = path.isEmpty() ? field.getKey() : path + "." + field.getKey();
+            found.add(name);
+            if (!name.equals("known")) {
+                keys(name, field.getValue(), found);
+            }
+        }
+        return found;
+    }
+
+    /** What would let a request be lost, or sent without end, is no setting. */
+    private static void requireBounds(JsonNode given) {
+        Set<String> names = new HashSet<>();
+        for (JsonNode service : given.path("services")) {
+            String name = service.path("name").asText("");
+            if (name.isEmpty() || !names.add(name)) {
+                throw new IllegalArgumentException("settings.services: name '" + name
+                        + "' is empty or there twice");
+            }
+            requirePositive("settings.services." + name + ".deadline", service.path("deadline"));
+        }
+        requirePositive("settings.limits.attemptsCap", given.path("limits").path("attemptsCap"));
+    }
+
+    private static void requirePositive(String key, JsonNode value) {
+        if (!value.isNumber() || !(value.asDouble() > 0) || Double.isInfinite(value.asDouble())) {
+            throw new IllegalArgumentException(key + ": a number above 0 was expected, not " + value);
+        }
     }
 
     private static InetSocketAddress address(JsonNode root, String key) {
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -190,7 +190,7 @@
     /**
      * Takes a request in, which from here on is owed exactly one answer.
      *
-     * @param arrivedUnder the version by which the arrival was read
+     * @param arrivedUnder the version by which the arrival was read, which must not be forgotten
      * @param payload handed over: released once the request is forgotten
      * @return the request; its answer may have been given already
      */
@@ -203,10 +203,25 @@
         live.get(arrivedUnder.number()).requests++;
         double latest = exchange.deadline + arrivedUnder.settings().rules().answerGrace() / 2;
         exchange.overdue = timers.at(latest, () -> overdue(exchange));
-        tell(exchange, () -> balancer.request(clock.now(), arrival.withId(exchange.id)));
+        tell(exchange, () -> arrives(exchange, arrival));
         return exchange;
     }
 
+    /** The module takes arrivals under the settings that it adopted last, so it goes back for one call. */
+    private void arrives(Exchange exchange, Arrival arrival) {
+        boolean late = exchange.version != version;
+        if (late) {
+            balancer.adopt(clock.now(), exchange.version.settings());
+        }
+        try {
+            balancer.request(clock.now(), arrival.withId(exchange.id));
+        } finally {
+            if (late) {
+                balancer.adopt(clock.now(), version.settings());
+            }
+        }
+    }
+
     /** So many are at work that the module isn't asked: nothing has run, so a refusal is harmless. */
     private Exchange refuseBeyond(Version arrivedUnder, Arrival arrival, Payload payload, Caller caller) {
         Exchange exchange = new Exchange(++lastId, arrivedUnder, arrival, payload, clock.now(), caller);
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -29,6 +30,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -77,6 +79,9 @@
     private final ByteBufAllocator memory;
     private final Core core;
     private RequestCheck check;
+    /** The check of the version before, and until when a request may still be read by it. */
+    private RequestCheck late;
+    private double lateUntil = Double.NEGATIVE_INFINITY;
     /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Who waits for the answer to a request, by its X-Txn. */
@@ -98,9 +103,13 @@
         sockets.callersGiveWay(evict);
     }
 
-    /** Lets callers in at the given address; waits until it does. */
-    public void bind(InetSocketAddress address) throws IOException, InterruptedException {
-        ChannelFuture bound = listen(address).await();
+    /**
+     * Lets callers in at the given address; waits until it does.
+     *
+     * @param shared whether other processes of the same user may listen there too (SO_REUSEPORT, socket(7))
+     */
+    public void bind(InetSocketAddress address, boolean shared) throws IOException, InterruptedException {
+        ChannelFuture bound = listen(address, shared).await();
         if (!bound.isSuccess()) {
             throw new IOException(cannot(address, bound.cause()));
         }
@@ -109,7 +118,7 @@
 
     /** Lets callers in at the given address; {@code done} hears, on the loop, why not, or null. */
     public void open(InetSocketAddress address, Consumer<String> done) {
-        listen(address).addListener((ChannelFuture bound) -> {
+        listen(address, false).addListener((ChannelFuture bound) -> {
             if (bound.isSuccess()) {
                 listens(bound.channel());
             }
@@ -126,7 +135,7 @@
         sweeps = loop.scheduleAtFixedRate(() -> sweep(core.now()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    private ChannelFuture listen(InetSocketAddress address) {
+    private ChannelFuture listen(InetSocketAddress address, boolean shared) {
         ServerBootstrap server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Acceptor()).childOption(ChannelOption.ALLOCATOR, memory)
@@ -140,6 +149,9 @@
                         channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection);
                     }
                 });
+        if (shared) {
+            server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
         return server.bind(address);
     }
 
@@ -176,6 +188,15 @@
         return check;
     }
 
+    /**
+     * Before another version is taken: for so many ms a request that the new one can't take may still be
+     * read as one of the present one, by which its caller has sent it.
+     */
+    public void takesLate(long millis) {
+        late = check();
+        lateUntil = core.now() + millis;
+    }
+
     /** Ends what has taken too long by the given time. */
     void sweep(double now) {
         for (Connection connection : new ArrayList<>(connections)) {
@@ -211,7 +232,16 @@
         return true;
     }
 
-    private void leave() {
+    /**
+     * Leaves new callers to another process that listens at the same address; those that it has are answered,
+     * and asked to leave with that.
+     */
+    public void handOver() {
+        draining = true;
+        shut();
+    }
+
+    private void shut() {
         if (listening.isOpen()) {
             int before;
             do {
@@ -221,6 +251,10 @@
             } while (connections.size() > before);
             listening.close();
         }
+    }
+
+    private void leave() {
+        shut();
         for (Connection connection : new ArrayList<>(connections)) {
             connection.closeIfIdle();
         }
@@ -470,7 +504,18 @@
                 return;
             }
             try {
-                Checked checked = check().read(request, core.now());
+                RequestCheck by = check();
+                Checked checked;
+                try {
+                    checked = by.read(request, core.now());
+                } catch (BadRequestException e) {
+                    if (late == null || core.now() > lateUntil) {
+                        late = null;
+                        throw e;
+                    }
+                    by = late;
+                    checked = by.read(request, core.now());
+                }
                 Connection first = open.get(checked.txn());
                 if (first != null) {
                     // Its client may have left, and sent the request again here.
@@ -480,9 +525,9 @@
                     throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
                 }
                 txn = checked.txn();
-                version = check.version();
+                version = by.version();
                 open.put(txn, this);
-                Exchange begun = core.request(check.version(), checked.arrival(),
+                Exchange begun = core.request(by.version(), checked.arrival(),
                         new HttpPayload(request.retain()), this);
                 // The answer may have come already, and with it the next request.
                 if (begun.isOpen()) {
--- a/src/main/java/sablehinge/http1/Sockets.java
+++ b/src/main/java/sablehinge/http1/Sockets.java
@@ -25,14 +25,21 @@
     private static final int BATCH = 16;
     private static final int SPARE_SHARE = 10;
 
-    private final int limit;
+    private final int descriptors;
+    private int limit;
     private int open;
     private final List<DoublePredicate> evictCaller = new ArrayList<>(1);
     private BooleanSupplier evictUpstream = () -> false;
 
     /** Counts against so many descriptors of the process. */
     public Sockets(int descriptors) {
-        limit = Math.max(CALLERS_SHARE, descriptors - OF_THE_PROCESS);
+        this.descriptors = descriptors;
+        share(1);
+    }
+
+    /** Counts against the part of the descriptors that each of so many processes has. */
+    public void share(int processes) {
+        limit = Math.max(CALLERS_SHARE, descriptors / processes - OF_THE_PROCESS);
     }
 
     /** Names what closes one idle upstream connection and tells whether there was one. */
--- a/src/main/java/sablehinge/node/Node.java
+++ b/src/main/java/sablehinge/node/Node.java
@@ -7,9 +7,14 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Function;
+import sablehinge.admin.CallServer;
 import sablehinge.config.ConfigException;
 import sablehinge.config.PlatformConfig;
 import sablehinge.core.Clock;
@@ -17,13 +22,17 @@
 import sablehinge.core.Log;
 import sablehinge.core.LogLimit;
 import sablehinge.core.Observer;
+import sablehinge.core.Roster;
+import sablehinge.core.Version;
 import sablehinge.http1.Frontend;
 import sablehinge.http1.Sockets;
 import sablehinge.http1.UpstreamClient;
 import sablehinge.membership.Discovery;
+import sablehinge.membership.Maintenance;
 import sablehinge.membership.RosterParser;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer;
+import sablehinge.policy.LoadBalancer.Change;
 import sablehinge.policy.LoadBalancer.ServiceClass;
 
 /** One balancer on the platform: its parts put together on one event loop thread, which owns them all. */
@@ -42,6 +51,11 @@
     /** The time that is kept of it to answer what has come, once callers are asked to leave. */
     private static final double LAST_ANSWERS_MS = 1_650;
 
+    /** How often it looks at what another process of this balancer has changed. */
+    private static final long LOOK_MS = 200;
+    /** How long a version of the settings that was replaced may be the one by which a request is read. */
+    private static final long LATE_REQUESTS_MS = 3_000;
+
     private final PlatformConfig config;
     private final EventLoop loop;
     private final Clock clock = Clock.system();
@@ -49,6 +63,15 @@
     private final UpstreamClient upstreams;
     private final Discovery discovery;
     private final Frontend frontend;
+    private final Sockets sockets;
+    private final PooledByteBufAllocator memory;
+    private final Maintenance maintenance = new Maintenance();
+    /** Null where nothing is shared with another process of this balancer. */
+    private Shared shared;
+    private CallServer calls;
+    /** The names of those that are out, by their numbers. */
+    private final Map<Long, String> out = new HashMap<>();
+    private boolean leaving;
 
     private Node(PlatformConfig config, EventLoop loop,
             Function<LoadBalancer.Actions, LoadBalancer> module) {
@@ -56,13 +79,13 @@
         this.loop = loop;
         // Written by the loop and, of a reload, by one more thread: a count may be off, which does no harm.
         Log.LOG.setFilter(new LogLimit(clock::now));
-        PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
+        memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
                 CACHED, false);
-        Sockets sockets = new Sockets(config.sockets());
+        sockets = new Sockets(config.sockets());
         core = new Core(clock, new LoopTimers(loop, clock), module);
         upstreams = new UpstreamClient(loop, clock, sockets, memory);
         discovery = new Discovery(loop, config.discovery(), config.known().version(),
-                new RosterParser(config.zones(), config.kinds(), false), memory, core::told,
+                new RosterParser(config.zones(), config.kinds(), false), memory, this::told,
                         Discovery.WATCH_MS);
         frontend = new Frontend(loop, sockets, memory, core);
     }
@@ -78,9 +101,16 @@
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
         Node node = new Node(config, loop, module);
-        loop.submit(node::begin).sync();
         try {
-            node.frontend.bind(config.listen());
+            if (config.operator() != null && config.scratch() != null) {
+                node.shared = new Shared(config.scratch().resolve("sablehinge"));
+                loop.submit(node::look).sync();
+            }
+            loop.submit(node::begin).sync();
+            node.frontend.bind(config.listen(), config.operator() != null);
+            if (config.operator() != null) {
+                node.letOperatorsIn();
+            }
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
         }
@@ -90,7 +120,87 @@
     }
 
     private void begin() {
-        core.start(config.version(), config.seed(), config.known(), upstreams, discovery);
+        core.start(config.version(1), config.seed(), maintenance.take(config.known()), upstreams, discovery);
+    }
+
+    private void told(Change change, Roster roster) {
+        core.told(change, roster == null ? null : maintenance.take(roster));
+    }
+
+    // ---- Operators ---------------------------------------------------------------------------------
+
+    private void letOperatorsIn() throws IOException, InterruptedException {
+        if (shared != null) {
+            shared.ready();
+            loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+        // Last: whoever hears yes may end the other process.
+        calls = new CallServer(loop, memory, this::call);
+        calls.bind(config.operator());
+    }
+
+    /** Where operators call; for tests. */
+    public InetSocketAddress operatorAddress() {
+        return calls.address();
+    }
+
+    private String call(String line) {
+        String[] words = line.split("\\s+");
+        if (words.length == 1 && words[0].equals("STATUS")) {
+            return leaving ? "fail it leaves" : "ok";
+        }
+        boolean suspends = words[0].equals("SUSPEND");
+        if (words.length != 2 || !suspends && !words[0].equals("RESTORE")) {
+            return "fail expected STATUS, SUSPEND ID or RESTORE ID";
+        }
+        if (!maintenance.knows(RosterParser.number(words[1]))) {
+            return "fail no upstream has that id";
+        }
+        // Noted first: what the other process never hears of must not be answered with yes.
+        if (shared != null) {
+            shared.out(words[1], suspends);
+        }
+        turn(words[1], suspends);
+        return "ok";
+    }
+
+    private void turn(String id, boolean suspends) {
+        long number = RosterParser.number(id);
+        Roster change = suspends ? maintenance.suspend(number, clock.now())
+                : maintenance.restore(number, clock.now());
+        if (suspends) {
+            out.put(number, id);
+        } else {
+            out.remove(number);
+        }
+        if (!change.members().isEmpty()) {
+            core.told(Change.DELTA, change);
+            Log.LOG.info("operators " + (suspends ? "took out " : "put back ") + id);
+        }
+    }
+
+    /** Takes over what another process of this balancer was told, and makes room for it. */
+    private void look() {
+        try {
+            Set<String> noted = shared.out();
+            for (String id : List.copyOf(out.values())) {
+                if (!noted.remove(id)) {
+                    turn(id, false);
+                }
+            }
+            noted.forEach(id -> turn(id, true));
+            sockets.share(shared.another(false) ? 2 : 1);
+        } catch (IOException | RuntimeException e) {
+            Log.LOG.warning("what the processes of this balancer share can't be read: " + e);
+        }
+    }
+
+    private boolean hasSuccessor() {
+        try {
+            return shared != null && shared.another(true);
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     /** Names who sees every answer, on the loop; for rehearsals, none of which the platform plays. */
@@ -111,14 +221,26 @@
     /**
      * Stops as SIGTERM wants it. Callers go on using the connections that they have, and may have nowhere
      * else to go while another balancer restarts too, so they are served as before for as long as there is
-     * time to answer what has come. Then they are asked to leave. Returns when the process may end.
+     * time to answer what has come. Then they are asked to leave. Where another process of this balancer
+     * serves already, new callers are left to it, and answers ask the others to leave from the first on.
+     * Returns when the process may end.
      */
     public void drain() throws InterruptedException {
-        double longest = config.settings().classes().stream().mapToDouble(ServiceClass::deadline).max()
-                .orElse(0);
+        double longest = core.version().settings().classes().stream().mapToDouble(ServiceClass::deadline)
+                .max().orElse(0);
         double begun = clock.now();
         double latest = begun + Math.min(longest, LONGEST_DRAIN_MS) + DRAIN_SLACK_MS;
-        Thread.sleep((long) Math.max(LATE_CONNECTIONS_MS, latest - begun - LAST_ANSWERS_MS));
+        boolean handsOver = hasSuccessor();
+        if (handsOver) {
+            loop.submit(() -> {
+                leaving = true;
+                frontend.handOver();
+            }).sync();
+        }
+        double rest = Math.max(LATE_CONNECTIONS_MS, latest - begun - LAST_ANSWERS_MS);
+        while (clock.now() < begun + rest && !(handsOver && isLeft())) {
+            Thread.sleep(DRAIN_CHECK_MS);
+        }
         loop.submit(frontend::beginDrain).sync();
         boolean done = endDrain();
         while (!done && clock.now() < latest) {
@@ -127,6 +249,21 @@
         }
         // What SIGKILL found unanswered would be lost; a failure is an answer.
         loop.submit(core::giveUpAll).sync();
+        leave();
+    }
+
+    private boolean isLeft() throws InterruptedException {
+        return loop.submit(() -> frontend.callers() == 0).sync().getNow();
+    }
+
+    private void leave() {
+        try {
+            if (shared != null) {
+                shared.close();
+            }
+        } catch (IOException e) {
+            Log.LOG.warning("what the processes of this balancer share can't be left: " + e);
+        }
     }
 
     /** Closes callers' connections that are idle; whether none is left. */
@@ -134,9 +271,29 @@
         return loop.submit(frontend::endDrain).sync().getNow();
     }
 
-    /** Takes over what may change while a balancer runs, which is where discovery is. */
+    /**
+     * Takes a configuration over that was read as this one's successor: where discovery is, and the settings
+     * for what arrives from now on. What has come keeps those under which it came.
+     */
     public void reload(PlatformConfig changed) {
-        loop.execute(() -> discovery.moveTo(changed.discovery()));
+        loop.execute(() -> {
+            discovery.moveTo(changed.discovery());
+            Version before = core.version();
+            Version next = changed.version(before.number() + 1);
+            if (before.settings().equals(next.settings())) {
+                return;
+            }
+            frontend.takesLate(LATE_REQUESTS_MS);
+            core.adopt(next, maintenance.whole());
+            loop.schedule(() -> core.release(before.number()), 2 * LATE_REQUESTS_MS,
+                    TimeUnit.MILLISECONDS);
+            Log.LOG.info("takes version " + next.number() + " of its settings");
+        });
+    }
+
+    /** The configuration that it was started with. */
+    public PlatformConfig config() {
+        return config;
     }
 
     /** Its parts, for tests; they are to be used on the loop only. */
@@ -146,6 +303,7 @@
 
     /** Ends at once, whatever is under way; for tests. */
     public void kill() {
+        leave();
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -200,7 +200,7 @@
         loop.submit(() -> versions.start(ThreadLocalRandom.current().nextLong())).sync();
         for (ListenerPart part : Versions.places(first)) {
             Frontend front = front();
-            front.bind(part.address());
+            front.bind(part.address(), false);
             loop.submit(() -> versions.fronts().put(part, front)).sync();
         }
         AdminHandler handler = new AdminHandler(this, versions);
--- a/src/test/java/sablehinge/rig/Script.java
+++ b/src/test/java/sablehinge/rig/Script.java
@@ -21,6 +21,9 @@
     public volatile Runnable onStart = () -> { };
     public final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     public final LinkedBlockingQueue<Change> changes = new LinkedBlockingQueue<>();
+    /** Every list that came, and each version of the settings that was adopted. */
+    public final LinkedBlockingQueue<List<Upstream>> lists = new LinkedBlockingQueue<>();
+    public final LinkedBlockingQueue<Settings> adopted = new LinkedBlockingQueue<>();
     public final LinkedBlockingQueue<Long> gone = new LinkedBlockingQueue<>();
     public final LinkedBlockingQueue<String> probes = new LinkedBlockingQueue<>();
 
@@ -56,9 +59,15 @@
         if (change == Change.CACHED || change == Change.FULL) {
             upstreams = list;
         }
+        lists.add(list);
         changes.add(change);
     }
 
+    @Override
+    public void adopt(double now, Settings settings) {
+        adopted.add(settings);
+    }
+
     @Override
     public void request(double now, Request request) {
         onRequest.accept(request);
--- a/src/test/java/sablehinge/rig/Stage.java
+++ b/src/test/java/sablehinge/rig/Stage.java
@@ -4,6 +4,8 @@
 import sablehinge.config.PlatformConfig;
 import sablehinge.node.Node;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,6 +31,8 @@
     public int maxAttempts = 4;
     /** The aim of the class that must never run twice. */
     public String aim = "\"aim\":1500.0";
+    /** Where operators call; null where they don't. */
+    public String operator;
     public Node node;
 
     public Stage() throws IOException {
@@ -103,7 +107,8 @@
                   "handshake":0.0,"peer":0.0,"registryMode":0.0}}}
                 """.formatted(discovery.address(), sockets,
                         roster(41, true, entries), maxAttempts, connectTimeout, drainGrace, askEvery)
-                .replace("\"aim\":1500.0", aim);
+                .replace("\"aim\":1500.0", aim)
+                .replaceFirst("\\{", operator == null ? "{" : "{\"operator\":\"" + operator + "\",");
     }
 
     /** A new connection of a caller. */
@@ -113,6 +118,20 @@
         return caller;
     }
 
+    /** What the node answers to an operator's line. */
+    public String call(String line) throws IOException {
+        return call(node.operatorAddress(), line);
+    }
+
+    /** What a balancer answers to an operator's line. */
+    public static String call(InetSocketAddress address, String line) throws IOException {
+        try (Peer peer = Peer.to(address)) {
+            peer.write(line + "\n");
+            String answer = new String(peer.socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            return answer.strip();
+        }
+    }
+
     /** A request of the class that is safe to repeat. */
     public static String get(String id, String remaining) {
         return "GET /look-up/7?z=3 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + id
