--- a/src/test/java/sablehinge/node/OperationTest.java
+++ b/src/test/java/sablehinge/node/OperationTest.java
@@ -83,7 +83,8 @@
     void whatIsWrongIsOwedANo() throws Exception {
         try (Stage stage = stage(1)) {
             stage.start();
-            for (String bad : List.of("SUSPEND s-nobody", "RESTORE s-nobody", "SUSPEND", "STATUS now", "", "x",
+            for (String bad : List.of("SUSPEND s-nobody", "RESTORE s-nobody", "SUSPEND", "STATUS now", "",
+                    "x",
                     "SUSPEND " + ONE + " " + ONE, "x".repeat(600))) {
                 assertTrue(stage.call(bad).startsWith("fail "), bad);
             }
