Bodies and answers larger than memory pass through as they come

Cause: 64 KiB were the limit on both sides, and an answer that ends with its connection counted as a reset.

Change: http1.Relay and Passing carry a body from its reader to its writer at the writer's pace. Answers of more than 64 KiB are served with their first bytes; bodies of more than 256 KiB go on once, and core lets the clock of such a request stand still until its last byte. An answer that says so may end with its connection.

Tests: PassingTest over sockets (24 MB for a caller that doesn't read: under 6 MB held), CoreTest with requests that still come in 400 random worlds and one example in virtual time.

--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -155,6 +155,10 @@
                 } catch (Throwable e) {
                     broken(event.about(), e);
                 }
+                // While an attempt waits for the rest of its request, so do the timers about it.
+                if (subject != null && !subject.waits.isEmpty() && subject.running == 0) {
+                    setWaiting(subject);
+                }
             }
         } finally {
             subject = null;
@@ -195,14 +199,65 @@
      * @return the request; its answer may have been given already
      */
     public Exchange request(Version arrivedUnder, Arrival arrival, Payload payload, Caller caller) {
+        return request(arrivedUnder, arrival, payload, caller, false);
+    }
+
+    /**
+     * Takes a request in that is still coming, to be sent on meanwhile. Its time, by which its answer, its
+     * attempt and the module's timers about it count, begins with {@link #ended}.
+     *
+     * @param arrival its deadline is what it would be if the request ended now
+     */
+    public Exchange requestComing(Version arrivedUnder, Arrival arrival, Payload payload, Caller caller) {
+        return request(arrivedUnder, arrival, payload, caller, true);
+    }
+
+    /** The last of a request that was coming has come. */
+    public void ended(Exchange exchange) {
+        if (!exchange.coming) {
+            return;
+        }
+        double now = clock.now();
+        exchange.coming = false;
+        exchange.endedAt = now;
+        exchange.deadline = now + exchange.remaining;
+        if (exchange.isOpen()) {
+            watchOver(exchange);
+        }
+        setWaiting(exchange);
+        for (Transport.Attempt attempt : exchange.attempts) {
+            if (attempt != null) {
+                attempt.waitUntil(now + exchange.patience);
+            }
+        }
+    }
+
+    private void watchOver(Exchange exchange) {
+        double latest = exchange.deadline + exchange.version.settings().rules().answerGrace() / 2;
+        exchange.overdue = timers.at(latest, () -> overdue(exchange));
+    }
+
+    private void setWaiting(Exchange exchange) {
+        for (Exchange.Wait wait : exchange.waits) {
+            setTimer(exchange.id, wait.token(), clock.now() + wait.delay());
+        }
+        exchange.waits.clear();
+    }
+
+    private Exchange request(Version arrivedUnder, Arrival arrival, Payload payload, Caller caller,
+            boolean coming) {
         if (exchanges.size() >= arrivedUnder.settings().limits().maxOpen()) {
             return refuseBeyond(arrivedUnder, arrival, payload, caller);
         }
         Exchange exchange = new Exchange(++lastId, arrivedUnder, arrival, payload, clock.now(), caller);
         exchanges.put(exchange.id, exchange);
         live.get(arrivedUnder.number()).requests++;
-        double latest = exchange.deadline + arrivedUnder.settings().rules().answerGrace() / 2;
-        exchange.overdue = timers.at(latest, () -> overdue(exchange));
+        if (coming) {
+            exchange.coming = true;
+            exchange.deadline = Double.POSITIVE_INFINITY;
+        } else {
+            watchOver(exchange);
+        }
         tell(exchange, () -> arrives(exchange, arrival));
         return exchange;
     }
@@ -260,8 +315,9 @@
         if (end.result() == Result.OK) {
             answer(exchange, new Answer(Answer.Kind.SERVED, end.payload(), 0));
         }
+        double from = Math.max(sentAt, exchange.endedAt);
         tell(exchange, () -> balancer.attemptFinished(clock.now(), new Outcome(exchange.id, number, upstream,
-                end.result(), !exchange.isOpen(), clock.now() - sentAt, end.report())));
+                end.result(), !exchange.isOpen(), clock.now() - from, end.report())));
         settle(exchange);
     }
 
@@ -287,12 +343,15 @@
         int number = exchange.sends++;
         exchange.running++;
         if (!exchange.isOpen() || now >= exchange.deadline
-                || number >= exchange.version.settings().limits().maxAttempts()) {
+                || number >= exchange.version.settings().limits().maxAttempts()
+                || !exchange.request.canBeSent() || exchange.coming && exchange.running > 1) {
             exchange.attempts.add(null);
             finished(exchange, number, upstream, now, AttemptResult.without(Result.NOT_SENT));
             return;
         }
-        double until = timeout == 0 ? exchange.deadline : Math.min(exchange.deadline, now + timeout);
+        double deadline = exchange.coming ? now + exchange.remaining : exchange.deadline;
+        double until = timeout == 0 ? deadline : Math.min(deadline, now + timeout);
+        exchange.patience = until - now;
         exchange.attempts.add(transport.send(exchange.version, upstream, exchange.request, until,
                 end -> finished(exchange, number, upstream, now, end)));
     }
@@ -362,8 +421,15 @@
 
     @Override
     public void setTimer(long token, double at) {
-        // The number and not the request itself, which the timer would keep in memory until it is due.
-        long about = subject == null ? 0 : subject.id;
+        if (subject != null && subject.coming) {
+            subject.waits.add(new Exchange.Wait(token, at - clock.now()));
+        } else {
+            setTimer(subject == null ? 0 : subject.id, token, at);
+        }
+    }
+
+    /** The number and not the request itself, which the timer would keep in memory until it is due. */
+    private void setTimer(long about, long token, double at) {
         timers.at(at, () -> tell(exchanges.get(about), () -> balancer.timer(clock.now(), token)));
     }
 
--- a/src/main/java/sablehinge/core/Exchange.java
+++ b/src/main/java/sablehinge/core/Exchange.java
@@ -9,7 +9,8 @@
     final long id;
     final Version version;
     final Payload request;
-    final double deadline;
+    /** Infinite while the request is still coming, as its time counts from its end. */
+    double deadline;
     final int serviceClass;
     final double arrivedAt;
     final List<Transport.Attempt> attempts = new ArrayList<>(2);
@@ -17,14 +18,26 @@
     int sends;
     int running;
     Timers.Timer overdue;
+    /** While the request is still coming: the time that it will have, and what the attempt may take of it. */
+    boolean coming;
+    final double remaining;
+    double patience;
+    /** When it had come to its end, before which no attempt is measured. */
+    double endedAt = Double.NEGATIVE_INFINITY;
+    /** Timers that the module set about it meanwhile: their tokens, and how long after now. */
+    final List<Wait> waits = new ArrayList<>(0);
     private Caller caller;
 
+    /** A timer that is not set yet. */
+    record Wait(long token, double delay) { }
+
     Exchange(long id, Version version, Arrival arrival, Payload request, double arrivedAt, Caller caller) {
         this.id = id;
         this.version = version;
         this.request = request;
         this.arrivedAt = arrivedAt;
         deadline = arrival.deadline();
+        remaining = arrival.deadline() - arrivedAt;
         serviceClass = arrival.serviceClass();
         this.caller = caller;
     }
--- a/src/main/java/sablehinge/core/Payload.java
+++ b/src/main/java/sablehinge/core/Payload.java
@@ -9,6 +9,11 @@
     /** A payload of nothing, which may be released any number of times. */
     Payload NONE = () -> { };
 
+    /** Whether a transport can send it now: what passes through as it comes can be sent once. */
+    default boolean canBeSent() {
+        return true;
+    }
+
     /** Gives back what it holds; it is not to be used afterwards. */
     void release();
 }
--- a/src/main/java/sablehinge/core/Transport.java
+++ b/src/main/java/sablehinge/core/Transport.java
@@ -13,6 +13,9 @@
 
         /** Stops waiting; the result comes before this returns, unless it has come already. */
         void cancel();
+
+        /** The request has come to its end only now: from here on waits until the given time. */
+        default void waitUntil(double until) { }
     }
 
     /**
@@ -20,7 +23,8 @@
      *
      * @param version whose limits and rules hold for the attempt
      * @param request lent until the result has come
-     * @param until in ms of the {@link Clock}
+     * @param until in ms of the {@link Clock}; of a request that is still coming, the time that it would have
+     *     if it ended now, and {@link Attempt#waitUntil} tells the true one
      * @param end called once, perhaps before this returns
      */
     Attempt send(Version version, long upstream, Payload request, double until, Consumer<AttemptResult> end);
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -16,12 +16,15 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -48,6 +51,7 @@
 import sablehinge.core.Core;
 import sablehinge.core.Exchange;
 import sablehinge.core.Log;
+import sablehinge.core.Payload;
 import sablehinge.core.Version;
 import sablehinge.http1.RequestCheck.BadRequestException;
 import sablehinge.http1.RequestCheck.Checked;
@@ -63,8 +67,13 @@
     private static final int MAX_AHEAD = 16;
     private static final int MAX_AHEAD_BYTES = UpstreamClient.MAX_BODY;
     private static final long SWEEP_MS = 200;
+    /** A body of up to so many bytes is kept whole, so that it can be sent again, as long as so many fit. */
+    private static final int MOST_KEPT = 256 * 1024;
+    private static final int MOST_KEPT_IN_ALL = 32 * MOST_KEPT;
     /** A new caller's first request, and the rest of one that has begun, must be there after so long. */
-    private static final double REQUEST_MS = 2_300;
+    private static final double REQUEST_MS = 2_400;
+    /** But a body has more time, a ms for each so many bytes; the slowest honest callers send 64 kB a s. */
+    private static final double SLOWEST = 40;
     /** How long a connection may stay without a request, before its first one and between two. */
     private static final double SILENT_MS = 2_300;
     private static final double IDLE_MS = 3_000;
@@ -89,6 +98,8 @@
     private final DoublePredicate evict = this::evictIdle;
     private Channel listening;
     private ScheduledFuture<?> sweeps;
+    /** Bytes that are reserved for bodies of more than 64 KiB. */
+    private int kept;
     private boolean draining;
     /** Once its callers have been told to go elsewhere: when it lets in no more, and what then follows. */
     private double closesAt = Double.POSITIVE_INFINITY;
@@ -303,7 +314,8 @@
     }
 
     /** One caller's connection: one request at a time, those sent ahead wait for their turn. */
-    private final class Connection extends ChannelInboundHandlerAdapter implements Caller {
+    private final class Connection extends ChannelInboundHandlerAdapter
+            implements Caller, Relay.Source, Relay.Sink {
 
         private final Channel channel;
         private final Decoder decoder = new Decoder(this);
@@ -314,8 +326,20 @@
         private ByteBuf body;
         /** What came that is no request: said once what came before it is answered, and nothing after it. */
         private BadRequestException flaw;
+        /** The body that is sent on while it comes; whether the rest of one is of no use. */
+        private Relay coming;
+        private boolean skipping;
+        /** What is reserved for a long body that is kept; bytes that came since it last began to wait. */
+        private int reserved;
+        private long came;
+        /** Bytes of the body that have been sent on, and since when it is not read. */
+        private long sent;
+        private double pausedAt;
+        /** The answer that is passed on as it comes, and whether its end can be told from a break. */
+        private Relay passed;
+        private boolean framed;
         /** The request at work; the exchange is known once the node has it. */
-        private FullHttpRequest current;
+        private HttpRequest current;
         private Exchange exchange;
         private String txn;
         /** The version under which it came, once it is read. */
@@ -356,24 +380,48 @@
 
         void sweep(double now) {
             double age = now - since;
-            if (closing || unsent > 0) {
+            if (closing || unsent > 0 || passed != null) {
                 if (age > WRITE_MS) {
                     channel.close();
                 }
             } else if (decoder.amid) {
-                if (current == null && age > REQUEST_MS) {
-                    spoil(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT, "too slow"));
-                    advance();
+                // One that is not read from now is not to blame.
+                if ((current == null || coming != null) && channel.config().isAutoRead()
+                        && age > REQUEST_MS + came / SLOWEST) {
+                    tooSlow();
                 }
             } else if (age > (served ? IDLE_MS : SILENT_MS)) {
                 closeIfIdle();
             }
         }
 
+        private void tooSlow() {
+            if (skipping) {
+                // Its answer has been said.
+                channel.close();
+                return;
+            }
+            breakOff();
+            spoil(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT, "too slow"));
+            advance();
+        }
+
+        /** The rest of a body that is sent on won't come, or won't be read. */
+        private void breakOff() {
+            if (coming != null) {
+                Relay half = coming;
+                coming = null;
+                // Known to the module before it hears what becomes of the attempt.
+                abandon();
+                half.broke();
+            }
+        }
+
         /** The first byte of a message has come. */
         void begins() {
             if (served && current == null) {
                 since = core.now();
+                came = 0;
             }
         }
 
@@ -408,6 +456,15 @@
         }
 
         private void take(Object message) throws BadRequestException {
+            if (skipping) {
+                if (message instanceof LastHttpContent || !(message instanceof HttpContent)) {
+                    skipping = false;
+                    since = core.now();
+                }
+                if (message instanceof HttpContent) {
+                    return;
+                }
+            }
             if (message instanceof HttpRequest begun) {
                 RequestCheck.head(begun);
                 head = begun;
@@ -422,23 +479,108 @@
                 if (!content.decoderResult().isSuccess()) {
                     throw new BadRequestException("malformed HTTP");
                 }
-                append(content.content());
-                if (content instanceof LastHttpContent) {
+                if (coming == null && !append(content.content())) {
+                    sendOn();
+                }
+                if (coming != null) {
+                    passOn(content);
+                } else if (content instanceof LastHttpContent && head != null) {
                     complete();
                 }
+                if (content instanceof LastHttpContent) {
+                    skipping = false;
+                }
             }
         }
 
-        private void append(ByteBuf part) throws BadRequestException {
-            if (body.readableBytes() + part.readableBytes() > UpstreamClient.MAX_BODY) {
-                throw RequestCheck.tooLarge();
+        /** Keeps a part of a body, unless the body is too long to be kept. */
+        private boolean append(ByteBuf part) {
+            int size = body.readableBytes() + part.readableBytes();
+            if (size > UpstreamClient.MAX_BODY && reserved == 0 && size <= MOST_KEPT
+                    && HttpUtil.getContentLength(head, 0L) <= MOST_KEPT
+                    && kept + MOST_KEPT <= MOST_KEPT_IN_ALL) {
+                reserved = MOST_KEPT;
+                kept += reserved;
+            }
+            if (size > (reserved > 0 ? MOST_KEPT : UpstreamClient.MAX_BODY)) {
+                return false;
             }
             if (part.isReadable()) {
                 if (body == Unpooled.EMPTY_BUFFER) {
-                    body = memory.buffer(part.readableBytes(), UpstreamClient.MAX_BODY);
+                    body = memory.buffer(part.readableBytes(), MOST_KEPT);
                 }
                 body.writeBytes(part);
             }
+            return true;
+        }
+
+        /** Begins the request before it is whole: its body goes on as it comes. */
+        private void sendOn() throws BadRequestException {
+            if (current != null || !ahead.isEmpty()) {
+                // Nobody who sends ahead needs to send so much.
+                throw RequestCheck.tooLarge();
+            }
+            HttpRequest begun = head;
+            Relay relay = new Relay(this);
+            coming = relay;
+            current = begun;
+            sent = body.readableBytes();
+            relay.add(body);
+            body.release();
+            body = Unpooled.EMPTY_BUFFER;
+            try {
+                begin(begun, true, new Passing(begun, HttpUtil.getContentLength(begun, -1L), relay));
+            } catch (BadRequestException e) {
+                coming = null;
+                current = null;
+                relay.abandon();
+                throw e;
+            }
+        }
+
+        private void passOn(HttpContent content) throws BadRequestException {
+            sent += content.content().readableBytes();
+            if (sent > UpstreamClient.MAX_PASSING) {
+                breakOff();
+                throw RequestCheck.tooLarge();
+            }
+            coming.add(content.content());
+            if (coming != null && content instanceof LastHttpContent) {
+                Relay whole = coming;
+                coming = null;
+                head = null;
+                body = null;
+                whole.end();
+                if (exchange != null) {
+                    core.ended(exchange);
+                }
+            }
+        }
+
+        @Override
+        public void read(boolean on) {
+            double now = core.now();
+            if (on && !channel.config().isAutoRead()) {
+                // What its caller was not let do is not counted as slowness.
+                since += now - pausedAt;
+            } else if (!on && channel.config().isAutoRead()) {
+                pausedAt = now;
+            }
+            channel.config().setAutoRead(on);
+        }
+
+        /** The rest of the body is of no use: it is read and dropped, so that its caller hears the answer. */
+        @Override
+        public void giveUp() {
+            coming = null;
+            skipping = true;
+            dropPart();
+            since = core.now();
+            came = 0;
+            channel.config().setAutoRead(true);
+            if (exchange != null) {
+                core.ended(exchange);
+            }
         }
 
         private void complete() throws BadRequestException {
@@ -492,7 +634,7 @@
             } finally {
                 advancing = false;
             }
-            if (aheadBytes <= MAX_AHEAD_BYTES && flaw == null && !closing) {
+            if (aheadBytes <= MAX_AHEAD_BYTES && flaw == null && !closing && coming == null) {
                 channel.config().setAutoRead(true);
             }
         }
@@ -504,40 +646,47 @@
                 return;
             }
             try {
-                RequestCheck by = check();
-                Checked checked;
-                try {
-                    checked = by.read(request, core.now());
-                } catch (BadRequestException e) {
-                    if (late == null || core.now() > lateUntil) {
-                        late = null;
-                        throw e;
-                    }
-                    by = late;
-                    checked = by.read(request, core.now());
-                }
-                Connection first = open.get(checked.txn());
-                if (first != null) {
-                    // Its client may have left, and sent the request again here.
-                    Sockets.readNow(first.channel);
-                }
-                if (open.containsKey(checked.txn())) {
-                    throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
-                }
-                txn = checked.txn();
-                version = by.version();
-                open.put(txn, this);
-                Exchange begun = core.request(by.version(), checked.arrival(),
-                        new HttpPayload(request.retain()), this);
-                // The answer may have come already, and with it the next request.
-                if (begun.isOpen()) {
-                    exchange = begun;
-                }
+                begin(request, request.content().isReadable(), new HttpPayload(request));
             } catch (BadRequestException e) {
                 reject(e);
             }
         }
 
+        /** Hands a request to core, whole or with its body still coming. */
+        private void begin(HttpRequest request, boolean hasBody, Payload payload)
+                throws BadRequestException {
+            RequestCheck by = check();
+            Checked checked;
+            try {
+                checked = by.read(request, hasBody, core.now());
+            } catch (BadRequestException e) {
+                if (late == null || core.now() > lateUntil) {
+                    late = null;
+                    throw e;
+                }
+                by = late;
+                checked = by.read(request, hasBody, core.now());
+            }
+            Connection first = open.get(checked.txn());
+            if (first != null) {
+                // Its client may have left, and sent the request again here.
+                Sockets.readNow(first.channel);
+            }
+            if (open.containsKey(checked.txn())) {
+                throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
+            }
+            txn = checked.txn();
+            version = by.version();
+            open.put(txn, this);
+            ReferenceCountUtil.retain(request);
+            Exchange begun = coming == null ? core.request(version, checked.arrival(), payload, this)
+                    : core.requestComing(version, checked.arrival(), payload, this);
+            // The answer may have come already, and with it the next request.
+            if (begun.isOpen()) {
+                exchange = begun;
+            }
+        }
+
         /** An error is the last answer: what else comes from there may be no better. */
         private void reject(BadRequestException why) {
             closing = true;
@@ -547,6 +696,10 @@
 
         @Override
         public void answer(Answer answer) {
+            if (answer.payload() instanceof Passing passing) {
+                pass(passing);
+                return;
+            }
             write(switch (answer.kind()) {
                 case SERVED -> HttpResponseStatus.OK;
                 case REFUSED -> HttpResponseStatus.SERVICE_UNAVAILABLE;
@@ -569,6 +722,11 @@
             if (retryAfter > 0) {
                 response.headers().set("Retry-After", UpstreamClient.seconds(Math.ceil(retryAfter)));
             }
+            setHeaders(response);
+            writeLast(response);
+        }
+
+        private void setHeaders(HttpResponse response) {
             if (version != null && version.shown()) {
                 response.headers().set("Sablehinge-Version", version.number());
             }
@@ -578,14 +736,71 @@
             if (closing) {
                 response.headers().set("Connection", "close");
             }
+        }
+
+        /** Begins an answer whose body passes through. */
+        private void pass(Passing passing) {
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            framed = true;
+            if (passing.length() >= 0) {
+                response.headers().set("Content-Length", passing.length());
+            } else if (current.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+                framed = false;
+                closing = true;
+            } else {
+                response.headers().set("Transfer-Encoding", "chunked");
+            }
+            setHeaders(response);
+            exchange = null;
+            since = core.now();
+            passed = passing.body();
+            channel.write(response);
+            passed.attach(this);
+            channel.flush();
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            channel.writeAndFlush(new DefaultHttpContent(part)).addListener(written -> since = core.now());
+            if (passed != null) {
+                passed.pace(channel.isWritable());
+            }
+        }
+
+        @Override
+        public void end() {
+            passed = null;
+            writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+
+        /** The caller must be able to tell that its answer is not whole. */
+        @Override
+        public void broke() {
+            passed = null;
+            if (!framed && channel instanceof SocketChannel socket) {
+                socket.config().setSoLinger(0);
+            }
+            channel.close();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (passed != null) {
+                passed.pace(channel.isWritable());
+            }
+            ctx.fireChannelWritabilityChanged();
+        }
+
+        private void writeLast(Object last) {
             finish();
             served = true;
             since = core.now();
+            came = 0;
             // The longest idle come first.
             connections.remove(this);
             connections.add(this);
             unsent++;
-            channel.writeAndFlush(response).addListener(written -> {
+            channel.writeAndFlush(last).addListener(written -> {
                 unsent--;
                 if (closing && unsent == 0) {
                     linger();
@@ -607,9 +822,11 @@
                 txn = null;
             }
             if (current != null) {
-                current.release();
+                ReferenceCountUtil.release(current);
                 current = null;
             }
+            kept -= reserved;
+            reserved = 0;
             exchange = null;
             version = null;
         }
@@ -626,6 +843,10 @@
             if (body != null) {
                 body.release();
             }
+            if (current == null) {
+                kept -= reserved;
+                reserved = 0;
+            }
             body = null;
             head = null;
         }
@@ -659,7 +880,15 @@
             resume();
             dropAhead();
             dropPart();
+            breakOff();
             abandon();
+            if (passed != null) {
+                Relay rest = passed;
+                passed = null;
+                rest.abandon();
+            }
+            kept -= reserved;
+            reserved = 0;
             ctx.fireChannelInactive();
         }
 
@@ -689,6 +918,7 @@
                 amid = true;
                 connection.begins();
             }
+            connection.came += ((ByteBuf) bytes).readableBytes();
             super.channelRead(ctx, bytes);
         }
 
--- /dev/null
+++ b/src/main/java/sablehinge/http1/Relay.java
@@ -0,0 +1,132 @@
+package sablehinge.http1;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayDeque;
+
+/**
+ * A body that passes through as it comes, once, from whoever reads it to whoever writes it. What is not
+ * written is not read: the writer sets the pace, so that little of it is held. Both ends are on one loop.
+ */
+final class Relay {
+
+    /** Reads the body. */
+    interface Source {
+
+        /** Goes on, or waits; what has been read meanwhile still comes. */
+        void read(boolean on);
+
+        /** Nobody wants the rest. */
+        void giveUp();
+    }
+
+    /** Writes the body. */
+    interface Sink {
+
+        /** Takes a part over. */
+        void part(ByteBuf part);
+
+        /** The body is whole. */
+        void end();
+
+        /** The rest will not come. */
+        void broke();
+    }
+
+    private final Source source;
+    private final ArrayDeque<ByteBuf> held = new ArrayDeque<>();
+    private Sink sink;
+    /** Whether its last part has come; whether the rest won't come; whether nothing more comes of it. */
+    private boolean ended;
+    private boolean broken;
+    private boolean over;
+
+    Relay(Source source) {
+        this.source = source;
+    }
+
+    /** Passes on, or holds until somebody writes, a part that is lent. */
+    void add(ByteBuf part) {
+        if (over || !part.isReadable()) {
+            return;
+        }
+        if (sink == null) {
+            held.add(part.retain());
+            source.read(false);
+        } else {
+            sink.part(part.retain());
+        }
+    }
+
+    /** The last part has been added. */
+    void end() {
+        ended = true;
+        if (!over && sink != null) {
+            over = true;
+            sink.end();
+        }
+    }
+
+    /** The rest won't come. */
+    void broke() {
+        if (!over && !ended) {
+            broken = true;
+            if (sink != null) {
+                over = true;
+                sink.broke();
+            }
+        }
+    }
+
+    /** Whether its last part has come. */
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** Whether somebody has begun to write it, or nobody may any more. */
+    boolean isTaken() {
+        return sink != null || over;
+    }
+
+    /** Begins to write it, which may be done once. */
+    void attach(Sink to) {
+        if (isTaken()) {
+            throw new IllegalStateException("a body passes through once");
+        }
+        sink = to;
+        for (ByteBuf part = held.poll(); part != null; part = held.poll()) {
+            to.part(part);
+        }
+        if (over) {
+            return;
+        }
+        if (broken || ended) {
+            over = true;
+            if (ended) {
+                to.end();
+            } else {
+                to.broke();
+            }
+        } else {
+            source.read(true);
+        }
+    }
+
+    /** The writer can take more, or no more for now. */
+    void pace(boolean on) {
+        if (!over && !ended) {
+            source.read(on);
+        }
+    }
+
+    /** The writer gives up. */
+    void abandon() {
+        if (!over) {
+            over = true;
+            held.forEach(ByteBuf::release);
+            held.clear();
+            if (!ended && !broken) {
+                source.giveUp();
+            }
+        }
+    }
+}
--- a/src/main/java/sablehinge/http1/RequestCheck.java
+++ b/src/main/java/sablehinge/http1/RequestCheck.java
@@ -1,6 +1,7 @@
 package sablehinge.http1;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
@@ -70,6 +71,10 @@
     /** Netty would drop the length of a message that has both framings, and go on. */
     static class Decoder extends HttpRequestDecoder {
 
+        Decoder() {
+            super(new HttpDecoderConfig().setMaxChunkSize(UpstreamClient.PART));
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw new IllegalArgumentException("both framings");
@@ -105,7 +110,7 @@
         if (length != null && !DIGITS.matcher(length).matches()) {
             throw new BadRequestException("Content-Length is no length");
         }
-        if (length != null && Long.parseLong(length) > UpstreamClient.MAX_BODY) {
+        if (length != null && Long.parseLong(length) > UpstreamClient.MAX_PASSING) {
             throw tooLarge();
         }
         String expect = single(headers, HttpHeaderNames.EXPECT);
@@ -120,6 +125,11 @@
 
     /** Reads a whole request that came at the given time. */
     Checked read(FullHttpRequest request, double now) throws BadRequestException {
+        return read(request, request.content().isReadable(), now);
+    }
+
+    /** Reads the head of a request; the body may be still coming. */
+    Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
         if (!TARGET.matcher(request.uri()).matches()) {
             throw new BadRequestException("the target is no path");
         }
@@ -135,7 +145,7 @@
                 || !get && !request.method().equals(HttpMethod.POST)) {
             throw new BadRequestException("the class wants another method");
         }
-        if (get && request.content().isReadable()) {
+        if (get && hasBody) {
             throw new BadRequestException("a body that nobody reads");
         }
         if (token(headers, "Idempotency-Key") == null ^ type.repeat() != Repeat.DEDUPLICATED) {
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -13,18 +13,26 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
@@ -57,7 +65,12 @@
  */
 public final class UpstreamClient implements Transport {
 
+    /** Up to so many bytes an answer's body is passed on whole, and so can be tried again. */
     static final int MAX_BODY = 64 * 1024;
+    /** Bodies and answers are 32 MB long at most; what is said to have more is spoilt. */
+    static final int MAX_PASSING = 36 * 1024 * 1024;
+    /** The most bytes that are handed on in one part. */
+    static final int PART = 32 * 1024;
     /** The part of an upstream's idle limit after which a connection is closed from this side. */
     private static final double IDLE_SHARE = 0.7;
     private static final long SWEEP_MS = 1_000;
@@ -71,6 +84,8 @@
     /** An answer that has begun must go on after so long at most, and be whole after this many times that. */
     private static final long STALL_MS = 300;
     private static final int MOST_STALLS = 5;
+    /** One that is being passed on already can't be tried again, and may rest for so many checks. */
+    private static final int MOST_RESTS = 16;
     /** Most answers of the kind 1xx that may come ahead of one. */
     private static final int MOST_AHEAD = 16;
 
@@ -94,8 +109,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         Connection connection = new Connection(channel);
-                        channel.pipeline().addLast(connection.decoder, new HttpRequestEncoder(),
-                                new HttpObjectAggregator(MAX_BODY), connection);
+                        channel.pipeline().addLast(connection.decoder, new HttpRequestEncoder(), connection);
                     }
                 });
         sockets.upstreamsGiveWay(this::evictIdle);
@@ -173,19 +187,25 @@
     @Override
     public Transport.Attempt send(Version version, long upstream, Payload request, double until,
             Consumer<AttemptResult> end) {
-        FullHttpRequest message = (FullHttpRequest) ((HttpPayload) request).message();
-        Attempt attempt = new Attempt(version.settings(), message, until, (result, response) ->
-                end.accept(result(version.settings(), result, response)));
+        Passing passing = request instanceof Passing one ? one : null;
+        HttpRequest message = (HttpRequest) (passing == null ? ((HttpPayload) request).message()
+                : passing.head());
+        Attempt attempt = new Attempt(version.settings(), message, passing, until, (result, payload) ->
+                end.accept(result(version.settings(), result, payload)));
         attempt.start(targets.get(upstream));
         return attempt;
     }
 
-    private static AttemptResult result(Settings settings, Result result, FullHttpResponse response) {
-        if (response == null) {
+    private static AttemptResult result(Settings settings, Result result, Payload payload) {
+        if (payload == Payload.NONE) {
             return AttemptResult.without(result);
         }
-        return new AttemptResult(result, new HttpPayload(response), settings.reports() != Reports.PIGGYBACK
-                ? null : LoadReport.parse(response.headers().get("X-Pressure"), settings.reportFields()));
+        return new AttemptResult(result, payload, settings.reports() != Reports.PIGGYBACK ? null
+                : LoadReport.parse(head(payload).headers().get("X-Pressure"), settings.reportFields()));
+    }
+
+    private static HttpMessage head(Payload payload) {
+        return payload instanceof Passing passing ? passing.head() : ((HttpPayload) payload).message();
     }
 
     /** Asks an upstream how it does; the answer's body holds its load report if the site has any. */
@@ -194,9 +214,10 @@
         List<String> fields = version.settings().reportFields();
         FullHttpRequest question = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 fields.isEmpty() ? "/ping" : "/_load", Unpooled.EMPTY_BUFFER);
-        new Attempt(version.settings(), question, until, (result, response) ->
-                end.accept(new AttemptResult(result, Payload.NONE, result != Result.OK ? null
-                        : LoadReport.parse(response.content().toString(StandardCharsets.UTF_8), fields))))
+        new Attempt(version.settings(), question, null, until, (result, payload) ->
+                end.accept(new AttemptResult(result, Payload.NONE, result != Result.OK
+                        || !(payload instanceof HttpPayload whole) ? null : LoadReport.parse(
+                                whole.message().content().toString(StandardCharsets.UTF_8), fields))))
                 .start(targets.get(upstream));
     }
 
@@ -276,13 +297,15 @@
     }
 
     /** One request on its way to one upstream. */
-    private final class Attempt implements Transport.Attempt {
+    private final class Attempt implements Transport.Attempt, Relay.Sink {
 
         private final Settings terms;
-        private final FullHttpRequest request;
-        private final double until;
-        private final BiConsumer<Result, FullHttpResponse> end;
-        private final Future<?> expiry;
+        private final HttpRequest request;
+        /** The body where it passes through; null where it is whole. */
+        private final Passing passing;
+        private final BiConsumer<Result, Payload> end;
+        private double until;
+        private Future<?> expiry;
         private Target target;
         private Channel channel;
         private boolean written;
@@ -291,20 +314,36 @@
         private double begunAt;
         private double rested = Double.NaN;
 
-        /** {@code end} is called once; the response, null if none came, is not to be kept. */
-        private Attempt(Settings terms, FullHttpRequest request, double until,
-                BiConsumer<Result, FullHttpResponse> end) {
+        /** {@code end} is called once; the response is not to be kept. */
+        private Attempt(Settings terms, HttpRequest request, Passing passing, double until,
+                BiConsumer<Result, Payload> end) {
             this.terms = terms;
             this.request = request;
+            this.passing = passing;
             this.until = until;
             this.end = end;
-            expiry = loop.schedule(this::expire, nanosUntil(until), TimeUnit.NANOSECONDS);
+            if (!comes()) {
+                waitUntil(until);
+            }
+        }
+
+        /** Whether the end of the request has not come yet, before which its time doesn't count. */
+        private boolean comes() {
+            return passing != null && !passing.body().hasEnded();
+        }
+
+        @Override
+        public void waitUntil(double given) {
+            if (!over && expiry == null) {
+                until = given;
+                expiry = loop.schedule(this::expire, nanosUntil(until), TimeUnit.NANOSECONDS);
+            }
         }
 
         private void start(Target to) {
             target = to;
             if (to == null) {
-                end(Result.CONNECT_FAILED, null);
+                end(Result.CONNECT_FAILED, Payload.NONE);
                 return;
             }
             Connection idle = takeIdle(to, resendable());
@@ -312,14 +351,14 @@
                 begin(idle);
             } else if (!sockets.roomForUpstream(clock.now())) {
                 // A shortage here says nothing of the upstream.
-                end(Result.NOT_SENT, null);
+                end(Result.NOT_SENT, Payload.NONE);
             } else {
                 int patience = (int) Math.max(1, terms.limits().connectTimeout());
                 bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, patience);
                 ChannelFuture connect = bootstrap.connect(to.member.address());
                 if (connect.cause() instanceof ChannelException) {
                     // There is no socket, for want of a descriptor.
-                    end(Result.NOT_SENT, null);
+                    end(Result.NOT_SENT, Payload.NONE);
                     return;
                 }
                 channel = connect.channel();
@@ -330,7 +369,7 @@
                     } else if (up.isSuccess()) {
                         begin(channel.pipeline().get(Connection.class));
                     } else {
-                        end(Result.CONNECT_FAILED, null);
+                        end(Result.CONNECT_FAILED, Payload.NONE);
                     }
                 });
             }
@@ -344,14 +383,37 @@
             rested = now - connection.idleSince;
             // NaN compares false: a ready upstream takes anything.
             boolean drained = now >= target.toldOff + terms.rules().drainGrace();
-            if (drained || now >= until) {
+            if (drained || now >= until && !comes() || passing != null && passing.body().isTaken()) {
                 connection.park(target);
-                end(Result.CONNECT_FAILED, null);
+                end(Result.CONNECT_FAILED, Payload.NONE);
                 return;
             }
             connection.carry(this);
+            if (passing != null) {
+                HttpRequest copy = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(),
+                        request.uri());
+                setHeaders(copy, now);
+                if (passing.length() >= 0) {
+                    copy.headers().set("Content-Length", passing.length());
+                } else {
+                    copy.headers().set("Transfer-Encoding", "chunked");
+                }
+                channel.write(copy);
+                passing.body().attach(this);
+                channel.flush();
+                return;
+            }
+            ByteBuf content = ((FullHttpRequest) request).content();
             FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                    request.uri(), request.content().retainedDuplicate());
+                    request.uri(), content.retainedDuplicate());
+            setHeaders(copy, now);
+            if (content.isReadable() || copy.method().equals(HttpMethod.POST)) {
+                copy.headers().set("Content-Length", content.readableBytes());
+            }
+            write(copy);
+        }
+
+        private void setHeaders(HttpRequest copy, double now) {
             copy.headers().set("Host", target.member.address().getHostString());
             for (String name : PASSED_ON) {
                 String value = request.headers().get(name);
@@ -359,30 +421,52 @@
                     copy.headers().set(name, value);
                 }
             }
-            if (copy.content().isReadable() || copy.method().equals(HttpMethod.POST)) {
-                copy.headers().set("Content-Length", copy.content().readableBytes());
-            }
             // Rounded down: the upstream must not take this balancer to be more patient than it is.
             copy.headers().set("X-Remaining", seconds(until - now));
-            channel.writeAndFlush(copy).addListener(write -> {
+        }
+
+        /** Writes the last of the request. */
+        private void write(Object last) {
+            channel.writeAndFlush(last).addListener(write -> {
                 written = write.isSuccess();
                 if (!written) {
-                    broke();
+                    broke(Result.CONNECT_FAILED);
                 }
             });
         }
 
+        @Override
+        public void part(ByteBuf part) {
+            channel.writeAndFlush(new DefaultHttpContent(part));
+            passing.body().pace(channel.isWritable());
+        }
+
+        @Override
+        public void end() {
+            write(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+
+        /** The caller has left its request half, and the upstream must not take it for whole. */
+        @Override
+        public void broke() {
+            cancel();
+        }
+
         /** Whether the module may ever send this again once it may have run. */
         private boolean resendable() {
             return !request.method().equals(HttpMethod.POST) || request.headers().contains("Idempotency-Key");
         }
 
         /** The connection is of no more use: what was not written whole can't have run. */
-        private void broke() {
+        private void broke(Result result) {
             if (!over && !Double.isNaN(rested) && clock.now() - begunAt < Freshness.AT_ONCE_MS) {
                 freshness.broke(rested);
             }
-            giveUp(written ? Result.RESET : Result.CONNECT_FAILED);
+            giveUp(result);
+        }
+
+        private void connectionEnded() {
+            broke(written ? Result.RESET : Result.CONNECT_FAILED);
         }
 
         private void expire() {
@@ -402,28 +486,39 @@
         private void giveUp(Result result) {
             if (!over) {
                 over = true;
-                expiry.cancel(false);
                 if (channel != null) {
                     channel.close();
                 }
-                end.accept(result, null);
+                finish(result, Payload.NONE);
             }
         }
 
-        private void answered(FullHttpResponse response) {
-            int status = response.status().code();
+        /** An answer, with its body or with the beginning of that. */
+        private void answered(HttpResponse head, Payload payload) {
+            int status = head.status().code();
             boolean turnedAway = (status == 503 || status == 504)
-                    && "1".equals(response.headers().get("X-Turned-Away"));
-            Result result = turnedAway ? Result.FULL : status == 200 ? Result.OK : Result.ERROR;
-            end(result, response);
+                    && "1".equals(head.headers().get("X-Turned-Away"));
+            // What is served before the request has come was made for something else.
+            Result result = turnedAway ? Result.FULL : status == 200 && !comes() ? Result.OK : Result.ERROR;
+            end(result, payload);
         }
 
-        private void end(Result result, FullHttpResponse response) {
+        private void end(Result result, Payload payload) {
             if (!over) {
                 over = true;
+                finish(result, payload);
+            }
+        }
+
+        private void finish(Result result, Payload payload) {
+            if (expiry != null) {
                 expiry.cancel(false);
-                end.accept(result, response);
             }
+            // A body of which a part was written can't be sent again: its caller need not send the rest.
+            if (passing != null && passing.body().isTaken()) {
+                passing.body().abandon();
+            }
+            end.accept(result, payload);
         }
     }
 
@@ -460,12 +555,13 @@
         private int matched;
 
         Decoder(Connection connection) {
+            super(new HttpDecoderConfig().setMaxChunkSize(PART));
             this.connection = connection;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            if (connection.carried == null || !begins((ByteBuf) message)) {
+            if (connection.carried == null && connection.relay == null || !begins((ByteBuf) message)) {
                 ReferenceCountUtil.release(message);
                 connection.spoilt();
                 return;
@@ -507,7 +603,7 @@
     }
 
     /** A connection to an upstream; it belongs to one attempt at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Relay.Source {
 
         final Channel channel;
         final Decoder decoder = new Decoder(this);
@@ -521,6 +617,12 @@
         private int checks;
         private int informational;
         private Future<?> check;
+        /** The answer that is coming: its head, its body so far, and the body once it passes through. */
+        private HttpResponse head;
+        private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        private Relay relay;
+        private long passed;
+        private boolean reset;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -554,6 +656,27 @@
             if (attempt != null) {
                 attempt.giveUp(attempt.written ? Result.ERROR : Result.CONNECT_FAILED);
             }
+            breakOff();
+        }
+
+        /** Who is passed the answer on to must be able to tell that it is not whole. */
+        private void breakOff() {
+            if (relay != null) {
+                Relay broken = relay;
+                relay = null;
+                broken.broke();
+            }
+        }
+
+        @Override
+        public void read(boolean on) {
+            channel.config().setAutoRead(on);
+        }
+
+        @Override
+        public void giveUp() {
+            relay = null;
+            channel.close();
         }
 
         void bytesCame() {
@@ -561,10 +684,10 @@
             moved = true;
         }
 
-        /** Upstreams write an answer at once: one that stays in parts will not be whole in time. */
+        /** An answer that has begun and stands still will not be whole in time. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (amid && carried != null && check == null) {
+            if (amid && (carried != null || relay != null) && check == null) {
                 moved = false;
                 check = loop.schedule(this::checkProgress, STALL_MS, TimeUnit.MILLISECONDS);
             }
@@ -573,7 +696,13 @@
 
         private void checkProgress() {
             check = null;
-            if (!moved || ++checks >= MOST_STALLS) {
+            if (moved || relay != null && !channel.config().isAutoRead()) {
+                // Its body may take its time as long as it comes, its head may not.
+                checks = head == null && relay == null ? checks + 1 : 0;
+            } else {
+                checks += relay == null ? MOST_STALLS : 1;
+            }
+            if (checks >= (relay == null ? MOST_STALLS : MOST_RESTS)) {
                 spoilt();
             } else {
                 moved = false;
@@ -593,14 +722,135 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (!message.decoderResult().isSuccess()) {
+                // Where it is the end of the connection that cuts it off, that end tells the attempt.
+                if (channel.isActive()) {
+                    spoilt();
+                }
+                return;
+            }
+            if (message instanceof HttpResponse begun) {
+                head = begun;
+                if (HttpUtil.getContentLength(begun, 0L) > MAX_PASSING) {
+                    spoilt();
+                    return;
+                }
+            }
+            if (message instanceof HttpContent content && head != null) {
+                if (relay == null) {
+                    gather(content.content());
+                }
+                if (relay != null) {
+                    pass(content);
+                } else if (content instanceof LastHttpContent && head != null) {
+                    whole();
+                }
+            }
+        }
+
+        /** Keeps a short answer, so that all or nothing of it is passed on; begins to pass on a long one. */
+        private void gather(ByteBuf part) {
+            boolean fits = body.readableBytes() + part.readableBytes() <= MAX_BODY;
+            if (fits && HttpUtil.getContentLength(head, 0L) <= MAX_BODY) {
+                if (part.isReadable()) {
+                    if (body == Unpooled.EMPTY_BUFFER) {
+                        body = channel.alloc().buffer(part.readableBytes(), MAX_BODY);
+                    }
+                    body.writeBytes(part);
+                }
+            } else if (part.isReadable()) {
+                beginToPass();
+            }
+        }
+
+        private void beginToPass() {
+            Attempt attempt = carried;
+            if (attempt == null || attempt.over || !attempt.written || !channel.isActive()
+                    || head.status().code() != 200) {
+                spoilt();
+                return;
+            }
+            carried = null;
+            relay = new Relay(this);
+            passed = 0;
+            checks = 0;
+            Relay begun = relay;
+            passOn(body);
+            attempt.answered(head, new Passing(head, HttpUtil.getContentLength(head, -1L), begun));
+            if (!begun.isTaken()) {
+                // Its caller has left.
+                begun.abandon();
+            }
+        }
+
+        private void passOn(ByteBuf part) {
+            passed += part.readableBytes();
+            relay.add(part);
+            dropBody();
+        }
+
+        private void pass(HttpContent content) {
+            if (passed + content.content().readableBytes() > MAX_PASSING) {
+                spoilt();
+                return;
+            }
+            passOn(content.content());
+            if (relay == null || !(content instanceof LastHttpContent)) {
+                return;
+            }
             endMessage();
-            if (carried != null && !channel.isActive()) {
+            if (!channel.isActive() && !endsWithConnection()) {
+                breakOff();
+                return;
+            }
+            Relay done = relay;
+            relay = null;
+            boolean keep = channel.isActive() && HttpUtil.isKeepAlive(head) && !decoder.holdsMore();
+            head = null;
+            done.end();
+            channel.config().setAutoRead(true);
+            if (keep) {
+                park(home);
+            } else {
+                channel.close();
+            }
+        }
+
+        /** Whether the end of the connection is the end of the answer: a process that dies resets it. */
+        private boolean endsWithConnection() {
+            return !reset && !HttpUtil.isKeepAlive(head) && !HttpUtil.isTransferEncodingChunked(head)
+                    && !HttpUtil.isContentLengthSet(head);
+        }
+
+        private void dropBody() {
+            ByteBuf dropped = body;
+            body = Unpooled.EMPTY_BUFFER;
+            dropped.release();
+        }
+
+        private void whole() {
+            HttpResponse answer = head;
+            FullHttpResponse response = new DefaultFullHttpResponse(answer.protocolVersion(),
+                    answer.status(), body, answer.headers(), EmptyHttpHeaders.INSTANCE);
+            body = Unpooled.EMPTY_BUFFER;
+            boolean delimited = endsWithConnection();
+            head = null;
+            try {
+                whole(response, delimited);
+            } finally {
+                response.release();
+            }
+        }
+
+        private void whole(FullHttpResponse response, boolean delimited) {
+            endMessage();
+            if (carried != null && !channel.isActive() && !delimited) {
                 // What the end of the connection completes is no answer: a crash would look like that too.
-                carried.broke();
+                carried.connectionEnded();
                 return;
             }
-            if (carried == null || !response.decoderResult().isSuccess()) {
+            if (carried == null) {
                 spoilt();
                 return;
             }
@@ -614,7 +864,7 @@
             carried = null;
             boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response)
                     && !decoder.holdsMore();
-            attempt.answered(response);
+            attempt.answered(response, new HttpPayload(response));
             // Only now: the module's next send must not read from a connection that is being read.
             if (keep && channel.isActive()) {
                 park(home);
@@ -623,6 +873,15 @@
             }
         }
 
+        /** The upstream sets the pace of a body that passes through. */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (carried != null && carried.passing != null) {
+                carried.passing.body().pace(channel.isWritable());
+            }
+            ctx.fireChannelWritabilityChanged();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (check != null) {
@@ -632,15 +891,18 @@
                 home.idle.remove(this);
             }
             if (carried != null) {
-                carried.broke();
+                carried.connectionEnded();
             }
+            breakOff();
+            dropBody();
             ctx.fireChannelInactive();
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+            if (cause instanceof IOException) {
                 // The end of the channel tells the attempt.
+                reset = true;
                 channel.close();
             } else {
                 // An answer that is too large or no HTTP: the upstream has had the request.
--- a/src/main/java/sablehinge/node/Node.java
+++ b/src/main/java/sablehinge/node/Node.java
@@ -296,6 +296,11 @@
         return config;
     }
 
+    /** Bytes of direct memory that its buffers take; for tests. */
+    public long directMemory() {
+        return memory.metric().usedDirectMemory();
+    }
+
     /** Its parts, for tests; they are to be used on the loop only. */
     public <T> T onLoop(BiFunction<Frontend, UpstreamClient, T> look) throws InterruptedException {
         return loop.submit(() -> look.apply(frontend, upstreams)).sync().getNow();
