Budgets over a chain: purses and grants, worth, loops and signed headers as a decider

Need: retries multiply at each tier, calls arrive dead, loops go unseen; each balancer sees its own hop only.

Nothing in service uses it yet, so nothing of it is loaded.

--- /dev/null
+++ b/src/main/java/sablehinge/budget/Purses.java
@@ -0,0 +1,289 @@
+package sablehinge.budget;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The budgets of one hop: which calls are taken in, how much each of their attempts may spend further
+ * down, and
+ * what is left once it has come back. All calls that a server makes for one attempt of the tier above draw
+ * on one
+ * purse, so that a fan-out does not multiply what they may spend. An attempt is granted a part of the purse,
+ * which is gone until a report says what was spent of it; without a report it is spent. So the attempts at
+ * the last tier never exceed what the first hop was given, whatever is lost on the way.
+ */
+public final class Purses {
+
+    /** Why a call is not taken in. */
+    public enum Refusal {
+        /** Its time is gone, or would be on the way. */
+        DEAD,
+        /** It has come back to a service on its own path. */
+        LOOP,
+        /** Nothing is left to spend for it. */
+        SPENT,
+        /** So many budgets are at work that one more can't be remembered. */
+        FULL
+    }
+
+    /** What calls of one grant draw on. */
+    private static final class Purse {
+        final long grant;
+        final double deadline;
+        int left;
+        int spent;
+        /** Calls that are not over. */
+        int open;
+        /** Calls to which a first attempt is still owed, and grants that are out. */
+        int owed;
+        int out;
+
+        Purse(long grant, double deadline, int left, int calls) {
+            this.grant = grant;
+            this.deadline = deadline;
+            this.left = left;
+            owed = calls;
+        }
+    }
+
+    /** A call that was taken in. */
+    public final class Call {
+        private final Purse purse;
+        private final double deadline;
+        private final double worth;
+        private final List<Long> path;
+        private boolean first = true;
+        private int tries;
+        private boolean again = true;
+        private boolean closed;
+
+        private Call(Purse purse, double deadline, double worth, List<Long> path) {
+            this.purse = purse;
+            this.deadline = deadline;
+            this.worth = worth;
+            this.path = path;
+        }
+
+        /** When its answer must have begun its way back, in ms of the caller's clock. */
+        public double deadline() {
+            return deadline;
+        }
+
+        /** Its worth within the operator's bound. */
+        public double worth() {
+            return worth;
+        }
+
+        /**
+         * Attempts that may still be made for it here: a first one with whatever there is, others with
+         * what they may need, once each of the calls that are still expected has its first.
+         */
+        public int attempts() {
+            int others = purse.owed - (first ? 1 : 0);
+            int free = Math.max(0, purse.left - others * terms.need());
+            return !again || purse.left < 1 ? 0 : Math.max(first ? 1 : 0, free / terms.need());
+        }
+    }
+
+    /** An attempt's part of a purse. */
+    public final class Grant {
+        private final Call call;
+        private final int attempts;
+        private final long id;
+        private boolean settled;
+
+        private Grant(Call call, int attempts, long id) {
+            this.call = call;
+            this.attempts = attempts;
+            this.id = id;
+        }
+
+        /** How many attempts at the last tier it covers. */
+        public int attempts() {
+            return attempts;
+        }
+
+        /** What the attempt carries, written at the given time; null if too little time is left for that. */
+        public Budget budget(double now) {
+            double left = call.deadline - now - terms.wire();
+            return left <= 0 ? null : new Budget(id, attempts, Math.min(Budget.MOST_MS, left), call.worth,
+                    call.path);
+        }
+    }
+
+    /** What becomes of a call that has come: the call, or why not. */
+    public record Admission(Call call, Refusal refusal, List<Long> path) { }
+
+    private final Terms terms;
+    private final long service;
+    private final SplittableRandom random;
+    /** In the order in which they were last used, the longest ago first. */
+    private final Map<Long, Purse> purses = new LinkedHashMap<>();
+    private final Map<HeaderText.Kind, Long> read = new LinkedHashMap<>();
+
+    /** The budgets of a hop that stands for a service; the seed names its grants. */
+    public Purses(Terms terms, long service, long seed) {
+        this.terms = terms;
+        this.service = service;
+        random = new SplittableRandom(seed);
+    }
+
+    /** How many grants are remembered. */
+    public int size() {
+        return purses.size();
+    }
+
+    /** How many calls came with a budget that was read, and so on. */
+    public Map<HeaderText.Kind, Long> read() {
+        return Collections.unmodifiableMap(read);
+    }
+
+    /**
+     * A call has come.
+     *
+     * @param now in ms of a clock that never goes back
+     * @param found its header
+     * @param entry whether it is a client's, which carries no budget and is not trusted with one
+     * @param remaining time in ms that its caller says it waits
+     * @param waited for how long it may have lain here before it was read: a pause of this process makes
+     *     no time
+     * @param worth of its class, for a call that carries none
+     */
+    public Admission arrive(double now, HeaderText.Found<Budget> found, boolean entry, double remaining,
+            double waited, double worth) {
+        read.merge(found.kind(), 1L, Long::sum);
+        Budget carried = entry ? null : found.value();
+        List<Long> path = carried == null ? List.of() : carried.path();
+        long passed = path.stream().filter(hop -> hop == service).count();
+        List<Long> here = new ArrayList<>(path);
+        here.add(service);
+        if (passed > terms.reentries() || path.size() >= Budget.MOST_HOPS) {
+            return new Admission(null, Refusal.LOOP, here);
+        }
+        double time = Math.min(remaining, terms.remaining());
+        if (carried != null) {
+            time = Math.min(time, carried.remaining());
+        }
+        double deadline = now + time - Math.max(0, waited) - terms.margin();
+        Purse purse = carried == null ? null : purses.remove(carried.grant());
+        if (purse == null) {
+            if (deadline <= now) {
+                return new Admission(null, Refusal.DEAD, here);
+            }
+            if (purses.size() >= terms.purses() && !forget(now)) {
+                return new Admission(null, Refusal.FULL, here);
+            }
+            int given = entry ? terms.attempts() : carried == null ? terms.unknown()
+                    : Math.min(terms.attempts(), carried.attempts());
+            long grant = carried == null ? random.nextLong() : carried.grant();
+            // Whoever makes one call for each client's request owes no others their first attempt.
+            purse = new Purse(grant, deadline, given, entry || carried == null ? 1 : terms.calls());
+        } else {
+            deadline = Math.min(deadline, purse.deadline);
+        }
+        purses.put(purse.grant, purse);
+        if (deadline <= now) {
+            return new Admission(null, Refusal.DEAD, here);
+        }
+        if (purse.left < 1) {
+            return new Admission(null, Refusal.SPENT, here);
+        }
+        purse.open++;
+        purse.owed = Math.max(1, purse.owed);
+        double bounded = Math.min(terms.worth(), carried == null ? worth : carried.worth());
+        return new Admission(new Call(purse, deadline, bounded, here), null, here);
+    }
+
+    /** Makes room by one grant under which no call is open, those that no more can come of first. */
+    private boolean forget(double now) {
+        Iterator<Purse> all = purses.values().iterator();
+        while (all.hasNext()) {
+            Purse purse = all.next();
+            if (purse.open == 0 && purse.out == 0 && purse.deadline <= now) {
+                all.remove();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Takes a part for an attempt; null if there is none, or no time for it to be of use.
+     *
+     * @param resendable whether another attempt may follow one that may have run
+     * @param least time in ms that the tier below needs at the least
+     */
+    public Grant take(Call call, double now, boolean resendable, double least) {
+        if (call.closed || call.attempts() < 1 || call.deadline - now - terms.wire() <= Math.max(0, least)) {
+            return null;
+        }
+        Purse purse = call.purse;
+        if (call.first) {
+            call.first = false;
+            purse.owed = Math.max(0, purse.owed - 1);
+        }
+        int need = Math.min(terms.need(), purse.left);
+        int free = Math.max(need, purse.left - purse.owed * terms.need());
+        int part = terms.last() ? 1 : Math.max(need, free - (resendable ? (int) (free * terms.kept()) : 0));
+        call.tries++;
+        purse.left -= part;
+        purse.spent += part;
+        purse.out++;
+        return new Grant(call, part, random.nextLong());
+    }
+
+    /** The attempt never ran: all that it was granted comes back. */
+    public void neverRan(Grant grant) {
+        settle(grant, 0);
+    }
+
+    /**
+     * The attempt is over, or given up.
+     *
+     * @param report what came back; null if nothing did that can be believed
+     * @param served whether it served
+     */
+    public void over(Grant grant, Report report, boolean served) {
+        boolean known = report != null && report.grant() == grant.id;
+        settle(grant, known ? Math.min(grant.attempts, report.spent()) : grant.attempts);
+        if (known && !served && !report.again()) {
+            grant.call.again = false;
+        }
+    }
+
+    private void settle(Grant grant, int spent) {
+        if (grant.settled) {
+            return;
+        }
+        grant.settled = true;
+        Purse purse = grant.call.purse;
+        purse.out--;
+        // An attempt at the last tier has run or has not: no report is asked for.
+        int used = terms.last() && spent > 0 ? 1 : spent;
+        purse.left += grant.attempts - used;
+        purse.spent -= grant.attempts - used;
+    }
+
+    /**
+     * The call has its answer.
+     *
+     * @param again whether the failure, if it is one, may be tried again at all. It is worth that at the tier
+     *     above if it was tried once here: where it was tried again, that one tier has done it for all
+     * @return what goes back with it
+     */
+    public Report close(Call call, boolean again) {
+        if (!call.closed) {
+            call.closed = true;
+            call.purse.open--;
+            if (call.first) {
+                call.purse.owed = Math.max(0, call.purse.owed - 1);
+            }
+        }
+        return new Report(call.purse.grant, call.purse.spent, again && call.again && call.tries < 2);
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/budget/Chain.java
@@ -0,0 +1,339 @@
+package sablehinge.budget;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/**
+ * A chain of tiers in virtual time, drawn by a seed: servers with slots and queues, each with a balancer
+ * of its
+ * own for its calls to the next tier, which tries again as often as it may. With budgets or without. The
+ * balancers here draw servers evenly: what is looked at are the budgets, not the decision module.
+ */
+final class Chain {
+
+    static final int BOUND = 8;
+    private static final int MOST_ATTEMPTS = 4;
+
+    /**
+     * What is drawn for a chain, and what is done to it; the load is a share of what the first tier can do.
+     */
+    record Plan(long seed, int tiers, int calls, boolean budgets, double load, double slow, double errors,
+            double lost, double strips, int requests) { }
+
+    /** What became of a client's request, and what it cost. */
+    static final class Asked {
+        final int number;
+        final double worth;
+        final boolean unsafe;
+        int leaves;
+        double arrivedAt;
+        double answeredAt = Double.NaN;
+        boolean served;
+        int answers;
+        boolean stripped;
+
+        Asked(int number, double worth, boolean unsafe) {
+            this.number = number;
+            this.worth = worth;
+            this.unsafe = unsafe;
+        }
+    }
+
+    private record Event(double at, long order, Runnable run) { }
+
+    /** What goes back: whether it was served, may have run, and what the balancer below reported. */
+    private record Back(boolean served, boolean ran, Report report) { }
+
+    private interface Ending {
+        void done(Back back);
+    }
+
+    /** One call from a server, or from a client, to the tier that a balancer stands before. */
+    private final class Call {
+        final Balancer balancer;
+        final Asked asked;
+        final double deadline;
+        final Purses.Call purse;
+        final Ending end;
+        int attempts;
+        int runs;
+        boolean over;
+
+        Call(Balancer balancer, Asked asked, double deadline, Purses.Call purse, Ending end) {
+            this.balancer = balancer;
+            this.asked = asked;
+            this.deadline = deadline;
+            this.purse = purse;
+            this.end = end;
+        }
+
+        void send() {
+            boolean resendable = !asked.unsafe;
+            Purses.Grant grant = null;
+            Budget budget = null;
+            if (plan.budgets()) {
+                grant = balancer.purses.take(purse, now, resendable, balancer.least.value(now));
+                budget = grant == null ? null : grant.budget(now);
+                if (grant != null && budget == null) {
+                    balancer.purses.neverRan(grant);
+                }
+                if (budget == null) {
+                    close(new Back(false, runs > 0, null));
+                    return;
+                }
+            }
+            if (now >= deadline) {
+                deadSent += plan.budgets() ? 1 : 0;
+            }
+            attempts++;
+            if (balancer.tier == plan.tiers() - 1) {
+                asked.leaves++;
+            }
+            Server server = tiers.get(balancer.tier).get(random.nextInt(tiers.get(balancer.tier).size()));
+            Purses.Grant held = grant;
+            double sentAt = now;
+            boolean[] ended = new boolean[1];
+            Ending back = result -> {
+                if (!ended[0]) {
+                    ended[0] = true;
+                    finished(held, result, sentAt);
+                }
+            };
+            // Without budgets a lower tier does not know when its caller's client has given up.
+            at(deadline, () -> back.done(new Back(false, true, null)));
+            server.take(this, budget, () -> runs++, back);
+        }
+
+        private void finished(Purses.Grant grant, Back back, double sentAt) {
+            if (grant != null) {
+                if (!back.ran()) {
+                    balancer.purses.neverRan(grant);
+                } else {
+                    balancer.purses.over(grant, back.report(), back.served());
+                }
+                if (back.served()) {
+                    balancer.least.served(now, now - sentAt);
+                }
+                // A failure that comes at once tells of a sick server: to give others up would not help.
+                boolean late = now - sentAt > 0.8 * (deadline - sentAt);
+                if (late || back.served()) {
+                    balancer.shedder.felt(now, late);
+                }
+            }
+            if (over) {
+                return;
+            }
+            if (back.served()) {
+                close(back);
+            } else if (asked.unsafe && back.ran() || attempts >= MOST_ATTEMPTS || now >= deadline) {
+                close(new Back(false, runs > 0, null));
+            } else {
+                send();
+            }
+        }
+
+        private void close(Back back) {
+            over = true;
+            if (asked.unsafe && runs > 1) {
+                unsafeTwice++;
+            }
+            Report report = purse == null ? null
+                    : balancer.purses.close(purse, !back.served() && !(asked.unsafe && back.ran()));
+            end.done(new Back(back.served(), back.ran(), report));
+        }
+    }
+
+    private final class Balancer {
+        final int tier;
+        final Purses purses;
+        final LeastTime least = new LeastTime();
+        final Shedder shedder;
+
+        Balancer(int tier, long seed) {
+            this.tier = tier;
+            shedder = new Shedder(new Shedder.Terms(0.1, 1), seed);
+            boolean last = tier == plan.tiers() - 1;
+            purses = new Purses(new Terms(BOUND, 10_000, 1_000, 1, tier == 0 ? 1 : plan.calls(),
+                    (int) Math.pow(plan.calls(), plan.tiers() - 1 - tier), last, 2, 1, 0.5, 0, 10_000),
+                            tier + 1, seed);
+        }
+
+        void call(Asked asked, HeaderText.Found<Budget> found, double remaining, Ending end) {
+            if (!plan.budgets()) {
+                new Call(this, asked, now + remaining, null, end).send();
+                return;
+            }
+            Purses.Admission admission = purses.arrive(now, found, tier == 0, remaining, 0, asked.worth);
+            if (admission.call() == null) {
+                end.done(new Back(false, false, null));
+                return;
+            }
+            if (!shedder.admits(now, "all", admission.call().worth(), 1)) {
+                shed++;
+                end.done(new Back(false, false, purses.close(admission.call(), false)));
+                return;
+            }
+            new Call(this, asked, admission.call().deadline(), admission.call(), end).send();
+        }
+    }
+
+    private final class Server {
+        final int tier;
+        final Balancer next;
+        final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+        int busy;
+
+        Server(int tier, long seed) {
+            this.tier = tier;
+            next = tier + 1 < plan.tiers() ? new Balancer(tier + 1, seed) : null;
+        }
+
+        void take(Call call, Budget budget, Runnable ran, Ending end) {
+            if (queue.size() >= 400) {
+                end.done(new Back(false, false, null));
+                return;
+            }
+            queue.add(() -> begin(call, budget, ran, end));
+            next();
+        }
+
+        private void next() {
+            while (busy < 4 && !queue.isEmpty()) {
+                busy++;
+                queue.poll().run();
+            }
+        }
+
+        private void begin(Call call, Budget budget, Runnable ran, Ending end) {
+            ran.run();
+            double work = -Math.log(1 - random.nextDouble()) * 8 * (now > slowFrom && now < slowUntil
+                    ? plan.slow() : 1);
+            at(now + work, () -> {
+                if (next == null) {
+                    finish(call, true, null, end);
+                } else {
+                    int calls = 1 + random.nextInt(plan.calls());
+                    HeaderText.Found<Budget> found = budget == null
+                            ? new HeaderText.Found<>(HeaderText.Kind.MISSING, null)
+                            : new HeaderText.Found<>(HeaderText.Kind.READ, budget);
+                    if (random.nextDouble() < plan.strips()) {
+                        call.asked.stripped = true;
+                        found = new HeaderText.Found<>(HeaderText.Kind.MISSING, null);
+                    }
+                    further(call, found, calls, null, end);
+                }
+            });
+        }
+
+        /** One call after another; what the last report said goes back. */
+        private void further(Call call, HeaderText.Found<Budget> found, int calls, Report last, Ending end) {
+            if (calls == 0) {
+                finish(call, true, last, end);
+                return;
+            }
+            next.call(call.asked, found, call.deadline - now, back -> {
+                Report report = back.report() == null ? last : back.report();
+                if (back.served()) {
+                    further(call, found, calls - 1, report, end);
+                } else {
+                    finish(call, false, report, end);
+                }
+            });
+        }
+
+        private void finish(Call call, boolean well, Report report, Ending end) {
+            busy--;
+            next();
+            if (random.nextDouble() >= plan.lost()) {
+                end.done(new Back(well && random.nextDouble() >= plan.errors(), true, report));
+            } else {
+                // The connection breaks: it has run, and nothing comes back with it.
+                end.done(new Back(false, true, null));
+            }
+        }
+    }
+
+    final Plan plan;
+    final List<Asked> asked = new ArrayList<>();
+    int deadSent;
+    int unsafeTwice;
+    int shed;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Double.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final List<List<Server>> tiers = new ArrayList<>();
+    private double now;
+    private long order;
+    private double slowFrom;
+    private double slowUntil;
+
+    Chain(Plan plan) {
+        this.plan = plan;
+        random = new SplittableRandom(plan.seed());
+        for (int tier = 0; tier < plan.tiers(); tier++) {
+            // As many more servers as there are more calls, so that all tiers are loaded alike.
+            int count = (int) Math.ceil(2 * Math.pow((1 + plan.calls()) / 2.0, tier));
+            List<Server> servers = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                servers.add(new Server(tier, random.nextLong()));
+            }
+            tiers.add(servers);
+        }
+    }
+
+    private void at(double time, Runnable run) {
+        events.add(new Event(Math.max(time, now), order++, run));
+    }
+
+    /** Plays it to its end. */
+    Chain play() {
+        Balancer front = new Balancer(0, random.nextLong());
+        // A server of the first tier holds its slot until all that lies below is done.
+        double held = 0;
+        for (int tier = 0; tier < plan.tiers(); tier++) {
+            held += 8 * Math.pow((1 + plan.calls()) / 2.0, tier);
+        }
+        double gap = held / (4 * tiers.get(0).size()) / plan.load();
+        double at = 0;
+        double whole = plan.requests() * gap;
+        slowFrom = whole / 3;
+        slowUntil = 2 * whole / 3;
+        for (int i = 0; i < plan.requests(); i++) {
+            at += -Math.log(1 - random.nextDouble()) * gap;
+            Asked one = new Asked(i, random.nextInt(4) == 0 ? 8 : 1, random.nextInt(3) == 0);
+            asked.add(one);
+            double arrives = at;
+            at(arrives, () -> {
+                one.arrivedAt = now;
+                front.call(one, new HeaderText.Found<>(HeaderText.Kind.MISSING, null), 250, back -> {
+                    one.answers++;
+                    one.served = back.served();
+                    one.answeredAt = now;
+                });
+            });
+        }
+        for (Event event = events.poll(); event != null; event = events.poll()) {
+            now = event.at();
+            event.run().run();
+        }
+        return this;
+    }
+
+    int mostLeaves() {
+        return asked.stream().mapToInt(one -> one.leaves).max().orElse(0);
+    }
+
+    double meanLeaves() {
+        return asked.stream().mapToInt(one -> one.leaves).average().orElse(0);
+    }
+
+    /** Worth served in time, of all that was asked for. */
+    double kept() {
+        double all = asked.stream().mapToDouble(one -> one.worth).sum();
+        return asked.stream().filter(one -> one.served && one.answeredAt <= one.arrivedAt + 250)
+                .mapToDouble(one -> one.worth).sum() / all;
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/budget/PursesTest.java
@@ -0,0 +1,240 @@
+package sablehinge.budget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.budget.HeaderText.Found;
+import sablehinge.budget.HeaderText.Kind;
+import sablehinge.budget.Purses.Admission;
+import sablehinge.budget.Purses.Grant;
+import sablehinge.budget.Purses.Refusal;
+
+/** The budgets of one hop, case by case. */
+class PursesTest {
+
+    private static final long RENDER = 0xbbbb;
+    private static final long FRONT = 0xaaaa;
+
+    private static Terms terms(boolean last, int calls, int purses) {
+        return new Terms(8, 10_000, 100, 1, calls, 1, last, 5, 2, 0.5, 0, purses);
+    }
+
+    private static Found<Budget> carried(long grant, int attempts, double remaining, Long... path) {
+        return new Found<>(Kind.READ, new Budget(grant, attempts, remaining, 7, List.of(path)));
+    }
+
+    private static Admission client(Purses purses, double now) {
+        return purses.arrive(now, new Found<>(Kind.MISSING, null), true, 1_000, 0, 3);
+    }
+
+    @Test
+    void aPartStaysBackAndWhatWasNotSpentComesBack() {
+        Purses front = new Purses(terms(false, 1, 10), FRONT, 1);
+        Admission client = client(front, 0);
+        Grant first = front.take(client.call(), 0, true, 0);
+        assertEquals(4, first.attempts());
+        Budget budget = first.budget(100);
+        // 1,000 ms, less the margin of 5, the wire's 2 and the 100 that have passed.
+        assertEquals(893, budget.remaining());
+        assertEquals(List.of(FRONT), budget.path());
+        assertEquals(3, budget.worth());
+        front.over(first, new Report(budget.grant(), 1, true), false);
+        assertEquals(7, client.call().attempts());
+        Grant second = front.take(client.call(), 200, true, 0);
+        // Nothing came back: all of it counts as spent.
+        front.over(second, null, false);
+        assertEquals(8 - 1 - second.attempts(), client.call().attempts());
+        assertEquals(1 + second.attempts(), front.close(client.call(), true).spent());
+    }
+
+    @Test
+    void oneThatMayNotBeSentAgainIsGrantedAll() {
+        Purses front = new Purses(terms(false, 1, 10), FRONT, 1);
+        Admission client = client(front, 0);
+        Grant only = front.take(client.call(), 0, false, 0);
+        assertEquals(8, only.attempts());
+        front.neverRan(only);
+        front.neverRan(only);
+        assertEquals(8, client.call().attempts());
+    }
+
+    /** An attempt that makes up to three calls further down takes three, as long as they are there. */
+    @Test
+    void anAttemptIsGrantedWhatItMayNeed() {
+        Purses front = new Purses(new Terms(7, 10_000, 100, 1, 1, 3, false, 5, 2, 0.9, 0, 10), FRONT, 1);
+        Admission client = client(front, 0);
+        assertEquals(2, client.call().attempts());
+        assertEquals(3, front.take(client.call(), 0, true, 0).attempts());
+        assertEquals(3, front.take(client.call(), 0, true, 0).attempts());
+        assertNull(front.take(client.call(), 0, true, 0), "one is left, which is not enough for a retry");
+        Purses poor = new Purses(new Terms(2, 10_000, 100, 1, 1, 3, false, 5, 2, 0.5, 0, 10), FRONT, 1);
+        Admission first = client(poor, 0);
+        assertEquals(2, poor.take(first.call(), 0, true, 0).attempts(),
+                "a first attempt goes with what there is");
+    }
+
+    /** The tier below has spent what there was: this one does not begin all over. */
+    @Test
+    void whatIsNotWorthAnotherTryHasNone() {
+        Purses front = new Purses(terms(false, 1, 10), FRONT, 1);
+        Admission client = client(front, 0);
+        Grant first = front.take(client.call(), 0, true, 0);
+        front.over(first, new Report(first.budget(0).grant(), 2, false), false);
+        assertEquals(0, client.call().attempts());
+        assertNull(front.take(client.call(), 1, true, 0));
+        assertFalse(front.close(client.call(), true).again());
+    }
+
+    /** What was tried once here may be tried above, what was tried twice may not. */
+    @Test
+    void oneTierTriesAgainAndNotThree() {
+        Purses store = new Purses(terms(true, 1, 10), RENDER, 1);
+        for (int tries = 1; tries <= 2; tries++) {
+            Admission call = store.arrive(0, carried(tries, 4, 900, FRONT), false, 900, 0, 1);
+            for (int i = 0; i < tries; i++) {
+                store.over(store.take(call.call(), 0, true, 0), null, false);
+            }
+            assertEquals(new Report(tries, tries, tries == 1), store.close(call.call(), true));
+        }
+    }
+
+    /** A report about something else, or of more than was granted, takes no more than that. */
+    @Test
+    void reportsAreNotBelievedBeyondTheirGrant() {
+        Purses front = new Purses(terms(false, 1, 10), FRONT, 1);
+        Admission client = client(front, 0);
+        Grant first = front.take(client.call(), 0, true, 0);
+        front.over(first, new Report(99, 0, true), false);
+        assertEquals(4, client.call().attempts());
+        Grant second = front.take(client.call(), 0, true, 0);
+        front.over(second, new Report(second.budget(0).grant(), 9_999, true), false);
+        assertEquals(2, client.call().attempts());
+    }
+
+    @Test
+    void callsOfOneGrantDrawOnOnePurse() {
+        Purses store = new Purses(terms(true, 3, 10), RENDER, 1);
+        Admission first = store.arrive(0, carried(5, 4, 900), false, 900, 0, 1);
+        // Four, of which two are owed to calls that are still to come.
+        assertEquals(2, first.call().attempts());
+        store.over(store.take(first.call(), 0, true, 0), null, false);
+        store.over(store.take(first.call(), 0, true, 0), null, false);
+        assertNull(store.take(first.call(), 0, true, 0));
+        store.close(first.call(), false);
+        for (int i = 0; i < 2; i++) {
+            Admission next = store.arrive(10, carried(5, 4, 900), false, 900, 0, 1);
+            assertNotNull(store.take(next.call(), 10, true, 0));
+            assertNull(store.take(next.call(), 10, true, 0));
+            store.close(next.call(), true);
+        }
+        assertEquals(Refusal.SPENT, store.arrive(20, carried(5, 4, 900), false, 900, 0, 1).refusal());
+        // Sent again, and with more: it is the same purse.
+        assertEquals(Refusal.SPENT, store.arrive(30, carried(5, 8, 900), false, 900, 0, 1).refusal());
+        assertEquals(1, store.size());
+    }
+
+    @Test
+    void theDeadAreTurnedAwayOnArrivalAndNeverSentOn() {
+        Purses store = new Purses(terms(true, 1, 10), RENDER, 1);
+        assertEquals(Refusal.DEAD, store.arrive(0, carried(1, 4, 5), false, 900, 0, 1).refusal());
+        assertEquals(Refusal.DEAD, store.arrive(0, carried(2, 4, 900), false, 5, 0, 1).refusal());
+        // Lay unread for as long as the process stood still.
+        assertEquals(Refusal.DEAD, store.arrive(0, carried(3, 4, 900), false, 900, 896, 1).refusal());
+        assertEquals(0, store.size());
+        Admission alive = store.arrive(0, carried(4, 4, 900), false, 900, 0, 1);
+        assertNull(store.take(alive.call(), 890, true, 10), "the tier below needs 10 ms");
+        Grant late = store.take(alive.call(), 800, true, 10);
+        assertNull(late.budget(894), "its connection took too long");
+        // A later call of the same grant has no more time than the first one.
+        assertEquals(Refusal.DEAD, store.arrive(896, carried(4, 4, 900), false, 900, 0, 1).refusal());
+    }
+
+    @Test
+    void whoComesBackToItsOwnPathIsALoop() {
+        Purses front = new Purses(terms(false, 1, 10), FRONT, 1);
+        Admission loop = front.arrive(0, carried(1, 4, 900, FRONT, RENDER, 0xccccL), false, 900, 0, 1);
+        assertEquals(Refusal.LOOP, loop.refusal());
+        assertEquals(List.of(FRONT, RENDER, 0xccccL, FRONT), loop.path());
+        assertEquals(Refusal.LOOP, front.arrive(0, carried(1, 4, 900, FRONT), false, 900, 0, 1).refusal());
+        // Another service, and a second call to it from the same place.
+        Purses render = new Purses(terms(false, 2, 10), RENDER, 1);
+        assertNull(render.arrive(0, carried(1, 4, 900, FRONT), false, 900, 0, 1).refusal());
+        assertNull(render.arrive(1, carried(1, 4, 900, FRONT), false, 900, 0, 1).refusal());
+        // Where an operator allows to come back once.
+        Purses twice = new Purses(new Terms(8, 10_000, 100, 1, 1, 1, false, 5, 2, 0.5, 1, 10), FRONT, 1);
+        assertNull(twice.arrive(0, carried(1, 4, 900, FRONT), false, 900, 0, 1).refusal());
+        assertEquals(Refusal.LOOP, twice.arrive(0, carried(2, 4, 900, FRONT, FRONT), false, 900, 0,
+                1).refusal());
+        Long[] sixteen = new Long[16];
+        java.util.Arrays.setAll(sixteen, i -> (long) i);
+        assertEquals(Refusal.LOOP, front.arrive(0, carried(3, 4, 900, sixteen), false, 900, 0, 1).refusal());
+    }
+
+    @Test
+    void nobodyRaisesItsBudget() {
+        Purses front = new Purses(terms(false, 1, 10), FRONT, 1);
+        Admission liar = front.arrive(0, new Found<>(Kind.READ, new Budget(1, 9_999, 3_000_000, 1e6,
+                List.of())),
+                true, 1e9, 0, 3);
+        assertEquals(8, liar.call().attempts());
+        assertEquals(9_995, liar.call().deadline());
+        Purses store = new Purses(terms(true, 1, 10), RENDER, 1);
+        Admission much = store.arrive(0, new Found<>(Kind.READ, new Budget(1, 9_999, 3_000_000, 1e6,
+                List.of())),
+                false, 1e9, 0, 3);
+        assertEquals(List.of(8.0, 9_995.0, 100.0), List.of((double) much.call().attempts(),
+                much.call().deadline(), much.call().worth()));
+        for (Kind kind : List.of(Kind.MISSING, Kind.UNREADABLE, Kind.FORGED)) {
+            assertEquals(1, store.arrive(0, new Found<>(kind, null), false, 900, 0, 3).call().attempts());
+            assertEquals(1, store.read().get(kind));
+        }
+    }
+
+    @Test
+    void theTableIsBounded() {
+        Purses store = new Purses(terms(true, 1, 3), RENDER, 1);
+        List<Admission> open = new ArrayList<>();
+        for (long grant = 0; grant < 3; grant++) {
+            open.add(store.arrive(0, carried(grant, 4, 900), false, 900, 0, 1));
+        }
+        assertEquals(Refusal.FULL, store.arrive(1, carried(9, 4, 900), false, 900, 0, 1).refusal());
+        store.close(open.get(1).call(), true);
+        // Over, but a call of the same grant may follow until its time is gone.
+        assertEquals(Refusal.FULL, store.arrive(2, carried(9, 4, 900), false, 900, 0, 1).refusal());
+        assertNull(store.arrive(896, carried(9, 4, 900), false, 900, 0, 1).refusal());
+        assertEquals(3, store.size());
+    }
+
+    @Test
+    void aLoopIsOneLoopWhereverItIsFound() {
+        LoopWatch watch = new LoopWatch(2);
+        assertTrue(watch.isNew(List.of(1L, 2L, 3L, 1L)));
+        assertFalse(watch.isNew(List.of(9L, 2L, 3L, 1L, 2L)));
+        assertEquals(2, watch.calls(List.of(3L, 1L, 2L, 3L)));
+        assertTrue(watch.isNew(List.of(4L, 4L)));
+        assertTrue(watch.isNew(List.of(1L, 3L, 2L, 1L)), "the other way round is another");
+        assertEquals(0, watch.calls(List.of(1L, 2L, 3L, 1L)), "the oldest has gone");
+    }
+
+    @Test
+    void theLeastTimeIsLearntAndForgotten() {
+        LeastTime least = new LeastTime();
+        java.util.SplittableRandom random = new java.util.SplittableRandom(5);
+        for (int i = 0; i < 19; i++) {
+            least.served(i, 100);
+            assertEquals(0, least.value(i), "too little is known");
+        }
+        for (int i = 0; i < 5_000; i++) {
+            least.served(i, 20 + 100 * random.nextDouble());
+        }
+        double value = least.value(5_000);
+        assertTrue(value > 18 && value < 35, "quantile 0.05 of 20 to 120 ms: " + value);
+        assertEquals(least.value(4_999) / 2, least.value(6_999), 0.01);
+    }
+}
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -22,6 +22,7 @@
     private static final Map<String, Set<String>> MAY_USE = Map.ofEntries(
             Map.entry("policy", Set.of()),
             Map.entry("change", Set.of()),
+            Map.entry("budget", Set.of("javax.crypto")),
             Map.entry("fold", Set.of()),
             Map.entry("timeline", Set.of()),
             Map.entry("mapping", Set.of()),
@@ -82,7 +83,7 @@
     @Test
     void decidersHaveNoClockThreadOrFile() {
         noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..",
-                "sablehinge.fold..",
+                "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
                 "sablehinge.station..").should()
@@ -91,14 +92,14 @@
                         "java.util.concurrent..", "java.util.logging..").check(MAIN);
         for (String clock : new String[] {"currentTimeMillis", "nanoTime"}) {
             noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..",
-                    "sablehinge.fold..",
+                    "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
                 "sablehinge.station..").should()
                     .callMethod(System.class, clock).check(MAIN);
         }
         noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..",
-                "sablehinge.fold..",
+                "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
                 "sablehinge.station..").should()
