Budgets on the sockets, by [budget] in the operator file: attempts, time, loops, keys

Need: the decider stood, nothing carried it.

Change: core takes a call in by its purse, grants each attempt a part, and closes it with a report; Frontend and UpstreamClient carry both headers; a loop is 508 with its path, what is dead or spent is refused at once with nothing sent. Versions refuses to change [budget] while the process runs. On the platform nothing of it is loaded (DrainTest).

--- a/src/main/java/sablehinge/budget/Purses.java
+++ b/src/main/java/sablehinge/budget/Purses.java
@@ -116,8 +116,8 @@
         }
     }
 
-    /** What becomes of a call that has come: the call, or why not. */
-    public record Admission(Call call, Refusal refusal, List<Long> path) { }
+    /** What becomes of a call that has come: the call, or why not and what goes back with that. */
+    public record Admission(Call call, Refusal refusal, List<Long> path, Report report) { }
 
     private final Terms terms;
     private final long service;
@@ -163,7 +163,7 @@
         List<Long> here = new ArrayList<>(path);
         here.add(service);
         if (passed > terms.reentries() || path.size() >= Budget.MOST_HOPS) {
-            return new Admission(null, Refusal.LOOP, here);
+            return refuse(Refusal.LOOP, here, carried, null);
         }
         double time = Math.min(remaining, terms.remaining());
         if (carried != null) {
@@ -173,10 +173,10 @@
         Purse purse = carried == null ? null : purses.remove(carried.grant());
         if (purse == null) {
             if (deadline <= now) {
-                return new Admission(null, Refusal.DEAD, here);
+                return refuse(Refusal.DEAD, here, carried, null);
             }
             if (purses.size() >= terms.purses() && !forget(now)) {
-                return new Admission(null, Refusal.FULL, here);
+                return refuse(Refusal.FULL, here, carried, null);
             }
             int given = entry ? terms.attempts() : carried == null ? terms.unknown()
                     : Math.min(terms.attempts(), carried.attempts());
@@ -188,15 +188,20 @@
         }
         purses.put(purse.grant, purse);
         if (deadline <= now) {
-            return new Admission(null, Refusal.DEAD, here);
+            return refuse(Refusal.DEAD, here, carried, purse);
         }
         if (purse.left < 1) {
-            return new Admission(null, Refusal.SPENT, here);
+            return refuse(Refusal.SPENT, here, carried, purse);
         }
         purse.open++;
         purse.owed = Math.max(1, purse.owed);
         double bounded = Math.min(terms.worth(), carried == null ? worth : carried.worth());
-        return new Admission(new Call(purse, deadline, bounded, here), null, here);
+        return new Admission(new Call(purse, deadline, bounded, here), null, here, null);
+    }
+
+    private static Admission refuse(Refusal why, List<Long> path, Budget carried, Purse purse) {
+        return new Admission(null, why, path, carried == null ? null
+                : new Report(carried.grant(), purse == null ? 0 : purse.spent, why == Refusal.FULL));
     }
 
     /** Makes room by one grant under which no call is open, those that no more can come of first. */
--- a/src/main/java/sablehinge/config/operator/OperatorConfig.java
+++ b/src/main/java/sablehinge/config/operator/OperatorConfig.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import sablehinge.budget.Terms;
 import sablehinge.core.Roster;
 import sablehinge.core.Roster.Member;
 import sablehinge.core.Version;
@@ -28,11 +29,13 @@
  * What an operator file says, checked and with its defaults. Times are ms.
  *
  * @param discovery where the list of servers comes from; null where the file lists them itself
+ * @param budget null where budgets are off
  */
 public record OperatorConfig(NodePart node, AdminPart admin, List<ListenerPart> listeners,
         List<ClassPart> classes, List<TenantPart> tenants, List<String> zones, List<String> kinds,
         List<UpstreamPart> upstreams, InetSocketAddress discovery, Limits limits, Rules rules,
-        double crossZonePrice, double worstClassWeight, ChangePart change, ReplayPart replay) {
+        double crossZonePrice, double worstClassWeight, ChangePart change, ReplayPart replay,
+                BudgetPart budget) {
 
     /**
      * The process itself; of this only {@code versionHeader} may change while it runs.
@@ -71,6 +74,15 @@
      */
     public record ReplayPart(String format, ZoneId zone, Map<String, String> fields, List<Rule> rules) { }
 
+    /**
+     * Budgets over a chain of tiers, at this hop.
+     *
+     * @param service what this balancer's servers are together, by which loops are told
+     * @param entry whether clients of outside call here
+     * @param keys the files of the secrets by their names, relative to the operator file; the first one signs
+     */
+    public record BudgetPart(String service, boolean entry, Terms terms, Map<String, String> keys) { }
+
     /**
      * How a change of the configuration is tried and when it is undone.
      *
--- a/src/main/java/sablehinge/config/operator/OperatorFile.java
+++ b/src/main/java/sablehinge/config/operator/OperatorFile.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +24,10 @@
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlVersion;
+import sablehinge.budget.Budget;
+import sablehinge.budget.Terms;
 import sablehinge.config.operator.OperatorConfig.AdminPart;
+import sablehinge.config.operator.OperatorConfig.BudgetPart;
 import sablehinge.config.operator.OperatorConfig.ChangePart;
 import sablehinge.config.operator.OperatorConfig.ClassPart;
 import sablehinge.config.operator.OperatorConfig.ListenerPart;
@@ -279,6 +283,7 @@
         ReplayPart replay = new ReplaySection(classes.stream().map(ClassPart::name).filter(Objects::nonNull)
                 .toList(), tenants.stream().map(TenantPart::name).filter(Objects::nonNull).toList())
                 .read(root.section("replay"));
+        BudgetPart budget = root.has("budget") ? budget(root.section("budget")) : null;
         root.end();
         if (listeners.isEmpty()) {
             listeners = List.of(new ListenerPart("main", new InetSocketAddress(
@@ -296,7 +301,7 @@
         together(root, listeners, upstreams, classes, tenants, admin);
         return new OperatorConfig(node, admin, List.copyOf(listeners), List.copyOf(classes),
                 List.copyOf(tenants), zones, kinds, List.copyOf(upstreams), discovery, limits, rules,
-                crossZone, worstClass, change, replay);
+                crossZone, worstClass, change, replay, budget);
     }
 
     /** A list of names that the file declares; null where it leaves that to their first use. */
@@ -424,6 +429,37 @@
         return change;
     }
 
+    private static BudgetPart budget(Section s) {
+        String service = s.name("service", null);
+        boolean entry = s.flag("entry", true);
+        int attempts = s.integer("attempts", 8, 1, Budget.MOST_ATTEMPTS);
+        int need = s.integer("need", 1, 1, Budget.MOST_ATTEMPTS);
+        boolean last = s.flag("last", false);
+        if (last && need > 1) {
+            s.problem("need", need + " at the last tier, expected 1: one attempt there is one attempt");
+            need = 1;
+        }
+        if (need > attempts) {
+            s.problem("need", need + " is more than attempts, which is " + attempts);
+        }
+        Terms terms = new Terms(attempts, s.duration("remaining", 10_000, 1, HOUR),
+                s.number("worth", 1_000, 0, 1e6), Math.min(attempts, s.integer("unknown", 1, 0, attempts)),
+                s.integer("calls", 1, 1, 1_000), need, last, s.duration("margin", 5, 0, 60_000),
+                s.duration("wire", 1, 0, 60_000), s.number("kept", 0.5, 0, 0.9),
+                s.integer("reentries", 0, 0, Budget.MOST_HOPS - 1), s.integer("open", 20_000, 1, 1_000_000));
+        Map<String, String> keys = new LinkedHashMap<>();
+        for (String[] key : s.sections("key", 8, k -> new String[] {k.name("name", null),
+            k.text("file", null)})) {
+            if (key[1] == null) {
+                s.problem("key", "has no file, expected the file of its secret");
+            } else if (key[0] != null && keys.put(key[0], key[1]) != null) {
+                s.problem("key", Section.quote(key[0]) + " stands there twice");
+            }
+        }
+        s.end();
+        return new BudgetPart(service, entry, terms, keys);
+    }
+
     /** What no single table shows: names and addresses that stand for two things. */
     private void together(Section root, List<ListenerPart> listeners, List<UpstreamPart> upstreams,
             List<ClassPart> classes, List<TenantPart> tenants, AdminPart admin) {
--- a/src/main/java/sablehinge/core/Arrival.java
+++ b/src/main/java/sablehinge/core/Arrival.java
@@ -1,5 +1,7 @@
 package sablehinge.core;
 
+import sablehinge.budget.Budget;
+import sablehinge.budget.HeaderText;
 import sablehinge.policy.LoadBalancer.Request;
 
 /**
@@ -12,9 +14,25 @@
  * @param cost expected work in ms of a standard core; 0 where not known
  * @param retry whether its caller marked it as a repeat
  * @param write whether it changes something
+ * @param budget what it carries of that; null where budgets are off
  */
 public record Arrival(int serviceClass, int tenant, long key, double deadline, double cost, boolean retry,
-        boolean write) {
+        boolean write, HeaderText.Found<Budget> budget) {
+
+    /** A request where budgets are off. */
+    public Arrival(int serviceClass, int tenant, long key, double deadline, double cost, boolean retry,
+            boolean write) {
+        this(serviceClass, tenant, key, deadline, cost, retry, write, null);
+    }
+
+    Arrival until(double earlier) {
+        return new Arrival(serviceClass, tenant, key, earlier, cost, retry, write, budget);
+    }
+
+    /** The same with what it carries. */
+    public Arrival with(HeaderText.Found<Budget> carried) {
+        return new Arrival(serviceClass, tenant, key, deadline, cost, retry, write, carried);
+    }
 
     Request withId(long id) {
         return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write);
--- a/src/main/java/sablehinge/core/AttemptResult.java
+++ b/src/main/java/sablehinge/core/AttemptResult.java
@@ -1,5 +1,6 @@
 package sablehinge.core;
 
+import sablehinge.budget.Report;
 import sablehinge.policy.LoadBalancer.Result;
 
 /**
@@ -7,8 +8,14 @@
  *
  * @param payload the answer of a server that served; lent for the call in which it is handed over
  * @param report the load report that came with it, in the order of the settings' fields, or null
+ * @param spent what came back of its budget, or null
  */
-public record AttemptResult(Result result, Payload payload, double[] report) {
+public record AttemptResult(Result result, Payload payload, double[] report, Report spent) {
+
+    /** An end where budgets are off. */
+    public AttemptResult(Result result, Payload payload, double[] report) {
+        this(result, payload, report, null);
+    }
 
     /** An end without an answer. */
     public static AttemptResult without(Result result) {
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.logging.Level;
+import sablehinge.budget.Purses;
+import sablehinge.budget.Report;
 import sablehinge.policy.LoadBalancer;
 import sablehinge.policy.LoadBalancer.Change;
 import sablehinge.policy.LoadBalancer.Outcome;
@@ -28,6 +30,7 @@
     private Registry registry;
     private Version version;
     private Observer observer;
+    private ChainBudgets budgets;
     /** Versions that are not forgotten yet, by their numbers. */
     private final Map<Integer, Live> live = new HashMap<>();
     private long lastId;
@@ -130,6 +133,11 @@
         observer = sees;
     }
 
+    /** Switches budgets on for what arrives from now on. */
+    public void budgets(ChainBudgets hop) {
+        budgets = hop;
+    }
+
     /** The time, in ms of the clock that all of the program reads. */
     public double now() {
         return clock.now();
@@ -244,12 +252,25 @@
         exchange.waits.clear();
     }
 
-    private Exchange request(Version arrivedUnder, Arrival arrival, Payload payload, Caller caller,
+    private Exchange request(Version arrivedUnder, Arrival given, Payload payload, Caller caller,
             boolean coming) {
+        Arrival arrival = given;
+        Purses.Call budget = null;
+        if (budgets != null && given.budget() != null) {
+            double worth = arrivedUnder.settings().classes().get(given.serviceClass()).worth();
+            Purses.Admission admission = budgets.purses.arrive(clock.now(), given.budget(), budgets.entry,
+                    given.deadline() - clock.now(), 0, worth);
+            if (admission.call() == null) {
+                return turnAway(admission, arrivedUnder, given, payload, caller);
+            }
+            budget = admission.call();
+            arrival = given.until(Math.min(given.deadline(), budget.deadline()));
+        }
         if (exchanges.size() >= arrivedUnder.settings().limits().maxOpen()) {
             return refuseBeyond(arrivedUnder, arrival, payload, caller);
         }
         Exchange exchange = new Exchange(++lastId, arrivedUnder, arrival, payload, clock.now(), caller);
+        exchange.budget = budget;
         exchanges.put(exchange.id, exchange);
         live.get(arrivedUnder.number()).requests++;
         if (coming) {
@@ -258,7 +279,25 @@
         } else {
             watchOver(exchange);
         }
-        tell(exchange, () -> arrives(exchange, arrival));
+        Arrival taken = arrival;
+        tell(exchange, () -> arrives(exchange, taken));
+        return exchange;
+    }
+
+    /** What has no budget is answered at once: nothing of it has run here. */
+    private Exchange turnAway(Purses.Admission admission, Version arrivedUnder, Arrival arrival,
+            Payload payload, Caller caller) {
+        Exchange exchange = new Exchange(++lastId, arrivedUnder, arrival, payload, clock.now(), caller);
+        boolean loop = admission.refusal() == Purses.Refusal.LOOP;
+        if (loop) {
+            budgets.looped(admission.path());
+        }
+        LoadBalancer.Limits limits = arrivedUnder.settings().limits();
+        answer(exchange, new Answer(loop ? Answer.Kind.LOOP : Answer.Kind.REFUSED, Payload.NONE,
+                admission.refusal() == Purses.Refusal.FULL && limits.retryAfter()
+                        ? limits.maxRetryAfter() : 0,
+                admission.report(), loop ? admission.path() : List.of()));
+        payload.release();
         return exchange;
     }
 
@@ -312,6 +351,15 @@
 
     private void finished(Exchange exchange, int number, long upstream, double sentAt, AttemptResult end) {
         exchange.running--;
+        Purses.Grant grant = number < exchange.grants.size() ? exchange.grants.get(number) : null;
+        if (grant != null && end.result().neverRan()) {
+            budgets.purses.neverRan(grant);
+        } else if (grant != null) {
+            budgets.purses.over(grant, end.spent(), end.result() == Result.OK);
+            if (end.result() == Result.OK) {
+                budgets.least.served(clock.now(), clock.now() - Math.max(sentAt, exchange.endedAt));
+            }
+        }
         if (end.result() == Result.OK) {
             answer(exchange, new Answer(Answer.Kind.SERVED, end.payload(), 0));
         }
@@ -324,6 +372,9 @@
     /** Forgets a request once nothing more can come of it. */
     private void settle(Exchange exchange) {
         if (!exchange.isOpen() && exchange.running == 0 && exchanges.remove(exchange.id) != null) {
+            if (exchange.budget != null) {
+                budgets.purses.close(exchange.budget, false);
+            }
             exchange.request.release();
             Live own = live.get(exchange.version.number());
             own.requests--;
@@ -346,13 +397,26 @@
                 || number >= exchange.version.settings().limits().maxAttempts()
                 || !exchange.request.canBeSent() || exchange.coming && exchange.running > 1) {
             exchange.attempts.add(null);
+            exchange.grants.add(null);
             finished(exchange, number, upstream, now, AttemptResult.without(Result.NOT_SENT));
             return;
         }
+        Purses.Grant grant = null;
+        if (exchange.budget != null) {
+            grant = budgets.purses.take(exchange.budget, now, exchange.version.settings().classes()
+                    .get(exchange.serviceClass).repeat() != LoadBalancer.Repeat.AT_MOST_ONCE,
+                    budgets.least.value(now));
+            exchange.grants.add(grant);
+            if (grant == null) {
+                exchange.attempts.add(null);
+                finished(exchange, number, upstream, now, AttemptResult.without(Result.NOT_SENT));
+                return;
+            }
+        }
         double deadline = exchange.coming ? now + exchange.remaining : exchange.deadline;
         double until = timeout == 0 ? deadline : Math.min(deadline, now + timeout);
         exchange.patience = until - now;
-        exchange.attempts.add(transport.send(exchange.version, upstream, exchange.request, until,
+        exchange.attempts.add(transport.send(exchange.version, upstream, exchange.request, until, grant,
                 end -> finished(exchange, number, upstream, now, end)));
     }
 
@@ -376,12 +440,21 @@
 
     private void answer(Exchange exchange, Answer answer) {
         String name = observer == null ? null : exchange.name();
-        if (exchange.answer(answer) && observer != null) {
+        if (exchange.answer(exchange.budget == null ? answer : answer.with(closed(exchange, answer.kind())))
+                && observer != null) {
             observer.answered(name, exchange.version, exchange.serviceClass, answer.kind(), exchange.sends,
                     clock.now() - exchange.arrivedAt);
         }
     }
 
+    /** A refusal promises that another try is harmless; a failure may be tried again where its class may. */
+    private Report closed(Exchange exchange, Answer.Kind kind) {
+        boolean again = kind == Answer.Kind.REFUSED || kind != Answer.Kind.SERVED
+                && exchange.version.settings().classes().get(exchange.serviceClass).repeat()
+                != LoadBalancer.Repeat.AT_MOST_ONCE;
+        return budgets.purses.close(exchange.budget, again);
+    }
+
     @Override
     public void cancel(long requestId, int attempt) {
         Exchange exchange = exchanges.get(requestId);
--- a/src/main/java/sablehinge/core/Exchange.java
+++ b/src/main/java/sablehinge/core/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import sablehinge.budget.Purses;
 
 /** A request from its arrival until it has its one answer and none of its attempts is out. */
 public final class Exchange {
@@ -24,6 +25,9 @@
     double patience;
     /** When it had come to its end, before which no attempt is measured. */
     double endedAt = Double.NEGATIVE_INFINITY;
+    /** Its budget, and what each attempt was granted of it; null where budgets are off. */
+    Purses.Call budget;
+    final List<Purses.Grant> grants = new ArrayList<>(0);
     /** Timers that the module set about it meanwhile: their tokens, and how long after now. */
     final List<Wait> waits = new ArrayList<>(0);
     private Caller caller;
--- a/src/main/java/sablehinge/core/Transport.java
+++ b/src/main/java/sablehinge/core/Transport.java
@@ -1,6 +1,7 @@
 package sablehinge.core;
 
 import java.util.function.Consumer;
+import sablehinge.budget.Purses;
 
 /**
  * Carries attempts and probes to servers, and nothing on its own account: what breaks is a result. All calls
@@ -25,9 +26,11 @@
      * @param request lent until the result has come
      * @param until in ms of the {@link Clock}; of a request that is still coming, the time that it would have
      *     if it ended now, and {@link Attempt#waitUntil} tells the true one
+     * @param grant its part of the request's budget, read when it is written; null where budgets are off
      * @param end called once, perhaps before this returns
      */
-    Attempt send(Version version, long upstream, Payload request, double until, Consumer<AttemptResult> end);
+    Attempt send(Version version, long upstream, Payload request, double until, Purses.Grant grant,
+            Consumer<AttemptResult> end);
 
     /** Asks a server how it does. */
     void probe(Version version, long upstream, double until, Consumer<AttemptResult> end);
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -46,8 +46,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.DoublePredicate;
+import sablehinge.budget.HeaderText;
 import sablehinge.core.Answer;
+import sablehinge.core.Arrival;
 import sablehinge.core.Caller;
+import sablehinge.core.ChainBudgets;
 import sablehinge.core.Core;
 import sablehinge.core.Exchange;
 import sablehinge.core.Log;
@@ -66,6 +69,8 @@
     /** Requests that a connection may send ahead of their turn, and their bytes before it is read no more. */
     private static final int MAX_AHEAD = 16;
     private static final int MAX_AHEAD_BYTES = UpstreamClient.MAX_BODY;
+    /** RFC 5842, section 7.2. */
+    private static final HttpResponseStatus LOOP_DETECTED = new HttpResponseStatus(508, "Loop Detected");
     private static final long SWEEP_MS = 200;
     /** A body of up to so many bytes is kept whole, so that it can be sent again, as long as so many fit. */
     private static final int MOST_KEPT = 256 * 1024;
@@ -96,6 +101,8 @@
     /** Who waits for the answer to a request, by its X-Txn. */
     private final Map<String, Connection> open = new HashMap<>();
     private final DoublePredicate evict = this::evictIdle;
+    /** How budgets are read; null where they are off. */
+    private HeaderText budgets;
     private Channel listening;
     private ScheduledFuture<?> sweeps;
     /** Bytes that are reserved for bodies of more than 64 KiB. */
@@ -166,6 +173,11 @@
         return server.bind(address);
     }
 
+    /** Switches on the headers of budgets. */
+    public void budgets(HeaderText text) {
+        budgets = text;
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listening.localAddress();
@@ -341,6 +353,8 @@
         /** The request at work; the exchange is known once the node has it. */
         private HttpRequest current;
         private Exchange exchange;
+        /** The answer that is being written. */
+        private Answer said;
         private String txn;
         /** The version under which it came, once it is read. */
         private Version version;
@@ -679,8 +693,10 @@
             version = by.version();
             open.put(txn, this);
             ReferenceCountUtil.retain(request);
-            Exchange begun = coming == null ? core.request(version, checked.arrival(), payload, this)
-                    : core.requestComing(version, checked.arrival(), payload, this);
+            Arrival arrival = budgets == null ? checked.arrival() : checked.arrival()
+                    .with(budgets.readBudget(request.headers().get(UpstreamClient.BUDGET)));
+            Exchange begun = coming == null ? core.request(version, arrival, payload, this)
+                    : core.requestComing(version, arrival, payload, this);
             // The answer may have come already, and with it the next request.
             if (begun.isOpen()) {
                 exchange = begun;
@@ -697,15 +713,17 @@
         @Override
         public void answer(Answer answer) {
             if (answer.payload() instanceof Passing passing) {
-                pass(passing);
+                pass(passing, answer);
                 return;
             }
+            said = answer;
             write(switch (answer.kind()) {
                 case SERVED -> HttpResponseStatus.OK;
                 case REFUSED -> HttpResponseStatus.SERVICE_UNAVAILABLE;
                 case FAILED -> HttpResponseStatus.BAD_GATEWAY;
                 case UNANSWERED -> HttpResponseStatus.GATEWAY_TIMEOUT;
                 case BROKEN -> HttpResponseStatus.INTERNAL_SERVER_ERROR;
+                case LOOP -> LOOP_DETECTED;
             }, answer.payload() instanceof HttpPayload served ? served.message().content().retain()
                     : Unpooled.EMPTY_BUFFER, answer.retryAfter());
         }
@@ -722,11 +740,18 @@
             if (retryAfter > 0) {
                 response.headers().set("Retry-After", UpstreamClient.seconds(Math.ceil(retryAfter)));
             }
-            setHeaders(response);
+            setHeaders(response, said);
+            said = null;
             writeLast(response);
         }
 
-        private void setHeaders(HttpResponse response) {
+        private void setHeaders(HttpResponse response, Answer answer) {
+            if (answer != null && answer.spent() != null && budgets != null) {
+                response.headers().set(UpstreamClient.SPENT, budgets.write(answer.spent()));
+            }
+            if (answer != null && !answer.path().isEmpty()) {
+                response.headers().set("Sablehinge-Path", ChainBudgets.text(answer.path()));
+            }
             if (version != null && version.shown()) {
                 response.headers().set("Sablehinge-Version", version.number());
             }
@@ -739,7 +764,7 @@
         }
 
         /** Begins an answer whose body passes through. */
-        private void pass(Passing passing) {
+        private void pass(Passing passing, Answer answer) {
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             framed = true;
             if (passing.length() >= 0) {
@@ -750,7 +775,7 @@
             } else {
                 response.headers().set("Transfer-Encoding", "chunked");
             }
-            setHeaders(response);
+            setHeaders(response, answer);
             exchange = null;
             since = core.now();
             passed = passing.body();
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -47,6 +47,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import sablehinge.budget.Budget;
+import sablehinge.budget.HeaderText;
+import sablehinge.budget.Purses;
 import sablehinge.core.AttemptResult;
 import sablehinge.core.Clock;
 import sablehinge.core.Payload;
@@ -79,6 +82,9 @@
     /** The headers of a request that go on with it; the rest is a caller's own affair or worse. */
     private static final List<String> PASSED_ON = List.of("X-Txn", "Idempotency-Key", "X-Lane", "X-Org",
             "Cookie", "X-Resent", "X-Estimate", "X-Labels");
+    /** The headers of budgets, down and up. */
+    static final String BUDGET = "Sablehinge-Budget";
+    static final String SPENT = "Sablehinge-Spent";
     /** How each answer begins. */
     private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     /** An answer that has begun must go on after so long at most, and be whole after this many times that. */
@@ -97,6 +103,8 @@
     /** Of the version under which requests arrive. */
     private Settings settings;
     private Freshness freshness;
+    /** How budgets are written; null where they are off. */
+    private HeaderText budgets;
 
     /** A transport on the given loop, whose connections count among the given sockets. */
     public UpstreamClient(EventLoop loop, Clock clock, Sockets sockets, ByteBufAllocator memory) {
@@ -116,6 +124,11 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Switches on the headers of budgets. */
+    public void budgets(HeaderText text) {
+        budgets = text;
+    }
+
     /** An upstream, its idle connections, the longest idle first, and when it last was told to be ready. */
     private static final class Target {
         Member member;
@@ -186,22 +199,23 @@
 
     @Override
     public Transport.Attempt send(Version version, long upstream, Payload request, double until,
-            Consumer<AttemptResult> end) {
+            Purses.Grant grant, Consumer<AttemptResult> end) {
         Passing passing = request instanceof Passing one ? one : null;
         HttpRequest message = (HttpRequest) (passing == null ? ((HttpPayload) request).message()
                 : passing.head());
-        Attempt attempt = new Attempt(version.settings(), message, passing, until, (result, payload) ->
+        Attempt attempt = new Attempt(version.settings(), message, passing, grant, until, (result, payload) ->
                 end.accept(result(version.settings(), result, payload)));
         attempt.start(targets.get(upstream));
         return attempt;
     }
 
-    private static AttemptResult result(Settings settings, Result result, Payload payload) {
+    private AttemptResult result(Settings settings, Result result, Payload payload) {
         if (payload == Payload.NONE) {
             return AttemptResult.without(result);
         }
         return new AttemptResult(result, payload, settings.reports() != Reports.PIGGYBACK ? null
-                : LoadReport.parse(head(payload).headers().get("X-Pressure"), settings.reportFields()));
+                : LoadReport.parse(head(payload).headers().get("X-Pressure"), settings.reportFields()),
+                budgets == null ? null : budgets.readReport(head(payload).headers().get(SPENT)).value());
     }
 
     private static HttpMessage head(Payload payload) {
@@ -214,7 +228,7 @@
         List<String> fields = version.settings().reportFields();
         FullHttpRequest question = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 fields.isEmpty() ? "/ping" : "/_load", Unpooled.EMPTY_BUFFER);
-        new Attempt(version.settings(), question, null, until, (result, payload) ->
+        new Attempt(version.settings(), question, null, null, until, (result, payload) ->
                 end.accept(new AttemptResult(result, Payload.NONE, result != Result.OK
                         || !(payload instanceof HttpPayload whole) ? null : LoadReport.parse(
                                 whole.message().content().toString(StandardCharsets.UTF_8), fields))))
@@ -303,6 +317,7 @@
         private final HttpRequest request;
         /** The body where it passes through; null where it is whole. */
         private final Passing passing;
+        private final Purses.Grant grant;
         private final BiConsumer<Result, Payload> end;
         private double until;
         private Future<?> expiry;
@@ -310,16 +325,19 @@
         private Channel channel;
         private boolean written;
         private boolean over;
+        private Budget budget;
         /** When it was written, and how long its connection had rested by then; NaN for a new one. */
         private double begunAt;
         private double rested = Double.NaN;
 
         /** {@code end} is called once; the response is not to be kept. */
-        private Attempt(Settings terms, HttpRequest request, Passing passing, double until,
+        private Attempt(Settings terms, HttpRequest request, Passing passing, Purses.Grant grant,
+                double until,
                 BiConsumer<Result, Payload> end) {
             this.terms = terms;
             this.request = request;
             this.passing = passing;
+            this.grant = grant;
             this.until = until;
             this.end = end;
             if (!comes()) {
@@ -383,7 +401,9 @@
             rested = now - connection.idleSince;
             // NaN compares false: a ready upstream takes anything.
             boolean drained = now >= target.toldOff + terms.rules().drainGrace();
-            if (drained || now >= until && !comes() || passing != null && passing.body().isTaken()) {
+            budget = grant == null ? null : grant.budget(now);
+            boolean dead = grant != null && budget == null;
+            if (drained || dead || now >= until && !comes() || passing != null && passing.body().isTaken()) {
                 connection.park(target);
                 end(Result.CONNECT_FAILED, Payload.NONE);
                 return;
@@ -421,6 +441,9 @@
                     copy.headers().set(name, value);
                 }
             }
+            if (budget != null && budgets != null) {
+                copy.headers().set(BUDGET, budgets.write(budget));
+            }
             // Rounded down: the upstream must not take this balancer to be more patient than it is.
             copy.headers().set("X-Remaining", seconds(until - now));
         }
--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -11,7 +11,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -20,13 +22,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import sablehinge.admin.AdminServer;
+import sablehinge.budget.HeaderText;
+import sablehinge.budget.Keys;
 import sablehinge.change.ChangeDecider;
 import sablehinge.config.operator.OperatorConfig;
+import sablehinge.config.operator.OperatorConfig.BudgetPart;
 import sablehinge.config.operator.OperatorConfig.ListenerPart;
 import sablehinge.config.operator.OperatorFile;
 import sablehinge.config.operator.Problem;
 import sablehinge.config.versions.VersionStore;
 import sablehinge.core.Answer;
+import sablehinge.core.ChainBudgets;
 import sablehinge.core.Clock;
 import sablehinge.core.Core;
 import sablehinge.core.Log;
@@ -55,6 +61,8 @@
     private final Sockets sockets;
     private final Core core;
     private final UpstreamClient transport;
+    /** Null where budgets are off. */
+    private final HeaderText budgets;
     private final VersionStore store;
     private final ExecutorService files = Executors.newSingleThreadExecutor(
             new DefaultThreadFactory("files", true));
@@ -81,7 +89,7 @@
     }
 
     private OperatorNode(Path file, First first, VersionStore store,
-            Function<LoadBalancer.Actions, LoadBalancer> module) {
+            Function<LoadBalancer.Actions, LoadBalancer> module, HeaderText text) {
         this.file = file;
         this.store = store;
         loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("node", true),
@@ -91,9 +99,42 @@
         sockets = new Sockets(first.config().node().descriptors());
         core = new Core(clock, timers, module);
         transport = new UpstreamClient(loop, clock, sockets, memory);
+        BudgetPart part = first.config().budget();
+        budgets = text;
+        if (part != null) {
+            transport.budgets(budgets);
+            core.budgets(new ChainBudgets(part.terms(), serviceId(part.service()), part.entry(),
+                    ThreadLocalRandom.current().nextLong(), Log.LOG::warning));
+        }
         versions = new Versions(this, store, files, first.number(), first.config());
     }
 
+    /** 48 bits of a service's name, the same at every balancer: it tells no address. */
+    static long serviceId(String service) {
+        return RosterParser.number(service) & 0xffff_ffff_ffffL;
+    }
+
+    private static Keys keys(Path file, BudgetPart part) throws IOException {
+        if (part.keys().isEmpty()) {
+            return null;
+        }
+        Map<String, byte[]> secrets = new LinkedHashMap<>();
+        for (Map.Entry<String, String> key : part.keys().entrySet()) {
+            Path secret = file.toAbsolutePath().getParent().resolve(key.getValue());
+            try {
+                secrets.put(key.getKey(), OperatorFile.bytes(secret));
+            } catch (IOException e) {
+                throw new IOException("budget key " + key.getKey() + ": " + key.getValue() + ": "
+                        + e.getMessage(), e);
+            }
+        }
+        try {
+            return new Keys(secrets);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("budget: " + e.getMessage(), e);
+        }
+    }
+
     /**
      * Starts by an operator file. The version that was last confirmed is served, not the file, if there is
      * one.
@@ -126,7 +167,10 @@
         OperatorNode node = null;
         try {
             First first = first(store, bytes, checked.config(), adopt);
-            node = new OperatorNode(file, first, store, module);
+            BudgetPart budget = first.config().budget();
+            // Before anything is begun that would have to be ended.
+            HeaderText text = budget == null ? null : new HeaderText(keys(file, budget));
+            node = new OperatorNode(file, first, store, module, text);
             node.begin(first.config(), state);
             if (store.confirmed() != first.number()) {
                 // Only now: a file that could not be served must not be what the next start insists on.
@@ -245,7 +289,9 @@
     }
 
     Frontend front() {
-        return new Frontend(loop, sockets, memory, core);
+        Frontend front = new Frontend(loop, sockets, memory, core);
+        front.budgets(budgets);
+        return front;
     }
 
     Discovery discovery(InetSocketAddress address, List<String> zones, List<String> kinds,
--- a/src/main/java/sablehinge/node/Versions.java
+++ b/src/main/java/sablehinge/node/Versions.java
@@ -238,6 +238,9 @@
         if (!running.admin().equals(next.admin())) {
             return "admin can't change while the process runs";
         }
+        if (!Objects.equals(running.budget(), next.budget())) {
+            return "budget can't change while the process runs";
+        }
         if (!running.node().state().equals(next.node().state())
                 || running.node().descriptors() != next.node().descriptors()
                 || !Objects.equals(running.node().accessLog(), next.node().accessLog())
@@ -437,7 +440,7 @@
         Outcome outcome = switch (kind) {
             case SERVED -> Outcome.SERVED;
             case REFUSED -> Outcome.REFUSED;
-            case FAILED, UNANSWERED, BROKEN -> Outcome.FAILED;
+            case FAILED, UNANSWERED, BROKEN, LOOP -> Outcome.FAILED;
         };
         decider.answered(node.clock().now(), version.number(), outcome);
         node.note(request, version, serviceClass, kind, attempts, elapsed);
--- a/src/test/java/sablehinge/cli/DrainTest.java
+++ b/src/test/java/sablehinge/cli/DrainTest.java
@@ -97,7 +97,8 @@
                 "sablehinge.config.versions.", "sablehinge.node.Operator", "sablehinge.node.Versions",
                 "sablehinge.replay.", "sablehinge.standin.", "sablehinge.audit.", "sablehinge.judge.",
                 "sablehinge.mapping.", "sablehinge.tally.", "sablehinge.pace.", "sablehinge.station.",
-                "sablehinge.fold.", "sablehinge.timeline.", "org.HdrHistogram.", "io.airlift."}) {
+                "sablehinge.fold.", "sablehinge.timeline.", "sablehinge.budget.", "org.HdrHistogram.",
+                        "io.airlift."}) {
                 assertFalse(classes.contains(" " + off), off);
             }
         } finally {
--- a/src/test/java/sablehinge/core/CoreTest.java
+++ b/src/test/java/sablehinge/core/CoreTest.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import sablehinge.budget.Purses;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer;
 import sablehinge.policy.LoadBalancer.Change;
@@ -232,7 +233,7 @@
 
         @Override
         public Attempt send(Version version, long upstream, Payload request, double until,
-                Consumer<AttemptResult> end) {
+                Purses.Grant grant, Consumer<AttemptResult> end) {
             Asked own = (Asked) request;
             assertEquals(own.version, version, "an attempt under another version");
             assertEquals(0, own.released, "an attempt with what was given back");
