--- a/src/main/java/sablehinge/budget/Purses.java
+++ b/src/main/java/sablehinge/budget/Purses.java
@@ -79,6 +79,11 @@
             return worth;
         }
 
+        /** The most attempts that there can be for it here, if each spends as little as it can. */
+        public int most() {
+            return Math.max(1, purse.left - Math.max(0, purse.owed - 1) * terms.need());
+        }
+
         /**
          * Attempts that may still be made for it here: a first one with whatever there is, others with
          * what they may need, once each of the calls that are still expected has its first.
--- a/src/main/java/sablehinge/core/Arrival.java
+++ b/src/main/java/sablehinge/core/Arrival.java
@@ -34,7 +34,7 @@
         return new Arrival(serviceClass, tenant, key, deadline, cost, retry, write, carried);
     }
 
-    Request withId(long id) {
-        return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write);
+    Request withId(long id, int attempts) {
+        return new Request(id, serviceClass, tenant, key, deadline, cost, retry, write, attempts);
     }
 }
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -308,7 +308,8 @@
             balancer.adopt(clock.now(), exchange.version.settings());
         }
         try {
-            balancer.request(clock.now(), arrival.withId(exchange.id));
+            balancer.request(clock.now(), arrival.withId(exchange.id, exchange.budget == null ? 0
+                    : exchange.budget.most()));
         } finally {
             if (late) {
                 balancer.adopt(clock.now(), version.settings());
--- a/src/main/java/sablehinge/policy/Call.java
+++ b/src/main/java/sablehinge/policy/Call.java
@@ -59,6 +59,11 @@
         return view.settings.limits();
     }
 
+    int mostAttempts() {
+        int most = limits().maxAttempts();
+        return request.attempts() > 0 ? Math.min(most, request.attempts()) : most;
+    }
+
     /** The request's hinted work relative to the mean of its class. */
     double size() {
         double mean = record.hint.value();
--- a/src/main/java/sablehinge/policy/LoadBalancer.java
+++ b/src/main/java/sablehinge/policy/LoadBalancer.java
@@ -127,9 +127,17 @@
      * @param cost expected work in ms of a standard core; 0 when not known
      * @param retry whether the client marked it as a repeat
      * @param write whether it changes something
+     * @param attempts how many it may have, if that is fewer than the limits allow; 0 for as many as they do
      */
     record Request(long id, int serviceClass, int tenant, long key, double deadline, double cost,
-            boolean retry, boolean write) { }
+            boolean retry, boolean write, int attempts) {
+
+        /** A request that may have as many attempts as the limits allow. */
+        public Request(long id, int serviceClass, int tenant, long key, double deadline, double cost,
+                boolean retry, boolean write) {
+            this(id, serviceClass, tenant, key, deadline, cost, retry, write, 0);
+        }
+    }
 
     /** How an attempt or a probe ended. */
     enum Result {
--- a/src/test/java/sablehinge/config/operator/OperatorFileTest.java
+++ b/src/test/java/sablehinge/config/operator/OperatorFileTest.java
@@ -114,6 +114,25 @@
                 SHORT + "[admin]\nlisten = \"10.0.0.1:80\"\ntoken-file = \"t\"\n");
     }
 
+    @Test
+    void budgetsAreOffWithoutTheirTableAndCheckedWithIt() {
+        assertNull(parse(SHORT).config().budget());
+        var part = parse(SHORT + "[budget]\nservice = \"store\"\nlast = true\n").config().budget();
+        assertEquals(8, part.terms().attempts());
+        assertTrue(part.entry() && part.terms().last() && part.keys().isEmpty());
+        only("f:6: budget.service: is missing, expected a name", SHORT + "[budget]\nlast = true\n");
+        String named = SHORT + "[budget]\nservice = \"store\"\n";
+        only("f:8: budget.need: 9 is more than attempts, which is 8", named + "need = 9\n");
+        only("f:9: budget.need: 2 at the last tier, expected 1: one attempt there is one attempt",
+                named + "last = true\nneed = 2\n");
+        only("f:8: budget.unknown: 9 is out of range, expected 0 to 8", named + "unknown = 9\n");
+        only("f:8: budget.kepd: unknown key, did you mean kept?", named + "kepd = 0.1\n");
+        only("f:12: budget.key[2].name: \"a b\" is no name, expected 1 to 64 letters, digits, '.', '_' or '-'"
+                ,
+                named + "[[budget.key]]\nname = \"a\"\nfile = \"f\"\n[[budget.key]]\nname = \"a b\"\n"
+                        + "file = \"g\"\n");
+    }
+
     @Test
     void whatStandsForTwoThingsIsRefused() {
         only("f:9: listener[2].address: is taken by another listener of this file", SHORT
--- a/src/test/java/sablehinge/policy/Bench.java
+++ b/src/test/java/sablehinge/policy/Bench.java
@@ -73,6 +73,13 @@
         balancer.request(now, new Request(id, serviceClass, 0, key, deadline, cost, false, false));
     }
 
+    /** A request that may have so many attempts. */
+    void bounded(long id, int serviceClass, int attempts) {
+        open.add(id);
+        balancer.request(now, new Request(id, serviceClass, 0, id,
+                now + settings.classes().get(serviceClass).deadline(), 0, false, false, attempts));
+    }
+
     /** A request with a key and its class's whole deadline. */
     void keyed(long id, int serviceClass, long key) {
         request(id, serviceClass, now + settings.classes().get(serviceClass).deadline(), 0, key);
--- a/src/test/java/sablehinge/policy/ModuleTest.java
+++ b/src/test/java/sablehinge/policy/ModuleTest.java
@@ -57,6 +57,37 @@
         assertTrue(toFailing > 5 && toFailing < 300, "sent to the failing server: " + toFailing);
     }
 
+    /** A budget from above narrows the attempts, and what it leaves no room for earns none for others. */
+    @Test
+    void aRequestHasNoMoreAttemptsThanItsBudget() {
+        for (int most = 1; most <= 3; most++) {
+            Bench bench = new Bench(Sites.plain().tier(1).build(), 3);
+            bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+            bench.bounded(1, 0, most);
+            int attempts = 0;
+            while (bench.isOpen(1)) {
+                attempts++;
+                bench.finish(bench.lastSend(), Result.ERROR);
+            }
+            assertEquals(most, attempts);
+        }
+        int[] sent = new int[2];
+        for (int most = 0; most <= 1; most++) {
+            Bench bench = new Bench(Sites.plain().tier(1).build(), 3);
+            bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
+            // What is granted at the start is spent first, and what the hundred in the middle earn after them.
+            for (int i = 0; i < 140; i++) {
+                boolean fails = i < 20 || i >= 120;
+                bench.bounded(i, 0, fails ? 0 : most);
+                while (bench.isOpen(i)) {
+                    bench.finish(bench.lastSend(), fails ? Result.ERROR : Result.OK);
+                }
+            }
+            sent[most] = bench.sends.size();
+        }
+        assertTrue(sent[0] > sent[1], sent[0] + " sends, and where nothing is earned " + sent[1]);
+    }
+
     @Test
     void aHungServerLosesItsShareBeforeItsCallsTimeOut() {
         Bench bench = new Bench(Sites.plain().repeat(Repeat.AT_MOST_ONCE).build(), 5);
