Lower tiers refuse the least worth first; a pause of the process makes no time

Need: worth was carried and shed nothing; what lay unread while the process stood still kept all its time. Change: Shedder at hops whose calls come from another tier (shed, floor, share in [budget]); PauseWatch charges a late tick to what is read with it.

--- a/src/main/java/sablehinge/config/operator/OperatorConfig.java
+++ b/src/main/java/sablehinge/config/operator/OperatorConfig.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import sablehinge.budget.Shedder;
 import sablehinge.budget.Terms;
 import sablehinge.core.Roster;
 import sablehinge.core.Roster.Member;
@@ -79,9 +80,11 @@
      *
      * @param service what this balancer's servers are together, by which loops are told
      * @param entry whether clients of outside call here
+     * @param shed by what terms work is given up by its worth here; null for none
      * @param keys the files of the secrets by their names, relative to the operator file; the first one signs
      */
-    public record BudgetPart(String service, boolean entry, Terms terms, Map<String, String> keys) { }
+    public record BudgetPart(String service, boolean entry, Terms terms, Shedder.Terms shed,
+            Map<String, String> keys) { }
 
     /**
      * How a change of the configuration is tried and when it is undone.
--- a/src/main/java/sablehinge/config/operator/OperatorFile.java
+++ b/src/main/java/sablehinge/config/operator/OperatorFile.java
@@ -25,6 +25,7 @@
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlVersion;
 import sablehinge.budget.Budget;
+import sablehinge.budget.Shedder;
 import sablehinge.budget.Terms;
 import sablehinge.config.operator.OperatorConfig.AdminPart;
 import sablehinge.config.operator.OperatorConfig.BudgetPart;
@@ -447,6 +448,9 @@
                 s.integer("calls", 1, 1, 1_000), need, last, s.duration("margin", 5, 0, 60_000),
                 s.duration("wire", 1, 0, 60_000), s.number("kept", 0.5, 0, 0.9),
                 s.integer("reentries", 0, 0, Budget.MOST_HOPS - 1), s.integer("open", 20_000, 1, 1_000_000));
+        // Where clients come in the module sheds already.
+        boolean sheds = s.flag("shed", !entry);
+        Shedder.Terms shed = new Shedder.Terms(s.number("floor", 0.1, 0, 1), s.number("share", 1, 0.001, 1));
         Map<String, String> keys = new LinkedHashMap<>();
         for (String[] key : s.sections("key", 8, k -> new String[] {k.name("name", null),
             k.text("file", null)})) {
@@ -457,7 +461,7 @@
             }
         }
         s.end();
-        return new BudgetPart(service, entry, terms, keys);
+        return new BudgetPart(service, entry, terms, sheds ? shed : null, keys);
     }
 
     /** What no single table shows: names and addresses that stand for two things. */
--- a/src/main/java/sablehinge/core/ChainBudgets.java
+++ b/src/main/java/sablehinge/core/ChainBudgets.java
@@ -4,8 +4,11 @@
 import java.util.function.Consumer;
 import sablehinge.budget.LeastTime;
 import sablehinge.budget.LoopWatch;
+import sablehinge.budget.PauseWatch;
 import sablehinge.budget.Purses;
+import sablehinge.budget.Shedder;
 import sablehinge.budget.Terms;
+import sablehinge.policy.LoadBalancer.Result;
 
 /** The budgets of a chain of tiers at this hop, where they are switched on. */
 public final class ChainBudgets {
@@ -16,16 +19,67 @@
     final LeastTime least = new LeastTime();
     /** Whether it is clients of outside that call here, whose word on budgets counts for nothing. */
     final boolean entry;
+    private static final double TICK_MS = 20;
+    /** Share of the time of an attempt after which its end is a sign of too much work. */
+    private static final double LATE = 0.8;
+
+    /** Null where nothing is shed by worth here. */
+    private final Shedder shedder;
+    private PauseWatch pauses;
     private final LoopWatch loops = new LoopWatch(MOST_LOOPS);
     private final Consumer<String> report;
 
-    /** The budgets of a hop that stands for a service; {@code report} takes a line for operators. */
-    public ChainBudgets(Terms terms, long service, boolean entry, long seed, Consumer<String> report) {
+    /**
+     * The budgets of a hop that stands for a service.
+     *
+     * @param shed by what terms work is given up by its worth; null for none
+     * @param report takes a line for operators
+     */
+    public ChainBudgets(Terms terms, Shedder.Terms shed, long service, boolean entry, long seed,
+            Consumer<String> report) {
+        shedder = shed == null ? null : new Shedder(shed, seed);
         purses = new Purses(terms, service, seed);
         this.entry = entry;
         this.report = report;
     }
 
+    void start(Timers timers, Clock clock) {
+        pauses = new PauseWatch(TICK_MS, clock.now());
+        tick(timers, clock);
+    }
+
+    private void tick(Timers timers, Clock clock) {
+        pauses.tick(clock.now());
+        timers.at(clock.now() + TICK_MS, () -> tick(timers, clock));
+    }
+
+    double waited(double now) {
+        return pauses.waited(now);
+    }
+
+    /** Whether a call that was taken in may go on, by its worth among those of all callers. */
+    boolean admits(double now, Arrival arrival, Purses.Admission admission) {
+        if (shedder == null) {
+            return true;
+        }
+        // Who called last: the service before this one, or at the entry the tenant.
+        String caller = admission.path().size() < 2 ? "tenant " + arrival.tenant()
+                : Long.toHexString(admission.path().get(admission.path().size() - 2));
+        return shedder.admits(now, caller, admission.call().worth(),
+                arrival.cost() > 0 ? arrival.cost() : 1);
+    }
+
+    /** How an attempt ended: what is late, or was turned away by a full server, tells of too much work. */
+    void ended(double now, double sentAt, double deadline, Result result) {
+        if (result == Result.OK) {
+            least.served(now, now - sentAt);
+        }
+        boolean late = result == Result.FULL || now - sentAt > LATE * (deadline - sentAt);
+        if (shedder != null && (late || result == Result.OK)) {
+            shedder.felt(now, late);
+        }
+    }
+
     /** A call has come back to this service: told once a loop. */
     void looped(List<Long> path) {
         if (loops.isNew(path)) {
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -136,6 +136,7 @@
     /** Switches budgets on for what arrives from now on. */
     public void budgets(ChainBudgets hop) {
         budgets = hop;
+        hop.start(timers, clock);
     }
 
     /** The time, in ms of the clock that all of the program reads. */
@@ -259,7 +260,10 @@
         if (budgets != null && given.budget() != null) {
             double worth = arrivedUnder.settings().classes().get(given.serviceClass()).worth();
             Purses.Admission admission = budgets.purses.arrive(clock.now(), given.budget(), budgets.entry,
-                    given.deadline() - clock.now(), 0, worth);
+                    given.deadline() - clock.now(), budgets.waited(clock.now()), worth);
+            if (admission.call() != null && !budgets.admits(clock.now(), given, admission)) {
+                return shed(admission, arrivedUnder, given, payload, caller);
+            }
             if (admission.call() == null) {
                 return turnAway(admission, arrivedUnder, given, payload, caller);
             }
@@ -284,6 +288,17 @@
         return exchange;
     }
 
+    /** What is worth least is refused first, and is not worth another try elsewhere: all are as busy. */
+    private Exchange shed(Purses.Admission admission, Version arrivedUnder, Arrival arrival, Payload payload,
+            Caller caller) {
+        Exchange exchange = new Exchange(++lastId, arrivedUnder, arrival, payload, clock.now(), caller);
+        LoadBalancer.Limits limits = arrivedUnder.settings().limits();
+        answer(exchange, new Answer(Answer.Kind.REFUSED, Payload.NONE, limits.retryAfter()
+                ? limits.maxRetryAfter() : 0, budgets.purses.close(admission.call(), false), List.of()));
+        payload.release();
+        return exchange;
+    }
+
     /** What has no budget is answered at once: nothing of it has run here. */
     private Exchange turnAway(Purses.Admission admission, Version arrivedUnder, Arrival arrival,
             Payload payload, Caller caller) {
@@ -357,9 +372,9 @@
             budgets.purses.neverRan(grant);
         } else if (grant != null) {
             budgets.purses.over(grant, end.spent(), end.result() == Result.OK);
-            if (end.result() == Result.OK) {
-                budgets.least.served(clock.now(), clock.now() - Math.max(sentAt, exchange.endedAt));
-            }
+        }
+        if (grant != null && end.result() != Result.NOT_SENT && end.result() != Result.CANCELLED) {
+            budgets.ended(clock.now(), Math.max(sentAt, exchange.endedAt), exchange.deadline, end.result());
         }
         if (end.result() == Result.OK) {
             answer(exchange, new Answer(Answer.Kind.SERVED, end.payload(), 0));
--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -103,7 +103,7 @@
         budgets = text;
         if (part != null) {
             transport.budgets(budgets);
-            core.budgets(new ChainBudgets(part.terms(), serviceId(part.service()), part.entry(),
+            core.budgets(new ChainBudgets(part.terms(), part.shed(), serviceId(part.service()), part.entry(),
                     ThreadLocalRandom.current().nextLong(), Log.LOG::warning));
         }
         versions = new Versions(this, store, files, first.number(), first.config());
--- a/src/test/java/sablehinge/budget/PursesTest.java
+++ b/src/test/java/sablehinge/budget/PursesTest.java
@@ -222,6 +222,22 @@
         assertEquals(0, watch.calls(List.of(1L, 2L, 3L, 1L)), "the oldest has gone");
     }
 
+    @Test
+    void aPauseIsChargedToWhatLayUnread() {
+        PauseWatch watch = new PauseWatch(20, 0);
+        for (double now = 20; now <= 100; now += 20) {
+            watch.tick(now + 5);
+            assertEquals(0, watch.waited(now + 15));
+        }
+        // Read first after a pause of 900 ms, and read after the tick that was as late.
+        assertEquals(880, watch.waited(1_005));
+        watch.tick(1_005);
+        assertEquals(880, watch.waited(1_007));
+        assertEquals(0, watch.waited(1_015));
+        watch.tick(1_025);
+        assertEquals(0, watch.waited(1_027));
+    }
+
     @Test
     void theLeastTimeIsLearntAndForgotten() {
         LeastTime least = new LeastTime();
--- a/src/test/java/sablehinge/policy/ModuleTest.java
+++ b/src/test/java/sablehinge/policy/ModuleTest.java
@@ -75,7 +75,8 @@
         for (int most = 0; most <= 1; most++) {
             Bench bench = new Bench(Sites.plain().tier(1).build(), 3);
             bench.list(Change.CACHED, Sites.server(1), Sites.server(2), Sites.server(3));
-            // What is granted at the start is spent first, and what the hundred in the middle earn after them.
+            // What is granted at the start is spent first, and what the hundred in the middle earn after
+            // them.
             for (int i = 0; i < 140; i++) {
                 boolean fails = i < 20 || i >= 120;
                 bench.bounded(i, 0, fails ? 0 : most);
