--- a/src/main/java/sablehinge/config/operator/OperatorFile.java
+++ b/src/main/java/sablehinge/config/operator/OperatorFile.java
@@ -448,8 +448,8 @@
                 s.integer("calls", 1, 1, 1_000), need, last, s.duration("margin", 5, 0, 60_000),
                 s.duration("wire", 1, 0, 60_000), s.number("kept", 0.5, 0, 0.9),
                 s.integer("reentries", 0, 0, Budget.MOST_HOPS - 1), s.integer("open", 20_000, 1, 1_000_000));
-        // Where clients come in the module sheds already.
-        boolean sheds = s.flag("shed", !entry);
+        // The module sheds already; both together were measured to give up too much.
+        boolean sheds = s.flag("shed", false);
         Shedder.Terms shed = new Shedder.Terms(s.number("floor", 0.1, 0, 1), s.number("share", 1, 0.001, 1));
         Map<String, String> keys = new LinkedHashMap<>();
         for (String[] key : s.sections("key", 8, k -> new String[] {k.name("name", null),
