--- a/src/main/java/sablehinge/policy/Call.java
+++ b/src/main/java/sablehinge/policy/Call.java
@@ -42,6 +42,7 @@
     double restsUntil = Double.NEGATIVE_INFINITY;
     /** When an answer stops being worth its work. */
     double usefulEnd;
+    final int most;
     int running;
     boolean done;
     boolean streaming;
@@ -53,17 +54,13 @@
         this.type = record.type;
         this.id = request.id();
         this.arrivedAt = arrivedAt;
+        most = Math.min(limits().maxAttempts(), request.attempts() > 0 ? request.attempts() : 1_000);
     }
 
     LoadBalancer.Limits limits() {
         return view.settings.limits();
     }
 
-    int mostAttempts() {
-        int most = limits().maxAttempts();
-        return request.attempts() > 0 ? Math.min(most, request.attempts()) : most;
-    }
-
     /** The request's hinted work relative to the mean of its class. */
     double size() {
         double mean = record.hint.value();
--- a/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
@@ -216,10 +216,7 @@
     public void request(double now, Request request) {
         Call call = new Call(request, current, now);
         calls.put(request.id(), call);
-        if (call.mostAttempts() > 1) {
-            // What may not be tried again earns nothing for others to be.
-            extraCalls = Math.min(EXTRA_SAVED, extraCalls + EXTRA_PER_REQUEST);
-        }
+        extraCalls = Math.min(EXTRA_SAVED, extraCalls + (call.most > 1 ? EXTRA_PER_REQUEST : 0));
         if (request.cost() > 0) {
             call.record.hint.add(request.cost());
         }
@@ -414,7 +411,7 @@
     /** Rules 6 and 2: placement; an attempt that may have run ties a request to its group, or ends it. */
     private boolean mayGoTo(Call call, Server server, double now) {
         Limits limits = call.limits();
-        if (call.attempts.size() >= call.mostAttempts() || call.running > 0 && !limits.parallel()
+        if (call.attempts.size() >= call.most || call.running > 0 && !limits.parallel()
                 || !call.type.admits(server.listed)) {
             return false;
         }
--- a/src/main/java/sablehinge/policy/LoadBalancer.java
+++ b/src/main/java/sablehinge/policy/LoadBalancer.java
@@ -5,10 +5,9 @@
 /**
  * The decisions of one load balancer instance: events go in, actions come out.
  *
- * <p>An instance has no clock, thread or socket of its own. Its host calls one event method at a time,
- * each with the time at which the event happens, and carries out what the instance asks of its
- * {@link Actions} during that call. All times and durations are milliseconds; the clock has no special
- * zero and never goes back. The same events, settings and seed give the same actions.
+ * <p>An instance has no clock, thread or socket of its own. Its host calls one event method at a time, with
+ * the time of the event, and carries out what is asked of {@link Actions} during that call. All times are ms;
+ * the clock never goes back and has no special zero. Same events, settings and seed give the same actions.
  */
 public interface LoadBalancer {
 
@@ -25,9 +24,8 @@
     void request(double now, Request request);
 
     /**
-     * Other settings hold for requests that arrive from now on; those that have come keep theirs until they
-     * are over, retries and all, and go only to servers listed under both. The very object may be handed in
-     * again, to go back to it. A {@link Change#FULL} list follows where the servers are others.
+     * Other settings hold for what arrives from now on; what has come keeps its own, and goes only to servers
+     * listed under both. An object may be handed in again. A {@link Change#FULL} list follows if they differ.
      */
     default void adopt(double now, Settings settings) {
         throw new UnsupportedOperationException("the settings stay as they were at the start");
@@ -127,17 +125,10 @@
      * @param cost expected work in ms of a standard core; 0 when not known
      * @param retry whether the client marked it as a repeat
      * @param write whether it changes something
-     * @param attempts how many it may have, if that is fewer than the limits allow; 0 for as many as they do
+     * @param attempts the most that it may have, where the limits allow more; 0 for as many as they do
      */
     record Request(long id, int serviceClass, int tenant, long key, double deadline, double cost,
-            boolean retry, boolean write, int attempts) {
-
-        /** A request that may have as many attempts as the limits allow. */
-        public Request(long id, int serviceClass, int tenant, long key, double deadline, double cost,
-                boolean retry, boolean write) {
-            this(id, serviceClass, tenant, key, deadline, cost, retry, write, 0);
-        }
-    }
+            boolean retry, boolean write, int attempts) { }
 
     /** How an attempt or a probe ended. */
     enum Result {
@@ -180,8 +171,7 @@
      * @param lateWorth the share of the worth left after the aim
      * @param memory how long repeats are dropped, from the first attempt that may have run
      * @param streamed whether answers are streams
-     * @param inOrder whether requests with the same key take turns in order of arrival; all such classes
-     *     share their keys, and a request without a key is free
+     * @param inOrder whether requests of one key, over all such classes, take turns in order of arrival
      * @param zones the only zones it may be sent to; null where any will do, empty where none will
      * @param kinds the only machine types it may be sent to; null where any will do, empty where none will
      */
--- a/src/main/java/sablehinge/wire/WireHost.java
+++ b/src/main/java/sablehinge/wire/WireHost.java
@@ -245,7 +245,7 @@
         double cost = (flags & 1) != 0 ? Math.max(0, number(at + 32, "cost hint")) : 0;
         return new Request(LittleEndian.getLong(body, at + 5), serviceClass, tenant,
                 LittleEndian.getLong(body, at + 16), number(at + 24, "deadline"), cost,
-                (flags & 2) != 0, (flags & 4) != 0);
+                (flags & 2) != 0, (flags & 4) != 0, 0);
     }
 
     private Outcome readOutcome(int at) {
--- a/src/test/java/sablehinge/policy/Bench.java
+++ b/src/test/java/sablehinge/policy/Bench.java
@@ -70,7 +70,7 @@
 
     void request(long id, int serviceClass, double deadline, double cost, long key) {
         open.add(id);
-        balancer.request(now, new Request(id, serviceClass, 0, key, deadline, cost, false, false));
+        balancer.request(now, new Request(id, serviceClass, 0, key, deadline, cost, false, false, 0));
     }
 
     /** A request that may have so many attempts. */
