A long answer with its caller's last byte to come is no leftover; its pace is looked at again

Reading found one real fault: an answer that passes through on a connection that is to be closed counted as one that has had its last answer, and could be closed for its descriptor. Measured: PassingTest, FrontendTest and CrowdTest pass; neither change has a test of its own.

--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -378,7 +378,7 @@
 
         /** Whether it has had its last answer. */
         boolean lingers() {
-            return closing && unsent == 0;
+            return closing && unsent == 0 && passed == null;
         }
 
         /** Closes it if it is idle: a request that lies unread in the kernel would be lost with it. */
@@ -397,6 +397,9 @@
             if (closing || unsent > 0 || passed != null) {
                 if (age > WRITE_MS) {
                     channel.close();
+                } else if (passed != null && channel.isWritable()) {
+                    // Whatever may have kept it from going on: what its caller can take must not be held back.
+                    passed.pace(true);
                 }
             } else if (decoder.amid) {
                 // One that is not read from now is not to blame.
