--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -398,7 +398,7 @@
                 if (age > WRITE_MS) {
                     channel.close();
                 } else if (passed != null && channel.isWritable()) {
-                    // Whatever may have kept it from going on: what its caller can take must not be held back.
+                    // Whatever may have kept it from going on: what its caller can take is not held back.
                     passed.pace(true);
                 }
             } else if (decoder.amid) {
