--- /dev/null
+++ b/src/main/java/sablehinge/cistern/Cistern.java
@@ -0,0 +1,162 @@
+package sablehinge.cistern;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The state that the core agrees upon: the newest configuration and which ones were taken before it. It
+ * changes by committed commands only, alike on every member.
+ */
+public final class Cistern {
+
+    /** Editions whose marks are kept, so that a call that is repeated late still has its true answer. */
+    private static final int MOST_TAKEN = 2_000;
+    private static final int FORMAT = 1;
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    /** What became of a command. */
+    public enum Outcome {
+        /** The configuration is in force. */
+        TAKEN,
+        /** That very configuration had been taken before. */
+        REPEATED,
+        /** Another version is current. */
+        STALE,
+        /** Its edition is not above the current one. */
+        OLD
+    }
+
+    private final Map<Long, Mark> taken = new LinkedHashMap<>(16, 0.75f, false);
+    private long edition;
+    private byte[] body = new byte[0];
+
+    /** What tells one body from another: its length and two sums. */
+    private record Mark(int length, long sum, int hash) {
+
+        static Mark of(byte[] body) {
+            long sum = FNV_OFFSET;
+            for (byte b : body) {
+                sum = (sum ^ (b & 0xff)) * FNV_PRIME;
+            }
+            return new Mark(body.length, sum, Arrays.hashCode(body));
+        }
+    }
+
+    /** A command that puts a configuration in the place of another. */
+    public static byte[] replace(long basedOn, long edition, byte[] body) {
+        return bytes(out -> {
+            out.writeByte(FORMAT);
+            out.writeLong(basedOn);
+            out.writeLong(edition);
+            out.writeInt(body.length);
+            out.write(body);
+        });
+    }
+
+    /** What a command would come to if it were committed now. */
+    public Outcome foresee(long basedOn, long next, byte[] nextBody) {
+        Mark known = taken.get(next);
+        if (known != null && known.equals(Mark.of(nextBody))) {
+            return Outcome.REPEATED;
+        }
+        return basedOn != edition ? Outcome.STALE : next <= edition ? Outcome.OLD : Outcome.TAKEN;
+    }
+
+    /** Carries out a committed command. */
+    public Outcome apply(byte[] command) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(command))) {
+            in.readByte();
+            long basedOn = in.readLong();
+            long next = in.readLong();
+            byte[] nextBody = new byte[in.readInt()];
+            in.readFully(nextBody);
+            Outcome outcome = foresee(basedOn, next, nextBody);
+            if (outcome == Outcome.TAKEN) {
+                edition = next;
+                body = nextBody;
+                taken.put(next, Mark.of(nextBody));
+                if (taken.size() > MOST_TAKEN) {
+                    taken.remove(taken.keySet().iterator().next());
+                }
+            }
+            return outcome;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The edition in force; 0 where there is none. */
+    public long edition() {
+        return edition;
+    }
+
+    /** The configuration in force as it was sent; not to be changed. */
+    public byte[] body() {
+        return body;
+    }
+
+    /** The whole state as bytes. */
+    public byte[] state() {
+        return bytes(out -> {
+            out.writeByte(FORMAT);
+            out.writeLong(edition);
+            out.writeInt(body.length);
+            out.write(body);
+            out.writeInt(taken.size());
+            for (Map.Entry<Long, Mark> one : taken.entrySet()) {
+                out.writeLong(one.getKey());
+                out.writeInt(one.getValue().length());
+                out.writeLong(one.getValue().sum());
+                out.writeInt(one.getValue().hash());
+            }
+        });
+    }
+
+    /** Takes a state in the place of this one; no bytes are the state before any configuration. */
+    public void restore(byte[] state) {
+        taken.clear();
+        edition = 0;
+        body = new byte[0];
+        if (state.length == 0) {
+            return;
+        }
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(state))) {
+            int format = in.readByte();
+            if (format != FORMAT) {
+                throw new IllegalArgumentException("a state of format " + format + "; " + FORMAT
+                        + " is expected");
+            }
+            edition = in.readLong();
+            body = new byte[in.readInt()];
+            in.readFully(body);
+            int count = in.readInt();
+            for (int i = 0; i < count; i++) {
+                taken.put(in.readLong(), new Mark(in.readInt(), in.readLong(), in.readInt()));
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private interface Writing {
+        void to(DataOutputStream out) throws IOException;
+    }
+
+    private static byte[] bytes(Writing writing) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            writing.to(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/cistern/Intake.java
@@ -0,0 +1,16 @@
+package sablehinge.cistern;
+
+/**
+ * A data-plane balancer and the upstream beside it, as that balancer tells it.
+ *
+ * @param node the balancer's name
+ * @param zone where it runs
+ * @param inbound where it takes requests for its upstream, {@code ip:port}
+ * @param service of the upstream
+ * @param upstream the id of the upstream's present life; empty where there is none
+ * @param ready whether it takes new requests
+ * @param berths requests that the upstream works on at once
+ * @param coldMs how much longer the upstream was slow when its life was first told
+ */
+public record Intake(String node, String zone, String inbound, String service, String upstream,
+        boolean ready, int berths, int coldMs) { }
--- /dev/null
+++ b/src/main/java/sablehinge/cistern/Roll.java
@@ -0,0 +1,113 @@
+package sablehinge.cistern;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which data-plane balancers there are, and what is beside them: what they last told the one who keeps the
+ * roll. It is not agreed upon and on no disk, since each of them tells it anew to whoever keeps it next. Each
+ * entry has the stamp of its last change, so that who knows all up to a stamp is told what came after.
+ */
+public final class Roll {
+
+    private final double goneAfter;
+    private final double completeAfter;
+    private final Map<String, Row> rows = new HashMap<>();
+    private long stamp;
+    private double beganAt = Double.NaN;
+
+    private static final class Row {
+        Intake intake;
+        long stamp;
+        double heardAt;
+    }
+
+    /**
+     * An empty roll.
+     *
+     * @param completeAfter ms after its beginning until which whoever lives has told of itself
+     * @param goneAfter ms without a word after which one counts as gone
+     */
+    public Roll(double completeAfter, double goneAfter) {
+        this.completeAfter = completeAfter;
+        this.goneAfter = goneAfter;
+    }
+
+    /** Forgets all, and is kept anew from now on. */
+    public void begin(double now) {
+        rows.clear();
+        stamp = 0;
+        beganAt = now;
+    }
+
+    /** A balancer tells of itself; true if that is news. */
+    public boolean told(double now, Intake intake) {
+        Row row = rows.computeIfAbsent(intake.node(), node -> new Row());
+        row.heardAt = now;
+        boolean news = row.intake == null || !sameBut(row.intake, intake);
+        if (news) {
+            row.intake = intake;
+            row.stamp = ++stamp;
+        }
+        return news;
+    }
+
+    /** How long it stays cold passes by itself, and is no news. */
+    private static boolean sameBut(Intake one, Intake other) {
+        return one.upstream().equals(other.upstream()) && one.ready() == other.ready()
+                && one.inbound().equals(other.inbound()) && one.service().equals(other.service())
+                && one.berths() == other.berths() && one.zone().equals(other.zone());
+    }
+
+    /** Strikes out who has long said nothing; true if there was one. */
+    public boolean expire(double now) {
+        boolean news = false;
+        for (Row row : rows.values()) {
+            Intake known = row.intake;
+            if (now - row.heardAt > goneAfter && !known.upstream().isEmpty()) {
+                row.intake = new Intake(known.node(), known.zone(), known.inbound(), known.service(), "",
+                        false, 0, 0);
+                row.stamp = ++stamp;
+                news = true;
+            }
+        }
+        rows.values().removeIf(row -> now - row.heardAt > 4 * goneAfter);
+        return news;
+    }
+
+    /** The stamp of the last change. */
+    public long stamp() {
+        return stamp;
+    }
+
+    /** Whether everyone who lives has had the time to tell of itself: who is not on it is gone. */
+    public boolean isComplete(double now) {
+        return now - beganAt >= completeAfter;
+    }
+
+    /** What changed after a stamp, in the order of the changes. */
+    public List<Intake> since(long known) {
+        List<Row> later = new ArrayList<>();
+        for (Row row : rows.values()) {
+            if (row.stamp > known) {
+                later.add(row);
+            }
+        }
+        later.sort(Comparator.comparingLong(row -> row.stamp));
+        List<Intake> news = new ArrayList<>(later.size());
+        later.forEach(row -> news.add(row.intake));
+        return news;
+    }
+
+    /** Balancers that were heard of lately. */
+    public int size() {
+        int alive = 0;
+        for (Row row : rows.values()) {
+            alive += row.intake.upstream().isEmpty() ? 0 : 1;
+        }
+        return Math.max(1, alive);
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/conduit/Conduit.java
@@ -0,0 +1,208 @@
+package sablehinge.conduit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Connections that carry records between processes of the system. Both ends ping each other while they have
+ * nothing to say: a cut is silent, and only an answer tells that the other end is there.
+ */
+public final class Conduit {
+
+    /** The largest record, in bytes: a configuration with thousands of routes, or a snapshot that holds it. */
+    public static final int MOST_BYTES = 16 * 1024 * 1024;
+    private static final int LENGTH_BYTES = 4;
+    /** What may wait to be written to one that doesn't read, in bytes; what comes beyond is dropped. */
+    private static final int MOST_WAITING = 2 * MOST_BYTES;
+    private static final int CONNECT_MS = 700;
+    private static final Frame.Kind[] KINDS = Frame.Kind.values();
+
+    private final EventLoop loop;
+    private final long pingMs;
+    private final long deadMs;
+
+    /** What one end of a connection hears. */
+    public interface Handler {
+
+        /** The connection is up. */
+        default void opened(Link link) { }
+
+        /** A record has come. */
+        void came(Link link, Frame frame);
+
+        /** The connection is over, or never came up; called once. */
+        default void closed(Link link) { }
+    }
+
+    /**
+     * Connections on a loop.
+     *
+     * @param pingMs how often an end that hears nothing asks
+     * @param deadMs how long it hears nothing until it gives the connection up
+     */
+    public Conduit(EventLoop loop, long pingMs, long deadMs) {
+        this.loop = loop;
+        this.pingMs = pingMs;
+        this.deadMs = deadMs;
+    }
+
+    /** Takes connections at an address. */
+    public ChannelFuture listen(InetSocketAddress address, Handler handler) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        equip(channel, new Link(channel, handler));
+                    }
+                }).bind(address);
+    }
+
+    /** Connects to an address; the handler hears what comes of it. */
+    public Link connect(InetSocketAddress address, Handler handler) {
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        // Equipped below, as the link is made there.
+                    }
+                });
+        ChannelFuture connect = bootstrap.register();
+        Channel channel = connect.channel();
+        Link link = new Link(channel, handler);
+        equip(channel, link);
+        channel.connect(address).addListener(up -> {
+            if (!up.isSuccess()) {
+                link.end();
+            }
+        });
+        return link;
+    }
+
+    private static void equip(Channel channel, Link link) {
+        channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(MOST_BYTES + 1, 0, LENGTH_BYTES, 0,
+                LENGTH_BYTES), link);
+    }
+
+    /** One end of a connection. */
+    public final class Link extends SimpleChannelInboundHandler<ByteBuf> {
+
+        private final Channel channel;
+        private final Handler handler;
+        private long heardAt = System.nanoTime();
+        private boolean ended;
+        private Future<?> pings;
+        /** What its user keeps with it. */
+        private Object attachment;
+
+        Link(Channel channel, Handler handler) {
+            this.channel = channel;
+            this.handler = handler;
+        }
+
+        /** Sends a record; it is dropped where the other end has long not read, or there is none. */
+        public void send(Frame frame) {
+            if (!channel.isActive()) {
+                return;
+            }
+            if (channel.unsafe().outboundBuffer() != null
+                    && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_WAITING) {
+                channel.close();
+                return;
+            }
+            ByteBuf out = channel.alloc().buffer(LENGTH_BYTES + 1 + frame.body().length);
+            out.writeInt(1 + frame.body().length).writeByte(frame.kind().ordinal()).writeBytes(frame.body());
+            channel.writeAndFlush(out);
+        }
+
+        /** Whether records can be sent now. */
+        public boolean isUp() {
+            return channel.isActive();
+        }
+
+        /** Closes the connection. */
+        public void close() {
+            channel.close();
+        }
+
+        /** Keeps something with it. */
+        public void attach(Object kept) {
+            attachment = kept;
+        }
+
+        /** What was kept with it, or null. */
+        public Object attachment() {
+            return attachment;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            heardAt = System.nanoTime();
+            pings = loop.scheduleAtFixedRate(this::ping, pingMs, pingMs, TimeUnit.MILLISECONDS);
+            handler.opened(this);
+        }
+
+        private void ping() {
+            long silent = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+            if (silent > deadMs) {
+                channel.close();
+            } else if (silent >= pingMs) {
+                send(new Frame(Frame.Kind.PING, new byte[0]));
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
+            heardAt = System.nanoTime();
+            int kind = in.readableBytes() == 0 ? -1 : in.readUnsignedByte();
+            if (kind < 0 || kind >= KINDS.length) {
+                // Some other program, or one of another version: nothing that it says is believed.
+                channel.close();
+                return;
+            }
+            byte[] body = new byte[in.readableBytes()];
+            in.readBytes(body);
+            if (KINDS[kind] == Frame.Kind.PING) {
+                send(new Frame(Frame.Kind.PONG, new byte[0]));
+            } else if (KINDS[kind] != Frame.Kind.PONG) {
+                handler.came(this, new Frame(KINDS[kind], body));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            end();
+        }
+
+        private void end() {
+            if (!ended) {
+                ended = true;
+                if (pings != null) {
+                    pings.cancel(false);
+                }
+                handler.closed(this);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/conduit/Frame.java
@@ -0,0 +1,28 @@
+package sablehinge.conduit;
+
+/**
+ * One record between processes of the system.
+ *
+ * @param kind what its body is
+ * @param body as {@link java.io.DataOutputStream} wrote it; not to be changed
+ */
+public record Frame(Kind kind, byte[] body) {
+
+    /** The kinds of record; their order is their number on the wire. */
+    public enum Kind {
+        /** Who speaks, first on each connection between members of the core. */
+        HELLO,
+        /** Is the other end there; answered with {@link #PONG}. */
+        PING,
+        /** It is. */
+        PONG,
+        /** What members of the core say to each other to agree. */
+        AGREE,
+        /** A data-plane balancer asks for news. */
+        ASK,
+        /** The answer to that. */
+        NEWS,
+        /** Who else to ask. */
+        ELSEWHERE
+    }
+}
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -454,6 +454,8 @@
         }
         if (end.result() == Result.OK) {
             answer(exchange, new Answer(Answer.Kind.SERVED, end.payload(), 0));
+        } else if (end.result() == Result.ERROR && exchange.isOpen() && transport.keepsFailures()) {
+            exchange.failed(end.payload().keep());
         }
         double from = Math.max(sentAt, exchange.endedAt);
         double until = end.result() == Result.OK && begunAt >= from ? begunAt : clock.now();
@@ -470,6 +472,7 @@
                 budgets.purses.close(exchange.budget, false);
             }
             exchange.request.release();
+            exchange.failed(Payload.NONE);
             Live own = live.get(exchange.version.number());
             own.requests--;
             forgetIfLeft(own);
@@ -539,7 +542,9 @@
         if (exchange.isOpen()) {
             tracer.note(TraceEvent.ANSWERED, 0, exchange.id, answer.kind().ordinal());
         }
-        if (exchange.answer(exchange.budget == null ? answer : answer.with(closed(exchange, answer.kind())))
+        Answer given = answer.payload() == Payload.NONE && exchange.failure != Payload.NONE
+                ? new Answer(Answer.Kind.FAILED, exchange.failure, 0) : answer;
+        if (exchange.answer(exchange.budget == null ? given : given.with(closed(exchange, answer.kind())))
                 && observer != null) {
             observer.answered(name, exchange.version, exchange.serviceClass, answer.kind(), exchange.sends,
                     clock.now() - exchange.arrivedAt);
--- a/src/main/java/sablehinge/core/Exchange.java
+++ b/src/main/java/sablehinge/core/Exchange.java
@@ -32,6 +32,8 @@
     final List<Purses.Grant> grants = new ArrayList<>(0);
     /** Timers that the module set about it meanwhile: their tokens, and how long after now. */
     final List<Wait> waits = new ArrayList<>(0);
+    /** What a server answered that failed it, kept for its caller; nothing where none did. */
+    Payload failure = Payload.NONE;
     private Caller caller;
 
     /** A timer that is not set yet. */
@@ -64,6 +66,12 @@
         return true;
     }
 
+    /** Keeps what a server answered that failed it in place of what was kept before. */
+    void failed(Payload answer) {
+        failure.release();
+        failure = answer;
+    }
+
     /** What its caller calls it. */
     String name() {
         return caller == null ? "" : caller.name();
--- a/src/main/java/sablehinge/core/Payload.java
+++ b/src/main/java/sablehinge/core/Payload.java
@@ -14,6 +14,11 @@
         return true;
     }
 
+    /** The same, held once more by whoever asks; nothing where it passes through and can't be kept. */
+    default Payload keep() {
+        return NONE;
+    }
+
     /** Gives back what it holds; it is not to be used afterwards. */
     void release();
 }
--- /dev/null
+++ b/src/main/java/sablehinge/http1/Checked.java
@@ -0,0 +1,12 @@
+package sablehinge.http1;
+
+import sablehinge.core.Arrival;
+import sablehinge.core.Version;
+
+/**
+ * A request that can be taken in.
+ *
+ * @param name its caller's name for it; empty for none
+ * @param version by which it was read, and to which it belongs
+ */
+public record Checked(String name, Arrival arrival, Version version) { }
--- /dev/null
+++ b/src/main/java/sablehinge/http1/FrontTerms.java
@@ -0,0 +1,17 @@
+package sablehinge.http1;
+
+/**
+ * What a front lets its callers do.
+ *
+ * @param headerBytes of a request's head, at most
+ * @param bodyBytes of a body, at most
+ * @param requestMs in which a request that has begun, or a new connection's first, must be there
+ * @param bytesPerMs a body has a ms more for each so many bytes
+ * @param silentMs that a connection may stay without its first request
+ * @param idleMs that it may rest between two
+ * @param keptBytes a body of up to so many is kept whole, so that it can be sent again,
+ * @param keptInAll as long as so many bytes fit
+ * @param concurrent whether requests sent ahead of their turn are begun at once, where they may be repeated
+ */
+public record FrontTerms(int headerBytes, long bodyBytes, double requestMs, double bytesPerMs,
+        double silentMs, double idleMs, int keptBytes, int keptInAll, boolean concurrent) { }
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -52,7 +51,6 @@
 import sablehinge.core.Answer;
 import sablehinge.core.Arrival;
 import sablehinge.core.Caller;
-import sablehinge.core.ChainBudgets;
 import sablehinge.core.Core;
 import sablehinge.core.Exchange;
 import sablehinge.core.Log;
@@ -60,8 +58,6 @@
 import sablehinge.core.Payload;
 import sablehinge.core.TraceEvent;
 import sablehinge.core.Version;
-import sablehinge.http1.RequestCheck.BadRequestException;
-import sablehinge.http1.RequestCheck.Checked;
 
 /**
  * Takes callers' requests and writes each one's answer. A caller that sends what is of no use, or nothing,
@@ -74,19 +70,9 @@
     /** Requests that a connection may send ahead of their turn, and their bytes before it is read no more. */
     private static final int MAX_AHEAD = 16;
     private static final int MAX_AHEAD_BYTES = UpstreamClient.MAX_BODY;
-    /** RFC 5842, section 7.2. */
-    private static final HttpResponseStatus LOOP_DETECTED = new HttpResponseStatus(508, "Loop Detected");
     private static final long SWEEP_MS = 200;
-    /** A body of up to so many bytes is kept whole, so that it can be sent again, as long as so many fit. */
-    private static final int MOST_KEPT = 256 * 1024;
-    private static final int MOST_KEPT_IN_ALL = 32 * MOST_KEPT;
-    /** A new caller's first request, and the rest of one that has begun, must be there after so long. */
-    private static final double REQUEST_MS = 2_400;
-    /** But a body has more time, a ms for each so many bytes; the slowest honest callers send 64 kB a s. */
-    private static final double SLOWEST = 40;
-    /** How long a connection may stay without a request, before its first one and between two. */
-    private static final double SILENT_MS = 2_300;
-    private static final double IDLE_MS = 3_000;
+    /** How long a request that waits for news is put off each time. */
+    private static final long PUT_OFF_MS = 10;
     /** How long a caller that was answered for the last time may go on sending, and how much is read. */
     private static final long LINGER_MS = 500;
     private static final int LINGER_BYTES = 1024 * 1024;
@@ -97,17 +83,12 @@
     private final Sockets sockets;
     private final ByteBufAllocator memory;
     private final Core core;
-    private RequestCheck check;
-    /** The check of the version before, and until when a request may still be read by it. */
-    private RequestCheck late;
-    private double lateUntil = Double.NEGATIVE_INFINITY;
+    private final FrontDialect dialect;
     /** Every caller's connection, in the order in which they came or last became idle. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Who waits for the answer to a request, by its X-Txn. */
     private final Map<String, Connection> open = new HashMap<>();
     private final DoublePredicate evict = this::evictIdle;
-    /** How budgets are read; null where they are off. */
-    private HeaderText budgets;
     private Channel listening;
     private ScheduledFuture<?> sweeps;
     /** Bytes that are reserved for bodies of more than 64 KiB. */
@@ -118,8 +99,15 @@
     private double closesAt = Double.POSITIVE_INFINITY;
     private Runnable afterwards;
 
-    /** A front on the given loop, whose connections count among the given sockets. */
+    /** A front for the platform's callers. */
     public Frontend(EventLoop loop, Sockets sockets, ByteBufAllocator memory, Core core) {
+        this(loop, sockets, memory, core, new PlatformFront(core));
+    }
+
+    /** A front on the given loop, whose connections count among the given sockets. */
+    public Frontend(EventLoop loop, Sockets sockets, ByteBufAllocator memory, Core core,
+            FrontDialect dialect) {
+        this.dialect = dialect;
         this.loop = loop;
         this.sockets = sockets;
         this.memory = memory;
@@ -181,7 +169,7 @@
 
     /** Switches on the headers of budgets. */
     public void budgets(HeaderText text) {
-        budgets = text;
+        dialect.budgets(text);
     }
 
     /** Where it listens. */
@@ -232,22 +220,12 @@
         return connections.isEmpty();
     }
 
-    /** The check of the version under which requests arrive now. */
-    private RequestCheck check() {
-        Version now = core.version();
-        if (check == null || check.version() != now) {
-            check = new RequestCheck(now);
-        }
-        return check;
-    }
-
     /**
      * Before another version is taken: for so many ms a request that the new one can't take may still be
      * read as one of the present one, by which its caller has sent it.
      */
     public void takesLate(long millis) {
-        late = check();
-        lateUntil = core.now() + millis;
+        dialect.takesLate(core.now() + millis);
     }
 
     /** Ends what has taken too long by the given time. */
@@ -364,7 +342,7 @@
         private final int number = sockets.next();
         /** Null until a watch wants to see it. */
         private Outlet outlet;
-        private final Decoder decoder = new Decoder(this);
+        private final Decoder decoder = new Decoder(this, dialect.terms().headerBytes());
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
         private int aheadBytes;
         /** The request that is coming in, and its body so far. */
@@ -387,6 +365,8 @@
         /** The request at work; the exchange is known once the node has it. */
         private HttpRequest current;
         private Exchange exchange;
+        /** When it was first read. */
+        private double putOffAt;
         /** The answer that is being written. */
         private Answer said;
         private String txn;
@@ -441,10 +421,10 @@
             } else if (decoder.amid) {
                 // One that is not read from now is not to blame.
                 if ((current == null || coming != null) && channel.config().isAutoRead()
-                        && age > REQUEST_MS + came / SLOWEST) {
+                        && age > dialect.terms().requestMs() + came / dialect.terms().bytesPerMs()) {
                     tooSlow();
                 }
-            } else if (age > (served ? IDLE_MS : SILENT_MS)) {
+            } else if (age > (served ? dialect.terms().idleMs() : dialect.terms().silentMs())) {
                 closeIfIdle();
             }
         }
@@ -562,7 +542,7 @@
                 }
             }
             if (message instanceof HttpRequest begun) {
-                RequestCheck.head(begun);
+                RequestCheck.head(begun, dialect.terms().bodyBytes());
                 head = begun;
                 body = Unpooled.EMPTY_BUFFER;
                 // One that waits behind another will send its body without being asked.
@@ -591,20 +571,21 @@
 
         /** Keeps a part of a body, unless the body is too long to be kept. */
         private boolean append(ByteBuf part) {
+            FrontTerms terms = dialect.terms();
             int size = body.readableBytes() + part.readableBytes();
-            if (size > UpstreamClient.MAX_BODY && reserved == 0 && size <= MOST_KEPT
-                    && HttpUtil.getContentLength(head, 0L) <= MOST_KEPT
-                    && kept + MOST_KEPT <= MOST_KEPT_IN_ALL) {
-                reserved = MOST_KEPT;
+            if (size > UpstreamClient.MAX_BODY && reserved == 0 && size <= terms.keptBytes()
+                    && HttpUtil.getContentLength(head, 0L) <= terms.keptBytes()
+                    && kept + terms.keptBytes() <= terms.keptInAll()) {
+                reserved = terms.keptBytes();
                 kept += reserved;
                 trace(TraceEvent.KEPT, kept);
             }
-            if (size > (reserved > 0 ? MOST_KEPT : UpstreamClient.MAX_BODY)) {
+            if (size > (reserved > 0 ? reserved : UpstreamClient.MAX_BODY)) {
                 return false;
             }
             if (part.isReadable()) {
                 if (body == Unpooled.EMPTY_BUFFER) {
-                    body = memory.buffer(part.readableBytes(), MOST_KEPT);
+                    body = memory.buffer(part.readableBytes(), Math.max(terms.keptBytes(), UpstreamClient.MAX_BODY));
                 }
                 body.writeBytes(part);
             }
@@ -637,7 +618,7 @@
 
         private void passOn(HttpContent content) throws BadRequestException {
             sent += content.content().readableBytes();
-            if (sent > UpstreamClient.MAX_PASSING) {
+            if (sent > dialect.terms().bodyBytes()) {
                 breakOff();
                 throw RequestCheck.tooLarge();
             }
@@ -744,47 +725,41 @@
 
         private void handle(FullHttpRequest request) {
             current = request;
-            if (request.uri().equals("/_health") && request.method().equals(HttpMethod.GET)) {
+            putOffAt = core.now();
+            begin(request);
+        }
+
+        private void begin(FullHttpRequest request) {
+            if (dialect.isHealth(request)) {
                 write(HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER, 0);
                 return;
             }
             try {
                 begin(request, request.content().isReadable(), new HttpPayload(request));
             } catch (BadRequestException e) {
-                reject(e);
+                if (dialect.waits(e, core.now() - putOffAt)) {
+                    loop.schedule(() -> {
+                        if (current == request && exchange == null && channel.isOpen()) {
+                            begin(request);
+                        }
+                    }, PUT_OFF_MS, TimeUnit.MILLISECONDS);
+                } else {
+                    reject(e);
+                }
             }
         }
 
         /** Hands a request to core, whole or with its body still coming. */
         private void begin(HttpRequest request, boolean hasBody, Payload payload)
                 throws BadRequestException {
-            RequestCheck by = check();
-            Checked checked;
-            try {
-                checked = by.read(request, hasBody, core.now());
-            } catch (BadRequestException e) {
-                if (late == null || core.now() > lateUntil) {
-                    late = null;
-                    throw e;
-                }
-                by = late;
-                checked = by.read(request, hasBody, core.now());
-            }
-            Connection first = open.get(checked.txn());
-            if (first != null) {
-                // Its client may have left, and sent the request again here.
-                sockets.readNow(first.channel);
-            }
-            if (open.containsKey(checked.txn())) {
-                throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
+            Checked checked = dialect.read(request, hasBody, core.now());
+            if (!checked.name().isEmpty()) {
+                takeName(checked.name());
             }
-            txn = checked.txn();
-            version = by.version();
-            open.put(txn, this);
+            version = checked.version();
             ReferenceCountUtil.retain(request);
             trace(TraceEvent.REQUEST, 0);
-            Arrival arrival = budgets == null ? checked.arrival() : checked.arrival()
-                    .with(budgets.readBudget(request.headers().get(UpstreamClient.BUDGET)));
+            Arrival arrival = checked.arrival();
             Exchange begun = coming == null ? core.request(version, arrival, payload, this)
                     : core.requestComing(version, arrival, payload, this);
             // The answer may have come already, and with it the next request.
@@ -793,11 +768,27 @@
             }
         }
 
+        private void takeName(String name) throws BadRequestException {
+            Connection first = open.get(name);
+            if (first != null) {
+                // Its client may have left, and sent the request again here.
+                sockets.readNow(first.channel);
+            }
+            if (open.containsKey(name)) {
+                throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
+            }
+            txn = name;
+            open.put(txn, this);
+        }
+
         /** An error is the last answer: what else comes from there may be no better. */
         private void reject(BadRequestException why) {
-            closing = true;
-            dropAhead();
-            write(why.status(), Unpooled.copiedBuffer(why.getMessage() + "\n", StandardCharsets.UTF_8), 0);
+            if (why.isLast() || why == flaw) {
+                closing = true;
+                dropAhead();
+            }
+            write(why.status(), Unpooled.copiedBuffer(why.getMessage() + "\n", StandardCharsets.UTF_8),
+                    why.retryAfter());
         }
 
         @Override
@@ -807,15 +798,7 @@
                 return;
             }
             said = answer;
-            write(switch (answer.kind()) {
-                case SERVED -> HttpResponseStatus.OK;
-                case REFUSED -> HttpResponseStatus.SERVICE_UNAVAILABLE;
-                case FAILED -> HttpResponseStatus.BAD_GATEWAY;
-                case UNANSWERED -> HttpResponseStatus.GATEWAY_TIMEOUT;
-                case BROKEN -> HttpResponseStatus.INTERNAL_SERVER_ERROR;
-                case LOOP -> LOOP_DETECTED;
-            }, answer.payload() instanceof HttpPayload served ? served.message().content().retain()
-                    : Unpooled.EMPTY_BUFFER, answer.retryAfter());
+            write(dialect.status(answer), dialect.content(answer).retain(), answer.retryAfter());
         }
 
         @Override
@@ -836,15 +819,7 @@
         }
 
         private void setHeaders(HttpResponse response, Answer answer) {
-            if (answer != null && answer.spent() != null && budgets != null) {
-                response.headers().set(UpstreamClient.SPENT, budgets.write(answer.spent()));
-            }
-            if (answer != null && !answer.path().isEmpty()) {
-                response.headers().set("Sablehinge-Path", ChainBudgets.text(answer.path()));
-            }
-            if (version != null && version.shown()) {
-                response.headers().set("Sablehinge-Version", version.number());
-            }
+            dialect.dress(response, answer, version, current);
             boolean wantsMore = current != null && HttpUtil.isKeepAlive(current);
             // What has come whole already was taken, and is still answered here.
             closing |= !wantsMore || draining && ahead.isEmpty() && !decoder.amid;
@@ -855,7 +830,7 @@
 
         /** Begins an answer whose body passes through. */
         private void pass(Passing passing, Answer answer) {
-            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, dialect.status(answer));
             framed = true;
             if (passing.length() >= 0) {
                 response.headers().set("Content-Length", passing.length());
@@ -1059,7 +1034,8 @@
         /** Whether bytes have come since the last whole request. */
         private boolean amid;
 
-        Decoder(Connection connection) {
+        Decoder(Connection connection, int headerBytes) {
+            super(headerBytes);
             this.connection = connection;
         }
 
--- a/src/main/java/sablehinge/http1/HttpPayload.java
+++ b/src/main/java/sablehinge/http1/HttpPayload.java
@@ -6,6 +6,12 @@
 /** A whole HTTP/1.1 request or response. */
 record HttpPayload(FullHttpMessage message) implements Payload {
 
+    @Override
+    public Payload keep() {
+        message.retain();
+        return this;
+    }
+
     @Override
     public void release() {
         message.release();
--- /dev/null
+++ b/src/main/java/sablehinge/http1/PlatformFront.java
@@ -0,0 +1,114 @@
+package sablehinge.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import sablehinge.budget.HeaderText;
+import sablehinge.core.Answer;
+import sablehinge.core.ChainBudgets;
+import sablehinge.core.Core;
+import sablehinge.core.Version;
+
+/** What the platform's callers speak. */
+final class PlatformFront implements FrontDialect {
+
+    /** RFC 5842, section 7.2. */
+    private static final HttpResponseStatus LOOP_DETECTED = new HttpResponseStatus(508, "Loop Detected");
+    private static final int HEADER_BYTES = 8_192;
+    private static final int MOST_KEPT = 256 * 1024;
+    /** The slowest honest callers send 64 kB a s. */
+    private static final FrontTerms TERMS = new FrontTerms(HEADER_BYTES, UpstreamClient.MAX_PASSING, 2_400,
+            40, 2_300, 3_000, MOST_KEPT, 32 * MOST_KEPT, false);
+
+    private final Core core;
+    private RequestCheck check;
+    /** The check of the version before, and until when a request may still be read by it. */
+    private RequestCheck late;
+    private double lateUntil = Double.NEGATIVE_INFINITY;
+    /** How budgets are read; null where they are off. */
+    private HeaderText budgets;
+
+    PlatformFront(Core core) {
+        this.core = core;
+    }
+
+    @Override
+    public FrontTerms terms() {
+        return TERMS;
+    }
+
+    @Override
+    public boolean isHealth(HttpRequest request) {
+        return request.uri().equals("/_health") && request.method().equals(HttpMethod.GET);
+    }
+
+    /** The check of the version under which requests arrive now. */
+    private RequestCheck check() {
+        Version now = core.version();
+        if (check == null || check.version() != now) {
+            check = new RequestCheck(now);
+        }
+        return check;
+    }
+
+    @Override
+    public Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
+        Checked checked;
+        try {
+            checked = check().read(request, hasBody, now);
+        } catch (BadRequestException e) {
+            if (late == null || now > lateUntil) {
+                late = null;
+                throw e;
+            }
+            checked = late.read(request, hasBody, now);
+        }
+        return budgets == null ? checked : new Checked(checked.name(), checked.arrival()
+                .with(budgets.readBudget(request.headers().get(UpstreamClient.BUDGET))), checked.version());
+    }
+
+    @Override
+    public HttpResponseStatus status(Answer answer) {
+        return switch (answer.kind()) {
+            case SERVED -> HttpResponseStatus.OK;
+            case REFUSED -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+            case FAILED -> HttpResponseStatus.BAD_GATEWAY;
+            case UNANSWERED -> HttpResponseStatus.GATEWAY_TIMEOUT;
+            case BROKEN -> HttpResponseStatus.INTERNAL_SERVER_ERROR;
+            case LOOP -> LOOP_DETECTED;
+        };
+    }
+
+    @Override
+    public ByteBuf content(Answer answer) {
+        return answer.payload() instanceof HttpPayload served ? served.message().content()
+                : Unpooled.EMPTY_BUFFER;
+    }
+
+    @Override
+    public void dress(HttpResponse response, Answer answer, Version version, HttpRequest request) {
+        if (answer != null && answer.spent() != null && budgets != null) {
+            response.headers().set(UpstreamClient.SPENT, budgets.write(answer.spent()));
+        }
+        if (answer != null && !answer.path().isEmpty()) {
+            response.headers().set("Sablehinge-Path", ChainBudgets.text(answer.path()));
+        }
+        if (version != null && version.shown()) {
+            response.headers().set("Sablehinge-Version", version.number());
+        }
+    }
+
+    @Override
+    public void budgets(HeaderText text) {
+        budgets = text;
+    }
+
+    @Override
+    public void takesLate(double until) {
+        late = check();
+        lateUntil = until;
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/http1/PlatformUpstream.java
@@ -0,0 +1,80 @@
+package sablehinge.http1;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import sablehinge.budget.Budget;
+import sablehinge.budget.HeaderText;
+import sablehinge.budget.Report;
+import sablehinge.core.Roster.Member;
+import sablehinge.policy.LoadBalancer.Reports;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.Settings;
+
+/** What the platform's upstreams speak. */
+final class PlatformUpstream implements UpstreamDialect {
+
+    private static final UpstreamTerms TERMS = new UpstreamTerms(300, Freshness.YOUNG_MS, 10_000);
+    /** The headers of a request that go on with it; the rest is a caller's own affair or worse. */
+    private static final List<String> PASSED_ON = List.of("X-Txn", "Idempotency-Key", "X-Lane", "X-Org",
+            "Cookie", "X-Resent", "X-Estimate", "X-Labels");
+    /** How budgets are written; null where they are off. */
+    private HeaderText budgets;
+
+    @Override
+    public UpstreamTerms terms() {
+        return TERMS;
+    }
+
+    @Override
+    public void dress(HttpRequest sent, HttpRequest given, Member to, double left, Budget budget) {
+        sent.headers().set("Host", to.address().getHostString());
+        for (String name : PASSED_ON) {
+            String value = given.headers().get(name);
+            if (value != null) {
+                sent.headers().set(name, value);
+            }
+        }
+        if (budget != null && budgets != null) {
+            sent.headers().set(UpstreamClient.BUDGET, budgets.write(budget));
+        }
+        // Rounded down: the upstream must not take this balancer to be more patient than it is.
+        sent.headers().set("X-Remaining", UpstreamClient.seconds(left));
+    }
+
+    @Override
+    public boolean resendable(HttpRequest request) {
+        return !request.method().equals(HttpMethod.POST) || request.headers().contains("Idempotency-Key");
+    }
+
+    @Override
+    public boolean passable(HttpResponse answer) {
+        return answer.status().code() == 200;
+    }
+
+    @Override
+    public Result judge(HttpResponse answer) {
+        int status = answer.status().code();
+        boolean turnedAway = (status == 503 || status == 504)
+                && "1".equals(answer.headers().get("X-Turned-Away"));
+        return turnedAway ? Result.FULL : status == 200 ? Result.OK : Result.ERROR;
+    }
+
+    @Override
+    public double[] report(HttpMessage answer, Settings settings) {
+        return settings.reports() != Reports.PIGGYBACK ? null
+                : LoadReport.parse(answer.headers().get("X-Pressure"), settings.reportFields());
+    }
+
+    @Override
+    public Report spent(HttpMessage answer) {
+        return budgets == null ? null : budgets.readReport(answer.headers().get(UpstreamClient.SPENT)).value();
+    }
+
+    @Override
+    public void budgets(HeaderText text) {
+        budgets = text;
+    }
+}
--- a/src/main/java/sablehinge/http1/RequestCheck.java
+++ b/src/main/java/sablehinge/http1/RequestCheck.java
@@ -30,6 +30,7 @@
 final class RequestCheck {
 
     private static final int MS = 1_000;
+    private static final int LINE_BYTES = 4_096;
     /** An id or a key: it goes on as it came, so it must be plain. */
     private static final Pattern TOKEN = Pattern.compile("[!-~]{1,128}");
     private static final Pattern TARGET = Pattern.compile("/[!-~]{0,2047}");
@@ -48,31 +49,12 @@
         }
     }
 
-    /** A request that its caller has got wrong, and how to say so. */
-    static final class BadRequestException extends Exception {
-
-        private static final long serialVersionUID = 1;
-        private final transient HttpResponseStatus status;
-
-        BadRequestException(HttpResponseStatus status, String message) {
-            super(message, null, false, false);
-            this.status = status;
-        }
-
-        BadRequestException(String message) {
-            this(HttpResponseStatus.BAD_REQUEST, message);
-        }
-
-        HttpResponseStatus status() {
-            return status;
-        }
-    }
-
     /** Netty would drop the length of a message that has both framings, and go on. */
     static class Decoder extends HttpRequestDecoder {
 
-        Decoder() {
-            super(new HttpDecoderConfig().setMaxChunkSize(UpstreamClient.PART));
+        Decoder(int headerBytes) {
+            super(new HttpDecoderConfig().setMaxChunkSize(UpstreamClient.PART).setMaxHeaderSize(headerBytes)
+                    .setMaxInitialLineLength(Math.max(LINE_BYTES, headerBytes / 2)));
         }
 
         @Override
@@ -81,15 +63,12 @@
         }
     }
 
-    /** A request that can be taken in, and its caller's name for it. */
-    record Checked(String txn, Arrival arrival) { }
-
     Version version() {
         return version;
     }
 
     /** Looks at a head before its body has come: whether it can be read, and where the body will end. */
-    static void head(HttpRequest head) throws BadRequestException {
+    static void head(HttpRequest head, long bodyBytes) throws BadRequestException {
         if (!head.decoderResult().isSuccess()) {
             Throwable cause = head.decoderResult().cause();
             throw new BadRequestException(cause instanceof TooLongHttpLineException
@@ -110,7 +89,7 @@
         if (length != null && !DIGITS.matcher(length).matches()) {
             throw new BadRequestException("Content-Length is no length");
         }
-        if (length != null && Long.parseLong(length) > UpstreamClient.MAX_PASSING) {
+        if (length != null && Long.parseLong(length) > bodyBytes) {
             throw tooLarge();
         }
         String expect = single(headers, HttpHeaderNames.EXPECT);
@@ -169,7 +148,7 @@
         // No client of this class waits longer, whatever it says; what is kept for it must not stay either.
         return new Checked(txn, new Arrival(place, tenantIndex, key(single(headers, "Cookie")),
                 now + Math.min(type.deadline(), remaining * MS), Double.isNaN(estimate) ? 0 : estimate / MS,
-                "1".equals(single(headers, "X-Resent")), !get));
+                "1".equals(single(headers, "X-Resent")), !get), version);
     }
 
     private static String firstPart(String uri) {
@@ -178,7 +157,7 @@
     }
 
     /** A header's one value, or null; two could be read as either. */
-    private static String single(HttpHeaders headers, CharSequence name) throws BadRequestException {
+    static String single(HttpHeaders headers, CharSequence name) throws BadRequestException {
         List<String> values = headers.getAll(name);
         if (values.size() > 1) {
             throw new BadRequestException(name + " is repeated");
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -79,23 +79,15 @@
     private static final long SWEEP_MS = 1_000;
     private static final int MILLI = 3;
     private static final double NANOS_PER_MS = 1e6;
-    /** The headers of a request that go on with it; the rest is a caller's own affair or worse. */
-    private static final List<String> PASSED_ON = List.of("X-Txn", "Idempotency-Key", "X-Lane", "X-Org",
-            "Cookie", "X-Resent", "X-Estimate", "X-Labels");
     /** The headers of budgets, down and up. */
     static final String BUDGET = "Sablehinge-Budget";
     static final String SPENT = "Sablehinge-Spent";
     /** How each answer begins. */
     private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
-    /** An answer that has begun must go on after so long at most, and be whole after this many times that. */
-    private static final long STALL_MS = 300;
+    /** The head of an answer that has begun must be whole after so many times its longest standstill. */
     private static final int MOST_STALLS = 5;
     /** One that is being passed on already can't be tried again, and may rest for so many checks. */
     private static final int MOST_RESTS = 16;
-    /**
-     * An upstream that lets in nothing more of a body for so long is given up, as is a caller of an answer.
-     */
-    private static final long STUCK_MS = 10_000;
     private static final long LOOK_MS = 1_000;
     /** Most answers of the kind 1xx that may come ahead of one. */
     private static final int MOST_AHEAD = 16;
@@ -108,11 +100,17 @@
     /** Of the version under which requests arrive. */
     private Settings settings;
     private Freshness freshness;
-    /** How budgets are written; null where they are off. */
-    private HeaderText budgets;
+    private final UpstreamDialect dialect;
 
-    /** A transport on the given loop, whose connections count among the given sockets. */
+    /** A transport to the platform's upstreams. */
     public UpstreamClient(EventLoop loop, Clock clock, Sockets sockets, ByteBufAllocator memory) {
+        this(loop, clock, sockets, memory, new PlatformUpstream());
+    }
+
+    /** A transport on the given loop, whose connections count among the given sockets. */
+    public UpstreamClient(EventLoop loop, Clock clock, Sockets sockets, ByteBufAllocator memory,
+            UpstreamDialect dialect) {
+        this.dialect = dialect;
         this.loop = loop;
         this.clock = clock;
         this.sockets = sockets;
@@ -131,7 +129,7 @@
 
     /** Switches on the headers of budgets. */
     public void budgets(HeaderText text) {
-        budgets = text;
+        dialect.budgets(text);
     }
 
     /** An upstream, its idle connections, the longest idle first, and when it last was told to be ready. */
@@ -156,7 +154,7 @@
         Settings before = settings;
         settings = version.settings();
         if (before == null || before.limits().connectionIdle() != settings.limits().connectionIdle()) {
-            trustYoung(Freshness.YOUNG_MS);
+            trustYoung(dialect.terms().youngMs());
         }
     }
 
@@ -219,9 +217,13 @@
         if (payload == Payload.NONE) {
             return AttemptResult.without(result);
         }
-        return new AttemptResult(result, payload, settings.reports() != Reports.PIGGYBACK ? null
-                : LoadReport.parse(head(payload).headers().get("X-Pressure"), settings.reportFields()),
-                budgets == null ? null : budgets.readReport(head(payload).headers().get(SPENT)).value());
+        HttpMessage head = head(payload);
+        return new AttemptResult(result, payload, dialect.report(head, settings), dialect.spent(head));
+    }
+
+    @Override
+    public boolean keepsFailures() {
+        return dialect.keepsFailures();
     }
 
     private static HttpMessage head(Payload payload) {
@@ -455,18 +457,7 @@
         }
 
         private void setHeaders(HttpRequest copy, double now) {
-            copy.headers().set("Host", target.member.address().getHostString());
-            for (String name : PASSED_ON) {
-                String value = request.headers().get(name);
-                if (value != null) {
-                    copy.headers().set(name, value);
-                }
-            }
-            if (budget != null && budgets != null) {
-                copy.headers().set(BUDGET, budgets.write(budget));
-            }
-            // Rounded down: the upstream must not take this balancer to be more patient than it is.
-            copy.headers().set("X-Remaining", seconds(until - now));
+            dialect.dress(copy, request, target.member, until - now, budget);
         }
 
         /** Writes the last of the request. */
@@ -496,7 +487,7 @@
             if (over || written) {
                 return;
             }
-            if (!channel.isWritable() && clock.now() - movedAt > STUCK_MS) {
+            if (!channel.isWritable() && clock.now() - movedAt > dialect.terms().stuckMs()) {
                 broke(Result.CONNECT_FAILED);
             } else {
                 loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -535,7 +526,7 @@
 
         /** Whether the module may ever send this again once it may have run. */
         private boolean resendable() {
-            return !request.method().equals(HttpMethod.POST) || request.headers().contains("Idempotency-Key");
+            return dialect.resendable(request);
         }
 
         /** The connection is of no more use: what was not written whole can't have run. */
@@ -588,11 +579,9 @@
 
         /** An answer, with its body or with the beginning of that. */
         private void answered(HttpResponse head, Payload payload) {
-            int status = head.status().code();
-            boolean turnedAway = (status == 503 || status == 504)
-                    && "1".equals(head.headers().get("X-Turned-Away"));
             // What is served before the request has come was made for something else.
-            Result result = turnedAway ? Result.FULL : status == 200 && !comes() ? Result.OK : Result.ERROR;
+            Result judged = dialect.judge(head);
+            Result result = judged == Result.OK && comes() ? Result.ERROR : judged;
             end(result, payload);
         }
 
@@ -799,13 +788,14 @@
         /** An answer that has begun and stands still will not be whole in time. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (carried != null && head != null && !told && head.status().code() == 200) {
+            if (carried != null && head != null && !told && dialect.passable(head)
+                    && dialect.answers(carried.request, head)) {
                 told = true;
                 carried.begun();
             }
             if (amid && (carried != null || relay != null) && check == null) {
                 moved = false;
-                check = loop.schedule(this::checkProgress, STALL_MS, TimeUnit.MILLISECONDS);
+                check = loop.schedule(this::checkProgress, dialect.terms().stallMs(), TimeUnit.MILLISECONDS);
             }
             if (relay != null) {
                 relay.flush();
@@ -825,7 +815,7 @@
                 spoilt();
             } else {
                 moved = false;
-                check = loop.schedule(this::checkProgress, STALL_MS, TimeUnit.MILLISECONDS);
+                check = loop.schedule(this::checkProgress, dialect.terms().stallMs(), TimeUnit.MILLISECONDS);
             }
         }
 
@@ -887,7 +877,7 @@
         private void beginToPass() {
             Attempt attempt = carried;
             if (attempt == null || attempt.over || !attempt.written || !channel.isActive()
-                    || head.status().code() != 200) {
+                    || !dialect.passable(head) || !dialect.answers(attempt.request, head)) {
                 spoilt();
                 return;
             }
@@ -980,6 +970,13 @@
                 }
                 return;
             }
+            if (!dialect.answers(carried.request, response)) {
+                // A surplus answer in the place of the next: what is waited for may still come behind it.
+                if (++informational > MOST_AHEAD || !HttpUtil.isKeepAlive(response)) {
+                    spoilt();
+                }
+                return;
+            }
             Attempt attempt = carried;
             carried = null;
             boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response)
--- /dev/null
+++ b/src/main/java/sablehinge/http1/UpstreamDialect.java
@@ -0,0 +1,59 @@
+package sablehinge.http1;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import sablehinge.budget.Budget;
+import sablehinge.budget.HeaderText;
+import sablehinge.budget.Report;
+import sablehinge.core.Roster.Member;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.Settings;
+
+/** What a transport and upstreams say to each other beyond HTTP. */
+public interface UpstreamDialect {
+
+    /** What is expected of upstreams. */
+    UpstreamTerms terms();
+
+    /**
+     * Sets the headers of what goes to an upstream, those apart that frame it.
+     *
+     * @param given as it came from the caller
+     * @param left until the attempt is given up, in ms
+     * @param budget of the request; null for none
+     */
+    void dress(HttpRequest sent, HttpRequest given, Member to, double left, Budget budget);
+
+    /** Whether the module may ever send this again once it may have run. */
+    boolean resendable(HttpRequest request);
+
+    /** Whether an answer is one to this request, and not to one before it. */
+    default boolean answers(HttpRequest request, HttpResponse answer) {
+        return true;
+    }
+
+    /** Whether an answer may be passed on before it is whole. */
+    boolean passable(HttpResponse answer);
+
+    /** What an answer says of its attempt; it is whole, or {@link #passable}. */
+    Result judge(HttpResponse answer);
+
+    /** The load report that came with an answer, or null. */
+    default double[] report(HttpMessage answer, Settings settings) {
+        return null;
+    }
+
+    /** What came back of the request's budget, or null. */
+    default Report spent(HttpMessage answer) {
+        return null;
+    }
+
+    /** Switches on the headers of budgets, where there are any. */
+    default void budgets(HeaderText text) { }
+
+    /** Whether the answer of an upstream that failed is kept for the caller. */
+    default boolean keepsFailures() {
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/penstock/News.java
@@ -0,0 +1,101 @@
+package sablehinge.penstock;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import sablehinge.cistern.Intake;
+import sablehinge.conduit.Conduit;
+
+/**
+ * The answer to an ask.
+ *
+ * @param number of the ask
+ * @param confirmed whether nothing newer had been acknowledged when the ask came
+ * @param edition of the configuration in force; 0 for none
+ * @param body that configuration, as it was sent; empty where the asker has it
+ * @param term of who keeps the roll
+ * @param stamp of the roll
+ * @param whole whether the intakes are all there are, rather than those that changed
+ * @param complete whether who is not on the roll is gone
+ * @param size balancers on the roll
+ * @param intakes that changed since the stamp of the ask
+ * @param lent parts of quotas, of all tenants that the ask named, in its order
+ * @param core where the members of the core take records
+ */
+public record News(int number, boolean confirmed, long edition, byte[] body, long term, long stamp,
+        boolean whole, boolean complete, int size, List<Intake> intakes, List<Float> lent,
+        List<String> core) {
+
+    private static final int MOST = 10_000;
+
+    /** News whose lists can't be changed. */
+    public News {
+        intakes = List.copyOf(intakes);
+        lent = List.copyOf(lent);
+        core = List.copyOf(core);
+    }
+
+    /** Writes them. */
+    public byte[] bytes() {
+        return Bytes.of(this::write);
+    }
+
+    private void write(DataOutputStream out) throws IOException {
+        out.writeInt(number);
+        out.writeBoolean(confirmed);
+        out.writeLong(edition);
+        out.writeInt(body.length);
+        out.write(body);
+        out.writeLong(term);
+        out.writeLong(stamp);
+        out.writeBoolean(whole);
+        out.writeBoolean(complete);
+        out.writeShort(size);
+        out.writeShort(intakes.size());
+        for (Intake intake : intakes) {
+            Intakes.write(intake, out);
+        }
+        out.writeShort(lent.size());
+        for (float part : lent) {
+            out.writeFloat(part);
+        }
+        out.writeByte(core.size());
+        for (String member : core) {
+            out.writeUTF(member);
+        }
+    }
+
+    /** Reads what {@link #bytes} wrote; fails on anything else. */
+    public static News read(byte[] bytes) throws IOException {
+        DataInputStream in = Bytes.in(bytes);
+        int number = in.readInt();
+        boolean confirmed = in.readBoolean();
+        long edition = in.readLong();
+        byte[] body = new byte[Bytes.bounded(in.readInt(), Conduit.MOST_BYTES)];
+        in.readFully(body);
+        long term = in.readLong();
+        long stamp = in.readLong();
+        boolean whole = in.readBoolean();
+        boolean complete = in.readBoolean();
+        int size = in.readUnsignedShort();
+        int count = Bytes.bounded(in.readUnsignedShort(), MOST);
+        List<Intake> intakes = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            intakes.add(Intakes.read(in));
+        }
+        count = Bytes.bounded(in.readUnsignedShort(), MOST);
+        List<Float> lent = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            lent.add(in.readFloat());
+        }
+        count = in.readUnsignedByte();
+        List<String> core = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            core.add(in.readUTF());
+        }
+        return new News(number, confirmed, edition, body, term, stamp, whole, complete, size, intakes, lent,
+                core);
+    }
+}
