A configuration is read, checked with the place of each problem, and planned for routing

Need: the mesh takes whole configurations from its operator; an invalid one must be refused with words that say what is wrong and where, and each request must find its route by host and path.

Change: headgate reads checked bytes token by token, and checks new ones in three steps: one whole JSON value, its form by a JSON schema, then what holds between its parts. aqueduct has the plan that is asked for routes, tenants, services and shares.

--- /dev/null
+++ b/src/main/java/sablehinge/headgate/ConfigurationCheck.java
@@ -0,0 +1,97 @@
+package sablehinge.headgate;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import sablehinge.aqueduct.Configuration;
+import sablehinge.headgate.CheckException.Code;
+import sablehinge.headgate.CheckException.Problem;
+
+/**
+ * Decides whether a configuration that an operator sent can be taken: first that its bytes are one whole JSON
+ * value, then its form by a schema, then what holds between its parts. Any thread may call.
+ */
+public final class ConfigurationCheck {
+
+    /** How many problems are told at most. */
+    public static final int MOST_PROBLEMS = 20;
+
+    /** Lists and objects within each other; a configuration has 8. */
+    private static final int DEEPEST = 64;
+
+    private static final String TINY = "{\"edition\":1,\"limits\":{\"headerBytes\":1,\"bodyBytes\":1,"
+            + "\"headerMs\":1,\"idleMs\":1},\"senders\":[{\"name\":\"t\",\"passes\":[\"k\"],\"priority\":0,"
+            + "\"perS\":1,\"burst\":1}],\"gates\":[{\"station\":\"h\",\"regulations\":[{\"name\":\"r\","
+            + "\"kind\":\"safe\",\"targetMs\":1,\"priority\":0,\"open\":false,\"sorting\":"
+            + "{\"lanePrefix\":\"/\"},\"dispatch\":{\"split\":[{\"depot\":\"s\",\"share\":1}],"
+            + "\"timeoutMs\":1,\"attempts\":1}}]}],\"fleets\":[{\"name\":\"s\",\"healthPath\":\"/h\","
+            + "\"connCap\":1}]}";
+
+    private ConfigurationCheck() { }
+
+    /**
+     * The configuration in a body.
+     *
+     * @throws CheckException if it is invalid; it names all problems that were found, the first ones of them
+     *     where there are many
+     */
+    public static Configuration check(byte[] body) {
+        JsonNode root = tree(body);
+        List<Problem> problems = new ArrayList<>(Form.problems(root));
+        new Sense(root, problems).check();
+        if (!problems.isEmpty()) {
+            throw new CheckException(problems.subList(0, Math.min(MOST_PROBLEMS, problems.size())));
+        }
+        return ConfigurationReader.read(body);
+    }
+
+    /**
+     * Refuses an edition that is not above the current one.
+     *
+     * @throws CheckException with {@link Code#OLD_EDITION}
+     */
+    public static void checkEdition(Configuration next, long currentEdition) {
+        if (next.edition() <= currentEdition) {
+            throw new CheckException(Code.OLD_EDITION, "/edition",
+                    "a number above " + currentEdition + " was expected, found " + next.edition());
+        }
+    }
+
+    /** Loads all that a check needs, so that the first real one does not wait for it. */
+    public static void warm() {
+        check(TINY.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static JsonNode tree(byte[] body) {
+        try {
+            JsonNode root = Mapper.JSON.readTree(body);
+            if (root == null || root.isMissingNode()) {
+                throw new CheckException(Code.NOT_JSON, ConfigurationReader.place(null),
+                        "one whole JSON object was expected, found nothing");
+            }
+            return root;
+        } catch (JsonProcessingException e) {
+            throw ConfigurationReader.notJson(e);
+        } catch (IOException e) {
+            throw new CheckException(Code.NOT_JSON, ConfigurationReader.place(null),
+                    String.valueOf(e.getMessage()));
+        }
+    }
+
+    /** Loaded with the first check only. */
+    private static final class Mapper {
+
+        static final JsonMapper JSON = JsonMapper.builder(JsonFactory.builder()
+                .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build())
+                .build()).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/headgate/Nearest.java
@@ -0,0 +1,48 @@
+package sablehinge.headgate;
+
+import java.util.Collection;
+
+/** The name that a mistyped one was probably meant to be. */
+final class Nearest {
+
+    /** Longer ones are not compared: the work grows with the square. */
+    private static final int LONGEST = 64;
+
+    private Nearest() { }
+
+    /** The name with the fewest letters to change, add or drop; null where there is none. */
+    static String of(String given, Collection<String> names) {
+        String best = null;
+        int least = Integer.MAX_VALUE;
+        String from = cut(given);
+        for (String name : names) {
+            int steps = steps(from, cut(name));
+            if (steps < least) {
+                least = steps;
+                best = name;
+            }
+        }
+        return best == null ? null : cut(best);
+    }
+
+    private static String cut(String text) {
+        return text.length() <= LONGEST ? text : text.substring(0, LONGEST);
+    }
+
+    private static int steps(String a, String b) {
+        int[] row = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            row[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int corner = row[0];
+            row[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int changed = corner + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                corner = row[j];
+                row[j] = Math.min(changed, Math.min(row[j], row[j - 1]) + 1);
+            }
+        }
+        return row[b.length()];
+    }
+}
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -30,6 +30,9 @@
             Map.entry("judge", Set.of()),
             Map.entry("pace", Set.of()),
             Map.entry("station", Set.of()),
+            Map.entry("aqueduct", Set.of()),
+            Map.entry("headgate", Set.of("aqueduct", "com.fasterxml.jackson", "com.networknt", "org.slf4j",
+                    "io.netty")),
             Map.entry("audit", Set.of("judge", "com.fasterxml.jackson")),
             Map.entry("replay", Set.of("fold", "timeline", "mapping", "tally", "judge", "pace", "audit",
                     "com.fasterxml.jackson", "io.airlift.compress", "io.netty", "org.HdrHistogram")),
@@ -42,7 +45,7 @@
                     "com.fasterxml.jackson")),
             Map.entry("config", Set.of("policy", "budget", "settings", "core", "membership", "mapping", "log",
                     "station",
-                    "com.fasterxml.jackson", "org.tomlj", "org.slf4j")),
+                    "com.fasterxml.jackson", "com.networknt", "org.tomlj", "org.slf4j")),
             Map.entry("http1", Set.of("policy", "core", "budget", "io.netty", "org.slf4j")),
             Map.entry("admin", Set.of("io.netty", "com.fasterxml.jackson")),
             Map.entry("wire", Set.of("policy", "settings")),
@@ -91,7 +94,7 @@
                 "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
-                "sablehinge.station..").should()
+                "sablehinge.station..", "sablehinge.aqueduct..").should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
                         "java.util.concurrent..", "java.util.logging..", "org.slf4j..").check(MAIN);
@@ -100,14 +103,14 @@
                     "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
-                "sablehinge.station..").should()
+                "sablehinge.station..", "sablehinge.aqueduct..").should()
                     .callMethod(System.class, clock).check(MAIN);
         }
         noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..",
                 "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
-                "sablehinge.station..").should()
+                "sablehinge.station..", "sablehinge.aqueduct..").should()
                 .callMethod(Math.class, "random")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(MAIN);
     }
