--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -454,7 +454,7 @@
         }
         if (end.result() == Result.OK) {
             answer(exchange, new Answer(Answer.Kind.SERVED, end.payload(), 0));
-        } else if (end.result() == Result.ERROR && exchange.isOpen() && transport.keepsFailures()) {
+        } else if (end.result() == Result.ERROR && exchange.isOpen() && end.payload() != Payload.NONE) {
             exchange.failed(end.payload().keep());
         }
         double from = Math.max(sentAt, exchange.endedAt);
--- a/src/main/java/sablehinge/core/Roster.java
+++ b/src/main/java/sablehinge/core/Roster.java
@@ -12,8 +12,19 @@
  */
 public record Roster(long version, boolean full, List<Member> members) {
 
-    /** A server as the module knows it, and where it listens; null for one that is gone. */
-    public record Member(Upstream upstream, InetSocketAddress address) { }
+    /**
+     * A server as the module knows it.
+     *
+     * @param address where it listens; null for one that is gone
+     * @param name what it calls itself; empty where nobody asks
+     */
+    public record Member(Upstream upstream, InetSocketAddress address, String name) {
+
+        /** One whose name nobody asks for. */
+        public Member(Upstream upstream, InetSocketAddress address) {
+            this(upstream, address, "");
+        }
+    }
 
     List<Upstream> upstreams() {
         List<Upstream> upstreams = new ArrayList<>(members.size());
--- a/src/main/java/sablehinge/core/Transport.java
+++ b/src/main/java/sablehinge/core/Transport.java
@@ -53,11 +53,6 @@
     /** Gives back what is kept for a server between attempts. */
     void closeIdle(long upstream);
 
-    /** Whether what a server answered when it failed goes to the caller where nothing better comes. */
-    default boolean keepsFailures() {
-        return false;
-    }
-
     /** Takes in a list of servers, whole or in part. */
     void update(Roster roster);
 
--- /dev/null
+++ b/src/main/java/sablehinge/headgate/Reply.java
@@ -0,0 +1,48 @@
+package sablehinge.headgate;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * An answer in the words of HTTP.
+ *
+ * @param location where to call instead; null for none
+ * @param body JSON; not to be changed
+ */
+public record Reply(int status, String location, byte[] body) {
+
+    private static final byte[] NOTHING = "{}".getBytes(StandardCharsets.US_ASCII);
+
+    /** An answer that says no more than its status. */
+    public static Reply of(int status) {
+        return new Reply(status, null, NOTHING);
+    }
+
+    /** An answer with a body. */
+    public static Reply of(int status, byte[] body) {
+        return new Reply(status, null, body);
+    }
+
+    /** An error with a code and words, which are plain text. */
+    public static Reply error(int status, String code, String words) {
+        return new Reply(status, null, ("{\"code\":\"" + code + "\",\"message\":\"" + escaped(words) + "\"}")
+                .getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Call elsewhere. */
+    public static Reply elsewhere(String location) {
+        return new Reply(307, location, NOTHING);
+    }
+
+    private static String escaped(String words) {
+        StringBuilder out = new StringBuilder(words.length());
+        for (int i = 0; i < words.length(); i++) {
+            char c = words.charAt(i);
+            if (c == '"' || c == '\\') {
+                out.append('\\').append(c);
+            } else {
+                out.append(c < ' ' ? ' ' : c);
+            }
+        }
+        return out.toString();
+    }
+}
--- a/src/main/java/sablehinge/http1/FrontDialect.java
+++ b/src/main/java/sablehinge/http1/FrontDialect.java
@@ -32,8 +32,9 @@
      * here. Asked before the answer is given.
      *
      * @param waited how long that has been put off, in ms
+     * @param now in ms of the core's clock
      */
-    default boolean waits(BadRequestException why, double waited) {
+    default boolean waits(BadRequestException why, double waited, double now) {
         return false;
     }
 
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -737,7 +737,7 @@
             try {
                 begin(request, request.content().isReadable(), new HttpPayload(request));
             } catch (BadRequestException e) {
-                if (dialect.waits(e, core.now() - putOffAt)) {
+                if (dialect.waits(e, core.now() - putOffAt, core.now())) {
                     loop.schedule(() -> {
                         if (current == request && exchange == null && channel.isOpen()) {
                             begin(request);
--- /dev/null
+++ b/src/main/java/sablehinge/http1/Payloads.java
@@ -0,0 +1,24 @@
+package sablehinge.http1;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMessage;
+import sablehinge.core.Payload;
+
+/** What dialects may see of payloads. */
+public final class Payloads {
+
+    private Payloads() {
+    }
+
+    /** The head of a payload; null where it has none. */
+    public static HttpMessage head(Payload payload) {
+        return payload instanceof Passing passing ? passing.head()
+                : payload instanceof HttpPayload whole ? whole.message() : null;
+    }
+
+    /** The whole body of a payload, lent; nothing where it passes through. */
+    public static ByteBuf content(Payload payload) {
+        return payload instanceof HttpPayload whole ? whole.message().content() : Unpooled.EMPTY_BUFFER;
+    }
+}
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -217,17 +217,10 @@
         if (payload == Payload.NONE) {
             return AttemptResult.without(result);
         }
-        HttpMessage head = head(payload);
-        return new AttemptResult(result, payload, dialect.report(head, settings), dialect.spent(head));
-    }
-
-    @Override
-    public boolean keepsFailures() {
-        return dialect.keepsFailures();
-    }
-
-    private static HttpMessage head(Payload payload) {
-        return payload instanceof Passing passing ? passing.head() : ((HttpPayload) payload).message();
+        HttpMessage head = Payloads.head(payload);
+        boolean told = result == Result.OK || result == Result.ERROR && dialect.keeps(head);
+        return new AttemptResult(result, told ? payload : Payload.NONE, dialect.report(head, settings),
+                dialect.spent(head));
     }
 
     /** Asks an upstream how it does; the answer's body holds its load report if the site has any. */
--- a/src/main/java/sablehinge/http1/UpstreamDialect.java
+++ b/src/main/java/sablehinge/http1/UpstreamDialect.java
@@ -52,8 +52,8 @@
     /** Switches on the headers of budgets, where there are any. */
     default void budgets(HeaderText text) { }
 
-    /** Whether the answer of an upstream that failed is kept for the caller. */
-    default boolean keepsFailures() {
+    /** Whether an answer that is no success is told to the caller where nothing better comes. */
+    default boolean keeps(HttpMessage answer) {
         return false;
     }
 }
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/Beats.java
@@ -0,0 +1,120 @@
+package sablehinge.sluice;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.function.Consumer;
+import sablehinge.headgate.Asked;
+import sablehinge.headgate.CallException;
+import sablehinge.headgate.Operation;
+import sablehinge.headgate.Reply;
+
+/** The calls of the upstream beside a balancer (PROTOCOL, "Which upstreams there are"). */
+final class Beats {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MOST_BERTHS = 60_000;
+
+    private Beats() {
+    }
+
+    /**
+     * A beat.
+     *
+     * @param id of the upstream's life
+     * @param unloading whether it is about to leave
+     * @param coldMs how much longer it is slow
+     * @param count rises with each call
+     */
+    record Beat(String id, String service, String address, boolean unloading, int berths, int coldMs,
+            long count) { }
+
+    /** That a beat was heard. */
+    record Heard() { }
+
+    /** An upstream has left. */
+    record SignOff(String id) { }
+
+    /** The operation of beats. */
+    static Operation<Beat, Heard> beats(Consumer<Beat> hears) {
+        return new Operation<>() {
+            @Override
+            public String method() {
+                return "POST";
+            }
+
+            @Override
+            public String path() {
+                return "/sablehinge/Servers.Heartbeat/";
+            }
+
+            @Override
+            public Beat read(Asked asked) {
+                JsonNode body;
+                try {
+                    body = JSON.readTree(asked.body());
+                } catch (IOException e) {
+                    throw new CallException(400, "NOT_JSON", "the beat is no JSON");
+                }
+                String state = text(body, "state");
+                if (!state.equals("ready") && !state.equals("unloading")) {
+                    throw new CallException(400, "STATE", "state is neither ready nor unloading: " + state);
+                }
+                return new Beat(asked.name(), text(body, "depot"), text(body, "address"),
+                        state.equals("unloading"), Math.max(1, Math.min(MOST_BERTHS,
+                                body.path("berths").asInt(1))),
+                        Math.max(0, body.path("coldLeftMs").asInt(0)), body.path("callCount").asLong(0));
+            }
+
+            @Override
+            public void carryOut(Beat beat, Consumer<Heard> answer) {
+                hears.accept(beat);
+                answer.accept(new Heard());
+            }
+
+            @Override
+            public Reply write(Heard heard) {
+                return Reply.of(200);
+            }
+        };
+    }
+
+    /** The operation of those that leave. */
+    static Operation<SignOff, Heard> signOffs(Consumer<SignOff> hears) {
+        return new Operation<>() {
+            @Override
+            public String method() {
+                return "POST";
+            }
+
+            @Override
+            public String path() {
+                return "/sablehinge/Servers.SignOff/";
+            }
+
+            @Override
+            public SignOff read(Asked asked) {
+                return new SignOff(asked.name());
+            }
+
+            @Override
+            public void carryOut(SignOff call, Consumer<Heard> answer) {
+                hears.accept(call);
+                answer.accept(new Heard());
+            }
+
+            @Override
+            public Reply write(Heard heard) {
+                return Reply.of(200);
+            }
+        };
+    }
+
+    private static String text(JsonNode body, String name) {
+        JsonNode value = body.path(name);
+        if (!value.isTextual()) {
+            throw new CallException(400, "MISSING", name + " is missing or no text");
+        }
+        return value.asText();
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/InboundFront.java
@@ -0,0 +1,76 @@
+package sablehinge.sluice;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import sablehinge.core.Answer;
+import sablehinge.core.Arrival;
+import sablehinge.core.Core;
+import sablehinge.core.Version;
+import sablehinge.http1.BadRequestException;
+import sablehinge.http1.Checked;
+import sablehinge.http1.FrontDialect;
+import sablehinge.http1.FrontTerms;
+
+/**
+ * What balancers say to the balancer beside an upstream. It looks at no configuration: the one that drew the
+ * upstream names its life, and how long the request may wait here. Each answer of our own has the verdict.
+ */
+final class InboundFront implements FrontDialect {
+
+    private static final int HEADER_BYTES = 64 * 1024;
+    private static final int KEPT = 1024 * 1024;
+    private static final double SLOW_MS = 60_000;
+    private static final double IDLE_MS = 40_000;
+    private static final long BODY_BYTES = 1L << 30;
+    private static final int SLOWEST = 10;
+    private static final FrontTerms TERMS = new FrontTerms(HEADER_BYTES, BODY_BYTES, SLOW_MS, SLOWEST,
+            IDLE_MS, IDLE_MS, KEPT, 64 * KEPT, false);
+
+    private final Core core;
+
+    InboundFront(Core core) {
+        this.core = core;
+    }
+
+    @Override
+    public FrontTerms terms() {
+        return TERMS;
+    }
+
+    @Override
+    public Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
+        HttpHeaders headers = request.headers();
+        String meant = MeshHeaders.single(headers, MeshHeaders.DELIVER);
+        if (meant == null) {
+            throw new BadRequestException(MeshHeaders.DELIVER + " is missing");
+        }
+        double left = MeshHeaders.millis(headers, MeshHeaders.LEFT, 0);
+        double patience = MeshHeaders.millis(headers, MeshHeaders.PATIENCE, 0);
+        int rank = (int) MeshHeaders.millis(headers, MeshHeaders.RANK, 0);
+        headers.remove(MeshHeaders.PATIENCE).remove(MeshHeaders.RANK);
+        return new Checked("", new Arrival(0, rank, MeshHeaders.life(meant), now + left,
+                Math.min(patience, left), false, false), core.version());
+    }
+
+    @Override
+    public HttpResponseStatus status(Answer answer) {
+        return MeshAnswers.status(answer);
+    }
+
+    @Override
+    public ByteBuf content(Answer answer) {
+        return MeshAnswers.content(answer);
+    }
+
+    @Override
+    public void dress(HttpResponse response, Answer answer, Version version, HttpRequest request) {
+        MeshAnswers.dress(response, answer, request);
+        boolean refused = answer == null || answer.kind() == Answer.Kind.REFUSED;
+        response.headers().set(MeshHeaders.VERDICT, refused ? MeshHeaders.PROVEN
+                : sablehinge.http1.Payloads.head(answer.payload()) != null ? MeshHeaders.RAN
+                : MeshHeaders.DOUBT);
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/MeshUpstream.java
@@ -0,0 +1,93 @@
+package sablehinge.sluice;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import sablehinge.budget.Budget;
+import sablehinge.core.Clock;
+import sablehinge.core.Roster.Member;
+import sablehinge.http1.HopHeaders;
+import sablehinge.http1.UpstreamDialect;
+import sablehinge.http1.UpstreamTerms;
+import sablehinge.policy.LoadBalancer.Result;
+
+/** What a balancer says to another one beside an upstream, and what that says to its upstream. */
+final class MeshUpstream implements UpstreamDialect {
+
+    /** Silence gives no ground to end an answer sooner than its deadline, nor does a pause in it. */
+    private static final long STALL_MS = 5_000;
+    private static final double YOUNG_MS = 60_000;
+    private static final long STUCK_MS = 10_000;
+    private static final UpstreamTerms TERMS = new UpstreamTerms(STALL_MS, YOUNG_MS, STUCK_MS);
+    private static final int MISDIRECTED = 421;
+
+    private final Clock clock;
+    private final boolean toBalancers;
+
+    /** The dialect to other balancers, or to the upstream of the own machine. */
+    MeshUpstream(Clock clock, boolean toBalancers) {
+        this.clock = clock;
+        this.toBalancers = toBalancers;
+    }
+
+    @Override
+    public UpstreamTerms terms() {
+        return TERMS;
+    }
+
+    /** What is not meant to go on was taken out when the request was read. */
+    @Override
+    public void dress(HttpRequest sent, HttpRequest given, Member to, double left, Budget budget) {
+        HttpHeaders headers = sent.headers();
+        HopHeaders.copy(given.headers(), headers);
+        headers.set(MeshHeaders.LEFT, (long) Math.max(0, left));
+        if (toBalancers) {
+            headers.set(MeshHeaders.DELIVER, to.name());
+            // Kept as the time until which it may wait, as it may be sent more than once.
+            double until = Double.parseDouble(headers.get(MeshHeaders.PATIENCE));
+            headers.set(MeshHeaders.PATIENCE, (long) Math.max(0, until - clock.now()));
+        }
+    }
+
+    @Override
+    public boolean resendable(HttpRequest request) {
+        return false;
+    }
+
+    @Override
+    public boolean answers(HttpRequest request, HttpResponse answer) {
+        String asked = request.headers().get(MeshHeaders.TRY);
+        String given = answer.headers().get(MeshHeaders.TRY);
+        return asked == null || given == null || asked.equals(given);
+    }
+
+    @Override
+    public boolean passable(HttpResponse answer) {
+        return judge(answer) == Result.OK;
+    }
+
+    @Override
+    public Result judge(HttpResponse answer) {
+        HttpHeaders headers = answer.headers();
+        if (toBalancers ? MeshHeaders.PROVEN.equals(headers.get(MeshHeaders.VERDICT))
+                : headers.contains(MeshHeaders.NOT_RUN) || answer.status().code() == MISDIRECTED) {
+            return Result.FULL;
+        }
+        boolean served = answer.status().codeClass() == HttpStatusClass.SUCCESS
+                && headers.contains(MeshHeaders.STAMP) && headers.contains(MeshHeaders.TRY)
+                && !headers.contains("Content-Encoding");
+        return served ? Result.OK : Result.ERROR;
+    }
+
+    /** A success that lacks its stamp must not reach a client, and neither must what was encoded on the way. */
+    @Override
+    public boolean keeps(HttpMessage answer) {
+        return answer instanceof HttpResponse response
+                && response.status().codeClass() != HttpStatusClass.SUCCESS
+                && response.status().codeClass() != HttpStatusClass.REDIRECTION
+                && !response.headers().contains("Content-Encoding")
+                && (!toBalancers || MeshHeaders.RAN.equals(response.headers().get(MeshHeaders.VERDICT)));
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/Terms.java
@@ -0,0 +1,102 @@
+package sablehinge.sluice;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import sablehinge.aqueduct.Configuration;
+import sablehinge.core.Version;
+import sablehinge.policy.LoadBalancer.Goal;
+import sablehinge.policy.LoadBalancer.Group;
+import sablehinge.policy.LoadBalancer.Limits;
+import sablehinge.policy.LoadBalancer.Prices;
+import sablehinge.policy.LoadBalancer.Repeat;
+import sablehinge.policy.LoadBalancer.Reports;
+import sablehinge.policy.LoadBalancer.Rules;
+import sablehinge.policy.LoadBalancer.ServiceClass;
+import sablehinge.policy.LoadBalancer.Settings;
+import sablehinge.policy.LoadBalancer.WeightKind;
+
+/**
+ * A configuration in the module's terms: each route with each service that it may go to is a class, and each
+ * service a machine type, to which its classes are bound.
+ */
+final class Terms {
+
+    /** How long an upstream that has started may be slow, at most; beats tell how much of it is left. */
+    static final double WARM_UP_MS = 3_000;
+    private static final double LATE_WORTH = 0.3;
+    private static final int MOST_ATTEMPTS = 3;
+    private static final int MOST_OPEN = 4_000;
+    private static final double CONNECT_MS = 1_000;
+    private static final double REST_MS = 30_000;
+    private static final double OWN_REST_MS = 9_000;
+    private static final Rules RULES = new Rules(40, 200, 2_000, 0.5, WARM_UP_MS, 3, 0, 0);
+
+    private Terms() {
+    }
+
+    private static Limits limits(boolean copies, double restMs) {
+        return new Limits(MOST_ATTEMPTS, MOST_OPEN, true, copies, false, false, true, 1_000, CONNECT_MS,
+                restMs, 1, 0, 0);
+    }
+
+    /** The version of the gate beside an upstream, which knows no classes. */
+    static Version gate() {
+        ServiceClass any = new ServiceClass("any", 1_000, 0, 600_000, 1, LATE_WORTH, Repeat.AT_MOST_ONCE,
+                Group.ALL, 0, false, false, null, null);
+        return new Version(1, settings(List.of(any), 0, 1, 1, limits(false, OWN_REST_MS)), List.of("any"),
+                List.of(), false);
+    }
+
+    /**
+     * The version of a configuration.
+     *
+     * @param number counts up with each
+     * @param kinds the numbers of services, which are given once and for all; new ones are added
+     * @param classes is filled with the places of classes, by {@link #name}
+     */
+    static Version version(int number, Configuration configuration, Map<String, Integer> kinds,
+            Map<String, Integer> classes, int zone, int zones) {
+        for (Configuration.Service service : configuration.services()) {
+            kinds.computeIfAbsent(service.name(), name -> kinds.size());
+        }
+        List<ServiceClass> types = new ArrayList<>();
+        List<String> names = new ArrayList<>();
+        for (Configuration.Route route : configuration.routes()) {
+            for (Configuration.Share share : route.split()) {
+                String name = name(route, share.service());
+                if (classes.putIfAbsent(name, names.size()) == null) {
+                    names.add(name);
+                    double worth = route.priority() <= 1 ? 2 : 1;
+                    types.add(new ServiceClass(name, route.targetMs(), 0,
+                            Math.max(route.timeoutMs(), route.targetMs()), worth, LATE_WORTH,
+                            route.kind() == Configuration.Kind.SAFE ? Repeat.IDEMPOTENT : Repeat.AT_MOST_ONCE,
+                            Group.ALL, 0, false, false, null, List.of(kinds.get(share.service()))));
+                }
+            }
+        }
+        if (types.isEmpty()) {
+            return new Version(number, gate().settings(), List.of(), List.of(), false);
+        }
+        return new Version(number, settings(types, zone, zones, kinds.size(), limits(true, REST_MS)), names,
+                List.of(), false);
+    }
+
+    /** The name of the class of a route's requests to a service. */
+    static String name(Configuration.Route route, String service) {
+        return route.name() + "\n" + route.host() + route.prefix() + "\n" + service;
+    }
+
+    private static Settings settings(List<ServiceClass> types, int zone, int zones, int kinds,
+            Limits limits) {
+        return new Settings(0, 1, 0, 1, zone, zones, kinds, false, true, false, false, false, 0,
+                WeightKind.NONE, Reports.NONE, List.of(), types, List.of(), limits, RULES,
+                new Goal(0.4, 0.1, 0.24, 0, 0, 0, 0, 0), new Prices(0, 0, 0, 0, 0, 0, 0, 0));
+    }
+
+    /** Numbers of services, to be kept. */
+    static Map<String, Integer> kinds() {
+        return new HashMap<>();
+    }
+}
