--- /dev/null
+++ b/src/main/java/sablehinge/watermaster/Desk.java
@@ -0,0 +1,132 @@
+package sablehinge.watermaster;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** What goes to the disk, what has arrived there, and the messages that wait for it. */
+final class Desk {
+
+    private static final class Outstanding {
+        final long number;
+        final long term;
+        final double since;
+        long end;
+
+        Outstanding(long number, long term, long end, double since) {
+            this.number = number;
+            this.term = term;
+            this.end = end;
+            this.since = since;
+        }
+    }
+
+    private record Held(long number, Member to, Message message) {
+    }
+
+    private final Deque<Outstanding> outstanding = new ArrayDeque<>();
+    private final Deque<Held> held = new ArrayDeque<>();
+    private final List<Held> fresh = new ArrayList<>();
+    private final List<Entry> append = new ArrayList<>();
+    private long truncateFrom;
+    private Snapshot snapshot;
+    private boolean dirty;
+    private long number;
+    /** Up to here the disk holds what the log in memory holds. */
+    private long synced;
+    /** The term that the disk knows. */
+    private long syncedTerm;
+
+    void begin(long index, long term) {
+        synced = index;
+        syncedTerm = term;
+    }
+
+    long synced() {
+        return synced;
+    }
+
+    long syncedTerm() {
+        return syncedTerm;
+    }
+
+    /** Since when the oldest change is under way; infinity if none is, ms. */
+    double busySince() {
+        return outstanding.isEmpty() ? Double.POSITIVE_INFINITY : outstanding.peekFirst().since;
+    }
+
+    /** The term or the vote has changed. */
+    void touch() {
+        dirty = true;
+    }
+
+    void append(Entry entry) {
+        dirty = true;
+        append.add(entry);
+    }
+
+    void truncate(long from) {
+        dirty = true;
+        truncateFrom = truncateFrom == 0 ? from : Math.min(truncateFrom, from);
+        append.removeIf(entry -> entry.index() >= from);
+        forget(from);
+    }
+
+    /** What is on the way to the disk from an index on, or there, does not count any more. */
+    private void forget(long from) {
+        synced = Math.min(synced, from - 1);
+        for (Outstanding one : outstanding) {
+            one.end = Math.min(one.end, from - 1);
+        }
+    }
+
+    void snapshot(Snapshot taken) {
+        dirty = true;
+        snapshot = taken;
+    }
+
+    /** A message that may not leave before all that was decided up to now is synced. */
+    void hold(Member to, Message message) {
+        fresh.add(new Held(0, to, message));
+    }
+
+    /** Makes the next change, if there is any, and sends what need not wait. */
+    void flush(double now, long term, long votedFor, long lastIndex, Watermaster.Actions actions) {
+        Change change = null;
+        if (dirty) {
+            change = new Change(++number, term, votedFor, truncateFrom, append, snapshot);
+            outstanding.addLast(new Outstanding(number, term, lastIndex, now));
+            append.clear();
+            truncateFrom = 0;
+            snapshot = null;
+            dirty = false;
+        }
+        for (Held one : fresh) {
+            held.addLast(new Held(number, one.to, one.message));
+        }
+        fresh.clear();
+        if (change != null) {
+            actions.persist(change);
+        }
+        release(actions);
+    }
+
+    /** The disk holds all changes up to a number. */
+    void persisted(long upTo, Watermaster.Actions actions) {
+        while (!outstanding.isEmpty() && outstanding.peekFirst().number <= upTo) {
+            Outstanding one = outstanding.removeFirst();
+            synced = Math.max(synced, one.end);
+            syncedTerm = one.term;
+        }
+        release(actions);
+    }
+
+    private void release(Watermaster.Actions actions) {
+        long done = outstanding.isEmpty() ? number : outstanding.peekFirst().number - 1;
+        while (!held.isEmpty() && held.peekFirst().number <= done) {
+            Held one = held.removeFirst();
+            actions.send(one.to, one.message);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/watermaster/Ledger.java
@@ -0,0 +1,121 @@
+package sablehinge.watermaster;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A member's log in memory: its last snapshot and all entries after it, synced or not. */
+final class Ledger {
+
+    /** Of one that has nothing yet, not even the founders' list. */
+    private static final Snapshot NOTHING = new Snapshot(0, 0, List.of(), new byte[0]);
+
+    private Snapshot base = NOTHING;
+    private final List<Entry> entries = new ArrayList<>();
+    /** Lists by the index of the entry that they came with; a list holds as soon as it is appended. */
+    private final TreeMap<Long, List<Member>> lists = new TreeMap<>(Map.of(0L, List.of()));
+
+    /** Whether not even the first list is known, so that only a snapshot can follow. */
+    boolean isBare() {
+        return base == NOTHING;
+    }
+
+    Snapshot base() {
+        return base;
+    }
+
+    long lastIndex() {
+        return base.index() + entries.size();
+    }
+
+    long lastTerm() {
+        return termAt(lastIndex());
+    }
+
+    /** The term of the entry at an index from the snapshot's to the last. */
+    long termAt(long index) {
+        return index == base.index() ? base.term() : entry(index).term();
+    }
+
+    Entry entry(long index) {
+        return entries.get((int) (index - base.index() - 1));
+    }
+
+    /** Entries from an index on, up to both bounds, but at least one if there is any. */
+    List<Entry> from(long index, int most, int mostBytes) {
+        int start = (int) (index - base.index() - 1);
+        int end = start;
+        long bytes = 0;
+        while (end < entries.size() && end - start < most) {
+            bytes += entries.get(end).data().length;
+            if (end > start && bytes > mostBytes) {
+                break;
+            }
+            end++;
+        }
+        return List.copyOf(entries.subList(start, end));
+    }
+
+    void append(Entry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException("entry " + entry.index() + " after " + lastIndex());
+        }
+        entries.add(entry);
+        if (entry.kind() == Entry.Kind.MEMBERS) {
+            lists.put(entry.index(), List.copyOf(Members.read(entry.data())));
+        }
+    }
+
+    /** Forgets all entries from an index on, and the lists that came with them. */
+    void truncate(long from) {
+        entries.subList((int) (from - base.index() - 1), entries.size()).clear();
+        lists.tailMap(from, true).clear();
+    }
+
+    /** The latest list, committed or not. */
+    List<Member> members() {
+        return lists.lastEntry().getValue();
+    }
+
+    /** The index of the entry that the latest list came with. */
+    long membersIndex() {
+        return lists.lastKey();
+    }
+
+    boolean holds(long id) {
+        for (Member member : members()) {
+            if (member.id() == id) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Puts a state in the place of all entries up to an index. */
+    void compact(long index, byte[] state) {
+        Snapshot snapshot = new Snapshot(index, termAt(index), lists.floorEntry(index).getValue(), state);
+        rebase(snapshot, (int) (index - base.index()));
+    }
+
+    /** Takes over another's snapshot; entries after it stay if the log holds the snapshot's last entry. */
+    void install(Snapshot snapshot) {
+        boolean follows = holdsEntry(snapshot.index(), snapshot.term());
+        if (!follows) {
+            lists.clear();
+        }
+        rebase(snapshot, follows ? (int) (snapshot.index() - base.index()) : entries.size());
+    }
+
+    /** Whether the entry of this index and term, or a snapshot that ends with it, is here. */
+    boolean holdsEntry(long index, long term) {
+        return index >= base.index() && index <= lastIndex() && termAt(index) == term;
+    }
+
+    private void rebase(Snapshot snapshot, int dropped) {
+        base = snapshot;
+        entries.subList(0, dropped).clear();
+        lists.headMap(snapshot.index(), true).clear();
+        lists.put(snapshot.index(), snapshot.members());
+    }
+}
--- a/src/main/java/sablehinge/watermaster/Member.java
+++ b/src/main/java/sablehinge/watermaster/Member.java
@@ -1,7 +1,5 @@
 package sablehinge.watermaster;
 
-import java.nio.charset.StandardCharsets;
-
 /**
  * A machine of the core in one life of its disk. Who loses its disk comes back as another member: it has
  * forgotten what it voted for, so nothing that was said by the one before binds it or counts for it.
@@ -21,8 +19,8 @@
      */
     public static Member founder(String conduit, String control) {
         long hash = FNV_OFFSET;
-        for (byte b : conduit.getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+        for (int i = 0; i < conduit.length(); i++) {
+            hash = (hash ^ (conduit.charAt(i) & 0xff)) * FNV_PRIME;
         }
         return new Member(hash | 1, conduit, control);
     }
--- a/src/main/java/sablehinge/watermaster/Members.java
+++ b/src/main/java/sablehinge/watermaster/Members.java
@@ -1,62 +1,109 @@
 package sablehinge.watermaster;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Lists of members as bytes. */
+/**
+ * Lists of members as bytes: a count of 16 bits, and for each its id of 64 bits and its two addresses, each
+ * with its length of 16 bits. Written by hand, as a decider has no streams; they read the same by
+ * {@code DataInputStream.readUTF}, since addresses are ASCII.
+ */
 public final class Members {
 
-    private static final int MOST = 64;
+    /** More than any core has. */
+    public static final int MOST = 64;
+
+    private static final int ID = 8;
+    private static final int LENGTH = 2;
 
     private Members() {
     }
 
     /** Writes a list. */
     public static byte[] write(List<Member> members) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        try (DataOutputStream out = new DataOutputStream(bytes)) {
-            write(members, out);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        int size = LENGTH;
+        for (Member member : members) {
+            size += ID + LENGTH + member.conduit().length() + LENGTH + member.control().length();
         }
-        return bytes.toByteArray();
-    }
-
-    /** Writes a list to a stream. */
-    public static void write(List<Member> members, DataOutputStream out) throws IOException {
-        out.writeShort(members.size());
+        byte[] bytes = new byte[size];
+        int at = number(members.size(), LENGTH, bytes, 0);
         for (Member member : members) {
-            out.writeLong(member.id());
-            out.writeUTF(member.conduit());
-            out.writeUTF(member.control());
+            at = number(member.id(), ID, bytes, at);
+            at = text(member.conduit(), bytes, at);
+            at = text(member.control(), bytes, at);
         }
+        return bytes;
     }
 
-    /** Reads what {@link #write(List)} wrote. */
+    /** Reads what {@link #write} wrote; fails with {@code IllegalArgumentException} on anything else. */
     public static List<Member> read(byte[] bytes) {
-        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
-            return read(in);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    /** Reads a list from a stream; fails if it is longer than any core. */
-    public static List<Member> read(DataInputStream in) throws IOException {
-        int count = in.readUnsignedShort();
+        Reader reader = new Reader(bytes);
+        int count = (int) reader.number(LENGTH);
         if (count > MOST) {
-            throw new IOException("a core of " + count + " members; " + MOST + " at most are expected");
+            throw new IllegalArgumentException(
+                    "a core of " + count + " members; " + MOST + " at most are expected");
         }
         List<Member> members = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            members.add(new Member(in.readLong(), in.readUTF(), in.readUTF()));
+            members.add(new Member(reader.number(ID), reader.text(), reader.text()));
+        }
+        if (reader.at != bytes.length) {
+            throw new IllegalArgumentException((bytes.length - reader.at) + " bytes after a list of members");
         }
         return members;
     }
+
+    private static int number(long value, int size, byte[] bytes, int at) {
+        for (int i = 0; i < size; i++) {
+            bytes[at + i] = (byte) (value >>> (Byte.SIZE * (size - 1 - i)));
+        }
+        return at + size;
+    }
+
+    private static int text(String text, byte[] bytes, int at) {
+        int to = number(text.length(), LENGTH, bytes, at);
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c == 0 || c > Byte.MAX_VALUE) {
+                throw new IllegalArgumentException("an address that is not ASCII: " + text);
+            }
+            bytes[to++] = (byte) c;
+        }
+        return to;
+    }
+
+    private static final class Reader {
+
+        private final byte[] bytes;
+        private int at;
+
+        Reader(byte[] bytes) {
+            this.bytes = bytes;
+        }
+
+        private void need(int size) {
+            if (bytes.length - at < size) {
+                throw new IllegalArgumentException("a list of members that ends early");
+            }
+        }
+
+        long number(int size) {
+            need(size);
+            long value = 0;
+            for (int i = 0; i < size; i++) {
+                value = value << Byte.SIZE | bytes[at++] & 0xff;
+            }
+            return value;
+        }
+
+        String text() {
+            int length = (int) number(LENGTH);
+            need(length);
+            StringBuilder text = new StringBuilder(length);
+            for (int i = 0; i < length; i++) {
+                text.append((char) (bytes[at++] & 0x7f));
+            }
+            return text.toString();
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/sablehinge/watermaster/Message.java
@@ -0,0 +1,103 @@
+package sablehinge.watermaster;
+
+import java.util.List;
+
+/** What members say to each other. Each may be lost, doubled or overtaken by a later one. */
+public sealed interface Message {
+
+    /**
+     * Asks for a vote.
+     *
+     * @param term that the sender stands in, or would stand in
+     * @param lastIndex of the sender's log
+     * @param lastTerm of the entry there
+     * @param pre only asks whether the vote would be given; nothing follows from it
+     * @param handed the leader wished it, so that having heard of a leader is no reason to refuse
+     */
+    record AskVote(long term, long lastIndex, long lastTerm, boolean pre, boolean handed) implements Message {
+    }
+
+    /**
+     * Answers {@link AskVote}.
+     *
+     * @param term the one asked for if granted, else the latest that the sender has seen
+     * @param granted whether the vote is given
+     * @param pre as asked
+     */
+    record Vote(long term, boolean granted, boolean pre) implements Message {
+    }
+
+    /**
+     * A leader's entries, or only its sign of life.
+     *
+     * @param term of the leader
+     * @param prevIndex the index before the first entry
+     * @param prevTerm of the entry there
+     * @param entries in order; may be empty
+     * @param commit index up to which all is committed
+     * @param round counts up with each question whether the leader still leads
+     */
+    record Append(long term, long prevIndex, long prevTerm, List<Entry> entries, long commit, long round)
+            implements Message {
+
+        /** A message whose list can't be changed. */
+        public Append {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /**
+     * Answers {@link Append} and {@link Install}.
+     *
+     * @param term the latest that the sender has seen
+     * @param success whether the sender's log holds the entry before the sent ones
+     * @param matchIndex up to here the sender's disk surely holds what the leader's log holds
+     * @param hint if success, up to here its memory does; else the last index worth trying, and -1 if only a
+     *     snapshot will do
+     * @param round the highest of this leader that the sender has seen
+     */
+    record Appended(long term, boolean success, long matchIndex, long hint, long round) implements Message {
+    }
+
+    /**
+     * A snapshot for who is behind the start of the leader's log.
+     *
+     * @param term of the leader
+     * @param snapshot the leader's last
+     * @param round as in {@link Append}
+     */
+    record Install(long term, Snapshot snapshot, long round) implements Message {
+    }
+
+    /**
+     * Asks to be let in, or to hear of the leader.
+     *
+     * @param self who asks
+     * @param lastIndex of the log of who asks
+     */
+    record Join(Member self, long lastIndex) implements Message {
+    }
+
+    /**
+     * Answers {@link Join} of one that the sender does not feed.
+     *
+     * @param term the latest that the sender has seen
+     * @param leader null where none is known
+     * @param members the latest list of the sender
+     */
+    record Guide(long term, Member leader, List<Member> members) implements Message {
+
+        /** A message whose list can't be changed. */
+        public Guide {
+            members = List.copyOf(members);
+        }
+    }
+
+    /**
+     * The leader asks a member to stand at once.
+     *
+     * @param term of the leader
+     */
+    record TakeOver(long term) implements Message {
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -0,0 +1,873 @@
+package sablehinge.watermaster;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * One member's part in the agreement of the core on one log: Raft with pre-votes, a check of the leader's
+ * quorum, and changes of one member at a time that are entries of the log.
+ *
+ * <p>It decides only. All calls come from one thread, never from within one of the {@link Actions} (but
+ * {@link #compact} may be called from within {@link Actions#apply}), and {@code now} is a steady clock in ms.
+ * Only what is synced counts: a vote and the word that entries are held leave once the disk has them, and the
+ * leader's own copy counts like any other, when its disk has it and not before. So a commit needs a majority
+ * of disks, whichever they are, and a member whose disk stalls delays nobody.
+ */
+public final class Watermaster {
+
+    /** What the host does for a member; none of these may call back, except as said above. */
+    public interface Actions {
+
+        /**
+         * Sends a message; it may be lost, doubled or overtaken. A member whose id is 0 is known by its
+         * {@code conduit} address only.
+         */
+        void send(Member to, Message message);
+
+        /** Writes and syncs, in order; {@link Watermaster#persisted} is called after. */
+        void persist(Change change);
+
+        /** A committed entry; each comes once in a life of the process, in order, and of every kind. */
+        void apply(Entry entry);
+
+        /** This state takes the place of all that was applied. */
+        void restore(Snapshot snapshot);
+
+        /** Called whenever it has changed. */
+        void standing(Standing standing);
+
+        /** What was committed before {@link Watermaster#barrier} is applied here, and this still led. */
+        void confirmed(long token);
+
+        /** Nothing can be said about the barrier. */
+        void denied(long token);
+    }
+
+    /** How far behind a newcomer may be when it is let in, entries. */
+    private static final int NEAR = 64;
+    /** How far ahead of what a peer has synced entries are sent, entries. */
+    private static final int AHEAD = 256;
+    /** Between two requests to be let in, ms. */
+    private static final double ASK_EVERY = 300;
+    /** Without a leader for so long even a member asks around, ms: it may have been removed. */
+    private static final double LOST = 1500;
+    /** Who has neither asked nor answered for so long is fed no more, ms. */
+    private static final double FORGET = 10_000;
+    /** Between two sendings of a snapshot, ms. */
+    private static final double INSTALL_EVERY = 1500;
+    /** A leader changes no members while its own disk is busy for longer, ms. */
+    private static final double BUSY = 200;
+    /** Between two tries to hand over, ms. */
+    private static final double HAND_EVERY = 500;
+    /** Most that ask to be let in and are fed at a time. */
+    private static final int MOST_WAITING = 8;
+    /** Most addresses that are asked. */
+    private static final int MOST_CONTACTS = 64;
+
+    private record Barrier(long token, long round, long index, double until) {
+    }
+
+    private final Actions actions;
+    private final Terms terms;
+    private final Random random;
+    private final Ledger log = new Ledger();
+    private final Desk desk = new Desk();
+
+    private Member self;
+    /** The time of the call that is under way, ms. */
+    private double lastNow;
+    private boolean running;
+    private long term;
+    private long votedFor;
+    private long commit;
+
+    private Standing.Role role = Standing.Role.FOLLOWER;
+    private Standing told;
+    private Member leader;
+    private double leaderHeard = Double.NEGATIVE_INFINITY;
+    private double electionAt;
+    private boolean asking;
+    private final Set<Long> votes = new HashSet<>();
+
+    /** As a follower: up to here the log is the leader's. */
+    private long verified;
+    private long lastRound;
+
+    private final Set<String> contacts = new LinkedHashSet<>();
+    private double joinAt = Double.NEGATIVE_INFINITY;
+
+    private final Map<Long, Peer> peers = new LinkedHashMap<>();
+    private long firstOfTerm;
+    private long round;
+    private double heartbeatAt;
+    private double handAt;
+    private final List<Barrier> barriers = new ArrayList<>();
+
+    /** A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}. */
+    public Watermaster(Actions actions, Terms terms, long seed) {
+        this.actions = actions;
+        this.terms = terms;
+        this.random = new Random(seed);
+    }
+
+    /** The first start of the system: the disk is empty, and all founders name the same founders. */
+    public void found(double now, Member me, List<Member> founders) {
+        self = me;
+        Snapshot first = new Snapshot(0, 0, founders, new byte[0]);
+        log.install(first);
+        desk.snapshot(first);
+        // Only persisted() sets it running: who forgot the founding after a vote would be another member.
+        flush(now);
+    }
+
+    /** Goes on with what the disk holds. */
+    public void start(double now, Stored stored) {
+        self = stored.self();
+        term = stored.term();
+        votedFor = stored.votedFor();
+        if (stored.snapshot() != null) {
+            log.install(stored.snapshot());
+            commit = stored.snapshot().index();
+            if (commit > 0) {
+                actions.restore(stored.snapshot());
+            }
+        }
+        for (Entry entry : stored.entries()) {
+            log.append(entry);
+        }
+        desk.begin(log.lastIndex(), term);
+        run(now);
+    }
+
+    /** The disk is empty although the system was founded before: asks to be let in. */
+    public void outside(double now, Member me, List<String> conduitAddresses) {
+        self = me;
+        contacts(conduitAddresses);
+        run(now);
+    }
+
+    private void run(double now) {
+        running = true;
+        verified = commit;
+        // Otherwise who was just started would ask around before a leader could have reached it.
+        joinAt = log.holds(self.id()) ? now + LOST : now;
+        waitForLeader(now);
+        end(now);
+    }
+
+    /** Addresses of machines that may be members, for one that looks for them. */
+    public void contacts(List<String> conduitAddresses) {
+        for (String address : conduitAddresses) {
+            if (contacts.size() < MOST_CONTACTS) {
+                contacts.add(address);
+            }
+        }
+    }
+
+    /** Lets time pass; called some ten times per heartbeat or less. */
+    public void tick(double now) {
+        if (!running) {
+            return;
+        }
+        if (role == Standing.Role.LEADER) {
+            lead(now);
+        } else {
+            follow(now);
+        }
+        end(now);
+    }
+
+    /** The disk holds all changes up to this number. */
+    public void persisted(double now, long number) {
+        desk.persisted(number, actions);
+        if (!running) {
+            run(now);
+            return;
+        }
+        if (role == Standing.Role.LEADER) {
+            advance(now);
+        } else if (role == Standing.Role.CANDIDATE) {
+            countOwnVote(now);
+        } else if (leader != null && desk.syncedTerm() == term) {
+            actions.send(leader, appended(true, verified));
+        }
+        end(now);
+    }
+
+    /**
+     * Asks for a command to be committed.
+     *
+     * @return its index, or 0 if this does not lead or too many wait. It is committed when {@link Actions#apply}
+     *     has an entry of that index and of the term in which it was proposed; an entry of another term there
+     *     means that it never will be
+     */
+    public long propose(double now, byte[] command) {
+        if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= terms.waiting()) {
+            return 0;
+        }
+        long index = append(now, Entry.Kind.COMMAND, command);
+        end(now);
+        return index;
+    }
+
+    /** Asks whether all that was committed anywhere before this call is applied here; see {@link Actions}. */
+    public void barrier(double now, long token) {
+        if (!running || role != Standing.Role.LEADER) {
+            actions.denied(token);
+            return;
+        }
+        boolean underWay = !barriers.isEmpty();
+        // Only a question that is asked after this call counts; those that come meanwhile share the next one.
+        barriers.add(new Barrier(token, round + 1, Math.max(commit, firstOfTerm), now + terms.barrier()));
+        if (!underWay) {
+            ask(now);
+        }
+        confirm(now);
+        end(now);
+    }
+
+    /** The host holds the state after entry {@code index}, which was applied: the log before it may go. */
+    public void compact(long index, byte[] state) {
+        if (index <= log.base().index()) {
+            return;
+        }
+        if (index > commit) {
+            throw new IllegalArgumentException("entry " + index + " is not applied; " + commit + " is");
+        }
+        // Entries that are to be written first go in a change of their own.
+        flush(lastNow);
+        log.compact(index, state);
+        desk.snapshot(log.base());
+        flush(lastNow);
+    }
+
+    /** A message came in. {@code from} is its sender as it names itself. */
+    public void message(double now, Member from, Message message) {
+        if (!running || from.id() == self.id()) {
+            return;
+        }
+        if (message instanceof Message.AskVote ask) {
+            askVote(now, from, ask);
+        } else if (message instanceof Message.Vote vote) {
+            vote(now, from, vote);
+        } else if (message instanceof Message.Append append) {
+            takeAppend(now, from, append);
+        } else if (message instanceof Message.Install install) {
+            takeInstall(now, from, install);
+        } else if (message instanceof Message.Appended appended) {
+            takeAppended(now, from, appended);
+        } else if (message instanceof Message.Join join) {
+            takeJoin(now, join);
+        } else if (message instanceof Message.Guide guide) {
+            takeGuide(now, guide);
+        } else if (message instanceof Message.TakeOver take) {
+            if (take.term() == term && role == Standing.Role.FOLLOWER && log.holds(self.id())) {
+                stand(now, term + 1, true);
+            }
+        }
+        end(now);
+    }
+
+    // What all do.
+
+    private void flush(double now) {
+        lastNow = now;
+        desk.flush(now, term, votedFor, log.lastIndex(), actions);
+    }
+
+    /** Ends each call: what was decided goes to the disk, and a new standing is told. */
+    private void end(double now) {
+        flush(now);
+        boolean outside = role != Standing.Role.LEADER && !log.holds(self.id());
+        Standing standing = new Standing(outside ? Standing.Role.OUTSIDER : role, term, leader, log.members());
+        if (!standing.equals(told)) {
+            told = standing;
+            actions.standing(standing);
+        }
+    }
+
+    private int majority() {
+        return log.members().size() / 2 + 1;
+    }
+
+    private boolean hasMajority(Set<Long> ids) {
+        int count = 0;
+        for (Member member : log.members()) {
+            if (ids.contains(member.id())) {
+                count++;
+            }
+        }
+        return count >= majority();
+    }
+
+    private void waitForLeader(double now) {
+        electionAt = now + terms.electionLeast()
+                + random.nextDouble() * (terms.electionMost() - terms.electionLeast());
+    }
+
+    private void commitTo(double now, long index) {
+        while (commit < index) {
+            commit++;
+            lastNow = now;
+            actions.apply(log.entry(commit));
+        }
+    }
+
+    /** Becomes a follower, of a later term or of the same. */
+    private void stepDown(double now, long newTerm, Member newLeader) {
+        if (newTerm > term) {
+            term = newTerm;
+            votedFor = 0;
+            desk.touch();
+            verified = commit;
+            lastRound = 0;
+            leader = null;
+        }
+        if (role == Standing.Role.LEADER) {
+            peers.clear();
+            barriers.forEach(barrier -> actions.denied(barrier.token()));
+            barriers.clear();
+            verified = commit;
+            leader = null;
+            waitForLeader(now);
+        }
+        role = Standing.Role.FOLLOWER;
+        asking = false;
+        if (newLeader != null) {
+            leader = newLeader;
+        }
+    }
+
+    // Elections.
+
+    private void follow(double now) {
+        boolean member = log.holds(self.id());
+        if (leader != null && now - leaderHeard > LOST) {
+            leader = null;
+        }
+        if (now >= electionAt) {
+            if (member) {
+                askAround(now);
+            } else {
+                waitForLeader(now);
+            }
+        }
+        if ((!member || now - leaderHeard > LOST) && now >= joinAt) {
+            joinAt = now + ASK_EVERY;
+            join();
+        }
+    }
+
+    /** Asks who would vote for this member; nothing changes by it, so that a lonely one disturbs nobody. */
+    private void askAround(double now) {
+        role = Standing.Role.FOLLOWER;
+        leader = null;
+        asking = true;
+        votes.clear();
+        votes.add(self.id());
+        waitForLeader(now);
+        if (hasMajority(votes)) {
+            stand(now, term + 1, false);
+            return;
+        }
+        sendOthers(new Message.AskVote(term + 1, log.lastIndex(), log.lastTerm(), true, false), false);
+    }
+
+    private void stand(double now, long newTerm, boolean handed) {
+        stepDown(now, newTerm, null);
+        role = Standing.Role.CANDIDATE;
+        votedFor = self.id();
+        desk.touch();
+        votes.clear();
+        waitForLeader(now);
+        // Held until the own vote is synced; with it goes all of the log that it is asked for.
+        sendOthers(new Message.AskVote(term, log.lastIndex(), log.lastTerm(), false, handed), true);
+    }
+
+    private void sendOthers(Message message, boolean hold) {
+        for (Member member : log.members()) {
+            if (member.id() != self.id()) {
+                if (hold) {
+                    desk.hold(member, message);
+                } else {
+                    actions.send(member, message);
+                }
+            }
+        }
+    }
+
+    private void countOwnVote(double now) {
+        if (desk.syncedTerm() == term && votedFor == self.id() && votes.add(self.id())) {
+            countVotes(now);
+        }
+    }
+
+    private void countVotes(double now) {
+        if (hasMajority(votes)) {
+            win(now);
+        }
+    }
+
+    private void askVote(double now, Member from, Message.AskVote ask) {
+        boolean known = log.holds(from.id());
+        boolean led = role == Standing.Role.LEADER || now - leaderHeard < terms.electionLeast();
+        // Who hears a leader disturbs it for nobody, save for whom the leader itself asked to stand.
+        boolean refused = led && !(ask.handed() && known);
+        boolean current = ask.lastTerm() > log.lastTerm()
+                || ask.lastTerm() == log.lastTerm() && ask.lastIndex() >= log.lastIndex();
+        if (ask.pre()) {
+            boolean granted = !refused && current && ask.term() > term;
+            actions.send(from, new Message.Vote(granted ? ask.term() : term, granted, true));
+            return;
+        }
+        if (!refused && ask.term() > term) {
+            stepDown(now, ask.term(), null);
+        }
+        boolean granted = !refused && current && ask.term() == term && role == Standing.Role.FOLLOWER
+                && (votedFor == 0 || votedFor == from.id());
+        if (!granted) {
+            actions.send(from, new Message.Vote(term, false, false));
+            return;
+        }
+        if (votedFor == 0) {
+            votedFor = from.id();
+            desk.touch();
+        }
+        asking = false;
+        waitForLeader(now);
+        desk.hold(from, new Message.Vote(term, true, false));
+    }
+
+    private void vote(double now, Member from, Message.Vote vote) {
+        if (!log.holds(from.id()) || role == Standing.Role.LEADER) {
+            return;
+        }
+        if (!vote.granted()) {
+            if (vote.term() > term) {
+                stepDown(now, vote.term(), null);
+            }
+        } else if (vote.pre() && asking && vote.term() == term + 1) {
+            votes.add(from.id());
+            if (hasMajority(votes)) {
+                stand(now, term + 1, false);
+            }
+        } else if (!vote.pre() && role == Standing.Role.CANDIDATE && vote.term() == term) {
+            votes.add(from.id());
+            countVotes(now);
+        }
+    }
+
+    // Following.
+
+    private Message.Appended appended(boolean success, long hint) {
+        // Entries count for a term only if the disk knows the term: else an older leader could undo them.
+        long match = success && desk.syncedTerm() == term ? Math.min(desk.synced(), verified) : 0;
+        return new Message.Appended(term, success, match, hint, lastRound);
+    }
+
+    /** Whether a leader's message is of the latest term; hears of the leader then. */
+    private boolean heard(double now, Member from, long itsTerm, long itsRound) {
+        if (itsTerm < term || itsTerm == term && role == Standing.Role.LEADER) {
+            actions.send(from, new Message.Appended(term, false, 0, 0, itsRound));
+            return false;
+        }
+        stepDown(now, itsTerm, from);
+        leaderHeard = now;
+        lastRound = Math.max(lastRound, itsRound);
+        waitForLeader(now);
+        return true;
+    }
+
+    private void takeAppend(double now, Member from, Message.Append append) {
+        if (!heard(now, from, append.term(), append.round())) {
+            return;
+        }
+        if (log.isBare()) {
+            actions.send(from, appended(false, -1));
+            return;
+        }
+        long previous = append.prevIndex();
+        if (previous > log.lastIndex()) {
+            actions.send(from, appended(false, log.lastIndex()));
+            return;
+        }
+        // What lies before the commit is the same in all logs.
+        if (previous > commit && log.termAt(previous) != append.prevTerm()) {
+            long hint = previous - 1;
+            while (hint > commit && log.termAt(hint) == log.termAt(previous)) {
+                hint--;
+            }
+            actions.send(from, appended(false, hint));
+            return;
+        }
+        for (Entry entry : append.entries()) {
+            take(entry);
+        }
+        verified = Math.max(verified, previous + append.entries().size());
+        commitTo(now, Math.min(append.commit(), verified));
+        actions.send(from, appended(true, verified));
+    }
+
+    private void take(Entry entry) {
+        if (entry.index() <= log.base().index()) {
+            return;
+        }
+        if (entry.index() <= log.lastIndex()) {
+            if (log.termAt(entry.index()) == entry.term()) {
+                return;
+            }
+            if (entry.index() <= commit) {
+                throw new IllegalStateException("entry " + entry.index() + " of term " + entry.term()
+                        + " differs from a committed one");
+            }
+            log.truncate(entry.index());
+            desk.truncate(entry.index());
+        }
+        log.append(entry);
+        desk.append(entry);
+    }
+
+    private void takeInstall(double now, Member from, Message.Install install) {
+        if (!heard(now, from, install.term(), install.round())) {
+            return;
+        }
+        Snapshot snapshot = install.snapshot();
+        if (snapshot.index() > commit || log.isBare()) {
+            if (!log.holdsEntry(snapshot.index(), snapshot.term()) && log.lastIndex() > log.base().index()) {
+                desk.truncate(log.base().index() + 1);
+            }
+            log.install(snapshot);
+            desk.snapshot(snapshot);
+            commit = snapshot.index();
+            if (commit > 0) {
+                actions.restore(snapshot);
+            }
+        }
+        verified = Math.max(verified, snapshot.index());
+        actions.send(from, appended(true, verified));
+    }
+
+    // Coming in.
+
+    private void join() {
+        Message.Join join = new Message.Join(self, log.lastIndex());
+        if (leader != null) {
+            actions.send(leader, join);
+            return;
+        }
+        Set<String> asked = new HashSet<>();
+        asked.add(self.conduit());
+        for (Member member : log.members()) {
+            if (member.id() != self.id() && asked.add(member.conduit())) {
+                actions.send(member, join);
+            }
+        }
+        for (String address : contacts) {
+            if (asked.add(address)) {
+                actions.send(new Member(0, address, ""), join);
+            }
+        }
+    }
+
+    private void takeJoin(double now, Message.Join join) {
+        Member who = join.self();
+        if (who.id() == self.id() || who.id() == 0) {
+            return;
+        }
+        if (role != Standing.Role.LEADER) {
+            actions.send(who, new Message.Guide(term, leader, log.members()));
+            return;
+        }
+        Peer peer = peers.get(who.id());
+        if (peer == null) {
+            if (peers.size() >= log.members().size() - 1 + MOST_WAITING) {
+                return;
+            }
+            peer = new Peer(who, Math.min(join.lastIndex(), log.lastIndex()) + 1, Double.NEGATIVE_INFINITY);
+            peers.put(who.id(), peer);
+            feed(now, peer, true);
+        }
+        peer.asked = now;
+    }
+
+    private void takeGuide(double now, Message.Guide guide) {
+        if (role == Standing.Role.LEADER || log.holds(self.id()) && now - leaderHeard < LOST) {
+            return;
+        }
+        guide.members().forEach(member -> contacts(List.of(member.conduit())));
+        if (guide.leader() != null && guide.leader().id() != self.id()) {
+            actions.send(guide.leader(), new Message.Join(self, log.lastIndex()));
+        }
+    }
+
+    // Leading.
+
+    private void win(double now) {
+        role = Standing.Role.LEADER;
+        leader = self;
+        asking = false;
+        peers.clear();
+        round = 0;
+        heartbeatAt = now + terms.heartbeat();
+        handAt = now;
+        keepPeers(now);
+        firstOfTerm = append(now, Entry.Kind.NOOP, new byte[0]);
+    }
+
+    private long append(double now, Entry.Kind kind, byte[] data) {
+        Entry entry = new Entry(log.lastIndex() + 1, term, kind, data);
+        log.append(entry);
+        desk.append(entry);
+        if (kind == Entry.Kind.MEMBERS) {
+            keepPeers(now);
+        }
+        for (Peer peer : peers.values()) {
+            // At the start of a term the guess is worth a try; later only an answer makes more of it.
+            if (!peer.probing || entry.index() == peer.next && kind == Entry.Kind.NOOP) {
+                feedMore(now, peer);
+            }
+        }
+        return entry.index();
+    }
+
+    /** All members have a peer; who is a member no more stays one for a while, so that it learns of it. */
+    private void keepPeers(double now) {
+        for (Member member : log.members()) {
+            if (member.id() != self.id() && !peers.containsKey(member.id())) {
+                peers.put(member.id(), new Peer(member, log.lastIndex() + 1, now));
+            }
+        }
+    }
+
+    private void lead(double now) {
+        if (!heardMajority(now, log.members(), terms.quorum(), 0)) {
+            stepDown(now, term, null);
+            return;
+        }
+        peers.values().removeIf(peer -> !log.holds(peer.member.id())
+                && now - Math.max(peer.heard, peer.asked) > FORGET);
+        for (Barrier barrier : List.copyOf(barriers)) {
+            if (now >= barrier.until()) {
+                barriers.remove(barrier);
+                actions.denied(barrier.token());
+            }
+        }
+        if (now >= heartbeatAt) {
+            ask(now);
+        }
+        if (now - desk.busySince() > terms.stall() && now >= handAt) {
+            handAt = now + HAND_EVERY;
+            handOver(now);
+        }
+        changeMembers(now);
+    }
+
+    /** Whether a majority of a list has answered within some ms and holds the log up to an index. */
+    private boolean heardMajority(double now, Collection<Member> list, double within, long upTo) {
+        int count = 0;
+        for (Member member : list) {
+            Peer peer = peers.get(member.id());
+            if (member.id() == self.id() || peer != null && now - peer.heard <= within && peer.match >= upTo) {
+                count++;
+            }
+        }
+        return count >= list.size() / 2 + 1;
+    }
+
+    /** Asks all peers whether this still leads. */
+    private void ask(double now) {
+        round++;
+        heartbeatAt = now + terms.heartbeat();
+        for (Peer peer : peers.values()) {
+            feed(now, peer, now - peer.heard <= terms.fresh() || peer.probing);
+        }
+    }
+
+    /** Sends what a peer is to have next, or a sign of life. */
+    private void feed(double now, Peer peer, boolean withEntries) {
+        Snapshot base = log.base();
+        if (now < peer.installing) {
+            // What lies at 0 is the same in all logs, so this is a sign of life only.
+            actions.send(peer.member, new Message.Append(term, 0, 0, List.of(), 0, round));
+            return;
+        }
+        if (peer.bare || peer.next <= base.index()) {
+            peer.installing = now + INSTALL_EVERY;
+            peer.bare = false;
+            peer.probing = true;
+            peer.next = base.index() + 1;
+            actions.send(peer.member, new Message.Install(term, base, round));
+            return;
+        }
+        List<Entry> entries = withEntries && (peer.probing || peer.next - 1 - peer.match < AHEAD)
+                ? log.from(peer.next, terms.entries(), terms.bytes()) : List.of();
+        long previous = peer.next - 1;
+        actions.send(peer.member,
+                new Message.Append(term, previous, log.termAt(previous), entries, commit, round));
+        if (!peer.probing) {
+            peer.next += entries.size();
+        }
+    }
+
+    private void feedMore(double now, Peer peer) {
+        if (peer.next <= log.lastIndex() && now >= peer.installing && now - peer.heard <= terms.fresh()
+                && (peer.probing || peer.next - 1 - peer.match < AHEAD)) {
+            feed(now, peer, true);
+        }
+    }
+
+    private void takeAppended(double now, Member from, Message.Appended answer) {
+        Peer peer = role == Standing.Role.LEADER ? peers.get(from.id()) : null;
+        if (peer == null || answer.term() < term) {
+            return;
+        }
+        if (answer.term() > term) {
+            if (log.holds(from.id())) {
+                stepDown(now, answer.term(), null);
+            } else {
+                // It can follow only a later term than its own: so it gets one, from the same leader.
+                stand(now, answer.term() + 1, true);
+            }
+            return;
+        }
+        peer.heard = now;
+        peer.round = Math.max(peer.round, answer.round());
+        if (answer.success()) {
+            peer.match = Math.max(peer.match, answer.matchIndex());
+            if (answer.hint() >= log.base().index()) {
+                peer.installing = Double.NEGATIVE_INFINITY;
+                peer.probing = false;
+            }
+            peer.next = Math.min(Math.max(peer.next, answer.hint() + 1), log.lastIndex() + 1);
+            feedMore(now, peer);
+        } else if (now >= peer.installing) {
+            long next = Math.max(peer.match + 1, Math.min(answer.hint(), log.lastIndex()) + 1);
+            if (next < peer.next || answer.hint() < 0) {
+                peer.bare = answer.hint() < 0;
+                peer.probing = true;
+                peer.next = next;
+                feed(now, peer, true);
+            }
+        }
+        advance(now);
+    }
+
+    private void advance(double now) {
+        List<Member> members = log.members();
+        long[] matches = new long[members.size()];
+        for (int i = 0; i < matches.length; i++) {
+            long id = members.get(i).id();
+            Peer peer = peers.get(id);
+            matches[i] = id == self.id() ? desk.synced() : peer == null ? 0 : peer.match;
+        }
+        Arrays.sort(matches);
+        long index = matches.length == 0 ? 0 : matches[matches.length - majority()];
+        // An entry of an older term may be on most disks and yet be undone; one of this term may not.
+        if (index > commit && log.termAt(index) == term) {
+            commitTo(now, index);
+        }
+        confirm(now);
+    }
+
+    private void confirm(double now) {
+        if (barriers.isEmpty()) {
+            return;
+        }
+        long[] rounds = new long[log.members().size()];
+        for (int i = 0; i < rounds.length; i++) {
+            long id = log.members().get(i).id();
+            Peer peer = peers.get(id);
+            rounds[i] = id == self.id() ? Long.MAX_VALUE : peer == null ? 0 : peer.round;
+        }
+        Arrays.sort(rounds);
+        long answered = rounds[rounds.length - majority()];
+        boolean unasked = false;
+        for (Barrier barrier : List.copyOf(barriers)) {
+            if (barrier.round() <= answered && barrier.index() <= commit) {
+                barriers.remove(barrier);
+                actions.confirmed(barrier.token());
+            } else if (barrier.round() > round) {
+                unasked = true;
+            }
+        }
+        if (unasked && answered >= round) {
+            ask(now);
+        }
+    }
+
+    /** The own disk hangs: whoever has as much of the log, and answers, leads better. */
+    private void handOver(double now) {
+        Peer best = null;
+        for (Peer peer : peers.values()) {
+            if (log.holds(peer.member.id()) && now - peer.heard <= terms.fresh() && peer.match >= commit
+                    && (best == null || peer.match > best.match)) {
+                best = peer;
+            }
+        }
+        if (best != null) {
+            actions.send(best.member, new Message.TakeOver(term));
+        }
+    }
+
+    // Members come and go.
+
+    private void changeMembers(double now) {
+        if (commit < firstOfTerm || log.membersIndex() > commit || now - desk.busySince() > BUSY) {
+            return;
+        }
+        for (Peer peer : List.copyOf(peers.values())) {
+            boolean waits = !log.holds(peer.member.id()) && now - peer.heard <= terms.fresh()
+                    && now - peer.asked <= LOST && peer.match + NEAR >= commit && peer.match > 0;
+            if (waits && letIn(now, peer)) {
+                return;
+            }
+        }
+    }
+
+    private boolean letIn(double now, Peer newcomer) {
+        List<Member> members = new ArrayList<>(log.members());
+        // An even core bears no more losses than the odd one below it: so a place is free.
+        if (members.size() % 2 == 0) {
+            members.add(newcomer.member);
+            return change(now, members);
+        }
+        Member goes = null;
+        double longest = 0;
+        for (Member member : members) {
+            if (member.id() != self.id()) {
+                boolean same = member.conduit().equals(newcomer.member.conduit());
+                double silent = now - peers.get(member.id()).heard;
+                // Two lives of one disk can't both answer: the one before need not be waited for.
+                if (same && silent > terms.fresh()) {
+                    goes = member;
+                    break;
+                }
+                if (silent > terms.silent() && silent > longest) {
+                    goes = member;
+                    longest = silent;
+                }
+            }
+        }
+        if (goes == null || members.size() < 3) {
+            return false;
+        }
+        members.remove(goes);
+        return change(now, members);
+    }
+
+    private boolean change(double now, List<Member> members) {
+        if (!heardMajority(now, members, terms.fresh(), commit)) {
+            return false;
+        }
+        append(now, Entry.Kind.MEMBERS, Members.write(members));
+        return true;
+    }
+}
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -30,6 +30,8 @@
             Map.entry("judge", Set.of()),
             Map.entry("pace", Set.of()),
             Map.entry("station", Set.of()),
+            Map.entry("watermaster", Set.of()),
+            Map.entry("conduit", Set.of("watermaster")),
             Map.entry("audit", Set.of("judge", "com.fasterxml.jackson")),
             Map.entry("replay", Set.of("fold", "timeline", "mapping", "tally", "judge", "pace", "audit",
                     "com.fasterxml.jackson", "io.airlift.compress", "io.netty", "org.HdrHistogram")),
@@ -91,7 +93,7 @@
                 "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
-                "sablehinge.station..").should()
+                "sablehinge.station..", "sablehinge.watermaster..").should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
                         "java.util.concurrent..", "java.util.logging..", "org.slf4j..").check(MAIN);
@@ -100,14 +102,14 @@
                     "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
-                "sablehinge.station..").should()
+                "sablehinge.station..", "sablehinge.watermaster..").should()
                     .callMethod(System.class, clock).check(MAIN);
         }
         noClasses().that().resideInAnyPackage("sablehinge.policy..", "sablehinge.change..",
                 "sablehinge.fold..", "sablehinge.budget..",
                 "sablehinge.timeline..", "sablehinge.mapping..", "sablehinge.tally..",
                 "sablehinge.judge..", "sablehinge.pace..",
-                "sablehinge.station..").should()
+                "sablehinge.station..", "sablehinge.watermaster..").should()
                 .callMethod(Math.class, "random")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class).check(MAIN);
     }
--- /dev/null
+++ b/src/test/java/sablehinge/watermaster/Valley.java
@@ -0,0 +1,479 @@
+package sablehinge.watermaster;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import sablehinge.conduit.MessageCodec;
+
+/**
+ * Machines, disks and a network on a made-up clock, around the real {@link Watermaster}. What it must keep is
+ * checked as it happens; a breach is an {@link AssertionError} that names the seed and the time.
+ */
+final class Valley {
+
+    private record Event(double at, long order, Runnable what) {
+    }
+
+    /** What outlives a process, and its power if synced. */
+    static final class Disk {
+        Member self;
+        long term;
+        long votedFor;
+        Snapshot snapshot;
+        List<Entry> entries = new ArrayList<>();
+
+        void write(Change change) {
+            term = change.term();
+            votedFor = change.votedFor();
+            if (change.truncateFrom() > 0) {
+                entries.removeIf(entry -> entry.index() >= change.truncateFrom());
+            }
+            if (change.snapshot() != null) {
+                snapshot = change.snapshot();
+                entries.removeIf(entry -> entry.index() <= snapshot.index());
+            }
+            for (Entry entry : change.append()) {
+                long last = entries.isEmpty() ? snapshot == null ? 0 : snapshot.index()
+                        : entries.get(entries.size() - 1).index();
+                if (entry.index() != last + 1) {
+                    throw new AssertionError("entry " + entry.index() + " written after " + last);
+                }
+                entries.add(entry);
+            }
+        }
+
+        boolean holds(long index, long entryTerm) {
+            if (snapshot != null && snapshot.index() >= index) {
+                return true;
+            }
+            for (int i = entries.size() - 1; i >= 0; i--) {
+                if (entries.get(i).index() == index) {
+                    return entries.get(i).term() == entryTerm;
+                }
+            }
+            return false;
+        }
+    }
+
+    /** One machine at its address; its process and its disk may go and come. */
+    final class Machine implements Watermaster.Actions {
+        final String address;
+        Member self;
+        Disk disk = new Disk();
+        Watermaster master;
+        Standing standing;
+        long life;
+        long applied;
+        long chain;
+        boolean founded;
+        double stalledUntil;
+        double diskFreeAt;
+        List<Change> unsynced = new ArrayList<>();
+        final Map<Long, Long> barriers = new HashMap<>();
+        final List<Long> confirmed = new ArrayList<>();
+        final List<Long> denied = new ArrayList<>();
+
+        Machine(String address) {
+            this.address = address;
+        }
+
+        boolean up() {
+            return master != null;
+        }
+
+        boolean leads() {
+            return up() && standing != null && standing.role() == Standing.Role.LEADER;
+        }
+
+        private void boot() {
+            life++;
+            applied = 0;
+            chain = 0;
+            standing = null;
+            unsynced = new ArrayList<>();
+            barriers.clear();
+            diskFreeAt = now;
+            master = new Watermaster(this, Terms.usual(), random.nextLong());
+            long mine = life;
+            after(random.nextDouble() * TICK, () -> tick(mine));
+        }
+
+        void found(List<Member> founders) {
+            self = founders.stream().filter(one -> one.conduit().equals(address)).findAny().orElseThrow();
+            disk.self = self;
+            boot();
+            master.found(now, self, founders);
+        }
+
+        void start() {
+            boot();
+            if (disk.term == 0 && disk.snapshot == null) {
+                master.outside(now, self, addresses());
+            } else {
+                master.start(now, new Stored(self, disk.term, disk.votedFor, disk.snapshot, disk.entries));
+            }
+        }
+
+        /** Starts with an empty disk long after the founding. */
+        void outside() {
+            self = Member.later(random.nextLong(), address, "c" + address);
+            disk = new Disk();
+            disk.self = self;
+            boot();
+            master.outside(now, self, addresses());
+        }
+
+        /** Ends the process; with {@code power}, some of what was not synced is lost. */
+        void kill(boolean power) {
+            if (!up()) {
+                return;
+            }
+            master = null;
+            standing = null;
+            life++;
+            int kept = power ? random.nextInt(unsynced.size() + 1) : unsynced.size();
+            for (Change change : unsynced.subList(0, kept)) {
+                disk.write(change);
+            }
+            unsynced = new ArrayList<>();
+        }
+
+        /** Loses power and all that was not synced. */
+        void powerLoss() {
+            unsynced.clear();
+            kill(true);
+        }
+
+        void wipe() {
+            unsynced.clear();
+            kill(true);
+            graves.put(self.id(), disk);
+            disk = new Disk();
+        }
+
+        private void tick(long mine) {
+            if (life != mine) {
+                return;
+            }
+            master.tick(now);
+            after(TICK, () -> tick(mine));
+        }
+
+        @Override
+        public void send(Member to, Message message) {
+            byte[] bytes = MessageCodec.write(message);
+            sent++;
+            int copies = random.nextDouble() < doubling ? 2 : 1;
+            for (int i = 0; i < copies; i++) {
+                if (random.nextDouble() < loss || cuts.contains(address + ">" + to.conduit())) {
+                    continue;
+                }
+                double delay = 0.2 + random.nextDouble() * jitter;
+                if (random.nextDouble() < strays) {
+                    delay += random.nextDouble() * 300;
+                }
+                Member from = self;
+                after(delay, () -> deliver(to.conduit(), from, bytes));
+            }
+        }
+
+        @Override
+        public void persist(Change change) {
+            unsynced.add(change);
+            double starts = Math.max(Math.max(now, diskFreeAt), stalledUntil);
+            diskFreeAt = starts + 1 + random.nextDouble() * 0.5;
+            waitForDisk(life, change);
+        }
+
+        private void waitForDisk(long mine, Change change) {
+            after(diskFreeAt - now, () -> {
+                if (life != mine || unsynced.isEmpty() || unsynced.get(0).number() > change.number()) {
+                    return;
+                }
+                if (now < stalledUntil) {
+                    after(stalledUntil - now + 1, () -> synced(mine, change));
+                } else {
+                    synced(mine, change);
+                }
+            });
+        }
+
+        private void synced(long mine, Change change) {
+            if (life != mine) {
+                return;
+            }
+            if (now < stalledUntil) {
+                after(stalledUntil - now + 1, () -> synced(mine, change));
+                return;
+            }
+            while (!unsynced.isEmpty() && unsynced.get(0).number() <= change.number()) {
+                disk.write(unsynced.remove(0));
+            }
+            master.persisted(now, change.number());
+        }
+
+        @Override
+        public void apply(Entry entry) {
+            check(entry.index() == applied + 1, this, "entry " + entry.index() + " after " + applied);
+            applied = entry.index();
+            chain = next(chain, entry);
+            if (applied > committed.size()) {
+                committed.add(entry);
+                chains.add(chain);
+                checkDurable(entry);
+                if (entry.kind() == Entry.Kind.MEMBERS) {
+                    list = Members.read(entry.data());
+                    changes++;
+                }
+            }
+            check(chains.get((int) applied - 1) == chain, this, "another entry " + applied);
+            if (applied % 40 == 0 && random.nextBoolean()) {
+                master.compact(applied, Long.toString(chain).getBytes());
+            }
+        }
+
+        /** A commit stands on the disks of a majority, of which some may have been wiped since. */
+        private void checkDurable(Entry entry) {
+            int on = 0;
+            for (Member member : standing.members()) {
+                Disk its = graves.get(member.id());
+                for (Machine machine : machines.values()) {
+                    if (machine.self != null && machine.self.id() == member.id() && its == null) {
+                        its = machine.disk;
+                    }
+                }
+                on += its != null && its.holds(entry.index(), entry.term()) ? 1 : 0;
+            }
+            check(on > standing.members().size() / 2, this, "entry " + entry.index() + " committed on " + on
+                    + " disks of " + standing.members().size());
+        }
+
+        @Override
+        public void restore(Snapshot snapshot) {
+            check(snapshot.index() > applied, this, "restored " + snapshot.index() + " over " + applied);
+            applied = snapshot.index();
+            chain = Long.parseLong(new String(snapshot.state()));
+            check(applied <= committed.size() && chains.get((int) applied - 1) == chain, this,
+                    "another snapshot at " + applied);
+        }
+
+        @Override
+        public void standing(Standing now) {
+            if (now.role() == Standing.Role.LEADER) {
+                Long other = leaders.putIfAbsent(now.term(), self.id());
+                check(other == null || other == self.id(), this, "a second leader of term " + now.term());
+                check(now.members().contains(self), this, "leads as an outsider");
+            }
+            standing = now;
+        }
+
+        @Override
+        public void confirmed(long token) {
+            long needed = barriers.remove(token);
+            check(applied >= needed, this, "barrier confirmed at " + applied + ", " + needed + " was committed");
+            confirmed.add(token);
+        }
+
+        @Override
+        public void denied(long token) {
+            check(barriers.remove(token) != null, this, "a barrier ended twice");
+            denied.add(token);
+        }
+
+        void barrier() {
+            long token = ++tokens;
+            barriers.put(token, (long) committed.size());
+            master.barrier(now, token);
+        }
+
+        boolean propose() {
+            return up() && master.propose(now, Long.toString(++commands).getBytes()) > 0;
+        }
+
+        void stall(double ms) {
+            stalledUntil = now + ms;
+        }
+    }
+
+    private static final double TICK = 20;
+
+    final long seed;
+    final Random random;
+    double now;
+    double loss;
+    double doubling;
+    double strays;
+    double jitter = 1;
+    long sent;
+    long events;
+    long tokens;
+    long commands;
+    long changes;
+    final Set<String> cuts = new HashSet<>();
+    final Map<String, Machine> machines = new LinkedHashMap<>();
+    final Map<Long, Disk> graves = new HashMap<>();
+    final List<Entry> committed = new ArrayList<>();
+    final List<Long> chains = new ArrayList<>();
+    final Map<Long, Long> leaders = new HashMap<>();
+    /** The last list that was committed. */
+    List<Member> list;
+    private final PriorityQueue<Event> queue = new PriorityQueue<>((a, b) -> a.at() == b.at()
+            ? Long.compare(a.order(), b.order()) : Double.compare(a.at(), b.at()));
+    private long order;
+
+    Valley(long seed, int founders) {
+        this.seed = seed;
+        this.random = new Random(seed);
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < founders; i++) {
+            members.add(Member.founder("10.0.0." + i + ":1", "c" + i));
+        }
+        list = List.copyOf(members);
+        for (Member member : members) {
+            add(member.conduit()).found(members);
+        }
+    }
+
+    Machine add(String address) {
+        Machine machine = new Machine(address);
+        machines.put(address, machine);
+        return machine;
+    }
+
+    List<String> addresses() {
+        return List.copyOf(machines.keySet());
+    }
+
+    private static long next(long chain, Entry entry) {
+        return (chain * 31 + entry.term()) * 31 + Arrays.hashCode(entry.data()) + entry.kind().ordinal();
+    }
+
+    void check(boolean good, Machine at, String text) {
+        if (!good) {
+            throw new AssertionError("seed " + seed + ", " + now + " ms, " + at.address + ": " + text);
+        }
+    }
+
+    void after(double delay, Runnable what) {
+        queue.add(new Event(now + delay, ++order, what));
+    }
+
+    private void deliver(String address, Member from, byte[] bytes) {
+        Machine machine = machines.get(address);
+        if (machine == null || !machine.up()) {
+            return;
+        }
+        try {
+            machine.master.message(now, from, MessageCodec.read(bytes));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void run(double ms) {
+        double end = now + ms;
+        while (!queue.isEmpty() && queue.peek().at() <= end) {
+            Event event = queue.remove();
+            now = event.at();
+            events++;
+            event.what().run();
+        }
+        now = end;
+    }
+
+    /** The leader of the latest term, if any. */
+    Machine leader() {
+        Machine leader = null;
+        for (Machine machine : machines.values()) {
+            if (machine.leads() && (leader == null || machine.standing.term() > leader.standing.term())) {
+                leader = machine;
+            }
+        }
+        return leader;
+    }
+
+    Machine awaitLeader() {
+        for (int i = 0; i < 500; i++) {
+            Machine leader = leader();
+            if (leader != null && leader.applied > 0 && committed.get((int) leader.applied - 1).term()
+                    == leader.standing.term()) {
+                return leader;
+            }
+            run(20);
+        }
+        throw new AssertionError("seed " + seed + ", " + now + " ms: no leader");
+    }
+
+    /** Proposes at whoever leads until something is committed; the ms that it took. */
+    double commitOne(double atMost) {
+        double start = now;
+        long before = committed.stream().filter(one -> one.kind() == Entry.Kind.COMMAND).count();
+        while (now - start < atMost) {
+            for (Machine machine : machines.values()) {
+                if (machine.leads()) {
+                    machine.propose();
+                }
+            }
+            run(5);
+            if (committed.stream().filter(one -> one.kind() == Entry.Kind.COMMAND).count() > before) {
+                return now - start;
+            }
+        }
+        throw new AssertionError("seed " + seed + ", " + now + " ms: nothing committed for " + atMost + " ms, "
+                + describe());
+    }
+
+    String describe() {
+        StringBuilder text = new StringBuilder();
+        machines.values().forEach(one -> text.append(one.address).append(' ').append(one.self.id())
+                .append(one.up() ? " up " : " down ").append(one.standing).append(" applied ")
+                .append(one.applied).append('\n'));
+        return text.toString();
+    }
+
+    void cut(Machine from, Machine to) {
+        cuts.add(from.address + ">" + to.address);
+    }
+
+    void cutOff(Machine one) {
+        for (Machine other : machines.values()) {
+            cut(one, other);
+            cut(other, one);
+        }
+    }
+
+    List<Machine> others(Machine... not) {
+        List<Machine> others = new ArrayList<>(machines.values());
+        others.removeAll(Arrays.asList(not));
+        return others;
+    }
+
+    /** Whether all listed members live with their disks, and all that are up know of that list. */
+    boolean isWhole() {
+        if (list.size() < 3) {
+            return false;
+        }
+        for (Member member : list) {
+            Machine machine = machines.get(member.conduit());
+            if (machine == null || machine.self.id() != member.id() || graves.containsKey(member.id())) {
+                return false;
+            }
+        }
+        for (Machine machine : machines.values()) {
+            if (machine.up() && machine.standing != null && !machine.standing.members().equals(list)
+                    && !machine.standing.members().isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
