Reservoir: the durable store of the log on MVStore, with a crash test

Need: a vote, once given, and entries, once held, survive a loss of power. Change: LogStore over MVStore, whose chunks are sealed and mended before MVStore reads them. Result: a crash at each step of a run reads back the state before or after the change in flight.

--- /dev/null
+++ b/src/main/java/sablehinge/reservoir/Damage.java
@@ -0,0 +1,13 @@
+package sablehinge.reservoir;
+
+import java.io.IOException;
+
+/** What is in the file is not what a store leaves there, whenever the power goes. */
+final class Damage extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    Damage(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/reservoir/LogStore.java
@@ -0,0 +1,409 @@
+package sablehinge.reservoir;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.h2.mvstore.DataUtils;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
+import org.h2.mvstore.MVStoreException;
+import org.h2.mvstore.type.ByteArrayDataType;
+import org.h2.mvstore.type.LongDataType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sablehinge.watermaster.Change;
+import sablehinge.watermaster.Entry;
+import sablehinge.watermaster.Member;
+import sablehinge.watermaster.Members;
+import sablehinge.watermaster.Snapshot;
+import sablehinge.watermaster.Stored;
+
+/**
+ * What a member of the core has on its disk: who it is, its vote, its log. One file, {@code log.mv.db}, of H2's
+ * MVStore. All calls are one thread's, at least not at the same time; none leaves a thread behind.
+ *
+ * <p>When {@link #begin} or {@link #write} returns, what it was given survives a loss of power; until then the
+ * disk holds what it did before or all of the change. An empty file is made under another name, so a file
+ * {@code log.mv.db} is always whole. One that is not is kept as {@code log.mv.db.damaged}; as long as that is
+ * there and nothing was begun after it, {@link #damaged} says so, in later processes also.
+ */
+public final class LogStore implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(LogStore.class);
+
+    static final String FILE = "log.mv.db";
+    static final String NEW = FILE + ".new";
+    static final String ASIDE = FILE + ".damaged";
+
+    private static final long SELF = 1;
+    private static final long VOTE = 2;
+    private static final long SNAPSHOT = 1;
+    /** A file longer than this, in bytes, is made less sparse as it is written. */
+    private static final long ROOMY = 64L << 20;
+    /** Of the chunks' bytes, those still in use in percent under which some are written anew. */
+    private static final int SPARSE = 50;
+    /** How much is written anew with one change, at most, in bytes. */
+    private static final int ANEW = 1 << 20;
+
+    private final MVStore store;
+    private final MVMap<Long, byte[]> state;
+    private final MVMap<Long, byte[]> snapshots;
+    private final MVMap<Long, byte[]> entries;
+    private final boolean damaged;
+    private Member self;
+    private long term;
+    private long votedFor;
+    private Snapshot snapshot;
+    /** The last entry's index, or the snapshot's where none follows it. */
+    private long last;
+    private boolean closed;
+
+    /**
+     * Opens the store in a folder, and makes both if need be.
+     *
+     * @throws StoreException {@code LOCKED} if another process has it, {@code UNREADABLE} if the disk doesn't let
+     *     it be read, {@code REFUSED} if it doesn't let it be made or mended
+     */
+    public static LogStore open(Path folder) {
+        try {
+            return open(new SystemDisk(folder));
+        } catch (IOException e) {
+            throw new StoreException(StoreException.Code.REFUSED, "folder " + folder + " can't be made: "
+                    + e.getMessage(), e);
+        }
+    }
+
+    static LogStore open(Disk disk) {
+        try {
+            if (disk.has(FILE)) {
+                try {
+                    return new LogStore(disk, FILE, disk.has(ASIDE));
+                } catch (Damage e) {
+                    LOG.error("{} is damaged: {}; it is kept as {}, and what this member had is lost",
+                            disk.file(FILE), e.getMessage(), ASIDE);
+                    disk.rename(FILE, ASIDE);
+                    disk.sync();
+                }
+            }
+            disk.delete(NEW);
+            new LogStore(disk, NEW, false).close();
+            disk.rename(NEW, FILE);
+            disk.sync();
+            return new LogStore(disk, FILE, disk.has(ASIDE));
+        } catch (IOException e) {
+            throw new StoreException(StoreException.Code.REFUSED, e.getMessage(), e);
+        }
+    }
+
+    private LogStore(Disk disk, String name, boolean aside) throws Damage {
+        String file = SealedPath.name(disk.file(name));
+        MVStore opened = null;
+        SealedChannel channel = null;
+        try {
+            // No thread, no commit but this class's, no compression; nothing of the log is read twice, so the
+            // cache is small.
+            opened = new MVStore.Builder().fileName(file).autoCommitDisabled().autoCommitBufferSize(0)
+                    .autoCompactFillRate(0).cacheSize(1).cacheConcurrency(1).open();
+            channel = SealedPath.taken(file);
+            // Space is used again by commits, not by time: below zero, MVStore asks no clock, and what commit N
+            // no longer needs is free from N + KEPT + 1 on. A torn commit is always the last, so the one before
+            // it has lost nothing of its own, whatever the time of day did between the two.
+            opened.setRetentionTime(-1);
+            opened.setVersionsToKeep(2);
+            check(opened, channel);
+            state = map(opened, "state");
+            snapshots = map(opened, "snapshots");
+            entries = map(opened, "entries");
+            store = opened;
+            if (channel.version() < 0) {
+                opened.commit();
+                opened.sync();
+            }
+            read();
+        } catch (RuntimeException | IOException e) {
+            abandon(opened, channel == null ? SealedPath.taken(file) : channel);
+            throw judged(file, e);
+        }
+        damaged = aside && self == null;
+    }
+
+    private static MVMap<Long, byte[]> map(MVStore store, String name) {
+        return store.openMap(name, new MVMap.Builder<Long, byte[]>().keyType(LongDataType.INSTANCE)
+                .valueType(ByteArrayDataType.INSTANCE));
+    }
+
+    private static void abandon(MVStore store, SealedChannel channel) {
+        if (store != null) {
+            store.closeImmediately();
+        }
+        if (channel != null) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                LOG.debug("closing after an error", e);
+            }
+        }
+    }
+
+    /** What an error at the opening means: damage is returned, all else thrown. */
+    private static Damage judged(String file, Exception e) {
+        for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+            if (cause instanceof Damage damage) {
+                return damage;
+            }
+        }
+        if (e instanceof MVStoreException error) {
+            if (error.getErrorCode() == DataUtils.ERROR_FILE_LOCKED) {
+                throw new StoreException(StoreException.Code.LOCKED, file + " is open in another process", e);
+            }
+            if (error.getErrorCode() == DataUtils.ERROR_WRITING_FAILED) {
+                throw new StoreException(StoreException.Code.REFUSED, e.getMessage(), e);
+            }
+        }
+        for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+            if (cause instanceof IOException && !(cause instanceof EOFException)) {
+                throw new StoreException(StoreException.Code.UNREADABLE, file + ": " + cause, e);
+            }
+        }
+        return new Damage(e.toString());
+    }
+
+    /** MVStore may fall back to an older commit by itself; and of what is live, all must be as written. */
+    private static void check(MVStore store, SealedChannel channel) throws IOException {
+        if (channel.version() < 0) {
+            return;
+        }
+        if (store.getCurrentVersion() != channel.version()) {
+            throw new Damage("commit " + channel.version() + " can't be read, only "
+                    + store.getCurrentVersion());
+        }
+        for (Map.Entry<String, String> chunk : store.getLayoutMap().entrySet()) {
+            String fields = chunk.getValue();
+            if (chunk.getKey().startsWith("chunk.") && Seal.field(fields, "livePages") != 0
+                    && !channel.whole(Seal.field(fields, "block"), (int) Seal.field(fields, "len"),
+                            (int) Seal.field(fields, "chunk"))) {
+                throw new Damage(chunk.getKey() + " is not as it was written");
+            }
+        }
+    }
+
+    private void read() throws IOException {
+        byte[] who = state.get(SELF);
+        self = who == null ? null : Members.read(who).get(0);
+        byte[] vote = state.get(VOTE);
+        if (vote != null) {
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(vote));
+            term = in.readLong();
+            votedFor = in.readLong();
+        }
+        byte[] image = snapshots.get(SNAPSHOT);
+        if (image != null) {
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(image));
+            long index = in.readLong();
+            long at = in.readLong();
+            List<Member> members = Members.read(in);
+            snapshot = new Snapshot(index, at, members, in.readAllBytes());
+        }
+        long first = snapshot == null ? 1 : snapshot.index() + 1;
+        last = first - 1 + entries.sizeAsLong();
+        if (!entries.isEmpty() && (entries.firstKey() != first || entries.lastKey() != last)) {
+            throw new Damage("entries " + entries.firstKey() + " to " + entries.lastKey()
+                    + " where " + first + " to " + last + " are expected");
+        }
+    }
+
+    /** Whether what this machine had was lost; it then has to come back as another member. */
+    public boolean damaged() {
+        return damaged;
+    }
+
+    /**
+     * What the disk holds; null if it holds nothing yet.
+     *
+     * @throws StoreException {@code CLOSED}, or {@code UNREADABLE} if the disk fails
+     */
+    public Stored load() {
+        open();
+        if (self == null) {
+            return null;
+        }
+        try {
+            List<Entry> all = new ArrayList<>();
+            for (Map.Entry<Long, byte[]> one : entries.entrySet()) {
+                all.add(entry(one.getKey(), one.getValue()));
+            }
+            return new Stored(self, term, votedFor, snapshot, all);
+        } catch (RuntimeException e) {
+            throw new StoreException(StoreException.Code.UNREADABLE, e.getMessage(), e);
+        }
+    }
+
+    private static Entry entry(long index, byte[] bytes) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        long term = in.getLong();
+        Entry.Kind kind = Entry.Kind.values()[in.get()];
+        byte[] data = new byte[in.remaining()];
+        in.get(data);
+        return new Entry(index, term, kind, data);
+    }
+
+    private static byte[] bytes(Entry entry) {
+        return ByteBuffer.allocate(9 + entry.data().length).putLong(entry.term())
+                .put((byte) entry.kind().ordinal()).put(entry.data()).array();
+    }
+
+    private static byte[] bytes(Snapshot snapshot) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(snapshot.index());
+            out.writeLong(snapshot.term());
+            Members.write(snapshot.members(), out);
+            out.write(snapshot.state());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Puts down who this member is, once.
+     *
+     * @throws StoreException {@code ORDER} if it is someone already, {@code CLOSED}, {@code REFUSED}
+     */
+    public void begin(Member member) {
+        open();
+        if (self != null) {
+            throw new StoreException(StoreException.Code.ORDER, "it is member " + self.id() + " already", null);
+        }
+        commit(() -> {
+            state.put(SELF, Members.write(List.of(member)));
+            self = member;
+        });
+    }
+
+    /**
+     * Puts down a change, all of it or nothing.
+     *
+     * @throws StoreException {@code ORDER} if it doesn't follow on what is held, {@code CLOSED}, {@code REFUSED}
+     */
+    public void write(Change change) {
+        open();
+        long next = follows(change);
+        commit(() -> {
+            apply(change);
+            last = next;
+        });
+    }
+
+    /** The last index after a change. */
+    private long follows(Change change) {
+        long base = snapshot == null ? 0 : snapshot.index();
+        if (self == null) {
+            throw order("nobody has begun");
+        }
+        if (change.truncateFrom() != 0 && change.truncateFrom() <= base) {
+            throw order("entries from " + change.truncateFrom() + " are in the snapshot to " + base);
+        }
+        long end = change.truncateFrom() == 0 ? last : Math.min(last, change.truncateFrom() - 1);
+        if (change.snapshot() != null) {
+            if (change.snapshot().index() < base) {
+                throw order("a snapshot to " + change.snapshot().index() + " after one to " + base);
+            }
+            boolean joins = !change.append().isEmpty() && change.append().get(0).index() == end + 1;
+            if (!joins) {
+                end = Math.max(end, change.snapshot().index());
+            }
+        }
+        for (Entry entry : change.append()) {
+            if (entry.index() != end + 1) {
+                throw order("entry " + entry.index() + " after " + end);
+            }
+            end++;
+        }
+        return change.snapshot() == null ? end : Math.max(end, change.snapshot().index());
+    }
+
+    private static StoreException order(String message) {
+        return new StoreException(StoreException.Code.ORDER, message, null);
+    }
+
+    private void apply(Change change) {
+        if (change.term() != term || change.votedFor() != votedFor) {
+            state.put(VOTE, ByteBuffer.allocate(16).putLong(change.term()).putLong(change.votedFor())
+                    .array());
+            term = change.term();
+            votedFor = change.votedFor();
+        }
+        if (change.truncateFrom() != 0) {
+            drop(change.truncateFrom(), last);
+        }
+        long base = snapshot == null ? 0 : snapshot.index();
+        if (change.snapshot() != null) {
+            drop(base + 1, change.snapshot().index());
+            snapshots.put(SNAPSHOT, bytes(change.snapshot()));
+            snapshot = change.snapshot();
+            base = snapshot.index();
+        }
+        for (Entry entry : change.append()) {
+            if (entry.index() > base) {
+                entries.put(entry.index(), bytes(entry));
+            }
+        }
+    }
+
+    private void drop(long from, long to) {
+        if (entries.isEmpty()) {
+            return;
+        }
+        long first = Math.max(from, entries.firstKey());
+        long end = Math.min(to, entries.lastKey());
+        if (first == entries.firstKey() && end == entries.lastKey()) {
+            entries.clear();
+            return;
+        }
+        for (long index = first; index <= end; index++) {
+            entries.remove(index);
+        }
+    }
+
+    private void commit(Runnable changes) {
+        try {
+            changes.run();
+            if (store.getFileStore().size() > ROOMY && store.getFileStore().getChunksFillRate() < SPARSE) {
+                store.compact(SPARSE, ANEW);
+            }
+            if (store.hasUnsavedChanges()) {
+                // The chunk is written by this thread when commit returns; sync is the file's force.
+                store.commit();
+                store.sync();
+            }
+        } catch (RuntimeException | Error e) {
+            // What is in memory may be half of the change, and a sync that failed once may say nothing when
+            // called again: only the disk knows, when it is opened anew.
+            close();
+            throw new StoreException(StoreException.Code.REFUSED, e.getMessage(), e);
+        }
+    }
+
+    private void open() {
+        if (closed) {
+            throw new StoreException(StoreException.Code.CLOSED, "the store is closed", null);
+        }
+    }
+
+    /** Closes the file and writes nothing: all that was written is on disk already. */
+    @Override
+    public void close() {
+        closed = true;
+        store.closeImmediately();
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/reservoir/SealedChannel.java
@@ -0,0 +1,223 @@
+package sablehinge.reservoir;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.util.ArrayList;
+import java.util.List;
+import org.h2.store.fs.FileBase;
+
+/**
+ * A file of MVStore whose chunks are sealed, and are mended before MVStore reads them.
+ *
+ * <p>MVStore takes a chunk for whole if its first and its last bytes are there. A disk that loses power may have
+ * written these and not what lies between. And it finds the newest chunk through a header that may be on disk
+ * when the chunk is not; it then may take an older one for the newest. So when the file is locked and before
+ * MVStore reads it, this looks for the newest chunk that is whole, takes the seal from one after it, which the
+ * power cut off, and lets the header point to the newest. As each commit is synced before the next, only the
+ * last may be torn.
+ */
+final class SealedChannel extends FileBase {
+
+    private static final int HEADER = 2 * Seal.BLOCK;
+    private static final int STEP = 64 * Seal.BLOCK;
+
+    private final FileChannel base;
+    private long version = -1;
+
+    SealedChannel(FileChannel base) {
+        this.base = base;
+    }
+
+    /** The version of the newest commit that was whole when the file was locked; -1 if the file was empty. */
+    long version() {
+        return version;
+    }
+
+    @Override
+    public FileLock tryLock(long position, long size, boolean shared) throws IOException {
+        FileLock lock = base.tryLock(position, size, shared);
+        if (lock != null && size() > 0) {
+            mend();
+        }
+        return lock;
+    }
+
+    private void mend() throws IOException {
+        List<Seal> seals = seals();
+        seals.sort((a, b) -> Long.compare(b.version(), a.version()));
+        List<Seal> torn = new ArrayList<>();
+        Seal newest = null;
+        for (Seal seal : seals) {
+            if (whole(seal)) {
+                newest = seal;
+                break;
+            }
+            torn.add(seal);
+        }
+        if (newest == null) {
+            throw new Damage("no commit in it is whole");
+        }
+        boolean wrote = false;
+        for (Seal seal : torn) {
+            if (seal.version() > newest.version() + 1) {
+                throw new Damage("commits " + newest.version() + " to " + seal.version() + " are not whole");
+            }
+            if (seal.version() == newest.version() + 1) {
+                write(ByteBuffer.allocate(Seal.LENGTH), end(seal) - Seal.LENGTH);
+                wrote = true;
+            }
+        }
+        if (!pointsTo(newest)) {
+            write(header(newest), 0);
+            wrote = true;
+        }
+        if (wrote) {
+            base.force(true);
+        }
+        version = newest.version();
+    }
+
+    private static long end(Seal seal) {
+        return (seal.block() + seal.blocks()) * Seal.BLOCK;
+    }
+
+    /** All seals in the file, those of chunks that were given up and in part written over, too. */
+    private List<Seal> seals() throws IOException {
+        List<Seal> seals = new ArrayList<>();
+        ByteBuffer step = ByteBuffer.allocate(STEP);
+        byte[] tail = new byte[Seal.LENGTH];
+        long blocks = size() / Seal.BLOCK;
+        for (long block = 2; block < blocks; block += STEP / Seal.BLOCK) {
+            step.clear().limit((int) Math.min(STEP, (blocks - block) * Seal.BLOCK));
+            fill(step, block * Seal.BLOCK);
+            for (int end = Seal.BLOCK; end <= step.limit(); end += Seal.BLOCK) {
+                if (Seal.chunk(step, end - Seal.LENGTH)) {
+                    step.get(end - Seal.LENGTH, tail);
+                    Seal seal = Seal.read(tail, block + end / Seal.BLOCK);
+                    if (seal != null) {
+                        seals.add(seal);
+                    }
+                }
+            }
+        }
+        return seals;
+    }
+
+    /** Whether a chunk is in the file as it was written. */
+    boolean whole(Seal seal) throws IOException {
+        ByteBuffer chunk = ByteBuffer.allocate(seal.blocks() * Seal.BLOCK);
+        fill(chunk, seal.block() * Seal.BLOCK);
+        return Seal.chunk(chunk, 0) && Seal.crc(chunk) == seal.crc();
+    }
+
+    /** Whether the chunk of that number is at a place, and is as it was written. */
+    boolean whole(long block, int blocks, int id) throws IOException {
+        if (block < 2 || blocks < 1 || (block + blocks) * Seal.BLOCK > size()) {
+            return false;
+        }
+        ByteBuffer tail = ByteBuffer.allocate(Seal.LENGTH);
+        fill(tail, (block + blocks) * Seal.BLOCK - Seal.LENGTH);
+        Seal seal = Seal.read(tail.array(), block + blocks);
+        return seal != null && seal.id() == id && seal.blocks() == blocks && whole(seal);
+    }
+
+    private void fill(ByteBuffer bytes, long position) throws IOException {
+        while (bytes.hasRemaining()) {
+            int read = base.read(bytes, position + bytes.position());
+            if (read < 0) {
+                throw new Damage("it ends at " + size());
+            }
+        }
+        bytes.flip();
+    }
+
+    private boolean pointsTo(Seal newest) throws IOException {
+        ByteBuffer header = ByteBuffer.allocate(HEADER);
+        fill(header, 0);
+        byte[] copy = new byte[Seal.BLOCK];
+        for (int i = 0; i < 2; i++) {
+            header.get(i * Seal.BLOCK, copy);
+            String fields = Seal.fields(copy);
+            if (fields == null || Seal.field(fields, "version") != newest.version()
+                    || Seal.field(fields, "block") != newest.block()
+                    || Seal.field(fields, "chunk") != newest.id()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** MVStore's header, twice. Its time of creation matters to nothing that this store uses. */
+    private static ByteBuffer header(Seal newest) {
+        byte[] copy = Seal.checked("H:2,block:" + Long.toHexString(newest.block()) + ",blockSize:1000,chunk:"
+                + Integer.toHexString(newest.id()) + ",created:1,format:3,version:"
+                + Long.toHexString(newest.version()));
+        ByteBuffer header = ByteBuffer.allocate(HEADER);
+        header.put(0, copy).put(copy.length, (byte) '\n');
+        header.put(Seal.BLOCK, copy).put(Seal.BLOCK + copy.length, (byte) '\n');
+        return header;
+    }
+
+    @Override
+    public int write(ByteBuffer bytes, long position) throws IOException {
+        if (position >= HEADER && position % Seal.BLOCK == 0 && bytes.remaining() >= Seal.BLOCK
+                && Seal.chunk(bytes, bytes.position())) {
+            Seal.set(bytes);
+        }
+        int first = base.write(bytes, position);
+        int all = first;
+        while (bytes.hasRemaining()) {
+            all += base.write(bytes, position + all);
+        }
+        return all;
+    }
+
+    @Override
+    public int read(ByteBuffer bytes, long position) throws IOException {
+        return base.read(bytes, position);
+    }
+
+    @Override
+    public int read(ByteBuffer bytes) throws IOException {
+        return base.read(bytes);
+    }
+
+    @Override
+    public int write(ByteBuffer bytes) throws IOException {
+        return base.write(bytes);
+    }
+
+    @Override
+    public long position() throws IOException {
+        return base.position();
+    }
+
+    @Override
+    public FileChannel position(long position) throws IOException {
+        base.position(position);
+        return this;
+    }
+
+    @Override
+    public long size() throws IOException {
+        return base.size();
+    }
+
+    @Override
+    public FileChannel truncate(long size) throws IOException {
+        base.truncate(size);
+        return this;
+    }
+
+    @Override
+    public void force(boolean metadata) throws IOException {
+        base.force(metadata);
+    }
+
+    @Override
+    protected void implCloseChannel() throws IOException {
+        base.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/reservoir/SealedPath.java
@@ -0,0 +1,48 @@
+package sablehinge.reservoir;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.h2.store.fs.FilePath;
+import org.h2.store.fs.FilePathWrapper;
+
+/**
+ * H2's way to put one's own channel between MVStore and a file: names that begin with {@code sealed:}. It is
+ * public only because H2 makes it by reflection.
+ */
+public final class SealedPath extends FilePathWrapper {
+
+    static final String SCHEME = "sealed";
+    private static final Map<String, SealedChannel> OPEN = new ConcurrentHashMap<>();
+
+    static {
+        FilePath.register(new SealedPath());
+    }
+
+    /** For H2. */
+    public SealedPath() {
+    }
+
+    /** The name for H2 of a file by its plain name. */
+    static String name(String file) {
+        return SCHEME + ":" + file;
+    }
+
+    /** The channel that was opened for a name, once; null if there's none. */
+    static SealedChannel taken(String name) {
+        return OPEN.remove(name);
+    }
+
+    @Override
+    public String getScheme() {
+        return SCHEME;
+    }
+
+    @Override
+    public FileChannel open(String mode) throws IOException {
+        SealedChannel channel = new SealedChannel(getBase().open(mode));
+        OPEN.put(name, channel);
+        return channel;
+    }
+}
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -37,6 +37,8 @@
                     "com.fasterxml.jackson")),
             Map.entry("settings", Set.of("policy", "io.netty.util")),
             Map.entry("log", Set.of("org.slf4j", "ch.qos.logback", "net.logstash.logback")),
+            Map.entry("watermaster", Set.of()),
+            Map.entry("reservoir", Set.of("watermaster", "org.h2.mvstore", "org.h2.store.fs", "org.slf4j", "core")),
             Map.entry("core", Set.of("policy", "budget", "org.slf4j")),
             Map.entry("membership", Set.of("policy", "settings", "core", "io.netty", "org.slf4j",
                     "com.fasterxml.jackson")),
--- /dev/null
+++ b/src/test/java/sablehinge/reservoir/CrashDisk.java
@@ -0,0 +1,303 @@
+package sablehinge.reservoir;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.h2.store.fs.FileBaseDefault;
+import org.h2.store.fs.FilePath;
+import org.h2.store.fs.FilePathWrapper;
+
+/** A folder in memory that can lose power at each write, sync and rename, and can be full. */
+final class CrashDisk implements Disk {
+
+    /** A file's bytes as a program sees them, those on disk, and what was done since the last sync. */
+    private static final class Body {
+        private byte[] seen = new byte[0];
+        private byte[] synced = new byte[0];
+        private final List<Op> ops = new ArrayList<>();
+        private boolean locked;
+    }
+
+    /** A write, or with null a new length. */
+    private record Op(long at, byte[] bytes) {
+    }
+
+    static {
+        FilePath.register(new MemoryPath());
+    }
+
+    private static CrashDisk current;
+
+    private Map<String, Body> names = new HashMap<>();
+    private Map<String, Body> syncedNames = new HashMap<>();
+    private final List<Map<String, Body>> nameSteps = new ArrayList<>();
+    int steps;
+    int forces;
+    long writtenBytes;
+    /** The step at which the power goes; it takes place or it doesn't, by {@code after}. */
+    int dieAt = Integer.MAX_VALUE;
+    boolean after;
+    boolean dead;
+    boolean noSync;
+    long room = Long.MAX_VALUE;
+    private final Random random;
+
+    CrashDisk(long seed) {
+        random = new Random(seed);
+        after = random.nextBoolean();
+        current = this;
+    }
+
+    private boolean step() throws IOException {
+        if (dead) {
+            throw new IOException("no power");
+        }
+        if (++steps == dieAt) {
+            dead = true;
+            if (!after) {
+                throw new IOException("no power");
+            }
+        }
+        return dead;
+    }
+
+    private void done() throws IOException {
+        if (dead) {
+            throw new IOException("no power");
+        }
+    }
+
+    /** The power is back; of what was not synced, some is there. */
+    void powerUp() {
+        List<Map<String, Body>> views = new ArrayList<>(List.of(syncedNames));
+        views.addAll(nameSteps);
+        names = new HashMap<>(views.get(random.nextInt(views.size())));
+        syncedNames = new HashMap<>(names);
+        nameSteps.clear();
+        for (Body body : names.values()) {
+            int mode = random.nextInt(4);
+            byte[] bytes = body.synced;
+            for (Op op : body.ops) {
+                int fate = mode == 0 ? 0 : mode == 1 ? 1 : random.nextInt(4);
+                bytes = fate == 0 ? bytes : applied(bytes, op, fate);
+            }
+            body.synced = bytes;
+            body.seen = bytes;
+            body.ops.clear();
+            body.locked = false;
+        }
+        dead = false;
+        dieAt = Integer.MAX_VALUE;
+        current = this;
+    }
+
+    /** Fate 1 is all of it, 2 its beginning, 3 some sectors. */
+    private byte[] applied(byte[] bytes, Op op, int fate) {
+        if (op.bytes == null) {
+            return Arrays.copyOf(bytes, (int) Math.min(op.at, bytes.length));
+        }
+        int length = fate == 2 ? random.nextInt(op.bytes.length + 1) : op.bytes.length;
+        byte[] result = Arrays.copyOf(bytes, (int) Math.max(bytes.length, op.at + length));
+        for (int from = 0; from < length; from += 512) {
+            if (fate != 3 || random.nextInt(4) != 0) {
+                System.arraycopy(op.bytes, from, result, (int) op.at + from, Math.min(512, length - from));
+            }
+        }
+        return result;
+    }
+
+    private void renamed() {
+        nameSteps.add(new HashMap<>(names));
+    }
+
+    byte[] bytes(String name) {
+        return names.get(name).seen;
+    }
+
+    void bytes(String name, byte[] bytes) {
+        Body body = names.computeIfAbsent(name, none -> new Body());
+        body.seen = bytes;
+        body.synced = bytes;
+    }
+
+    void release() {
+        names.values().forEach(body -> body.locked = false);
+    }
+
+    @Override
+    public String file(String name) {
+        return "crash:" + name;
+    }
+
+    @Override
+    public boolean has(String name) {
+        return names.containsKey(name);
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        step();
+        names.put(to, names.remove(from));
+        renamed();
+        done();
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        if (names.containsKey(name)) {
+            step();
+            names.remove(name);
+            renamed();
+            done();
+        }
+    }
+
+    @Override
+    public void sync() throws IOException {
+        step();
+        syncedNames = new HashMap<>(names);
+        nameSteps.clear();
+        done();
+    }
+
+    /** H2's way to these files; public as H2 makes it by reflection. */
+    public static final class MemoryPath extends FilePathWrapper {
+        public MemoryPath() {
+        }
+
+        @Override
+        public String getScheme() {
+            return "crash";
+        }
+
+        @Override
+        public boolean exists() {
+            return current.names.containsKey(name.substring(6));
+        }
+
+        @Override
+        public boolean canWrite() {
+            return true;
+        }
+
+        @Override
+        public FilePath getParent() {
+            return null;
+        }
+
+        @Override
+        public FileChannel open(String mode) throws IOException {
+            String file = name.substring(6);
+            if (!current.names.containsKey(file)) {
+                current.step();
+                current.names.put(file, new Body());
+                current.renamed();
+                current.done();
+            }
+            return new Memory(current, current.names.get(file));
+        }
+    }
+
+    private static final class Memory extends FileBaseDefault {
+        private final CrashDisk disk;
+        private final Body body;
+
+        Memory(CrashDisk disk, Body body) {
+            this.disk = disk;
+            this.body = body;
+        }
+
+        @Override
+        public long size() {
+            return body.seen.length;
+        }
+
+        @Override
+        public int read(ByteBuffer to, long position) {
+            if (position >= body.seen.length) {
+                return -1;
+            }
+            int length = (int) Math.min(to.remaining(), body.seen.length - position);
+            to.put(body.seen, (int) position, length);
+            return length;
+        }
+
+        @Override
+        public int write(ByteBuffer from, long position) throws IOException {
+            disk.step();
+            byte[] bytes = new byte[from.remaining()];
+            from.get(bytes);
+            if (position + bytes.length > disk.room) {
+                int fits = (int) Math.max(0, disk.room - position);
+                put(new Op(position, Arrays.copyOf(bytes, fits)));
+                throw new IOException("No space left on device");
+            }
+            put(new Op(position, bytes));
+            disk.writtenBytes += bytes.length;
+            disk.done();
+            return bytes.length;
+        }
+
+        private void put(Op op) {
+            int end = (int) op.at + op.bytes.length;
+            if (end > body.seen.length) {
+                body.seen = Arrays.copyOf(body.seen, end);
+            } else if (body.seen == body.synced) {
+                body.seen = body.seen.clone();
+            }
+            System.arraycopy(op.bytes, 0, body.seen, (int) op.at, op.bytes.length);
+            body.ops.add(op);
+        }
+
+        @Override
+        protected void implTruncate(long size) throws IOException {
+            disk.step();
+            body.seen = Arrays.copyOf(body.seen, (int) Math.min(size, body.seen.length));
+            body.ops.add(new Op(size, null));
+            disk.done();
+        }
+
+        @Override
+        public void force(boolean metadata) throws IOException {
+            if (disk.noSync) {
+                return;
+            }
+            disk.step();
+            disk.forces++;
+            body.synced = body.seen;
+            body.ops.clear();
+            disk.done();
+        }
+
+        @Override
+        public FileLock tryLock(long position, long size, boolean shared) {
+            if (body.locked) {
+                return null;
+            }
+            body.locked = true;
+            return new FileLock(this, position, size, shared) {
+                @Override
+                public boolean isValid() {
+                    return true;
+                }
+
+                @Override
+                public void release() {
+                    body.locked = false;
+                }
+            };
+        }
+
+        @Override
+        protected void implCloseChannel() {
+            body.locked = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/reservoir/LogStoreCrashTest.java
@@ -0,0 +1,173 @@
+package sablehinge.reservoir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import sablehinge.watermaster.Change;
+import sablehinge.watermaster.Entry;
+import sablehinge.watermaster.Member;
+import sablehinge.watermaster.Snapshot;
+import sablehinge.watermaster.Stored;
+
+/** The power goes at each step; what is read back is the state before or after the change in flight. */
+class LogStoreCrashTest {
+
+    private static final Member SELF = Member.founder("10.0.0.1:7000", "10.0.0.1:7001");
+    private static final int CHANGES = 24;
+
+    /** What a store should hold, kept in the simplest way. */
+    private static final class Model {
+        private final List<Entry> entries = new ArrayList<>();
+        private Snapshot snapshot;
+        private long term;
+        private long vote;
+        private boolean begun;
+
+        private long last() {
+            return entries.isEmpty() ? snapshot == null ? 0 : snapshot.index()
+                    : entries.get(entries.size() - 1).index();
+        }
+
+        private void apply(Change change) {
+            term = change.term();
+            vote = change.votedFor();
+            if (change.truncateFrom() != 0) {
+                entries.removeIf(e -> e.index() >= change.truncateFrom());
+            }
+            entries.addAll(change.append());
+            if (change.snapshot() != null) {
+                snapshot = change.snapshot();
+                entries.removeIf(e -> e.index() <= snapshot.index());
+            }
+        }
+
+        private String text() {
+            return begun ? LogStoreCrashTest.text(new Stored(SELF, term, vote, snapshot, entries)) : "nothing";
+        }
+    }
+
+    private static String text(Stored stored) {
+        if (stored == null) {
+            return "nothing";
+        }
+        StringBuilder text = new StringBuilder();
+        text.append(stored.self()).append(' ').append(stored.term()).append(' ').append(stored.votedFor());
+        if (stored.snapshot() != null) {
+            text.append(" snapshot ").append(stored.snapshot().index()).append(' ')
+                    .append(stored.snapshot().term()).append(stored.snapshot().members())
+                    .append(Arrays.hashCode(stored.snapshot().state()));
+        }
+        for (Entry e : stored.entries()) {
+            text.append(' ').append(e.index()).append('/').append(e.term()).append(e.kind())
+                    .append(Arrays.hashCode(e.data()));
+        }
+        return text.toString();
+    }
+
+    private static Change next(Model model, int number, Random random) {
+        long from = 0;
+        long base = model.snapshot == null ? 0 : model.snapshot.index();
+        long end = model.last();
+        if (random.nextInt(6) == 0 && !model.entries.isEmpty()) {
+            from = base + 1 + random.nextInt(model.entries.size());
+            end = from - 1;
+        }
+        List<Entry> append = new ArrayList<>();
+        for (int i = random.nextInt(4); i > 0; i--) {
+            byte[] data = new byte[random.nextInt(4) == 0 ? random.nextInt(40_000) : random.nextInt(300)];
+            random.nextBytes(data);
+            append.add(new Entry(++end, number, Entry.Kind.values()[random.nextInt(3)], data));
+        }
+        Snapshot snapshot = null;
+        if (random.nextInt(8) == 0 && end > base) {
+            byte[] state = new byte[random.nextInt(60_000)];
+            random.nextBytes(state);
+            long index = base + 1 + random.nextInt((int) (end - base));
+            snapshot = new Snapshot(index, number, List.of(SELF), state);
+        }
+        return new Change(number, number / 5, random.nextInt(2), from, append, snapshot);
+    }
+
+    /** Runs until the power goes; gives the texts of the states that may be found then. */
+    private static List<String> run(CrashDisk disk, Model model, Random random, int changes) {
+        String before = model.text();
+        try {
+            LogStore store = LogStore.open(disk);
+            assertFalse(store.damaged());
+            assertEquals(model.text(), text(store.load()));
+            if (!model.begun) {
+                model.begun = true;
+                store.begin(SELF);
+            }
+            for (int i = 1; i <= changes; i++) {
+                before = model.text();
+                Change change = next(model, i, random);
+                model.apply(change);
+                store.write(change);
+            }
+            before = model.text();
+            store.close();
+        } catch (StoreException e) {
+            assertTrue(disk.dead, e::toString);
+        }
+        return List.of(before, model.text());
+    }
+
+    private static int length(long seed) {
+        CrashDisk disk = new CrashDisk(seed);
+        run(disk, new Model(), new Random(seed), CHANGES);
+        return disk.steps;
+    }
+
+    @Test
+    void eachStepMayBeTheLast() {
+        for (long seed = 1; seed <= 3; seed++) {
+            int steps = length(seed);
+            for (int at = 1; at <= steps; at++) {
+                for (int fate = 0; fate < 2; fate++) {
+                    crash(seed, at, fate);
+                }
+            }
+        }
+    }
+
+    private static void crash(long seed, int at, int fate) {
+        String place = "seed " + seed + ", step " + at + ", fate " + fate;
+        CrashDisk disk = new CrashDisk(seed * 1000_003 + at * 31L + fate);
+        disk.dieAt = at;
+        List<String> allowed = run(disk, new Model(), new Random(seed), CHANGES);
+        disk.powerUp();
+        try (LogStore store = LogStore.open(disk)) {
+            assertFalse(store.damaged(), place);
+            String found = text(store.load());
+            assertTrue(allowed.contains(found), () -> place + ": found " + found + " of " + allowed);
+        }
+        // What was found is found again, and goes on from there.
+        try (LogStore store = LogStore.open(disk)) {
+            Stored stored = store.load();
+            assertTrue(allowed.contains(text(stored)), place);
+            if (stored == null) {
+                assertNull(stored);
+                store.begin(SELF);
+                return;
+            }
+            Model model = new Model();
+            model.begun = true;
+            model.snapshot = stored.snapshot();
+            model.entries.addAll(stored.entries());
+            for (int i = 1; i <= 4; i++) {
+                Change change = next(model, i, new Random(at + i));
+                model.apply(change);
+                store.write(change);
+            }
+            assertEquals(model.text(), text(store.load()), place);
+        }
+    }
+}
