Settings of a process are read from TOML, and its schema words what is wrong

Change: config.local.LocalSettings reads the file by plain steps, without a mapper. The reader of configurations and the plan do without lambdas and streams.

--- a/src/main/java/sablehinge/aqueduct/Plan.java
+++ b/src/main/java/sablehinge/aqueduct/Plan.java
@@ -4,12 +4,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 
 /**
  * One configuration, made ready for asking. It never changes and may be asked by any thread.
  *
  * <p>It trusts that the configuration has been checked. What a check would have refused does no harm here:
- * of two routes at one place, and of two owners of one name or key, the first one holds.
+ * of two routes at one place, and of two owners of one name or key, the first one holds. Written without
+ * lambdas and streams, which cost a process's start more than the plan itself does.
  */
 public final class Plan {
 
@@ -27,14 +29,23 @@
         Map<String, List<Found>> byHost = new HashMap<>();
         int index = 0;
         for (Configuration.Route route : configuration.routes()) {
-            byHost.computeIfAbsent(Hosts.normal(route.host()), host -> new ArrayList<>())
-                    .add(new Found(route, index++));
+            String host = Hosts.normal(route.host());
+            if (!byHost.containsKey(host)) {
+                byHost.put(host, new ArrayList<>());
+            }
+            byHost.get(host).add(new Found(route, index++));
+        }
+        for (Map.Entry<String, List<Found>> entry : byHost.entrySet()) {
+            gates.put(entry.getKey(), new Gate(entry.getValue()));
         }
-        byHost.forEach((host, routes) -> gates.put(host, new Gate(routes)));
         for (Configuration.Tenant tenant : configuration.tenants()) {
-            tenant.keys().forEach(key -> tenants.putIfAbsent(key, tenant));
+            for (String key : tenant.keys()) {
+                tenants.putIfAbsent(key, tenant);
+            }
+        }
+        for (Configuration.Service service : configuration.services()) {
+            services.putIfAbsent(service.name(), service);
         }
-        configuration.services().forEach(service -> services.putIfAbsent(service.name(), service));
     }
 
     /**
@@ -153,9 +164,16 @@
         private final int[] lengths;
 
         Gate(List<Found> routes) {
-            routes.forEach(found -> byPrefix.putIfAbsent(found.route().prefix(), found));
-            lengths = byPrefix.keySet().stream().mapToInt(prefix -> -prefix.length()).distinct().sorted()
-                    .map(length -> -length).toArray();
+            TreeSet<Integer> ascending = new TreeSet<>();
+            for (Found found : routes) {
+                byPrefix.putIfAbsent(found.route().prefix(), found);
+                ascending.add(found.route().prefix().length());
+            }
+            lengths = new int[ascending.size()];
+            int at = lengths.length;
+            for (int length : ascending) {
+                lengths[--at] = length;
+            }
         }
 
         /** As many looks as there are lengths of prefixes that end at a slash of the path. */
--- /dev/null
+++ b/src/main/java/sablehinge/config/local/Table.java
@@ -0,0 +1,181 @@
+package sablehinge.config.local;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A table of a settings file, asked by key; what is missing or of another type is off. */
+final class Table {
+
+    private static final double MOST = 1e300;
+
+    private static final int HIGHEST_PORT = 65_535;
+
+    private static final int PORT_DIGITS = 5;
+
+    /** A key is not as it must be; the message names it with its tables. */
+    static final class Off extends RuntimeException {
+
+        private static final long serialVersionUID = 1;
+
+        Off(String key) {
+            super(key, null, false, false);
+        }
+    }
+
+    private final String path;
+
+    private final Map<?, ?> fields;
+
+    Table(String path, Map<?, ?> fields) {
+        this.path = path;
+        this.fields = fields;
+    }
+
+    Off off(String key) {
+        return new Off(path + key);
+    }
+
+    private Object need(String key) {
+        Object value = fields.get(key);
+        if (value == null) {
+            throw off(key);
+        }
+        return value;
+    }
+
+    Table table(String key) {
+        if (need(key) instanceof Map<?, ?> map) {
+            return new Table(path + key + ".", map);
+        }
+        throw off(key);
+    }
+
+    /** An empty one where there is none. */
+    Table tableIfAny(String key) {
+        return fields.containsKey(key) ? table(key) : new Table(path + key + ".", Map.of());
+    }
+
+    private String text(String key, Object value) {
+        if (value instanceof String text) {
+            return text;
+        }
+        throw off(key);
+    }
+
+    /** A text that is not empty. */
+    String name(String key) {
+        String text = text(key, need(key));
+        if (text.isEmpty()) {
+            throw off(key);
+        }
+        return text;
+    }
+
+    String nameIfAny(String key) {
+        return fields.containsKey(key) ? name(key) : null;
+    }
+
+    private String address(String key, Object value) {
+        String text = text(key, value);
+        int colon = text.indexOf(':');
+        int digits = text.length() - colon - 1;
+        if (colon < 1 || digits < 1 || digits > PORT_DIGITS) {
+            throw off(key);
+        }
+        for (int i = colon + 1; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                throw off(key);
+            }
+        }
+        return text;
+    }
+
+    /** A host and a port; null for none. */
+    String addressIfAny(String key) {
+        return fields.containsKey(key) ? address(key, need(key)) : null;
+    }
+
+    boolean flag(String key) {
+        if (need(key) instanceof Boolean flag) {
+            return flag;
+        }
+        throw off(key);
+    }
+
+    boolean flag(String key, boolean otherwise) {
+        return fields.containsKey(key) ? flag(key) : otherwise;
+    }
+
+    private double number(String key, Object value, double least, double most) {
+        if (value instanceof Double number && number >= least && number <= most) {
+            return number;
+        }
+        throw off(key);
+    }
+
+    /** 0 or more. */
+    double figure(String key) {
+        return number(key, need(key), 0, MOST);
+    }
+
+    double figure(String key, double otherwise) {
+        return fields.containsKey(key) ? figure(key) : otherwise;
+    }
+
+    private int whole(String key, Object value, int least, int most) {
+        double number = number(key, value, least, most);
+        if (number != Math.rint(number)) {
+            throw off(key);
+        }
+        return (int) number;
+    }
+
+    /** A whole number, 0 or more. */
+    int count(String key) {
+        return whole(key, need(key), 0, Integer.MAX_VALUE);
+    }
+
+    private List<?> list(String key) {
+        if (need(key) instanceof List<?> list) {
+            return list;
+        }
+        throw off(key);
+    }
+
+    List<String> texts(String key) {
+        List<String> texts = new ArrayList<>();
+        for (Object one : list(key)) {
+            texts.add(text(key, one));
+        }
+        return texts;
+    }
+
+    List<String> addresses(String key) {
+        List<String> addresses = new ArrayList<>();
+        for (Object one : list(key)) {
+            addresses.add(address(key, one));
+        }
+        return addresses;
+    }
+
+    /** Two ports. */
+    int[] ports(String key) {
+        List<?> ports = list(key);
+        if (ports.size() != 2) {
+            throw off(key);
+        }
+        return new int[] {whole(key, ports.get(0), 1, HIGHEST_PORT), whole(key, ports.get(1), 1, HIGHEST_PORT)};
+    }
+
+    /** All keys of this table with their texts, none of which is empty, in their order. */
+    Map<String, String> names() {
+        Map<String, String> names = new LinkedHashMap<>();
+        for (Object key : fields.keySet()) {
+            names.put((String) key, name((String) key));
+        }
+        return Collections.unmodifiableMap(names);
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/config/local/Toml.java
@@ -0,0 +1,64 @@
+package sablehinge.config.local;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads TOML into maps, lists, texts, numbers and booleans, without a mapper. */
+final class Toml {
+
+    private Toml() { }
+
+    static Table read(byte[] bytes) throws IOException {
+        try (JsonParser in = new TomlFactory().createParser(bytes)) {
+            in.nextToken();
+            return new Table("", map(in));
+        }
+    }
+
+    /** One line on what is wrong with a file, and where. */
+    static String why(IOException e) {
+        if (!(e instanceof JsonProcessingException)) {
+            return e.getClass().getSimpleName();
+        }
+        JsonProcessingException wrong = (JsonProcessingException) e;
+        String line = wrong.getOriginalMessage().lines().findFirst().orElse("");
+        return wrong.getLocation() == null ? line : "line " + wrong.getLocation().getLineNr() + ", column "
+                + wrong.getLocation().getColumnNr() + ": " + line;
+    }
+
+    private static Map<String, Object> map(JsonParser in) throws IOException {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            in.nextToken();
+            fields.put(name, value(in));
+        }
+        return fields;
+    }
+
+    private static Object value(JsonParser in) throws IOException {
+        return switch (in.currentToken()) {
+            case START_OBJECT -> map(in);
+            case START_ARRAY -> list(in);
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> in.getDoubleValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            default -> in.getText();
+        };
+    }
+
+    private static List<Object> list(JsonParser in) throws IOException {
+        List<Object> items = new ArrayList<>();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            items.add(value(in));
+        }
+        return items;
+    }
+}
--- a/src/main/java/sablehinge/headgate/ConfigurationReader.java
+++ b/src/main/java/sablehinge/headgate/ConfigurationReader.java
@@ -14,7 +14,7 @@
 
 /**
  * Reads a configuration from bytes that {@link ConfigurationCheck} has passed, token by token: no schema, no
- * mapper, little to load at start. Fields that it does not know are skipped.
+ * mapper, no lambda, little to load at start. Fields that it does not know are skipped.
  */
 public final class ConfigurationReader {
 
@@ -64,9 +64,21 @@
             switch (field) {
                 case "edition" -> edition = in.getLongValue();
                 case "limits" -> limits = limits(in);
-                case "senders" -> each(in, one -> tenants.add(tenant(one)));
-                case "gates" -> each(in, one -> gate(one, routes));
-                case "fleets" -> each(in, one -> services.add(service(one)));
+                case "senders" -> {
+                    for (boolean more = first(in); more; more = next(in)) {
+                        tenants.add(tenant(in));
+                    }
+                }
+                case "gates" -> {
+                    for (boolean more = first(in); more; more = next(in)) {
+                        gate(in, routes);
+                    }
+                }
+                case "fleets" -> {
+                    for (boolean more = first(in); more; more = next(in)) {
+                        services.add(service(in));
+                    }
+                }
                 default -> in.skipChildren();
             }
         }
@@ -103,7 +115,11 @@
             boolean none = in.nextToken() == JsonToken.VALUE_NULL;
             switch (field) {
                 case "name" -> name = in.getText();
-                case "passes" -> each(in, one -> keys.add(one.getText()));
+                case "passes" -> {
+                    for (boolean more = first(in); more; more = next(in)) {
+                        keys.add(in.getText());
+                    }
+                }
                 case "priority" -> priority = none ? -1 : in.getIntValue();
                 case "perS" -> perSecond = none ? 0 : in.getDoubleValue();
                 case "burst" -> burst = none ? 0 : in.getDoubleValue();
@@ -122,7 +138,11 @@
             in.nextToken();
             switch (field) {
                 case "station" -> host[0] = Hosts.normal(in.getText());
-                case "regulations" -> each(in, one -> own.add(route(one)));
+                case "regulations" -> {
+                    for (boolean more = first(in); more; more = next(in)) {
+                        own.add(route(in));
+                    }
+                }
                 default -> in.skipChildren();
             }
         }
@@ -199,20 +219,17 @@
         return new Configuration.Service(name, healthPath, connCap);
     }
 
-    private interface Item {
-
-        void read(JsonParser in) throws IOException;
-    }
-
-    /** Null stands for an empty list. */
-    private static void each(JsonParser in, Item item) throws IOException {
+    /** Whether there is a first item in the list that begins here; null stands for an empty list. */
+    private static boolean first(JsonParser in) throws IOException {
         if (in.currentToken() == JsonToken.VALUE_NULL) {
-            return;
+            return false;
         }
         expect(in, JsonToken.START_ARRAY);
-        while (in.nextToken() != JsonToken.END_ARRAY) {
-            item.read(in);
-        }
+        return next(in);
+    }
+
+    private static boolean next(JsonParser in) throws IOException {
+        return in.nextToken() != JsonToken.END_ARRAY;
     }
 
     private static void expect(JsonParser in, JsonToken token) {
@@ -240,7 +257,9 @@
                     case "depot" -> split = none ? split : List.of(new Configuration.Share(in.getText(), 1));
                     case "split" -> {
                         List<Configuration.Share> parts = new ArrayList<>();
-                        each(in, one -> parts.add(share(one)));
+                        for (boolean more = first(in); more; more = next(in)) {
+                            parts.add(share(in));
+                        }
                         split = none ? split : parts;
                     }
                     case "timeoutMs" -> timeoutMs = in.getDoubleValue();
