--- a/src/main/java/sablehinge/cli/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -26,6 +26,8 @@
             sablehinge.wire.Main.main(args);
         } else if (args.length == 1 && args[0].equals("serve")) {
             serve();
+        } else if (args.length == 1 && (args[0].equals("sluice") || args[0].equals("reservoir"))) {
+            Waterworks.run(args[0]);
         } else {
             System.exit(Commands.run(args, new PrintWriter(System.out, true), new PrintWriter(System.err,
                     true)));
--- a/src/main/java/sablehinge/log/Logging.java
+++ b/src/main/java/sablehinge/log/Logging.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.Layout;
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.encoder.LayoutWrappingEncoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
@@ -70,7 +71,8 @@
         console.setContext(loggers);
         console.setTarget("System.err");
         console.setEncoder(terms.format() == LogTerms.Format.JSON ? JsonLines.encoder(loggers)
-                : text(loggers));
+                : wrapped(loggers, terms.format() == LogTerms.Format.PAIRS ? new PairLines()
+                        : new TextLines()));
         console.start();
         LimitedAppender limited = new LimitedAppender(console, terms.limit(),
                 () -> System.nanoTime() / NANOS_PER_MS);
@@ -80,8 +82,7 @@
         return limited;
     }
 
-    private static Encoder<ILoggingEvent> text(LoggerContext loggers) {
-        TextLines layout = new TextLines();
+    private static Encoder<ILoggingEvent> wrapped(LoggerContext loggers, Layout<ILoggingEvent> layout) {
         layout.setContext(loggers);
         layout.start();
         LayoutWrappingEncoder<ILoggingEvent> encoder = new LayoutWrappingEncoder<>();
--- /dev/null
+++ b/src/main/java/sablehinge/log/PairLines.java
@@ -0,0 +1,59 @@
+package sablehinge.log;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.ThrowableProxy;
+import ch.qos.logback.core.LayoutBase;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import org.slf4j.event.KeyValuePair;
+
+/** A line of key=value pairs for each event: its time in ms since 1970, level, logger, its own pairs, its words. */
+final class PairLines extends LayoutBase<ILoggingEvent> {
+
+    @Override
+    public String doLayout(ILoggingEvent line) {
+        StringBuilder out = new StringBuilder(160);
+        out.append("at=").append(line.getTimeStamp()).append(" level=").append(line.getLevel());
+        String logger = line.getLoggerName();
+        out.append(" part=").append(logger.startsWith("sablehinge.") ? logger.substring(11) : logger);
+        if (line.getKeyValuePairs() != null) {
+            for (KeyValuePair pair : line.getKeyValuePairs()) {
+                out.append(' ').append(pair.key).append('=');
+                value(String.valueOf(pair.value), out);
+            }
+        }
+        out.append(" message=");
+        value(line.getFormattedMessage(), out);
+        if (line.getThrowableProxy() instanceof ThrowableProxy thrown) {
+            StringWriter stack = new StringWriter();
+            thrown.getThrowable().printStackTrace(new PrintWriter(stack, true));
+            out.append(" stack=");
+            value(stack.toString(), out);
+        }
+        return out.append('\n').toString();
+    }
+
+    /** Quoted where a reader could not tell its end. */
+    private static void value(String text, StringBuilder out) {
+        boolean plain = !text.isEmpty();
+        for (int i = 0; i < text.length() && plain; i++) {
+            char c = text.charAt(i);
+            plain = c > ' ' && c != '"' && c != '=' && c != 127;
+        }
+        if (plain) {
+            out.append(text);
+            return;
+        }
+        out.append('"');
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            switch (c) {
+                case '"', '\\' -> out.append('\\').append(c);
+                case '\n' -> out.append("\\n");
+                case '\t' -> out.append("\\t");
+                default -> out.append(c < ' ' || c == 127 ? '?' : c);
+            }
+        }
+        out.append('"');
+    }
+}
--- a/src/main/java/sablehinge/node/LoopTimers.java
+++ b/src/main/java/sablehinge/node/LoopTimers.java
@@ -7,7 +7,7 @@
 import sablehinge.core.Timers;
 
 /** Timers on an event loop. */
-record LoopTimers(EventLoop loop, Clock clock) implements Timers {
+public record LoopTimers(EventLoop loop, Clock clock) implements Timers {
 
     private static final double NANOS_PER_MS = 1e6;
 
--- a/src/main/java/sablehinge/reservoir/LogStore.java
+++ b/src/main/java/sablehinge/reservoir/LogStore.java
@@ -20,6 +20,7 @@
 import org.h2.mvstore.type.LongDataType;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sablehinge.conduit.MessageCodec;
 import sablehinge.watermaster.Change;
 import sablehinge.watermaster.Entry;
 import sablehinge.watermaster.Member;
@@ -210,7 +211,7 @@
             DataInputStream in = new DataInputStream(new ByteArrayInputStream(image));
             long index = in.readLong();
             long at = in.readLong();
-            List<Member> members = Members.read(in);
+            List<Member> members = MessageCodec.readMembers(in);
             snapshot = new Snapshot(index, at, members, in.readAllBytes());
         }
         long first = snapshot == null ? 1 : snapshot.index() + 1;
@@ -266,7 +267,7 @@
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeLong(snapshot.index());
             out.writeLong(snapshot.term());
-            Members.write(snapshot.members(), out);
+            MessageCodec.writeMembers(snapshot.members(), out);
             out.write(snapshot.state());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- /dev/null
+++ b/src/main/java/sablehinge/reservoir/Peers.java
@@ -0,0 +1,116 @@
+package sablehinge.reservoir;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import sablehinge.conduit.Conduit;
+import sablehinge.conduit.Frame;
+import sablehinge.conduit.MessageCodec;
+import sablehinge.watermaster.Member;
+import sablehinge.watermaster.Message;
+
+/**
+ * Connections to the other machines of the core: one to each for what is said to it. What can't be sent now is
+ * dropped, as the agreement says everything again that matters.
+ */
+final class Peers {
+
+    private static final int MOST = 128;
+    private static final long RETRY_NANOS = 100_000_000;
+    private final Conduit conduit;
+    private final Member self;
+    private final BiConsumer<Member, Message> hears;
+    private final Map<String, Peer> peers = new HashMap<>();
+
+    private static final class Peer implements Conduit.Handler {
+        private final Frame hello;
+        private Conduit.Link link;
+        private long triedAt;
+        /** What waits for the connection: the newest only. */
+        private Frame first;
+
+        Peer(Frame hello) {
+            this.hello = hello;
+        }
+
+        @Override
+        public void opened(Conduit.Link opened) {
+            opened.send(hello);
+            if (first != null) {
+                opened.send(first);
+                first = null;
+            }
+        }
+
+        @Override
+        public void came(Conduit.Link from, Frame frame) {
+            // The other end speaks on its own connection.
+        }
+
+        @Override
+        public void closed(Conduit.Link closed) {
+            if (link == closed) {
+                link = null;
+            }
+        }
+    }
+
+    Peers(Conduit conduit, Member self, BiConsumer<Member, Message> hears) {
+        this.conduit = conduit;
+        this.self = self;
+        this.hears = hears;
+    }
+
+    void send(Member to, Message message) {
+        if (to.id() == self.id()) {
+            hears.accept(self, message);
+            return;
+        }
+        if (peers.size() > MOST) {
+            peers.values().removeIf(peer -> peer.link == null);
+        }
+        Peer peer = peers.computeIfAbsent(to.conduit(), at -> new Peer(hello()));
+        Frame frame = new Frame(Frame.Kind.AGREE, MessageCodec.write(message));
+        if (peer.link != null && peer.link.isUp()) {
+            peer.link.send(frame);
+            return;
+        }
+        peer.first = frame;
+        long now = System.nanoTime();
+        if (peer.link == null && now - peer.triedAt > RETRY_NANOS) {
+            peer.triedAt = now;
+            peer.link = conduit.connect(Reservoir.address(to.conduit()), peer);
+        }
+    }
+
+    /** Who is in the core now: connections to others end. */
+    void members(List<Member> members) {
+        peers.entrySet().removeIf(peer -> {
+            boolean gone = members.stream().noneMatch(member -> member.conduit().equals(peer.getKey()))
+                    && peer.getValue().link == null;
+            return gone;
+        });
+    }
+
+    private Frame hello() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            MessageCodec.writeMember(self, out);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return new Frame(Frame.Kind.HELLO, bytes.toByteArray());
+    }
+
+    /** Who speaks on a connection. */
+    static Member hello(Frame frame) throws IOException {
+        return MessageCodec.readMember(new DataInputStream(new ByteArrayInputStream(frame.body())));
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/NewsClient.java
@@ -0,0 +1,151 @@
+package sablehinge.sluice;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sablehinge.conduit.Conduit;
+import sablehinge.conduit.Frame;
+import sablehinge.core.Clock;
+import sablehinge.core.Log;
+import sablehinge.penstock.Ask;
+import sablehinge.penstock.News;
+
+/**
+ * Asks the core for news, one machine of it at a time: whoever does not lead names who does. An ask that is
+ * not answered in time, or a connection that breaks, leads to the next machine that is known.
+ */
+final class NewsClient implements Conduit.Handler {
+
+    private static final Logger LOG = LoggerFactory.getLogger(NewsClient.class);
+    private static final long AGAIN_MS = 60;
+    private static final double PATIENCE_MS = 1_500;
+    private static final int MOST_CONTACTS = 32;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Conduit conduit;
+    private final List<String> seeds;
+    private final Teller teller;
+    private final Set<String> contacts = new LinkedHashSet<>();
+    private Conduit.Link link;
+    private int number;
+    private Ask asked;
+    private double askedAt;
+    private int next;
+
+    /** What is asked, and who hears the answer. */
+    interface Teller {
+
+        Ask ask(int number);
+
+        /** News have come; {@code askedAt} is when their ask left. */
+        void news(Ask ask, double askedAt, News news);
+    }
+
+    NewsClient(EventLoop loop, Clock clock, Conduit conduit, List<String> seeds, Teller teller) {
+        this.loop = loop;
+        this.clock = clock;
+        this.conduit = conduit;
+        this.seeds = List.copyOf(seeds);
+        this.teller = teller;
+        contacts.addAll(seeds);
+        // Not all balancers begin with the same machine.
+        next = Math.floorMod(System.nanoTime() / 1_000, Math.max(1, seeds.size()));
+    }
+
+    void start() {
+        reach(null);
+    }
+
+    /** Asks at once, in place of what was asked before. */
+    void askNow() {
+        if (link != null && link.isUp()) {
+            ask();
+        }
+    }
+
+    private void ask() {
+        asked = teller.ask(++number);
+        askedAt = clock.now();
+        link.send(new Frame(Frame.Kind.ASK, asked.bytes()));
+        int waitsFor = number;
+        loop.schedule(() -> {
+            if (number == waitsFor && link != null) {
+                link.close();
+            }
+        }, (long) PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void reach(String at) {
+        if (link != null) {
+            return;
+        }
+        String to = at;
+        if (to == null) {
+            List<String> known = new ArrayList<>(contacts);
+            to = known.get(Math.floorMod(next++, known.size()));
+        }
+        int colon = to.lastIndexOf(':');
+        link = conduit.connect(new InetSocketAddress(to.substring(0, colon),
+                Integer.parseInt(to.substring(colon + 1))), this);
+    }
+
+    @Override
+    public void opened(Conduit.Link opened) {
+        if (opened == link) {
+            ask();
+        } else {
+            opened.close();
+        }
+    }
+
+    @Override
+    public void came(Conduit.Link from, Frame frame) {
+        if (from != link) {
+            return;
+        }
+        try {
+            if (frame.kind() == Frame.Kind.NEWS) {
+                News news = News.read(frame.body());
+                if (news.number() == number) {
+                    Ask answered = asked;
+                    double at = askedAt;
+                    contacts.clear();
+                    contacts.addAll(news.core());
+                    contacts.addAll(seeds);
+                    while (contacts.size() > MOST_CONTACTS) {
+                        contacts.remove(contacts.iterator().next());
+                    }
+                    teller.news(answered, at, news);
+                    ask();
+                }
+            } else if (frame.kind() == Frame.Kind.ELSEWHERE) {
+                String leader = new String(frame.body(), StandardCharsets.UTF_8);
+                link = null;
+                from.close();
+                number++;
+                loop.schedule(() -> reach(leader.isEmpty() ? null : leader), AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        } catch (IOException e) {
+            Log.warn(LOG, "news-malformed").addKeyValue("cause", e.getMessage()).log("news can't be read");
+            from.close();
+        }
+    }
+
+    @Override
+    public void closed(Conduit.Link closed) {
+        if (closed == link) {
+            link = null;
+            number++;
+            loop.schedule(() -> reach(null), AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -0,0 +1,356 @@
+package sablehinge.sluice;
+
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sablehinge.aqueduct.Configuration;
+import sablehinge.aqueduct.Plan;
+import sablehinge.basin.Gate;
+import sablehinge.cistern.Intake;
+import sablehinge.conduit.Conduit;
+import sablehinge.config.ConfigException;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.core.Clock;
+import sablehinge.core.Core;
+import sablehinge.core.Log;
+import sablehinge.core.Registry;
+import sablehinge.core.Roster;
+import sablehinge.core.Roster.Member;
+import sablehinge.core.Version;
+import sablehinge.headgate.ConfigurationReader;
+import sablehinge.headgate.Door;
+import sablehinge.http1.Frontend;
+import sablehinge.http1.Sockets;
+import sablehinge.http1.UpstreamClient;
+import sablehinge.node.LoopTimers;
+import sablehinge.penstock.Ask;
+import sablehinge.penstock.News;
+import sablehinge.policy.LatencyWeightedBalancer;
+import sablehinge.policy.LoadBalancer.Change;
+import sablehinge.policy.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Upstream;
+
+/**
+ * The balancer of a machine with an upstream. Outbound it takes the requests that begin on its machine, draws an
+ * upstream for each and sends it to the balancer there; inbound it admits what others send to the upstream of
+ * its own machine. All that it knows can be asked for again. One thread owns all of it.
+ */
+public final class Sluice {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Sluice.class);
+    private static final int PAGE = 8_192;
+    private static final int CHUNK_ORDER = 7;
+    private static final int CACHED = 32;
+    private static final long PING_MS = 300;
+    private static final long DEAD_MS = 1_200;
+    /** An upstream that says it leaves gets nothing new from this part of its time on. */
+    private static final double UNLOAD_PART = 0.5;
+    /** Beats that may be missing until an upstream counts as gone. */
+    private static final double MISSING = 3.5;
+    private static final long TICK_MS = 100;
+    private static final int MOST_BEAT = 64 * 1024;
+    /** After SIGTERM: how long clients may not have heard yet, and what is kept of the grace to end. */
+    private static final double UNHEARD_MS = 2_400;
+    private static final double ENDS_BEFORE_MS = 600;
+    private static final long DRAIN_CHECK_MS = 20;
+    /** Balancers that are reckoned with until the roll is complete. */
+    private static final int RECKONED = 16;
+    private static final Registry NO_REGISTRY = new Registry() {
+        @Override
+        public void fetch() {
+            // The roll comes by itself.
+        }
+
+        @Override
+        public void watch(boolean on) {
+            // The roll comes by itself.
+        }
+    };
+
+    private final LocalSettings settings;
+    private final EventLoop loop;
+    private final Clock clock = Clock.system();
+    private final Sockets sockets;
+    private final Core outbound;
+    private final Core inbound;
+    private Gate gate;
+    private final Frontend outFront;
+    private final Frontend inFront;
+    private final OutboundFront routes;
+    private final Quotas quotas;
+    private final NewsClient news;
+    private final List<String> zones;
+    private final Map<String, Integer> kinds = Terms.kinds();
+    private final Map<String, Intake> roll = new LinkedHashMap<>();
+    /** When upstreams are warm, as first told, by their lives. */
+    private final Map<String, Double> startedAt = new HashMap<>();
+    private final Map<Integer, Version> versions = new HashMap<>();
+    private Version version;
+    private long edition;
+    private long rollTerm;
+    private long rollStamp;
+    private boolean wantsConfirmation = true;
+    private double confirmedAt = Double.NEGATIVE_INFINITY;
+    private boolean leaving;
+    private Beats.Beat upstream;
+    private boolean unloading;
+    private boolean gone;
+    private double beatAt;
+
+    private Sluice(LocalSettings settings, EventLoop loop) {
+        this.settings = settings;
+        this.loop = loop;
+        zones = new ArrayList<>(settings.zones().keySet());
+        zones.sort(null);
+        PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED, CACHED,
+                false);
+        sockets = new Sockets(settings.limits().fds() - 200);
+        LoopTimers timers = new LoopTimers(loop, clock);
+        LocalSettings.Bounds bounds = settings.bounds();
+        quotas = new Quotas(bounds.quotaWindowS(), bounds.quotaExcess(), bounds.quotaSlack());
+        outbound = new Core(clock, timers, LatencyWeightedBalancer::new);
+        inbound = new Core(clock, timers, actions -> {
+            gate = new Gate(actions);
+            return gate;
+        });
+        routes = new OutboundFront(settings.depot(), quotas, new OutboundFront.Confirming() {
+            @Override
+            public void ask() {
+                if (!wantsConfirmation) {
+                    wantsConfirmation = true;
+                    news.askNow();
+                }
+            }
+
+            @Override
+            public double confirmedAt() {
+                return confirmedAt;
+            }
+        }, System.nanoTime());
+        outFront = new Frontend(loop, sockets, memory, outbound, routes);
+        inFront = new Frontend(loop, sockets, memory, inbound, new InboundFront(inbound));
+        UpstreamClient peers = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, true));
+        UpstreamClient app = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, false));
+        Version first = Terms.gate();
+        Upstream own = new Upstream(Gate.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
+        inbound.start(first, 1, new Roster(1, true, List.of(new Member(own, address(settings.app())))), app,
+                NO_REGISTRY);
+        version = new Version(0, first.settings(), first.classes(), List.of(), false);
+        versions.put(0, version);
+        outbound.start(version, System.nanoTime(), new Roster(0, true, List.of()), peers, NO_REGISTRY);
+        List<String> contacts = new ArrayList<>();
+        for (String seed : settings.seeds()) {
+            contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1) + settings.innerFirst());
+        }
+        news = new NewsClient(loop, clock, new Conduit(loop, PING_MS, DEAD_MS), contacts, new Telling());
+    }
+
+    /** Starts a balancer; it asks for news and says that it is ready once it has them. */
+    public static Sluice start(LocalSettings settings) throws ConfigException, InterruptedException {
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
+                new DefaultThreadFactory("sluice", true), NioIoHandler.newFactory()).next();
+        Sluice[] made = new Sluice[1];
+        loop.submit(() -> {
+            made[0] = new Sluice(settings, loop);
+        }).sync();
+        Sluice sluice = made[0];
+        LocalSettings.ListenOn at = settings.listenOn();
+        try {
+            sluice.inFront.bind(address(at.inbound()), false);
+            sluice.outFront.bind(address(at.outbound()), false);
+            sluice.opens(new Door(loop, List.of(Beats.beats(sluice::heard), Beats.signOffs(sluice::signedOff)),
+                    MOST_BEAT), at.control());
+            sluice.opens(new Door(loop, List.of(new Readiness(sluice::isReady)), MOST_BEAT), at.ready());
+        } catch (IOException e) {
+            throw new ConfigException(e.getMessage());
+        }
+        loop.submit(sluice.news::start).sync();
+        loop.scheduleAtFixedRate(sluice::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("service", settings.depot())
+                .log("asks for news");
+        return sluice;
+    }
+
+    private void opens(Door door, String at) throws IOException, InterruptedException {
+        io.netty.channel.ChannelFuture bound = door.listen(address(at)).await();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + at + ": " + bound.cause().getMessage());
+        }
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private boolean isReady() {
+        return edition > 0 && confirmedAt > 0 && !leaving;
+    }
+
+    // ---- The upstream beside -------------------------------------------------------------------------
+
+    private void heard(Beats.Beat beat) {
+        double now = clock.now();
+        beatAt = now;
+        if (upstream == null || !upstream.id().equals(beat.id())) {
+            upstream = beat;
+            unloading = false;
+            gone = false;
+            gate.opens(now, MeshHeaders.life(beat.id()), beat.berths());
+            Log.info(LOG, "upstream").addKeyValue("id", beat.id()).addKeyValue("berths", beat.berths())
+                    .log("an upstream has begun a life");
+            news.askNow();
+        } else if (gone) {
+            gone = false;
+            news.askNow();
+        }
+        if (beat.unloading() && !unloading) {
+            unloading = true;
+            leaves(now, beat.id(), now + UNLOAD_PART * settings.bounds().unloadMs());
+        }
+    }
+
+    private void signedOff(Beats.SignOff call) {
+        if (upstream != null && upstream.id().equals(call.id())) {
+            unloading = true;
+            leaves(clock.now(), call.id(), clock.now());
+        }
+    }
+
+    private void leaves(double now, String id, double at) {
+        Log.info(LOG, "upstream-leaves").addKeyValue("id", id).log("the upstream leaves");
+        gate.closes(now, MeshHeaders.life(id), at);
+        loop.schedule(() -> gate.closes(clock.now(), MeshHeaders.life(id), at), (long) Math.max(0, at - now) + 1,
+                TimeUnit.MILLISECONDS);
+        news.askNow();
+    }
+
+    private void tick() {
+        if (upstream != null && !gone && clock.now() - beatAt > MISSING * settings.beatMs()) {
+            gone = true;
+            news.askNow();
+        }
+    }
+
+    private Intake self() {
+        boolean there = upstream != null && !gone;
+        return new Intake(settings.node(), settings.zone(), settings.listenOn().inbound(),
+                there ? upstream.service() : settings.depot(), there ? upstream.id() : "",
+                there && !unloading && !leaving, there ? upstream.berths() : 0,
+                there ? upstream.coldMs() : 0);
+    }
+
+    // ---- News ----------------------------------------------------------------------------------------
+
+    private final class Telling implements NewsClient.Teller {
+
+        @Override
+        public Ask ask(int number) {
+            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation,
+                    quotas.told(clock.now()));
+        }
+
+        @Override
+        public void news(Ask ask, double askedAt, News told) {
+            double now = clock.now();
+            if (told.edition() > edition && told.body().length > 0) {
+                adopt(now, told.edition(), told.body());
+            }
+            if (told.confirmed()) {
+                confirmedAt = Math.max(confirmedAt, askedAt);
+                wantsConfirmation = false;
+            }
+            quotas.lent(now, askedAt, ask.metered(), told.lent(),
+                    told.complete() ? told.size() : Math.max(RECKONED, told.size()));
+            enter(now, told);
+        }
+    }
+
+    private void adopt(double now, long next, byte[] body) {
+        Configuration configuration = ConfigurationReader.read(body);
+        edition = next;
+        Map<String, Integer> places = new HashMap<>();
+        Version before = version;
+        version = Terms.version(before.number() + 1, configuration, kinds, places,
+                zones.indexOf(settings.zone()), zones.size());
+        routes.adopt(new Plan(configuration), version, places);
+        quotas.adopt(now, configuration.tenants());
+        outbound.adopt(version, roster(now));
+        outbound.release(before.number());
+        Log.info(LOG, "configuration").addKeyValue("edition", next)
+                .addKeyValue("routes", configuration.routes().size()).log("a configuration is in force here");
+    }
+
+    private void enter(double now, News told) {
+        if (told.term() < rollTerm) {
+            return;
+        }
+        boolean changed = !told.intakes().isEmpty();
+        if (told.whole() && told.complete()) {
+            changed |= roll.size() != told.intakes().size();
+            roll.clear();
+        }
+        rollTerm = told.term();
+        rollStamp = told.stamp();
+        for (Intake intake : told.intakes()) {
+            roll.put(intake.node(), intake);
+        }
+        if (changed) {
+            outbound.told(Change.FULL, roster(now));
+        }
+    }
+
+    private Roster roster(double now) {
+        List<Member> members = new ArrayList<>();
+        for (Intake intake : roll.values()) {
+            Integer kind = kinds.get(intake.service());
+            if (!intake.upstream().isEmpty() && kind != null && kind < version.settings().kinds()) {
+                double began = startedAt.computeIfAbsent(intake.upstream(), id -> intake.coldMs() > 0
+                        ? now + intake.coldMs() - Terms.WARM_UP_MS : 0);
+                members.add(new Member(new Upstream(MeshHeaders.life(intake.upstream()),
+                        Math.max(0, zones.indexOf(intake.zone())), kind, 0,
+                        intake.ready() ? State.READY : State.DRAINING, 1, began),
+                        address(intake.inbound()), intake.upstream()));
+            }
+        }
+        startedAt.keySet().retainAll(Arrays.asList(members.stream().map(Member::name).toArray()));
+        return new Roster(rollStamp, true, members);
+    }
+
+    // ---- The end -------------------------------------------------------------------------------------
+
+    /** Tells all to go elsewhere, serves what still comes, and returns when nothing is left. */
+    public void drain() throws InterruptedException {
+        double begun = clock.now();
+        loop.submit(() -> {
+            leaving = true;
+            Log.info(LOG, "drain").log("leaves");
+            news.askNow();
+        }).sync();
+        TimeUnit.MILLISECONDS.sleep((long) UNHEARD_MS);
+        loop.submit(() -> {
+            outFront.beginDrain();
+            inFront.beginDrain();
+        }).sync();
+        double end = begun + settings.bounds().graceS() * 1_000 - ENDS_BEFORE_MS;
+        boolean done = false;
+        while (!done && clock.now() < end) {
+            done = loop.submit(() -> outFront.endDrain() & inFront.endDrain()).sync().getNow();
+            TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MS);
+        }
+        Log.info(LOG, "ends").addKeyValue("done", done).log("ends");
+    }
+}
