--- a/src/main/java/sablehinge/reservoir/LogStore.java
+++ b/src/main/java/sablehinge/reservoir/LogStore.java
@@ -28,13 +28,13 @@
 import sablehinge.watermaster.Stored;
 
 /**
- * What a member of the core has on its disk: who it is, its vote, its log. One file, {@code log.mv.db}, of H2's
- * MVStore. All calls are one thread's, at least not at the same time; none leaves a thread behind.
+ * What a member of the core has on its disk: who it is, its vote, its log. One file, {@code log.mv.db}, of
+ * H2's MVStore. All calls are one thread's, at least not at the same time; none leaves a thread behind.
  *
- * <p>When {@link #begin} or {@link #write} returns, what it was given survives a loss of power; until then the
- * disk holds what it did before or all of the change. An empty file is made under another name, so a file
- * {@code log.mv.db} is always whole. One that is not is kept as {@code log.mv.db.damaged}; as long as that is
- * there and nothing was begun after it, {@link #damaged} says so, in later processes also.
+ * <p>When {@link #begin} or {@link #write} returns, what it was given survives a loss of power; until then
+ * the disk holds what it did before or all of the change. An empty file is made under another name, so a
+ * file {@code log.mv.db} is always whole. One that is not is kept as {@code log.mv.db.damaged}; as long as
+ * that is there and nothing was begun after it, {@link #damaged} says so, in later processes also.
  */
 public final class LogStore implements AutoCloseable {
 
@@ -70,8 +70,8 @@
     /**
      * Opens the store in a folder, and makes both if need be.
      *
-     * @throws StoreException {@code LOCKED} if another process has it, {@code UNREADABLE} if the disk doesn't let
-     *     it be read, {@code REFUSED} if it doesn't let it be made or mended
+     * @throws StoreException {@code LOCKED} if another process has it, {@code UNREADABLE} if the disk
+     *     doesn't let it be read, {@code REFUSED} if it doesn't let it be made or mended
      */
     public static LogStore open(Path folder) {
         try {
@@ -114,9 +114,10 @@
             opened = new MVStore.Builder().fileName(file).autoCommitDisabled().autoCommitBufferSize(0)
                     .autoCompactFillRate(0).cacheSize(1).cacheConcurrency(1).open();
             channel = SealedPath.taken(file);
-            // Space is used again by commits, not by time: below zero, MVStore asks no clock, and what commit N
-            // no longer needs is free from the third after it on. A torn commit is always the last, so the one before
-            // it has lost nothing of its own, whatever the time of day did between the two.
+            // Space is used again by commits, not by time: below zero, MVStore asks no clock, and what
+            // commit N no longer needs is free from the third after it on. A torn commit is always the
+            // last, so the one before it has lost nothing of its own, whatever the time of day did between
+            // the two.
             opened.setRetentionTime(-1);
             opened.setVersionsToKeep(2);
             if (name.equals(FILE) && channel.version() < 0) {
@@ -285,7 +286,8 @@
     public void begin(Member member) {
         open();
         if (self != null) {
-            throw new StoreException(StoreException.Code.ORDER, "it is member " + self.id() + " already", null);
+            throw new StoreException(StoreException.Code.ORDER, "it is member " + self.id() + " already",
+                    null);
         }
         commit(() -> {
             state.put(SELF, Members.write(List.of(member)));
@@ -296,7 +298,8 @@
     /**
      * Puts down a change, all of it or nothing.
      *
-     * @throws StoreException {@code ORDER} if it doesn't follow on what is held, {@code CLOSED}, {@code REFUSED}
+     * @throws StoreException {@code ORDER} if it doesn't follow on what is held, {@code CLOSED},
+     *     {@code REFUSED}
      */
     public void write(Change change) {
         open();
@@ -313,10 +316,11 @@
         if (self == null) {
             throw order("nobody has begun");
         }
-        if (change.truncateFrom() != 0 && change.truncateFrom() <= base) {
+        if (change.truncateFrom() != 0 && change.truncateFrom() <= base && change.snapshot() == null) {
             throw order("entries from " + change.truncateFrom() + " are in the snapshot to " + base);
         }
-        long end = change.truncateFrom() == 0 ? last : Math.min(last, change.truncateFrom() - 1);
+        long end = change.truncateFrom() == 0 ? last
+                : Math.max(base, Math.min(last, change.truncateFrom() - 1));
         if (change.snapshot() != null) {
             if (change.snapshot().index() < base) {
                 throw order("a snapshot to " + change.snapshot().index() + " after one to " + base);
--- a/src/test/java/sablehinge/reservoir/LogStoreCrashTest.java
+++ b/src/test/java/sablehinge/reservoir/LogStoreCrashTest.java
@@ -49,7 +49,8 @@
         }
 
         private String text() {
-            return begun ? LogStoreCrashTest.text(new Stored(SELF, term, vote, snapshot, entries)) : "nothing";
+            return begun ? LogStoreCrashTest.text(new Stored(SELF, term, vote, snapshot, entries))
+                    : "nothing";
         }
     }
 
@@ -144,6 +145,14 @@
         disk.dieAt = at;
         List<String> allowed = run(disk, new Model(), new Random(seed), CHANGES);
         disk.powerUp();
+        // The power goes once more while the file is mended.
+        disk.dieAt = disk.steps + 1 + at % 3;
+        try {
+            LogStore.open(disk).close();
+        } catch (StoreException e) {
+            assertTrue(disk.dead, place);
+        }
+        disk.powerUp();
         try (LogStore store = LogStore.open(disk)) {
             assertFalse(store.damaged(), place);
             String found = text(store.load());
--- a/src/test/java/sablehinge/reservoir/LogStoreTest.java
+++ b/src/test/java/sablehinge/reservoir/LogStoreTest.java
@@ -76,6 +76,10 @@
         try (LogStore store = LogStore.open(disk)) {
             assertEquals(List.of(11L), indexes(store));
             assertEquals(10, store.load().snapshot().index());
+            assertThrows(StoreException.class, () -> store.write(new Change(1, 1, 0, 5, List.of(), null)));
+            store.write(new Change(2, 1, 0, 1, List.of(entry(21, 5)),
+                    new Snapshot(20, 1, List.of(SELF), new byte[] {3})));
+            assertEquals(List.of(21L), indexes(store));
         }
     }
 
@@ -192,6 +196,7 @@
         LogStore.open(folder).close();
         assertTrue(Files.exists(folder.resolve(LogStore.FILE)));
         assertFalse(Files.exists(folder.resolve(LogStore.NEW)));
-        assertTrue(Thread.getAllStackTraces().keySet().stream().noneMatch(t -> t.getName().contains("MVStore")));
+        assertTrue(Thread.getAllStackTraces().keySet().stream()
+                .noneMatch(t -> t.getName().contains("MVStore")));
     }
 }
