--- a/src/main/java/sablehinge/conduit/Frame.java
+++ b/src/main/java/sablehinge/conduit/Frame.java
@@ -23,6 +23,8 @@
         /** The answer to that. */
         NEWS,
         /** Who else to ask. */
-        ELSEWHERE
+        ELSEWHERE,
+        /** Asks for a part of a pool; the answer is of the same kind. */
+        TOKENS
     }
 }
--- a/src/main/java/sablehinge/http1/FrontDialect.java
+++ b/src/main/java/sablehinge/http1/FrontDialect.java
@@ -19,6 +19,11 @@
         return false;
     }
 
+    /** Whether this may run more than once, so that it may be begun before what came ahead of it is answered. */
+    default boolean isRepeatable(HttpRequest request) {
+        return false;
+    }
+
     /**
      * Reads the head of a request, and may change it for those that it goes on to.
      *
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -69,6 +69,8 @@
     private static final int BACKLOG = 1_024;
     /** Requests that a connection may send ahead of their turn, and their bytes before it is read no more. */
     private static final int MAX_AHEAD = 16;
+    /** Of those, how many are begun before their turn. */
+    private static final int MAX_EARLY = 8;
     private static final int MAX_AHEAD_BYTES = UpstreamClient.MAX_BODY;
     private static final long SWEEP_MS = 200;
     /** How long a request that waits for news is put off each time. */
@@ -344,6 +346,8 @@
         private Outlet outlet;
         private final Decoder decoder = new Decoder(this, dialect.terms().headerBytes());
         private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
+        /** Those of them that are begun already, in the same order. */
+        private final ArrayDeque<Early> early = new ArrayDeque<>(0);
         private int aheadBytes;
         /** The request that is coming in, and its body so far. */
         private HttpRequest head;
@@ -712,9 +716,14 @@
                         reject(flaw);
                     } else {
                         aheadBytes -= next.content().readableBytes();
-                        handle(next);
+                        if (early.isEmpty() || early.peekFirst().request != next) {
+                            handle(next);
+                        } else {
+                            takeTurn(early.pollFirst());
+                        }
                     }
                 }
+                beginEarly();
             } finally {
                 advancing = false;
             }
@@ -723,6 +732,48 @@
             }
         }
 
+        private void takeTurn(Early begun) {
+            current = begun.request;
+            version = begun.version;
+            exchange = begun.exchange();
+            begun.turns(this::answer);
+        }
+
+        /** Begins what waits for its turn and may be repeated, as far as nothing before it is not begun. */
+        private void beginEarly() {
+            if (!dialect.terms().concurrent() || current == null || closing || flaw != null
+                    || early.size() == ahead.size()) {
+                return;
+            }
+            int place = 0;
+            for (FullHttpRequest next : new ArrayList<>(ahead)) {
+                if (place++ < early.size()) {
+                    continue;
+                }
+                if (early.size() >= MAX_EARLY || dialect.isHealth(next) || !beginEarly(next)) {
+                    return;
+                }
+            }
+        }
+
+        private boolean beginEarly(FullHttpRequest next) {
+            if (!dialect.isRepeatable(next)) {
+                return false;
+            }
+            Checked checked;
+            try {
+                checked = dialect.read(next, next.content().isReadable(), core.now());
+            } catch (BadRequestException e) {
+                // It is looked at again in its turn.
+                return false;
+            }
+            Early begun = new Early(next, checked.version());
+            early.addLast(begun);
+            next.retain();
+            begun.begun(core.request(checked.version(), checked.arrival(), new HttpPayload(next), begun));
+            return true;
+        }
+
         private void handle(FullHttpRequest request) {
             current = request;
             putOffAt = core.now();
@@ -971,6 +1022,8 @@
         }
 
         private void dropAhead() {
+            early.forEach(begun -> begun.drop(core));
+            early.clear();
             ahead.forEach(FullHttpRequest::release);
             ahead.clear();
             aheadBytes = 0;
--- a/src/main/java/sablehinge/meter/Bucket.java
+++ b/src/main/java/sablehinge/meter/Bucket.java
@@ -1,43 +1,46 @@
 package sablehinge.meter;
 
-/** One balancer's part of a tenant's quota: tokens that come with time, up to a bound. */
+/** A part of a quota: tokens that come with time, up to a bound. */
 public final class Bucket {
 
     private static final double MS = 1_000;
+    private final double first;
     private double tokens = Double.NaN;
     private double perMs;
     private double most;
     private double filledAt;
 
-    /**
-     * Sets its part of the quota; tokens beyond the new bound are lost, and a greater one brings none at once.
-     *
-     * @param perSecond tokens that come in a second
-     * @param bound tokens that it holds at most
-     */
-    public void set(double now, double perSecond, double bound) {
+    /** A bucket that begins with a part of its bound: its process may have spent the rest before it began. */
+    public Bucket(double first) {
+        this.first = first;
+    }
+
+    /** Sets its part of the quota; tokens beyond the new bound are lost, and a greater one brings none at once. */
+    public void set(double now, Quota part) {
         fill(now);
-        perMs = perSecond / MS;
-        most = Math.max(1, bound);
-        // A new one begins with half: its process may have spent the other half before it began anew.
-        tokens = Double.isNaN(tokens) ? most / 2 : Math.min(tokens, most);
+        perMs = part.perSecond() / MS;
+        most = Math.max(1, part.bound());
+        tokens = Double.isNaN(tokens) ? most * first : Math.min(tokens, most);
     }
 
     private void fill(double now) {
         if (!Double.isNaN(tokens)) {
-            tokens = Math.min(most, tokens + (now - filledAt) * perMs);
+            tokens = Math.max(tokens, Math.min(most, tokens + (now - filledAt) * perMs));
         }
         filledAt = now;
     }
 
-    /** Takes a token; false if there is none. */
-    public boolean take(double now) {
+    /** Adds tokens that were taken elsewhere; they may lie above the bound. */
+    public void add(int count) {
+        tokens += count;
+    }
+
+    /** Takes up to so many tokens, and tells how many there were. */
+    public int take(double now, int count) {
         fill(now);
-        if (tokens < 1) {
-            return false;
-        }
-        tokens -= 1;
-        return true;
+        int taken = (int) Math.max(0, Math.min(count, tokens));
+        tokens -= taken;
+        return taken;
     }
 
     /** In how many ms there will be a token; infinite where none comes. */
--- /dev/null
+++ b/src/main/java/sablehinge/meter/Pool.java
@@ -0,0 +1,28 @@
+package sablehinge.meter;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The pools of all tenants' quotas, with the one who holds the duty. */
+public final class Pool {
+
+    private final Map<String, Bucket> buckets = new HashMap<>();
+
+    /** Takes the duty over: whoever had it may have given all out, so every pool begins empty. */
+    public void begin() {
+        buckets.clear();
+    }
+
+    /** Sets the quotas that are in force, by tenant; those of others are gone. */
+    public void adopt(double now, Map<String, Quota> quotas) {
+        buckets.keySet().retainAll(quotas.keySet());
+        quotas.forEach((tenant, quota) ->
+                buckets.computeIfAbsent(tenant, name -> new Bucket(0)).set(now, quota.pool()));
+    }
+
+    /** Gives up to so many tokens of a tenant's pool. */
+    public int take(double now, String tenant, int count) {
+        Bucket bucket = buckets.get(tenant);
+        return bucket == null ? 0 : bucket.take(now, count);
+    }
+}
--- a/src/main/java/sablehinge/penstock/Desk.java
+++ b/src/main/java/sablehinge/penstock/Desk.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import sablehinge.cistern.Roll;
-import sablehinge.meter.Shares;
 
 /**
  * Answers data-plane balancers that ask for news: at once where there is some, and after a while where there
@@ -21,7 +20,6 @@
     private static final byte[] NONE = new byte[0];
 
     private final Roll roll;
-    private final Shares shares;
     private final Map<K, Asker> askers = new LinkedHashMap<>();
     private long term;
     private long edition;
@@ -34,24 +32,21 @@
         boolean waits;
         boolean confirmed;
         boolean toldComplete;
-        List<Float> lent = List.of();
     }
 
     /** An answer for whoever asked. */
     public record Told<K>(K to, News news) { }
 
-    /** A desk over a roll and shares, which it keeps up. */
-    public Desk(Roll roll, Shares shares) {
+    /** A desk over a roll, which it keeps up. */
+    public Desk(Roll roll) {
         this.roll = roll;
-        this.shares = shares;
     }
 
     /** Begins to answer as the leader of a term; the configuration is what is committed. */
-    public void begin(double now, long asLeaderOf, boolean nothingLent) {
+    public void begin(double now, long asLeaderOf) {
         term = asLeaderOf;
         askers.clear();
         roll.begin(now);
-        shares.begin(now, nothingLent);
     }
 
     /** The committed configuration, and where the members of the core take records. */
@@ -69,9 +64,6 @@
         asker.waits = true;
         asker.confirmed = false;
         roll.told(now, ask.intake());
-        for (Ask.Metered one : ask.metered()) {
-            shares.told(now, ask.intake().node(), one.tenant(), one.demand(), one.held());
-        }
     }
 
     /** All that was committed before an ask came is in {@link #holds} by now. */
@@ -120,12 +112,7 @@
         }
         asker.waits = false;
         asker.toldComplete |= complete;
-        List<Float> lent = new ArrayList<>(ask.metered().size());
-        for (Ask.Metered one : ask.metered()) {
-            lent.add((float) shares.lend(now, ask.intake().node(), one.tenant()));
-        }
-        asker.lent = lent;
         return new News(ask.number(), asker.confirmed, edition, newer ? body : NONE, term, roll.stamp(), whole,
-                complete, roll.size(), changed ? roll.since(whole ? 0 : ask.stamp()) : List.of(), lent, core);
+                complete, roll.size(), changed ? roll.since(whole ? 0 : ask.stamp()) : List.of(), core);
     }
 }
--- a/src/main/java/sablehinge/penstock/News.java
+++ b/src/main/java/sablehinge/penstock/News.java
@@ -21,19 +21,16 @@
  * @param complete whether who is not on the roll is gone
  * @param size balancers on the roll
  * @param intakes that changed since the stamp of the ask
- * @param lent parts of quotas, of all tenants that the ask named, in its order
  * @param core where the members of the core take records
  */
 public record News(int number, boolean confirmed, long edition, byte[] body, long term, long stamp,
-        boolean whole, boolean complete, int size, List<Intake> intakes, List<Float> lent,
-        List<String> core) {
+        boolean whole, boolean complete, int size, List<Intake> intakes, List<String> core) {
 
     private static final int MOST = 10_000;
 
     /** News whose lists can't be changed. */
     public News {
         intakes = List.copyOf(intakes);
-        lent = List.copyOf(lent);
         core = List.copyOf(core);
     }
 
@@ -57,10 +54,6 @@
         for (Intake intake : intakes) {
             Intakes.write(intake, out);
         }
-        out.writeShort(lent.size());
-        for (float part : lent) {
-            out.writeFloat(part);
-        }
         out.writeByte(core.size());
         for (String member : core) {
             out.writeUTF(member);
@@ -85,17 +78,11 @@
         for (int i = 0; i < count; i++) {
             intakes.add(Intakes.read(in));
         }
-        count = Bytes.bounded(in.readUnsignedShort(), MOST);
-        List<Float> lent = new ArrayList<>(count);
-        for (int i = 0; i < count; i++) {
-            lent.add(in.readFloat());
-        }
         count = in.readUnsignedByte();
         List<String> core = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             core.add(in.readUTF());
         }
-        return new News(number, confirmed, edition, body, term, stamp, whole, complete, size, intakes, lent,
-                core);
+        return new News(number, confirmed, edition, body, term, stamp, whole, complete, size, intakes, core);
     }
 }
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sablehinge.aqueduct.Configuration;
 import sablehinge.cistern.Cistern;
 import sablehinge.cistern.Roll;
 import sablehinge.conduit.Conduit;
@@ -28,11 +29,13 @@
 import sablehinge.core.Clock;
 import sablehinge.core.Log;
 import sablehinge.headgate.ConfigurationCheck;
+import sablehinge.headgate.ConfigurationReader;
 import sablehinge.headgate.Door;
-import sablehinge.meter.Shares;
+import sablehinge.meter.Pool;
+import sablehinge.meter.Quota;
 import sablehinge.penstock.Ask;
 import sablehinge.penstock.Desk;
-import sablehinge.penstock.News;
+import sablehinge.penstock.Tokens;
 import sablehinge.watermaster.Change;
 import sablehinge.watermaster.Entry;
 import sablehinge.watermaster.Member;
@@ -69,7 +72,8 @@
     private final Conduit conduit;
     private final Watermaster watermaster;
     private final Cistern cistern = new Cistern();
-    private final Desk<Conduit.Link> desk = new Desk<>(new Roll(COMPLETE_MS, GONE_MS), new Shares());
+    private final Desk<Conduit.Link> desk = new Desk<>(new Roll(COMPLETE_MS, GONE_MS));
+    private final Pool pool = new Pool();
     private final Peers peers;
     private final Proposals proposals;
     private final Map<Long, Consumer<Boolean>> barriers = new HashMap<>();
@@ -210,6 +214,29 @@
         loop.execute(() -> answer(clock.now()));
     }
 
+    private void tokens(Conduit.Link link, Tokens wanted) {
+        if (leads()) {
+            link.send(new Frame(Frame.Kind.TOKENS, new Tokens(wanted.tenant(),
+                    pool.take(clock.now(), wanted.tenant(), wanted.count())).bytes()));
+        }
+    }
+
+    /** The quotas in force are what the pools are filled by. */
+    private void pools() {
+        if (!leads() || cistern.edition() == 0) {
+            return;
+        }
+        LocalSettings.Bounds bounds = settings.bounds();
+        Map<String, Quota> quotas = new HashMap<>();
+        for (Configuration.Tenant tenant : ConfigurationReader.read(cistern.body()).tenants()) {
+            if (tenant.perSecond() > 0) {
+                quotas.put(tenant.name(), Quota.of(tenant.perSecond(), tenant.burst(), bounds.quotaWindowS(),
+                        bounds.quotaExcess(), bounds.quotaSlack()));
+            }
+        }
+        pool.adopt(clock.now(), quotas);
+    }
+
     /** The callback is called with true once all that was committed before this call is applied here. */
     private void barrier(Consumer<Boolean> then) {
         long token = ++barrierCount;
@@ -231,6 +258,7 @@
                         }
                     }
                     case ASK -> asked(link, Ask.read(frame.body()));
+                    case TOKENS -> tokens(link, Tokens.read(frame.body()));
                     default -> link.close();
                 }
             } catch (IOException | IllegalArgumentException e) {
@@ -276,6 +304,7 @@
                 Cistern.Outcome outcome = cistern.apply(entry.data());
                 proposals.applied(entry, outcome);
                 if (outcome == Cistern.Outcome.TAKEN) {
+                    pools();
                     Log.info(LOG, "configuration").addKeyValue("edition", cistern.edition())
                             .addKeyValue("index", entry.index()).log("a configuration is in force");
                 }
@@ -303,7 +332,9 @@
                     .addKeyValue("leader", next.leader() == null ? "" : next.leader().conduit())
                     .addKeyValue("members", next.members().size()).log("the core's standing");
             if (leads() && (!led || newTerm)) {
-                desk.begin(clock.now(), next.term(), cistern.edition() == 0);
+                desk.begin(clock.now(), next.term());
+                pool.begin();
+                pools();
             } else if (led && !leads()) {
                 proposals.lost();
                 String leader = next.leader() == null ? "" : next.leader().conduit();
--- a/src/main/java/sablehinge/sluice/NewsClient.java
+++ b/src/main/java/sablehinge/sluice/NewsClient.java
@@ -17,6 +17,7 @@
 import sablehinge.core.Log;
 import sablehinge.penstock.Ask;
 import sablehinge.penstock.News;
+import sablehinge.penstock.Tokens;
 
 /**
  * Asks the core for news, one machine of it at a time: whoever does not lead names who does. An ask that is
@@ -37,7 +38,6 @@
     private final Set<String> contacts = new LinkedHashSet<>();
     private Conduit.Link link;
     private int number;
-    private Ask asked;
     private double askedAt;
     private int next;
 
@@ -47,7 +47,10 @@
         Ask ask(int number);
 
         /** News have come; {@code askedAt} is when their ask left. */
-        void news(Ask ask, double askedAt, News news);
+        void news(double askedAt, News news);
+
+        /** A part of a pool has come. */
+        void tokens(Tokens tokens);
     }
 
     NewsClient(EventLoop loop, Clock clock, Conduit conduit, List<String> seeds, Teller teller) {
@@ -72,10 +75,16 @@
         }
     }
 
+    /** Asks for a part of a pool; where nobody can be asked there is no answer. */
+    void tokens(Tokens wanted) {
+        if (link != null) {
+            link.send(new Frame(Frame.Kind.TOKENS, wanted.bytes()));
+        }
+    }
+
     private void ask() {
-        asked = teller.ask(++number);
         askedAt = clock.now();
-        link.send(new Frame(Frame.Kind.ASK, asked.bytes()));
+        link.send(new Frame(Frame.Kind.ASK, teller.ask(++number).bytes()));
         int waitsFor = number;
         loop.schedule(() -> {
             if (number == waitsFor && link != null) {
@@ -116,7 +125,6 @@
             if (frame.kind() == Frame.Kind.NEWS) {
                 News news = News.read(frame.body());
                 if (news.number() == number) {
-                    Ask answered = asked;
                     double at = askedAt;
                     contacts.clear();
                     contacts.addAll(news.core());
@@ -124,9 +132,11 @@
                     while (contacts.size() > MOST_CONTACTS) {
                         contacts.remove(contacts.iterator().next());
                     }
-                    teller.news(answered, at, news);
+                    teller.news(at, news);
                     ask();
                 }
+            } else if (frame.kind() == Frame.Kind.TOKENS) {
+                teller.tokens(Tokens.read(frame.body()));
             } else if (frame.kind() == Frame.Kind.ELSEWHERE) {
                 String leader = new String(frame.body(), StandardCharsets.UTF_8);
                 link = null;
--- a/src/main/java/sablehinge/sluice/OutboundFront.java
+++ b/src/main/java/sablehinge/sluice/OutboundFront.java
@@ -36,6 +36,10 @@
     private static final double WAITS_MS = 400;
     private static final double NOT_READY_MS = 300;
 
+    /** The tenant's pool was asked; the answer is a round trip away. */
+    private static final BadRequestException ASKED = BadRequestException.turnedAway(
+            HttpResponseStatus.TOO_MANY_REQUESTS, "beyond the quota", NOT_READY_MS);
+
     private final String caller;
     private final Quotas quotas;
     private final Confirming confirming;
@@ -79,6 +83,12 @@
         return terms;
     }
 
+    @Override
+    public boolean isRepeatable(HttpRequest request) {
+        Plan.Found found = plan == null ? null : plan.find(request.headers().get("Host"), request.uri());
+        return found != null && found.route().kind() == Configuration.Kind.SAFE;
+    }
+
     @Override
     public Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
         if (plan == null) {
@@ -101,10 +111,12 @@
         double left = Math.min(route.timeoutMs(),
                 MeshHeaders.millis(headers, MeshHeaders.LEFT, route.timeoutMs()));
         if (tenant != null) {
-            double wait = quotas.take(now, tenant);
-            if (wait > 0) {
+            Quotas.Claim claim = quotas.claim(now, tenant);
+            if (claim == Quotas.Claim.ASKED) {
+                throw ASKED;
+            } else if (claim == Quotas.Claim.REFUSED) {
                 throw BadRequestException.turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, "beyond the quota",
-                        Math.min(wait, left));
+                        Math.min(quotas.next(tenant), left));
             }
         }
         String service = plan.choose(route, random.nextDouble());
@@ -125,6 +137,9 @@
     @Override
     public boolean waits(BadRequestException why, double waited, double now) {
         int status = why.status().code();
+        if (why == ASKED) {
+            return waited < WAITS_MS;
+        }
         if (status != 401 && status != 404 || waited > WAITS_MS
                 || confirming.confirmedAt() >= now - waited) {
             return false;
--- a/src/main/java/sablehinge/sluice/Quotas.java
+++ b/src/main/java/sablehinge/sluice/Quotas.java
@@ -1,38 +1,42 @@
 package sablehinge.sluice;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ObjIntConsumer;
 import sablehinge.aqueduct.Configuration;
+import sablehinge.config.local.LocalSettings;
 import sablehinge.meter.Bucket;
-import sablehinge.meter.Demand;
-import sablehinge.meter.Shares;
-import sablehinge.penstock.Ask;
+import sablehinge.meter.Quota;
 
-/** This balancer's parts of the tenants' quotas. */
+/** This balancer's even parts of the tenants' quotas, and what it takes from the pools beside them. */
 final class Quotas {
 
-    /** What may arrive above the quota in a window (RULES, QUOTA), of which a part is left unused. */
-    private final double windowS;
-    private final double excess;
-    private final double slack;
+    /** How long an answer from the pool is waited for, and how long an empty one is not asked again, in ms. */
+    private static final double PATIENCE_MS = 60;
+    private static final double EMPTY_MS = 100;
+    private static final double FIRST = 0.5;
+
+    private final LocalSettings.Bounds bounds;
+    private final ObjIntConsumer<String> pool;
     private final Map<String, Metered> metered = new HashMap<>();
-    private double lentUntil = Double.NEGATIVE_INFINITY;
     private int balancers = 1;
 
+    /** What became of a request's claim on its tenant's quota. */
+    enum Claim { GRANTED, ASKED, REFUSED }
+
     private static final class Metered {
-        Configuration.Tenant tenant;
-        final Bucket bucket = new Bucket();
-        final Demand demand = new Demand();
-        double lent;
+        Quota quota;
+        final Bucket bucket = new Bucket(FIRST);
+        double askedAt = Double.NEGATIVE_INFINITY;
+        double emptyUntil = Double.NEGATIVE_INFINITY;
+        boolean asked;
     }
 
-    /** Parts within a rule's window in seconds, excess as a share, and slack in requests. */
-    Quotas(double windowS, double excess, double slack) {
-        this.windowS = windowS;
-        this.excess = excess;
-        this.slack = slack;
+    /** Parts within the rule's bounds; {@code pool} asks for tokens, and {@link #given} brings them. */
+    Quotas(LocalSettings.Bounds bounds, ObjIntConsumer<String> pool) {
+        this.bounds = bounds;
+        this.pool = pool;
     }
 
     /** Takes the tenants of a configuration over. */
@@ -42,58 +46,59 @@
         for (Configuration.Tenant tenant : tenants) {
             if (tenant.perSecond() > 0) {
                 Metered one = before.getOrDefault(tenant.name(), new Metered());
-                one.tenant = tenant;
+                one.quota = Quota.of(tenant.perSecond(), tenant.burst(), bounds.quotaWindowS(),
+                        bounds.quotaExcess(), bounds.quotaSlack());
+                one.bucket.set(now, one.quota.even(balancers));
                 metered.put(tenant.name(), one);
-                refill(now, one);
             }
         }
     }
 
-    private void refill(double now, Metered one) {
-        double part = Shares.EVEN / balancers + (now < lentUntil ? one.lent : 0);
-        Configuration.Tenant tenant = one.tenant;
-        // Half of what the rule grants above the quota stays unused: what is on its way when parts change.
-        double bound = tenant.burst() + (excess * (tenant.perSecond() * windowS + tenant.burst()) + slack) / 2;
-        one.bucket.set(now, part * tenant.perSecond(), part * bound);
+    /** Among how many balancers the even part is divided. */
+    void divide(double now, int among) {
+        if (among != balancers) {
+            balancers = Math.max(1, among);
+            metered.values().forEach(one -> one.bucket.set(now, one.quota.even(balancers)));
+        }
     }
 
-    /** Takes a request of a tenant; 0 if it may go on, else how many ms until another might. */
-    double take(double now, Configuration.Tenant tenant) {
+    /** Claims a request's token; one that was asked for is claimed again a little later. */
+    Claim claim(double now, Configuration.Tenant tenant) {
         Metered one = metered.get(tenant.name());
-        if (one == null) {
-            return 0;
+        if (one == null || one.bucket.take(now, 1) == 1) {
+            return Claim.GRANTED;
         }
-        one.demand.count(now);
-        if (lentUntil < now && one.lent > 0) {
-            one.lent = 0;
-            refill(now, one);
+        if (now < one.emptyUntil) {
+            return Claim.REFUSED;
         }
-        return one.bucket.take(now) ? 0 : Math.max(1, one.bucket.next());
+        if (!one.asked) {
+            one.asked = true;
+            one.askedAt = now;
+            pool.accept(tenant.name(), 1);
+        } else if (now - one.askedAt > PATIENCE_MS) {
+            // Nobody answers: what the even part brings has to do.
+            one.asked = false;
+            one.emptyUntil = now + EMPTY_MS;
+            return Claim.REFUSED;
+        }
+        return Claim.ASKED;
     }
 
-    /** What to tell of them, in an order that {@link #lent} is given back in. */
-    List<Ask.Metered> told(double now) {
-        List<Ask.Metered> told = new ArrayList<>(metered.size());
-        metered.values().forEach(one -> told.add(new Ask.Metered(one.tenant.name(),
-                (float) one.demand.rate(now), now < lentUntil ? (float) one.lent : 0)));
-        return told;
+    /** In how many ms a token comes by itself. */
+    double next(Configuration.Tenant tenant) {
+        Metered one = metered.get(tenant.name());
+        return one == null ? 0 : Math.max(1, one.bucket.next());
     }
 
-    /**
-     * Parts that were lent.
-     *
-     * @param asked what was told when they were asked for
-     * @param askedAt when that was
-     */
-    void lent(double now, double askedAt, List<Ask.Metered> asked, List<Float> parts, int size) {
-        lentUntil = askedAt + Shares.LENT_MS;
-        balancers = Math.max(1, size);
-        for (int i = 0; i < Math.min(asked.size(), parts.size()); i++) {
-            Metered one = metered.get(asked.get(i).tenant());
-            if (one != null) {
-                one.lent = parts.get(i);
+    /** The pool has answered. */
+    void given(double now, String tenant, int count) {
+        Metered one = metered.get(tenant);
+        if (one != null && one.asked) {
+            one.asked = false;
+            one.bucket.add(count);
+            if (count == 0) {
+                one.emptyUntil = now + EMPTY_MS;
             }
         }
-        metered.values().forEach(one -> refill(now, one));
     }
 }
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -38,6 +38,7 @@
 import sablehinge.node.LoopTimers;
 import sablehinge.penstock.Ask;
 import sablehinge.penstock.News;
+import sablehinge.penstock.Tokens;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer.Change;
 import sablehinge.policy.LoadBalancer.State;
@@ -119,8 +120,7 @@
                 false);
         sockets = new Sockets(settings.limits().fds() - 200);
         LoopTimers timers = new LoopTimers(loop, clock);
-        LocalSettings.Bounds bounds = settings.bounds();
-        quotas = new Quotas(bounds.quotaWindowS(), bounds.quotaExcess(), bounds.quotaSlack());
+        quotas = new Quotas(settings.bounds(), this::askPool);
         outbound = new Core(clock, timers, LatencyWeightedBalancer::new);
         inbound = new Core(clock, timers, actions -> {
             gate = new Gate(actions);
@@ -253,18 +253,21 @@
                 there ? upstream.coldMs() : 0);
     }
 
+    private void askPool(String tenant, int count) {
+        news.tokens(new Tokens(tenant, count));
+    }
+
     // ---- News ----------------------------------------------------------------------------------------
 
     private final class Telling implements NewsClient.Teller {
 
         @Override
         public Ask ask(int number) {
-            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation,
-                    quotas.told(clock.now()));
+            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation);
         }
 
         @Override
-        public void news(Ask ask, double askedAt, News told) {
+        public void news(double askedAt, News told) {
             double now = clock.now();
             if (told.edition() > edition && told.body().length > 0) {
                 adopt(now, told.edition(), told.body());
@@ -273,10 +276,14 @@
                 confirmedAt = Math.max(confirmedAt, askedAt);
                 wantsConfirmation = false;
             }
-            quotas.lent(now, askedAt, ask.metered(), told.lent(),
-                    told.complete() ? told.size() : Math.max(RECKONED, told.size()));
+            quotas.divide(now, told.complete() ? told.size() : Math.max(RECKONED, told.size()));
             enter(now, told);
         }
+
+        @Override
+        public void tokens(Tokens tokens) {
+            quotas.given(clock.now(), tokens.tenant(), tokens.count());
+        }
     }
 
     private void adopt(double now, long next, byte[] body) {
