A class may have a crossing of its own: uploads stay in their zone while it serves them

Change: ServiceClass has a growth of l across zones, 0 on the platform; 30 for uploads, 0.3 for the rest.

--- a/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
@@ -371,7 +371,7 @@
         // fails them at once, so none are in flight there, while those that serve seem busy. A failure or
         // two, which may befall any server, is not yet worth a crossing.
         Settings terms = call.view.settings;
-        double crossing = CROSSING * Math.sqrt(terms.prices().crossZone());
+        double crossing = CROSSING * Math.sqrt(terms.prices().crossZone()) + call.type.crossing();
         l *= 1 + crossing * Math.min(MOST_LEAVING, Math.pow((1 - success) / WORTH_LEAVING, CROWD_POWER));
         l *= 1 + IN_FLIGHT * server.out.size();
         if (!server.out.isEmpty()) {
--- a/src/main/java/sablehinge/sluice/Terms.java
+++ b/src/main/java/sablehinge/sluice/Terms.java
@@ -26,6 +26,9 @@
     /** How long an upstream that has started may be slow, at most; beats tell how much of it is left. */
     static final double WARM_UP_MS = 3_000;
     private static final double LATE_WORTH = 0.3;
+    /** Growth of l across zones: a body of 60 kB costs more than its way, a small one next to nothing. */
+    private static final double BULKY = 30;
+    private static final double SLIM = 0.3;
     private static final int MOST_ATTEMPTS = 3;
     private static final int MOST_OPEN = 4_000;
     private static final double CONNECT_MS = 1_000;
@@ -72,7 +75,8 @@
                     types.add(new ServiceClass(name, route.targetMs(), 0,
                             Math.max(route.timeoutMs(), route.targetMs()), worth, LATE_WORTH,
                             route.kind() == Configuration.Kind.SAFE ? Repeat.IDEMPOTENT : Repeat.AT_MOST_ONCE,
-                            Group.ALL, 0, false, false, null, List.of(kinds.get(share.service()))));
+                            Group.ALL, 0, false, false, null, List.of(kinds.get(share.service())),
+                            route.kind() == Configuration.Kind.UPLOAD ? BULKY : SLIM));
                 }
             }
         }
