The mesh guesses no jam: gates know it; a redraw after a gate's refusal costs nothing

Change: the mesh runs the module as a tier below the first, which doesn't shed; Extras say what a request earns and what an attempt after one that never ran costs (0 in the mesh, 1 on the platform).

--- a/bench/src/sablehinge/policy/Plant.java
+++ b/bench/src/sablehinge/policy/Plant.java
@@ -93,7 +93,7 @@
 
     private static Settings settings() {
         ServiceClass only = new ServiceClass("tile", AIM, 0, DEADLINE, 1, 0.5, Repeat.IDEMPOTENT, Group.ALL,
-                0, false, false, null, null);
+                0, false, false, null, null, 0);
         return new Settings(0, 1, 0, 1, 0, 1, 1, false, true, false, false, false, 1, WeightKind.NONE,
                 Reports.NONE, List.of(), List.of(only), List.of(), new Limits(4, 10_000, true, false, false,
                 false, true, 2_000, 100, 30_000, 1, 0, 0), new Rules(20, 2_000, 2_000, 0.2, 20_000, 3, 1_500,
--- a/bench/src/sablehinge/torture/World.java
+++ b/bench/src/sablehinge/torture/World.java
@@ -215,7 +215,7 @@
             names.add(kind.name().toLowerCase(Locale.ROOT));
             classes.add(new ServiceClass(kind.name(), 1_000, 0, DEADLINE + number, 1, 0.5, kind.repeat,
                     Group.ALL, 4_000,
-                    false, false, null, null));
+                    false, false, null, null, 0));
         }
         return new Version(number, new Settings(0, 1, 0, 1, 0, 1, 1, false, true, false, false, false, 1,
                 WeightKind.NONE, Reports.NONE, List.of(), classes, List.of(), new Limits(4, 10_000, true,
--- a/src/main/java/sablehinge/cli/LocalBalancers.java
+++ b/src/main/java/sablehinge/cli/LocalBalancers.java
@@ -130,7 +130,7 @@
         for (ClassPart part : scenario.classes()) {
             types.add(new ServiceClass(part.name(), part.aim(), 0, part.deadline(), part.worth(),
                     part.lateWorth(),
-                    part.effect(), part.group(), part.window(), false, false, null, null));
+                    part.effect(), part.group(), part.window(), false, false, null, null, 0));
         }
         TierPart tier = scenario.tiers().get(spec.tier());
         Limits limits = new Limits(4, 20_000, true, true, true, false, true, 2_000, 300, 30_000, 1, 0, 0);
--- a/src/main/java/sablehinge/config/operator/OperatorConfig.java
+++ b/src/main/java/sablehinge/config/operator/OperatorConfig.java
@@ -129,7 +129,7 @@
         for (ClassPart part : classes) {
             types.add(new ServiceClass(part.name, part.aim, 0, part.deadline, part.worth, part.lateWorth,
                     part.effect, part.group, part.window, false, false, places(zoneNames, part.zones),
-                    places(kindNames, part.kinds)));
+                    places(kindNames, part.kinds), 0));
         }
         List<Tenant> shares = tenants.stream().map(t -> new Tenant(t.name, 1.0 / tenants.size(), 0)).toList();
         Settings settings = new Settings(node.position, node.siblings, 0, 1, place(zoneNames, node.zone),
--- a/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
@@ -32,10 +32,7 @@
     private static final double BASE_POOL = 2;
     /** Calls that its machine type's record weighs in s: a type in trouble shows in all its servers. */
     private static final double SUCCESS_POOL = 2;
-    /**
-     * Calls that a server's record over all classes weighs in s for one class: a server may fail a class
-     * and serve the others well, or fail all; which one it is shows in the class's own few calls.
-     */
+    /** Calls that a server's record over all classes weighs in s for one: it may fail one class or all. */
     private static final double CLASS_POOL = 1;
     /** Least s: keeps l finite, so that even a dead server is drawn now and then. */
     private static final double SUCCESS_FLOOR = 0.05;
@@ -53,10 +50,7 @@
     private static final double OVERDUE_WEIGHT = 4;
     /** Growth of l across zones, times the root of the price: a dear crossing must still be possible. */
     private static final double CROSSING = 400;
-    /**
-     * Power with which a crowd at a server offsets the price of crossing: nothing to speak of at half the
-     * aim, all of it at the aim, so that a zone is left where its calls would be late and not before.
-     */
+    /** Power with which a crowd at a server offsets the price of crossing: little at half the aim, all at it. */
     private static final double CROWD_POWER = 4;
     /** Share of calls lost at a server that is worth a crossing, about what a crossing costs of a call. */
     private static final double WORTH_LEAVING = 0.4;
@@ -82,10 +76,6 @@
     private static final double MOST_SLOW_RATIO = 10;
     /** Without second copies an attempt that may be repeated is given up after this many such delays. */
     private static final double GIVE_UP = 2;
-    /** Calls beyond the first that each request earns: bounds retries and copies when all is slow. */
-    private static final double EXTRA_PER_REQUEST = 0.1;
-    /** Most unused earnings kept, and those granted at start. */
-    private static final double EXTRA_SAVED = 3;
     /** Least share of the expected latency that must be left for a send to make sense. */
     private static final double TOO_LATE = 0.25;
     /** Share of the allowed multiple of a cold server's capacity that its send budget uses. */
@@ -102,10 +92,7 @@
     /** Least time without news after which that is asked about, of askEvery; it doubles while none comes. */
     private static final double DOUBT_AFTER = 0.3;
 
-    /**
-     * A first-tier call that takes more of its aim than this is a sign of overload; the worth of a late
-     * answer is added, since where it is none the warning must come earlier.
-     */
+    /** A first-tier call that takes more of its aim than this, and its worth when late, tells of overload. */
     private static final double STRAINED = 0.5;
     /** Change of the share of work refused in a second of signs of overload, and in one of the opposite. */
     private static final double PRESSURE_UP = 0.9;
@@ -126,6 +113,7 @@
     private static final int STRAIN_TIMER = 0x80;
 
     private final Actions actions;
+    private final Extras extras;
     /** Of the version of the settings that holds for what arrives now, and all that are not forgotten. */
     private Settings settings;
     private View current;
@@ -136,7 +124,7 @@
     /** Rule 5: the requests of each key that are not settled; looked up by key only, dropped when empty. */
     private final Map<Long, ArrayDeque<Call>> lines = new HashMap<>();
     private Server.Kind[] kinds;
-    private double extraCalls = EXTRA_SAVED;
+    private double extraCalls;
     private double coldUntil = Double.NEGATIVE_INFINITY;
     /** When the registry was last heard of or asked, and how long its silence is trusted. */
     private double heardAt;
@@ -148,9 +136,19 @@
 
     /** Creates an instance that asks its host for actions through {@code actions}. */
     public LatencyWeightedBalancer(Actions actions) {
+        this(actions, new Extras(0.1, 3, 1));
+    }
+
+    /** Likewise, with other bounds on calls beyond the first. */
+    public LatencyWeightedBalancer(Actions actions, Extras extras) {
         this.actions = actions;
+        this.extras = extras;
+        extraCalls = extras.saved;
     }
 
+    /** Calls beyond the first: what a request earns of one, how many are kept, what one after no run costs. */
+    public record Extras(double perRequest, double saved, double redraw) { }
+
     @Override
     public void start(double now, Settings given, long seed) {
         random = new SplittableRandom(seed);
@@ -216,7 +214,7 @@
     public void request(double now, Request request) {
         Call call = new Call(request, current, now);
         calls.put(request.id(), call);
-        extraCalls = Math.min(EXTRA_SAVED, extraCalls + (call.most > 1 ? EXTRA_PER_REQUEST : 0));
+        extraCalls = Math.min(extras.saved, extraCalls + (call.most > 1 ? extras.perRequest : 0));
         if (request.cost() > 0) {
             call.record.hint.add(request.cost());
         }
@@ -545,7 +543,7 @@
         }
         if (outcome.result() == Result.OK && attempt.number > 0) {
             // It served where another did not: sick servers, not a jam, and worth as many again.
-            extraCalls = Math.min(EXTRA_SAVED, extraCalls + 1);
+            extraCalls = Math.min(extras.saved, extraCalls + 1);
         }
         freeConnection(attempt.server, outcome.result(), now);
         doubtList(attempt.server, outcome.result(), now);
@@ -592,10 +590,11 @@
 
     /** Another attempt if rule, time and budget allow; otherwise the final answer. */
     private void tryAgain(Call call, Result result, double now) {
-        if (result == Result.NOT_SENT || extraCalls < 1) {
+        double price = result.neverRan() ? extras.redraw : 1;
+        if (result == Result.NOT_SENT || extraCalls < price) {
             answerUnserved(call, now);
         } else {
-            extraCalls -= 1;
+            extraCalls -= price;
             dispatch(call, now);
         }
     }
--- a/src/main/java/sablehinge/policy/LoadBalancer.java
+++ b/src/main/java/sablehinge/policy/LoadBalancer.java
@@ -174,20 +174,12 @@
      * @param inOrder whether requests of one key, over all such classes, take turns in order of arrival
      * @param zones the only zones it may be sent to; null where any will do, empty where none will
      * @param kinds the only machine types it may be sent to; null where any will do, empty where none will
-     * @param crossing growth of l across zones beside what the site's price makes of it: for large bodies
+     * @param crossing growth of l across zones beside what the site's price makes of it, as for large bodies
      */
     record ServiceClass(String name, double aim, double aimStretch, double deadline, double worth,
             double lateWorth, Repeat repeat, Group group, double memory, boolean streamed, boolean inOrder,
             List<Integer> zones, List<Integer> kinds, double crossing) {
 
-        /** A class whose crossing costs what the site says. */
-        public ServiceClass(String name, double aim, double aimStretch, double deadline, double worth,
-                double lateWorth, Repeat repeat, Group group, double memory, boolean streamed, boolean inOrder,
-                List<Integer> zones, List<Integer> kinds) {
-            this(name, aim, aimStretch, deadline, worth, lateWorth, repeat, group, memory, streamed, inOrder,
-                    zones, kinds, 0);
-        }
-
         /** Whether placement allows an upstream for this class, at any attempt. */
         public boolean admits(Upstream upstream) {
             return (zones == null || zones.contains(upstream.zone()))
--- a/src/main/java/sablehinge/settings/SettingsParser.java
+++ b/src/main/java/sablehinge/settings/SettingsParser.java
@@ -82,7 +82,7 @@
         return new ServiceClass(text(path + "name"), number(path + "aim"), number(path + "aimStretch", 0),
                 number(path + "deadline"), number(path + "worth"), number(path + "lateValue"), repeat, group,
                 deduplicated ? number(path + "memorySpan") : 0, bool(path + "streamed"),
-                bool(path + "byArrival", false), indices(path + "runsIn"), indices(path + "boundTo"));
+                bool(path + "byArrival", false), indices(path + "runsIn"), indices(path + "boundTo"), 0);
     }
 
     private Tenant tenant(String path) {
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -121,7 +121,7 @@
         sockets = new Sockets(settings.limits().fds() - 200);
         LoopTimers timers = new LoopTimers(loop, clock);
         quotas = new Quotas(settings.bounds(), this::askPool);
-        outbound = new Core(clock, timers, LatencyWeightedBalancer::new);
+        outbound = new Core(clock, timers, actions -> new LatencyWeightedBalancer(actions, Terms.EXTRAS));
         inbound = new Core(clock, timers, actions -> {
             gate = new Gate(actions);
             return gate;
--- a/src/main/java/sablehinge/sluice/Terms.java
+++ b/src/main/java/sablehinge/sluice/Terms.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import sablehinge.aqueduct.Configuration;
 import sablehinge.core.Version;
+import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer.Goal;
 import sablehinge.policy.LoadBalancer.Group;
 import sablehinge.policy.LoadBalancer.Limits;
@@ -29,7 +30,9 @@
     /** Growth of l across zones: a body of 60 kB costs more than its way, a small one next to nothing. */
     private static final double BULKY = 30;
     private static final double SLIM = 0.3;
-    private static final int MOST_ATTEMPTS = 3;
+    /** Within what RULES, BUDGET, grants over all balancers; what the gates refuse has not arrived anywhere. */
+    static final LatencyWeightedBalancer.Extras EXTRAS = new LatencyWeightedBalancer.Extras(0.14, 4, 0);
+    private static final int MOST_ATTEMPTS = 4;
     private static final int MOST_OPEN = 4_000;
     private static final double CONNECT_MS = 1_000;
     private static final double REST_MS = 30_000;
@@ -47,7 +50,7 @@
     /** The version of the gate beside an upstream, which knows no classes. */
     static Version gate() {
         ServiceClass any = new ServiceClass("any", 1_000, 0, 600_000, 1, LATE_WORTH, Repeat.AT_MOST_ONCE,
-                Group.ALL, 0, false, false, null, null);
+                Group.ALL, 0, false, false, null, null, 0);
         return new Version(1, settings(List.of(any), 0, 1, 1, limits(false, OWN_REST_MS)), List.of("any"),
                 List.of(), false);
     }
@@ -94,7 +97,8 @@
 
     private static Settings settings(List<ServiceClass> types, int zone, int zones, int kinds,
             Limits limits) {
-        return new Settings(0, 1, 0, 1, zone, zones, kinds, false, true, false, false, false, 0,
+        // As a tier below the first: the gates beside the upstreams know a jam, so none is guessed here.
+        return new Settings(0, 1, 1, 2, zone, zones, kinds, false, true, false, false, false, 0,
                 WeightKind.NONE, Reports.NONE, List.of(), types, List.of(), limits, RULES,
                 new Goal(0.4, 0.1, 0.24, 0, 0, 0, 0, 0), new Prices(0, 0, 0, 0, 0, 0, 0, 0));
     }
--- a/src/test/java/sablehinge/core/CoreTest.java
+++ b/src/test/java/sablehinge/core/CoreTest.java
@@ -39,7 +39,7 @@
     private static Settings settings(Repeat repeat, int attempts, int mostOpen) {
         ServiceClass one = new ServiceClass("one", 500, 0, 1_000, 1, 0.5, repeat, Group.ALL, 1_000, false,
                 false,
-                null, null);
+                null, null, 0);
         return new Settings(0, 1, 0, 1, 0, 1, 1, false, true, false, false, false, 1, WeightKind.NONE,
                 Reports.NONE,
                 List.of(), List.of(one), List.of(), new Limits(attempts, mostOpen, true, true, false, false,
--- a/src/test/java/sablehinge/policy/Sites.java
+++ b/src/test/java/sablehinge/policy/Sites.java
@@ -171,9 +171,9 @@
         Settings build() {
             List<ServiceClass> classes = List.of(
                     new ServiceClass("first", AIM, 0, DEADLINE, 5, lateWorth, repeat, group, memory,
-                            streamed, inOrder, onlyZones, onlyKinds),
+                            streamed, inOrder, onlyZones, onlyKinds, 0),
                     new ServiceClass("second", AIM, 0, DEADLINE, 1, lateWorth, repeat, group, memory,
-                            streamed, inOrder, null, null));
+                            streamed, inOrder, null, null, 0));
             return new Settings(position, siblings, tier, 3, 0, 2, 2, subscribe, true, false, false, false,
                     0.1, WeightKind.NONE, Reports.NONE, List.of(), classes, List.of(),
                     new Limits(4, 1_000, true, parallel, false, false, true, 2_000, 100, 30_000, 1, 0,
