--- /dev/null
+++ b/src/test/java/sablehinge/cistern/CisternTest.java
@@ -0,0 +1,134 @@
+package sablehinge.cistern;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import sablehinge.cistern.Cistern.Outcome;
+
+/** What becomes of configurations as they are committed, and what of that outlives a snapshot. */
+class CisternTest {
+
+    private final Cistern cistern = new Cistern();
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Outcome send(Cistern to, long basedOn, long edition, String body) {
+        Outcome foreseen = to.foresee(basedOn, edition, bytes(body));
+        Outcome outcome = to.apply(Cistern.replace(basedOn, edition, bytes(body)));
+        assertEquals(foreseen, outcome);
+        return outcome;
+    }
+
+    private Outcome send(long basedOn, long edition, String body) {
+        return send(cistern, basedOn, edition, body);
+    }
+
+    @Test
+    void ofTwoOnOneVersionTheFirstIsTakenAndTheOtherStale() {
+        assertEquals(Outcome.TAKEN, send(0, 3, "a"));
+        assertEquals(Outcome.STALE, send(0, 5, "b"));
+        assertEquals(3, cistern.edition());
+        assertArrayEquals(bytes("a"), cistern.body());
+    }
+
+    @Test
+    void theSameEditionWithOtherBytesIsNoRepetition() {
+        send(0, 3, "a");
+        assertEquals(Outcome.STALE, send(0, 3, "b"));
+        assertEquals(Outcome.OLD, send(3, 3, "b"));
+        assertArrayEquals(bytes("a"), cistern.body());
+    }
+
+    @Test
+    void aCallThatWasTakenIsRepeatedHoweverManyCameAfterIt() {
+        send(0, 3, "a");
+        assertEquals(Outcome.REPEATED, send(0, 3, "a"));
+        send(3, 8, "b");
+        send(8, 9, "c");
+        assertEquals(Outcome.REPEATED, send(0, 3, "a"));
+        assertEquals(Outcome.REPEATED, send(3, 8, "b"));
+        assertEquals(9, cistern.edition());
+        assertArrayEquals(bytes("c"), cistern.body());
+    }
+
+    @Test
+    void whatWasRefusedIsNoRepetitionLater() {
+        send(0, 3, "a");
+        assertEquals(Outcome.STALE, send(0, 5, "b"));
+        assertEquals(Outcome.STALE, send(0, 5, "b"));
+        assertEquals(Outcome.TAKEN, send(3, 5, "b"));
+    }
+
+    @Test
+    void anEditionThatIsNotAboveTheCurrentOneIsOld() {
+        send(0, 6, "a");
+        assertEquals(Outcome.OLD, send(6, 6, "b"));
+        assertEquals(Outcome.OLD, send(6, 2, "b"));
+        assertEquals(Outcome.TAKEN, send(6, 7, "b"));
+    }
+
+    @Test
+    void aStateThatIsTakenOverIsTheSameInEachByteAndAnswersAlike() {
+        send(0, 3, "a");
+        send(3, 8, "bb");
+        Cistern other = new Cistern();
+        send(other, 0, 1, "of another life");
+        other.restore(cistern.state());
+        assertArrayEquals(cistern.state(), other.state());
+        assertEquals(8, other.edition());
+        assertArrayEquals(bytes("bb"), other.body());
+        assertEquals(Outcome.REPEATED, send(other, 0, 3, "a"));
+        assertEquals(Outcome.STALE, send(other, 0, 1, "of another life"));
+    }
+
+    @Test
+    void aSnapshotFromTheMiddleAndTheRestOfTheLogGiveTheSameAnswersAsTheWholeLog() {
+        send(0, 3, "a");
+        send(3, 8, "b");
+        byte[] middle = cistern.state();
+        send(8, 9, "c");
+        Cistern later = new Cistern();
+        later.restore(middle);
+        assertEquals(Outcome.TAKEN, send(later, 8, 9, "c"));
+        assertArrayEquals(cistern.state(), later.state());
+        assertEquals(Outcome.REPEATED, send(later, 0, 3, "a"));
+        assertEquals(Outcome.REPEATED, send(later, 3, 8, "b"));
+        assertEquals(Outcome.REPEATED, send(later, 8, 9, "c"));
+    }
+
+    @Test
+    void noBytesAreTheStateBeforeAnyConfiguration() {
+        send(0, 3, "a");
+        cistern.restore(new byte[0]);
+        assertEquals(0, cistern.edition());
+        assertEquals(0, cistern.body().length);
+        assertEquals(Outcome.TAKEN, send(0, 3, "b"));
+    }
+
+    @Test
+    void aStateThatIsCutShortOrOfAnotherFormatIsRefused() {
+        send(0, 3, "a");
+        byte[] state = cistern.state();
+        for (int length = 1; length < state.length; length++) {
+            byte[] part = Arrays.copyOf(state, length);
+            assertThrows(RuntimeException.class, () -> new Cistern().restore(part), "of " + length);
+        }
+        state[0]++;
+        assertThrows(IllegalArgumentException.class, () -> new Cistern().restore(state));
+    }
+
+    @Test
+    void whatIsKeptOfTheEditionsOfThePastIsBounded() {
+        for (int i = 1; i <= 2_001; i++) {
+            send(i - 1, i, "body");
+        }
+        assertEquals(Outcome.STALE, send(0, 1, "body"));
+        assertEquals(Outcome.REPEATED, send(1, 2, "body"));
+    }
+}
