--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -147,6 +147,15 @@
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
+    /** Ends at once, but for what is being written to the disk; for tests. */
+    void close() throws InterruptedException {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
+        checks.shutdown();
+        disk.shutdown();
+        disk.awaitTermination(1, TimeUnit.MINUTES);
+        store.close();
+    }
+
     private void begin(Stored stored, boolean founds) {
         double now = clock.now();
         List<String> contacts = new ArrayList<>();
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -353,4 +353,9 @@
         }
         Log.info(LOG, "ends").addKeyValue("done", done).log("ends");
     }
+
+    /** Ends at once, as a process that is killed does; for tests. */
+    void close() throws InterruptedException {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
+    }
 }
--- /dev/null
+++ b/src/test/java/sablehinge/reservoir/ReservoirTest.java
@@ -0,0 +1,348 @@
+package sablehinge.reservoir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import sablehinge.cistern.Intake;
+import sablehinge.conduit.Conduit;
+import sablehinge.conduit.Frame;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.penstock.Ask;
+import sablehinge.penstock.News;
+
+/** Three real machines of the core on loopback addresses, each with a folder, called as operators call. */
+@Timeout(90)
+class ReservoirTest {
+
+    private static final long PATIENCE_NANOS = 30_000_000_000L;
+    private static final AtomicInteger MADE = new AtomicInteger();
+    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .followRedirects(HttpClient.Redirect.NEVER).connectTimeout(Duration.ofSeconds(5)).build();
+
+    @TempDir
+    Path folder;
+    private final Reservoir[] members = new Reservoir[3];
+    private final List<String> seeds = new ArrayList<>();
+    private final List<String> redirects = new CopyOnWriteArrayList<>();
+    private String net;
+
+    @BeforeEach
+    void starts() throws Exception {
+        long process = ProcessHandle.current().pid();
+        net = "127." + (1 + process % 250) + "." + (1 + process / 250 % 250) + ".";
+        int first = 200 + 3 * MADE.getAndIncrement();
+        for (int i = 0; i < members.length; i++) {
+            seeds.add(net + (first + i) + ":7090");
+        }
+        for (int i = 0; i < members.length; i++) {
+            start(i, true);
+        }
+    }
+
+    @AfterEach
+    void ends() throws Exception {
+        for (int i = 0; i < members.length; i++) {
+            stop(i);
+        }
+    }
+
+    private void start(int i, boolean first) throws Exception {
+        String control = seeds.get(i);
+        members[i] = Reservoir.start(new LocalSettings("r-" + i, LocalSettings.Role.RESERVOIR, "small",
+                List.of("control"), control.substring(0, control.indexOf(':')), "monza-a", "monza", 7_100, 7_110,
+                seeds, first, true, folder.resolve("r-" + i).toString(), 500, List.of(), null, null,
+                Map.of("monza-a", "monza"), new LocalSettings.ListenOn(null, null, null, control),
+                new LocalSettings.Limits(1, 1, 256, 1_024, 1_000, 100), 1,
+                new LocalSettings.Bounds(3, 2, 3_000, 5_000, 4, 2_500, 6, 200, 2_500, 250, 8_000, false, 5_000,
+                        0.2, 10, 62, 5, 0.1, 20, 15)));
+    }
+
+    private void stop(int i) throws InterruptedException {
+        if (members[i] != null) {
+            members[i].close();
+            members[i] = null;
+        }
+    }
+
+    private static String configuration(long edition, String service) {
+        return """
+                {"edition":%d,"limits":{"headerBytes":16384,"bodyBytes":67108864,"headerMs":3000,"idleMs":15000},
+                 "senders":[{"name":"hule930","passes":["k-1"],"priority":1,"perS":83,"burst":83}],
+                 "gates":[{"station":"ficu95.example","regulations":[{"name":"r-1","kind":"safe",
+                 "targetMs":600,"priority":2,"open":false,"sorting":{"lanePrefix":"/lohu930/"},
+                 "dispatch":{"depot":"%s","timeoutMs":4000,"attempts":2}}]}],
+                 "fleets":[{"name":"huvo11a","healthPath":"/health","connCap":110},
+                 {"name":"wuno96b","healthPath":"/health","connCap":110}]}""".formatted(edition, service);
+    }
+
+    private static HttpResponse<String> call(HttpRequest.Builder request) throws Exception {
+        return HTTP.send(request.timeout(Duration.ofSeconds(10)).build(),
+                HttpResponse.BodyHandlers.ofString(StandardCharsets.UTF_8));
+    }
+
+    private HttpResponse<String> replaceAt(int member, String basedOn, String body) throws Exception {
+        return call(HttpRequest.newBuilder(URI.create("http://" + seeds.get(member)
+                + "/sablehinge/Config.Replace")).header("Sablehinge-Based-On", basedOn)
+                .header("Content-Type", "application/json").POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    private HttpResponse<String> readAt(int member) throws Exception {
+        return call(HttpRequest.newBuilder(URI.create("http://" + seeds.get(member)
+                + "/sablehinge/Config.Read")));
+    }
+
+    private interface Call {
+        HttpResponse<String> at(int member) throws Exception;
+    }
+
+    /** Calls members one after the other as operators do, until one gives a clear answer. */
+    private HttpResponse<String> called(int first, Call call) throws Exception {
+        long end = System.nanoTime() + PATIENCE_NANOS;
+        int member = first;
+        while (System.nanoTime() < end) {
+            try {
+                HttpResponse<String> answer = call.at(member);
+                if (answer.statusCode() == 307) {
+                    String location = answer.headers().firstValue("Location").orElseThrow();
+                    redirects.add(location);
+                    member = seeds.indexOf(URI.create(location).getAuthority());
+                    continue;
+                }
+                if (answer.statusCode() < 500) {
+                    return answer;
+                }
+            } catch (IOException e) {
+                // It is down, or was until just now.
+            }
+            LockSupport.parkNanos(20_000_000);
+            member = (member + 1) % members.length;
+        }
+        throw new AssertionError("no clear answer");
+    }
+
+    private int replaced(long basedOn, String body) throws Exception {
+        return called(0, member -> replaceAt(member, "" + basedOn, body)).statusCode();
+    }
+
+    private HttpResponse<String> read(int first) throws Exception {
+        return called(first, this::readAt);
+    }
+
+    /** Who leads, once all members that run agree on that. */
+    private int leader() throws Exception {
+        long end = System.nanoTime() + PATIENCE_NANOS;
+        while (System.nanoTime() < end) {
+            int leader = -1;
+            int told = 0;
+            int running = 0;
+            for (int i = 0; i < members.length; i++) {
+                if (members[i] != null) {
+                    running++;
+                    HttpResponse<String> answer = readAt(i);
+                    if (answer.statusCode() == 307) {
+                        told++;
+                    } else if (answer.statusCode() < 500) {
+                        leader = i;
+                    }
+                }
+            }
+            if (leader >= 0 && told == running - 1) {
+                return leader;
+            }
+            LockSupport.parkNanos(20_000_000);
+        }
+        throw new AssertionError("nobody leads");
+    }
+
+    @Test
+    void theFirstConfigurationIsTakenAndReadAsItWasSentWhoeverIsCalled() throws Exception {
+        assertEquals(404, read(0).statusCode());
+        String body = configuration(7, "huvo11a");
+        assertEquals(200, replaced(0, body));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(body, read(i).body());
+            assertEquals(200, called(i, member -> replaceAt(member, "0", body)).statusCode());
+        }
+        assertFalse(redirects.isEmpty());
+        for (String location : redirects) {
+            assertTrue(location.matches("http://127[.0-9]+:7090/sablehinge/Config[.](Read|Replace)"), location);
+        }
+        assertEquals(200, replaced(7, configuration(9, "wuno96b")));
+        assertEquals(200, replaced(0, body));
+        assertEquals(configuration(9, "wuno96b"), read(2).body());
+    }
+
+    @Test
+    void ofTwoAtOnceOnOneVersionOneWinsAndTheOtherIsToldSo() throws Exception {
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+        List<String> bodies = List.of(configuration(9, "huvo11a"), configuration(10, "wuno96b"));
+        List<CompletableFuture<Integer>> answers = new ArrayList<>();
+        for (String body : bodies) {
+            answers.add(CompletableFuture.supplyAsync(() -> {
+                try {
+                    return replaced(7, body);
+                } catch (Exception e) {
+                    throw new AssertionError(e);
+                }
+            }));
+        }
+        List<Integer> codes = List.of(answers.get(0).get(), answers.get(1).get());
+        assertEquals(List.of(200, 412), codes.stream().sorted().toList());
+        assertEquals(bodies.get(codes.indexOf(200)), read(1).body());
+        assertEquals(412, replaced(7, configuration(11, "huvo11a")));
+    }
+
+    @Test
+    void anInvalidConfigurationIsRefusedWithItsPlaceAndNotInForce() throws Exception {
+        String body = configuration(7, "huvo11a");
+        String[][] spoilt = {
+            {"\"edition\":7", "\"edition\":\"x\"", "/edition"},
+            {"{\"depot\":\"huvo11a\"", "{\"depot\":\"no\"", "/gates/0/regulations/0/dispatch"},
+            {"\"attempts\":2", "\"attempts\":0", "/gates/0/regulations/0/dispatch/attempts"},
+            {"4000", "600001", "/gates/0/regulations/0/dispatch/timeoutMs"},
+            {"\"fleets\"", "\"fleets", "line"}};
+        for (String[] one : spoilt) {
+            HttpResponse<String> answer = called(0, member -> replaceAt(member, "0",
+                    body.replace(one[0], one[1])));
+            assertEquals(400, answer.statusCode());
+            assertTrue(answer.body().contains(one[2]), answer.body());
+        }
+        assertEquals(400, called(0, member -> replaceAt(member, "none", body)).statusCode());
+        assertEquals(404, read(0).statusCode());
+        assertEquals(200, replaced(0, body));
+        assertEquals(400, replaced(7, configuration(6, "huvo11a")));
+        assertEquals(body, read(0).body());
+    }
+
+    @Test
+    void aCallWithoutAClearAnswerMayBeRepeatedToTheNextLeader() throws Exception {
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+        int leader = leader();
+        String body = configuration(8, "wuno96b");
+        assertEquals(200, replaced(7, body));
+        stop(leader);
+        assertEquals(200, called((leader + 1) % 3, member -> replaceAt(member, "7", body)).statusCode());
+        assertEquals(body, read((leader + 2) % 3).body());
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+        assertEquals(412, replaced(7, configuration(9, "huvo11a")));
+        start(leader, false);
+        assertEquals(200, replaced(8, configuration(10, "huvo11a")));
+        assertEquals(configuration(10, "huvo11a"), read(leader).body());
+    }
+
+    @Test
+    void withoutAMajorityNothingIsAcknowledgedNorRead() throws Exception {
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+        int leader = leader();
+        stop((leader + 1) % 3);
+        stop((leader + 2) % 3);
+        for (int i = 0; i < 3; i++) {
+            int code = replaceAt(leader, "7", configuration(8, "wuno96b")).statusCode();
+            assertTrue(code == 503 || code == 307, "acknowledged with " + code);
+            code = readAt(leader).statusCode();
+            assertTrue(code == 503 || code == 307, "read with " + code);
+        }
+        start((leader + 1) % 3, false);
+        assertEquals(200, replaced(7, configuration(8, "wuno96b")));
+        assertEquals(configuration(8, "wuno96b"), read(leader).body());
+    }
+
+    @Test
+    void allThatWasAcknowledgedIsThereAfterAllHaveEnded() throws Exception {
+        // More than the log holds before it is cut to a snapshot.
+        for (int edition = 1; edition <= 50; edition++) {
+            assertEquals(200, replaced(edition - 1, configuration(edition, "huvo11a")));
+        }
+        for (int i = 0; i < 3; i++) {
+            stop(i);
+        }
+        for (int i = 0; i < 3; i++) {
+            start(i, false);
+        }
+        assertEquals(configuration(50, "huvo11a"), read(0).body());
+        assertEquals(200, replaced(0, configuration(1, "huvo11a")));
+        assertEquals(200, replaced(49, configuration(50, "huvo11a")));
+        assertEquals(412, replaced(49, configuration(51, "huvo11a")));
+        assertEquals(200, replaced(50, configuration(51, "huvo11a")));
+    }
+
+    @Test
+    void whoAsksForNewsIsSentToTheLeaderWhoTellsAndConfirmsThem() throws Exception {
+        String body = configuration(7, "huvo11a");
+        assertEquals(200, replaced(0, body));
+        int leader = leader();
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try {
+            Ask ask = new Ask(3, new Intake("s-1", "monza-a", "127.0.0.1:1", "huvo11a", "i-1", true, 4, 0), 0, 0, 0,
+                    true, List.of());
+            Frame elsewhere = asked(loop, (leader + 1) % 3, ask);
+            assertEquals(Frame.Kind.ELSEWHERE, elsewhere.kind());
+            String host = seeds.get(leader).substring(0, seeds.get(leader).indexOf(':'));
+            assertEquals(host + ":7100", new String(elsewhere.body(), StandardCharsets.UTF_8));
+            Frame told = asked(loop, leader, ask);
+            assertEquals(Frame.Kind.NEWS, told.kind());
+            News news = News.read(told.body());
+            assertEquals(3, news.number());
+            assertTrue(news.confirmed());
+            assertEquals(7, news.edition());
+            assertEquals(body, new String(news.body(), StandardCharsets.UTF_8));
+            assertEquals(List.of(ask.intake()), news.intakes());
+            assertEquals(Stream.of(0, 1, 2).map(i -> seeds.get(i).replace(":7090", ":7100")).sorted().toList(),
+                    news.core().stream().sorted().toList());
+        } finally {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** The first record that a member answers to an ask. */
+    private Frame asked(EventLoop loop, int member, Ask ask) throws InterruptedException {
+        LinkedBlockingQueue<Frame> answers = new LinkedBlockingQueue<>();
+        Conduit.Handler handler = new Conduit.Handler() {
+            @Override
+            public void opened(Conduit.Link link) {
+                link.send(new Frame(Frame.Kind.ASK, ask.bytes()));
+            }
+
+            @Override
+            public void came(Conduit.Link link, Frame frame) {
+                answers.add(frame);
+            }
+        };
+        loop.submit(() -> {
+            new Conduit(loop, 300, 20_000).connect(Reservoir.address(seeds.get(member).replace(":7090", ":7100")),
+                    handler);
+        }).sync();
+        Frame answer = answers.poll(20, TimeUnit.SECONDS);
+        if (answer == null) {
+            throw new AssertionError("no answer");
+        }
+        return answer;
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/sluice/Mesh.java
@@ -0,0 +1,242 @@
+package sablehinge.sluice;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import sablehinge.cistern.Intake;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.rig.Listener;
+import sablehinge.rig.Peer;
+
+/** A balancer on loopback addresses of its own, with a core, an upstream and clients that the test plays. */
+final class Mesh implements AutoCloseable {
+
+    static final String SERVICE = "huvo11a";
+    static final String CALLER = "wuno96b";
+    static final int UNLOAD_MS = 2_400;
+    private static final int INNER = 7_100;
+    private static final long PATIENCE_NANOS = 20_000_000_000L;
+    private static final AtomicInteger MADE = new AtomicInteger();
+
+    final StubCore core;
+    final Listener app = new Listener();
+    final Sluice sluice;
+    final LocalSettings.ListenOn at;
+    final List<Wire.Message> arrived = new CopyOnWriteArrayList<>();
+    private final List<Socket> served = new CopyOnWriteArrayList<>();
+    private final List<Wire> open = new ArrayList<>();
+    private final List<Listener> listeners = new ArrayList<>();
+
+    Mesh() throws Exception {
+        this(true);
+    }
+
+    /** One whose core confirms that what it holds is the newest, or does not yet. */
+    Mesh(boolean confirms) throws Exception {
+        long process = ProcessHandle.current().pid();
+        String net = "127." + (1 + process % 250) + "." + (1 + process / 250 % 250) + ".";
+        int number = 2 * MADE.incrementAndGet();
+        core = new StubCore(net + number, INNER);
+        core.confirms(confirms);
+        String ip = net + (number + 1);
+        at = new LocalSettings.ListenOn(ip + ":7002", ip + ":7001", ip + ":7003", ip + ":7004");
+        sluice = Sluice.start(new LocalSettings("s-1", LocalSettings.Role.SLUICE, "small",
+                List.of("sidecar"), ip, "monza-a", "monza", INNER, INNER + 10, List.of(net + number + ":7090"),
+                true, true, null, 20_000, List.of(), app.address(), CALLER, Map.of("monza-a", "monza"), at,
+                new LocalSettings.Limits(1, 1, 256, 1_264, 1_000, 0), 1,
+                new LocalSettings.Bounds(3, 2, 3_000, 5_000, 4, UNLOAD_MS, 6, 200, 2_500, 250, 8_000, false,
+                        5_000, 0.2, 10, 62, 5, 0, 0, 15)));
+    }
+
+    /** One whose upstream is there, and whose configuration has these tenants. */
+    static Mesh served(String senders) throws Exception {
+        Mesh mesh = new Mesh();
+        mesh.core.holds(configuration(4, senders, ""), 4);
+        mesh.beat("i-1", "ready");
+        mesh.core.awaitKnown("i-1");
+        return mesh;
+    }
+
+    static Mesh served() throws Exception {
+        return served("");
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + PATIENCE_NANOS;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("in vain: " + what);
+            }
+            LockSupport.parkNanos(2_000_000);
+        }
+    }
+
+    static String route(String name, String kind, String prefix, boolean open) {
+        return """
+                {"name":"%s","kind":"%s","targetMs":4000,"priority":1,"open":%b,
+                 "sorting":{"lanePrefix":"%s"},"dispatch":{"depot":"huvo11a","timeoutMs":15000,"attempts":3}}"""
+                .formatted(name, kind, open, prefix);
+    }
+
+    /** A configuration; the routes that are added begin with a comma. */
+    static String configuration(long edition, String senders, String more) {
+        return """
+                {"edition":%d,"limits":{"headerBytes":16384,"bodyBytes":67108864,"headerMs":9000,"idleMs":30000},
+                 "senders":[%s],"gates":[{"station":"ficu95.example","regulations":[%s,%s,%s%s]}],
+                 "fleets":[{"name":"huvo11a","healthPath":"/health","connCap":110}]}""".formatted(edition,
+                senders, route("r-safe", "safe", "/s/", false), route("r-unsafe", "unsafe", "/u/", false),
+                route("r-open", "safe", "/o/", true), more);
+    }
+
+    /** A request with an id and no body; the headers end with the end of a line. */
+    static String get(String path, String id, String... headers) {
+        return "GET " + path + " HTTP/1.1\r\nHost: ficu95.example\r\nSablehinge-Try-Id: " + id + "\r\n"
+                + "Sablehinge-Time-Left: 12000\r\n" + String.join("", headers) + "\r\n";
+    }
+
+    static String post(String path, String id, String body, String... headers) {
+        return get(path, id, String.join("", headers) + "Content-Length: " + body.length() + "\r\n")
+                .replaceFirst("GET", "POST") + body;
+    }
+
+    /** An upstream's whole success. */
+    static String ok(String id, String body, String... headers) {
+        return "HTTP/1.1 200 OK\r\nSablehinge-Try-Id: " + id + "\r\nSablehinge-Postmark: 3e1b." + id + "\r\n"
+                + String.join("", headers) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** The upstream answers each request by this from now on; one whose answer is null ends its connection. */
+    Mesh answers(Function<Wire.Message, String> by) {
+        answers(app, by);
+        return this;
+    }
+
+    /** Likewise, who listens elsewhere. */
+    void answers(Listener listener, Function<Wire.Message, String> by) {
+        daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept().socket;
+                served.add(socket);
+                daemon(() -> serve(new Wire(socket), by));
+            }
+        });
+    }
+
+    private void serve(Wire wire, Function<Wire.Message, String> by) throws IOException {
+        for (Wire.Message request = wire.read(); request != null; request = wire.read()) {
+            arrived.add(request);
+            String answer = by.apply(request);
+            if (answer == null) {
+                wire.close();
+                return;
+            }
+            wire.write(answer);
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception | AssertionError e) {
+                // The test is over, or its connection.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The upstream's side of its next connection. */
+    Wire upstream() throws Exception {
+        Peer peer = app.accept();
+        return keep(new Wire(peer.socket));
+    }
+
+    /** Ends all connections that the upstream has, in order. */
+    void closeUpstreams() throws IOException {
+        for (Socket socket : served) {
+            socket.close();
+        }
+    }
+
+    private Wire keep(Wire wire) {
+        open.add(wire);
+        return wire;
+    }
+
+    /** A new connection of a client. */
+    Wire client() throws IOException {
+        return keep(Wire.to(at.outbound()));
+    }
+
+    /** A new connection of another balancer. */
+    Wire balancer() throws IOException {
+        return keep(Wire.to(at.inbound()));
+    }
+
+    /** What another balancer would say for a life of the upstream. */
+    static String meant(String id, String life, String... headers) {
+        return get("/u/x", id, "Sablehinge-Deliver-To: " + life + "\r\n", String.join("", headers));
+    }
+
+    /** A balancer beside another upstream of the service, which the test plays. */
+    Listener other(String life) throws IOException {
+        Listener other = new Listener();
+        listeners.add(other);
+        tells(life, other.address());
+        return other;
+    }
+
+    void tells(String life, String inbound) {
+        core.tells(new Intake("s-" + life, "monza-a", inbound, SERVICE, life, true, 8, 0));
+    }
+
+    Wire.Message call(String to, String method, String path, String body) throws IOException {
+        try (Wire wire = Wire.to(to)) {
+            return wire.ask(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body);
+        }
+    }
+
+    Wire.Message beat(String id, String state) throws IOException {
+        return call(at.control(), "POST", "/sablehinge/Servers.Heartbeat/" + id, """
+                {"depot":"huvo11a","address":"%s","zone":"monza-a","edition":"v1","berths":4,"state":"%s",
+                 "coldLeftMs":0,"callCount":4}""".formatted(app.address(), state));
+    }
+
+    int ready() throws IOException {
+        return call(at.ready(), "GET", "/sablehinge/ready", "").status();
+    }
+
+    List<String> arrivedIds() {
+        return arrived.stream().map(Wire.Message::id).toList();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Wire wire : open) {
+            wire.close();
+        }
+        app.close();
+        for (Listener listener : listeners) {
+            listener.close();
+        }
+        try {
+            sluice.close();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+        core.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/sluice/NewsTest.java
@@ -0,0 +1,210 @@
+package sablehinge.sluice;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What a real balancer makes of the core's news and of its upstream's beats. */
+@Timeout(60)
+class NewsTest {
+
+    /** For how long a request with an unknown route or key waits for news, at least. */
+    private static final long WAITS_MS = 400;
+    private static final String TENANT = "{\"name\":\"hule930\",\"passes\":[\"%s\"]}";
+    private static final String KEY = "Sablehinge-Key: k-2\r\n";
+
+    private static String echo(Wire.Message request) {
+        return Mesh.ok(request.id(), request.body());
+    }
+
+    @Test
+    void aBalancerWithoutAConfigurationIsNotReadyAndPromisesThatNothingRuns() throws Exception {
+        try (Mesh mesh = new Mesh().answers(NewsTest::echo)) {
+            assertEquals(503, mesh.ready());
+            Wire.Message answer = mesh.client().ask(Mesh.get("/s/x", "t-1"));
+            assertEquals(503, answer.status());
+            assertNotNull(answer.one("Retry-After"));
+            mesh.core.holds(Mesh.configuration(4, "", ""), 4);
+            mesh.beat("i-1", "ready");
+            mesh.core.awaitKnown("i-1");
+            assertEquals(200, mesh.ready());
+            assertEquals(200, mesh.client().ask(Mesh.get("/s/x", "t-2")).status());
+        }
+    }
+
+    @Test
+    void whatIsNotConfirmedToBeTheNewestMakesNobodyReady() throws Exception {
+        try (Mesh mesh = new Mesh(false)) {
+            mesh.core.holds(Mesh.configuration(4, "", ""), 4);
+            Mesh.await("it asks", () -> mesh.core.confirmationsAsked() > 0);
+            assertEquals(503, mesh.ready());
+            mesh.core.confirms(true);
+            mesh.core.awaitKnown("");
+            assertEquals(200, mesh.ready());
+        }
+    }
+
+    /** Each time with another route or key; one that took longer than the balancer waits tells nothing. */
+    private static void waitsForNews(Mesh mesh, IntFunction<String> configuration, IntFunction<String> request)
+            throws Exception {
+        Wire.Message answer = null;
+        long took = WAITS_MS;
+        for (int i = 9; (answer == null || answer.status() != 200) && took >= WAITS_MS && i < 30; i++) {
+            mesh.core.holdsUntilAsked(configuration.apply(i), i);
+            long begun = System.nanoTime();
+            answer = mesh.client().ask(request.apply(i));
+            took = (System.nanoTime() - begun) / 1_000_000;
+        }
+        assertEquals(200, answer.status());
+    }
+
+    @Test
+    void aRouteThatIsNewerThanTheBalancersVersionIsWaitedFor() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(NewsTest::echo)) {
+            waitsForNews(mesh, i -> Mesh.configuration(i, "", "," + Mesh.route("r-new", "safe", "/n" + i + "/",
+                    false)), i -> Mesh.get("/n" + i + "/x", "t-" + i));
+        }
+    }
+
+    @Test
+    void aKeyThatIsNewerThanTheBalancersVersionIsWaitedFor() throws Exception {
+        try (Mesh mesh = Mesh.served(TENANT.formatted("k-1")).answers(NewsTest::echo)) {
+            waitsForNews(mesh, i -> Mesh.configuration(i, TENANT.formatted("k-" + i), ""),
+                    i -> Mesh.get("/s/x", "t-" + i, "Sablehinge-Key: k-" + i + "\r\n"));
+            assertEquals(401, mesh.client().ask(Mesh.get("/s/x", "t-2", KEY.replace("k-2", "k-1"))).status());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/none/x", "/s/x"})
+    void whatIsConfirmedToBeUnknownIsTurnedAwayAndOfNobodyAsked(String path) throws Exception {
+        try (Mesh mesh = Mesh.served(TENANT.formatted("k-1")).answers(NewsTest::echo)) {
+            int asked = mesh.core.confirmationsAsked();
+            Wire.Message answer = mesh.client().ask(Mesh.get(path, "t-1", KEY));
+            assertEquals(path.equals("/s/x") ? 401 : 404, answer.status());
+            assertTrue(mesh.core.confirmationsAsked() > asked);
+            assertEquals(List.of(), mesh.arrivedIds());
+        }
+    }
+
+    @Test
+    void whereNobodyConfirmsAnUnknownRouteIsTurnedAwayOnceItsPatienceIsOver() throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            mesh.core.confirms(false);
+            long begun = System.nanoTime();
+            assertEquals(404, mesh.client().ask(Mesh.get("/none/x", "t-1")).status());
+            assertTrue(System.nanoTime() - begun >= WAITS_MS * 1_000_000);
+        }
+    }
+
+    @Test
+    void aVersionThatDropsARouteIsInForceForTheNextRequest() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(NewsTest::echo)) {
+            Wire client = mesh.client();
+            assertEquals(200, client.ask(Mesh.get("/s/x", "t-1")).status());
+            mesh.core.holds(Mesh.configuration(9, "", "").replace("\"/s/\"", "\"/moved/\""), 9);
+            mesh.core.awaitKnown("i-1");
+            assertEquals(404, client.ask(Mesh.get("/s/x", "t-2")).status());
+            assertEquals(200, client.ask(Mesh.get("/moved/x", "t-3")).status());
+        }
+    }
+
+    // ---- The upstream beside -------------------------------------------------------------------------
+
+    @Test
+    void aBeatIsAcknowledgedShortlyAndToldToTheCore() throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            Wire.Message answer = mesh.beat("i-1", "ready");
+            assertEquals(200, answer.status());
+            assertTrue(answer.body().length() <= 4_096);
+            assertEquals("application/json", answer.one("Content-Type"));
+            assertEquals(Mesh.SERVICE, mesh.core.told().service());
+            assertEquals(4, mesh.core.told().berths());
+            assertTrue(mesh.core.told().ready());
+            assertEquals(400, mesh.beat("i-1", "asleep").status());
+            assertEquals(400, mesh.call(mesh.at.control(), "POST", "/sablehinge/Servers.Heartbeat/i-1", "{")
+                    .status());
+        }
+    }
+
+    @Test
+    void afterItsLeaveWasAcknowledgedAnUpstreamIsSentNothingLaterThanItsTime() throws Exception {
+        AtomicLong latest = new AtomicLong();
+        try (Mesh mesh = Mesh.served().answers(request -> {
+            latest.set(System.nanoTime());
+            return echo(request);
+        })) {
+            Wire balancer = mesh.balancer();
+            assertEquals(200, balancer.ask(Mesh.meant("t-0", "i-1")).status());
+            assertEquals(200, mesh.beat("i-1", "unloading").status());
+            long acknowledged = System.nanoTime();
+            int sent = 0;
+            Wire.Message answer = balancer.ask(Mesh.meant("t-1", "i-1"));
+            while (answer.status() == 200) {
+                sent++;
+                answer = balancer.ask(Mesh.meant("t-" + sent, "i-1"));
+            }
+            assertEquals(503, answer.status());
+            assertEquals("not-run", answer.one("Sablehinge-Verdict"));
+            int before = mesh.arrived.size();
+            mesh.beat("i-1", "unloading");
+            mesh.beat("i-1", "ready");
+            assertEquals("not-run", balancer.ask(Mesh.meant("u-1", "i-1")).one("Sablehinge-Verdict"));
+            assertEquals(before, mesh.arrived.size());
+            long later = (latest.get() - acknowledged) / 1_000_000;
+            assertTrue(later < Mesh.UNLOAD_MS, "the last one came " + later + " ms later");
+            assertFalse(mesh.core.told().ready());
+            assertEquals(200, mesh.beat("i-2", "ready").status());
+            assertEquals(200, balancer.ask(Mesh.meant("u-2", "i-2")).status());
+        }
+    }
+
+    @Test
+    void whoSignsOffIsSentNothingMore() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(NewsTest::echo)) {
+            assertEquals(200, mesh.call(mesh.at.control(), "POST", "/sablehinge/Servers.SignOff/i-0", "{}")
+                    .status());
+            assertEquals(200, mesh.balancer().ask(Mesh.meant("t-1", "i-1")).status());
+            assertEquals(200, mesh.call(mesh.at.control(), "POST", "/sablehinge/Servers.SignOff/i-1", "{}")
+                    .status());
+            Wire.Message answer = mesh.balancer().ask(Mesh.meant("t-2", "i-1"));
+            assertEquals(503, answer.status());
+            assertEquals("not-run", answer.one("Sablehinge-Verdict"));
+            assertEquals(List.of("t-1"), mesh.arrivedIds());
+        }
+    }
+
+    @Test
+    void whatIsMeantForAnotherLifeOrForNobodyDoesNotReachTheUpstream() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(NewsTest::echo)) {
+            Wire.Message answer = mesh.balancer().ask(Mesh.meant("t-1", "i-0"));
+            assertEquals(503, answer.status());
+            assertEquals("not-run", answer.one("Sablehinge-Verdict"));
+            answer = mesh.balancer().ask(Mesh.get("/u/x", "t-2"));
+            assertEquals(400, answer.status());
+            assertEquals("not-run", answer.one("Sablehinge-Verdict"));
+            assertEquals(List.of(), mesh.arrivedIds());
+        }
+    }
+
+    @Test
+    void theUpstreamsOwnVerdictIsNotBelieved() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> "HTTP/1.1 500 Own\r\nSablehinge-Try-Id: t-1\r\n"
+                + "Sablehinge-Verdict: not-run\r\nContent-Length: 0\r\n\r\n")) {
+            assertEquals("ran", mesh.balancer().ask(Mesh.meant("t-1", "i-1")).one("Sablehinge-Verdict"));
+            Wire.Message answer = mesh.client().ask(Mesh.post("/u/x", "t-1", "1"));
+            assertEquals(500, answer.status());
+            assertNull(answer.one("Sablehinge-Verdict"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/sluice/RequestsTest.java
@@ -0,0 +1,457 @@
+package sablehinge.sluice;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests on their way from a client through a real balancer, twice, to an upstream that the test plays. */
+@Timeout(60)
+class RequestsTest {
+
+    private static final String TENANTS = """
+            {"name":"hule930","passes":["k-1","k-2"],"priority":0,"perS":0,"burst":0},
+            {"name":"few","passes":["k-few"],"perS":0.01,"burst":10}""";
+
+    private static String echo(Wire.Message request) {
+        return Mesh.ok(request.id(), request.body());
+    }
+
+    private static String lines(String... lines) {
+        return String.join("\r\n", lines) + "\r\n";
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET,/s/a%2Fb/./../c?x=1&y=%20+;z,0", "DELETE,/u/?,0", "OPTIONS,/u//a,0", "PUT,/u/~,5",
+        "PATCH,/u/a?b?c,70000", "POST,/u/x,0", "POST,/u/x,1300000"})
+    void methodPathQueryAndBodyArriveUnchanged(String method, String path, int length) throws Exception {
+        try (Mesh mesh = Mesh.served().answers(RequestsTest::echo)) {
+            String body = "0123456789".repeat(length / 10 + 1).substring(0, length);
+            Wire.Message answer = mesh.client().ask(Mesh.post(path, "t-1", body)
+                    .replaceFirst("POST", method));
+            assertEquals(200, answer.status());
+            assertEquals(body, answer.body());
+            assertEquals("t-1", answer.id());
+            assertEquals("3e1b.t-1", answer.one("Sablehinge-Postmark"));
+            assertEquals(method + " " + path + " HTTP/1.1", mesh.arrived.get(0).first());
+            assertEquals(body, mesh.arrived.get(0).body());
+            assertEquals(List.of("t-1"), mesh.arrivedIds());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {10, 40_000, 1_700_000})
+    void anUploadInChunksArrivesWhole(int length) throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> Mesh.ok(request.id(), "" + request.body().length()))) {
+            Wire client = mesh.client();
+            client.write(Mesh.get("/u/up", "t-1", lines("Transfer-Encoding: chunked")).replaceFirst("GET",
+                    "POST"));
+            String half = "ab".repeat(length / 4);
+            String chunk = Integer.toHexString(half.length()) + "\r\n" + half + "\r\n";
+            client.write(chunk + chunk + "0\r\n\r\n");
+            assertEquals("" + 2 * half.length(), client.read().body());
+            assertEquals(half + half, mesh.arrived.get(0).body());
+            assertEquals(200, client.ask(Mesh.get("/s/x", "t-2")).status());
+        }
+    }
+
+    @Test
+    void anUploadThatIsCutOffArrivesNowhereAsAWholeOne() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(RequestsTest::echo)) {
+            for (int length : new int[] {1_000, 1_700_000}) {
+                Wire client = mesh.client();
+                client.write(Mesh.get("/u/up", "t-" + length, lines("Transfer-Encoding: chunked"))
+                        .replaceFirst("GET", "POST"));
+                client.write(Integer.toHexString(length) + "\r\n" + "a".repeat(length) + "\r\n");
+                client.close();
+            }
+            assertEquals(200, mesh.client().ask(Mesh.get("/s/x", "t-2")).status());
+            assertEquals(List.of("t-2"), mesh.arrivedIds());
+        }
+    }
+
+    @Test
+    void whatConcernsOneConnectionIsDroppedAndAllElsePasses() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> Mesh.ok(request.id(), "",
+                lines("X-Answer: a", "X-Answer: b", "Connection: X-Near", "X-Near: 1",
+                        "Keep-Alive: timeout=5", "Sablehinge-Verdict: not-run")))) {
+            Wire.Message answer = mesh.client().ask(Mesh.get("/s/x", "t-1", lines("Connection: x-hop, keep-alive",
+                    "X-Hop: 1", "Keep-Alive: timeout=9", "TE: trailers", "Proxy-Connection: x", "X-Far: a",
+                    "X-Far: b", "Accept-Encoding: identity", "Cookie: c=d", "Sablehinge-Patience: 1",
+                    "Sablehinge-Rank: 0")));
+            Wire.Message request = mesh.arrived.get(0);
+            assertEquals(List.of("a", "b"), request.all("X-Far"));
+            assertEquals("identity", request.one("Accept-Encoding"));
+            assertEquals("c=d", request.one("Cookie"));
+            assertEquals("ficu95.example", request.one("Host"));
+            for (String gone : List.of("X-Hop", "Keep-Alive", "TE", "Proxy-Connection", "Sablehinge-Patience",
+                    "Sablehinge-Rank", "Transfer-Encoding")) {
+                assertEquals(List.of(), request.all(gone), gone);
+            }
+            assertEquals(200, answer.status());
+            assertEquals(List.of("a", "b"), answer.all("X-Answer"));
+            for (String gone : List.of("X-Near", "Keep-Alive", "Sablehinge-Verdict")) {
+                assertEquals(List.of(), answer.all(gone), gone);
+            }
+        }
+    }
+
+    @Test
+    void theKeyStaysHereAndWhoSentWhatIsSetWhateverWasSent() throws Exception {
+        try (Mesh mesh = Mesh.served(TENANTS).answers(RequestsTest::echo)) {
+            String forged = lines("Sablehinge-Sender: other", "Sablehinge-Caller: other",
+                    "sablehinge-sender: third", "Sablehinge-Deliver-To: i-9");
+            assertEquals(200, mesh.client().ask(Mesh.get("/s/x", "t-1", forged, lines("Sablehinge-Key: k-2")))
+                    .status());
+            assertEquals(200, mesh.client().ask(Mesh.get("/o/x", "t-2", forged)).status());
+            assertEquals(200, mesh.client().ask(Mesh.get("/o/x", "t-3", lines("Sablehinge-Key: wrong")))
+                    .status());
+            Wire.Message known = mesh.arrived.get(0);
+            assertEquals("hule930", known.one("Sablehinge-Sender"));
+            assertEquals("i-1", known.one("Sablehinge-Deliver-To"));
+            for (Wire.Message request : mesh.arrived) {
+                assertEquals(Mesh.CALLER, request.one("Sablehinge-Caller"));
+                assertEquals(List.of(), request.all("Sablehinge-Key"));
+            }
+            assertEquals(List.of(), mesh.arrived.get(1).all("Sablehinge-Sender"));
+            assertEquals(List.of(), mesh.arrived.get(2).all("Sablehinge-Sender"));
+        }
+    }
+
+    @Test
+    void anUnknownKeyNoneAndTwoAreTurnedAway() throws Exception {
+        try (Mesh mesh = Mesh.served(TENANTS).answers(RequestsTest::echo)) {
+            assertEquals(401, mesh.client().ask(Mesh.get("/s/x", "t-1", lines("Sablehinge-Key: wrong")))
+                    .status());
+            assertEquals(401, mesh.client().ask(Mesh.get("/s/x", "t-2")).status());
+            assertEquals(400, mesh.client().ask(Mesh.get("/s/x", "t-3", lines("Sablehinge-Key: k-1",
+                    "Sablehinge-Key: k-few"))).status());
+            assertEquals(400, mesh.client().ask(Mesh.get("/s/x", "t-4", lines("Sablehinge-Key: k-1"))
+                    .replaceAll("Sablehinge-Try-Id: t-4\r\n", "")).status());
+            assertEquals(List.of(), mesh.arrivedIds());
+        }
+    }
+
+    @Test
+    void whatIsBeyondATenantsQuotaGetsA429ThatSaysWhenAndOthersGoOn() throws Exception {
+        try (Mesh mesh = Mesh.served(TENANTS).answers(RequestsTest::echo)) {
+            Wire client = mesh.client();
+            int served = 0;
+            Wire.Message answer = client.ask(Mesh.get("/s/x", "t-0", lines("Sablehinge-Key: k-few")));
+            while (answer.status() == 200 && served < 30) {
+                served++;
+                answer = client.ask(Mesh.get("/s/x", "t-" + served, lines("Sablehinge-Key: k-few")));
+            }
+            assertEquals(429, answer.status());
+            assertTrue(served > 0 && served <= 10, served + " served");
+            double seconds = Double.parseDouble(answer.one("Retry-After"));
+            assertTrue(seconds > 0 && seconds <= 12, "after " + seconds);
+            assertEquals(served, mesh.arrived.size());
+            assertEquals(200, client.ask(Mesh.get("/s/x", "u-1", lines("Sablehinge-Key: k-1"))).status());
+            assertEquals(200, client.ask(Mesh.get("/o/x", "u-2")).status());
+        }
+    }
+
+    @Test
+    void theTimeLeftIsNeverMoreThanTheClientSaidNorThanTheRoutesTimeOut() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(RequestsTest::echo)) {
+            mesh.client().ask(Mesh.get("/s/x", "t-1"));
+            mesh.client().ask(Mesh.get("/s/x", "t-2").replace("Left: 12000", "Left: 90000"));
+            for (int i = 0; i < 2; i++) {
+                int left = Integer.parseInt(mesh.arrived.get(i).one("Sablehinge-Time-Left"));
+                assertTrue(left > 0 && left <= (i == 0 ? 12_000 : 15_000), "left " + left);
+            }
+        }
+    }
+
+    // ---- Answers -----------------------------------------------------------------------------------
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1 200 OK\r\nSablehinge-Try-Id: t-1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 204 No\r\nSablehinge-Try-Id: t-1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nSablehinge-Postmark: p\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nSablehinge-Try-Id: t-1\r\nSablehinge-Postmark: p\r\nContent-Encoding: gzip\r\n"
+            + "Content-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nSablehinge-Try-Id: t-1\r\nSablehinge-Postmark: p\r\nContent-Length: 9\r\n\r\nbody",
+        "HTTP/1.1 302 Found\r\nSablehinge-Try-Id: t-1\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Run\r\nSablehinge-Try-Id: t-1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 429 Run\r\nSablehinge-Try-Id: t-1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+        "noise\r\n\r\n", "HTTP/1.1 200 OK\r\nSablehinge-Try", ""})
+    void whatIsNoWholeSuccessOfTheUpstreamIsNoneForTheClientAndNoPromise(String answer) throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> answer)) {
+            Wire client = mesh.client();
+            client.write(Mesh.post("/u/x", "t-1", "body"));
+            Mesh.await("it has arrived", () -> mesh.arrived.size() == 1);
+            mesh.app.close();
+            if (answer.isEmpty() || !answer.endsWith("\r\n\r\n")) {
+                // What is not whole stays so until the connection ends.
+                mesh.closeUpstreams();
+            }
+            Wire.Message told = client.read();
+            assertEquals(502, told.status());
+            assertEquals("t-1", told.id());
+            assertEquals("", told.body());
+            assertEquals(1, mesh.arrived.size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {500, 504, 404, 409, 400})
+    void anUpstreamsOwnFailureReturnsAsItIs(int status) throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> "HTTP/1.1 " + status + " Own\r\nX-Own: 1\r\n"
+                + "Sablehinge-Try-Id: t-1\r\nContent-Length: 3\r\n\r\nwhy")) {
+            Wire.Message told = mesh.client().ask(Mesh.post("/u/x", "t-1", "body"));
+            assertEquals(status, told.status());
+            assertEquals("why", told.body());
+            assertEquals("1", told.one("X-Own"));
+            assertEquals(1, mesh.arrived.size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"503 Full", "429 Many", "400 Bad", "421 Other"})
+    void whatTheUpstreamSaysIsNotRunIsAPromiseForTheClient(String status) throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> "HTTP/1.1 " + status + "\r\n"
+                + (status.startsWith("421") ? "" : "Sablehinge-Not-Run: 1\r\n")
+                + "Sablehinge-Try-Id: t-1\r\nContent-Length: 0\r\n\r\n")) {
+            Wire.Message told = mesh.client().ask(Mesh.post("/u/x", "t-1", "body"));
+            assertEquals(503, told.status());
+            assertEquals("t-1", told.id());
+            assertFalse(mesh.arrived.isEmpty());
+        }
+    }
+
+    @Test
+    void aSurplusAnswerInThePlaceOfTheNextGoesToNobody() throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            Wire client = mesh.client();
+            client.write(Mesh.post("/u/1", "t-1", "a"));
+            Wire upstream = mesh.upstream();
+            upstream.read();
+            upstream.write(Mesh.ok("t-1", "first"));
+            assertEquals("first", client.read().body());
+            client.write(Mesh.post("/u/2", "t-2", "b"));
+            assertEquals("t-2", upstream.read().id());
+            upstream.write(Mesh.ok("t-1", "surplus") + Mesh.ok("t-0", "older") + Mesh.ok("t-2", "second"));
+            Wire.Message answer = client.read();
+            assertEquals(200, answer.status());
+            assertEquals("t-2", answer.id());
+            assertEquals("second", answer.body());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whereOnlyTheSurplusAnswerComesTheClientIsToldNoneOfIt(boolean large) throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            Wire client = mesh.client();
+            client.write(Mesh.post("/u/1", "t-1", "a"));
+            Wire upstream = mesh.upstream();
+            upstream.read();
+            upstream.write(Mesh.ok("t-1", "first"));
+            client.read();
+            client.write(Mesh.post("/u/2", "t-2", "b"));
+            upstream.read();
+            upstream.write(Mesh.ok("t-1", "s".repeat(large ? 200_000 : 7)));
+            upstream.close();
+            Wire.Message answer = client.read();
+            assertEquals(502, answer.status());
+            assertEquals("t-2", answer.id());
+            assertEquals(0, mesh.app.waiting());
+        }
+    }
+
+    @Test
+    void aSafeRequestInWhosePlaceASurplusAnswerCameIsTriedAgain() throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            mesh.answers(request -> mesh.arrived.size() > 2 ? Mesh.ok(request.id(), "right")
+                    : Mesh.ok("t-1", "first", "Connection: close\r\n"));
+            Wire client = mesh.client();
+            assertEquals("first", client.ask(Mesh.get("/s/1", "t-1")).body());
+            Wire.Message answer = client.ask(Mesh.get("/s/2", "t-2"));
+            assertEquals(200, answer.status());
+            assertEquals("right", answer.body());
+            assertEquals(List.of("t-1", "t-2", "t-2"), mesh.arrivedIds().subList(0, 3));
+        }
+    }
+
+    @Test
+    void whatComesBehindAWholeAnswerIsNotTakenForTheNext() throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            Wire client = mesh.client();
+            client.write(Mesh.post("/u/1", "t-1", "a"));
+            Wire upstream = mesh.upstream();
+            upstream.read();
+            upstream.write(Mesh.ok("t-1", "first") + "HTTP/1.1 200 OK\r\nSablehinge-Try-Id: t-2\r\n");
+            assertEquals("first", client.read().body());
+            client.write(Mesh.post("/u/2", "t-2", "b"));
+            Wire second = mesh.upstream();
+            second.read();
+            second.write(Mesh.ok("t-2", "second"));
+            assertEquals("second", client.read().body());
+        }
+    }
+
+    @Test
+    void aLongAnswerPassesWholeAndOneThatBreaksOffDoesNotLookWhole() throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            String body = "0123456789".repeat(30_000);
+            for (boolean whole : new boolean[] {true, false}) {
+                Wire client = mesh.client();
+                client.write(Mesh.post("/u/1", "t-1", "a"));
+                Wire upstream = mesh.upstream();
+                upstream.read();
+                String chunk = Integer.toHexString(body.length()) + "\r\n" + body + "\r\n";
+                upstream.write("HTTP/1.1 200 OK\r\nSablehinge-Try-Id: t-1\r\nSablehinge-Postmark: p\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n" + chunk + (whole ? "0\r\n\r\n" : ""));
+                upstream.close();
+                Wire.Message answer;
+                try {
+                    answer = client.read();
+                } catch (java.io.IOException e) {
+                    answer = null;
+                }
+                if (whole) {
+                    assertEquals(body, answer.body());
+                } else {
+                    assertTrue(answer == null || answer.status() == 502, "it looks whole");
+                }
+            }
+        }
+    }
+
+    // ---- Connections of clients ----------------------------------------------------------------------
+
+    @Test
+    void requestsThatWereSentAheadAreAnsweredInTheirOrder() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(RequestsTest::echo)) {
+            Wire client = mesh.client();
+            client.write(Mesh.post("/s/x", "t-1", "1") + Mesh.post("/s/x", "t-2", "2")
+                    + Mesh.get("/none/x", "t-3") + Mesh.post("/s/x", "t-4", "4"));
+            assertEquals("t-1", client.read().id());
+            assertEquals("2", client.read().body());
+            assertEquals(404, client.read().status());
+            assertEquals("t-4", client.read().id());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Connection: close\r\n", "Sablehinge-Time-Left: never\r\n"})
+    void whatWasSentBehindARequestWhoseAnswerClosesIsNeverRun(String header) throws Exception {
+        try (Mesh mesh = Mesh.served().answers(RequestsTest::echo)) {
+            Wire client = mesh.client();
+            client.write(Mesh.post("/u/x", "t-1", "1", header) + Mesh.post("/u/x", "t-2", "2")
+                    + Mesh.get("/s/x", "t-3"));
+            Wire.Message answer = client.read();
+            assertEquals("close", answer.one("Connection"));
+            assertNull(client.read());
+            assertEquals(200, mesh.client().ask(Mesh.post("/u/x", "t-2", "2")).status());
+            assertEquals(1, mesh.arrivedIds().stream().filter("t-2"::equals).count());
+            assertFalse(mesh.arrivedIds().contains("t-3"));
+        }
+    }
+
+    @Test
+    void anUpstreamThatClosesItsConnectionDoesNotCloseTheClients() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> Mesh.ok(request.id(), "", "Connection: close\r\n"))) {
+            Wire client = mesh.client();
+            client.write(Mesh.post("/u/x", "t-1", "1") + Mesh.post("/u/x", "t-2", "2"));
+            Wire.Message answer = client.read();
+            assertNull(answer.one("Connection"));
+            assertEquals("t-2", client.read().id());
+        }
+    }
+
+    // ---- Between balancers ---------------------------------------------------------------------------
+
+    @Test
+    void whatReachesNoOtherBalancerIsPromisedNotToHaveRun() throws Exception {
+        try (Mesh mesh = new Mesh()) {
+            mesh.core.holds(Mesh.configuration(4, "", ""), 4);
+            mesh.other("i-8").close();
+            mesh.core.awaitKnown("");
+            Wire.Message answer = mesh.client().ask(Mesh.post("/u/x", "t-1", "1"));
+            assertEquals(503, answer.status());
+            assertEquals("t-1", answer.id());
+        }
+    }
+
+    @Test
+    void whatBreaksBeforeItsFirstByteMayGoElsewhereAndIsNeverInDoubt() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(RequestsTest::echo)) {
+            mesh.other("i-8").close();
+            mesh.core.awaitKnown("i-1");
+            int served = 0;
+            for (int i = 0; i < 20; i++) {
+                Wire.Message answer = mesh.client().ask(Mesh.post("/u/x", "t-" + i, "1"));
+                assertTrue(answer.status() == 200 || answer.status() == 503, answer.first());
+                served += answer.status() == 200 ? 1 : 0;
+            }
+            assertEquals(served, mesh.arrived.size());
+            assertTrue(served > 0);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whatBreaksAfterItWasSentIsInDoubtAndRunsOnceAtMost(boolean abruptly) throws Exception {
+        try (Mesh mesh = new Mesh()) {
+            mesh.core.holds(Mesh.configuration(4, "", ""), 4);
+            sablehinge.rig.Listener one = mesh.other("i-8");
+            sablehinge.rig.Listener two = mesh.other("i-9");
+            mesh.core.awaitKnown("");
+            Wire client = mesh.client();
+            client.write(Mesh.post("/u/x", "t-1", "1"));
+            Mesh.await("one has it", () -> one.waiting() + two.waiting() > 0);
+            Wire balancer = new Wire((one.waiting() > 0 ? one : two).accept().socket);
+            Wire.Message sent = balancer.read();
+            assertEquals("t-1", sent.id());
+            assertNotNull(sent.one("Sablehinge-Patience"));
+            if (abruptly) {
+                balancer.reset();
+            } else {
+                balancer.close();
+            }
+            assertEquals(502, client.read().status());
+            assertEquals(0, one.waiting() + two.waiting());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"not-run,503", "may-have-run,502", "ran,502", ",502"})
+    void onlyAnotherBalancersProofIsAPromise(String verdict, int expected) throws Exception {
+        try (Mesh mesh = new Mesh()) {
+            mesh.core.holds(Mesh.configuration(4, "", ""), 4);
+            sablehinge.rig.Listener other = mesh.other("i-8");
+            mesh.answers(other, request -> "HTTP/1.1 503 No\r\nSablehinge-Try-Id: t-1\r\nContent-Length: 0\r\n"
+                    + (verdict == null ? "" : "Sablehinge-Verdict: " + verdict + "\r\n") + "\r\n");
+            mesh.core.awaitKnown("");
+            assertEquals(expected, mesh.client().ask(Mesh.post("/u/x", "t-1", "1")).status());
+            assertTrue(expected == 503 || mesh.arrived.size() == 1);
+        }
+    }
+
+    @Test
+    void aConnectionThatWasClosedWhileItRestedCarriesNothing() throws Exception {
+        try (Mesh mesh = Mesh.served()) {
+            Wire client = mesh.client();
+            for (int i = 0; i < 3; i++) {
+                client.write(Mesh.post("/u/x", "t-" + i, "1"));
+                Wire upstream = mesh.upstream();
+                upstream.read();
+                upstream.write(Mesh.ok("t-" + i, "" + i));
+                assertEquals("" + i, client.read().body());
+                upstream.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/sluice/Wire.java
@@ -0,0 +1,145 @@
+package sablehinge.sluice;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One end of a plain HTTP/1.1 connection that reads both framings. */
+final class Wire implements AutoCloseable {
+
+    private static final int PATIENCE_MS = 20_000;
+    final Socket socket;
+    private final InputStream in;
+
+    /** A message as it came. */
+    record Message(String first, List<String> headers, String body) {
+
+        int status() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+
+        /** All values of a header. */
+        List<String> all(String name) {
+            List<String> values = new ArrayList<>();
+            for (String header : headers) {
+                if (header.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
+                    values.add(header.substring(name.length() + 1).strip());
+                }
+            }
+            return values;
+        }
+
+        /** The one value of a header, or null. */
+        String one(String name) {
+            List<String> values = all(name);
+            if (values.size() > 1) {
+                throw new AssertionError(name + " is repeated: " + values);
+            }
+            return values.isEmpty() ? null : values.get(0);
+        }
+
+        String id() {
+            return one("Sablehinge-Try-Id");
+        }
+    }
+
+    Wire(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.setTcpNoDelay(true);
+        in = socket.getInputStream();
+    }
+
+    static Wire to(String address) throws IOException {
+        int colon = address.lastIndexOf(':');
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1))), PATIENCE_MS);
+        return new Wire(socket);
+    }
+
+    Wire write(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        return this;
+    }
+
+    /** The answer to a request. */
+    Message ask(String request) throws IOException {
+        return write(request).read();
+    }
+
+    /** The next message, or null where the connection has ended before it; fails if it ends within it. */
+    Message read() throws IOException {
+        String first = line();
+        if (first == null) {
+            return null;
+        }
+        List<String> headers = new ArrayList<>();
+        for (String line = line(); !"".equals(line); line = line()) {
+            if (line == null) {
+                throw new EOFException("the head is not whole");
+            }
+            headers.add(line);
+        }
+        Message head = new Message(first, headers, "");
+        String length = head.one("Content-Length");
+        return new Message(first, headers, "chunked".equals(head.one("Transfer-Encoding")) ? chunks()
+                : text(length == null ? 0 : Integer.parseInt(length)));
+    }
+
+    private String text(int length) throws IOException {
+        byte[] bytes = in.readNBytes(length);
+        if (bytes.length < length) {
+            throw new EOFException("the body is not whole");
+        }
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private String chunks() throws IOException {
+        StringBuilder body = new StringBuilder();
+        while (true) {
+            String size = line();
+            if (size == null) {
+                throw new EOFException("the body is not whole");
+            }
+            int length = Integer.parseInt(size.split(";")[0].strip(), 16);
+            body.append(text(length));
+            if (!"".equals(line())) {
+                throw new EOFException("a chunk is not whole");
+            }
+            if (length == 0) {
+                return body.toString();
+            }
+        }
+    }
+
+    private String line() throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            if (c == '\n') {
+                return line.toString(StandardCharsets.ISO_8859_1);
+            }
+            if (c != '\r') {
+                line.write(c);
+            }
+        }
+        return null;
+    }
+
+    /** Breaks the connection off with a reset. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
