--- a/src/main/java/sablehinge/cli/Commands.java
+++ b/src/main/java/sablehinge/cli/Commands.java
@@ -22,6 +22,7 @@
  */
 @Command(name = "sablehinge", mixinStandardHelpOptions = true, versionProvider = Commands.Versions.class,
         description = "A load balancer that runs inside every caller.",
+        footer = "The verbs about a mesh are told by: mesh help",
         subcommands = {Commands.Serve.class, Commands.Wire.class, Commands.Check.class,
             ConfigCommand.class, ReplayCommand.class, StandInCommand.class, AuditCommand.class,
                     DemoCommand.class, RecorderCommand.class})
@@ -63,7 +64,7 @@
     @Override
     public Integer call() {
         throw new ParameterException(spec.commandLine(),
-                "expected a verb: serve, check, config, replay, standin, audit, demo, recorder or wire");
+                "expected a verb: serve, check, config, replay, standin, audit, demo, recorder, mesh or wire");
     }
 
     /** The version that the build wrote into the packed program. */
--- a/src/main/java/sablehinge/cli/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -2,11 +2,13 @@
 
 import java.io.PrintWriter;
 import java.lang.reflect.Proxy;
+import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.slf4j.LoggerFactory;
+import sablehinge.cli.mesh.MeshCommands;
 import sablehinge.config.ConfigException;
 import sablehinge.config.PlatformConfig;
 import sablehinge.core.Log;
@@ -14,7 +16,8 @@
 
 /**
  * The command line: {@code serve} runs one balancer on the platform, {@code wire} the same decisions for the
- * simulator. These two load nothing of the operators' verbs, which are {@link Commands}.
+ * simulator, {@code sluice} and {@code reservoir} the mesh's daemons. These load nothing of the operators'
+ * verbs, which are {@link Commands} and, about a mesh, {@link MeshCommands}.
  */
 public final class Main {
     private Main() {
@@ -28,6 +31,8 @@
             serve();
         } else if (args.length == 1 && (args[0].equals("sluice") || args[0].equals("reservoir"))) {
             Waterworks.run(args[0]);
+        } else if (args.length > 0 && args[0].equals("mesh")) {
+            System.exit(MeshCommands.run(Arrays.copyOfRange(args, 1, args.length), System.err));
         } else {
             System.exit(Commands.run(args, new PrintWriter(System.out, true), new PrintWriter(System.err,
                     true)));
--- /dev/null
+++ b/src/main/java/sablehinge/standin/mesh/Beating.java
@@ -0,0 +1,87 @@
+package sablehinge.standin.mesh;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Tells a balancer that the upstream beside it lives, and in the end that it leaves. */
+public final class Beating implements AutoCloseable {
+
+    private static final int PATIENCE_MS = 1_000;
+    private static final long AGAIN_MS = 150;
+
+    private final StandInUpstream upstream;
+    private final InetSocketAddress control;
+    private final String zone;
+    private final long everyMs;
+    private final Ledger ledger;
+    private long count;
+    private volatile boolean ended;
+
+    /** Begins to beat. */
+    public Beating(StandInUpstream upstream, InetSocketAddress control, String zone, long everyMs,
+            Ledger ledger) {
+        this.upstream = upstream;
+        this.control = control;
+        this.zone = zone;
+        this.everyMs = everyMs;
+        this.ledger = ledger;
+        StandInUpstream.daemon("beats " + upstream.terms().id(), this::beat);
+    }
+
+    private void beat() {
+        try {
+            while (!ended) {
+                TimeUnit.MILLISECONDS.sleep(call("Servers.Heartbeat") ? everyMs : AGAIN_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized boolean call(String name) {
+        StandInUpstream.Terms terms = upstream.terms();
+        String body = JsonNodeFactory.instance.objectNode().put("depot", terms.depot())
+                .put("address", terms.address().getAddress().getHostAddress() + ":"
+                        + upstream.address().getPort()).put("zone", zone).put("edition", "v1")
+                .put("berths", terms.berths()).put("state", upstream.isUnloading() ? "unloading" : "ready")
+                .put("coldLeftMs", 0).put("callCount", ++count).toString();
+        try {
+            Message answer = Call.once(control, PATIENCE_MS, "POST", "/sablehinge/" + name + "/" + terms.id(),
+                    Map.of("Host", "control", "Content-Type", "application/json"),
+                    body.getBytes(StandardCharsets.UTF_8));
+            return answer != null && answer.status() / 100 == 2;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void tell(String name, boolean gone, double until) throws InterruptedException {
+        while (!call(name)) {
+            if (Ledger.now() > until) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
+        }
+        ledger.left(new Ledger.Left(upstream.terms().id(), gone, Ledger.now()));
+    }
+
+    /** A planned end: says so, serves on for so long, signs off, and ends the upstream. */
+    public void leave(long unloadMs) throws InterruptedException {
+        upstream.unloads();
+        tell("Servers.Heartbeat", false, Ledger.now() + unloadMs);
+        TimeUnit.MILLISECONDS.sleep(unloadMs + unloadMs / 10);
+        ended = true;
+        tell("Servers.SignOff", true, Ledger.now() + unloadMs);
+        upstream.close();
+    }
+
+    @Override
+    public void close() {
+        ended = true;
+        upstream.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/standin/mesh/Call.java
@@ -0,0 +1,92 @@
+package sablehinge.standin.mesh;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** A connection of a caller: requests go out, answers come back in their order. */
+final class Call implements AutoCloseable {
+
+    private static final int CHUNK = 7_000;
+    private final Socket socket = new Socket();
+    private final InputStream in;
+
+    Call(InetSocketAddress to, int patienceMs) throws IOException {
+        try {
+            socket.connect(to, patienceMs);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(patienceMs);
+            in = new BufferedInputStream(socket.getInputStream());
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** Sends a request with its body in chunks or with a length. */
+    void send(String method, String uri, Map<String, String> headers, byte[] body, boolean chunked)
+            throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        text(out, method + " " + uri + " HTTP/1.1\r\n");
+        for (Map.Entry<String, String> header : headers.entrySet()) {
+            text(out, header.getKey() + ": " + header.getValue() + "\r\n");
+        }
+        body(out, body, chunked, body.length > 0 || !method.equals("GET"));
+        socket.getOutputStream().write(out.toByteArray());
+    }
+
+    /** The end of a head, and the body. */
+    static void body(ByteArrayOutputStream out, byte[] body, boolean chunked, boolean has) {
+        if (chunked) {
+            text(out, "Transfer-Encoding: chunked\r\n\r\n");
+            for (int from = 0; from < body.length; from += CHUNK) {
+                int size = Math.min(CHUNK, body.length - from);
+                text(out, Integer.toHexString(size) + "\r\n");
+                out.write(body, from, size);
+                text(out, "\r\n");
+            }
+            text(out, "0\r\n\r\n");
+        } else {
+            text(out, has ? "Content-Length: " + body.length + "\r\n\r\n" : "\r\n");
+            out.write(body, 0, body.length);
+        }
+    }
+
+    static void text(ByteArrayOutputStream out, String text) {
+        out.writeBytes(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The next answer; null where the connection has ended. */
+    Message receive() throws IOException {
+        return Message.read(in);
+    }
+
+    /** One request on a connection of its own. */
+    static Message once(InetSocketAddress to, int patienceMs, String method, String uri,
+            Map<String, String> headers, byte[] body) throws IOException {
+        try (Call call = new Call(to, patienceMs)) {
+            call.send(method, uri, headers, body, false);
+            return call.receive();
+        }
+    }
+
+    /** An address from its text. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is gone all the same.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/standin/mesh/Daemon.java
@@ -0,0 +1,65 @@
+package sablehinge.standin.mesh;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A daemon of the mesh as a child process, which is started with a settings file. */
+public final class Daemon implements AutoCloseable {
+
+    private static final String SETTINGS = "SABLEHINGE_CONFIG";
+
+    private final String name;
+    private final Path settings;
+    private final Path log;
+    private Process process;
+
+    /** A daemon that does not run yet; its log is appended to a file. */
+    public Daemon(String name, Path settings, Path log) {
+        this.name = name;
+        this.settings = settings;
+        this.log = log;
+    }
+
+    /** Starts it by a command. */
+    public void start(List<String> command) {
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.environment().put(SETTINGS, settings.toString());
+        try {
+            process = builder.start();
+        } catch (IOException e) {
+            throw new MeshException(MeshException.Code.DAEMON, name + " can't be started: " + e.getMessage(),
+                    e);
+        }
+    }
+
+    /** Whether it runs. */
+    public boolean runs() {
+        return process != null && process.isAlive();
+    }
+
+    /** The processor time that it has used, in ms; 0 where the system does not say. */
+    public long cpuMs() {
+        return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+    }
+
+    /** Ends it at once, and returns when it is gone. */
+    public void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Asks it to end; whether it has within so long. */
+    public boolean end(long withinMs) throws InterruptedException {
+        process.destroy();
+        return process.waitFor(withinMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/standin/mesh/SmallMesh.java
@@ -0,0 +1,236 @@
+package sablehinge.standin.mesh;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * Three reservoirs and three sluices as child processes on loopback, with a stand-in upstream beside each
+ * sluice, clients on each machine, and an operator. All of it ends when this is closed.
+ */
+public final class SmallMesh implements AutoCloseable {
+
+    /** The service of two upstreams. */
+    public static final String BASALT = "basalt";
+    /** The service of one. */
+    public static final String MARL = "marl";
+    private static final int RESERVOIRS = 3;
+    private static final int BERTHS = 12;
+    private static final int WORK_MS = 12;
+    private static final int PROBE_MS = 1_000;
+    private static final long AGAIN_MS = 50;
+    private static final int START_MS = 40_000;
+
+    private final Path folder;
+    private final MeshPlan plan;
+    private final Commands commands;
+    private final Ledger ledger = new Ledger();
+    private final Operator operator;
+    private final List<Daemon> reservoirs = new ArrayList<>();
+    private final List<Daemon> sluices = new ArrayList<>();
+    private final List<Beating> upstreams = new ArrayList<>();
+    private final List<Clients> clients = new ArrayList<>();
+
+    /** What starts the daemons. */
+    public interface Commands {
+
+        /** The command of a role's process, by its place among those of its role and its start, from 0. */
+        List<String> command(String role, int place, int start);
+    }
+
+    /** A mesh that does not run yet, in a folder that it makes and removes. */
+    public SmallMesh(Commands commands) {
+        this.commands = commands;
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        plan = new MeshPlan("127." + random.nextInt(1, 255) + "." + random.nextInt(1, 255), RESERVOIRS,
+                List.of(BASALT, BASALT, MARL));
+        List<InetSocketAddress> core = new ArrayList<>();
+        for (int i = 0; i < RESERVOIRS; i++) {
+            core.add(Call.address(plan.coreControl(i)));
+        }
+        operator = new Operator(core);
+        try {
+            folder = Files.createTempDirectory("sablehinge-mesh");
+            for (int i = 0; i < RESERVOIRS; i++) {
+                Files.createDirectories(data(i));
+                write("core-" + i, plan.reservoirSettings(i, data(i).toString(), true), reservoirs);
+            }
+            for (int i = 0; i < plan.services().size(); i++) {
+                write("sidecar-" + i, plan.sluiceSettings(i), sluices);
+            }
+        } catch (IOException e) {
+            throw new MeshException(MeshException.Code.FILE, "the folder can't be made: " + e.getMessage(), e);
+        }
+    }
+
+    private Path data(int place) {
+        return folder.resolve("core-" + place + ".data");
+    }
+
+    private void write(String name, String settings, List<Daemon> to) throws IOException {
+        Path file = Files.writeString(folder.resolve(name + ".toml"), settings);
+        to.add(new Daemon(name, file, folder.resolve(name + ".log")));
+    }
+
+    /** Where everything is. */
+    public MeshPlan plan() {
+        return plan;
+    }
+
+    /** What has been seen. */
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    /** The operator. */
+    public Operator operator() {
+        return operator;
+    }
+
+    /** A machine of the core. */
+    public Daemon reservoir(int place) {
+        return reservoirs.get(place);
+    }
+
+    /** The balancer of a machine. */
+    public Daemon sluice(int place) {
+        return sluices.get(place);
+    }
+
+    /** A version of the usual routes, whose reads go to one service. */
+    public MeshVersion version(long edition, long basedOn, String reads) {
+        return new MeshVersion(edition, basedOn, List.of(
+                new MeshVersion.Route("/read/", Ledger.Kind.SAFE, List.of(reads)),
+                new MeshVersion.Route("/both/", Ledger.Kind.SAFE, List.of(BASALT, MARL)),
+                new MeshVersion.Route("/write/", Ledger.Kind.UNSAFE, List.of(BASALT)),
+                new MeshVersion.Route("/put/", Ledger.Kind.UPLOAD, List.of(MARL))), List.of(BASALT, MARL));
+    }
+
+    /** Starts all daemons and upstreams, has a configuration taken, and returns when all balancers are in. */
+    public void start(MeshVersion first) throws InterruptedException {
+        for (int i = 0; i < reservoirs.size(); i++) {
+            restart(i, 0);
+        }
+        for (int i = 0; i < sluices.size(); i++) {
+            sluices.get(i).start(commands.command("sluice", i, 0));
+            StandInUpstream upstream = new StandInUpstream(new StandInUpstream.Terms("i-" + i + "-"
+                    + Long.toHexString(ThreadLocalRandom.current().nextLong()), plan.services().get(i),
+                    Call.address(plan.app(i)), BERTHS, WORK_MS), ledger);
+            upstreams.add(new Beating(upstream, Call.address(plan.control(i)), MeshPlan.ZONE,
+                    MeshPlan.BEAT_MS, ledger));
+        }
+        operator.replace(first, START_MS);
+        for (int i = 0; i < sluices.size(); i++) {
+            ready(i);
+        }
+        // The roll comes with the beats: every balancer has heard of every upstream after two of them.
+        TimeUnit.MILLISECONDS.sleep(2 * MeshPlan.BEAT_MS);
+    }
+
+    /** Starts a machine of the core again, for the so-many-th time; its disk is as it was left. */
+    public void restart(int place, int start) {
+        if (start == 1) {
+            try {
+                Files.writeString(folder.resolve("core-" + place + ".toml"),
+                        plan.reservoirSettings(place, data(place).toString(), false));
+            } catch (IOException e) {
+                throw new MeshException(MeshException.Code.FILE, e.getMessage(), e);
+            }
+        }
+        reservoirs.get(place).start(commands.command("reservoir", place, start));
+    }
+
+    /** Returns when a balancer says that it is ready. */
+    public void ready(int place) throws InterruptedException {
+        double end = Ledger.now() + START_MS;
+        while (!isReady(place)) {
+            if (!sluices.get(place).runs()) {
+                throw new MeshException(MeshException.Code.DAEMON, "sluice " + place + " has ended:\n"
+                        + log("sidecar-" + place), null);
+            }
+            if (Ledger.now() > end) {
+                throw new MeshException(MeshException.Code.TIMEOUT, "sluice " + place + " is not ready:\n"
+                        + log("sidecar-" + place), null);
+            }
+            TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
+        }
+    }
+
+    /** Whether a balancer says that it is ready. */
+    public boolean isReady(int place) {
+        try {
+            Message answer = Call.once(Call.address(plan.ready(place)), PROBE_MS, "GET",
+                    "/sablehinge/ready", Map.of("Host", "ready"), new byte[0]);
+            return answer != null && answer.status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private String log(String name) {
+        try {
+            return Files.readString(folder.resolve(name + ".log"));
+        } catch (IOException e) {
+            return "(no log)";
+        }
+    }
+
+    /** Starts the clients of all machines; each machine's send a request every so often. */
+    public void load(long everyMs) {
+        List<MeshVersion.Route> routes = version(1, 0, BASALT).routes();
+        for (int i = 0; i < sluices.size(); i++) {
+            Clients one = new Clients("machine-" + i, Call.address(plan.outbound(i)), plan.services().get(i),
+                    routes, everyMs, ledger);
+            one.start();
+            clients.add(one);
+        }
+    }
+
+    /** The upstream of a machine leaves in order; once it and its clients are gone, its balancer ends. */
+    public boolean leave(int place, long withinMs) throws InterruptedException {
+        upstreams.get(place).leave(MeshPlan.UNLOAD_MS);
+        clients.get(place).close();
+        return sluices.get(place).end(withinMs);
+    }
+
+    /** Returns when all clients have stopped and what they sent has come out. */
+    public void quiet() {
+        clients.forEach(Clients::close);
+    }
+
+    /** The logs of all daemons go to another folder, for whoever wants to know why. */
+    public void keepLogs(Path to) {
+        try (Stream<Path> files = Files.list(folder)) {
+            Files.createDirectories(to);
+            for (Path file : files.filter(f -> f.toString().matches(".*\\.(log|toml)")).toList()) {
+                Files.copy(file, to.resolve(file.getFileName()),
+                        java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            }
+        } catch (IOException e) {
+            throw new MeshException(MeshException.Code.FILE, "logs can't be kept: " + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public void close() {
+        clients.forEach(Clients::close);
+        upstreams.forEach(Beating::close);
+        sluices.forEach(Daemon::close);
+        reservoirs.forEach(Daemon::close);
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException e) {
+            // A folder for what is not kept may stay.
+        }
+    }
+}
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -38,7 +38,7 @@
             Map.entry("basin", Set.of("policy")),
             Map.entry("meter", Set.of()),
             Map.entry("cistern", Set.of()),
-            Map.entry("penstock", Set.of("cistern", "conduit")),
+            Map.entry("penstock", Set.of("cistern", "conduit", "meter")),
             Map.entry("reservoir", Set.of("watermaster", "cistern", "conduit", "penstock", "meter", "headgate",
                     "aqueduct", "config", "core", "io.netty", "org.h2", "org.slf4j")),
             Map.entry("sluice", Set.of("aqueduct", "basin", "meter", "cistern", "conduit", "penstock",
@@ -67,7 +67,7 @@
             Map.entry("cli", Set.of("policy", "settings", "core", "membership", "config", "http1", "wire",
                     "node", "mapping", "tally", "replay", "pace", "judge", "audit", "standin", "station",
                     "recorder", "log", "sluice", "reservoir", "org.slf4j",
-                    "picocli", "com.github.difflib", "io.netty",
+                    "picocli", "com.github.difflib", "com.github.rvesse", "io.netty",
                             "com.fasterxml.jackson")));
 
     /** Packages that decide: events in, actions out. */
