SIGHUP reads a daemon's settings again; before, it ended the process

Change: both daemons take the signal before they do anything else, read the file, take over where the core may be, and keep what they have where the file is of no use. Result: WaterworksTest starts the process, sends the signal and reads its log; without the handler it ends.

--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -3,8 +3,12 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.slf4j.LoggerFactory;
 import sablehinge.config.ConfigException;
 import sablehinge.config.local.LocalSettings;
+import sablehinge.core.Log;
 import sablehinge.log.LogTerms;
 import sablehinge.log.Logging;
 import sablehinge.reservoir.Reservoir;
@@ -21,21 +25,21 @@
     /** Runs a daemon by the settings file that the environment names, until it is ended. */
     static void run(String role) throws InterruptedException {
         Logging.apply(LogTerms.MESH);
+        // Before anything else: the signal would end the process, also one that has only just begun.
+        AtomicReference<Consumer<LocalSettings>> takes = new AtomicReference<>();
+        Main.onHangup(() -> reread(role, takes.get()));
         try {
             String file = System.getenv(SETTINGS);
             if (file == null) {
                 throw new ConfigException(SETTINGS + " names no settings file");
             }
-            LocalSettings settings = LocalSettings.read(Path.of(file));
-            if (!settings.role().name().toLowerCase(Locale.ROOT).equals(role)) {
-                throw new ConfigException(file + ": role is " + settings.role().name().toLowerCase(Locale.ROOT)
-                        + ", but " + role + " was started");
-            }
+            LocalSettings settings = read(role, file);
             if (settings.role() == LocalSettings.Role.SLUICE) {
                 Sluice sluice = Sluice.start(settings);
+                takes.set(sluice::reload);
                 Main.drainAtShutdown(sluice::drain);
             } else {
-                Reservoir.start(settings);
+                takes.set(Reservoir.start(settings)::reload);
             }
         } catch (ConfigException e) {
             System.err.println("sablehinge: " + e.getMessage());
@@ -43,4 +47,26 @@
         }
         new CountDownLatch(1).await();
     }
+
+    private static LocalSettings read(String role, String file) throws ConfigException {
+        LocalSettings settings = LocalSettings.read(Path.of(file));
+        if (!settings.role().name().toLowerCase(Locale.ROOT).equals(role)) {
+            throw new ConfigException(file + ": role is " + settings.role().name().toLowerCase(Locale.ROOT)
+                    + ", but " + role + " was started");
+        }
+        return settings;
+    }
+
+    /** SIGHUP says that the file has changed; one that is of no use changes nothing. */
+    private static void reread(String role, Consumer<LocalSettings> takes) {
+        try {
+            LocalSettings settings = read(role, System.getenv(SETTINGS));
+            if (takes != null) {
+                takes.accept(settings);
+            }
+        } catch (ConfigException | RuntimeException e) {
+            Log.warn(LoggerFactory.getLogger(Waterworks.class), "settings-malformed")
+                    .addKeyValue("cause", e.getMessage()).log("the settings stay as they were");
+        }
+    }
 }
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -160,6 +160,17 @@
         store.close();
     }
 
+    /** Takes over what may change while it runs: where other machines of the core may be. */
+    public void reload(LocalSettings next) {
+        loop.execute(() -> {
+            List<String> contacts = new ArrayList<>();
+            next.seeds().forEach(seed -> contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1)
+                    + next.innerFirst()));
+            watermaster.contacts(contacts);
+            Log.info(LOG, "settings").addKeyValue("seeds", contacts.size()).log("the settings were read again");
+        });
+    }
+
     private void begin(Stored stored, boolean founds) {
         double now = clock.now();
         List<String> contacts = new ArrayList<>();
--- a/src/main/java/sablehinge/sluice/NewsClient.java
+++ b/src/main/java/sablehinge/sluice/NewsClient.java
@@ -33,7 +33,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Conduit conduit;
-    private final List<String> seeds;
+    private List<String> seeds;
     private final Teller teller;
     private final Set<String> contacts = new LinkedHashSet<>();
     private Conduit.Link link;
@@ -64,6 +64,12 @@
         next = Math.floorMod(System.nanoTime() / 1_000, Math.max(1, seeds.size()));
     }
 
+    /** Where else the core may be. */
+    void seeds(List<String> next) {
+        seeds = List.copyOf(next);
+        contacts.addAll(next);
+    }
+
     void start() {
         reach(null);
     }
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -151,11 +151,8 @@
         version = new Version(0, first.settings(), first.classes(), List.of(), false);
         versions.put(0, version);
         outbound.start(version, System.nanoTime(), new Roster(0, true, List.of()), peers, NO_REGISTRY);
-        List<String> contacts = new ArrayList<>();
-        for (String seed : settings.seeds()) {
-            contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1) + settings.innerFirst());
-        }
-        news = new NewsClient(loop, clock, new Conduit(loop, PING_MS, DEAD_MS), contacts, new Telling());
+        news = new NewsClient(loop, clock, new Conduit(loop, PING_MS, DEAD_MS), contacts(settings),
+                new Telling());
     }
 
     /** Starts a balancer; it asks for news and says that it is ready once it has them. */
@@ -337,6 +334,22 @@
         return new Roster(rollStamp, true, members);
     }
 
+    /** Takes over what may change while it runs: where the core may be. */
+    public void reload(LocalSettings next) {
+        loop.execute(() -> {
+            news.seeds(contacts(next));
+            Log.info(LOG, "settings").addKeyValue("seeds", next.seeds().size()).log("the settings were read again");
+        });
+    }
+
+    private static List<String> contacts(LocalSettings settings) {
+        List<String> contacts = new ArrayList<>();
+        for (String seed : settings.seeds()) {
+            contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1) + settings.innerFirst());
+        }
+        return contacts;
+    }
+
     // ---- The end -------------------------------------------------------------------------------------
 
     /** Tells all to go elsewhere, serves what still comes, and returns when nothing is left. */
--- /dev/null
+++ b/src/test/java/sablehinge/cli/WaterworksTest.java
@@ -0,0 +1,113 @@
+package sablehinge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The mesh's daemons as processes: signals, and settings of no use. */
+@Timeout(60)
+class WaterworksTest {
+
+    private static final String SETTINGS = """
+            node = "core-1"
+            role = "reservoir"
+            machineClass = "core"
+            serves = ["control"]
+            ip = "127.77.0.1"
+            zone = "plateau"
+            region = "sahel"
+            innerPorts = [7780, 7795]
+            seeds = ["127.77.0.1:8367", "127.77.0.2:8367", "127.77.0.3:8367"]
+            firstStart = true
+            counted = true
+            dataDir = "%s"
+            discovery = "local"
+            entry = "local"
+            beatMs = 1500
+            contracts = ["base"]
+            [zones]
+            plateau = "sahel"
+            [listenOn]
+            control = "127.77.0.1:8367"
+            [limits]
+            cpuShare = 0.9
+            cores = 2
+            memoryMb = 426
+            fds = 4096
+            linkMbps = 1000.0
+            diskMb = 256
+            [tolerate]
+            machines = 1
+            zones = 0
+            regions = 0
+            [bounds]
+            graceS = 6
+            """;
+
+    @TempDir
+    Path folder;
+
+    private Process start(String role, String text) throws IOException {
+        Path file = folder.resolve("local.toml");
+        Files.writeString(file, text);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin",
+                "java").toString(), "-cp", System.getProperty("java.class.path"), Main.class.getName(), role)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD);
+        builder.environment().put("SABLEHINGE_CONFIG", file.toString());
+        return builder.start();
+    }
+
+    private static String line(BufferedReader said, String wanted) throws IOException {
+        for (String line = said.readLine(); line != null; line = said.readLine()) {
+            if (line.contains(wanted)) {
+                return line;
+            }
+        }
+        throw new AssertionError("it ended before it said " + wanted);
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    /** The bench found it: the signal ends a virtual machine that nobody has told otherwise. */
+    @Test
+    void aHangUpReadsTheSettingsAgainAndEndsNothing() throws Exception {
+        String text = SETTINGS.formatted(folder.resolve("data"));
+        Process process = start("reservoir", text);
+        try (BufferedReader said = process.errorReader()) {
+            assertTrue(line(said, "event=starts").contains("node=core-1"));
+            hangUp(process);
+            line(said, "event=settings ");
+            Files.writeString(folder.resolve("local.toml"), text.replace("innerPorts", "outerPorts"));
+            hangUp(process);
+            assertTrue(line(said, "event=settings-malformed").contains("innerPorts"));
+            assertTrue(process.isAlive());
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    @Test
+    void settingsOfNoUseEndWithOneLineThatNamesFileAndKey() throws Exception {
+        String text = SETTINGS.formatted(folder.resolve("data"));
+        String[][] spoilt = {{"zone = ", "zoone = ", "zone"}, {"beatMs = 1500", "beatMs = \"soon\"", "beatMs"},
+            {"role = \"reservoir\"", "role = \"lake\"", "role"}};
+        for (String[] one : spoilt) {
+            Process process = start("reservoir", text.replace(one[0], one[1]));
+            String said = new String(process.getErrorStream().readAllBytes());
+            assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+            assertEquals(1, process.exitValue());
+            assertEquals(1, said.lines().count(), said);
+            assertTrue(said.contains("local.toml") && said.contains(one[2]), said);
+        }
+    }
+}
