Connections between balancers are probed while silent; one that breaks ends its idle ones

Change: keep-alive probes each second, two of them, between balancers; an attempt whose connection breaks closes the resting ones to the same balancer.

--- a/src/main/java/sablehinge/http1/PlatformUpstream.java
+++ b/src/main/java/sablehinge/http1/PlatformUpstream.java
@@ -16,7 +16,7 @@
 /** What the platform's upstreams speak. */
 final class PlatformUpstream implements UpstreamDialect {
 
-    private static final UpstreamTerms TERMS = new UpstreamTerms(300, Freshness.YOUNG_MS, 10_000);
+    private static final UpstreamTerms TERMS = new UpstreamTerms(300, Freshness.YOUNG_MS, 10_000, false);
     /** The headers of a request that go on with it; the rest is a caller's own affair or worse. */
     private static final List<String> PASSED_ON = List.of("X-Txn", "Idempotency-Key", "X-Lane", "X-Org",
             "Cookie", "X-Resent", "X-Estimate", "X-Labels");
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -46,6 +47,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import jdk.net.ExtendedSocketOptions;
 import sablehinge.budget.Budget;
 import sablehinge.budget.HeaderText;
 import sablehinge.budget.Purses;
@@ -123,6 +125,12 @@
                         channel.pipeline().addLast(connection.decoder, new HttpRequestEncoder(), connection);
                     }
                 });
+        if (dialect.terms().wary()) {
+            bootstrap.option(ChannelOption.SO_KEEPALIVE, true)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), 1)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2);
+        }
         sockets.upstreamsGiveWay(this::evictIdle);
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -531,6 +539,10 @@
         }
 
         private void connectionEnded() {
+            if (dialect.terms().wary()) {
+                // Its process or its machine may be another one by now, which knows nothing of the others.
+                target.closeIdle();
+            }
             broke(written ? Result.RESET : Result.CONNECT_FAILED);
         }
 
--- a/src/main/java/sablehinge/http1/UpstreamTerms.java
+++ b/src/main/java/sablehinge/http1/UpstreamTerms.java
@@ -7,5 +7,7 @@
  *     that
  * @param youngMs a connection that has rested for no longer may carry what must not be sent again
  * @param stuckMs an upstream that lets in nothing more of a body for so long is given up
+ * @param wary whether upstreams may be lost without a word: connections are probed while they are silent, and
+ *     one that breaks takes with it those that rest beside it
  */
-public record UpstreamTerms(long stallMs, double youngMs, long stuckMs) { }
+public record UpstreamTerms(long stallMs, double youngMs, long stuckMs, boolean wary) { }
--- a/src/main/java/sablehinge/sluice/MeshUpstream.java
+++ b/src/main/java/sablehinge/sluice/MeshUpstream.java
@@ -20,7 +20,9 @@
     private static final long STALL_MS = 5_000;
     private static final double YOUNG_MS = 60_000;
     private static final long STUCK_MS = 10_000;
-    private static final UpstreamTerms TERMS = new UpstreamTerms(STALL_MS, YOUNG_MS, STUCK_MS);
+    private static final UpstreamTerms TO_BALANCERS = new UpstreamTerms(STALL_MS, YOUNG_MS, STUCK_MS, true);
+    /** An upstream that breaks off an answer serves on over its other connections. */
+    private static final UpstreamTerms TO_UPSTREAM = new UpstreamTerms(STALL_MS, YOUNG_MS, STUCK_MS, false);
     private static final int MISDIRECTED = 421;
 
     private final Clock clock;
@@ -34,7 +36,7 @@
 
     @Override
     public UpstreamTerms terms() {
-        return TERMS;
+        return toBalancers ? TO_BALANCERS : TO_UPSTREAM;
     }
 
     /** What is not meant to go on was taken out when the request was read. */
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -57,7 +57,7 @@
             Map.entry("config", Set.of("policy", "budget", "settings", "core", "membership", "mapping", "log",
                     "station",
                     "com.fasterxml.jackson", "com.networknt", "org.tomlj", "org.slf4j")),
-            Map.entry("http1", Set.of("policy", "core", "budget", "io.netty", "org.slf4j")),
+            Map.entry("http1", Set.of("policy", "core", "budget", "io.netty", "org.slf4j", "jdk.net")),
             Map.entry("admin", Set.of("io.netty", "com.fasterxml.jackson")),
             Map.entry("wire", Set.of("policy", "settings")),
             Map.entry("recorder", Set.of("core", "com.fasterxml.jackson")),
