--- a/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
@@ -136,7 +136,7 @@
 
     /** Creates an instance that asks its host for actions through {@code actions}. */
     public LatencyWeightedBalancer(Actions actions) {
-        this(actions, new Extras(0.1, 3, 1));
+        this(actions, new Extras(0.1, 3, 1, Double.POSITIVE_INFINITY));
     }
 
     /** Likewise, with other bounds on calls beyond the first. */
@@ -146,8 +146,8 @@
         extraCalls = extras.saved;
     }
 
-    /** Calls beyond the first: what a request earns of one, how many are kept, what one after no run costs. */
-    public record Extras(double perRequest, double saved, double redraw) { }
+    /** Calls beyond the first that a request earns, that are kept, that one after no run costs; aims to hold. */
+    public record Extras(double perRequest, double saved, double redraw, double hold) { }
 
     @Override
     public void start(double now, Settings given, long seed) {
@@ -240,8 +240,8 @@
      */
     private void dispatch(Call call, double now) {
         double latest = call.usefulEnd - TOO_LATE * expected(call) - ahead(call);
-        double patient = Math.min(latest,
-                call.arrivedAt + HOLD_SHARE * (call.request.deadline() - call.arrivedAt));
+        double patient = Math.min(latest, call.arrivedAt + Math.min(extras.hold * call.type.aim(),
+                HOLD_SHARE * (call.request.deadline() - call.arrivedAt)));
         boolean itsTurn = call.line == null || call.line.peekFirst() == call;
         Server server = itsTurn && now < latest ? draw(call, true, now) : null;
         if (server != null) {
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -235,7 +235,7 @@
     }
 
     private void tokens(Conduit.Link link, Tokens wanted) {
-        if (leads()) {
+        if (watermaster.leases(clock.now())) {
             link.send(new Frame(Frame.Kind.TOKENS, new Tokens(wanted.tenant(),
                     pool.take(clock.now(), wanted.tenant(), wanted.count())).bytes()));
         }
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -73,6 +73,10 @@
     /** Most addresses that are asked. */
     private static final int MOST_CONTACTS = 64;
 
+    private static final int ASKED = 64;
+    /** The part of the time for which voters wait that a lease takes of it. */
+    private static final double LEASE_PART = 0.8;
+
     private record Barrier(long token, long round, long index, double until) {
     }
 
@@ -108,6 +112,10 @@
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private long firstOfTerm;
     private long round;
+    /** When each of the last rounds was asked, until when a lease holds, and whether this term was given up. */
+    private final double[] askedAt = new double[ASKED];
+    private double leaseUntil = Double.NEGATIVE_INFINITY;
+    private boolean handedOver;
     private double heartbeatAt;
     private double handAt;
     private final List<Barrier> barriers = new ArrayList<>();
@@ -619,6 +627,8 @@
         asking = false;
         peers.clear();
         round = 0;
+        handedOver = false;
+        leaseUntil = Double.NEGATIVE_INFINITY;
         heartbeatAt = now + terms.heartbeat();
         handAt = now;
         keepPeers(now);
@@ -689,6 +699,7 @@
     /** Asks all peers whether this still leads. */
     private void ask(double now) {
         round++;
+        askedAt[(int) (round % ASKED)] = now;
         heartbeatAt = now + terms.heartbeat();
         for (Peer peer : peers.values()) {
             feed(now, peer, now - peer.heard <= terms.fresh() || peer.probing);
@@ -743,7 +754,10 @@
             return;
         }
         peer.heard = now;
-        peer.round = Math.max(peer.round, answer.round());
+        if (answer.round() > peer.round) {
+            peer.round = answer.round();
+            extendLease();
+        }
         if (answer.success()) {
             peer.match = Math.max(peer.match, answer.matchIndex());
             if (answer.hint() >= log.base().index()) {
@@ -790,14 +804,7 @@
         if (barriers.isEmpty()) {
             return;
         }
-        long[] rounds = new long[log.members().size()];
-        for (int i = 0; i < rounds.length; i++) {
-            long id = log.members().get(i).id();
-            Peer peer = peers.get(id);
-            rounds[i] = id == self.id() ? Long.MAX_VALUE : peer == null ? 0 : peer.round;
-        }
-        Arrays.sort(rounds);
-        long answered = rounds[rounds.length - majority()];
+        long answered = answered();
         boolean unasked = false;
         for (Barrier barrier : List.copyOf(barriers)) {
             if (barrier.round() <= answered && barrier.index() <= commit) {
@@ -812,6 +819,35 @@
         }
     }
 
+    /** The latest round that a majority has answered. */
+    private long answered() {
+        long[] rounds = new long[log.members().size()];
+        for (int i = 0; i < rounds.length; i++) {
+            long id = log.members().get(i).id();
+            Peer peer = peers.get(id);
+            rounds[i] = id == self.id() ? Long.MAX_VALUE : peer == null ? 0 : peer.round;
+        }
+        Arrays.sort(rounds);
+        return rounds[rounds.length - majority()];
+    }
+
+    /**
+     * Whether this one may do what only one may do. A majority has answered a question lately enough that
+     * none of it gives its vote to another yet; counted from when the question was asked, and less than they
+     * wait, as clocks differ in speed. Not in a term in which it asked another to take over.
+     */
+    public boolean leases(double now) {
+        return running && role == Standing.Role.LEADER && now < leaseUntil;
+    }
+
+    private void extendLease() {
+        long answered = answered();
+        if (!handedOver && answered > Math.max(0, round - ASKED)) {
+            leaseUntil = Math.max(leaseUntil,
+                    askedAt[(int) (answered % ASKED)] + LEASE_PART * terms.electionLeast());
+        }
+    }
+
     /** The own disk hangs: whoever has as much of the log, and answers, leads better. */
     private void handOver(double now) {
         Peer best = null;
@@ -822,6 +858,8 @@
             }
         }
         if (best != null) {
+            handedOver = true;
+            leaseUntil = Double.NEGATIVE_INFINITY;
             actions.send(best.member, new Message.TakeOver(term));
         }
     }
