--- a/src/main/java/sablehinge/cli/Commands.java
+++ b/src/main/java/sablehinge/cli/Commands.java
@@ -64,7 +64,8 @@
     @Override
     public Integer call() {
         throw new ParameterException(spec.commandLine(),
-                "expected a verb: serve, check, config, replay, standin, audit, demo, recorder, mesh or wire");
+                "expected a verb: serve, check, config, replay, standin, audit, demo, recorder, mesh or "
+                + "wire");
     }
 
     /** The version that the build wrote into the packed program. */
--- a/src/main/java/sablehinge/cli/mesh/DemoVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/DemoVerb.java
@@ -18,7 +18,8 @@
         + "upstreams, sends some hundred requests while configurations change, the leading reservoir is "
         + "killed and an upstream leaves, and judges the rules by what clients, upstreams and the operator "
         + "saw. Takes less than a minute.")
-@ExitCodes(codes = {0, 1}, descriptions = {"no rule was broken", "a rule was broken, or the mesh did not start"})
+@ExitCodes(codes = {0, 1}, descriptions = {"no rule was broken",
+        "a rule was broken, or the mesh did not start"})
 public final class DemoVerb implements MeshCommands.Verb {
 
     private static final long CALM_MS = 1_500;
@@ -63,7 +64,8 @@
     }
 
     private int play(SmallMesh mesh, double begun) throws InterruptedException {
-        say(begun, "starts three reservoirs, three sluices and three upstreams on %s.*", mesh.plan().prefix());
+        say(begun, "starts three reservoirs, three sluices and three upstreams on %s.*",
+                mesh.plan().prefix());
         mesh.start(mesh.version(FIRST, 0, SmallMesh.BASALT));
         say(begun, "edition %d is taken, all sluices are ready; clients begin", FIRST);
         mesh.load(everyMs);
--- a/src/main/java/sablehinge/cli/mesh/UpstreamVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/UpstreamVerb.java
@@ -11,8 +11,8 @@
 import sablehinge.standin.mesh.StandInUpstream;
 
 /** Runs one stand-in upstream until it is ended; at SIGTERM it leaves in order. */
-@Command(name = "upstream", description = "Runs a stand-in upstream, which tells the sluice beside it that it "
-        + "lives; at SIGTERM it unloads, signs off and ends")
+@Command(name = "upstream", description = "Runs a stand-in upstream, which tells the sluice beside it that "
+        + "it lives; at SIGTERM it unloads, signs off and ends")
 public final class UpstreamVerb implements MeshCommands.Verb {
 
     @Required
--- a/src/main/java/sablehinge/standin/mesh/Clients.java
+++ b/src/main/java/sablehinge/standin/mesh/Clients.java
@@ -46,7 +46,8 @@
 
     /** Begins to send. */
     public void start() {
-        threads.add(new Thread(() -> singles(new SplittableRandom(SEED * name.hashCode())), name + " singles"));
+        threads.add(new Thread(() -> singles(new SplittableRandom(SEED * name.hashCode())),
+                name + " singles"));
         threads.add(new Thread(() -> rows(new SplittableRandom(SEED * name.hashCode() + 1)), name + " rows"));
         threads.forEach(thread -> {
             thread.setDaemon(true);
@@ -156,7 +157,8 @@
         int answers = 0;
         try (Call call = new Call(outbound, PATIENCE_MS)) {
             for (int i = 0; i < ROW; i++) {
-                Ledger.Sent one = draw(random, safe.get(random.nextInt(safe.size())), new byte[0], id(random));
+                Ledger.Sent one = draw(random, safe.get(random.nextInt(safe.size())), new byte[0],
+                        id(random));
                 waiting.add(one);
                 send(call, one, new byte[0], false);
             }
--- a/src/main/java/sablehinge/standin/mesh/Ledger.java
+++ b/src/main/java/sablehinge/standin/mesh/Ledger.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
-/** What callers, upstreams and the operator of a small mesh have seen; times are in ms of one steady clock. */
+/** What callers and upstreams of a small mesh have seen; times are in ms of one steady clock. */
 public final class Ledger {
 
     /** What may be repeated of a request. */
--- a/src/main/java/sablehinge/standin/mesh/MeshPlan.java
+++ b/src/main/java/sablehinge/standin/mesh/MeshPlan.java
@@ -103,8 +103,8 @@
                 region = "hills"
                 innerPorts = [%d,%d]
                 seeds = %s
-                """, node, role, machines, machines.equals("core") ? "control" : "sidecar", prefix, last, ZONE,
-                INNER, INNER + 15, seeds);
+                """, node, role, machines, machines.equals("core") ? "control" : "sidecar", prefix, last,
+                ZONE, INNER, INNER + 15, seeds);
     }
 
     /** The settings file of a machine of the core. */
--- a/src/main/java/sablehinge/standin/mesh/SmallMesh.java
+++ b/src/main/java/sablehinge/standin/mesh/SmallMesh.java
@@ -67,7 +67,8 @@
                 write("sidecar-" + i, plan.sluiceSettings(i), sluices);
             }
         } catch (IOException e) {
-            throw new MeshException(MeshException.Code.FILE, "the folder can't be made: " + e.getMessage(), e);
+            throw new MeshException(MeshException.Code.FILE, "the folder can't be made: " + e.getMessage(),
+                    e);
         }
     }
 
@@ -137,7 +138,7 @@
 
     /** Starts a machine of the core again, for the so-many-th time; its disk is as it was left. */
     public void restart(int place, int start) {
-        if (start == 1) {
+        if (start > 0) {
             try {
                 Files.writeString(folder.resolve("core-" + place + ".toml"),
                         plan.reservoirSettings(place, data(place).toString(), false));
