The agreement's torture holds the lease: at most one holds it at any moment

Need: a test of Watermaster.leases. Change: Valley checks after each event that no two hold a lease.

--- a/src/test/java/sablehinge/watermaster/Valley.java
+++ b/src/test/java/sablehinge/watermaster/Valley.java
@@ -391,10 +391,23 @@
             now = event.at();
             events++;
             event.what().run();
+            checkLease();
         }
         now = end;
     }
 
+    /** Who does what only one may do does it alone, however many think that they lead. */
+    private void checkLease() {
+        Machine holder = null;
+        for (Machine machine : machines.values()) {
+            if (machine.up() && machine.leads() && machine.master.leases(now)) {
+                Machine other = holder;
+                check(other == null, machine, () -> "a lease beside that of " + other.address);
+                holder = machine;
+            }
+        }
+    }
+
     /** The leader of the latest term, if any. */
     Machine leader() {
         Machine leader = null;
