--- a/src/main/java/sablehinge/conduit/Conduit.java
+++ b/src/main/java/sablehinge/conduit/Conduit.java
@@ -23,7 +23,9 @@
  */
 public final class Conduit {
 
-    /** The largest record, in bytes: a configuration with thousands of routes, or a snapshot that holds it. */
+    /**
+     * The largest record, in bytes: a configuration with thousands of routes, or a snapshot that holds it.
+     */
     public static final int MOST_BYTES = 16 * 1024 * 1024;
     private static final int LENGTH_BYTES = 4;
     /** What may wait to be written to one that doesn't read, in bytes; what comes beyond is dropped. */
--- a/src/main/java/sablehinge/http1/FrontDialect.java
+++ b/src/main/java/sablehinge/http1/FrontDialect.java
@@ -8,7 +8,9 @@
 import sablehinge.core.Answer;
 import sablehinge.core.Version;
 
-/** What callers and a front say to each other beyond HTTP: who may ask for what, and how answers are worded. */
+/**
+ * What callers and a front say to each other beyond HTTP: who may ask for what, and how answers are worded.
+ */
 public interface FrontDialect {
 
     /** What callers may do now. */
@@ -19,7 +21,10 @@
         return false;
     }
 
-    /** Whether this may run more than once, so that it may be begun before what came ahead of it is answered. */
+    /**
+     * Whether this may run more than once, so that it may be begun before what came ahead of it is
+     * answered.
+     */
     default boolean isRepeatable(HttpRequest request) {
         return false;
     }
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -589,7 +589,8 @@
             }
             if (part.isReadable()) {
                 if (body == Unpooled.EMPTY_BUFFER) {
-                    body = memory.buffer(part.readableBytes(), Math.max(terms.keptBytes(), UpstreamClient.MAX_BODY));
+                    body = memory.buffer(part.readableBytes(),
+                            Math.max(terms.keptBytes(), UpstreamClient.MAX_BODY));
                 }
                 body.writeBytes(part);
             }
--- a/src/main/java/sablehinge/http1/PlatformUpstream.java
+++ b/src/main/java/sablehinge/http1/PlatformUpstream.java
@@ -70,7 +70,8 @@
 
     @Override
     public Report spent(HttpMessage answer) {
-        return budgets == null ? null : budgets.readReport(answer.headers().get(UpstreamClient.SPENT)).value();
+        return budgets == null ? null
+                : budgets.readReport(answer.headers().get(UpstreamClient.SPENT)).value();
     }
 
     @Override
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -59,7 +59,6 @@
 import sablehinge.core.TraceEvent;
 import sablehinge.core.Transport;
 import sablehinge.core.Version;
-import sablehinge.policy.LoadBalancer.Reports;
 import sablehinge.policy.LoadBalancer.Result;
 import sablehinge.policy.LoadBalancer.Settings;
 import sablehinge.policy.LoadBalancer.State;
--- a/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
+++ b/src/main/java/sablehinge/policy/LatencyWeightedBalancer.java
@@ -50,7 +50,7 @@
     private static final double OVERDUE_WEIGHT = 4;
     /** Growth of l across zones, times the root of the price: a dear crossing must still be possible. */
     private static final double CROSSING = 400;
-    /** Power with which a crowd at a server offsets the price of crossing: little at half the aim, all at it. */
+    /** Power with which a crowd at a server offsets the price of crossing: little at half the aim. */
     private static final double CROWD_POWER = 4;
     /** Share of calls lost at a server that is worth a crossing, about what a crossing costs of a call. */
     private static final double WORTH_LEAVING = 0.4;
@@ -146,7 +146,7 @@
         extraCalls = extras.saved;
     }
 
-    /** Calls beyond the first that a request earns, that are kept, that one after no run costs; aims to hold. */
+    /** Calls beyond the first: earned by a request, kept, taken after no run; aims to hold one. */
     public record Extras(double perRequest, double saved, double redraw, double hold) { }
 
     @Override
--- a/src/main/java/sablehinge/reservoir/Operators.java
+++ b/src/main/java/sablehinge/reservoir/Operators.java
@@ -157,7 +157,8 @@
             authority.barrier(sure -> {
                 Cistern cistern = authority.cistern();
                 answer.accept(!sure ? new Settled(Reply.error(503, "NO_MAJORITY", "no majority has answered"))
-                        : cistern.edition() == 0 ? new Settled(Reply.error(404, "NONE", "no configuration yet"))
+                        : cistern.edition() == 0
+                        ? new Settled(Reply.error(404, "NONE", "no configuration yet"))
                         : new Settled(Reply.of(200, cistern.body())));
             });
         }
--- a/src/main/java/sablehinge/reservoir/Peers.java
+++ b/src/main/java/sablehinge/reservoir/Peers.java
@@ -17,8 +17,8 @@
 import sablehinge.watermaster.Message;
 
 /**
- * Connections to the other machines of the core: one to each for what is said to it. What can't be sent now is
- * dropped, as the agreement says everything again that matters.
+ * Connections to the other machines of the core: one to each for what is said to it. What can't be sent now
+ * is dropped, as the agreement says everything again that matters.
  */
 final class Peers {
 
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -6,6 +6,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
@@ -167,7 +168,8 @@
             next.seeds().forEach(seed -> contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1)
                     + next.innerFirst()));
             watermaster.contacts(contacts);
-            Log.info(LOG, "settings").addKeyValue("seeds", contacts.size()).log("the settings were read again");
+            Log.info(LOG, "settings").addKeyValue("seeds", contacts.size())
+                    .log("the settings were read again");
         });
     }
 
@@ -218,7 +220,7 @@
     private void asked(Conduit.Link link, Ask ask) {
         if (!leads()) {
             String leader = standing == null || standing.leader() == null ? "" : standing.leader().conduit();
-            link.send(new Frame(Frame.Kind.ELSEWHERE, leader.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+            link.send(new Frame(Frame.Kind.ELSEWHERE, leader.getBytes(StandardCharsets.UTF_8)));
             return;
         }
         double now = clock.now();
@@ -359,7 +361,7 @@
                 proposals.lost();
                 String leader = next.leader() == null ? "" : next.leader().conduit();
                 desk.askers().forEach(link -> link.send(new Frame(Frame.Kind.ELSEWHERE,
-                        leader.getBytes(java.nio.charset.StandardCharsets.UTF_8))));
+                        leader.getBytes(StandardCharsets.UTF_8))));
             }
             holds();
             peers.members(next.members());
--- a/src/main/java/sablehinge/sluice/MeshUpstream.java
+++ b/src/main/java/sablehinge/sluice/MeshUpstream.java
@@ -83,7 +83,9 @@
         return served ? Result.OK : Result.ERROR;
     }
 
-    /** A success that lacks its stamp must not reach a client, and neither must what was encoded on the way. */
+    /**
+     * A success that lacks its stamp must not reach a client, and neither must what was encoded on the way.
+     */
     @Override
     public boolean keeps(HttpMessage answer) {
         return answer instanceof HttpResponse response
--- a/src/main/java/sablehinge/sluice/Quotas.java
+++ b/src/main/java/sablehinge/sluice/Quotas.java
@@ -12,7 +12,9 @@
 /** This balancer's even parts of the tenants' quotas, and what it takes from the pools beside them. */
 final class Quotas {
 
-    /** How long an answer from the pool is waited for, and how long an empty one is not asked again, in ms. */
+    /**
+     * How long an answer from the pool is waited for, and how long an empty one is not asked again, in ms.
+     */
     private static final double PATIENCE_MS = 60;
     private static final double EMPTY_MS = 100;
     private static final double FIRST = 0.5;
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -45,7 +45,8 @@
 import sablehinge.policy.LoadBalancer.Upstream;
 
 /**
- * The balancer of a machine with an upstream. Outbound it takes the requests that begin on its machine, draws an
+ * The balancer of a machine with an upstream. Outbound it takes the requests that begin on its machine,
+ * draws an
  * upstream for each and sends it to the balancer there; inbound it admits what others send to the upstream of
  * its own machine. All that it knows can be asked for again. One thread owns all of it.
  */
@@ -116,8 +117,8 @@
         this.loop = loop;
         zones = new ArrayList<>(settings.zones().keySet());
         zones.sort(null);
-        PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED, CACHED,
-                false);
+        PooledByteBufAllocator memory = new PooledByteBufAllocator(true, 0, 1, PAGE, CHUNK_ORDER, CACHED,
+                CACHED, false);
         sockets = new Sockets(settings.limits().fds() - 200);
         LoopTimers timers = new LoopTimers(loop, clock);
         quotas = new Quotas(settings.bounds(), this::askPool);
@@ -142,7 +143,8 @@
         }, System.nanoTime());
         outFront = new Frontend(loop, sockets, memory, outbound, routes);
         inFront = new Frontend(loop, sockets, memory, inbound, new InboundFront(inbound));
-        UpstreamClient peers = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, true));
+        UpstreamClient peers = new UpstreamClient(loop, clock, sockets, memory,
+                new MeshUpstream(clock, true));
         UpstreamClient app = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, false));
         Version first = Terms.gate();
         Upstream own = new Upstream(Gate.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
@@ -168,7 +170,8 @@
         try {
             sluice.inFront.bind(address(at.inbound()), false);
             sluice.outFront.bind(address(at.outbound()), false);
-            sluice.opens(new Door(loop, List.of(Beats.beats(sluice::heard), Beats.signOffs(sluice::signedOff)),
+            sluice.opens(new Door(loop, List.of(Beats.beats(sluice::heard),
+                    Beats.signOffs(sluice::signedOff)),
                     MOST_BEAT), at.control());
             sluice.opens(new Door(loop, List.of(new Readiness(sluice::isReady)), MOST_BEAT), at.ready());
         } catch (IOException e) {
@@ -230,8 +233,8 @@
     private void leaves(double now, String id, double at) {
         Log.info(LOG, "upstream-leaves").addKeyValue("id", id).log("the upstream leaves");
         gate.closes(now, MeshHeaders.life(id), at);
-        loop.schedule(() -> gate.closes(clock.now(), MeshHeaders.life(id), at), (long) Math.max(0, at - now) + 1,
-                TimeUnit.MILLISECONDS);
+        loop.schedule(() -> gate.closes(clock.now(), MeshHeaders.life(id), at),
+                (long) Math.max(0, at - now) + 1, TimeUnit.MILLISECONDS);
         news.askNow();
     }
 
@@ -338,7 +341,8 @@
     public void reload(LocalSettings next) {
         loop.execute(() -> {
             news.seeds(contacts(next));
-            Log.info(LOG, "settings").addKeyValue("seeds", next.seeds().size()).log("the settings were read again");
+            Log.info(LOG, "settings").addKeyValue("seeds", next.seeds().size())
+                    .log("the settings were read again");
         });
     }
 
--- a/src/main/java/sablehinge/sluice/Terms.java
+++ b/src/main/java/sablehinge/sluice/Terms.java
@@ -30,7 +30,9 @@
     /** Growth of l across zones: a body of 60 kB costs more than its way, a small one next to nothing. */
     private static final double BULKY = 30;
     private static final double SLIM = 0.3;
-    /** Within what RULES, BUDGET, grants over all balancers; what the gates refuse has not arrived anywhere. */
+    /**
+     * Within what RULES, BUDGET, grants over all balancers; what the gates refuse has not arrived anywhere.
+     */
     static final LatencyWeightedBalancer.Extras EXTRAS = new LatencyWeightedBalancer.Extras(0.14, 4, 0, 0.2);
     private static final int MOST_ATTEMPTS = 4;
     private static final int MOST_OPEN = 4_000;
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -112,7 +112,9 @@
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private long firstOfTerm;
     private long round;
-    /** When each of the last rounds was asked, until when a lease holds, and whether this term was given up. */
+    /**
+     * When each of the last rounds was asked, until when a lease holds, and whether this term was given up.
+     */
     private final double[] askedAt = new double[ASKED];
     private double leaseUntil = Double.NEGATIVE_INFINITY;
     private boolean handedOver;
--- a/src/test/java/sablehinge/cli/WaterworksTest.java
+++ b/src/test/java/sablehinge/cli/WaterworksTest.java
@@ -99,7 +99,8 @@
     @Test
     void settingsOfNoUseEndWithOneLineThatNamesFileAndKey() throws Exception {
         String text = SETTINGS.formatted(folder.resolve("data"));
-        String[][] spoilt = {{"zone = ", "zoone = ", "zone"}, {"beatMs = 1500", "beatMs = \"soon\"", "beatMs"},
+        String[][] spoilt = {{"zone = ", "zoone = ", "zone"},
+            {"beatMs = 1500", "beatMs = \"soon\"", "beatMs"},
             {"role = \"reservoir\"", "role = \"lake\"", "role"}};
         for (String[] one : spoilt) {
             Process process = start("reservoir", text.replace(one[0], one[1]));
--- a/src/test/java/sablehinge/policy/VersionsTest.java
+++ b/src/test/java/sablehinge/policy/VersionsTest.java
@@ -32,7 +32,8 @@
                 base.retriesMarked(), base.worthByWork(), base.overShareWorth(), base.weightKind(),
                 base.reports(), base.reportFields(), List.of(new LoadBalancer.ServiceClass(first, c.aim(),
                 0, c.deadline(), c.worth(), c.lateWorth(), repeat, c.group(), c.memory(), false, false, null,
-                null, 0), base.classes().get(1)), base.tenants(), new LoadBalancer.Limits(attempts, l.maxOpen(),
+                null, 0), base.classes().get(1)), base.tenants(), new LoadBalancer.Limits(attempts,
+                l.maxOpen(),
                 l.cancel(), l.parallel(), l.probes(), l.peers(), l.retryAfter(), l.maxRetryAfter(),
                 l.connectTimeout(), l.connectionIdle(), 1, 0, 0), base.rules(), base.goal(), base.prices());
     }
--- a/src/test/java/sablehinge/reservoir/ReservoirTest.java
+++ b/src/test/java/sablehinge/reservoir/ReservoirTest.java
@@ -326,7 +326,8 @@
         int leader = leader();
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         try {
-            Ask ask = new Ask(3, new Intake("s-1", "monza-a", "127.0.0.1:1", "huvo11a", "i-1", true, 4, 0), 0, 0, 0,
+            Ask ask = new Ask(3, new Intake("s-1", "monza-a", "127.0.0.1:1", "huvo11a", "i-1", true, 4, 0), 0,
+                    0, 0,
                     true);
             Frame elsewhere = asked(loop, (leader + 1) % 3, ask);
             assertEquals(Frame.Kind.ELSEWHERE, elsewhere.kind());
