--- a/src/main/java/sablehinge/penstock/Desk.java
+++ b/src/main/java/sablehinge/penstock/Desk.java
@@ -113,6 +113,7 @@
         asker.waits = false;
         asker.toldComplete |= complete;
         return new News(ask.number(), asker.confirmed, edition, newer ? body : NONE, term, roll.stamp(),
-                whole, complete, roll.size(), changed ? roll.since(whole ? 0 : ask.stamp()) : List.of(), core);
+                whole, complete, roll.size(), changed ? roll.since(whole ? 0 : ask.stamp()) : List.of(),
+                core);
     }
 }
