StopTest: its clients overlap, so that the old drain fails it

Cause: the test passed with the old drain too, as its clients left no connection for a moment now and then. Change: each makes its next connection before it reads its answer. Result: with the doors left open it doesn't end; with them shut it passes.

--- a/src/test/java/sablehinge/sluice/StopTest.java
+++ b/src/test/java/sablehinge/sluice/StopTest.java
@@ -57,23 +57,41 @@
         }
     }
 
-    /** Sends one request after the other, each on a connection of its own, until nobody takes one. */
+    /**
+     * Sends one request after the other, each on a connection of its own that is made before the answer to the
+     * one before has come, until nobody takes one: so the balancer is never without a client.
+     */
     private static void come(Mesh mesh, int number, Set<String> answered) {
-        for (int i = 0;; i++) {
-            Wire wire;
-            try {
-                wire = Wire.to(mesh.at.outbound());
-            } catch (IOException e) {
-                return;
-            }
-            String id = "t-" + number + "-" + i;
-            try (wire) {
-                if (wire.ask(Mesh.get("/s/x", id)) != null) {
-                    answered.add(id);
+        try {
+            Wire next = Wire.to(mesh.at.outbound());
+            for (int i = 0;; i++) {
+                try (Wire wire = next) {
+                    String id = "t-" + number + "-" + i;
+                    send(wire, id);
+                    next = Wire.to(mesh.at.outbound());
+                    take(wire, id, answered);
                 }
-            } catch (IOException e) {
-                // Closed before it was read, or lost: the upstream knows which.
             }
+        } catch (IOException e) {
+            // Nobody listens any more.
+        }
+    }
+
+    private static void send(Wire wire, String id) {
+        try {
+            wire.write(Mesh.get("/s/x", id));
+        } catch (IOException e) {
+            // Closed before it was read.
+        }
+    }
+
+    private static void take(Wire wire, String id, Set<String> answered) {
+        try {
+            if (wire.read() != null) {
+                answered.add(id);
+            }
+        } catch (IOException e) {
+            // Closed before it was read, or lost: the upstream knows which.
         }
     }
 }
