Restarts lose less: listen first, wait for news, ask the upstream once, elect sooner

Change: a sluice listens before it loads anything else; a request that finds no configuration waits for the first one (1.2 s at most); one health probe a life asks the upstream beside who it is; a member that has just started stands after 0.4 of the usual wait.

--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -1,5 +1,6 @@
 package sablehinge.cli;
 
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
@@ -24,7 +25,6 @@
 
     /** Runs a daemon by the settings file that the environment names, until it is ended. */
     static void run(String role) throws InterruptedException {
-        Logging.apply(LogTerms.MESH);
         // Before anything else: the signal would end the process, also one that has only just begun.
         AtomicReference<Consumer<LocalSettings>> takes = new AtomicReference<>();
         Main.onHangup(() -> reread(role, takes.get()));
@@ -34,8 +34,11 @@
                 throw new ConfigException(SETTINGS + " names no settings file");
             }
             LocalSettings settings = read(role, file);
-            if (settings.role() == LocalSettings.Role.SLUICE) {
-                Sluice sluice = Sluice.start(settings);
+            ServerSocketChannel listening = settings.role() == LocalSettings.Role.SLUICE
+                    ? Sluice.listen(settings) : null;
+            Logging.apply(LogTerms.MESH);
+            if (listening != null) {
+                Sluice sluice = Sluice.start(settings, listening);
                 takes.set(sluice::reload);
                 Main.drainAtShutdown(sluice::drain);
             } else {
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -10,9 +10,12 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -33,6 +36,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -130,6 +134,13 @@
         listens(bound.channel());
     }
 
+    /** Lets callers in where the process listens already; on the loop. */
+    public void adopt(ServerSocketChannel listens) {
+        listening = server().channelFactory((ChannelFactory<ServerChannel>) () ->
+                new NioServerSocketChannel(listens)).register().channel();
+        listens(listening);
+    }
+
     /** Lets callers in at the given address; {@code done} hears, on the loop, why not, or null. */
     public void open(InetSocketAddress address, Consumer<String> done) {
         listen(address, false).addListener((ChannelFuture bound) -> {
@@ -150,7 +161,15 @@
     }
 
     private ChannelFuture listen(InetSocketAddress address, boolean shared) {
-        ServerBootstrap server = new ServerBootstrap().group(loop).channelFactory(sockets.kind().listening())
+        ServerBootstrap server = server().channelFactory(sockets.kind().listening());
+        if (shared) {
+            server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        return server.bind(address);
+    }
+
+    private ServerBootstrap server() {
+        return new ServerBootstrap().group(loop)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Acceptor()).childOption(ChannelOption.ALLOCATOR, memory)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -163,10 +182,6 @@
                         channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), connection);
                     }
                 });
-        if (shared) {
-            server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
-        }
-        return server.bind(address);
     }
 
     /** Switches on the headers of budgets. */
--- a/src/main/java/sablehinge/sluice/OutboundFront.java
+++ b/src/main/java/sablehinge/sluice/OutboundFront.java
@@ -36,6 +36,10 @@
     private static final double WAITS_MS = 400;
     private static final double NOT_READY_MS = 300;
 
+    private static final BadRequestException NOT_READY = BadRequestException.turnedAway(
+            HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration yet", NOT_READY_MS);
+    /** How long a request waits for the first configuration: it comes within moments, or the core is away. */
+    private static final double FIRST_MS = 1_200;
     /** The tenant's pool was asked; the answer is a round trip away. */
     private static final BadRequestException ASKED = BadRequestException.turnedAway(
             HttpResponseStatus.TOO_MANY_REQUESTS, "beyond the quota", NOT_READY_MS);
@@ -78,6 +82,11 @@
                 true);
     }
 
+    /** The configuration by which requests are read; null before the first. */
+    Plan plan() {
+        return plan;
+    }
+
     @Override
     public FrontTerms terms() {
         return terms;
@@ -92,8 +101,7 @@
     @Override
     public Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
         if (plan == null) {
-            throw BadRequestException.turnedAway(HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "no configuration yet", NOT_READY_MS);
+            throw NOT_READY;
         }
         HttpHeaders headers = request.headers();
         if (MeshHeaders.single(headers, MeshHeaders.TRY) == null) {
@@ -137,8 +145,8 @@
     @Override
     public boolean waits(BadRequestException why, double waited, double now) {
         int status = why.status().code();
-        if (why == ASKED) {
-            return waited < WAITS_MS;
+        if (why == ASKED || why == NOT_READY) {
+            return waited < (why == ASKED ? WAITS_MS : FIRST_MS);
         }
         if (status != 401 && status != 404 || waited > WAITS_MS
                 || confirming.confirmedAt() >= now - waited) {
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -7,6 +7,8 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -53,6 +55,7 @@
 public final class Sluice {
 
     private static final Logger LOG = LoggerFactory.getLogger(Sluice.class);
+    private static final int BACKLOG = 1_024;
     private static final int PAGE = 8_192;
     private static final int CHUNK_ORDER = 7;
     private static final int CACHED = 32;
@@ -62,6 +65,8 @@
     private static final double UNLOAD_PART = 0.5;
     /** Beats that may be missing until an upstream counts as gone. */
     private static final double MISSING = 3.5;
+    /** Berths of an upstream that has not told how many it has. */
+    private static final int FEW_BERTHS = 6;
     private static final long TICK_MS = 100;
     private static final int MOST_BEAT = 64 * 1024;
     /** After SIGTERM: how long clients may not have heard yet, and what is kept of the grace to end. */
@@ -108,6 +113,7 @@
     private double confirmedAt = Double.NEGATIVE_INFINITY;
     private boolean leaving;
     private Beats.Beat upstream;
+    private boolean probed;
     private boolean unloading;
     private boolean gone;
     private double beatAt;
@@ -157,8 +163,30 @@
                 new Telling());
     }
 
-    /** Starts a balancer; it asks for news and says that it is ready once it has them. */
+    /**
+     * Listens for clients, before anything else is there to serve them: they wait for moments where they
+     * would
+     * else be told that nobody is here, and use their few tries up.
+     */
+    public static ServerSocketChannel listen(LocalSettings settings) throws ConfigException {
+        String at = settings.listenOn().outbound();
+        try {
+            ServerSocketChannel listening = ServerSocketChannel.open();
+            listening.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            return listening.bind(address(at), BACKLOG);
+        } catch (IOException e) {
+            throw new ConfigException("cannot listen on " + at + ": " + e.getMessage());
+        }
+    }
+
+    /** Starts a balancer where nobody listens yet. */
     public static Sluice start(LocalSettings settings) throws ConfigException, InterruptedException {
+        return start(settings, listen(settings));
+    }
+
+    /** Starts a balancer; it asks for news and says that it is ready once it has them. */
+    public static Sluice start(LocalSettings settings, ServerSocketChannel listening)
+            throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("sluice", true), NioIoHandler.newFactory()).next();
         Sluice[] made = new Sluice[1];
@@ -169,7 +197,7 @@
         LocalSettings.ListenOn at = settings.listenOn();
         try {
             sluice.inFront.bind(address(at.inbound()), false);
-            sluice.outFront.bind(address(at.outbound()), false);
+            loop.submit(() -> sluice.outFront.adopt(listening)).sync();
             sluice.opens(new Door(loop, List.of(Beats.beats(sluice::heard),
                     Beats.signOffs(sluice::signedOff)),
                     MOST_BEAT), at.control());
@@ -213,9 +241,15 @@
             Log.info(LOG, "upstream").addKeyValue("id", beat.id()).addKeyValue("berths", beat.berths())
                     .log("an upstream has begun a life");
             news.askNow();
-        } else if (gone) {
-            gone = false;
-            news.askNow();
+        } else {
+            if (upstream.berths() != beat.berths() && upstream.count() <= beat.count()) {
+                upstream = beat;
+                gate.opens(now, MeshHeaders.life(beat.id()), beat.berths());
+            }
+            if (gone) {
+                gone = false;
+                news.askNow();
+            }
         }
         if (beat.unloading() && !unloading) {
             unloading = true;
@@ -223,6 +257,13 @@
         }
     }
 
+    /** The upstream beside was there before this process; its next beat tells the rest. */
+    private void answered(String id) {
+        if (upstream == null) {
+            heard(new Beats.Beat(id, settings.depot(), settings.app(), false, FEW_BERTHS, 0, 0));
+        }
+    }
+
     private void signedOff(Beats.SignOff call) {
         if (upstream != null && upstream.id().equals(call.id())) {
             unloading = true;
@@ -297,6 +338,11 @@
         quotas.adopt(now, configuration.tenants());
         outbound.adopt(version, roster(now));
         outbound.release(before.number());
+        Configuration.Service own = routes.plan().service(settings.depot());
+        if (!probed && upstream == null && own != null) {
+            probed = true;
+            HealthProbe.ask(loop, address(settings.app()), own.healthPath(), this::answered);
+        }
         Log.info(LOG, "configuration").addKeyValue("edition", next)
                 .addKeyValue("routes", configuration.routes().size()).log("a configuration is in force here");
     }
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -74,6 +74,8 @@
     private static final int MOST_CONTACTS = 64;
 
     private static final int ASKED = 64;
+    /** The part of the usual wait for a leader after which one that has just started stands. */
+    private static final double FIRST_PART = 0.4;
     /** The part of the time for which voters wait that a lease takes of it. */
     private static final double LEASE_PART = 0.8;
 
@@ -170,7 +172,10 @@
         verified = commit;
         // Otherwise who was just started would ask around before a leader could have reached it.
         joinAt = log.holds(self.id()) ? now + LOST : now;
-        waitForLeader(now);
+        // Where all have just started there is no leader to wait for; where there is one, its followers
+        // refuse.
+        electionAt = now + FIRST_PART * (terms.electionLeast()
+                + random.nextDouble() * (terms.electionMost() - terms.electionLeast()));
         end(now);
     }
 
--- a/src/test/java/sablehinge/sluice/StopTest.java
+++ b/src/test/java/sablehinge/sluice/StopTest.java
@@ -58,7 +58,8 @@
     }
 
     /**
-     * Sends one request after the other, each on a connection of its own that is made before the answer to the
+     * Sends one request after the other, each on a connection of its own that is made before the answer to
+     * the
      * one before has come, until nobody takes one: so the balancer is never without a client.
      */
     private static void come(Mesh mesh, int number, Set<String> answered) {
