FleetTest waits for the record of an answer that it has read

Cause: on a full machine the restarted server's second entry was not on record yet when the test looked. Change: it looks again for up to 5 s.

--- a/src/test/java/sablehinge/standin/FleetTest.java
+++ b/src/test/java/sablehinge/standin/FleetTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -283,11 +284,20 @@
         JsonNode back = list("?index=" + removed.path("version").asLong() + "&wait=20000");
         assertEquals("up", back.path("servers").get(0).path("state").asText());
         assertTrue(back.path("servers").get(0).path("started_ms").asLong() > 0);
-        List<Told> told = record.stream().filter(Told.class::isInstance).map(Told.class::cast).toList();
+        List<Told> told = told();
+        // An answer may be read before it is on record.
+        for (int i = 0; i < 5_000 && told.size() < 2; i++) {
+            LockSupport.parkNanos(1_000_000);
+            told = told();
+        }
         assertEquals(List.of("removed", "up"), told.stream().map(Told::state).toList());
         assertEquals("entry-1", told.get(0).balancer());
     }
 
+    private List<Told> told() {
+        return record.stream().filter(Told.class::isInstance).map(Told.class::cast).toList();
+    }
+
     private JsonNode list(String query) throws Exception {
         try (Peer peer = Peer.to(lists.get("entry-1"))) {
             peer.write("GET /catalog/members" + query + " HTTP/1.1\r\nHost: d\r\n\r\n");
