--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -10,8 +10,7 @@
 import sablehinge.config.ConfigException;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Log;
-import sablehinge.log.LogTerms;
-import sablehinge.log.Logging;
+import sablehinge.log.DirectProvider;
 import sablehinge.reservoir.Reservoir;
 import sablehinge.sluice.Sluice;
 
@@ -19,12 +18,17 @@
 final class Waterworks {
 
     private static final String SETTINGS = "SABLEHINGE_CONFIG";
+    /** Netty tells channels of several machines apart by it, and would look at every network interface. */
+    private static final String MACHINE = "io.netty.machineId";
+    private static final String ANY_MACHINE = "02:00:00:00:00:01";
 
     private Waterworks() {
     }
 
     /** Runs a daemon by the settings file that the environment names, until it is ended. */
     static void run(String role) throws InterruptedException {
+        DirectProvider.name();
+        System.setProperty(MACHINE, ANY_MACHINE);
         // Before anything else: the signal would end the process, also one that has only just begun.
         AtomicReference<Consumer<LocalSettings>> takes = new AtomicReference<>();
         Main.onHangup(() -> reread(role, takes.get()));
@@ -36,7 +40,6 @@
             LocalSettings settings = read(role, file);
             ServerSocketChannel listening = settings.role() == LocalSettings.Role.SLUICE
                     ? Sluice.listen(settings) : null;
-            Logging.apply(LogTerms.MESH);
             if (listening != null) {
                 Sluice sluice = Sluice.start(settings, listening);
                 takes.set(sluice::reload);
--- a/src/main/java/sablehinge/log/Logging.java
+++ b/src/main/java/sablehinge/log/Logging.java
@@ -44,10 +44,10 @@
         ((Logger) LoggerFactory.getLogger("sablehinge")).setLevel(level(least));
     }
 
-    private static void install(LoggerContext loggers, LogTerms terms) {
+    static void install(LoggerContext loggers, LogTerms terms) {
         Object known = loggers.getObject(TERMS);
         // The first comparison of records makes a dozen classes, which a start need not wait for.
-        if (known != null && terms.equals(known)) {
+        if (terms == known || known != null && terms.equals(known)) {
             return;
         }
         loggers.putObject(TERMS, terms);
