headgate: heads of operations told once, by Headed and Query

The operations of beats, signing off and readiness each repeated the same four methods for method, path and a question without content, and the operators' calls did too; more of these are to come.

Headed takes method and path where it is made, Query reads nothing and answers a GET.

--- /dev/null
+++ b/src/main/java/sablehinge/headgate/Query.java
@@ -0,0 +1,32 @@
+package sablehinge.headgate;
+
+import java.util.function.Consumer;
+
+/**
+ * An operation that asks by its path alone.
+ *
+ * @param <A> what is answered
+ */
+public abstract class Query<A> extends Headed<Query.Plain, A> {
+
+    /** The question, which its path tells. */
+    public record Plain() { }
+
+    /** A GET at a path. */
+    protected Query(String path) {
+        super("GET", path);
+    }
+
+    @Override
+    public final Plain read(Asked asked) {
+        return new Plain();
+    }
+
+    @Override
+    public final void carryOut(Plain call, Consumer<A> answer) {
+        answer(answer);
+    }
+
+    /** Answers; the answer may come later, once, on the thread of the door. */
+    protected abstract void answer(Consumer<A> answer);
+}
--- a/src/main/java/sablehinge/sluice/Beats.java
+++ b/src/main/java/sablehinge/sluice/Beats.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import sablehinge.headgate.Asked;
 import sablehinge.headgate.CallException;
+import sablehinge.headgate.Headed;
 import sablehinge.headgate.Operation;
 import sablehinge.headgate.Reply;
 
@@ -37,17 +38,7 @@
 
     /** The operation of beats. */
     static Operation<Beat, Heard> beats(Consumer<Beat> hears) {
-        return new Operation<>() {
-            @Override
-            public String method() {
-                return "POST";
-            }
-
-            @Override
-            public String path() {
-                return "/sablehinge/Servers.Heartbeat/";
-            }
-
+        return new Headed<>("POST", "/sablehinge/Servers.Heartbeat/") {
             @Override
             public Beat read(Asked asked) {
                 JsonNode body;
@@ -81,17 +72,7 @@
 
     /** The operation of those that leave. */
     static Operation<SignOff, Heard> signOffs(Consumer<SignOff> hears) {
-        return new Operation<>() {
-            @Override
-            public String method() {
-                return "POST";
-            }
-
-            @Override
-            public String path() {
-                return "/sablehinge/Servers.SignOff/";
-            }
-
+        return new Headed<>("POST", "/sablehinge/Servers.SignOff/") {
             @Override
             public SignOff read(Asked asked) {
                 return new SignOff(asked.name());
