reservoir: Mesh.Status, Mesh.Nodes, Mesh.Duties and Config.History

Operators could see who leads, who is on the roll, what is left of the pools and which editions were taken only in logs, if at all.

Four more GET operations at the control address. Status is answered by any machine of the core for itself, also in a minority; the roll and the pools by the leader; the history after a majority has confirmed it. Answers are records of headgate.mesh, taken on the loop and put into JSON on the thread of the checks, so that the mapper's classes are loaded there and not before the first call.

The agreed state keeps with each edition what it was based on and when it was proposed. The time comes with the command, behind what members of before read; states of the former format are read and say "not known". A refusal by the check names its place in a field of its own, and no longer twice in the message.

--- a/src/main/java/sablehinge/cistern/Cistern.java
+++ b/src/main/java/sablehinge/cistern/Cistern.java
@@ -18,7 +18,12 @@
 
     /** Editions whose marks are kept, so that a call that is repeated late still has its true answer. */
     private static final int MOST_TAKEN = 2_000;
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
+    /** States of this format do not tell what an edition was based on, nor when it was taken. */
+    private static final int BARE_FORMAT = 1;
+    private static final int COMMAND_FORMAT = 1;
+    /** What is not known of an edition that was taken under the bare format. */
+    private static final long UNKNOWN = -1;
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
@@ -34,7 +39,7 @@
         OLD
     }
 
-    private final Map<Long, Mark> taken = new LinkedHashMap<>(16, 0.75f, false);
+    private final Map<Long, Taken> taken = new LinkedHashMap<>();
     private long edition;
     private byte[] body = new byte[0];
 
@@ -50,21 +55,57 @@
         }
     }
 
-    /** A command that puts a configuration in the place of another. */
-    public static byte[] replace(long basedOn, long edition, byte[] body) {
+    /**
+     * A configuration that was taken.
+     *
+     * @param basedOn the edition that it took the place of; -1 where that is not known
+     * @param at when it was proposed, by the time of day of whoever proposed it, in ms since 1970; -1 where
+     *     that is not known. It is only ever told, and nothing is decided by it
+     */
+    private record Taken(Mark mark, long basedOn, long at) { }
+
+    /** Is told of the editions that were taken. */
+    public interface Reader {
+
+        /**
+         * One of them.
+         *
+         * @param basedOn the edition that it took the place of; -1 where that is not known
+         * @param at when it was proposed, in ms since 1970 by the proposer's time of day; -1 where that is
+         *     not known
+         * @param length of the configuration in bytes
+         * @param sum of these, FNV-1a of 64 bits
+         */
+        void taken(long edition, long basedOn, long at, int length, long sum);
+    }
+
+    /** Tells the editions that were taken, the oldest that is kept first, at most 2,000. */
+    public void read(Reader reader) {
+        taken.forEach((one, what) -> reader.taken(one, what.basedOn, what.at, what.mark.length,
+                what.mark.sum));
+    }
+
+    /**
+     * A command that puts a configuration in the place of another.
+     *
+     * @param at ms since 1970; it comes with the command, as all members must keep the same
+     */
+    public static byte[] replace(long basedOn, long edition, byte[] body, long at) {
         return bytes(out -> {
-            out.writeByte(FORMAT);
+            out.writeByte(COMMAND_FORMAT);
             out.writeLong(basedOn);
             out.writeLong(edition);
             out.writeInt(body.length);
             out.write(body);
+            // Behind what members of before read, who pass it over.
+            out.writeLong(at);
         });
     }
 
     /** What a command would come to if it were committed now. */
     public Outcome foresee(long basedOn, long next, byte[] nextBody) {
-        Mark known = taken.get(next);
-        if (known != null && known.equals(Mark.of(nextBody))) {
+        Taken known = taken.get(next);
+        if (known != null && known.mark.equals(Mark.of(nextBody))) {
             return Outcome.REPEATED;
         }
         return basedOn != edition ? Outcome.STALE : next <= edition ? Outcome.OLD : Outcome.TAKEN;
@@ -78,11 +119,12 @@
             long next = in.readLong();
             byte[] nextBody = new byte[in.readInt()];
             in.readFully(nextBody);
+            long at = in.available() >= Long.BYTES ? in.readLong() : UNKNOWN;
             Outcome outcome = foresee(basedOn, next, nextBody);
             if (outcome == Outcome.TAKEN) {
                 edition = next;
                 body = nextBody;
-                taken.put(next, Mark.of(nextBody));
+                taken.put(next, new Taken(Mark.of(nextBody), basedOn, at));
                 if (taken.size() > MOST_TAKEN) {
                     taken.remove(taken.keySet().iterator().next());
                 }
@@ -111,11 +153,14 @@
             out.writeInt(body.length);
             out.write(body);
             out.writeInt(taken.size());
-            for (Map.Entry<Long, Mark> one : taken.entrySet()) {
+            for (Map.Entry<Long, Taken> one : taken.entrySet()) {
+                Mark mark = one.getValue().mark;
                 out.writeLong(one.getKey());
-                out.writeInt(one.getValue().length());
-                out.writeLong(one.getValue().sum());
-                out.writeInt(one.getValue().hash());
+                out.writeInt(mark.length);
+                out.writeLong(mark.sum);
+                out.writeInt(mark.hash);
+                out.writeLong(one.getValue().basedOn);
+                out.writeLong(one.getValue().at);
             }
         });
     }
@@ -130,16 +175,19 @@
         }
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(state))) {
             int format = in.readByte();
-            if (format != FORMAT) {
-                throw new IllegalArgumentException("a state of format " + format + "; " + FORMAT
-                        + " is expected");
+            if (format != FORMAT && format != BARE_FORMAT) {
+                throw new IllegalArgumentException("a state of format " + format + "; " + FORMAT + " or "
+                        + BARE_FORMAT + " is expected");
             }
             edition = in.readLong();
             body = new byte[in.readInt()];
             in.readFully(body);
             int count = in.readInt();
             for (int i = 0; i < count; i++) {
-                taken.put(in.readLong(), new Mark(in.readInt(), in.readLong(), in.readInt()));
+                long one = in.readLong();
+                Mark mark = new Mark(in.readInt(), in.readLong(), in.readInt());
+                taken.put(one, format == BARE_FORMAT ? new Taken(mark, UNKNOWN, UNKNOWN)
+                        : new Taken(mark, in.readLong(), in.readLong()));
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/src/main/java/sablehinge/cistern/Roll.java
+++ b/src/main/java/sablehinge/cistern/Roll.java
@@ -102,6 +102,23 @@
         return news;
     }
 
+    /**
+     * A balancer that is on the roll.
+     *
+     * @param silentMs since it last told of itself
+     * @param gone whether that is so long that it counts as gone
+     */
+    public record Line(Intake intake, double silentMs, boolean gone) { }
+
+    /** All that is on the roll, in the order of the nodes' names. */
+    public List<Line> lines(double now) {
+        List<Line> lines = new ArrayList<>(rows.size());
+        rows.values().forEach(row -> lines.add(new Line(row.intake, now - row.heardAt,
+                now - row.heardAt > goneAfter)));
+        lines.sort(Comparator.comparing(line -> line.intake().node()));
+        return lines;
+    }
+
     /** Balancers that were heard of lately. */
     public int size() {
         int alive = 0;
--- /dev/null
+++ b/src/main/java/sablehinge/headgate/Wording.java
@@ -0,0 +1,20 @@
+package sablehinge.headgate;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** Answers of many fields as JSON. It is loaded with the first such answer. */
+final class Wording {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private Wording() { }
+
+    static byte[] of(Record answer) {
+        try {
+            return JSON.writeValueAsBytes(answer);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("no JSON can be made of a " + answer.getClass().getName(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/headgate/mesh/Machine.java
@@ -0,0 +1,10 @@
+package sablehinge.headgate.mesh;
+
+/**
+ * A member of the core as another one knows it.
+ *
+ * @param member its id, which tells lives of a disk apart
+ * @param control where operators call it
+ * @param silentMs since it was last heard of; null where the one who says so doesn't listen for it
+ */
+public record Machine(String member, String control, Long silentMs) { }
--- /dev/null
+++ b/src/main/java/sablehinge/headgate/mesh/MeshDuties.java
@@ -0,0 +1,32 @@
+package sablehinge.headgate.mesh;
+
+import java.util.List;
+
+/**
+ * What the leader does that nobody else may: the answer to {@code Mesh.Duties}.
+ *
+ * @param node who holds the duties
+ * @param control where operators call it
+ * @param leaseMs for how long it may still give out of the pools; 0 where it may not
+ * @param stamp the last change of its roll, counted from the beginning of the term
+ * @param complete whether whoever lives has had the time to tell of itself
+ * @param askers balancers that ask it for news
+ * @param more pools that are left out
+ */
+public record MeshDuties(String node, String control, long term, long leaseMs, long stamp, boolean complete,
+        int askers, List<Pool> pools, int more) {
+
+    /** Duties whose list can't be changed. */
+    public MeshDuties {
+        pools = List.copyOf(pools);
+    }
+
+    /**
+     * The part of a tenant's quota that is given out on demand.
+     *
+     * @param perS requests a second that come into it
+     * @param most that it holds
+     * @param left in it now
+     */
+    public record Pool(String tenant, double perS, double most, double left) { }
+}
--- a/src/main/java/sablehinge/meter/Bucket.java
+++ b/src/main/java/sablehinge/meter/Bucket.java
@@ -46,6 +46,17 @@
         return taken;
     }
 
+    /** Its part of the quota. */
+    Quota part() {
+        return new Quota(perMs * MS, most);
+    }
+
+    /** How many tokens there are. */
+    double left(double now) {
+        fill(now);
+        return tokens;
+    }
+
     /** In how many ms there will be a token; infinite where none comes. */
     public double next() {
         return tokens >= 1 ? 0 : perMs == 0 ? Double.POSITIVE_INFINITY : (1 - tokens) / perMs;
--- a/src/main/java/sablehinge/meter/Pool.java
+++ b/src/main/java/sablehinge/meter/Pool.java
@@ -1,6 +1,9 @@
 package sablehinge.meter;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The pools of all tenants' quotas, with the one who holds the duty. */
@@ -20,6 +23,22 @@
                 buckets.computeIfAbsent(tenant, name -> new Bucket(0)).set(now, quota.pool()));
     }
 
+    /**
+     * A tenant's pool.
+     *
+     * @param quota what comes into it, and the most that it holds
+     * @param left in it
+     */
+    public record Line(String tenant, Quota quota, double left) { }
+
+    /** All pools, in the order of the tenants' names. */
+    public List<Line> lines(double now) {
+        List<Line> lines = new ArrayList<>(buckets.size());
+        buckets.forEach((tenant, bucket) -> lines.add(new Line(tenant, bucket.part(), bucket.left(now))));
+        lines.sort(Comparator.comparing(Line::tenant));
+        return lines;
+    }
+
     /** Gives up to so many tokens of a tenant's pool. */
     public int take(double now, String tenant, int count) {
         Bucket bucket = buckets.get(tenant);
--- /dev/null
+++ b/src/main/java/sablehinge/reservoir/Authority.java
@@ -0,0 +1,39 @@
+package sablehinge.reservoir;
+
+import java.util.function.Consumer;
+import sablehinge.cistern.Cistern;
+import sablehinge.watermaster.Pulse;
+import sablehinge.watermaster.Standing;
+
+/** What settles operators' calls; all but {@link #check} is called on the thread of the door. */
+interface Authority {
+
+    /** A steady clock, ms. */
+    double now();
+
+    /** The place of this machine in the core. */
+    Standing standing();
+
+    Pulse pulse();
+
+    Cistern cistern();
+
+    /** Does work that takes long on a thread beside, and {@link #settle} comes back from there. */
+    void check(Runnable work);
+
+    void settle(Runnable work);
+
+    void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then);
+
+    /** The callback is called with true once all that was committed before this call is applied here. */
+    void barrier(Consumer<Boolean> then);
+
+    default boolean leads() {
+        return standing().role() == Standing.Role.LEADER;
+    }
+
+    /** Where operators call the leader; null where none is known. */
+    default String leader() {
+        return standing().leader() == null ? null : standing().leader().control();
+    }
+}
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -32,6 +32,7 @@
 import sablehinge.headgate.ConfigurationCheck;
 import sablehinge.headgate.ConfigurationReader;
 import sablehinge.headgate.Door;
+import sablehinge.headgate.Operation;
 import sablehinge.meter.Pool;
 import sablehinge.meter.Quota;
 import sablehinge.penstock.Ask;
@@ -41,6 +42,7 @@
 import sablehinge.watermaster.Entry;
 import sablehinge.watermaster.Member;
 import sablehinge.watermaster.Message;
+import sablehinge.watermaster.Pulse;
 import sablehinge.watermaster.Snapshot;
 import sablehinge.watermaster.Standing;
 import sablehinge.watermaster.Stored;
@@ -73,14 +75,15 @@
     private final Conduit conduit;
     private final Watermaster watermaster;
     private final Cistern cistern = new Cistern();
-    private final Desk<Conduit.Link> desk = new Desk<>(new Roll(COMPLETE_MS, GONE_MS));
+    private final Roll roll = new Roll(COMPLETE_MS, GONE_MS);
+    private final Desk<Conduit.Link> desk = new Desk<>(roll);
     private final Pool pool = new Pool();
     private final Peers peers;
     private final Proposals proposals;
     private final Map<Long, Consumer<Boolean>> barriers = new HashMap<>();
     private final Member self;
     private LogStore store;
-    private Standing standing;
+    private Standing standing = new Standing(Standing.Role.OUTSIDER, 0, null, List.of());
     private long barrierCount;
     private int sinceSnapshot;
 
@@ -126,8 +129,7 @@
         try {
             await(reservoir.conduit.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
                     reservoir.new Records()), at);
-            Operators operators = new Operators(reservoir.new Authority());
-            await(new Door(loop, operators.all(), MOST_CONFIGURATION).listen(
+            await(new Door(loop, reservoir.operations(), MOST_CONFIGURATION).listen(
                     address(settings.listenOn().control())), settings.listenOn().control());
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
@@ -140,6 +142,12 @@
         return reservoir;
     }
 
+    private List<Operation<?, ?>> operations() {
+        Authority authority = new Settles();
+        return Operators.all(authority, new Sight(settings.node(), settings.zone(), self, roll, desk, pool,
+                authority));
+    }
+
     private static void await(io.netty.channel.ChannelFuture bound, String at)
             throws IOException, InterruptedException {
         if (!bound.await().isSuccess()) {
@@ -202,7 +210,7 @@
     }
 
     private boolean leads() {
-        return standing != null && standing.role() == Standing.Role.LEADER;
+        return standing.role() == Standing.Role.LEADER;
     }
 
     private void answer(double now) {
@@ -219,7 +227,7 @@
 
     private void asked(Conduit.Link link, Ask ask) {
         if (!leads()) {
-            String leader = standing == null || standing.leader() == null ? "" : standing.leader().conduit();
+            String leader = standing.leader() == null ? "" : standing.leader().conduit();
             link.send(new Frame(Frame.Kind.ELSEWHERE, leader.getBytes(StandardCharsets.UTF_8)));
             return;
         }
@@ -348,7 +356,7 @@
         @Override
         public void standing(Standing next) {
             boolean led = leads();
-            boolean newTerm = standing == null || standing.term() != next.term();
+            boolean newTerm = standing.term() != next.term();
             standing = next;
             Log.info(LOG, "standing").addKeyValue("role", next.role()).addKeyValue("term", next.term())
                     .addKeyValue("leader", next.leader() == null ? "" : next.leader().conduit())
@@ -369,9 +377,7 @@
 
         private void holds() {
             List<String> members = new ArrayList<>();
-            if (standing != null) {
-                standing.members().forEach(member -> members.add(member.conduit()));
-            }
+            standing.members().forEach(member -> members.add(member.conduit()));
             desk.holds(cistern.edition(), cistern.body(), members);
             loop.execute(() -> answer(clock.now()));
         }
@@ -395,16 +401,21 @@
     }
 
     /** What operators' calls are settled by. */
-    private final class Authority implements Operators.Authority {
+    private final class Settles implements Authority {
+
+        @Override
+        public double now() {
+            return clock.now();
+        }
 
         @Override
-        public boolean leads() {
-            return Reservoir.this.leads();
+        public Standing standing() {
+            return standing;
         }
 
         @Override
-        public String leader() {
-            return standing == null || standing.leader() == null ? null : standing.leader().control();
+        public Pulse pulse() {
+            return watermaster.pulse(clock.now());
         }
 
         @Override
@@ -425,7 +436,8 @@
         @Override
         public void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then) {
             double now = clock.now();
-            long index = watermaster.propose(now, Cistern.replace(basedOn, edition, body));
+            long index = watermaster.propose(now, Cistern.replace(basedOn, edition, body,
+                    System.currentTimeMillis()));
             if (index == 0) {
                 then.accept(Proposals.Result.LOST);
             } else {
--- /dev/null
+++ b/src/main/java/sablehinge/watermaster/Pulse.java
@@ -0,0 +1,18 @@
+package sablehinge.watermaster;
+
+import java.util.Map;
+
+/**
+ * What a member can tell of its part at a moment.
+ *
+ * @param commit the index up to which it knows the log to be committed
+ * @param leaseMs for how long it may still do what only one may do; 0 where it may not
+ * @param silentMs by a member's id, since that one was last heard of: a leader's all others, another's leader
+ */
+public record Pulse(long commit, double leaseMs, Map<Long, Double> silentMs) {
+
+    /** A record whose map can't be changed. */
+    public Pulse {
+        silentMs = Map.copyOf(silentMs);
+    }
+}
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -847,6 +848,18 @@
         return running && role == Standing.Role.LEADER && now < leaseUntil;
     }
 
+    /** What this member can tell of its part at this moment. */
+    public Pulse pulse(double now) {
+        Map<Long, Double> silentMs = new HashMap<>();
+        if (role == Standing.Role.LEADER) {
+            silentMs.put(self.id(), 0.0);
+            peers.values().forEach(peer -> silentMs.put(peer.member.id(), now - peer.heard));
+        } else if (leader != null) {
+            silentMs.put(leader.id(), now - leaderHeard);
+        }
+        return new Pulse(commit, leases(now) ? leaseUntil - now : 0, silentMs);
+    }
+
     private void extendLease() {
         long answered = answered();
         if (!handedOver && answered > Math.max(0, round - ASKED)) {
--- a/src/test/java/sablehinge/cistern/CisternTest.java
+++ b/src/test/java/sablehinge/cistern/CisternTest.java
@@ -5,13 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import sablehinge.cistern.Cistern.Outcome;
 
 /** What becomes of configurations as they are committed, and what of that outlives a snapshot. */
 class CisternTest {
 
+    private static final long AT = 1_000;
     private final Cistern cistern = new Cistern();
 
     private static byte[] bytes(String text) {
@@ -20,7 +23,7 @@
 
     private static Outcome send(Cistern to, long basedOn, long edition, String body) {
         Outcome foreseen = to.foresee(basedOn, edition, bytes(body));
-        Outcome outcome = to.apply(Cistern.replace(basedOn, edition, bytes(body)));
+        Outcome outcome = to.apply(Cistern.replace(basedOn, edition, bytes(body), AT + edition));
         assertEquals(foreseen, outcome);
         return outcome;
     }
@@ -123,6 +126,40 @@
         assertThrows(IllegalArgumentException.class, () -> new Cistern().restore(state));
     }
 
+    private static List<String> history(Cistern of) {
+        List<String> history = new ArrayList<>();
+        of.read((edition, basedOn, at, length, sum) -> history.add(edition + " on " + basedOn + " at " + at
+                + ", " + length + " bytes"));
+        return history;
+    }
+
+    @Test
+    void editionsAreToldWithWhatTheyWereBasedOnAndWhenAlsoAfterASnapshot() {
+        send(0, 3, "a");
+        send(0, 5, "refused");
+        send(3, 8, "bb");
+        send(0, 3, "a");
+        Cistern other = new Cistern();
+        other.restore(cistern.state());
+        assertEquals(List.of("3 on 0 at 1003, 1 bytes", "8 on 3 at 1008, 2 bytes"), history(other));
+    }
+
+    /** What members of before wrote: a command without a time, and a state that tells editions alone. */
+    @Test
+    void theFormatsOfBeforeAreReadAndSayNothingOfTimes() {
+        byte[] command = Cistern.replace(0, 3, bytes("a"), AT);
+        cistern.apply(Arrays.copyOf(command, command.length - Long.BYTES));
+        assertEquals(List.of("3 on 0 at -1, 1 bytes"), history(cistern));
+        byte[] state = cistern.state();
+        byte[] before = Arrays.copyOf(state, state.length - 2 * Long.BYTES);
+        before[0] = 1;
+        Cistern other = new Cistern();
+        other.restore(before);
+        assertEquals(List.of("3 on -1 at -1, 1 bytes"), history(other));
+        assertEquals(Outcome.REPEATED, send(other, 0, 3, "a"));
+        assertEquals(Outcome.TAKEN, send(other, 3, 4, "b"));
+    }
+
     @Test
     void whatIsKeptOfTheEditionsOfThePastIsBounded() {
         for (int i = 1; i <= 2_001; i++) {
--- /dev/null
+++ b/src/test/java/sablehinge/reservoir/OperatorsTest.java
@@ -0,0 +1,186 @@
+package sablehinge.reservoir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import sablehinge.cistern.Cistern;
+import sablehinge.cistern.Intake;
+import sablehinge.cistern.Roll;
+import sablehinge.headgate.Asked;
+import sablehinge.headgate.Operation;
+import sablehinge.headgate.Reply;
+import sablehinge.headgate.mesh.Editions;
+import sablehinge.headgate.mesh.MeshDuties;
+import sablehinge.headgate.mesh.MeshNodes;
+import sablehinge.headgate.mesh.MeshStatus;
+import sablehinge.meter.Pool;
+import sablehinge.meter.Quota;
+import sablehinge.penstock.Desk;
+import sablehinge.watermaster.Member;
+import sablehinge.watermaster.Pulse;
+import sablehinge.watermaster.Standing;
+
+/** What operators are told, by the operations' own types: no socket, no thread, a clock that is set. */
+class OperatorsTest {
+
+    private static final Member ONE = new Member(1, "10.0.0.1:7780", "10.0.0.1:7701");
+    private static final Member TWO = new Member(3, "10.0.0.2:7780", "10.0.0.2:7701");
+
+    private final Cistern cistern = new Cistern();
+    private final Roll roll = new Roll(2_500, 12_000);
+    private final Pool pool = new Pool();
+    private final Map<Long, Double> silent = new HashMap<>();
+    private Standing standing = new Standing(Standing.Role.LEADER, 7, ONE, List.of(ONE, TWO));
+    private boolean sure = true;
+    private double now = 10_000;
+
+    private final class Scripted implements Authority {
+
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public Standing standing() {
+            return standing;
+        }
+
+        @Override
+        public Pulse pulse() {
+            return new Pulse(42, 250.4, silent);
+        }
+
+        @Override
+        public Cistern cistern() {
+            return cistern;
+        }
+
+        @Override
+        public void check(Runnable work) {
+            work.run();
+        }
+
+        @Override
+        public void settle(Runnable work) {
+            work.run();
+        }
+
+        @Override
+        public void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then) {
+            then.accept(Proposals.Result.OLD);
+        }
+
+        @Override
+        public void barrier(Consumer<Boolean> then) {
+            then.accept(sure);
+        }
+    }
+
+    private Reply call(String path, HttpHeaders headers, String body) {
+        Authority authority = new Scripted();
+        Sight sight = new Sight("core-1", "z-a", ONE, roll, new Desk<String>(roll), pool, authority);
+        for (Operation<?, ?> one : Operators.all(authority, sight)) {
+            if (one.path().equals("/sablehinge/" + path)) {
+                return carry(one, new Asked("", headers, body.getBytes(StandardCharsets.UTF_8)));
+            }
+        }
+        throw new AssertionError("no operation at " + path);
+    }
+
+    private static <Q, A> Reply carry(Operation<Q, A> operation, Asked asked) {
+        Reply[] reply = new Reply[1];
+        operation.carryOut(operation.read(asked), answer -> reply[0] = operation.write(answer));
+        return reply[0];
+    }
+
+    private <T> T told(String path, Class<T> type) throws IOException {
+        Reply reply = call(path, new DefaultHttpHeaders(), "");
+        assertEquals(200, reply.status());
+        return new ObjectMapper().readValue(reply.body(), type);
+    }
+
+    private void tells(double at, String node, String upstream, boolean ready) {
+        roll.told(at, new Intake(node, "z-a", "10.0.1.1:7703", "basalt", upstream, ready, 12, 0));
+    }
+
+    @Test
+    void whoFollowsNobodySaysSoOfItselfAndSendsNobodyElsewhere() throws IOException {
+        standing = new Standing(Standing.Role.CANDIDATE, 8, null, List.of(ONE, TWO));
+        MeshStatus status = told("Mesh.Status", MeshStatus.class);
+        assertEquals("candidate", status.role());
+        assertEquals(42, status.commit());
+        assertNull(status.leader());
+        assertNull(status.plane());
+        assertNull(status.members().get(1).silentMs());
+        assertEquals(503, call("Mesh.Nodes", new DefaultHttpHeaders(), "").status());
+    }
+
+    @Test
+    void whoFollowsSendsQuestionsOfTheRollToTheLeader() {
+        standing = new Standing(Standing.Role.FOLLOWER, 7, TWO, List.of(ONE, TWO));
+        Reply reply = call("Mesh.Duties", new DefaultHttpHeaders(), "");
+        assertEquals(307, reply.status());
+        assertEquals("http://10.0.0.2:7701/sablehinge/Mesh.Duties", reply.location());
+    }
+
+    @Test
+    void theLeaderTellsWhoIsReadyWhoDrainsAndWhoIsGone() throws IOException {
+        roll.begin(0);
+        silent.put(TWO.id(), 180.2);
+        tells(0, "n-gone", "i-4", true);
+        tells(9_000, "n-ready", "i-1", true);
+        tells(9_500, "n-drains", "i-2", false);
+        tells(9_990, "n-empty", "", false);
+        now = 12_100;
+        MeshNodes nodes = told("Mesh.Nodes", MeshNodes.class);
+        assertEquals(List.of("n-drains draining 2600", "n-empty empty 2110", "n-gone gone 12100",
+                "n-ready ready 3100"), nodes.balancers().stream()
+                .map(one -> one.node() + " " + one.state() + " " + one.silentMs()).toList());
+        assertEquals(180, nodes.members().get(1).silentMs());
+        MeshStatus.Plane plane = told("Mesh.Status", MeshStatus.class).plane();
+        assertEquals(3, plane.known());
+        assertEquals(1, plane.ready());
+        assertEquals(List.of(new MeshStatus.Service("basalt", 3, 1, 12)), plane.services());
+    }
+
+    @Test
+    void thePoolsAreToldWithWhatIsLeftOfThem() throws IOException {
+        pool.adopt(0, Map.of("t", new Quota(10, 100)));
+        assertEquals(15, pool.take(5_000, "t", 15));
+        MeshDuties duties = told("Mesh.Duties", MeshDuties.class);
+        assertEquals(250, duties.leaseMs());
+        // 4 a second of 10 are the pool's: 20 come within 5 s, and 20 within the other 5 s.
+        assertEquals(List.of(new MeshDuties.Pool("t", 4, 40, 25)), duties.pools());
+    }
+
+    @Test
+    void theHistoryIsToldOnlyWhereAMajorityConfirms() throws IOException {
+        cistern.apply(Cistern.replace(0, 3, new byte[] {'a'}, 1_700_000_000_000L));
+        assertEquals(new Editions(3, List.of(new Editions.Taken(3, 0L, 1, "af63dc4c8601ec8c",
+                "2023-11-14T22:13:20Z"))), told("Config.History", Editions.class));
+        sure = false;
+        assertEquals(503, call("Config.History", new DefaultHttpHeaders(), "").status());
+    }
+
+    @Test
+    void aRefusalNamesItsCodeAndItsPlace() throws IOException {
+        Reply reply = call("Config.Replace", new DefaultHttpHeaders().add("Sablehinge-Based-On", "0"),
+                "{\"edition\":1}");
+        assertEquals(400, reply.status());
+        var error = new ObjectMapper().readTree(reply.body());
+        assertEquals("SCHEMA", error.path("code").asText());
+        assertTrue(error.path("place").asText().startsWith("/"), () -> error.toString());
+    }
+}
