mesh: verbs for operators: status, nodes, duties, config get, put, check, history

Exit status: 0 done, 1 refused, 2 bad input, 3 no clear answer. Words that are none are answered with the nearest one.

--- a/src/main/java/sablehinge/cli/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import org.slf4j.LoggerFactory;
 import sablehinge.cli.mesh.MeshCommands;
+import sablehinge.cli.mesh.operator.Shell;
 import sablehinge.config.ConfigException;
 import sablehinge.config.PlatformConfig;
 import sablehinge.core.Log;
@@ -32,7 +33,8 @@
         } else if (args.length == 1 && (args[0].equals("sluice") || args[0].equals("reservoir"))) {
             Waterworks.run(args[0]);
         } else if (args.length > 0 && args[0].equals("mesh")) {
-            System.exit(MeshCommands.run(Arrays.copyOfRange(args, 1, args.length), System.err));
+            System.exit(MeshCommands.run(Arrays.copyOfRange(args, 1, args.length),
+                    Shell.usual(System.out, System.err)));
         } else {
             System.exit(Commands.run(args, new PrintWriter(System.out, true), new PrintWriter(System.err,
                     true)));
--- a/src/main/java/sablehinge/cli/mesh/MeshCommands.java
+++ b/src/main/java/sablehinge/cli/mesh/MeshCommands.java
@@ -3,22 +3,38 @@
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.builder.CliBuilder;
 import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.model.CommandGroupMetadata;
+import com.github.rvesse.airline.model.CommandMetadata;
+import com.github.rvesse.airline.model.GlobalMetadata;
+import com.github.rvesse.airline.model.OptionMetadata;
 import com.github.rvesse.airline.parser.errors.ParseException;
-import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
+import sablehinge.cli.mesh.operator.ConfigCheckVerb;
+import sablehinge.cli.mesh.operator.ConfigGetVerb;
+import sablehinge.cli.mesh.operator.ConfigHistoryVerb;
+import sablehinge.cli.mesh.operator.ConfigPutVerb;
+import sablehinge.cli.mesh.operator.DutiesVerb;
+import sablehinge.cli.mesh.operator.NodesVerb;
+import sablehinge.cli.mesh.operator.OperatorVerb;
+import sablehinge.cli.mesh.operator.Shell;
+import sablehinge.cli.mesh.operator.StatusVerb;
+import sablehinge.cli.mesh.operator.VerbException;
+import sablehinge.headgate.Nearest;
 
-/** The verbs about a mesh of one's own: {@code mesh demo}, {@code mesh settings}, {@code mesh upstream}. */
+/**
+ * The verbs about a mesh: those of its operators, and {@code demo}, {@code settings} and {@code upstream} for
+ * one of one's own. Exit status 0: done; 1: refused, or a rule was broken; 2: a bad command line or file;
+ * 3: no clear answer.
+ */
 public final class MeshCommands {
 
-    private static final int REFUSED = 1;
-    private static final int BAD_INPUT = 2;
-
     private MeshCommands() {
     }
 
     /** What every verb is. */
-    interface Verb {
+    public interface Verb {
 
         /** Does it; returns the exit status. */
         int act() throws Exception;
@@ -42,9 +58,14 @@
 
     private static Cli<Verb> cli() {
         CliBuilder<Verb> builder = Cli.builder("sablehinge mesh");
-        builder.withDescription("A small mesh on loopback: to be seen, or to be run by hand")
-                .withCommand(HelpVerb.class).withCommand(DemoVerb.class).withCommand(SettingsVerb.class)
+        builder.withDescription("Operates a mesh; or starts a small one on loopback, to be seen or run by "
+                + "hand")
+                .withCommand(HelpVerb.class).withCommand(StatusVerb.class).withCommand(NodesVerb.class)
+                .withCommand(DutiesVerb.class).withCommand(DemoVerb.class).withCommand(SettingsVerb.class)
                 .withCommand(UpstreamVerb.class);
+        builder.withGroup("config").withDescription("The configuration that the core agrees upon")
+                .withCommand(ConfigGetVerb.class).withCommand(ConfigPutVerb.class)
+                .withCommand(ConfigCheckVerb.class).withCommand(ConfigHistoryVerb.class);
         return builder.build();
     }
 
@@ -57,20 +78,63 @@
         return words.toArray(new String[0]);
     }
 
+    /** Says which word of the command line is none, and which one it was probably meant to be. */
+    private static String hint(GlobalMetadata<Verb> known, String[] args, String otherwise) {
+        List<CommandMetadata> verbs = known.getDefaultGroupCommands();
+        String group = "";
+        int at = 0;
+        if (args[0].equals("config")) {
+            verbs = known.getCommandGroups().stream().map(CommandGroupMetadata::getCommands)
+                    .findFirst().orElseThrow();
+            group = "config ";
+            at = 1;
+        }
+        List<String> names = Stream.concat(verbs.stream().map(CommandMetadata::getName),
+                at == 0 ? Stream.of("config") : Stream.empty()).sorted().toList();
+        if (args.length <= at) {
+            return group + "needs one of " + String.join(", ", names);
+        }
+        String word = args[at];
+        CommandMetadata verb = verbs.stream().filter(one -> one.getName().equals(word)).findFirst()
+                .orElse(null);
+        if (verb == null) {
+            return "\"" + group + word + "\" is no verb; the nearest one is \"" + group
+                    + Nearest.of(word, names) + "\"";
+        }
+        List<String> options = verb.getAllOptions().stream().map(OptionMetadata::getOptions)
+                .flatMap(java.util.Set::stream).sorted().toList();
+        for (String each : args) {
+            if (each.startsWith("-") && !options.contains(each)) {
+                return "\"" + each + "\" is no option of " + group + word + "; the nearest one is \""
+                        + Nearest.of(each, options) + "\"";
+            }
+        }
+        return otherwise;
+    }
+
     /** Runs the verb that the arguments, those behind {@code mesh}, name; returns the exit status. */
-    public static int run(String[] args, PrintStream err) {
+    public static int run(String[] args, Shell shell) {
+        String[] words = usual(args);
+        Cli<Verb> cli = cli();
         Verb verb;
         try {
-            verb = cli().parse(usual(args));
+            verb = cli.parse(words);
         } catch (ParseException e) {
-            err.println("sablehinge: " + e.getMessage() + "; see mesh help");
-            return BAD_INPUT;
+            shell.err().println("sablehinge: " + Shell.plain(hint(cli.getMetadata(), words, e.getMessage()))
+                    + "; see mesh help");
+            return VerbException.Exit.BAD_INPUT.status();
         }
         try {
+            if (verb instanceof OperatorVerb its) {
+                its.in(shell);
+            }
             return verb.act();
+        } catch (VerbException e) {
+            shell.err().println("sablehinge: " + Shell.plain(e.line()));
+            return e.exit().status();
         } catch (Exception e) {
-            err.println("sablehinge: " + (e.getMessage() == null ? e.toString() : e.getMessage()));
-            return REFUSED;
+            shell.err().println("sablehinge: " + (e.getMessage() == null ? e.toString() : e.getMessage()));
+            return VerbException.Exit.REFUSED.status();
         }
     }
 }
--- /dev/null
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
@@ -0,0 +1,28 @@
+package sablehinge.cli.mesh.operator;
+
+import com.github.rvesse.airline.annotations.Command;
+import sablehinge.headgate.mesh.Editions;
+
+/** Lists the configurations that were taken. */
+@Command(name = "history", description = "Lists the editions that were taken, the newest last, with what "
+        + "each was based on and when it was taken up, by the clock of the leader of then")
+public final class ConfigHistoryVerb extends CoreVerb {
+
+    /** Made by the command line. */
+    public ConfigHistoryVerb() {
+    }
+
+    @Override
+    int run() throws InterruptedException {
+        Editions editions = ask("Config.History", Editions.class);
+        print(editions, () -> show(editions));
+        return DONE;
+    }
+
+    private void show(Editions editions) {
+        Table taken = new Table("EDITION", "BASED ON", "BYTES", "SUM", "TAKEN");
+        editions.taken().forEach(one -> taken.line(one.edition(), one.basedOn(), one.bytes(), one.sum(),
+                one.takenAt()));
+        taken.print(shell());
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigPutVerb.java
@@ -0,0 +1,135 @@
+package sablehinge.cli.mesh.operator;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.Arrays;
+import java.util.Map;
+import sablehinge.aqueduct.Configuration;
+import sablehinge.headgate.CheckException;
+import sablehinge.headgate.ConfigurationCheck;
+import sablehinge.headgate.ConfigurationReader;
+
+/** Sends a configuration. */
+@Command(name = "put", description = "Sends a configuration, and the very same call again until the core "
+        + "says whether it was taken. Without --based-on it reads the one in force first, shows what "
+        + "changes, by names, and builds on that")
+public final class ConfigPutVerb extends CoreVerb {
+
+    @Required
+    @Arguments(title = "FILE", description = "The configuration")
+    private String file;
+
+    @Option(name = {"-b", "--based-on"}, title = "EDITION",
+            description = "The edition that it takes the place of, 0 for none")
+    private Long basedOn;
+
+    @Option(name = {"-n", "--dry-run"}, description = "Show what would change, and send nothing")
+    private boolean dry;
+
+    /** Made by the command line. */
+    public ConfigPutVerb() {
+    }
+
+    /**
+     * What became of it.
+     *
+     * @param outcome {@code taken}, {@code in force already} or {@code not sent}, as that was wanted
+     * @param by who took it; null for nobody
+     * @param changes null where the one before was not read
+     */
+    private record Put(String outcome, long edition, long basedOn, String by, Differences changes) { }
+
+    @Override
+    int run() throws InterruptedException {
+        ConfigurationFile next;
+        try {
+            next = ConfigurationFile.read(file);
+        } catch (CheckException e) {
+            throw ConfigurationFile.faulty(file, e);
+        }
+        long edition = next.configuration().edition();
+        if (basedOn != null && basedOn < 0) {
+            throw VerbException.input("BASED_ON", "--based-on", "0 or more was expected, found " + basedOn);
+        }
+        Differences changes = null;
+        long base = basedOn == null ? 0 : basedOn;
+        if (basedOn == null || dry) {
+            byte[] current = current();
+            Configuration before = current == null ? null : ConfigurationReader.read(current);
+            long inForce = before == null ? 0 : before.edition();
+            if (Arrays.equals(current, next.body())) {
+                tell(new Put("in force already", edition, base, null, null));
+                return DONE;
+            }
+            if (dry) {
+                foresee(next.configuration(), inForce);
+            }
+            base = inForce;
+            changes = Differences.between(before, next.configuration());
+            show(changes, base, edition);
+            if (dry) {
+                tell(new Put("not sent", edition, base, null, changes));
+                return DONE;
+            }
+        }
+        send(next.body(), edition, base, changes);
+        return DONE;
+    }
+
+    /** The configuration in force; null for none. */
+    private byte[] current() throws InterruptedException {
+        Outcome outcome = caller().call(Wire.Request.get("Config.Read"));
+        if (!outcome.isClear()) {
+            throw outcome.unclear("not sent, as the core has not told what is in force");
+        }
+        if (!outcome.isDone() && !Said.of(outcome.answer()).code().equals("NONE")) {
+            throw outcome.refusal();
+        }
+        return outcome.isDone() ? outcome.answer().body() : null;
+    }
+
+    /** Refuses what the core would refuse if it were sent now. */
+    private void foresee(Configuration next, long inForce) {
+        if (basedOn != null && basedOn != inForce) {
+            throw new VerbException(VerbException.Exit.REFUSED, "STALE", "--based-on",
+                    "version " + inForce + " is in place, not " + basedOn);
+        }
+        try {
+            ConfigurationCheck.checkEdition(next, inForce);
+        } catch (CheckException e) {
+            throw new VerbException(VerbException.Exit.REFUSED, e.code().name(), file + ": " + e.place(),
+                    e.problems().get(0).text());
+        }
+    }
+
+    private void show(Differences changes, long from, long to) {
+        if (!wantsJson()) {
+            shell().say("edition " + from + " -> " + to);
+            changes.show(shell());
+        }
+    }
+
+    private void send(byte[] body, long edition, long base, Differences changes)
+            throws InterruptedException {
+        Outcome outcome = caller().call(new Wire.Request("POST", "/sablehinge/Config.Replace",
+                Map.of("Sablehinge-Based-On", Long.toString(base), "Content-Type", "application/json"),
+                body));
+        if (!outcome.isClear()) {
+            throw outcome.unclear(outcome.maybe()
+                    ? "edition " + edition + " may have been taken or not: the same call, with --based-on "
+                            + base + ", may be made again and is answered alike"
+                    : "edition " + edition + " has not been taken: nobody could take it");
+        }
+        if (!outcome.isDone()) {
+            throw outcome.refusal();
+        }
+        tell(new Put("taken", edition, base, outcome.by(), changes));
+    }
+
+    private void tell(Put put) {
+        print(put, () -> shell().say(put.outcome() + ": edition " + put.edition()
+                + (put.by() == null ? "" : ", based on " + put.basedOn() + ", by " + put.by())));
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigurationFile.java
@@ -0,0 +1,47 @@
+package sablehinge.cli.mesh.operator;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import sablehinge.aqueduct.Configuration;
+import sablehinge.headgate.CheckException;
+import sablehinge.headgate.ConfigurationCheck;
+
+/** A configuration in a file, which has been checked. */
+record ConfigurationFile(byte[] body, Configuration configuration) {
+
+    /** More than a reservoir takes. */
+    private static final int MOST_BYTES = 15 * 1024 * 1024;
+
+    /**
+     * Reads a file.
+     *
+     * @throws CheckException if the core would not take it
+     * @throws VerbException if it can't be read
+     */
+    static ConfigurationFile read(String file) {
+        byte[] body;
+        try {
+            Path path = Path.of(file);
+            if (Files.size(path) > MOST_BYTES) {
+                throw VerbException.input("TOO_LONG", file, MOST_BYTES
+                        + " bytes at most were expected, found " + Files.size(path));
+            }
+            body = Files.readAllBytes(path);
+        } catch (NoSuchFileException e) {
+            throw VerbException.input("NO_FILE", file, "there is no such file");
+        } catch (IOException e) {
+            throw VerbException.input("UNREADABLE", file, "can't be read: " + e.getMessage());
+        }
+        return new ConfigurationFile(body, ConfigurationCheck.check(body));
+    }
+
+    /** The error of a verb that can't do without the file. */
+    static VerbException faulty(String file, CheckException faults) {
+        int more = faults.problems().size() - 1;
+        return VerbException.input(faults.code().name(), file + ": " + faults.place(),
+                faults.problems().get(0).text() + (more == 0 ? "" : " (and " + more
+                        + " more: see config check)"));
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/cli/mesh/operator/Outcome.java
@@ -0,0 +1,35 @@
+package sablehinge.cli.mesh.operator;
+
+import java.util.List;
+
+/**
+ * What became of a call to the core.
+ *
+ * @param answer the clear one; null where there was none
+ * @param by who gave it; null where there was none
+ * @param maybe whether the core may have carried the call out although it said nothing clear
+ * @param tries what each address that was called said last
+ */
+record Outcome(Wire.Answer answer, String by, boolean maybe, List<String> tries) {
+
+    /** What the core said no with; the call was answered, and not with a 2xx. */
+    VerbException refusal() {
+        Said said = Said.of(answer);
+        return new VerbException(VerbException.Exit.REFUSED, said.code(), said.place(),
+                said.message() + " (" + answer.status() + " from " + by + ")");
+    }
+
+    /** Nobody gave a clear answer. */
+    VerbException unclear(String what) {
+        return new VerbException(VerbException.Exit.UNCLEAR, "NO_CLEAR_ANSWER", "",
+                what + "; " + String.join("; ", tries));
+    }
+
+    boolean isClear() {
+        return answer != null;
+    }
+
+    boolean isDone() {
+        return isClear() && CoreCaller.isSuccess(answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/cli/mesh/operator/Said.java
@@ -0,0 +1,32 @@
+package sablehinge.cli.mesh.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+
+/** The words of an error that came as an answer. */
+record Said(String code, String place, String message) {
+
+    private static final int LONGEST = 400;
+
+    static Said of(Wire.Answer answer) {
+        JsonNode body = null;
+        try {
+            body = Json.tree(answer.body());
+        } catch (IOException e) {
+            // Whoever answered is no machine of a core; its status says something all the same.
+        }
+        if (body == null || !body.isObject()) {
+            return new Said("HTTP_" + answer.status(), "", "the answer is not one of this system");
+        }
+        return new Said(cut(body.path("code").asText("HTTP_" + answer.status())),
+                cut(body.path("place").asText("")), cut(body.path("message").asText("no reason was given")));
+    }
+
+    private static String cut(String text) {
+        return Shell.plain(text.length() <= LONGEST ? text : text.substring(0, LONGEST) + "...");
+    }
+
+    String line() {
+        return code + (place.isEmpty() ? "" : " at " + place) + ": " + message;
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/cli/mesh/operator/Time.java
@@ -0,0 +1,11 @@
+package sablehinge.cli.mesh.operator;
+
+/** A clock that can be waited by. */
+public interface Time {
+
+    /** A steady clock, ms. */
+    long now();
+
+    /** Waits. */
+    void pause(long ms) throws InterruptedException;
+}
--- a/src/main/java/sablehinge/headgate/Nearest.java
+++ b/src/main/java/sablehinge/headgate/Nearest.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 
 /** The name that a mistyped one was probably meant to be. */
-final class Nearest {
+public final class Nearest {
 
     /** Longer ones are not compared: the work grows with the square. */
     private static final int LONGEST = 64;
@@ -11,7 +11,7 @@
     private Nearest() { }
 
     /** The name with the fewest letters to change, add or drop; null where there is none. */
-    static String of(String given, Collection<String> names) {
+    public static String of(String given, Collection<String> names) {
         String best = null;
         int least = Integer.MAX_VALUE;
         String from = cut(given);
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -66,7 +66,7 @@
                     "com.fasterxml.jackson", "io.netty", "org.slf4j")),
             Map.entry("cli", Set.of("policy", "settings", "core", "membership", "config", "http1", "wire",
                     "node", "mapping", "tally", "replay", "pace", "judge", "audit", "standin", "station",
-                    "recorder", "log", "sluice", "reservoir", "org.slf4j",
+                    "recorder", "log", "sluice", "reservoir", "headgate", "aqueduct", "org.slf4j",
                     "picocli", "com.github.difflib", "com.github.rvesse", "io.netty",
                             "com.fasterxml.jackson")));
 
