--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigPutVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigPutVerb.java
@@ -1,5 +1,6 @@
 package sablehinge.cli.mesh.operator;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
@@ -37,9 +38,11 @@
      *
      * @param outcome {@code taken}, {@code in force already} or {@code not sent}, as that was wanted
      * @param by who took it; null for nobody
+     * @param inForce the edition in force after it, another one where the call was a late repetition
      * @param changes null where the one before was not read
      */
-    private record Put(String outcome, long edition, long basedOn, String by, Differences changes) { }
+    private record Put(String outcome, long edition, long basedOn, String by, long inForce,
+            Differences changes) { }
 
     @Override
     int run() throws InterruptedException {
@@ -60,7 +63,7 @@
             Configuration before = current == null ? null : ConfigurationReader.read(current);
             long inForce = before == null ? 0 : before.edition();
             if (Arrays.equals(current, next.body())) {
-                tell(new Put("in force already", edition, base, null, null));
+                tell(new Put("in force already", edition, base, null, edition, null));
                 return DONE;
             }
             if (dry) {
@@ -70,7 +73,7 @@
             changes = Differences.between(before, next.configuration());
             show(changes, base, edition);
             if (dry) {
-                tell(new Put("not sent", edition, base, null, changes));
+                tell(new Put("not sent", edition, base, null, base, changes));
                 return DONE;
             }
         }
@@ -125,11 +128,15 @@
         if (!outcome.isDone()) {
             throw outcome.refusal();
         }
-        tell(new Put("taken", edition, base, outcome.by(), changes));
+        long inForce = read(outcome.answer().body(), JsonNode.class, outcome.by()).path("edition")
+                .asLong(edition);
+        tell(new Put("taken", edition, base, outcome.by(), inForce, changes));
     }
 
     private void tell(Put put) {
         print(put, () -> shell().say(put.outcome() + ": edition " + put.edition()
-                + (put.by() == null ? "" : ", based on " + put.basedOn() + ", by " + put.by())));
+                + (put.by() == null ? "" : ", by " + put.by())
+                + (put.inForce() == put.edition() ? "" : "; "
+                + (put.inForce() == 0 ? "none" : "edition " + put.inForce()) + " is in force")));
     }
 }
--- a/src/main/java/sablehinge/cli/mesh/operator/Table.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/Table.java
@@ -27,7 +27,9 @@
     void print(Shell shell) {
         int[] widths = new int[lines.get(0).length];
         for (String[] line : lines) {
-            for (int i = 0; i < line.length; i++) {
+            // The end of a line that is cut short has all the rest of the width.
+            int cells = line.length < widths.length ? line.length - 1 : line.length;
+            for (int i = 0; i < cells; i++) {
                 widths[i] = Math.max(widths[i], line[i].length());
             }
         }
--- a/src/main/java/sablehinge/headgate/Form.java
+++ b/src/main/java/sablehinge/headgate/Form.java
@@ -23,6 +23,9 @@
 
     private static final int LONGEST_SHOWN = 60;
 
+    /** Letters in which a field's name may differ from the one that it was meant to be. */
+    private static final int MISTYPED = 2;
+
     private Form() { }
 
     static List<Problem> problems(JsonNode root) {
@@ -36,8 +39,12 @@
     private static Problem problem(ValidationMessage message) {
         String place = message.getInstanceLocation().toString();
         if (message.getType().equals("required")) {
+            List<String> there = new ArrayList<>();
+            message.getInstanceNode().fieldNames().forEachRemaining(there::add);
+            String nearest = Nearest.of(message.getProperty(), there, MISTYPED);
             return new Problem(Code.SCHEMA, place + "/" + message.getProperty(),
-                    "this field was expected, found none");
+                    "this field was expected, found none" + (nearest == null ? ""
+                            : "; the nearest one there is \"" + nearest + "\""));
         }
         JsonNode bound = message.getSchemaNode();
         String expected = switch (message.getType()) {
--- a/src/main/java/sablehinge/headgate/Nearest.java
+++ b/src/main/java/sablehinge/headgate/Nearest.java
@@ -12,8 +12,13 @@
 
     /** The name with the fewest letters to change, add or drop; null where there is none. */
     public static String of(String given, Collection<String> names) {
+        return of(given, names, Integer.MAX_VALUE - 1);
+    }
+
+    /** Likewise, among those with at most so many letters to change. */
+    static String of(String given, Collection<String> names, int most) {
         String best = null;
-        int least = Integer.MAX_VALUE;
+        int least = most + 1;
         String from = cut(given);
         for (String name : names) {
             int steps = steps(from, cut(name));
--- a/src/main/java/sablehinge/reservoir/Replace.java
+++ b/src/main/java/sablehinge/reservoir/Replace.java
@@ -1,5 +1,6 @@
 package sablehinge.reservoir;
 
+import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import sablehinge.aqueduct.Configuration;
 import sablehinge.headgate.Asked;
@@ -64,7 +65,9 @@
         // unless the barrier says that it is the newest; the log decides in any case.
         authority.propose(call.basedOn(), checked.edition(), call.body(), result -> answer.accept(
                 switch (result) {
-                    case TAKEN -> new Settled(Reply.of(200));
+                    // A call that is repeated late was taken, and another edition may be in force by now.
+                    case TAKEN -> new Settled(Reply.of(200, ("{\"edition\":" + authority.cistern().edition()
+                            + "}").getBytes(StandardCharsets.US_ASCII)));
                     case STALE -> Settled.error(412, "STALE", "version " + authority.cistern().edition()
                             + " is in place, not " + call.basedOn());
                     case OLD -> new Settled(Reply.error(400, CheckException.Code.OLD_EDITION.name(),
--- a/src/test/java/sablehinge/headgate/ConfigurationCheckTest.java
+++ b/src/test/java/sablehinge/headgate/ConfigurationCheckTest.java
@@ -49,6 +49,13 @@
         return e;
     }
 
+    @Test
+    void aFieldThatIsMistypedIsNamedWhereOneIsMissed() {
+        CheckException e = refused(with("\"lanePrefix\"", "\"lanePrefx\""));
+        assertTrue(e.getMessage().endsWith("/sorting/lanePrefix: this field was expected, found none; "
+                + "the nearest one there is \"lanePrefx\""), e.getMessage());
+    }
+
     @Test
     void theExampleAsItIs() {
         Configuration read = check(EXAMPLE);
--- a/src/test/java/sablehinge/reservoir/OperatorsTest.java
+++ b/src/test/java/sablehinge/reservoir/OperatorsTest.java
@@ -79,7 +79,7 @@
 
         @Override
         public void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then) {
-            then.accept(Proposals.Result.OLD);
+            then.accept(basedOn == 0 ? Proposals.Result.TAKEN : Proposals.Result.OLD);
         }
 
         @Override
