--- a/src/main/java/sablehinge/cli/mesh/MeshCommands.java
+++ b/src/main/java/sablehinge/cli/mesh/MeshCommands.java
@@ -10,6 +10,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Stream;
 import sablehinge.cli.mesh.operator.ConfigCheckVerb;
 import sablehinge.cli.mesh.operator.ConfigGetVerb;
@@ -102,11 +103,12 @@
                     + Nearest.of(word, names) + "\"";
         }
         List<String> options = verb.getAllOptions().stream().map(OptionMetadata::getOptions)
-                .flatMap(java.util.Set::stream).sorted().toList();
+                .flatMap(Set::stream).sorted().toList();
         for (String each : args) {
-            if (each.startsWith("-") && !options.contains(each)) {
-                return "\"" + each + "\" is no option of " + group + word + "; the nearest one is \""
-                        + Nearest.of(each, options) + "\"";
+            String option = each.split("=", 2)[0];
+            if (option.startsWith("-") && !options.contains(option)) {
+                return "\"" + option + "\" is no option of " + group + word + "; the nearest one is \""
+                        + Nearest.of(option, options) + "\"";
             }
         }
         return otherwise;
