--- a/src/main/java/sablehinge/headgate/Nearest.java
+++ b/src/main/java/sablehinge/headgate/Nearest.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 
 /** The name that a mistyped one was probably meant to be. */
-final class Nearest {
+public final class Nearest {
 
     /** Longer ones are not compared: the work grows with the square. */
     private static final int LONGEST = 64;
@@ -11,9 +11,14 @@
     private Nearest() { }
 
     /** The name with the fewest letters to change, add or drop; null where there is none. */
-    static String of(String given, Collection<String> names) {
+    public static String of(String given, Collection<String> names) {
+        return of(given, names, Integer.MAX_VALUE - 1);
+    }
+
+    /** Likewise, among those with at most so many letters to change. */
+    static String of(String given, Collection<String> names, int most) {
         String best = null;
-        int least = Integer.MAX_VALUE;
+        int least = most + 1;
         String from = cut(given);
         for (String name : names) {
             int steps = steps(from, cut(name));
