A disk that refuses is one that stalls: the core's log tries again in place

Need: a refused write or sync ended the process with halt(3), as did a disk that refused at a start, so that a full disk ended the core's process again and again.

The newest commit is written anew at each opening and the folder synced, as what a process reads there may not be on disk. The doors open before the disk is read. At most 8 changes are under way; later ones are merged, and above 8 MB that wait no entries are taken. A member whose disk hangs does not stand, and gives no pre-vote; a leader hands over only to who has synced more than itself. The log is cut after 4 MB of entries, too.

--- a/src/main/java/sablehinge/reservoir/LogStore.java
+++ b/src/main/java/sablehinge/reservoir/LogStore.java
@@ -21,6 +21,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.conduit.MessageCodec;
+import sablehinge.core.Log;
 import sablehinge.watermaster.Change;
 import sablehinge.watermaster.Entry;
 import sablehinge.watermaster.Member;
@@ -33,7 +34,8 @@
  * H2's MVStore. All calls are one thread's, at least not at the same time; none leaves a thread behind.
  *
  * <p>When {@link #begin} or {@link #write} returns, what it was given survives a loss of power; until then
- * the disk holds what it did before or all of the change. An empty file is made under another name, so a
+ * the disk holds what it did before or all of the change. After a refusal the store is closed; who opens
+ * it again finds the one or the other, written anew, and {@link #version} tells which. An empty file is made under another name, so a
  * file {@code log.mv.db} is always whole. One that is not is kept as {@code log.mv.db.damaged}; as long as
  * that is there and nothing was begun after it, {@link #damaged} says so, in later processes also.
  */
@@ -86,11 +88,15 @@
     static LogStore open(Disk disk) {
         try {
             if (disk.has(FILE)) {
+                // It may have got its name just before an end, or before a sync that was refused.
+                disk.sync();
                 try {
                     return new LogStore(disk, FILE, disk.has(ASIDE));
                 } catch (Damage e) {
-                    LOG.error("{} is damaged: {}; it is kept as {}, and what this member had is lost",
-                            disk.file(FILE), e.getMessage(), ASIDE);
+                    Log.error(LOG, "disk-damaged").addKeyValue("file", disk.file(FILE))
+                            .addKeyValue("cause", e.getMessage())
+                            .log("the log is damaged; it is kept as {}, and what this member had is lost",
+                                    ASIDE);
                     disk.rename(FILE, ASIDE);
                     disk.sync();
                 }
@@ -135,8 +141,9 @@
             }
             read();
         } catch (RuntimeException | IOException e) {
-            abandon(opened, channel == null ? SealedPath.taken(file) : channel);
-            throw judged(file, e);
+            SealedChannel left = channel == null ? SealedPath.taken(file) : channel;
+            abandon(opened, left);
+            throw judged(file, left != null && left.mending(), e);
         }
         damaged = aside && self == null;
     }
@@ -148,7 +155,7 @@
 
     private static void abandon(MVStore store, SealedChannel channel) {
         if (store != null) {
-            store.closeImmediately();
+            shut(store);
         }
         if (channel != null) {
             try {
@@ -160,19 +167,18 @@
     }
 
     /** What an error at the opening means: damage is returned, all else thrown. */
-    private static Damage judged(String file, Exception e) {
+    private static Damage judged(String file, boolean mending, Exception e) {
         for (Throwable cause = e; cause != null; cause = cause.getCause()) {
             if (cause instanceof Damage damage) {
                 return damage;
             }
         }
-        if (e instanceof MVStoreException error) {
-            if (error.getErrorCode() == DataUtils.ERROR_FILE_LOCKED) {
-                throw new StoreException(StoreException.Code.LOCKED, file + " is open in another process", e);
-            }
-            if (error.getErrorCode() == DataUtils.ERROR_WRITING_FAILED) {
-                throw new StoreException(StoreException.Code.REFUSED, e.getMessage(), e);
-            }
+        int code = e instanceof MVStoreException error ? error.getErrorCode() : 0;
+        if (code == DataUtils.ERROR_FILE_LOCKED) {
+            throw new StoreException(StoreException.Code.LOCKED, file + " is open in another process", e);
+        }
+        if (mending || code == DataUtils.ERROR_WRITING_FAILED) {
+            throw new StoreException(StoreException.Code.REFUSED, e.getMessage(), e);
         }
         for (Throwable cause = e; cause != null; cause = cause.getCause()) {
             if (cause instanceof IOException && !(cause instanceof EOFException)) {
@@ -226,6 +232,16 @@
         }
     }
 
+    /** Who began on this disk; null if nobody has. */
+    Member self() {
+        return self;
+    }
+
+    /** Counts up by one with each change that is on disk, in this process and over all of them. */
+    long version() {
+        return store.getCurrentVersion();
+    }
+
     /** Whether what this machine had was lost; it then has to come back as another member. */
     public boolean damaged() {
         return damaged;
@@ -411,7 +427,17 @@
     /** Closes the file and writes nothing: all that was written is on disk already. */
     @Override
     public void close() {
-        closed = true;
-        store.closeImmediately();
+        if (!closed) {
+            closed = true;
+            shut(store);
+        }
+    }
+
+    private static void shut(MVStore store) {
+        try {
+            store.closeImmediately();
+        } catch (RuntimeException e) {
+            LOG.debug("closing after an error", e);
+        }
     }
 }
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.aqueduct.Configuration;
@@ -63,6 +64,8 @@
     private static final double GONE_MS = 12_000;
     /** The log is cut to a snapshot after so many entries. */
     private static final int MOST_ENTRIES = 48;
+    /** Or after so many bytes of entries, which bounds the file and what a start reads. */
+    private static final long MOST_BYTES = 4 << 20;
     private static final int MOST_CONFIGURATION = 15 * 1024 * 1024;
 
     private final EventLoop loop;
@@ -71,26 +74,27 @@
     private final ExecutorService checks = thread("checks");
     private final LocalSettings settings;
     private final Conduit conduit;
+    private final Scribe scribe;
     private final Watermaster watermaster;
     private final Cistern cistern = new Cistern();
     private final Desk<Conduit.Link> desk = new Desk<>(new Roll(COMPLETE_MS, GONE_MS));
     private final Pool pool = new Pool();
-    private final Peers peers;
     private final Proposals proposals;
     private final Map<Long, Consumer<Boolean>> barriers = new HashMap<>();
-    private final Member self;
-    private LogStore store;
+    private Member self;
+    /** Null, as is {@code self}, until the disk has been read. */
+    private Peers peers;
     private Standing standing;
     private long barrierCount;
     private int sinceSnapshot;
+    private long bytesSinceSnapshot;
 
-    private Reservoir(LocalSettings settings, EventLoop loop, Member self) {
+    private Reservoir(LocalSettings settings, EventLoop loop, Supplier<LogStore> opener) {
         this.settings = settings;
         this.loop = loop;
-        this.self = self;
         conduit = new Conduit(loop, PING_MS, DEAD_MS);
-        peers = new Peers(conduit, self, this::came);
-        watermaster = new Watermaster(new Carries(), Terms.usual(), self.id() ^ System.nanoTime());
+        scribe = new Scribe(opener, new Puts());
+        watermaster = new Watermaster(new Carries(), Terms.usual(), new SecureRandom().nextLong());
         proposals = new Proposals(cistern);
     }
 
@@ -98,31 +102,19 @@
         return Executors.newSingleThreadExecutor(new DefaultThreadFactory(name, true));
     }
 
-    /** Starts a machine of the core, which takes part once this returns. */
+    /**
+     * Starts a machine of the core. It is heard by all who call, and takes part as soon as its disk has been
+     * read and takes writes, however long that lasts.
+     */
     public static Reservoir start(LocalSettings settings) throws ConfigException, InterruptedException {
         if (settings.dataDir() == null) {
             throw new ConfigException("a reservoir needs dataDir in its settings");
         }
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("reservoir", true), NioIoHandler.newFactory()).next();
-        LogStore store = LogStore.open(Path.of(settings.dataDir()));
-        Stored stored = store.load();
+        Path folder = Path.of(settings.dataDir());
+        Reservoir reservoir = new Reservoir(settings, loop, () -> LogStore.open(folder));
         String at = settings.ip() + ":" + settings.innerFirst();
-        Member self;
-        boolean founds = stored == null && settings.firstStart() && !store.damaged();
-        if (stored != null) {
-            self = stored.self();
-        } else if (founds) {
-            self = Member.founder(at, settings.listenOn().control());
-        } else {
-            self = Member.later(new SecureRandom().nextLong(), at, settings.listenOn().control());
-        }
-        Reservoir reservoir = new Reservoir(settings, loop, self);
-        reservoir.store = store;
-        if (stored == null) {
-            store.begin(self);
-        }
-        loop.submit(() -> reservoir.begin(stored, founds)).sync();
         try {
             await(reservoir.conduit.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
                     reservoir.new Records()), at);
@@ -132,11 +124,9 @@
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
         }
+        reservoir.disk.execute(reservoir.scribe::open);
         // The schema is loaded before the first configuration comes, and beside what must not wait for it.
         reservoir.checks.execute(ConfigurationCheck::warm);
-        Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("member", self.id())
-                .addKeyValue("founds", founds).addKeyValue("outside", stored == null && !founds)
-                .log("takes part in the core");
         return reservoir;
     }
 
@@ -156,9 +146,9 @@
     void close() throws InterruptedException {
         loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
         checks.shutdown();
+        disk.execute(scribe::close);
         disk.shutdown();
         disk.awaitTermination(1, TimeUnit.MINUTES);
-        store.close();
     }
 
     /** Takes over what may change while it runs: where other machines of the core may be. */
@@ -173,8 +163,18 @@
         });
     }
 
-    private void begin(Stored stored, boolean founds) {
+    /** Who this machine is where its disk holds nobody. */
+    private Member named(boolean damaged) {
+        String at = settings.ip() + ":" + settings.innerFirst();
+        String control = settings.listenOn().control();
+        return settings.firstStart() && !damaged ? Member.founder(at, control)
+                : Member.later(new SecureRandom().nextLong(), at, control);
+    }
+
+    private void begin(Member me, Stored stored) {
         double now = clock.now();
+        self = me;
+        peers = new Peers(conduit, self, this::came);
         List<String> contacts = new ArrayList<>();
         List<Member> founders = new ArrayList<>();
         for (String seed : settings.seeds()) {
@@ -185,13 +185,17 @@
         watermaster.contacts(contacts);
         if (stored != null && stored.snapshot() != null) {
             watermaster.start(now, stored);
-        } else if (founds && founders.contains(self)) {
+        } else if (stored == null && founders.contains(self)) {
             watermaster.found(now, self, founders);
         } else {
             // Who has nothing but a name, and it may be one from before a loss, asks to be let in.
             watermaster.outside(now, self, contacts);
         }
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("member", self.id())
+                .addKeyValue("founds", stored == null && founders.contains(self))
+                .addKeyValue("outside", stored == null && !founders.contains(self))
+                .log("takes part in the core");
     }
 
     private void tick() {
@@ -306,22 +310,13 @@
 
         @Override
         public void persist(Change change) {
-            disk.execute(() -> {
-                try {
-                    store.write(change);
-                    loop.execute(() -> watermaster.persisted(clock.now(), change.number()));
-                } catch (StoreException e) {
-                    // What is on disk is the state before: to go on would be to answer for what is not there.
-                    Log.error(LOG, "disk-failed").addKeyValue("code", e.code()).log("the disk failed: {}",
-                            e.getMessage());
-                    Runtime.getRuntime().halt(3);
-                }
-            });
+            disk.execute(() -> scribe.write(change));
         }
 
         @Override
         public void apply(Entry entry) {
             sinceSnapshot++;
+            bytesSinceSnapshot += entry.data().length;
             if (entry.kind() == Entry.Kind.COMMAND) {
                 Cistern.Outcome outcome = cistern.apply(entry.data());
                 proposals.applied(entry, outcome);
@@ -332,8 +327,9 @@
                 }
                 holds();
             }
-            if (sinceSnapshot >= MOST_ENTRIES) {
+            if (sinceSnapshot >= MOST_ENTRIES || bytesSinceSnapshot >= MOST_BYTES) {
                 sinceSnapshot = 0;
+                bytesSinceSnapshot = 0;
                 byte[] state = cistern.state();
                 loop.execute(() -> watermaster.compact(entry.index(), state));
             }
@@ -394,6 +390,43 @@
         }
     }
 
+    /** What the disk's thread calls. */
+    private final class Puts implements Scribe.Host {
+
+        @Override
+        public double now() {
+            return clock.now();
+        }
+
+        @Override
+        public void later(double ms, Runnable work) {
+            loop.schedule(() -> disk.execute(work), Math.round(ms * 1000), TimeUnit.MICROSECONDS);
+        }
+
+        @Override
+        public Member named(boolean damaged) {
+            return Reservoir.this.named(damaged);
+        }
+
+        @Override
+        public void opened(Member me, Stored stored) {
+            loop.execute(() -> begin(me, stored));
+        }
+
+        @Override
+        public void persisted(long number) {
+            loop.execute(() -> watermaster.persisted(clock.now(), number));
+        }
+
+        @Override
+        public void lost(StoreException why) {
+            // The next process finds what is there, and is another member if that is nothing.
+            Log.error(LOG, "disk-failed").addKeyValue("code", why.code())
+                    .log("what was synced is gone: {}", why.getMessage());
+            Runtime.getRuntime().halt(3);
+        }
+    }
+
     /** What operators' calls are settled by. */
     private final class Authority implements Operators.Authority {
 
--- /dev/null
+++ b/src/main/java/sablehinge/reservoir/Scribe.java
@@ -0,0 +1,174 @@
+package sablehinge.reservoir;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sablehinge.core.Log;
+import sablehinge.watermaster.Change;
+import sablehinge.watermaster.Member;
+import sablehinge.watermaster.Stored;
+
+/**
+ * Puts changes down, in order, however often the disk refuses: to whoever waits for them a disk that refuses
+ * is one that stalls. After a refusal the store is closed, and after a pause opened from what is on disk; the
+ * change that was under way is there, or it is written again. None is reported before it is synced, and none
+ * twice. All calls are made on one thread; how many changes wait is bounded by who makes them.
+ */
+final class Scribe {
+
+    /** Whom it works for; all of it is called on the disk's thread. */
+    interface Host {
+        /** A steady clock, ms. */
+        double now();
+
+        /** Calls back after some ms. */
+        void later(double ms, Runnable work);
+
+        /** Who this machine is to be, as the disk holds nobody; called once. */
+        Member named(boolean damaged);
+
+        /** The disk is open and holds who this is; {@code stored} is null if it held nobody before. */
+        void opened(Member self, Stored stored);
+
+        /** The disk holds all changes up to a number. */
+        void persisted(long number);
+
+        /** What was reported is gone, or a change doesn't follow: this one can't go on as who it was. */
+        void lost(StoreException why);
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Scribe.class);
+
+    private final Supplier<LogStore> opener;
+    private final Host host;
+    private final Patience patience = new Patience();
+    private final Deque<Change> waiting = new ArrayDeque<>();
+    private LogStore store;
+    private Member self;
+    private boolean begun;
+    private boolean pausing;
+    private boolean ended;
+    /** The store's version with all changes that were reported. */
+    private long version;
+
+    /** Opens the store with each call of {@code opener}; that throws a {@link StoreException} if it can't. */
+    Scribe(Supplier<LogStore> opener, Host host) {
+        this.opener = opener;
+        this.host = host;
+    }
+
+    /** Opens the store, now or when the disk lets it. */
+    void open() {
+        work();
+    }
+
+    /** Writes a change, now or when the disk takes it. */
+    void write(Change change) {
+        waiting.addLast(change);
+        work();
+    }
+
+    /** Writes nothing any more. */
+    void close() {
+        ended = true;
+        if (store != null) {
+            store.close();
+            store = null;
+        }
+    }
+
+    private void work() {
+        if (pausing || ended) {
+            return;
+        }
+        try {
+            if (store == null) {
+                LogStore opened = opener.get();
+                store = opened;
+                took(opened);
+            }
+            while (!waiting.isEmpty()) {
+                store.write(waiting.peekFirst());
+                done();
+            }
+            well();
+        } catch (StoreException e) {
+            refused(e);
+        }
+    }
+
+    /** Finds out what is on disk. */
+    private void took(LogStore opened) {
+        if (!begun) {
+            begin(opened);
+            return;
+        }
+        boolean landed = opened.version() == version + 1 && !waiting.isEmpty();
+        if (!self.equals(opened.self()) || opened.version() != version && !landed) {
+            throw new StoreException(StoreException.Code.LOST, "it holds commit " + opened.version() + " of "
+                    + opened.self() + "; commit " + version + " of " + self + " was reported", null);
+        }
+        if (landed) {
+            done();
+        }
+    }
+
+    private void begin(LogStore opened) {
+        Stored stored = opened.load();
+        if (stored == null) {
+            if (self == null) {
+                self = host.named(opened.damaged());
+            }
+            opened.begin(self);
+        } else if (stored.self().equals(self)) {
+            // Its beginning was refused, and has arrived all the same.
+            stored = null;
+        } else {
+            self = stored.self();
+        }
+        begun = true;
+        version = opened.version();
+        host.opened(self, stored);
+    }
+
+    private void done() {
+        version = store.version();
+        host.persisted(waiting.removeFirst().number());
+    }
+
+    private void well() {
+        if (patience.refusals() > 0) {
+            Log.info(LOG, "disk-well").addKeyValue("refusals", patience.refusals())
+                    .addKeyValue("ms", Math.round(patience.lasts(host.now())))
+                    .log("the disk takes writes again");
+            patience.well();
+        }
+    }
+
+    private void refused(StoreException e) {
+        if (store != null) {
+            store.close();
+            store = null;
+        }
+        if (e.code() == StoreException.Code.ORDER || e.code() == StoreException.Code.LOST) {
+            ended = true;
+            host.lost(e);
+            return;
+        }
+        double now = host.now();
+        if (patience.refused(now, e.code())) {
+            Log.warn(LOG, "disk-refuses").addKeyValue("code", e.code())
+                    .addKeyValue("refusals", patience.refusals())
+                    .addKeyValue("ms", Math.round(patience.lasts(now)))
+                    .addKeyValue("waiting", waiting.size())
+                    .log("the disk refuses, and is tried again: {}", e.getMessage());
+        }
+        pausing = true;
+        host.later(patience.pause(), () -> {
+            pausing = false;
+            work();
+        });
+    }
+}
--- a/src/main/java/sablehinge/reservoir/SealedChannel.java
+++ b/src/main/java/sablehinge/reservoir/SealedChannel.java
@@ -25,6 +25,7 @@
 
     private final FileChannel base;
     private long version = -1;
+    private boolean mending;
 
     SealedChannel(FileChannel base) {
         this.base = base;
@@ -35,6 +36,11 @@
         return version;
     }
 
+    /** Whether it was last heard of as it wrote what it mends. */
+    boolean mending() {
+        return mending;
+    }
+
     @Override
     public FileLock tryLock(long position, long size, boolean shared) throws IOException {
         FileLock lock = base.tryLock(position, size, shared);
@@ -59,23 +65,23 @@
         if (newest == null) {
             throw new Damage("no commit in it is whole");
         }
-        boolean wrote = false;
+        if (!torn.isEmpty() && torn.get(0).version() > newest.version() + 1) {
+            throw new Damage("commits " + newest.version() + " to " + torn.get(0).version()
+                    + " are not whole");
+        }
+        mending = true;
         for (Seal seal : torn) {
-            if (seal.version() > newest.version() + 1) {
-                throw new Damage("commits " + newest.version() + " to " + seal.version() + " are not whole");
-            }
             if (seal.version() == newest.version() + 1) {
-                write(ByteBuffer.allocate(Seal.LENGTH), end(seal) - Seal.LENGTH);
-                wrote = true;
+                put(ByteBuffer.allocate(Seal.LENGTH), end(seal) - Seal.LENGTH);
             }
         }
-        if (!pointsTo(newest)) {
-            write(header(newest), 0);
-            wrote = true;
-        }
-        if (wrote) {
-            base.force(true);
-        }
+        // What is read may not be on disk: the process that wrote it ended before its sync, or the sync
+        // failed, and a system that has failed once to write a page may take it for written. So it is
+        // written anew, the same bytes in the same place. What came before was synced before it was begun.
+        put(chunk(newest), newest.block() * Seal.BLOCK);
+        put(header(newest), 0);
+        base.force(true);
+        mending = false;
         version = newest.version();
     }
 
@@ -107,9 +113,14 @@
 
     /** Whether a chunk is in the file as it was written. */
     boolean whole(Seal seal) throws IOException {
+        ByteBuffer chunk = chunk(seal);
+        return Seal.chunk(chunk, 0) && Seal.crc(chunk) == seal.crc();
+    }
+
+    private ByteBuffer chunk(Seal seal) throws IOException {
         ByteBuffer chunk = ByteBuffer.allocate(seal.blocks() * Seal.BLOCK);
         fill(chunk, seal.block() * Seal.BLOCK);
-        return Seal.chunk(chunk, 0) && Seal.crc(chunk) == seal.crc();
+        return chunk;
     }
 
     /** Whether the chunk of that number is at a place, and is as it was written. */
@@ -133,22 +144,6 @@
         bytes.flip();
     }
 
-    private boolean pointsTo(Seal newest) throws IOException {
-        ByteBuffer header = ByteBuffer.allocate(HEADER);
-        fill(header, 0);
-        byte[] copy = new byte[Seal.BLOCK];
-        for (int i = 0; i < 2; i++) {
-            header.get(i * Seal.BLOCK, copy);
-            String fields = Seal.fields(copy);
-            if (fields == null || Seal.field(fields, "version") != newest.version()
-                    || Seal.field(fields, "block") != newest.block()
-                    || Seal.field(fields, "chunk") != newest.id()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** MVStore's header, twice. Its time of creation matters to nothing that this store uses. */
     private static ByteBuffer header(Seal newest) {
         byte[] copy = Seal.checked("H:2,block:" + Long.toHexString(newest.block()) + ",blockSize:1000,chunk:"
@@ -166,8 +161,11 @@
                 && Seal.chunk(bytes, bytes.position())) {
             Seal.set(bytes);
         }
-        int first = base.write(bytes, position);
-        int all = first;
+        return put(bytes, position);
+    }
+
+    private int put(ByteBuffer bytes, long position) throws IOException {
+        int all = 0;
         while (bytes.hasRemaining()) {
             all += base.write(bytes, position + all);
         }
--- a/src/main/java/sablehinge/reservoir/StoreException.java
+++ b/src/main/java/sablehinge/reservoir/StoreException.java
@@ -7,16 +7,21 @@
 
     /** What went wrong. */
     public enum Code {
-        /** Another process has the file open. */
+        /** Another process has the file open. Nothing was changed; it may be had later. */
         LOCKED,
         /** The file is there and can't be read; nothing was changed, and the store is not open. */
         UNREADABLE,
-        /** The disk refused a write or a sync. The store is closed for good; the disk has old or new. */
+        /**
+         * The disk refused a write, a sync or a name: it is full, can't be written, or fails. The store is
+         * closed; the disk holds what it did before or all of the change, which shows when it is opened again.
+         */
         REFUSED,
         /** The change doesn't follow on what is held. Nothing was changed, and the store stays open. */
         ORDER,
         /** The store is closed, by its owner or by a write that was refused. */
-        CLOSED
+        CLOSED,
+        /** What was reported as synced is not there when the store is opened again in the same process. */
+        LOST
     }
 
     private final Code code;
--- a/src/main/java/sablehinge/reservoir/SystemDisk.java
+++ b/src/main/java/sablehinge/reservoir/SystemDisk.java
@@ -14,14 +14,22 @@
 
     SystemDisk(Path folder) throws IOException {
         this.folder = folder.toAbsolutePath().normalize();
-        Path there = this.folder;
-        while (!Files.isDirectory(there)) {
-            there = there.getParent();
+        make(this.folder);
+    }
+
+    /** The name of a folder that is made stands in the one above it, which is synced. */
+    private static void make(Path folder) throws IOException {
+        if (folder == null || Files.isDirectory(folder)) {
+            return;
         }
-        Files.createDirectories(this.folder);
-        // The name of each folder that was made stands in the one above it.
-        for (Path made = this.folder; !made.equals(there); made = made.getParent()) {
-            sync(made.getParent());
+        make(folder.getParent());
+        Files.createDirectory(folder);
+        try {
+            sync(folder.getParent());
+        } catch (IOException e) {
+            // Who finds it there takes it for synced.
+            Files.deleteIfExists(folder);
+            throw e;
         }
     }
 
--- a/src/main/java/sablehinge/watermaster/Desk.java
+++ b/src/main/java/sablehinge/watermaster/Desk.java
@@ -8,17 +8,26 @@
 /** What goes to the disk, what has arrived there, and the messages that wait for it. */
 final class Desk {
 
+    /** Changes that the disk is given at a time; what is decided while it has them goes in one after them. */
+    private static final int MOST_CHANGES = 8;
+    /** Bytes of entries and states that wait for the disk, above which no more are to be taken. */
+    private static final long MOST_BYTES = 8 << 20;
+    /** Messages that wait for the disk; of more, the oldest is lost, as any message may be. */
+    private static final int MOST_HELD = 256;
+
     private static final class Outstanding {
         final long number;
         final long term;
         final double since;
+        final long bytes;
         long end;
 
-        Outstanding(long number, long term, long end, double since) {
+        Outstanding(long number, long term, long end, double since, long bytes) {
             this.number = number;
             this.term = term;
             this.end = end;
             this.since = since;
+            this.bytes = bytes;
         }
     }
 
@@ -56,6 +65,24 @@
         return outstanding.isEmpty() ? Double.POSITIVE_INFINITY : outstanding.peekFirst().since;
     }
 
+    /** Whether so much waits for the disk that no more is to be taken. */
+    boolean isFull() {
+        long bytes = bytes();
+        for (Outstanding one : outstanding) {
+            bytes += one.bytes;
+        }
+        return bytes > MOST_BYTES;
+    }
+
+    /** Of what goes into the next change. */
+    private long bytes() {
+        long bytes = snapshot == null ? 0 : snapshot.state().length;
+        for (Entry entry : append) {
+            bytes += entry.data().length;
+        }
+        return bytes;
+    }
+
     /** The term or the vote has changed. */
     void touch() {
         dirty = true;
@@ -84,6 +111,7 @@
     void snapshot(Snapshot taken) {
         dirty = true;
         snapshot = taken;
+        append.removeIf(entry -> entry.index() <= taken.index());
     }
 
     /** A message that may not leave before all that was decided up to now is synced. */
@@ -94,16 +122,19 @@
     /** Makes the next change, if there is any, and sends what need not wait. */
     void flush(double now, long term, long votedFor, long lastIndex, Watermaster.Actions actions) {
         Change change = null;
-        if (dirty) {
+        if (dirty && outstanding.size() < MOST_CHANGES) {
             change = new Change(++number, term, votedFor, truncateFrom, append, snapshot);
-            outstanding.addLast(new Outstanding(number, term, lastIndex, now));
+            outstanding.addLast(new Outstanding(number, term, lastIndex, now, bytes()));
             append.clear();
             truncateFrom = 0;
             snapshot = null;
             dirty = false;
         }
         for (Held one : fresh) {
-            held.addLast(new Held(number, one.to, one.message));
+            held.addLast(new Held(dirty ? number + 1 : number, one.to, one.message));
+            if (held.size() > MOST_HELD) {
+                held.removeFirst();
+            }
         }
         fresh.clear();
         if (change != null) {
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -33,7 +33,10 @@
          */
         void send(Member to, Message message);
 
-        /** Writes and syncs, in order; {@link Watermaster#persisted} is called after. */
+        /**
+         * Writes and syncs, in order; {@link Watermaster#persisted} is called after. A disk that refuses is
+         * one that takes longer. Some ten changes are under way at a time.
+         */
         void persist(Change change);
 
         /** A committed entry; each comes once in a life of the process, in order, and of every kind. */
@@ -64,7 +67,7 @@
     private static final double FORGET = 10_000;
     /** Between two sendings of a snapshot, ms. */
     private static final double INSTALL_EVERY = 1500;
-    /** A leader changes no members while its own disk is busy for longer, ms. */
+    /** Who has waited longer for its own disk neither stands nor changes members, ms. */
     private static final double BUSY = 200;
     /** Between two tries to hand over, ms. */
     private static final double HAND_EVERY = 500;
@@ -226,7 +229,8 @@
      *     of another term there means that it never will be
      */
     public long propose(double now, byte[] command) {
-        if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= terms.waiting()) {
+        if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= terms.waiting()
+                || desk.isFull()) {
             return 0;
         }
         long index = append(now, Entry.Kind.COMMAND, command);
@@ -312,6 +316,11 @@
         }
     }
 
+    /** Whether the own disk is such that a vote of this one would come late, or never. */
+    private boolean diskHangs(double now) {
+        return now - desk.busySince() > BUSY;
+    }
+
     private int majority() {
         return log.members().size() / 2 + 1;
     }
@@ -372,7 +381,7 @@
             leader = null;
         }
         if (now >= electionAt) {
-            if (member) {
+            if (member && !diskHangs(now)) {
                 askAround(now);
             } else {
                 waitForLeader(now);
@@ -442,7 +451,7 @@
         boolean current = ask.lastTerm() > log.lastTerm()
                 || ask.lastTerm() == log.lastTerm() && ask.lastIndex() >= log.lastIndex();
         if (ask.pre()) {
-            boolean granted = !refused && current && ask.term() > term;
+            boolean granted = !refused && current && ask.term() > term && !diskHangs(now);
             actions.send(from, new Message.Vote(granted ? ask.term() : term, granted, true));
             return;
         }
@@ -526,6 +535,13 @@
             actions.send(from, appended(false, hint));
             return;
         }
+        if (!append.entries().isEmpty() && desk.isFull()) {
+            // The leader says it again with its next sign of life, or when the disk has taken something.
+            verified = Math.max(verified, previous);
+            commitTo(now, Math.min(append.commit(), verified));
+            actions.send(from, appended(false, verified));
+            return;
+        }
         for (Entry entry : append.entries()) {
             take(entry);
         }
@@ -557,6 +573,10 @@
         if (!heard(now, from, install.term(), install.round())) {
             return;
         }
+        if (desk.isFull()) {
+            actions.send(from, appended(false, log.isBare() ? -1 : verified));
+            return;
+        }
         Snapshot snapshot = install.snapshot();
         if (snapshot.index() > commit || log.isBare()) {
             if (!log.holdsEntry(snapshot.index(), snapshot.term()) && log.lastIndex() > log.base().index()) {
@@ -855,12 +875,12 @@
         }
     }
 
-    /** The own disk hangs: whoever has as much of the log, and answers, leads better. */
+    /** The own disk hangs: whoever answers, and has synced what this one could not, leads better. */
     private void handOver(double now) {
         Peer best = null;
         for (Peer peer : peers.values()) {
             if (log.holds(peer.member.id()) && now - peer.heard <= terms.fresh() && peer.match >= commit
-                    && (best == null || peer.match > best.match)) {
+                    && peer.match > desk.synced() && (best == null || peer.match > best.match)) {
                 best = peer;
             }
         }
@@ -874,7 +894,7 @@
     // Members come and go.
 
     private void changeMembers(double now) {
-        if (commit < firstOfTerm || log.membersIndex() > commit || now - desk.busySince() > BUSY) {
+        if (commit < firstOfTerm || log.membersIndex() > commit || diskHangs(now)) {
             return;
         }
         for (Peer peer : List.copyOf(peers.values())) {
