Tests of a disk that refuses at each of its steps, and of what waits for it

Need: what was reported must stay, in order, wherever a disk refuses and whatever is lost right after; and what waits for a disk must have a bound.

Change: CrashDisk refuses a run of steps, in part done, and a refused sync loses pages that can still be read. ScribeTest plays each step of three scripts with runs of 1 to 40 refusals, and a loss of power at 14 steps after each; a full disk; a store that comes back older. Rules of the agreement: few changes under way, the rest as one, a bound for a follower, no vote promised while the disk hangs, handing over to who has synced more and as soon as there is one. ReservoirTest starts a member whose folder can't be had. A refusal names what the system said.

--- a/src/main/java/sablehinge/reservoir/StoreException.java
+++ b/src/main/java/sablehinge/reservoir/StoreException.java
@@ -27,10 +27,19 @@
     private final Code code;
 
     StoreException(Code code, String message, Throwable cause) {
-        super(code + ": " + message, cause);
+        super(code + ": " + message + root(cause), cause);
         this.code = code;
     }
 
+    /** What the system said; MVStore says only where. */
+    private static String root(Throwable cause) {
+        Throwable root = cause;
+        while (root != null && root.getCause() != null) {
+            root = root.getCause();
+        }
+        return root == cause ? "" : " (" + root.getMessage() + ")";
+    }
+
     /** What went wrong. */
     public Code code() {
         return code;
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -704,7 +704,6 @@
             ask(now);
         }
         if (now - desk.busySince() > terms.stall() && now >= handAt) {
-            handAt = now + HAND_EVERY;
             handOver(now);
         }
         changeMembers(now);
@@ -885,6 +884,7 @@
             }
         }
         if (best != null) {
+            handAt = now + HAND_EVERY;
             handedOver = true;
             leaseUntil = Double.NEGATIVE_INFINITY;
             actions.send(best.member, new Message.TakeOver(term));
--- a/src/test/java/sablehinge/reservoir/CrashDisk.java
+++ b/src/test/java/sablehinge/reservoir/CrashDisk.java
@@ -14,7 +14,11 @@
 import org.h2.store.fs.FilePath;
 import org.h2.store.fs.FilePathWrapper;
 
-/** A folder in memory that can lose power at each write, sync and rename, and can be full. */
+/**
+ * A folder in memory that can lose power at each write, sync, rename and opening, can refuse them for a while,
+ * and can be full. A sync that was refused loses what it covered, though it can still be read, and later syncs
+ * say nothing of it.
+ */
 final class CrashDisk implements Disk {
 
     /** A file's bytes as a program sees them, those on disk, and what was done since the last sync. */
@@ -46,6 +50,10 @@
     boolean after;
     boolean dead;
     long room = Long.MAX_VALUE;
+    /** Steps from the one up to before the other are refused, in part done, and what a sync covers is lost. */
+    int refuseFrom = Integer.MAX_VALUE;
+    int refuseTo = Integer.MAX_VALUE;
+    boolean refusing;
     private final Random random;
 
     CrashDisk(long seed) {
@@ -54,7 +62,7 @@
         current = this;
     }
 
-    private boolean step() throws IOException {
+    private void step() throws IOException {
         if (dead) {
             throw new IOException("no power");
         }
@@ -64,7 +72,15 @@
                 throw new IOException("no power");
             }
         }
-        return dead;
+        refusing = steps >= refuseFrom && steps < refuseTo;
+    }
+
+    /** A step that is refused does nothing. */
+    private void all() throws IOException {
+        step();
+        if (refusing) {
+            throw new IOException("refused");
+        }
     }
 
     private void done() throws IOException {
@@ -94,6 +110,7 @@
         }
         dead = false;
         dieAt = Integer.MAX_VALUE;
+        refuseFrom = Integer.MAX_VALUE;
         current = this;
     }
 
@@ -138,7 +155,7 @@
 
     @Override
     public void rename(String from, String to) throws IOException {
-        step();
+        all();
         names.put(to, names.remove(from));
         renamed();
         done();
@@ -147,7 +164,7 @@
     @Override
     public void delete(String name) throws IOException {
         if (names.containsKey(name)) {
-            step();
+            all();
             names.remove(name);
             renamed();
             done();
@@ -156,7 +173,7 @@
 
     @Override
     public void sync() throws IOException {
-        step();
+        all();
         syncedNames = new HashMap<>(names);
         nameSteps.clear();
         done();
@@ -190,12 +207,12 @@
         @Override
         public FileChannel open(String mode) throws IOException {
             String file = name.substring(6);
+            current.all();
             if (!current.names.containsKey(file)) {
-                current.step();
                 current.names.put(file, new Body());
                 current.renamed();
-                current.done();
             }
+            current.done();
             return new Memory(current, current.names.get(file));
         }
     }
@@ -229,6 +246,10 @@
             disk.step();
             byte[] bytes = new byte[from.remaining()];
             from.get(bytes);
+            if (disk.refusing) {
+                put(new Op(position, Arrays.copyOf(bytes, disk.random.nextInt(bytes.length + 1))));
+                throw new IOException("refused");
+            }
             if (position + bytes.length > disk.room) {
                 int fits = (int) Math.max(0, disk.room - position);
                 put(new Op(position, Arrays.copyOf(bytes, fits)));
@@ -251,7 +272,7 @@
 
         @Override
         protected void implTruncate(long size) throws IOException {
-            disk.step();
+            disk.all();
             body.seen = Arrays.copyOf(body.seen, (int) Math.min(size, body.seen.length));
             body.ops.add(new Op(size, null));
             disk.done();
@@ -261,6 +282,10 @@
         public void force(boolean metadata) throws IOException {
             disk.step();
             disk.forces++;
+            if (disk.refusing) {
+                body.ops.removeIf(op -> op.bytes != null && disk.random.nextInt(3) != 0);
+                throw new IOException("refused");
+            }
             for (Op op : body.ops) {
                 if (op.bytes == null) {
                     body.synced = Arrays.copyOf(body.synced, (int) Math.min(op.at, body.synced.length));
--- a/src/test/java/sablehinge/reservoir/LogStoreCrashTest.java
+++ b/src/test/java/sablehinge/reservoir/LogStoreCrashTest.java
@@ -19,23 +19,23 @@
 /** The power goes at each step; what is read back is the state before or after the change in flight. */
 class LogStoreCrashTest {
 
-    private static final Member SELF = Member.founder("10.0.0.1:7000", "10.0.0.1:7001");
+    static final Member SELF = Member.founder("10.0.0.1:7000", "10.0.0.1:7001");
     private static final int CHANGES = 24;
 
     /** What a store should hold, kept in the simplest way. */
-    private static final class Model {
+    static final class Model {
         private final List<Entry> entries = new ArrayList<>();
         private Snapshot snapshot;
         private long term;
         private long vote;
-        private boolean begun;
+        boolean begun;
 
         private long last() {
             return entries.isEmpty() ? snapshot == null ? 0 : snapshot.index()
                     : entries.get(entries.size() - 1).index();
         }
 
-        private void apply(Change change) {
+        void apply(Change change) {
             term = change.term();
             vote = change.votedFor();
             if (change.truncateFrom() != 0) {
@@ -48,13 +48,13 @@
             }
         }
 
-        private String text() {
+        String text() {
             return begun ? LogStoreCrashTest.text(new Stored(SELF, term, vote, snapshot, entries))
                     : "nothing";
         }
     }
 
-    private static String text(Stored stored) {
+    static String text(Stored stored) {
         if (stored == null) {
             return "nothing";
         }
@@ -72,7 +72,7 @@
         return text.toString();
     }
 
-    private static Change next(Model model, int number, Random random) {
+    static Change next(Model model, int number, Random random) {
         long from = 0;
         long base = model.snapshot == null ? 0 : model.snapshot.index();
         long end = model.last();
--- a/src/test/java/sablehinge/reservoir/ReservoirTest.java
+++ b/src/test/java/sablehinge/reservoir/ReservoirTest.java
@@ -15,6 +15,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -319,6 +320,27 @@
         assertEquals(200, replaced(50, configuration(51, "huvo11a")));
     }
 
+    /** A disk that can't be had at a start: here, its folder's name is taken by a file. */
+    @Test
+    void aMachineWhoseDiskRefusesAtItsStartAnswersAndTakesPartOnceItIsWell() throws Exception {
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+        int leader = leader();
+        int late = (leader + 1) % 3;
+        stop(late);
+        Path its = folder.resolve("r-" + late);
+        Files.move(its, folder.resolve("aside"));
+        Files.writeString(its, "not a folder");
+        start(late, false);
+        assertEquals(503, readAt(late).statusCode());
+        assertEquals(200, replaced(7, configuration(8, "wuno96b")));
+        assertEquals(503, readAt(late).statusCode());
+        Files.delete(its);
+        Files.move(folder.resolve("aside"), its);
+        leader = leader();
+        stop((late + 1) % 3 == leader ? (late + 2) % 3 : (late + 1) % 3);
+        assertEquals(200, replaced(8, configuration(9, "huvo11a")));
+    }
+
     @Test
     void whoAsksForNewsIsSentToTheLeaderWhoTellsAndConfirmsThem() throws Exception {
         String body = configuration(7, "huvo11a");
--- /dev/null
+++ b/src/test/java/sablehinge/reservoir/ScribeTest.java
@@ -0,0 +1,230 @@
+package sablehinge.reservoir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import sablehinge.watermaster.Change;
+import sablehinge.watermaster.Entry;
+import sablehinge.watermaster.Member;
+import sablehinge.watermaster.Stored;
+
+/** A disk that refuses for a while, at each of its steps in turn, on a made-up clock. */
+class ScribeTest implements Scribe.Host {
+
+    private static final int CHANGES = 14;
+
+    private CrashDisk disk;
+    private Scribe scribe;
+    private double now;
+    private double wakesAt;
+    private Runnable wakes;
+    private int pauses;
+    private int opened;
+    private Stored found;
+    private final List<Long> reported = new ArrayList<>();
+    private StoreException lost;
+
+    @Override
+    public double now() {
+        return now;
+    }
+
+    @Override
+    public void later(double ms, Runnable work) {
+        assertNull(wakes, "it waits already");
+        pauses++;
+        wakesAt = now + ms;
+        wakes = work;
+    }
+
+    @Override
+    public Member named(boolean damaged) {
+        return LogStoreCrashTest.SELF;
+    }
+
+    @Override
+    public void opened(Member self, Stored stored) {
+        assertEquals(LogStoreCrashTest.SELF, self);
+        opened++;
+        found = stored;
+    }
+
+    @Override
+    public void persisted(long number) {
+        assertEquals(reported.size() + 1, number, "out of order, or twice");
+        assertFalse(disk.dead || disk.refusing, "reported while the disk fails");
+        reported.add(number);
+    }
+
+    @Override
+    public void lost(StoreException why) {
+        lost = why;
+    }
+
+    private void begins(long seed) {
+        disk = new CrashDisk(seed);
+        wakes = null;
+        opened = 0;
+        pauses = 0;
+        reported.clear();
+        scribe = new Scribe(() -> LogStore.open(disk), this);
+    }
+
+    private boolean wake() {
+        if (wakes == null || disk.dead) {
+            return false;
+        }
+        Runnable next = wakes;
+        wakes = null;
+        now = wakesAt;
+        next.run();
+        return true;
+    }
+
+    /** The states after none, one, two and so on of all changes, which come while earlier ones wait. */
+    private List<String> run(long seed) {
+        Random random = new Random(seed);
+        LogStoreCrashTest.Model model = new LogStoreCrashTest.Model();
+        List<String> states = new ArrayList<>();
+        scribe.open();
+        model.begun = true;
+        states.add(model.text());
+        for (int i = 1; i <= CHANGES; i++) {
+            Change change = LogStoreCrashTest.next(model, i, random);
+            model.apply(change);
+            states.add(model.text());
+            if (!disk.dead) {
+                scribe.write(change);
+            }
+            if (i % 3 == 0) {
+                wake();
+            }
+        }
+        for (int i = 0; i < 200 && wake(); i++) {
+            assertNull(lost);
+        }
+        return states;
+    }
+
+    private String onDisk(String place) {
+        try (LogStore store = LogStore.open(disk)) {
+            assertFalse(store.damaged(), place);
+            return LogStoreCrashTest.text(store.load());
+        }
+    }
+
+    @Test
+    void whatWasReportedStaysAndTheRestFollowsInOrderWhereverTheDiskRefuses() {
+        for (long seed = 1; seed <= 3; seed++) {
+            begins(seed);
+            run(seed);
+            int steps = disk.steps;
+            for (int at = 1; at <= steps; at++) {
+                for (int length : new int[] {1, 2, 9, 40}) {
+                    String place = "seed " + seed + ", steps " + at + " and on, " + length;
+                    begins(seed * 7919 + at * 31L + length);
+                    disk.refuseFrom = at;
+                    disk.refuseTo = at + length;
+                    List<String> states = run(seed);
+                    assertTrue(pauses > 0, place);
+                    assertEquals(CHANGES, reported.size(), place);
+                    assertEquals(1, opened, place);
+                    assertNull(found, place + ": it had begun in this life");
+                    scribe.close();
+                    assertEquals(states.get(CHANGES), onDisk(place), place);
+                }
+            }
+        }
+    }
+
+    @Test
+    void whatWasReportedOutlivesALossOfPowerAtEachStepAfterARefusal() {
+        for (long seed = 1; seed <= 3; seed++) {
+            begins(seed);
+            run(seed);
+            int steps = disk.steps;
+            for (int at = 1; at <= steps; at++) {
+                for (int later = 0; later < 14; later++) {
+                    int length = 1 + at % 3;
+                    String place = "seed " + seed + ", step " + at + ", power " + later;
+                    begins(seed * 104_729 + at * 31L + later);
+                    disk.refuseFrom = at;
+                    disk.refuseTo = at + length;
+                    disk.dieAt = at + length + later;
+                    List<String> states = run(seed);
+                    int count = reported.size();
+                    boolean had = opened > 0;
+                    disk.powerUp();
+                    String is = onDisk(place);
+                    assertTrue(is.equals(states.get(count))
+                            || count < CHANGES && had && is.equals(states.get(count + 1))
+                            || !had && is.equals("nothing"), () -> place + ": after " + count + " " + is);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aFullDiskIsWaitedForWithPausesThatGrowToABound() {
+        begins(5);
+        scribe.open();
+        disk.room = disk.bytes(LogStore.FILE).length;
+        byte[] data = new byte[300_000];
+        scribe.write(new Change(1, 1, 0, 0, List.of(new Entry(1, 1, Entry.Kind.COMMAND, data)), null));
+        scribe.write(new Change(2, 2, 7, 0, List.of(), null));
+        double start = now;
+        double longest = 0;
+        for (int i = 0; i < 100; i++) {
+            double before = now;
+            assertTrue(wake());
+            longest = Math.max(longest, now - before);
+        }
+        assertEquals(Patience.MOST, longest);
+        assertTrue(now - start > 90 * Patience.MOST, "paused for " + (now - start));
+        assertEquals(List.of(), reported);
+        disk.room = Long.MAX_VALUE;
+        assertTrue(wake());
+        assertEquals(List.of(1L, 2L), reported);
+        assertNull(wakes);
+    }
+
+    @Test
+    void aStoreThatIsFoundOlderThanWhatWasReportedIsNotGoneOnWith() {
+        begins(6);
+        scribe.open();
+        scribe.write(new Change(1, 1, 7, 0, List.of(), null));
+        byte[] older = Arrays.copyOf(disk.bytes(LogStore.FILE), disk.bytes(LogStore.FILE).length);
+        scribe.write(new Change(2, 2, 8, 0, List.of(), null));
+        disk.refuseFrom = disk.steps + 1;
+        disk.refuseTo = disk.steps + 2;
+        scribe.write(new Change(3, 3, 9, 0, List.of(), null));
+        disk.bytes(LogStore.FILE, older);
+        wake();
+        assertEquals(StoreException.Code.LOST, lost.code());
+        assertEquals(List.of(1L, 2L), reported);
+        assertFalse(wake());
+    }
+
+    @Test
+    void aLineIsWorthItAtFirstAndForAnotherCodeAndOnceAMinute() {
+        Patience patience = new Patience();
+        int lines = 0;
+        for (int ms = 0; ms < 600_000; ms += 500) {
+            lines += patience.refused(ms, ms < 300_000 ? StoreException.Code.REFUSED
+                    : StoreException.Code.UNREADABLE) ? 1 : 0;
+        }
+        assertEquals(10, lines);
+        assertEquals(1200, patience.refusals());
+        assertEquals(600_000, patience.lasts(600_000));
+        patience.well();
+        assertTrue(patience.refused(600_001, StoreException.Code.UNREADABLE));
+        assertEquals(Patience.FIRST, patience.pause());
+    }
+}
--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
@@ -300,4 +300,102 @@
         }
         assertEquals(201, applied.size());
     }
+
+    private void persistedOnly(long number) {
+        master.persisted(now, number);
+    }
+
+    private static Entry large(long index) {
+        return new Entry(index, 2, Entry.Kind.COMMAND, new byte[1 << 20]);
+    }
+
+    /** What comes while the disk takes nothing is given to it as one change, in the order that it came. */
+    @Test
+    void aDiskThatHangsIsGivenFewChangesAndTheRestInOne() {
+        start(1, List.of(A, B, C));
+        for (int i = 1; i <= 100; i++) {
+            from(B, new Message.Append(2, i - 1, i == 1 ? 0 : 2, List.of(entry(i, 2)), 0, i));
+        }
+        from(C, new Message.Append(3, 97, 2, List.of(entry(98, 3)), 0, 1));
+        assertEquals(8, changes.size());
+        for (int i = 0; i < changes.size(); i++) {
+            assertEquals(i + 1, changes.get(i).number());
+            persistedOnly(i + 1);
+        }
+        assertEquals(9, changes.size());
+        Change rest = changes.get(8);
+        assertEquals(98, rest.truncateFrom());
+        assertEquals(9, rest.append().get(0).index());
+        assertEquals(entry(98, 3).term(), rest.append().get(89).term());
+        assertEquals(90, rest.append().size());
+        assertEquals(98, last(Message.Appended.class).matchIndex());
+    }
+
+    @Test
+    void aFollowerWhoseDiskHangsTakesNoMoreThanABound() {
+        start(1, List.of(A, B, C));
+        int taken = 0;
+        for (int i = 1; i <= 12; i++) {
+            from(B, new Message.Append(2, i - 1, i == 1 ? 0 : 2, List.of(large(i)), 0, i));
+            if (!last(Message.Appended.class).success()) {
+                break;
+            }
+            taken++;
+        }
+        assertEquals(9, taken);
+        assertEquals(9, last(Message.Appended.class).hint(), "from where it wants them again");
+        // What is committed is known as such all the same, and a sign of life is answered.
+        from(B, new Message.Append(2, 9, 2, List.of(large(10)), 4, 20));
+        assertEquals(4, applied.size());
+        from(B, new Message.Append(2, 9, 2, List.of(), 4, 21));
+        assertTrue(last(Message.Appended.class).success());
+        from(B, new Message.Install(2, new Snapshot(20, 2, List.of(A, B, C), NONE), 22));
+        assertFalse(last(Message.Appended.class).success());
+        assertEquals(4, applied.size());
+        persisted();
+        assertEquals(8, last(Message.Appended.class).matchIndex());
+        while (last(Message.Appended.class).matchIndex() < 9) {
+            persisted();
+        }
+        from(B, new Message.Append(2, 9, 2, List.of(large(10)), 9, 23));
+        assertTrue(last(Message.Appended.class).success());
+    }
+
+    @Test
+    void whoseDiskHangsNeitherStandsNorPromisesAVote() {
+        start(1, List.of(A, B, C), entry(1, 1));
+        from(B, new Message.Append(2, 1, 1, List.of(entry(2, 2)), 0, 1));
+        now += 1100;
+        from(C, new Message.AskVote(3, 2, 2, true, false));
+        assertFalse(last(Message.Vote.class).granted());
+        for (int i = 0; i < 100; i++) {
+            now += 20;
+            master.tick(now);
+        }
+        assertEquals(List.of(), sent(Message.AskVote.class));
+        persisted();
+        from(C, new Message.AskVote(3, 2, 2, true, false));
+        assertTrue(last(Message.Vote.class).granted());
+        now += 1100;
+        master.tick(now);
+        assertTrue(last(Message.AskVote.class).pre());
+    }
+
+    @Test
+    void aLeaderWhoseDiskHangsHandsOverToWhoHasSyncedMore() {
+        start(1, List.of(A, B, C), entry(1, 1));
+        elect(B);
+        for (int i = 0; i < 60; i++) {
+            now += 20;
+            answer(B, 1);
+            answer(C, 1);
+            master.tick(now);
+        }
+        assertEquals(List.of(), sent(Message.TakeOver.class), "none is better off");
+        answer(C, 2);
+        now += 20;
+        master.tick(now);
+        assertEquals(1, sent(Message.TakeOver.class).size());
+        assertEquals(C, sent.get(sent.size() - 1).to());
+    }
 }
