--- a/src/main/java/sablehinge/reservoir/LogStore.java
+++ b/src/main/java/sablehinge/reservoir/LogStore.java
@@ -34,10 +34,11 @@
  * H2's MVStore. All calls are one thread's, at least not at the same time; none leaves a thread behind.
  *
  * <p>When {@link #begin} or {@link #write} returns, what it was given survives a loss of power; until then
- * the disk holds what it did before or all of the change. After a refusal the store is closed; who opens
- * it again finds the one or the other, written anew, and {@link #version} tells which. An empty file is made under another name, so a
- * file {@code log.mv.db} is always whole. One that is not is kept as {@code log.mv.db.damaged}; as long as
- * that is there and nothing was begun after it, {@link #damaged} says so, in later processes also.
+ * the disk holds what it did before or all of the change. After a refusal the store is closed; who
+ * opens it again finds the one or the other, written anew, and {@link #version} tells which. An empty file
+ * is made under another name, so a file {@code log.mv.db} is always whole. One that is not is kept as
+ * {@code log.mv.db.damaged}; as long as that is there and nothing was begun after it, {@link #damaged} says
+ * so, in later processes also.
  */
 public final class LogStore implements AutoCloseable {
 
--- a/src/main/java/sablehinge/reservoir/StoreException.java
+++ b/src/main/java/sablehinge/reservoir/StoreException.java
@@ -13,7 +13,7 @@
         UNREADABLE,
         /**
          * The disk refused a write, a sync or a name: it is full, can't be written, or fails. The store is
-         * closed; the disk holds what it did before or all of the change, which shows when it is opened again.
+         * closed; the disk holds what it did before or all of the change, as shows when it is opened again.
          */
         REFUSED,
         /** The change doesn't follow on what is held. Nothing was changed, and the store stays open. */
--- a/src/test/java/sablehinge/reservoir/CrashDisk.java
+++ b/src/test/java/sablehinge/reservoir/CrashDisk.java
@@ -15,9 +15,9 @@
 import org.h2.store.fs.FilePathWrapper;
 
 /**
- * A folder in memory that can lose power at each write, sync, rename and opening, can refuse them for a while,
- * and can be full. A sync that was refused loses what it covered, though it can still be read, and later syncs
- * say nothing of it.
+ * A folder in memory that can lose power at each write, sync, rename and opening, can refuse them for a
+ * while, and can be full. A sync that was refused loses what it covered, though it can still be read, and
+ * later syncs say nothing of it.
  */
 final class CrashDisk implements Disk {
 
@@ -50,7 +50,7 @@
     boolean after;
     boolean dead;
     long room = Long.MAX_VALUE;
-    /** Steps from the one up to before the other are refused, in part done, and what a sync covers is lost. */
+    /** Steps from the one up to before the other are refused: in part done, of a sync some pages lost. */
     int refuseFrom = Integer.MAX_VALUE;
     int refuseTo = Integer.MAX_VALUE;
     boolean refusing;
--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
@@ -331,6 +331,22 @@
         assertEquals(98, last(Message.Appended.class).matchIndex());
     }
 
+    @Test
+    void aVoteThatIsNotYetGivenToTheDiskWaitsForTheChangeItIsIn() {
+        start(1, List.of(A, B, C));
+        for (int i = 1; i <= 9; i++) {
+            from(B, new Message.Append(2, i - 1, i == 1 ? 0 : 2, List.of(entry(i, 2)), 0, i));
+        }
+        now += 600;
+        from(C, new Message.AskVote(3, 9, 2, false, false));
+        assertEquals(8, changes.size());
+        persistedOnly(8);
+        assertEquals(List.of(), sent(Message.Vote.class));
+        assertEquals(C.id(), changes.get(8).votedFor());
+        persistedOnly(9);
+        assertTrue(last(Message.Vote.class).granted());
+    }
+
     @Test
     void aFollowerWhoseDiskHangsTakesNoMoreThanABound() {
         start(1, List.of(A, B, C));
