--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
@@ -347,6 +347,22 @@
         assertTrue(last(Message.Vote.class).granted());
     }
 
+    /** Entries that a snapshot takes the place of before the disk had them are not given to it. */
+    @Test
+    void aChangeThatGathersASnapshotHoldsOnlyWhatFollowsIt() {
+        start(1, List.of(A, B, C));
+        for (int i = 1; i <= 10; i++) {
+            from(B, new Message.Append(2, i - 1, i == 1 ? 0 : 2, List.of(entry(i, 2)), i, i));
+        }
+        master.compact(10, NONE);
+        from(B, new Message.Install(2, new Snapshot(20, 2, List.of(A, B, C), NONE), 11));
+        from(B, new Message.Append(2, 20, 2, List.of(entry(21, 2)), 20, 12));
+        assertEquals(8, changes.size());
+        persistedOnly(1);
+        assertEquals(20, changes.get(8).snapshot().index());
+        assertEquals(List.of(21L), changes.get(8).append().stream().map(Entry::index).toList());
+    }
+
     @Test
     void aFollowerWhoseDiskHangsTakesNoMoreThanABound() {
         start(1, List.of(A, B, C));
