--- a/src/main/java/sablehinge/reservoir/Authority.java
+++ b/src/main/java/sablehinge/reservoir/Authority.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import sablehinge.cistern.Cistern;
+import sablehinge.watermaster.Member;
 import sablehinge.watermaster.Pulse;
 import sablehinge.watermaster.Standing;
 
@@ -11,6 +12,9 @@
     /** A steady clock, ms. */
     double now();
 
+    /** This machine as a member; null until its disk has been read. */
+    Member self();
+
     /** The place of this machine in the core. */
     Standing standing();
 
--- a/src/main/java/sablehinge/reservoir/Sight.java
+++ b/src/main/java/sablehinge/reservoir/Sight.java
@@ -26,16 +26,17 @@
 
     private final String node;
     private final String zone;
-    private final Member self;
+    private final String control;
     private final Roll roll;
     private final Desk<?> desk;
     private final Pool pool;
     private final Authority authority;
 
-    Sight(String node, String zone, Member self, Roll roll, Desk<?> desk, Pool pool, Authority authority) {
+    /** {@code control} is where operators call this machine. */
+    Sight(String node, String zone, String control, Roll roll, Desk<?> desk, Pool pool, Authority authority) {
         this.node = node;
         this.zone = zone;
-        this.self = self;
+        this.control = control;
         this.roll = roll;
         this.desk = desk;
         this.pool = pool;
@@ -43,14 +44,14 @@
     }
 
     MeshStatus status() {
-        return new MeshStatus(node, zone, id(self), self.control(),
+        return new MeshStatus(node, zone, id(authority.self()), control,
                 authority.standing().role().name().toLowerCase(Locale.ROOT), authority.standing().term(),
                 authority.leader(), authority.pulse().commit(), authority.cistern().edition(), members(),
                 authority.leads() ? plane() : null);
     }
 
     private static String id(Member member) {
-        return Long.toHexString(member.id());
+        return member == null ? "" : Long.toHexString(member.id());
     }
 
     private List<Machine> members() {
@@ -97,7 +98,7 @@
                     intake.service(), intake.upstream(), state(line), intake.berths(),
                     Math.round(line.silentMs())));
         }
-        return new MeshNodes(self.control(), authority.standing().term(), roll.isComplete(now),
+        return new MeshNodes(control, authority.standing().term(), roll.isComplete(now),
                 cut(balancers), more(balancers.size()), members());
     }
 
@@ -113,7 +114,7 @@
             pools.add(new MeshDuties.Pool(line.tenant(), line.quota().perSecond(), line.quota().bound(),
                     line.left()));
         }
-        return new MeshDuties(node, self.control(), authority.standing().term(),
+        return new MeshDuties(node, control, authority.standing().term(),
                 Math.round(authority.pulse().leaseMs()), roll.stamp(), roll.isComplete(now),
                 desk.askers().size(), cut(pools), more(pools.size()));
     }
--- a/src/test/java/sablehinge/reservoir/OperatorsTest.java
+++ b/src/test/java/sablehinge/reservoir/OperatorsTest.java
@@ -57,6 +57,11 @@
             return standing;
         }
 
+        @Override
+        public Member self() {
+            return ONE;
+        }
+
         @Override
         public Pulse pulse() {
             return new Pulse(42, 250.4, silent);
@@ -90,7 +95,7 @@
 
     private Reply call(String path, HttpHeaders headers, String body) {
         Authority authority = new Scripted();
-        Sight sight = new Sight("core-1", "z-a", ONE, roll, new Desk<String>(roll), pool, authority);
+        Sight sight = new Sight("core-1", "z-a", ONE.control(), roll, new Desk<String>(roll), pool, authority);
         for (Operation<?, ?> one : Operators.all(authority, sight)) {
             if (one.path().equals("/sablehinge/" + path)) {
                 return carry(one, new Asked("", headers, body.getBytes(StandardCharsets.UTF_8)));
