Who starts again keeps its vote and its promise to a leader

Both break what a lease and a term promise.

Change: Watermaster.start takes a term on the disk as a leader heard just now, and Reservoir starts from whatever its disk holds. Simulated machines have clocks of their own speed and keep configurations, and what operators were told is held against each state (Claims).

--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -183,12 +183,12 @@
             founders.add(Member.founder(at, seed));
         }
         watermaster.contacts(contacts);
-        if (stored != null && stored.snapshot() != null) {
+        if (stored != null) {
+            // Even who has nothing but a name, and asks to be let in, may have given its vote.
             watermaster.start(now, stored);
         } else if (founds && founders.contains(self)) {
             watermaster.found(now, self, founders);
         } else {
-            // Who has nothing but a name, and it may be one from before a loss, asks to be let in.
             watermaster.outside(now, self, contacts);
         }
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -157,6 +157,10 @@
             log.append(entry);
         }
         desk.begin(log.lastIndex(), term);
+        if (term > 0) {
+            // A leader may hold a lease by an answer of the life before: as if it had been heard just now.
+            leaderHeard = now;
+        }
         run(now);
     }
 
@@ -172,10 +176,11 @@
         verified = commit;
         // Otherwise who was just started would ask around before a leader could have reached it.
         joinAt = log.holds(self.id()) ? now + LOST : now;
-        // Where all have just started there is no leader to wait for; where there is one, its followers
-        // refuse.
-        electionAt = now + FIRST_PART * (terms.electionLeast()
-                + random.nextDouble() * (terms.electionMost() - terms.electionLeast()));
+        // Where all have just started there is no leader to wait for, only what they may have promised one;
+        // where there is one, its followers refuse.
+        boolean bound = now - leaderHeard < terms.electionLeast();
+        electionAt = now + (bound ? 1 : FIRST_PART) * terms.electionLeast()
+                + FIRST_PART * random.nextDouble() * (terms.electionMost() - terms.electionLeast());
         end(now);
     }
 
--- a/src/test/java/sablehinge/watermaster/Valley.java
+++ b/src/test/java/sablehinge/watermaster/Valley.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -13,13 +14,15 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
+import sablehinge.cistern.Cistern;
 import sablehinge.conduit.MessageCodec;
 
 /**
- * Machines, disks and a network on a made-up clock, around the real {@link Watermaster}. What it must keep is
- * checked as it happens; a breach is an {@link AssertionError} that names the seed and the time.
+ * Machines, disks and a network on a made-up clock, around the real {@link Watermaster} and {@link Cistern}.
+ * What they must keep is checked as it happens; a breach is an {@link AssertionError} that names the seed and
+ * the time.
  */
-final class Valley {
+class Valley {
 
     private record Event(double at, long order, Runnable what) {
     }
@@ -75,10 +78,15 @@
         long life;
         long applied;
         long chain;
-        boolean founded;
+        Cistern cistern;
         double stalledUntil;
         double diskFreeAt;
+        /** What its steady clock counts in a ms, and what it showed at the beginning. */
+        double rate = 1;
+        double offset;
         List<Change> unsynced = new ArrayList<>();
+        /** What operators wait for here, by the index of its entry. */
+        final Map<Long, Claims.Call> calls = new HashMap<>();
         final Map<Long, Long> barriers = new HashMap<>();
         final List<Long> confirmed = new ArrayList<>();
         final List<Long> denied = new ArrayList<>();
@@ -87,6 +95,10 @@
             this.address = address;
         }
 
+        double clock() {
+            return offset + now * rate;
+        }
+
         boolean up() {
             return master != null;
         }
@@ -99,49 +111,50 @@
             life++;
             applied = 0;
             chain = 0;
+            cistern = new Cistern();
+            calls.clear();
             standing = null;
             unsynced = new ArrayList<>();
             barriers.clear();
             diskFreeAt = now;
-            master = new Watermaster(this, Terms.usual(), random.nextLong());
-            long mine = life;
-            after(random.nextDouble() * TICK, () -> tick(mine));
+            master = new Watermaster(this, terms, dice(this));
+            booted(this);
         }
 
         void found(List<Member> founders) {
             self = founders.stream().filter(one -> one.conduit().equals(address)).findAny().orElseThrow();
             disk.self = self;
             boot();
-            master.found(now, self, founders);
+            master.found(clock(), self, founders);
         }
 
         void start() {
             boot();
-            if (disk.term == 0 && disk.snapshot == null) {
-                master.outside(now, self, addresses());
-            } else {
-                master.start(now, new Stored(self, disk.term, disk.votedFor, disk.snapshot, disk.entries));
-            }
+            master.contacts(addresses());
+            master.start(clock(), new Stored(self, disk.term, disk.votedFor, disk.snapshot, disk.entries));
         }
 
         /** Starts with an empty disk long after the founding. */
         void outside() {
-            self = Member.later(random.nextLong(), address, "c" + address);
+            self = Member.later(dice(this), address, "c" + address);
             disk = new Disk();
             disk.self = self;
             boot();
-            master.outside(now, self, addresses());
+            master.outside(clock(), self, addresses());
         }
 
         /** Ends the process; with {@code power}, some of what was not synced is lost. */
         void kill(boolean power) {
-            if (!up()) {
-                return;
+            if (up()) {
+                end(power ? random.nextInt(unsynced.size() + 1) : unsynced.size());
             }
+        }
+
+        /** Ends the process; the disk has the first {@code kept} of the changes that were under way. */
+        void end(int kept) {
             master = null;
             standing = null;
             life++;
-            int kept = power ? random.nextInt(unsynced.size() + 1) : unsynced.size();
             for (Change change : unsynced.subList(0, kept)) {
                 disk.write(change);
             }
@@ -162,40 +175,35 @@
         }
 
         private void tick(long mine) {
-            if (life != mine) {
-                return;
+            if (life == mine) {
+                master.tick(clock());
+                after(TICK, () -> tick(mine));
             }
-            master.tick(now);
-            after(TICK, () -> tick(mine));
         }
 
         @Override
         public void send(Member to, Message message) {
-            byte[] bytes = MessageCodec.write(message);
             sent++;
-            int copies = random.nextDouble() < doubling ? 2 : 1;
-            for (int i = 0; i < copies; i++) {
-                if (random.nextDouble() < loss || cuts.contains(address + ">" + to.conduit())) {
-                    continue;
-                }
-                double delay = 0.2 + random.nextDouble() * jitter;
-                if (random.nextDouble() < strays) {
-                    delay += random.nextDouble() * 300;
-                }
-                Member from = self;
-                after(delay, () -> deliver(to.conduit(), from, bytes));
+            if (cuts.isEmpty() || !cuts.contains(address + ">" + to.conduit())) {
+                carry(self, to.conduit(), message);
             }
         }
 
         @Override
         public void persist(Change change) {
+            for (Entry entry : change.append()) {
+                Entry other = made.putIfAbsent(entry.index() << Integer.SIZE | entry.term(), entry);
+                check(other == null || Arrays.equals(other.data(), entry.data()), this,
+                        () -> "another entry " + entry.index() + " of term " + entry.term());
+            }
             unsynced.add(change);
-            double starts = Math.max(Math.max(now, diskFreeAt), stalledUntil);
-            diskFreeAt = starts + 1 + random.nextDouble() * 0.5;
-            waitForDisk(life, change);
+            write(this, change);
         }
 
-        private void waitForDisk(long mine, Change change) {
+        private void waitForDisk(Change change) {
+            double starts = Math.max(Math.max(now, diskFreeAt), stalledUntil);
+            diskFreeAt = starts + 1 + random.nextDouble() * 0.5;
+            long mine = life;
             after(diskFreeAt - now, () -> {
                 if (life != mine || unsynced.isEmpty() || unsynced.get(0).number() > change.number()) {
                     return;
@@ -208,6 +216,13 @@
             });
         }
 
+        /** The oldest change that is under way arrives on the disk. */
+        void syncOne() {
+            Change change = unsynced.remove(0);
+            disk.write(change);
+            master.persisted(clock(), change.number());
+        }
+
         private void synced(long mine, Change change) {
             if (life != mine) {
                 return;
@@ -219,7 +234,7 @@
             while (!unsynced.isEmpty() && unsynced.get(0).number() <= change.number()) {
                 disk.write(unsynced.remove(0));
             }
-            master.persisted(now, change.number());
+            master.persisted(clock(), change.number());
         }
 
         @Override
@@ -237,11 +252,18 @@
                 }
             }
             check(chains.get((int) applied - 1) == chain, this, () -> "another entry " + applied);
-            if (applied % 40 == 0 && random.nextBoolean()) {
-                master.compact(applied, Long.toString(chain).getBytes());
+            claims.applied(this, entry);
+            if (applied % 40 == 0 && compactsByItself()) {
+                compact();
             }
         }
 
+        void compact() {
+            byte[] state = cistern.state();
+            master.compact(applied, ByteBuffer.allocate(Long.BYTES + state.length).putLong(chain).put(state)
+                    .array());
+        }
+
         /** A commit stands on the disks of a majority, of which some may have been wiped since. */
         private void checkDurable(Entry entry) {
             int found = 0;
@@ -264,9 +286,13 @@
             check(snapshot.index() > applied, this,
                     () -> "restored " + snapshot.index() + " over " + applied);
             applied = snapshot.index();
-            chain = Long.parseLong(new String(snapshot.state()));
+            ByteBuffer state = ByteBuffer.wrap(snapshot.state());
+            chain = state.getLong();
             check(applied <= committed.size() && chains.get((int) applied - 1) == chain, this,
                     () -> "another snapshot at " + applied);
+            byte[] configurations = new byte[state.remaining()];
+            state.get(configurations);
+            claims.restored(this, applied, configurations);
         }
 
         @Override
@@ -297,11 +323,12 @@
         void barrier() {
             long token = ++tokens;
             barriers.put(token, (long) committed.size());
-            master.barrier(now, token);
+            master.barrier(clock(), token);
         }
 
+        /** An operator puts a configuration in the place of the one that it has read here. */
         boolean propose() {
-            return up() && master.propose(now, Long.toString(++commands).getBytes()) > 0;
+            return up() && claims.propose(this);
         }
 
         void stall(double ms) {
@@ -321,7 +348,6 @@
     long sent;
     long events;
     long tokens;
-    long commands;
     long changes;
     final Set<String> cuts = new HashSet<>();
     final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -329,6 +355,10 @@
     final List<Entry> committed = new ArrayList<>();
     final List<Long> chains = new ArrayList<>();
     final Map<Long, Long> leaders = new HashMap<>();
+    /** All entries that ever were to be written, by index and term. */
+    private final Map<Long, Entry> made = new HashMap<>();
+    final Claims claims = new Claims(this);
+    Terms terms = Terms.usual();
     /** The last list that was committed. */
     List<Member> list;
     private final PriorityQueue<Event> queue = new PriorityQueue<>((a, b) -> a.at() == b.at()
@@ -336,8 +366,17 @@
     private long order;
 
     Valley(long seed, int founders) {
+        this(seed);
+        found(founders);
+    }
+
+    /** An empty one. */
+    Valley(long seed) {
         this.seed = seed;
         this.random = new Random(seed);
+    }
+
+    final void found(int founders) {
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < founders; i++) {
             members.add(Member.founder("10.0.0." + i + ":1", "c" + i));
@@ -372,13 +411,50 @@
         queue.add(new Event(now + delay, ++order, what));
     }
 
+    // How time, network and disks go on; another valley may have all of it wait for its orders.
+
+    /** A number for what a machine draws by chance. */
+    long dice(Machine machine) {
+        return random.nextLong();
+    }
+
+    /** A machine's process has begun, and is to have its ticks. */
+    void booted(Machine machine) {
+        long mine = machine.life;
+        after(random.nextDouble() * TICK, () -> machine.tick(mine));
+    }
+
+    /** A message is on its way to an address. */
+    void carry(Member from, String to, Message message) {
+        byte[] bytes = MessageCodec.write(message);
+        int copies = random.nextDouble() < doubling ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (random.nextDouble() >= loss) {
+                double delay = 0.2 + random.nextDouble() * jitter;
+                if (random.nextDouble() < strays) {
+                    delay += random.nextDouble() * 300;
+                }
+                after(delay, () -> deliver(to, from, bytes));
+            }
+        }
+    }
+
+    /** The last of a machine's changes is under way. */
+    void write(Machine machine, Change change) {
+        machine.waitForDisk(change);
+    }
+
+    boolean compactsByItself() {
+        return random.nextBoolean();
+    }
+
     private void deliver(String address, Member from, byte[] bytes) {
         Machine machine = machines.get(address);
         if (machine == null || !machine.up()) {
             return;
         }
         try {
-            machine.master.message(now, from, MessageCodec.read(bytes));
+            machine.master.message(machine.clock(), from, MessageCodec.read(bytes));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -397,10 +473,10 @@
     }
 
     /** Who does what only one may do does it alone, however many think that they lead. */
-    private void checkLease() {
+    final void checkLease() {
         Machine holder = null;
         for (Machine machine : machines.values()) {
-            if (machine.up() && machine.leads() && machine.master.leases(now)) {
+            if (machine.up() && machine.leads() && machine.master.leases(machine.clock())) {
                 Machine other = holder;
                 check(other == null, machine, () -> "a lease beside that of " + other.address);
                 holder = machine;
--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
@@ -121,6 +121,7 @@
     @Test
     void aVoteLeavesWhenItIsSyncedAndOnlyOneATerm() {
         start(1, List.of(A, B, C));
+        now += 500;
         from(B, new Message.AskVote(2, 0, 0, false, false));
         assertEquals(List.of(), sent(Message.Vote.class));
         assertEquals(B.id(), changes.get(0).votedFor());
@@ -131,6 +132,23 @@
         assertEquals(B, sent.get(sent.size() - 1).to());
     }
 
+    /** Its last answer, of which it knows no more, may have given a leader a lease. */
+    @Test
+    void whoHasStartedAgainGivesNoVoteWhileALeaseMayHold() {
+        start(1, List.of(A, B, C));
+        for (int ms = 0; ms < 500; ms += 20) {
+            from(B, new Message.AskVote(2, 0, 0, true, false));
+            from(B, new Message.AskVote(2, 0, 0, false, false));
+            master.tick(now);
+            now += 20;
+        }
+        assertTrue(sent(Message.Vote.class).stream().noneMatch(Message.Vote::granted));
+        assertEquals(List.of(), changes);
+        assertEquals(List.of(), sent(Message.AskVote.class));
+        from(B, new Message.AskVote(2, 0, 0, true, false));
+        assertTrue(last(Message.Vote.class).granted());
+    }
+
     @Test
     void itAsksForVotesWhenItsOwnIsSynced() {
         start(1, List.of(A, B, C));
