--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -198,7 +198,7 @@
         if (stored != null) {
             // Even who has nothing but a name, and asks to be let in, may have given its vote.
             watermaster.start(now, stored);
-        } else if (stored == null && founders.contains(self)) {
+        } else if (founders.contains(self)) {
             watermaster.found(now, self, founders);
         } else {
             watermaster.outside(now, self, contacts);
--- a/src/test/java/sablehinge/watermaster/Claims.java
+++ b/src/test/java/sablehinge/watermaster/Claims.java
@@ -50,7 +50,8 @@
     }
 
     private boolean propose(Machine at, Call call) {
-        long index = at.master.propose(at.clock(), Cistern.replace(call.basedOn, call.edition, call.body));
+        double now = at.clock();
+        long index = at.master.propose(now, Cistern.replace(call.basedOn, call.edition, call.body, (long) now));
         if (index > 0) {
             proposed++;
             latest = call;
