--- a/bench/src/sablehinge/watermaster/Faults.java
+++ b/bench/src/sablehinge/watermaster/Faults.java
@@ -28,6 +28,8 @@
                     "LEASE_PART * terms", "terms"),
             new Mutant("who hears a leader votes for another", MASTER, "private void askVote(",
                     "led && !(ask.handed() && known)", "led && !known"),
+            new Mutant("who starts again forgets that it answered a leader", MASTER, "public void start(",
+                    "leaderHeard = now;", ""),
             new Mutant("entries are acknowledged before their sync", MASTER, "private Message.Appended appended(",
                     "Math.min(desk.synced(), verified)", "verified"),
             new Mutant("a leader counts its own copy before its sync", MASTER, "private void advance(",
--- a/bench/src/sablehinge/watermaster/QuorumBench.java
+++ b/bench/src/sablehinge/watermaster/QuorumBench.java
@@ -53,7 +53,14 @@
         if (arguments.length != 2) {
             throw new IllegalArgumentException("expected --play and one file");
         }
-        Script script = Script.parse(Files.readAllLines(Path.of(arguments[1])));
+        Script script;
+        try {
+            script = Script.parse(Files.readAllLines(Path.of(arguments[1])));
+        } catch (IllegalArgumentException e) {
+            System.err.println(arguments[1] + ": " + e.getMessage());
+            System.exit(2);
+            return;
+        }
         System.out.print(script.told());
         System.exit(script.breach() == null ? 0 : 1);
     }
@@ -87,6 +94,9 @@
             System.out.printf(Locale.ROOT, "%-56s %8.1f %6s %-12s %s%n", fault.name(), seconds(from),
                     how == null ? "" : how[2], how == null ? "NOT FOUND" : how[3], how == null ? ""
                     : how[1].replaceFirst("^seed \\d+, [0-9.]+ ms[,:] ", ""));
+            if (faults.size() == 1 && how != null) {
+                System.out.println(how[0]);
+            }
         }
         ObjectNode json = JsonMapper.builder().build().createObjectNode();
         json.put("schedules", byChance.schedules.sum() + inOrder.schedules.sum());
--- a/bench/src/sablehinge/watermaster/Wander.java
+++ b/bench/src/sablehinge/watermaster/Wander.java
@@ -38,7 +38,7 @@
         random = new Random(seed * 7919 + 1);
     }
 
-    /** Plays the schedule of a seed into {@code weirs}, and ends with its script if something breaks. */
+    /** Plays the schedule of a seed; its script up to what breaks, or null. */
     static Script breaking(long seed, Tally tally) {
         Wander wander = new Wander(seed);
         try {
