--- /dev/null
+++ b/bench/src/sablehinge/reservoir/UnsyncedReservoir.java
@@ -0,0 +1,22 @@
+package sablehinge.reservoir;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.log.LogTerms;
+import sablehinge.log.Logging;
+
+/** A machine of the core as its daemon runs it, but on a disk that keeps nothing but what was synced. */
+final class UnsyncedReservoir {
+
+    private UnsyncedReservoir() {
+    }
+
+    /** Runs by the settings file that the environment names, until it is killed. */
+    public static void main(String[] args) throws Exception {
+        LocalSettings settings = LocalSettings.read(Path.of(System.getenv("SABLEHINGE_CONFIG")));
+        Logging.apply(LogTerms.MESH);
+        Reservoir.start(settings, LogStore.open(new UnsyncedDisk(Path.of(settings.dataDir()))));
+        new CountDownLatch(1).await();
+    }
+}
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -103,9 +103,14 @@
         if (settings.dataDir() == null) {
             throw new ConfigException("a reservoir needs dataDir in its settings");
         }
+        return start(settings, LogStore.open(Path.of(settings.dataDir())));
+    }
+
+    /** The same with a store that is open. */
+    static Reservoir start(LocalSettings settings, LogStore store)
+            throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("reservoir", true), NioIoHandler.newFactory()).next();
-        LogStore store = LogStore.open(Path.of(settings.dataDir()));
         Stored stored = store.load();
         String at = settings.ip() + ":" + settings.innerFirst();
         Member self;
--- a/src/main/java/sablehinge/standin/mesh/Daemon.java
+++ b/src/main/java/sablehinge/standin/mesh/Daemon.java
@@ -1,6 +1,8 @@
 package sablehinge.standin.mesh;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +16,7 @@
     private final Path settings;
     private final Path log;
     private Process process;
+    private long saidBefore;
 
     /** A daemon that does not run yet; its log is appended to a file. */
     public Daemon(String name, Path settings, Path log) {
@@ -28,6 +31,7 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         builder.environment().put(SETTINGS, settings.toString());
         try {
+            saidBefore = Files.exists(log) ? Files.size(log) : 0;
             process = builder.start();
         } catch (IOException e) {
             throw new MeshException(MeshException.Code.DAEMON, name + " can't be started: " + e.getMessage(),
@@ -40,6 +44,17 @@
         return process != null && process.isAlive();
     }
 
+    /** What it has logged since its last start. */
+    public String said() {
+        try {
+            byte[] all = Files.readAllBytes(log);
+            int from = (int) Math.min(all.length, saidBefore);
+            return new String(all, from, all.length - from, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "(no log)";
+        }
+    }
+
     /** The processor time that it has used, in ms; 0 where the system does not say. */
     public long cpuMs() {
         return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
--- a/src/main/java/sablehinge/standin/mesh/MeshJudge.java
+++ b/src/main/java/sablehinge/standin/mesh/MeshJudge.java
@@ -107,6 +107,14 @@
     }
 
     private void readBack(byte[] body) {
+        Operator.Order gone = gone(orders, body);
+        if (gone != null) {
+            breach("CONFIG", "read back is not edition " + gone.version().edition());
+        }
+    }
+
+    /** The newest acknowledged order, if what was read back is neither that nor one that came after it. */
+    static Operator.Order gone(List<Operator.Order> orders, byte[] body) {
         Operator.Order newest = null;
         List<Operator.Order> unclear = new ArrayList<>();
         for (Operator.Order order : orders) {
@@ -117,9 +125,8 @@
                 unclear.clear();
             }
         }
-        if (newest != null && !Operator.same(body, newest.version())
-                && unclear.stream().noneMatch(one -> Operator.same(body, one.version()))) {
-            breach("CONFIG", "read back is not edition " + newest.version().edition());
-        }
+        boolean there = newest == null || Operator.same(body, newest.version())
+                || unclear.stream().anyMatch(one -> Operator.same(body, one.version()));
+        return there ? null : newest;
     }
 }
--- a/src/main/java/sablehinge/standin/mesh/Operator.java
+++ b/src/main/java/sablehinge/standin/mesh/Operator.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /** Sends configurations to whichever machine of the core takes them, and reads the newest back. */
@@ -28,7 +29,12 @@
 
     /** An operator that knows these machines. */
     public Operator(List<InetSocketAddress> core) {
-        this.core = List.copyOf(core);
+        this.core = new CopyOnWriteArrayList<>(core);
+    }
+
+    /** Another machine of the core may be here. */
+    public void knows(InetSocketAddress another) {
+        core.add(another);
     }
 
     /** Sends a configuration until it is acknowledged; the error says what was answered in the end. */
@@ -38,8 +44,14 @@
         headers.put("Host", "control");
         headers.put("Sablehinge-Based-On", Long.toString(version.basedOn()));
         headers.put("Content-Type", "application/json");
-        Message answer = until(withinMs, "POST", "/sablehinge/Config.Replace", headers, version.body());
-        orders.add(new Order(version, sentAt, answer.status() == 200 ? Ledger.now() : Double.NaN));
+        double ackedAt = Double.NaN;
+        Message answer;
+        try {
+            answer = until(withinMs, "POST", "/sablehinge/Config.Replace", headers, version.body());
+            ackedAt = answer.status() == 200 ? Ledger.now() : Double.NaN;
+        } finally {
+            orders.add(new Order(version, sentAt, ackedAt));
+        }
         if (answer.status() != 200) {
             throw new MeshException(MeshException.Code.TIMEOUT, "configuration " + version.edition()
                     + " was answered with " + answer.start() + " " + new String(answer.body(),
--- a/src/main/java/sablehinge/standin/mesh/SmallMesh.java
+++ b/src/main/java/sablehinge/standin/mesh/SmallMesh.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -117,23 +118,75 @@
 
     /** Starts all daemons and upstreams, has a configuration taken, and returns when all balancers are in. */
     public void start(MeshVersion first) throws InterruptedException {
+        restartAll(0);
+        upstreamsCome();
+        operator.replace(first, START_MS);
+        for (int i = 0; i < sluices.size(); i++) {
+            ready(i);
+        }
+        // The roll comes with the beats: every balancer has heard of every upstream after two of them.
+        TimeUnit.MILLISECONDS.sleep(2 * MeshPlan.BEAT_MS);
+    }
+
+    /** Ends all daemons at once, in any order, and returns when they are gone. */
+    public void killAll() throws InterruptedException {
+        List<Daemon> all = new ArrayList<>(reservoirs);
+        all.addAll(sluices);
+        Collections.shuffle(all);
+        all.forEach(Daemon::close);
+        for (Daemon daemon : all) {
+            daemon.kill();
+        }
+    }
+
+    /** Starts all daemons, for the so-many-th time. */
+    public void restartAll(int start) {
         for (int i = 0; i < reservoirs.size(); i++) {
-            restart(i, 0);
+            restart(i, start);
         }
         for (int i = 0; i < sluices.size(); i++) {
-            sluices.get(i).start(commands.command("sluice", i, 0));
+            sluices.get(i).start(commands.command("sluice", i, start));
+        }
+    }
+
+    /** The upstreams of all machines go without a word. */
+    public void upstreamsGo() {
+        upstreams.forEach(Beating::close);
+        upstreams.clear();
+    }
+
+    /** Starts an upstream on each machine, in a new life. */
+    public void upstreamsCome() {
+        for (int i = 0; i < sluices.size(); i++) {
             StandInUpstream upstream = new StandInUpstream(new StandInUpstream.Terms("i-" + i + "-"
                     + Long.toHexString(ThreadLocalRandom.current().nextLong()), plan.services().get(i),
                     Call.address(plan.app(i)), BERTHS, WORK_MS), ledger);
             upstreams.add(new Beating(upstream, Call.address(plan.control(i)), MeshPlan.ZONE,
                     MeshPlan.BEAT_MS, ledger));
         }
-        operator.replace(first, START_MS);
-        for (int i = 0; i < sluices.size(); i++) {
-            ready(i);
+    }
+
+    /** Empties the disk of a machine of the core that does not run. */
+    public void wipe(int place) {
+        try {
+            empty(data(place));
+            Files.createDirectories(data(place));
+        } catch (IOException e) {
+            throw new MeshException(MeshException.Code.FILE, e.getMessage(), e);
         }
-        // The roll comes with the beats: every balancer has heard of every upstream after two of them.
-        TimeUnit.MILLISECONDS.sleep(2 * MeshPlan.BEAT_MS);
+    }
+
+    /** A further machine for the core, at an address of its own, that does not run yet; returns its place. */
+    public int another() {
+        int place = reservoirs.size();
+        try {
+            Files.createDirectories(data(place));
+            write("core-" + place, plan.reservoirSettings(place, data(place).toString(), false), reservoirs);
+        } catch (IOException e) {
+            throw new MeshException(MeshException.Code.FILE, e.getMessage(), e);
+        }
+        operator.knows(Call.address(plan.coreControl(place)));
+        return place;
     }
 
     /** Starts a machine of the core again, for the so-many-th time; its disk is as it was left. */
@@ -155,11 +208,11 @@
         while (!isReady(place)) {
             if (!sluices.get(place).runs()) {
                 throw new MeshException(MeshException.Code.DAEMON, "sluice " + place + " has ended:\n"
-                        + log("sidecar-" + place), null);
+                        + sluices.get(place).said(), null);
             }
             if (Ledger.now() > end) {
                 throw new MeshException(MeshException.Code.TIMEOUT, "sluice " + place + " is not ready:\n"
-                        + log("sidecar-" + place), null);
+                        + sluices.get(place).said(), null);
             }
             TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
         }
@@ -176,14 +229,6 @@
         }
     }
 
-    private String log(String name) {
-        try {
-            return Files.readString(folder.resolve(name + ".log"));
-        } catch (IOException e) {
-            return "(no log)";
-        }
-    }
-
     /** Starts the clients of all machines; each machine's send a request every so often. */
     public void load(long everyMs) {
         List<MeshVersion.Route> routes = version(1, 0, BASALT).routes();
@@ -226,12 +271,18 @@
         upstreams.forEach(Beating::close);
         sluices.forEach(Daemon::close);
         reservoirs.forEach(Daemon::close);
-        try (Stream<Path> files = Files.walk(folder)) {
+        try {
+            empty(folder);
+        } catch (IOException e) {
+            // A folder for what is not kept may stay.
+        }
+    }
+
+    private static void empty(Path from) throws IOException {
+        try (Stream<Path> files = Files.walk(from)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
             }
-        } catch (IOException e) {
-            // A folder for what is not kept may stay.
         }
     }
 }
