--- a/bench/src/sablehinge/standin/mesh/Pulse.java
+++ b/bench/src/sablehinge/standin/mesh/Pulse.java
@@ -36,6 +36,7 @@
                 thread.setDaemon(true);
                 return thread;
             });
+    private volatile double late;
     private final Thread beat = new Thread(this::beat, "pulse beat");
 
     /** A request; NaN as long as it has no end. */
@@ -67,6 +68,7 @@
                 if (wait > 0) {
                     TimeUnit.NANOSECONDS.sleep((long) (wait * NANOS));
                 }
+                late = Math.max(late, Ledger.now() - due);
                 due += everyMs;
                 One one = new One();
                 synchronized (all) {
@@ -155,6 +157,11 @@
         return until - well >= WINDOW_MS + whileMs ? well : Double.NaN;
     }
 
+    /** The longest that a request was sent after its time, in ms: how long the machine had no time for it. */
+    double late() {
+        return late;
+    }
+
     /** The part of what was sent since then that was served; what has no end yet was not. */
     double share(double from) {
         return Arrays.stream(sent()).filter(one -> one.sentAt >= from).mapToDouble(one -> one.served ? 1 : 0)
--- a/bench/src/sablehinge/standin/mesh/RecoveryBench.java
+++ b/bench/src/sablehinge/standin/mesh/RecoveryBench.java
@@ -40,28 +40,35 @@
     private static final long WITHIN_MS = 30_000;
     private static final long LOOK_MS = 10;
     private static final int UNLIKE = 2;
+    /** The bench itself had no time for so long: such a play measures the machine. */
+    private static final double STALL_MS = 200;
     private static final double S = 1_000;
     private static final Pattern RUN = Pattern.compile("\\[roles\\.(\\w+)]\\s+run = \"java ([^\"]+)\"");
     private static final Pattern STANDING = Pattern.compile("event=standing role=(\\w+) .*members=(\\d+)");
     private static final Pattern ARCHIVE = Pattern.compile("-XX:SharedArchiveFile=(\\S+)");
 
-    /** What is lost. */
+    /** What is lost: all processes, all power, that and one disk, one disk, one machine. */
     private enum Loss {
-        KILL, POWER, WIPE, REPLACE;
+        KILL, POWER, POWER_WIPE, WIPE, REPLACE;
 
         /** Whether it takes one machine of the core and its disk, and not all processes for a while. */
         private boolean isOfOne() {
             return this == WIPE || this == REPLACE;
         }
+
+        private boolean isOfPower() {
+            return this == POWER || this == POWER_WIPE;
+        }
     }
 
     /** What is timed; null where a play came to no end of it. */
     private enum Mark { FIRST, SERVED95, ACKED, MEMBER }
 
-    /** What became of a play: times in ms, and the share served since the strike. */
+    /** What became of a play: times in ms, the share served since the strike, the bench's own lateness. */
     private static final class Outcome {
         private final Map<Mark, Double> times = new EnumMap<>(Mark.class);
         private double share = Double.NaN;
+        private double late;
         private boolean lost;
         private String failure;
     }
@@ -106,8 +113,8 @@
             }
         }
         ObjectNode json = JsonNodeFactory.instance.objectNode().put("plays", plays).put("side", side);
-        System.out.printf(Locale.ROOT, "%-8s %-9s %8s %8s %8s %8s   %5s %5s %s%n", "loss", "s until",
-                "least", "p50", "p99", "most", "lost", "failed", "least served");
+        System.out.printf(Locale.ROOT, "%-10s %-9s %8s %8s %8s %8s   %5s %6s %7s %s%n", "loss", "s until",
+                "least", "p50", "p99", "most", "lost", "failed", "stalled", "least served");
         int lost = 0;
         int failed = 0;
         for (Loss loss : Loss.values()) {
@@ -115,10 +122,12 @@
             ObjectNode of = json.putObject(loss.name().toLowerCase(Locale.ROOT));
             int gone = (int) all.stream().filter(one -> one.lost).count();
             int broken = (int) all.stream().filter(one -> one.failure != null).count();
+            int stalled = (int) all.stream().filter(one -> one.late > STALL_MS).count();
             for (Mark mark : Mark.values()) {
-                row(loss, mark, all, of, String.format(Locale.ROOT, "%5d %5d", gone, broken));
+                row(loss, mark, all, of, String.format(Locale.ROOT, "%5d %6d %7d", gone, broken,
+                        stalled));
             }
-            of.put("lost", gone).put("failed", broken).put("plays", all.size());
+            of.put("lost", gone).put("failed", broken).put("stalled", stalled).put("plays", all.size());
             lost += gone;
             failed += broken;
         }
@@ -148,7 +157,7 @@
         }
         String share = !loss.isOfOne() ? "" : String.format(Locale.ROOT, "%6.1f%%", 100 * all.stream()
                 .mapToDouble(one -> one.share).filter(one -> !Double.isNaN(one)).min().orElse(0));
-        System.out.printf(Locale.ROOT, "%-8s %-9s %8.2f %8.2f %8.2f %8.2f   %s %s%n",
+        System.out.printf(Locale.ROOT, "%-10s %-9s %8.2f %8.2f %8.2f %8.2f   %s %s%n",
                 loss.name().toLowerCase(Locale.ROOT), mark.name().toLowerCase(Locale.ROOT), times[0],
                 at(times, 0.5), at(times, 0.99), times[times.length - 1], counts, share);
         of.putObject(mark.name().toLowerCase(Locale.ROOT)).put("p50_s", round(at(times, 0.5)))
@@ -196,7 +205,7 @@
 
     private List<String> command(Loss loss, String role) {
         List<String> command = new ArrayList<>(commands.get(role));
-        if (loss == Loss.POWER && role.equals("reservoir")) {
+        if (loss.isOfPower() && role.equals("reservoir")) {
             // The same program but for the disk; an archive holds for its class path and what follows it.
             int jar = command.indexOf("-jar");
             String path = command.get(jar + 1) + ":target/test-classes";
@@ -219,23 +228,30 @@
             int struck = Math.floorMod(mesh.operator().leader() + number % UNLIKE, mesh.plan().reservoirs());
             mesh.operator().replace(mesh.version(2, 1, SmallMesh.MARL), WITHIN_MS);
             TimeUnit.MILLISECONDS.sleep(ThreadLocalRandom.current().nextInt(AFTER_ACK_MS + 1));
-            if (loss.isOfOne()) {
-                one(mesh, loss, struck, number, pulse, outcome);
-            } else {
-                all(mesh, loss, pulse, outcome);
+            try {
+                if (loss.isOfOne()) {
+                    one(mesh, loss, struck, number, pulse, outcome);
+                } else {
+                    all(mesh, loss, struck, pulse, outcome);
+                }
+            } finally {
+                outcome.late = pulse.late();
             }
         }
     }
 
-    private static void all(SmallMesh mesh, Loss loss, Pulse pulse, Outcome outcome)
+    private static void all(SmallMesh mesh, Loss loss, int struck, Pulse pulse, Outcome outcome)
             throws InterruptedException {
         mesh.killAll();
-        if (loss == Loss.POWER) {
+        if (loss.isOfPower()) {
             mesh.upstreamsGo();
         }
+        if (loss == Loss.POWER_WIPE) {
+            mesh.wipe(struck);
+        }
         TimeUnit.MILLISECONDS.sleep(DOWN_MS);
         double back = Ledger.now();
-        if (loss == Loss.POWER) {
+        if (loss.isOfPower()) {
             mesh.upstreamsCome();
         }
         mesh.restartAll(1);
