--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -116,10 +116,16 @@
         if (settings.dataDir() == null) {
             throw new ConfigException("a reservoir needs dataDir in its settings");
         }
+        Path folder = Path.of(settings.dataDir());
+        return start(settings, () -> LogStore.open(folder));
+    }
+
+    /** The same with a store of another kind; it is opened anew after each refusal. */
+    static Reservoir start(LocalSettings settings, Supplier<LogStore> opener)
+            throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("reservoir", true), NioIoHandler.newFactory()).next();
-        Path folder = Path.of(settings.dataDir());
-        Reservoir reservoir = new Reservoir(settings, loop, () -> LogStore.open(folder));
+        Reservoir reservoir = new Reservoir(settings, loop, opener);
         String at = settings.ip() + ":" + settings.innerFirst();
         try {
             await(reservoir.conduit.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
