After a loss of all, elect when promises end, not half a second after the disk is read

Once they had the configuration, gates that had not heard a beat admitted six at once where twelve fit, up to 1.5 s long.

Change: all that the life before promised it had promised by the time its process began, so Watermaster counts from there. A gate that knows no berths takes ten; where there are fewer, the upstream queues the rest.

--- a/bench/src/sablehinge/reservoir/UnsyncedReservoir.java
+++ b/bench/src/sablehinge/reservoir/UnsyncedReservoir.java
@@ -17,7 +17,7 @@
         LocalSettings settings = LocalSettings.read(Path.of(System.getenv("SABLEHINGE_CONFIG")));
         Logging.apply(LogTerms.MESH);
         UnsyncedDisk disk = new UnsyncedDisk(Path.of(settings.dataDir()));
-        Reservoir.start(settings, () -> LogStore.open(disk));
+        Reservoir.start(settings, System.nanoTime(), () -> LogStore.open(disk));
         new CountDownLatch(1).await();
     }
 }
--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -27,6 +27,7 @@
 
     /** Runs a daemon by the settings file that the environment names, until it is ended. */
     static void run(String role) throws InterruptedException {
+        long born = System.nanoTime();
         DirectProvider.name();
         System.setProperty(MACHINE, ANY_MACHINE);
         // Before anything else: the signal would end the process, also one that has only just begun.
@@ -45,7 +46,7 @@
                 takes.set(sluice::reload);
                 Main.drainAtShutdown(sluice::drain);
             } else {
-                takes.set(Reservoir.start(settings)::reload);
+                takes.set(Reservoir.start(settings, born)::reload);
             }
         } catch (ConfigException e) {
             System.err.println("sablehinge: " + e.getMessage());
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -59,6 +59,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Reservoir.class);
     private static final long TICK_MS = 20;
+    private static final double NANOS_PER_MS = 1e6;
     /** A disk that is at one change for longer hangs, in ms; it is looked at as often. */
     private static final long HANGS_MS = 1_000;
     /** What an end of a connection between processes does when it hears nothing, in ms. */
@@ -77,6 +78,7 @@
     private final ExecutorService disk = thread("disk");
     private final ExecutorService checks = thread("checks");
     private final LocalSettings settings;
+    private final long born;
     private final Conduit conduit;
     private final Scribe scribe;
     private final Watermaster watermaster;
@@ -95,8 +97,9 @@
     private long bytesSinceSnapshot;
     private boolean hangs;
 
-    private Reservoir(LocalSettings settings, EventLoop loop, Supplier<LogStore> opener) {
+    private Reservoir(LocalSettings settings, long born, EventLoop loop, Supplier<LogStore> opener) {
         this.settings = settings;
+        this.born = born;
         this.loop = loop;
         conduit = new Conduit(loop, PING_MS, DEAD_MS);
         scribe = new Scribe(opener, new Puts());
@@ -111,21 +114,25 @@
     /**
      * Starts a machine of the core. It is heard by all who call, and takes part as soon as its disk has been
      * read and takes writes, however long that lasts.
+     *
+     * @param born when its process began, by {@link System#nanoTime}: whatever the process before promised a
+     *     leader, it had promised by then
      */
-    public static Reservoir start(LocalSettings settings) throws ConfigException, InterruptedException {
+    public static Reservoir start(LocalSettings settings, long born)
+            throws ConfigException, InterruptedException {
         if (settings.dataDir() == null) {
             throw new ConfigException("a reservoir needs dataDir in its settings");
         }
         Path folder = Path.of(settings.dataDir());
-        return start(settings, () -> LogStore.open(folder));
+        return start(settings, born, () -> LogStore.open(folder));
     }
 
     /** The same with a store of another kind; it is opened anew after each refusal. */
-    static Reservoir start(LocalSettings settings, Supplier<LogStore> opener)
+    static Reservoir start(LocalSettings settings, long born, Supplier<LogStore> opener)
             throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("reservoir", true), NioIoHandler.newFactory()).next();
-        Reservoir reservoir = new Reservoir(settings, loop, opener);
+        Reservoir reservoir = new Reservoir(settings, born, loop, opener);
         String at = settings.ip() + ":" + settings.innerFirst();
         try {
             await(reservoir.conduit.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
@@ -203,7 +210,7 @@
         watermaster.contacts(contacts);
         if (stored != null) {
             // Even who has nothing but a name, and asks to be let in, may have given its vote.
-            watermaster.start(now, stored);
+            watermaster.start(now, stored, now - (System.nanoTime() - born) / NANOS_PER_MS);
         } else if (founders.contains(self)) {
             watermaster.found(now, self, founders);
         } else {
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -65,8 +65,11 @@
     private static final double UNLOAD_PART = 0.5;
     /** Beats that may be missing until an upstream counts as gone. */
     private static final double MISSING = 3.5;
-    /** Berths of an upstream that has not told how many it has. */
-    private static final int FEW_BERTHS = 6;
+    /**
+     * Berths of an upstream that has not told how many it has, until its next beat: where it has fewer, it
+     * queues the rest itself; where it has more, they stand idle while the most waits.
+     */
+    private static final int LIKELY_BERTHS = 10;
     private static final long TICK_MS = 100;
     private static final int MOST_BEAT = 64 * 1024;
     /** After SIGTERM: how long clients may not have heard yet, and what is kept of the grace to end. */
@@ -260,7 +263,7 @@
     /** The upstream beside was there before this process; its next beat tells the rest. */
     private void answered(String id) {
         if (upstream == null) {
-            heard(new Beats.Beat(id, settings.depot(), settings.app(), false, FEW_BERTHS, 0, 0));
+            heard(new Beats.Beat(id, settings.depot(), settings.app(), false, LIKELY_BERTHS, 0, 0));
         }
     }
 
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -145,8 +145,12 @@
         flush(now);
     }
 
-    /** Goes on with what the disk holds. */
-    public void start(double now, Stored stored) {
+    /**
+     * Goes on with what the disk holds.
+     *
+     * @param born when this life began, ms; all that the life before said, it said by then
+     */
+    public void start(double now, Stored stored, double born) {
         self = stored.self();
         term = stored.term();
         votedFor = stored.votedFor();
@@ -162,8 +166,8 @@
         }
         desk.begin(log.lastIndex(), term);
         if (term > 0) {
-            // A leader may hold a lease by an answer of the life before: as if it had been heard just now.
-            leaderHeard = now;
+            // A leader may hold a lease by an answer of the life before: as if it had been heard at its end.
+            leaderHeard = born;
         }
         run(now);
     }
@@ -182,8 +186,8 @@
         joinAt = log.holds(self.id()) ? now + LOST : now;
         // Where all have just started there is no leader to wait for, only what they may have promised one;
         // where there is one, its followers refuse.
-        boolean bound = now - leaderHeard < terms.electionLeast();
-        electionAt = now + (bound ? 1 : FIRST_PART) * terms.electionLeast()
+        double bound = leaderHeard + terms.electionLeast();
+        electionAt = Math.max(bound, now + FIRST_PART * terms.electionLeast())
                 + FIRST_PART * random.nextDouble() * (terms.electionMost() - terms.electionLeast());
         end(now);
     }
--- a/src/test/java/sablehinge/reservoir/ReservoirTest.java
+++ b/src/test/java/sablehinge/reservoir/ReservoirTest.java
@@ -89,7 +89,7 @@
                 Map.of("monza-a", "monza"), new LocalSettings.ListenOn(null, null, null, control),
                 new LocalSettings.Limits(1, 1, 256, 1_024, 1_000, 100), 1,
                 new LocalSettings.Bounds(3, 2, 3_000, 5_000, 4, 2_500, 6, 200, 2_500, 250, 8_000, false,
-                        5_000, 0.2, 10, 62, 5, 0.1, 20, 15)));
+                        5_000, 0.2, 10, 62, 5, 0.1, 20, 15)), System.nanoTime());
     }
 
     /** Kernels may hold an address for a while after whoever listened there has closed it. */
--- a/src/test/java/sablehinge/watermaster/Valley.java
+++ b/src/test/java/sablehinge/watermaster/Valley.java
@@ -131,7 +131,8 @@
         void start() {
             boot();
             master.contacts(addresses());
-            master.start(clock(), new Stored(self, disk.term, disk.votedFor, disk.snapshot, disk.entries));
+            master.start(clock(), new Stored(self, disk.term, disk.votedFor, disk.snapshot, disk.entries),
+                    clock());
         }
 
         /** Starts with an empty disk long after the founding. */
--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
@@ -65,7 +65,7 @@
     }
 
     private void start(long term, List<Member> members, Entry... entries) {
-        master.start(now, new Stored(A, term, 0, new Snapshot(0, 0, members, NONE), List.of(entries)));
+        master.start(now, new Stored(A, term, 0, new Snapshot(0, 0, members, NONE), List.of(entries)), now);
     }
 
     private void persisted() {
