A claim made in the midst of an answer tells of all of it

Need: whoever got a token from an answer and failed at once claimed again while the shares of later services were still unread: it gave back what the answer then set, and spent it all the same. Change: all shares of an answer are taken in before anyone who waits is served. Result: a test that fails without it.

--- a/src/main/java/sablehinge/spillway/Shares.java
+++ b/src/main/java/sablehinge/spillway/Shares.java
@@ -243,6 +243,12 @@
             if (part != null) {
                 part.share = line.share();
                 part.scarce = part.share - part.spent < part.target;
+            }
+        }
+        // Who is served may come back with more at once, and must find all of the answer taken in.
+        for (Grant.Line line : grant.lines()) {
+            Part part = parts.get(line.service());
+            if (part != null) {
                 while (part.share > part.spent && !part.waiting.isEmpty()) {
                     part.waiting.pollFirst().then.accept(part.spend());
                 }
--- a/src/test/java/sablehinge/spillway/SharesTest.java
+++ b/src/test/java/sablehinge/spillway/SharesTest.java
@@ -65,12 +65,33 @@
 
     @Test
     void aTryIsGivenWithTheCallsThatItsRunWillMake() {
-        holder.claimed(0, claim(1, 1, A, new Claim.Line(A, 0, 0, 0, 0, 0), new Claim.Line(B, 0, 0, 0, 0, 0)));
+        holder.claimed(0, claim(1, 1, A, new Claim.Line(A, 0, 0, 0, 0, 0),
+                new Claim.Line(B, 0, 0, 0, 0, 0)));
         Grant grant = holder.claimed(0, claim(1, 1, A, new Claim.Line(A, 500, 0, 0, 0, 100),
                 new Claim.Line(B, 60, 500, 0, 0, 0)));
         assertEquals(2, grant.lines().get(0).share(), "half of the six of releve, for its calls");
     }
 
+    /** Whoever gets a token may fail at once and claim again while the rest of the answer is unread. */
+    @Test
+    void aClaimMadeInTheMidstOfAnAnswerTellsOfAllOfIt() {
+        Shares shares = new Shares(RULE, 7, B);
+        shares.adopt(List.of(A, B));
+        shares.place(0, 100);
+        taken(shares, 0, A, false);
+        shares.granted(1, new Grant(shares.claim(0).number(), 1, List.of(new Grant.Line(A, 0))));
+        Claim[] again = new Claim[1];
+        shares.take(20, A, false, token -> again[0] = shares.claim(421));
+        taken(shares, 20, B, false);
+        Claim claim = shares.claim(20);
+        shares.granted(25, new Grant(claim.number(), 1,
+                List.of(new Grant.Line(A, 3), new Grant.Line(B, 1))));
+        for (Claim.Line line : again[0].lines()) {
+            assertEquals(line.service().equals(B) ? 1 : 2, line.share(), line.service());
+        }
+        assertEquals(2, again[0].lines().size());
+    }
+
     /** 1 for a token, 0 for none, -1 while it waits. */
     private int taken(Shares shares, double now, String service, boolean spare) {
         int[] told = {-1};
