--- a/src/main/java/sablehinge/meter/Bucket.java
+++ b/src/main/java/sablehinge/meter/Bucket.java
@@ -46,6 +46,17 @@
         return taken;
     }
 
+    /** Gives up what is above so many tokens, for others to have, and tells how many those are. */
+    public int lend(double now, double kept) {
+        return take(now, (int) Math.max(0, left(now) - kept));
+    }
+
+    /** Adds tokens that others gave up; what is above the bound is lost. */
+    public void regain(double now, int count) {
+        fill(now);
+        tokens = Math.max(tokens, Math.min(most, tokens + count));
+    }
+
     /** Its part of the quota. */
     Quota part() {
         return new Quota(perMs * MS, most);
