--- a/src/test/java/sablehinge/sluice/SpillTest.java
+++ b/src/test/java/sablehinge/sluice/SpillTest.java
@@ -62,7 +62,7 @@
                     .replaceAll("\"attempts\":[0-9]+", "\"attempts\":" + attempts)
                     .getBytes(StandardCharsets.UTF_8));
             routes = configuration.routes();
-            version = Terms.version(1, configuration, Terms.kinds(), places, 0, 1);
+            version = Terms.version(1, configuration, Terms.kinds(), places, new Terms.Place(0, 0, 1));
             holder.begin(1);
             holder.adopt(now, List.of(Mesh.SERVICE));
             spill.adopt(configuration);
