Watchers on a ring tell balancers that are cut, frozen, dead or lost apart

Need: a balancer without power kept drawing requests until the module had learnt it from failures, and one cut off from the core was struck off the roll after 12 s while all others reached it. Change: each balancer beats every 300 ms to three watchers that the ring of names gives it, as 17-byte datagrams; a watcher suspects after 900 ms, finds out what answers at the address, and its accusations ride on its asks; the leader rules who is off from them and from its own hearing, within bounds, and tells it as not ready. Who is cut from the core only stays on the roll. What waits for a connection to one that is told off goes elsewhere.

--- a/src/main/java/sablehinge/cistern/Roll.java
+++ b/src/main/java/sablehinge/cistern/Roll.java
@@ -9,7 +9,8 @@
 /**
  * Which data-plane balancers there are, and what is beside them: what they last told the one who keeps the
  * roll. It is not agreed upon and on no disk, since each of them tells it anew to whoever keeps it next. Each
- * entry has the stamp of its last change, so that who knows all up to a stamp is told what came after.
+ * entry has the stamp of its last change, so that who knows all up to a stamp is told what came after. Who is
+ * ruled off is told as not ready until it tells of itself again.
  */
 public final class Roll {
 
@@ -23,6 +24,12 @@
         Intake intake;
         long stamp;
         double heardAt;
+        boolean off;
+
+        Intake told() {
+            return off ? new Intake(intake.node(), intake.zone(), intake.inbound(), intake.service(),
+                    intake.upstream(), false, intake.berths(), intake.coldMs()) : intake;
+        }
     }
 
     /**
@@ -47,7 +54,8 @@
     public boolean told(double now, Intake intake) {
         Row row = rows.computeIfAbsent(intake.node(), node -> new Row());
         row.heardAt = now;
-        boolean news = row.intake == null || !sameBut(row.intake, intake);
+        boolean news = row.off || row.intake == null || !sameBut(row.intake, intake);
+        row.off = false;
         if (news) {
             row.intake = intake;
             row.stamp = ++stamp;
@@ -62,6 +70,34 @@
                 && one.berths() == other.berths() && one.zone().equals(other.zone());
     }
 
+    /** Others hear one that tells nothing here: it stays. */
+    public void vouched(double now, String node) {
+        Row row = rows.get(node);
+        if (row != null) {
+            row.heardAt = now;
+        }
+    }
+
+    /** Whether nothing new is to be sent to one on the roll, whatever it told of itself. */
+    public void rule(String node, boolean off) {
+        Row row = rows.get(node);
+        if (row != null && row.off != off) {
+            row.off = off;
+            row.stamp = ++stamp;
+        }
+    }
+
+    /** Those whose upstream is known, as they told of themselves. */
+    public List<Intake> present() {
+        List<Intake> present = new ArrayList<>(rows.size());
+        for (Row row : rows.values()) {
+            if (!row.intake.upstream().isEmpty()) {
+                present.add(row.intake);
+            }
+        }
+        return present;
+    }
+
     /** Strikes out who has long said nothing; true if there was one. */
     public boolean expire(double now) {
         boolean news = false;
@@ -98,7 +134,7 @@
         }
         later.sort(Comparator.comparingLong(row -> row.stamp));
         List<Intake> news = new ArrayList<>(later.size());
-        later.forEach(row -> news.add(row.intake));
+        later.forEach(row -> news.add(row.told()));
         return news;
     }
 
--- /dev/null
+++ b/src/main/java/sablehinge/gauge/Accusation.java
@@ -0,0 +1,9 @@
+package sablehinge.gauge;
+
+/**
+ * What a watcher says of one that it no longer hears.
+ *
+ * @param node whom it doesn't hear
+ * @param evidence what it found there
+ */
+public record Accusation(String node, Evidence evidence) { }
--- /dev/null
+++ b/src/main/java/sablehinge/gauge/Evidence.java
@@ -0,0 +1,11 @@
+package sablehinge.gauge;
+
+/** What a watcher has found where it hears no beats; the order is their number on the wire. */
+public enum Evidence {
+    /** Nothing answers at its address: no power there, or a cut between. */
+    SILENT,
+    /** The machine takes connections, and the process says nothing. */
+    FROZEN,
+    /** The machine refuses connections: no process listens. */
+    RESET
+}
--- /dev/null
+++ b/src/main/java/sablehinge/gauge/Watch.java
@@ -0,0 +1,128 @@
+package sablehinge.gauge;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What one watcher makes of the beats that it hears. It suspects who misses about three of them, wants to
+ * know what answers at its address then, and accuses it once that is known; a beat takes all back at once.
+ * Times are in ms of a steady clock.
+ */
+public final class Watch {
+
+    /** Between two beats of one. */
+    public static final double BEAT_MS = 300;
+    /** Silence after which one is suspected: three beats, and some of the way. */
+    public static final double SUSPECT_MS = 900;
+    /** An own tick that is so late tells that this process stood still: it can accuse nobody of silence. */
+    static final double LATE_MS = 400;
+    /** One that has just come under watch may take so much longer to speak: it may not know of it yet. */
+    static final double GRACE_MS = 1_500;
+    /** Most balancers watched over: all the ring can ask for, with some from rings a moment older. */
+    public static final int MOST = 4 * Ring.REACH;
+
+    /** Each suspicion that proved wrong adds this part of the silence allowed, up to so many. */
+    private static final double FLAP_PART = 0.5;
+    private static final int MOST_FLAPS = 2;
+    private static final double CALM_MS = 30_000;
+
+    private final Map<String, Watched> watched = new LinkedHashMap<>();
+    private double tickedAt = Double.NaN;
+
+    private static final class Watched {
+        int life;
+        int number;
+        double heardAt;
+        boolean suspected;
+        Evidence evidence;
+        int flaps;
+        double flappedAt = Double.NEGATIVE_INFINITY;
+
+        double allowed(double now) {
+            if (now - flappedAt > CALM_MS) {
+                flaps = 0;
+            }
+            return SUSPECT_MS * (1 + FLAP_PART * flaps);
+        }
+    }
+
+    /** Whom to watch over from now on; what is known of others is forgotten. */
+    public void over(double now, Collection<String> nodes) {
+        watched.keySet().retainAll(nodes);
+        for (String node : nodes) {
+            if (watched.size() < MOST && !watched.containsKey(node)) {
+                Watched one = new Watched();
+                one.heardAt = now + GRACE_MS;
+                watched.put(node, one);
+            }
+        }
+    }
+
+    /**
+     * A beat has come. One that was overtaken by a later one of the same life is no sign of life.
+     *
+     * @param life of the process that beats
+     * @param number of the beat, which counts up in one life
+     * @return whether an accusation is taken back by it
+     */
+    public boolean heard(double now, String node, int life, int number) {
+        Watched one = watched.get(node);
+        if (one == null || one.life == life && number - one.number <= 0) {
+            return false;
+        }
+        one.life = life;
+        one.number = number;
+        one.heardAt = now;
+        boolean accused = one.evidence != null;
+        if (one.suspected) {
+            one.suspected = false;
+            one.evidence = null;
+            one.flaps = Math.min(MOST_FLAPS, one.flaps + 1);
+            one.flappedAt = now;
+        }
+        return accused;
+    }
+
+    /** Time passes. Returns who has just come under suspicion: what answers at its address is to be found. */
+    public List<String> tick(double now) {
+        List<String> suspects = new ArrayList<>();
+        boolean late = now - tickedAt > LATE_MS;
+        tickedAt = now;
+        watched.forEach((node, one) -> {
+            if (late) {
+                // Its beats may wait unread: all are heard anew first.
+                one.heardAt = Math.max(one.heardAt, now);
+                one.suspected = false;
+                one.evidence = null;
+            } else if (!one.suspected && now - one.heardAt > one.allowed(now)) {
+                one.suspected = true;
+                suspects.add(node);
+            }
+        });
+        return suspects;
+    }
+
+    /** What answers at the address of a suspect; true if that is a new accusation. */
+    public boolean found(String node, Evidence evidence) {
+        Watched one = watched.get(node);
+        if (one == null || !one.suspected || one.evidence != null) {
+            return false;
+        }
+        one.evidence = evidence;
+        return true;
+    }
+
+    /** Who is accused now, and by what. */
+    public List<Accusation> accusations() {
+        List<Accusation> accusations = new ArrayList<>();
+        watched.forEach((node, one) -> {
+            if (one.evidence != null) {
+                accusations.add(new Accusation(node, one.evidence));
+            }
+        });
+        return accusations;
+    }
+}
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -41,8 +41,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -147,6 +149,8 @@
         /** Whether it is on the list no more. */
         boolean gone;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
+        /** What waits for a connection to it, and so has not been sent. */
+        final Set<Attempt> waiting = new HashSet<>();
 
         void closeIdle() {
             // Closing may call back and take the connection out of the queue.
@@ -193,17 +197,22 @@
         left.values().forEach(target -> remove(target, now));
     }
 
-    private static void remove(Target target, double now) {
+    private void remove(Target target, double now) {
         tellOff(target, now);
         if (target != null) {
             target.gone = true;
         }
     }
 
-    private static void tellOff(Target target, double now) {
+    private void tellOff(Target target, double now) {
         if (target != null && Double.isNaN(target.toldOff)) {
             target.toldOff = now;
             target.closeIdle();
+            if (dialect.terms().wary()) {
+                // It may be gone without a word: what has not been sent goes elsewhere once the module knows.
+                loop.execute(() -> List.copyOf(target.waiting)
+                        .forEach(attempt -> attempt.giveUp(Result.CONNECT_FAILED)));
+            }
         }
     }
 
@@ -399,7 +408,9 @@
                 if (made != null) {
                     made.trace(TraceEvent.CONNECTING, to.member.upstream().id());
                 }
+                to.waiting.add(this);
                 connect.addListener(up -> {
+                    to.waiting.remove(this);
                     if (over) {
                         channel.close();
                     } else if (up.isSuccess()) {
--- a/src/main/java/sablehinge/penstock/Ask.java
+++ b/src/main/java/sablehinge/penstock/Ask.java
@@ -3,7 +3,12 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import sablehinge.cistern.Intake;
+import sablehinge.gauge.Accusation;
+import sablehinge.gauge.Evidence;
+import sablehinge.gauge.Watch;
 
 /**
  * A data-plane balancer asks for news.
@@ -14,8 +19,17 @@
  * @param term of the one who kept the roll that it has; 0 for none
  * @param stamp of that roll
  * @param confirm whether it wants to be sure that nothing newer was acknowledged before it asked
+ * @param accusations whom it watches over and doesn't hear; {@link Watch#MOST} at most
  */
-public record Ask(int number, Intake intake, long edition, long term, long stamp, boolean confirm) {
+public record Ask(int number, Intake intake, long edition, long term, long stamp, boolean confirm,
+        List<Accusation> accusations) {
+
+    private static final Evidence[] EVIDENCE = Evidence.values();
+
+    /** An ask whose list can't be changed. */
+    public Ask {
+        accusations = List.copyOf(accusations);
+    }
 
     /** Writes it. */
     public byte[] bytes() {
@@ -29,6 +43,11 @@
         out.writeLong(term);
         out.writeLong(stamp);
         out.writeBoolean(confirm);
+        out.writeByte(accusations.size());
+        for (Accusation accusation : accusations) {
+            out.writeUTF(accusation.node());
+            out.writeByte(accusation.evidence().ordinal());
+        }
     }
 
     /** Reads what {@link #bytes} wrote; fails on anything else. */
@@ -40,6 +59,12 @@
         long term = in.readLong();
         long stamp = in.readLong();
         boolean confirm = in.readBoolean();
-        return new Ask(number, intake, edition, term, stamp, confirm);
+        int count = Bytes.bounded(in.readUnsignedByte(), Watch.MOST);
+        List<Accusation> accusations = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            accusations.add(new Accusation(in.readUTF(),
+                    EVIDENCE[Bytes.bounded(in.readUnsignedByte(), EVIDENCE.length - 1)]));
+        }
+        return new Ask(number, intake, edition, term, stamp, confirm, accusations);
     }
 }
--- a/src/main/java/sablehinge/penstock/Desk.java
+++ b/src/main/java/sablehinge/penstock/Desk.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import sablehinge.cistern.Roll;
+import sablehinge.gauge.Health;
+import sablehinge.gauge.Panel;
 
 /**
  * Answers data-plane balancers that ask for news: at once where there is some, and after a while where there
@@ -17,10 +19,15 @@
 
     /** How long an ask without news is held, in ms. */
     private static final double HELD_MS = 400;
+    /** How often it is ruled on who is off, in ms. */
+    private static final double JUDGE_MS = 40;
     private static final byte[] NONE = new byte[0];
 
     private final Roll roll;
+    private final Panel panel = new Panel();
     private final Map<K, Asker> askers = new LinkedHashMap<>();
+    private final List<Panel.Ruling> rulings = new ArrayList<>();
+    private double judgedAt = Double.NEGATIVE_INFINITY;
     private long term;
     private long edition;
     private byte[] body = NONE;
@@ -47,6 +54,7 @@
         term = asLeaderOf;
         askers.clear();
         roll.begin(now);
+        panel.begin();
     }
 
     /** The committed configuration, and where the members of the core take records. */
@@ -64,6 +72,7 @@
         asker.waits = true;
         asker.confirmed = false;
         roll.told(now, ask.intake());
+        panel.heard(now, ask.intake().node(), ask.accusations());
     }
 
     /** All that was committed before an ask came is in {@link #holds} by now. */
@@ -86,6 +95,10 @@
 
     /** The answers that are due. */
     public List<Told<K>> due(double now) {
+        if (now - judgedAt >= JUDGE_MS) {
+            judgedAt = now;
+            judge(now);
+        }
         roll.expire(now);
         List<Told<K>> due = new ArrayList<>();
         for (Map.Entry<K, Asker> entry : askers.entrySet()) {
@@ -100,6 +113,27 @@
         return due;
     }
 
+    private void judge(double now) {
+        List<Panel.Subject> subjects = new ArrayList<>();
+        roll.present().forEach(intake -> subjects.add(new Panel.Subject(intake.node(), intake.zone(),
+                intake.service(), intake.ready())));
+        List<Panel.Ruling> changed = panel.judge(now, subjects);
+        changed.forEach(ruling -> roll.rule(ruling.node(), ruling.health().isOff()));
+        for (Panel.Subject subject : subjects) {
+            if (panel.health(subject.node()) == Health.CUT_FROM_CORE) {
+                roll.vouched(now, subject.node());
+            }
+        }
+        rulings.addAll(changed);
+    }
+
+    /** What has changed of who is heard, since this was asked last. */
+    public List<Panel.Ruling> rulings() {
+        List<Panel.Ruling> latest = List.copyOf(rulings);
+        rulings.clear();
+        return latest;
+    }
+
     private News news(double now, Asker asker) {
         Ask ask = asker.ask;
         boolean complete = roll.isComplete(now);
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/reservoir/Reservoir.java
@@ -29,6 +29,7 @@
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
 import sablehinge.core.Log;
+import sablehinge.gauge.Panel;
 import sablehinge.headgate.ConfigurationCheck;
 import sablehinge.headgate.ConfigurationReader;
 import sablehinge.headgate.Door;
@@ -210,6 +211,12 @@
             for (Desk.Told<Conduit.Link> told : desk.due(now)) {
                 told.to().send(new Frame(Frame.Kind.NEWS, told.news().bytes()));
             }
+            for (Panel.Ruling ruling : desk.rulings()) {
+                Log.info(LOG, "health").addKeyValue("peer", ruling.node())
+                        .addKeyValue("health", ruling.health()).addKeyValue("before", ruling.before())
+                        .addKeyValue("accusers", ruling.accusers())
+                        .addKeyValue("watchers", ruling.watchers()).log("what is known of a balancer");
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/Pulse.java
@@ -0,0 +1,46 @@
+package sablehinge.sluice;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * A heartbeat of a balancer to one that watches over it.
+ *
+ * @param place of its name on the ring
+ * @param life drawn anew with each start of its process
+ * @param number counts up in one life
+ */
+record Pulse(long place, int life, int number) {
+
+    /** Of the format, first in each record. */
+    private static final int VERSION = 1;
+    /** What one takes, in bytes. */
+    static final int BYTES = 17;
+
+    byte[] bytes() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(BYTES);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(VERSION);
+            out.writeLong(place);
+            out.writeInt(life);
+            out.writeInt(number);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Reads what {@link #bytes} wrote; fails on anything else. */
+    static Pulse read(byte[] bytes) throws IOException {
+        if (bytes.length != BYTES || bytes[0] != VERSION) {
+            throw new IOException(bytes.length + " bytes that are no beat; " + BYTES + " of version "
+                    + VERSION + " are expected");
+        }
+        DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes, 1, BYTES - 1));
+        return new Pulse(in.readLong(), in.readInt(), in.readInt());
+    }
+}
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -67,7 +67,7 @@
     private static final double MISSING = 3.5;
     /** Berths of an upstream that has not told how many it has. */
     private static final int FEW_BERTHS = 6;
-    private static final long TICK_MS = 100;
+    static final long TICK_MS = 100;
     private static final int MOST_BEAT = 64 * 1024;
     /** After SIGTERM: how long clients may not have heard yet, and what is kept of the grace to end. */
     private static final double UNHEARD_MS = 2_300;
@@ -99,6 +99,7 @@
     private final OutboundFront routes;
     private final Quotas quotas;
     private final NewsClient news;
+    private final Watchers watchers;
     private final List<String> zones;
     private final Map<String, Integer> kinds = Terms.kinds();
     private final Map<String, Intake> roll = new LinkedHashMap<>();
@@ -161,6 +162,7 @@
         outbound.start(version, System.nanoTime(), new Roster(0, true, List.of()), peers, NO_REGISTRY);
         news = new NewsClient(loop, clock, new Conduit(loop, PING_MS, DEAD_MS), contacts(settings),
                 new Telling());
+        watchers = new Watchers(loop, clock, settings, news::askNow);
     }
 
     /**
@@ -201,6 +203,7 @@
             sluice.opens(new Door(loop, List.of(Beats.beats(sluice::heard),
                     Beats.signOffs(sluice::signedOff)),
                     MOST_BEAT), at.control());
+            sluice.watchers.listen();
             sluice.opens(new Door(loop, List.of(new Readiness(sluice::isReady)), MOST_BEAT), at.ready());
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
@@ -280,6 +283,7 @@
     }
 
     private void tick() {
+        watchers.tick();
         if (upstream != null && !gone && clock.now() - beatAt > MISSING * settings.beatMs()) {
             gone = true;
             news.askNow();
@@ -304,7 +308,8 @@
 
         @Override
         public Ask ask(int number) {
-            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation);
+            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation,
+                    watchers.accusations());
         }
 
         @Override
@@ -363,6 +368,7 @@
         }
         if (changed) {
             outbound.told(Change.FULL, roster(now));
+            watchers.roll(roll.values());
         }
     }
 
--- /dev/null
+++ b/src/main/java/sablehinge/sluice/Watchers.java
@@ -0,0 +1,183 @@
+package sablehinge.sluice;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sablehinge.cistern.Intake;
+import sablehinge.config.ConfigException;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.core.Clock;
+import sablehinge.core.Log;
+import sablehinge.gauge.Accusation;
+import sablehinge.gauge.Evidence;
+import sablehinge.gauge.Ring;
+import sablehinge.gauge.Watch;
+
+/**
+ * Sends beats to those that the ring names as watchers of this balancer, and watches over those that name it.
+ * Beats are datagrams to the first of the inner ports, as many ticks apart as make {@link Watch#BEAT_MS}. The
+ * loop of its balancer owns it.
+ */
+final class Watchers {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Watchers.class);
+    /** How long a suspect's machine has to take a connection or refuse it. */
+    private static final int REACH_MS = 250;
+    /** Beats that can't be read are told of by the first and then each so many. */
+    private static final long EACH_MALFORMED = 1_000;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final LocalSettings settings;
+    private final Runnable news;
+    private final Watch watch = new Watch();
+    private final Bootstrap reaching;
+    private final Map<String, Intake> known = new HashMap<>();
+    private final long place;
+    private final int life = ThreadLocalRandom.current().nextInt();
+    private Ring ring = new Ring(Map.of());
+    private List<InetSocketAddress> beatTo = List.of();
+    private Channel channel;
+    private double beatAt = Double.NEGATIVE_INFINITY;
+    private int number;
+    private long malformed;
+
+    /** Beats of a balancer; {@code news} is run when whom it accuses has changed. */
+    Watchers(EventLoop loop, Clock clock, LocalSettings settings, Runnable news) {
+        this.loop = loop;
+        this.clock = clock;
+        this.settings = settings;
+        this.news = news;
+        place = Ring.place(settings.node());
+        reaching = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, REACH_MS)
+                .handler(new ChannelInboundHandlerAdapter());
+    }
+
+    /** Hears beats from now on. */
+    void listen() throws ConfigException, InterruptedException {
+        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .handler(new Hears()).bind(settings.ip(), settings.innerFirst()).await();
+        if (!bound.isSuccess()) {
+            throw new ConfigException("cannot hear beats on " + settings.ip() + ":" + settings.innerFirst()
+                    + ": " + bound.cause().getMessage());
+        }
+        channel = bound.channel();
+    }
+
+    /** Who is on the roll now. */
+    void roll(Collection<Intake> roll) {
+        Map<String, String> zones = new HashMap<>();
+        known.clear();
+        for (Intake intake : roll) {
+            if (!intake.upstream().isEmpty()) {
+                known.put(intake.node(), intake);
+                zones.put(intake.node(), intake.zone());
+            }
+        }
+        ring = new Ring(zones);
+        beatTo = new ArrayList<>();
+        ring.watchers(settings.node()).forEach(watcher ->
+                beatTo.add(new InetSocketAddress(at(watcher).getAddress(), settings.innerFirst())));
+        watch.over(clock.now(), ring.watched(settings.node()));
+    }
+
+    private InetSocketAddress at(String node) {
+        String inbound = known.get(node).inbound();
+        int colon = inbound.lastIndexOf(':');
+        return new InetSocketAddress(inbound.substring(0, colon),
+                Integer.parseInt(inbound.substring(colon + 1)));
+    }
+
+    /** Called often: beats when it is time, and looks for those that have not. */
+    void tick() {
+        double now = clock.now();
+        // A tick may come a little early: half a tick before its time is time enough.
+        if (channel != null && now - beatAt >= Watch.BEAT_MS - Sluice.TICK_MS / 2.0) {
+            beatAt = now;
+            byte[] beat = new Pulse(place, life, ++number).bytes();
+            for (InetSocketAddress to : beatTo) {
+                channel.write(new DatagramPacket(Unpooled.wrappedBuffer(beat), to));
+            }
+            channel.flush();
+        }
+        watch.tick(now).forEach(this::reach);
+    }
+
+    /** Whom this balancer accuses now. */
+    List<Accusation> accusations() {
+        return watch.accusations();
+    }
+
+    /** Finds out what is left of one that has fallen silent: a machine answers even where no process does. */
+    private void reach(String node) {
+        ChannelFuture connect = reaching.connect(at(node));
+        connect.addListener(up -> {
+            connect.channel().close();
+            Evidence evidence = Evidence.SILENT;
+            if (up.isSuccess()) {
+                evidence = Evidence.FROZEN;
+            } else if (up.cause() instanceof ConnectException
+                    && !(up.cause() instanceof ConnectTimeoutException)) {
+                evidence = Evidence.RESET;
+            }
+            if (watch.found(node, evidence)) {
+                Log.info(LOG, "accuses").addKeyValue("peer", node).addKeyValue("evidence", evidence)
+                        .log("a balancer is not heard");
+                news.run();
+            }
+        });
+    }
+
+    /** Takes beats in. */
+    private final class Hears extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            ByteBuf content = packet.content();
+            byte[] bytes = new byte[content.readableBytes()];
+            content.readBytes(bytes);
+            try {
+                Pulse pulse = Pulse.read(bytes);
+                String node = ring.at(pulse.place());
+                if (node != null && watch.heard(clock.now(), node, pulse.life(), pulse.number())) {
+                    Log.info(LOG, "hears-again").addKeyValue("peer", node).log("a balancer is heard again");
+                    news.run();
+                }
+            } catch (IOException e) {
+                if (malformed++ % EACH_MALFORMED == 0) {
+                    Log.warn(LOG, "beat-malformed").addKeyValue("from", packet.sender())
+                            .addKeyValue("dropped", malformed).addKeyValue("cause", e.getMessage())
+                            .log("a beat can't be read");
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A datagram that could not be sent or read is one that was lost.
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/gauge/PanelTest.java
@@ -0,0 +1,181 @@
+package sablehinge.gauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import sablehinge.gauge.Panel.Ruling;
+import sablehinge.gauge.Panel.Subject;
+
+/** Who is off, by what the keeper and the watchers hear. */
+class PanelTest {
+
+    private static final int COUNT = 12;
+    private static final double SILENCE = 1_000;
+    private final Panel panel = new Panel();
+    private final List<Subject> subjects = new ArrayList<>();
+    private final Ring ring;
+    private double now;
+
+    PanelTest() {
+        Map<String, String> zones = new HashMap<>();
+        for (int i = 0; i < COUNT; i++) {
+            subjects.add(new Subject("n" + i, "z" + i % 4, "s" + i % 3, true));
+            zones.put("n" + i, "z" + i % 4);
+        }
+        ring = new Ring(zones);
+        asks(Set.of(), Map.of());
+    }
+
+    /** All ask but some, and accuse whom they accuse. */
+    private void asks(Set<String> silent, Map<String, List<Accusation>> accusations) {
+        for (Subject subject : subjects) {
+            if (!silent.contains(subject.node())) {
+                panel.heard(now, subject.node(), accusations.getOrDefault(subject.node(), List.of()));
+            }
+        }
+    }
+
+    private List<Ruling> later(Set<String> silent, Map<String, List<Accusation>> accusations) {
+        now += SILENCE;
+        asks(silent, accusations);
+        return panel.judge(now, subjects);
+    }
+
+    /** The first so many of its watchers accuse one. */
+    private Map<String, List<Accusation>> accused(String node, int watchers, Evidence evidence) {
+        Map<String, List<Accusation>> accusations = new HashMap<>();
+        ring.watchers(node).subList(0, watchers).forEach(watcher ->
+                accusations.put(watcher, List.of(new Accusation(node, evidence))));
+        return accusations;
+    }
+
+    private void only(List<Ruling> rulings, Health health) {
+        assertEquals(1, rulings.size(), rulings.toString());
+        assertEquals("n1", rulings.get(0).node());
+        assertEquals(health, rulings.get(0).health());
+        assertEquals(health, panel.health("n1"));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Evidence.class)
+    void whomNeitherKeeperNorWatchersHearIsOffByWhatTheyFoundUntilItIsHeardAgain(Evidence evidence) {
+        Health health = List.of(Health.LOST, Health.FROZEN, Health.DEAD).get(evidence.ordinal());
+        only(later(Set.of("n1"), accused("n1", 2, evidence)), health);
+        assertTrue(health.isOff());
+        assertEquals(List.of(), later(Set.of("n1"), accused("n1", 3, evidence)));
+        panel.heard(now, "n1", List.of());
+        only(panel.judge(now, subjects), Health.CUT_FROM_SOME);
+        only(later(Set.of(), Map.of()), Health.WELL);
+    }
+
+    @Test
+    void whomTheWatchersHearIsCutFromTheCoreAndServesOn() {
+        only(later(Set.of("n1"), Map.of()), Health.CUT_FROM_CORE);
+        assertEquals(List.of(), later(Set.of("n1"), accused("n1", 1, Evidence.SILENT)));
+        assertFalse(Health.CUT_FROM_CORE.isOff());
+    }
+
+    @Test
+    void whomTheKeeperHearsIsAtMostCutFromSome() {
+        only(later(Set.of(), accused("n1", 3, Evidence.RESET)), Health.CUT_FROM_SOME);
+        assertFalse(Health.CUT_FROM_SOME.isOff());
+    }
+
+    @Test
+    void aWatcherThatTheKeeperDoesNotHearAccusesNobody() {
+        List<String> watchers = ring.watchers("n1");
+        now += 1;
+        panel.heard(now, watchers.get(0), List.of(new Accusation("n1", Evidence.SILENT)));
+        panel.heard(now, watchers.get(1), List.of(new Accusation("n1", Evidence.SILENT)));
+        now += SILENCE;
+        asks(Set.of("n1", watchers.get(0), watchers.get(1)), Map.of());
+        panel.judge(now, subjects);
+        assertEquals(Health.CUT_FROM_CORE, panel.health("n1"));
+        now += SILENCE;
+        asks(Set.of("n1", watchers.get(0), watchers.get(1), watchers.get(2)), Map.of());
+        panel.judge(now, subjects);
+        assertEquals(Health.UNSEEN, panel.health("n1"));
+    }
+
+    @Test
+    void whoIsNoWatcherOfOneCanNotAccuseIt() {
+        Map<String, List<Accusation>> all = new HashMap<>();
+        subjects.stream().filter(other -> !ring.watchers("n1").contains(other.node())).forEach(other ->
+                all.put(other.node(), List.of(new Accusation("n1", Evidence.RESET))));
+        only(later(Set.of("n1"), all), Health.CUT_FROM_CORE);
+    }
+
+    @Test
+    void whoIsOffStaysSoWhileNobodyCanSayMore() {
+        later(Set.of("n1"), accused("n1", 3, Evidence.SILENT));
+        assertEquals(List.of(), later(Set.of("n1"), accused("n1", 1, Evidence.SILENT)));
+        Set<String> blind = new HashSet<>(ring.watchers("n1"));
+        blind.add("n1");
+        later(blind, Map.of());
+        assertEquals(Health.LOST, panel.health("n1"));
+        now += 1;
+        asks(Set.of("n1"), Map.of());
+        panel.judge(now, subjects);
+        assertEquals(Health.CUT_FROM_CORE, panel.health("n1"));
+    }
+
+    /** Those listed are silent, and whoever watches over them says so. */
+    private void fall(Set<String> fallen) {
+        Map<String, List<Accusation>> accusations = new HashMap<>();
+        fallen.forEach(node -> ring.watchers(node).forEach(watcher -> accusations.computeIfAbsent(watcher,
+                name -> new ArrayList<>()).add(new Accusation(node, Evidence.SILENT))));
+        later(fallen, accusations);
+    }
+
+    private long off() {
+        return subjects.stream().filter(subject -> panel.health(subject.node()).isOff()).count();
+    }
+
+    @Test
+    void ofAServiceHalfStayReadyWhateverIsSaid() {
+        // n0, n3, n6 and n9 are all there is of s0.
+        fall(Set.of("n0", "n3", "n6"));
+        assertEquals(2, off());
+    }
+
+    @Test
+    void whereMoreThanHalfAreSilentNothingMoreIsDone() {
+        fall(Set.of("n1"));
+        fall(Set.of("n0", "n1", "n2", "n3", "n4", "n5", "n6"));
+        assertEquals(1, off());
+        fall(Set.of("n0", "n1", "n2", "n3", "n4", "n5"));
+        assertTrue(off() > 1);
+    }
+
+    @Property(tries = 1_000)
+    void whoIsHeardIsNeverOffAndHalfOfEachServiceStays(
+            @ForAll @Size(max = 40) List<@Size(max = COUNT) Set<@IntRange(max = COUNT - 1) Integer>> story) {
+        for (Set<Integer> fallen : story) {
+            Set<String> names = new HashSet<>();
+            fallen.forEach(number -> names.add("n" + number));
+            fall(names);
+            Map<String, Integer> taken = new HashMap<>();
+            for (Subject subject : subjects) {
+                if (panel.health(subject.node()).isOff()) {
+                    assertTrue(names.contains(subject.node()));
+                    taken.merge(subject.service(), 1, Integer::sum);
+                }
+            }
+            taken.forEach((service, count) -> assertTrue(2 * count <= COUNT / 3, service + " " + count));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/gauge/WatchTest.java
@@ -0,0 +1,108 @@
+package sablehinge.gauge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What one watcher makes of beats; the time is the test's. */
+class WatchTest {
+
+    private static final double TICK = 100;
+    private final Watch watch = new Watch();
+    private double now;
+
+    WatchTest() {
+        watch.over(0, List.of("a", "b"));
+        beat("a", 1);
+        beat("b", 1);
+    }
+
+    private boolean beat(String node, int number) {
+        return watch.heard(now, node, 7, number);
+    }
+
+    /** Ticks until a time; returns who has come under suspicion. */
+    private List<String> until(double end) {
+        List<String> suspects = new ArrayList<>();
+        while (now < end) {
+            now += TICK;
+            suspects.addAll(watch.tick(now));
+        }
+        return suspects;
+    }
+
+    @Test
+    void whoMissesThreeBeatsIsSuspectedOnceAndAccusedOnceItIsKnownWhatAnswersThere() {
+        until(600);
+        beat("b", 2);
+        assertEquals(List.of(), until(900));
+        assertEquals(List.of("a"), until(1_000));
+        assertEquals(List.of(), until(1_400));
+        assertEquals(List.of(), watch.accusations());
+        assertFalse(watch.found("b", Evidence.RESET));
+        assertTrue(watch.found("a", Evidence.RESET));
+        assertFalse(watch.found("a", Evidence.SILENT));
+        assertEquals(List.of(new Accusation("a", Evidence.RESET)), watch.accusations());
+    }
+
+    @Test
+    void aBeatTakesAnAccusationBackAtOnceUnlessALaterOneHadOvertakenIt() {
+        beat("a", 9);
+        until(1_000);
+        watch.found("a", Evidence.SILENT);
+        assertFalse(beat("a", 8));
+        assertFalse(beat("a", 9));
+        assertEquals(1, watch.accusations().size());
+        assertTrue(beat("a", 10));
+        assertEquals(List.of(), watch.accusations());
+        assertFalse(watch.found("a", Evidence.SILENT));
+    }
+
+    @Test
+    void aProcessThatHasStartedAgainCountsItsBeatsAnew() {
+        beat("a", 900);
+        until(1_000);
+        watch.found("a", Evidence.RESET);
+        assertTrue(watch.heard(now, "a", 8, 1));
+    }
+
+    @Test
+    void whoStoodStillItselfAccusesNobody() {
+        until(1_000);
+        watch.found("a", Evidence.SILENT);
+        now += 5_000;
+        assertEquals(List.of(), watch.tick(now));
+        assertEquals(List.of(), watch.accusations());
+        assertEquals(List.of(), until(now + 900));
+        assertEquals(List.of("a", "b"), until(now + 100));
+    }
+
+    @Test
+    void whoHasJustComeUnderWatchHasTimeToHearOfIt() {
+        watch.over(now, List.of("b", "c"));
+        assertEquals(List.of("b"), until(Watch.GRACE_MS + Watch.SUSPECT_MS));
+        assertEquals(List.of("c"), until(now + TICK));
+        watch.found("c", Evidence.SILENT);
+        watch.over(now, List.of("b"));
+        assertEquals(List.of(), watch.accusations());
+    }
+
+    @Test
+    void whoWasSuspectedInVainHasMoreTimeUntilItHasLongBeenCalm() {
+        until(1_000);
+        beat("a", 2);
+        beat("b", 2);
+        assertEquals(List.of(), until(now + 1.5 * Watch.SUSPECT_MS - TICK));
+        assertEquals(List.of("a", "b"), until(now + 2 * TICK));
+        for (int i = 3; i < 110; i++) {
+            beat("a", i);
+            beat("b", i);
+            until(now + Watch.BEAT_MS);
+        }
+        assertEquals(List.of("a", "b"), until(now + Watch.SUSPECT_MS));
+    }
+}
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -38,11 +38,12 @@
             Map.entry("basin", Set.of("policy")),
             Map.entry("meter", Set.of()),
             Map.entry("cistern", Set.of()),
-            Map.entry("penstock", Set.of("cistern", "conduit", "meter")),
+            Map.entry("gauge", Set.of()),
+            Map.entry("penstock", Set.of("cistern", "conduit", "meter", "gauge")),
             Map.entry("reservoir", Set.of("watermaster", "cistern", "conduit", "penstock", "meter",
-                    "headgate", "aqueduct", "config", "core", "io.netty", "org.h2", "org.slf4j")),
+                    "gauge", "headgate", "aqueduct", "config", "core", "io.netty", "org.h2", "org.slf4j")),
             Map.entry("sluice", Set.of("aqueduct", "basin", "meter", "cistern", "conduit", "penstock",
-                    "headgate", "config", "core", "http1", "policy", "budget", "node", "io.netty",
+                    "gauge", "headgate", "config", "core", "http1", "policy", "budget", "node", "io.netty",
                     "com.fasterxml.jackson", "org.slf4j")),
             Map.entry("audit", Set.of("judge", "com.fasterxml.jackson")),
             Map.entry("replay", Set.of("fold", "timeline", "mapping", "tally", "judge", "pace", "audit",
@@ -72,7 +73,8 @@
 
     /** Packages that decide: events in, actions out. */
     private static final String[] DECIDERS = Stream.of("policy", "change", "fold", "budget", "timeline",
-            "mapping", "tally", "judge", "pace", "station", "aqueduct", "watermaster", "basin", "meter")
+            "mapping", "tally", "judge", "pace", "station", "aqueduct", "watermaster", "basin", "meter",
+            "gauge")
             .map(name -> "sablehinge." + name + "..").toArray(String[]::new);
 
     private static final JavaClasses MAIN = new ClassFileImporter()
--- a/src/test/java/sablehinge/penstock/DeskTest.java
+++ b/src/test/java/sablehinge/penstock/DeskTest.java
@@ -28,7 +28,8 @@
     }
 
     private void asks(double now, String node, int number, long edition, long stamp, boolean confirm) {
-        desk.asked(now, node, new Ask(number, intake(node), edition, stamp == 0 ? 0 : TERM, stamp, confirm));
+        desk.asked(now, node, new Ask(number, intake(node), edition, stamp == 0 ? 0 : TERM, stamp, confirm,
+                List.of()));
     }
 
     private News only(double now) {
--- a/src/test/java/sablehinge/penstock/RecordsTest.java
+++ b/src/test/java/sablehinge/penstock/RecordsTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import sablehinge.cistern.Intake;
+import sablehinge.gauge.Accusation;
+import sablehinge.gauge.Evidence;
 
 /** Asks and news as bytes. */
 class RecordsTest {
@@ -20,7 +22,8 @@
             0);
 
     private static Ask ask() {
-        return new Ask(7, ONE, 1L << 40, 3, 12, true);
+        return new Ask(7, ONE, 1L << 40, 3, 12, true, List.of(new Accusation("s-2", Evidence.FROZEN),
+                new Accusation("s-9", Evidence.RESET)));
     }
 
     private static News news() {
@@ -31,7 +34,7 @@
     @Test
     void anAskIsReadAsItWasWritten() throws Exception {
         assertEquals(ask(), Ask.read(ask().bytes()));
-        Ask least = new Ask(0, NONE, 0, 0, 0, false);
+        Ask least = new Ask(0, NONE, 0, 0, 0, false, List.of());
         assertEquals(least, Ask.read(least.bytes()));
     }
 
