A test of beats that never come fails rather than waits for ever

Cause: with the flush of beats taken out the test hung in its read. Change: the read has a time-out. Result: WatchersTest green with the code whole.

--- a/src/test/java/sablehinge/sluice/WatchersTest.java
+++ b/src/test/java/sablehinge/sluice/WatchersTest.java
@@ -24,6 +24,7 @@
 import sablehinge.gauge.Ring;
 import sablehinge.rig.Backlog;
 import sablehinge.rig.Listener;
+import sablehinge.rig.Peer;
 
 /** Beats on the wire, what a balancer tells of those it does not hear, and what it does when told. */
 @Timeout(60)
@@ -32,6 +33,7 @@
     private static final String OTHER = "s-2";
 
     private static Pulse read(DatagramSocket socket) throws IOException {
+        socket.setSoTimeout(Peer.PATIENCE_MS);
         DatagramPacket packet = new DatagramPacket(new byte[64], 64);
         socket.receive(packet);
         return Pulse.read(Arrays.copyOf(packet.getData(), packet.getLength()));
