--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -72,7 +72,7 @@
      * queues the rest itself; where it has more, they stand idle while the most waits.
      */
     private static final int LIKELY_BERTHS = 10;
-    private static final long TICK_MS = 100;
+    static final long TICK_MS = 100;
     private static final int MOST_BEAT = 64 * 1024;
     /** After SIGTERM: how long clients may not have heard yet, and what is kept of the grace to end. */
     private static final double UNHEARD_MS = 2_300;
@@ -105,6 +105,7 @@
     private final Quotas quotas;
     private final Spill spill;
     private final NewsClient news;
+    private final Watchers watchers;
     private final List<String> zones;
     private final Map<String, Integer> kinds = Terms.kinds();
     private final Map<String, Intake> roll = new LinkedHashMap<>();
@@ -170,6 +171,7 @@
         outbound.start(version, System.nanoTime(), new Roster(0, true, List.of()), peers, NO_REGISTRY);
         news = new NewsClient(loop, clock, new Conduit(loop, PING_MS, DEAD_MS), contacts(settings),
                 new Telling());
+        watchers = new Watchers(loop, clock, settings, news::askNow);
     }
 
     /**
@@ -210,6 +212,7 @@
             sluice.opens(new Door(loop, List.of(Beats.beats(sluice::heard),
                     Beats.signOffs(sluice::signedOff)),
                     MOST_BEAT), at.control());
+            sluice.watchers.listen();
             sluice.opens(new Door(loop, List.of(new Readiness(sluice::isReady)), MOST_BEAT), at.ready());
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
@@ -290,6 +293,7 @@
 
     private void tick() {
         spill.tick();
+        watchers.tick();
         if (upstream != null && !gone && clock.now() - beatAt > MISSING * settings.beatMs()) {
             gone = true;
             news.askNow();
@@ -318,7 +322,8 @@
 
         @Override
         public Ask ask(int number) {
-            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation);
+            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation,
+                    watchers.accusations(), watchers.vouched());
         }
 
         @Override
@@ -381,6 +386,7 @@
             changed |= roll.size() != told.intakes().size();
             roll.clear();
         }
+        watchers.told(told);
         rollTerm = told.term();
         rollStamp = told.stamp();
         for (Intake intake : told.intakes()) {
@@ -389,6 +395,7 @@
         spill.divide(roll.values(), told.complete() ? 1 : RECKONED);
         if (changed) {
             outbound.told(Change.FULL, roster(now));
+            watchers.roll(roll.values());
         }
     }
 
