--- a/src/main/java/sablehinge/sluice/Terms.java
+++ b/src/main/java/sablehinge/sluice/Terms.java
@@ -117,9 +117,9 @@
 
     private static Settings settings(List<ServiceClass> types, Place place, int kinds, Limits limits) {
         // As a tier below the first: the gates beside the upstreams know a jam, so none is guessed here.
-        return new Settings(place.position(), 1, 1, 2, place.zone(), place.zones(), kinds, false, true, false, false, false, 0,
-                WeightKind.NONE, Reports.NONE, List.of(), types, List.of(), limits, RULES,
-                new Goal(0.4, 0.1, 0.24, 0, 0, 0, 0, 0), new Prices(0, 0, 0, 0, 0, 0, 0, 0));
+        return new Settings(place.position(), 1, 1, 2, place.zone(), place.zones(), kinds, false, true,
+                false, false, false, 0, WeightKind.NONE, Reports.NONE, List.of(), types, List.of(), limits,
+                RULES, new Goal(0.4, 0.1, 0.24, 0, 0, 0, 0, 0), new Prices(0, 0, 0, 0, 0, 0, 0, 0));
     }
 
     /** Numbers of services, to be kept. */
--- a/src/test/java/sablehinge/reservoir/OperatorsTest.java
+++ b/src/test/java/sablehinge/reservoir/OperatorsTest.java
@@ -95,7 +95,8 @@
 
     private Reply call(String path, HttpHeaders headers, String body) {
         Authority authority = new Scripted();
-        Sight sight = new Sight("core-1", "z-a", ONE.control(), roll, new Desk<String>(roll), pool, authority);
+        Sight sight = new Sight("core-1", "z-a", ONE.control(), roll, new Desk<String>(roll), pool,
+                authority);
         for (Operation<?, ?> one : Operators.all(authority, sight)) {
             if (one.path().equals("/sablehinge/" + path)) {
                 return carry(one, new Asked("", headers, body.getBytes(StandardCharsets.UTF_8)));
--- a/src/test/java/sablehinge/watermaster/Claims.java
+++ b/src/test/java/sablehinge/watermaster/Claims.java
@@ -51,7 +51,8 @@
 
     private boolean propose(Machine at, Call call) {
         double now = at.clock();
-        long index = at.master.propose(now, Cistern.replace(call.basedOn, call.edition, call.body, (long) now));
+        long index = at.master.propose(now, Cistern.replace(call.basedOn, call.edition, call.body,
+                (long) now));
         if (index > 0) {
             proposed++;
             latest = call;
