A balancer that is stopped keeps its upstream at work until its doors shut

Each was drawn no more from SIGTERM on, 2.3 s before its doors shut, though its upstream is well; with the start that follows some ten of 63 upstreams stood idle at any moment, and 1,300 requests were refused.

Change: the roll says that it is not to be drawn in the last half second of those 2.3 s; ready says so at once, as before.

--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sluice/Sluice.java
@@ -76,6 +76,8 @@
     private static final int MOST_BEAT = 64 * 1024;
     /** After SIGTERM: how long clients may not have heard yet, and what is kept of the grace to end. */
     private static final double UNHEARD_MS = 2_300;
+    /** Of that, the last part, in which the other balancers are told to draw this upstream no more. */
+    private static final double TOLD_MS = 500;
     private static final double ENDS_BEFORE_MS = 600;
     private static final long DRAIN_CHECK_MS = 20;
     /** Balancers that are reckoned with until the roll is complete. */
@@ -119,6 +121,8 @@
     private boolean wantsConfirmation = true;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
     private boolean leaving;
+    /** Whether the upstream beside is to be drawn no more, as this process is about to end. */
+    private boolean shuts;
     private Beats.Beat upstream;
     private boolean probed;
     private boolean unloading;
@@ -304,7 +308,7 @@
         boolean there = upstream != null && !gone;
         return new Intake(settings.node(), settings.zone(), settings.listenOn().inbound(),
                 there ? upstream.service() : settings.depot(), there ? upstream.id() : "",
-                there && !unloading && !leaving, there ? upstream.berths() : 0,
+                there && !unloading && !shuts, there ? upstream.berths() : 0,
                 there ? upstream.coldMs() : 0);
     }
 
@@ -441,9 +445,15 @@
         loop.submit(() -> {
             leaving = true;
             Log.info(LOG, "drain").log("leaves");
+        }).sync();
+        // Its upstream is well: it serves the others until the door is about to shut, since while balancers
+        // are stopped in turn each of them is out for longer than the next one waits.
+        TimeUnit.MILLISECONDS.sleep((long) (UNHEARD_MS - TOLD_MS));
+        loop.submit(() -> {
+            shuts = true;
             news.askNow();
         }).sync();
-        TimeUnit.MILLISECONDS.sleep((long) UNHEARD_MS);
+        TimeUnit.MILLISECONDS.sleep((long) TOLD_MS);
         // Whoever comes from here on finds no one, rather than someone who has no time left to answer: where
         // few balancers of a zone are in, clients keep coming to one that says it is not ready.
         loop.submit(() -> {
--- a/src/test/java/sablehinge/sluice/StubCore.java
+++ b/src/test/java/sablehinge/sluice/StubCore.java
@@ -36,6 +36,7 @@
     private Conduit.Link lastFrom;
     private boolean confirms = true;
     private int confirmationsAsked;
+    private long readyAt;
 
     StubCore(String ip, int port) throws Exception {
         address = ip + ":" + port;
@@ -72,6 +73,7 @@
             throw new AssertionError(e);
         }
         lastFrom = link;
+        readyAt = last.intake().ready() ? System.nanoTime() : readyAt;
         desk.asked(clock.now(), link, last);
         confirmationsAsked += last.confirm() ? 1 : 0;
         if (last.confirm() && nextEdition > 0) {
@@ -143,6 +145,11 @@
         return ask(() -> last == null ? null : last.intake());
     }
 
+    /** When it was last told that the upstream there is to be drawn, by {@link System#nanoTime}. */
+    long readyAt() {
+        return ask(() -> readyAt);
+    }
+
     /** Whom the last to ask accused. */
     List<Accusation> accusations() {
         return ask(() -> last == null ? List.of() : last.accusations());
