--- a/bench/src/sablehinge/standin/mesh/RecoveryBench.java
+++ b/bench/src/sablehinge/standin/mesh/RecoveryBench.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -150,8 +149,8 @@
     private static void row(Loss loss, Mark mark, List<Outcome> all, ObjectNode of, String counts) {
         // A play that came to no end of it counts with all the time that it was given.
         double[] times = all.stream().mapToDouble(one -> one.times.getOrDefault(mark,
-                one.failure == null ? Double.NaN : WITHIN_MS) / S).filter(time -> !Double.isNaN(time)).sorted()
-                .toArray();
+                one.failure == null ? Double.NaN : WITHIN_MS) / S).filter(time -> !Double.isNaN(time))
+                .sorted().toArray();
         if (times.length == 0 || !loss.isOfOne() && mark.ordinal() > Mark.SERVED95.ordinal()) {
             return;
         }
--- a/bench/src/sablehinge/watermaster/Faults.java
+++ b/bench/src/sablehinge/watermaster/Faults.java
@@ -29,9 +29,9 @@
             new Mutant("who hears a leader votes for another", MASTER, "private void askVote(",
                     "led && !(ask.handed() && known)", "led && !known"),
             new Mutant("who starts again forgets that it answered a leader", MASTER, "public void start(",
-                    "leaderHeard = now;", ""),
-            new Mutant("entries are acknowledged before their sync", MASTER, "private Message.Appended appended(",
-                    "Math.min(desk.synced(), verified)", "verified"),
+                    "leaderHeard = born;", ""),
+            new Mutant("entries are acknowledged before their sync", MASTER,
+                    "private Message.Appended appended(", "Math.min(desk.synced(), verified)", "verified"),
             new Mutant("a leader counts its own copy before its sync", MASTER, "private void advance(",
                     "desk.synced()", "log.lastIndex()"),
             new Mutant("members change while a change is uncommitted", MASTER, "private void changeMembers(",
@@ -41,8 +41,8 @@
             new Mutant("a barrier does not wait for the term's first commit", MASTER, "public void barrier(",
                     "Math.max(commit, firstOfTerm)", "commit"),
             new Mutant("a snapshot's term is forgotten", LEDGER, "void install(Snapshot snapshot)",
-                    "rebase(snapshot, follows", "rebase(new Snapshot(snapshot.index(), 0, snapshot.members(), "
-                    + "snapshot.state()), follows"),
+                    "rebase(snapshot, follows", "rebase(new Snapshot(snapshot.index(), 0, "
+                    + "snapshot.members(), snapshot.state()), follows"),
             new Mutant("a snapshot's members are forgotten", LEDGER, "void install(Snapshot snapshot)",
                     "rebase(snapshot, follows", "rebase(isBare() ? snapshot : new Snapshot(snapshot.index(), "
                     + "snapshot.term(), base.members(), snapshot.state()), follows"),
--- a/bench/src/sablehinge/watermaster/Hunt.java
+++ b/bench/src/sablehinge/watermaster/Hunt.java
@@ -43,6 +43,7 @@
             return null;
         }
         Script script = broken.get(0).shortened();
-        return new String[] {script.toString(), script.breach(), Integer.toString(script.steps().size()), how};
+        String steps = Integer.toString(script.steps().size());
+        return new String[] {script.toString(), script.breach(), steps, how};
     }
 }
--- a/bench/src/sablehinge/watermaster/Script.java
+++ b/bench/src/sablehinge/watermaster/Script.java
@@ -149,7 +149,8 @@
             String breach = breach(weir, List.of(step));
             String after = weir.line();
             String comment = weir.moved().replaceAll("Member\\[id=(-?\\d+), conduit=([^,]*),[^\\]]*\\]", "$2")
-                    .replaceAll(", data=\\[B@\\w+|\\w+Term=0, |state=\\[B@\\w+", "") + (after.equals(before) ? "" : " => " + after);
+                    .replaceAll(", data=\\[B@\\w+|\\w+Term=0, |state=\\[B@\\w+", "")
+                    + (after.equals(before) ? "" : " => " + after);
             text.append(String.format("%-" + WIDTH + "s", step)).append("# ")
                     .append(comment, 0, Math.min(LONGEST_COMMENT, comment.length())).append('\n');
             before = after;
