--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
@@ -118,6 +118,17 @@
         assertEquals(2, applied.size());
     }
 
+    /** The checker found it (seed 364214): rounds are counted anew in each term, and one node may lead two. */
+    @Test
+    void whatAnOlderTermAskedIsNoAnswerToARoundOfALaterOne() {
+        start(2, List.of(A, B, C));
+        from(B, new Message.Append(3, 0, 0, List.of(), 0, 1));
+        persisted();
+        from(B, new Message.Append(2, 0, 0, List.of(), 0, 7));
+        assertEquals(3, last(Message.Appended.class).term());
+        assertEquals(0, last(Message.Appended.class).round());
+    }
+
     @Test
     void aVoteLeavesWhenItIsSyncedAndOnlyOneATerm() {
         start(1, List.of(A, B, C));
