--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/watermaster/Watermaster.java
@@ -513,7 +513,7 @@
     /** Whether a leader's message is of the latest term; hears of the leader then. */
     private boolean heard(double now, Member from, long itsTerm, long itsRound) {
         if (itsTerm < term || itsTerm == term && role == Standing.Role.LEADER) {
-            // It has not been heard as a leader: its sender may lead a later term, where this round is another.
+            // Its sender may lead a later term by now, where a round of this number is another.
             actions.send(from, new Message.Appended(term, false, 0, 0, 0));
             return false;
         }
--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
@@ -118,7 +118,7 @@
         assertEquals(2, applied.size());
     }
 
-    /** The checker found it (seed 364214): rounds are counted anew in each term, and one node may lead two. */
+    /** The checker found it (seed 364214): rounds are counted anew in each term; one node may lead two. */
     @Test
     void whatAnOlderTermAskedIsNoAnswerToARoundOfALaterOne() {
         start(2, List.of(A, B, C));
