--- a/bench/src/sablehinge/watermaster/AgreementBench.java
+++ b/bench/src/sablehinge/consensus/AgreementBench.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -9,7 +9,7 @@
 /**
  * Plays the core's agreement under random faults, seed by seed, and says what broke: cuts, losses of power
  * and of disks, stalls, messages lost, doubled and overtaken. A seed that broke is played again with
- * {@code -Dwatermaster.first=SEED -Dwatermaster.seeds=1} by {@link WatermasterRandomTest}.
+ * {@code -Dwatermaster.first=SEED -Dwatermaster.seeds=1} by {@link RaftNodeRandomTest}.
  */
 public final class AgreementBench {
 
@@ -32,10 +32,10 @@
         long from = System.nanoTime();
         LongStream.range(first, first + seeds).parallel().forEach(seed -> {
             try {
-                Valley valley = WatermasterRandomTest.play(seed);
-                committed.add(valley.committed.size());
-                changes.add(valley.changes);
-                events.add(valley.events);
+                SimulatedCluster cluster = RaftNodeRandomTest.play(seed);
+                committed.add(cluster.committed.size());
+                changes.add(cluster.changes);
+                events.add(cluster.events);
             } catch (AssertionError e) {
                 breaches.add("seed " + seed + ": " + e.getMessage());
             }
@@ -48,6 +48,6 @@
                 breaches.size());
         System.out.printf("{\"seeds\":%d,\"events\":%d,\"committed\":%d,\"changes\":%d,\"breaches\":%d,"
                 + "\"seconds\":%.1f,\"simulated_hours\":%.2f}%n", seeds, events.sum(), committed.sum(),
-                changes.sum(), breaches.size(), seconds, seeds * WatermasterRandomTest.LENGTH / MS_PER_H);
+                changes.sum(), breaches.size(), seconds, seeds * RaftNodeRandomTest.LENGTH / MS_PER_H);
     }
 }
--- a/bench/src/sablehinge/watermaster/EveryOrder.java
+++ b/bench/src/sablehinge/consensus/EveryOrder.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import sablehinge.watermaster.Valley.Machine;
+import sablehinge.consensus.SimulatedCluster.Machine;
 
 /**
  * All orders of a few steps from a state in which a core of three is at work, each followed by a calm time
@@ -46,7 +46,7 @@
     private final Tally tally;
     private final Map<Long, Integer> seen = new HashMap<>();
     private List<Step> steps = new ArrayList<>();
-    private Weir weir;
+    private SteppedCluster cluster;
 
     EveryOrder(From from, int depth, Tally tally) {
         this.from = from;
@@ -67,9 +67,9 @@
             try {
                 play(path);
             } catch (AssertionError e) {
-                return new Script(Weir.PLAIN, steps);
+                return new Script(SteppedCluster.PLAIN, steps);
             } finally {
-                tally.add(weir);
+                tally.add(cluster);
             }
         } while (!path.isEmpty());
         return null;
@@ -77,7 +77,7 @@
 
     /** Plays the order at a path, to its end, and leaves the path of the next one; none after the last. */
     private void play(List<Integer> path) {
-        weir = new Weir(Weir.PLAIN);
+        cluster = new SteppedCluster(SteppedCluster.PLAIN);
         steps = new ArrayList<>();
         begin();
         int faults = 0;
@@ -102,7 +102,7 @@
             take(step);
         }
         // At last who is cut off in the calm after it: nobody, or one of them.
-        widths.add(weir.size() + 1);
+        widths.add(cluster.size() + 1);
         int apart = path.get(depth) - 1;
         next(path, widths);
         calm(apart);
@@ -121,12 +121,12 @@
     }
 
     private boolean isSeen(int left, int faults, int waits) {
-        Fingerprint print = new Fingerprint().add(faults).add(waits).add(weir.now).add(weir.cuts)
-                .add(weir.committed).add(weir.leaders).add(weir.graves).add(weir.made).add(weir.claims);
-        for (int i = 0; i < weir.size(); i++) {
-            print.add(weir.machine(i));
-            for (int j = 0; j < weir.size(); j++) {
-                print.add(weir.link(i, j));
+        Fingerprint print = new Fingerprint().add(faults).add(waits).add(cluster.now).add(cluster.cuts)
+                .add(cluster.committed).add(cluster.leaders).add(cluster.graves).add(cluster.made).add(cluster.claims);
+        for (int i = 0; i < cluster.size(); i++) {
+            print.add(cluster.machine(i));
+            for (int j = 0; j < cluster.size(); j++) {
+                print.add(cluster.link(i, j));
             }
         }
         Integer before = seen.get(print.sum());
@@ -146,17 +146,17 @@
 
     private List<Step> choices(boolean fault, boolean wait) {
         List<Step> choices = new ArrayList<>();
-        for (int a = 0; a < weir.size(); a++) {
-            Machine machine = weir.machine(a);
-            for (int b = 0; b < weir.size(); b++) {
-                if (!weir.link(a, b).isEmpty()) {
+        for (int a = 0; a < cluster.size(); a++) {
+            Machine machine = cluster.machine(a);
+            for (int b = 0; b < cluster.size(); b++) {
+                if (!cluster.link(a, b).isEmpty()) {
                     choices.add(new Step(Step.Kind.DELIVER, a, b, 0));
                     if (fault) {
                         choices.add(new Step(Step.Kind.DROP, a, b, 0));
                         choices.add(new Step(Step.Kind.DOUBLE, a, b, 0));
                     }
                 }
-                if (fault && a != b && !weir.isCut(a, b)) {
+                if (fault && a != b && !cluster.isCut(a, b)) {
                     choices.add(new Step(Step.Kind.CUT, a, b, 0));
                 }
             }
@@ -172,7 +172,7 @@
                 if (machine.unsynced.size() > 1) {
                     choices.add(new Step(Step.Kind.POWER, a, 0, 1));
                 }
-                if (weir.isWhole()) {
+                if (cluster.isWhole()) {
                     choices.add(Step.of(Step.Kind.WIPE, a));
                 }
             }
@@ -185,11 +185,11 @@
 
     private void take(Step step) {
         steps.add(step);
-        weir.take(step);
+        cluster.take(step);
     }
 
     private void begin() {
-        for (int i = 0; i < weir.size(); i++) {
+        for (int i = 0; i < cluster.size(); i++) {
             take(Step.of(Step.Kind.SYNC, i));
         }
         if (from == From.FOUNDED) {
@@ -210,15 +210,15 @@
         } else if (from == From.OUTRUN) {
             outrun(leader);
         } else {
-            int lost = (leader + 1) % weir.size();
+            int lost = (leader + 1) % cluster.size();
             take(Step.of(Step.Kind.PROPOSE, leader));
             flow();
             take(Step.of(Step.Kind.COMPACT, leader));
             take(Step.of(Step.Kind.WIPE, lost));
             take(Step.of(Step.Kind.START, lost));
-            for (int i = 0; i < CALM_ROUNDS && weir.changes == 0; i++) {
+            for (int i = 0; i < CALM_ROUNDS && cluster.changes == 0; i++) {
                 take(Step.pass(CALM_PACE));
-                if (weir.changes == 0) {
+                if (cluster.changes == 0) {
                     flow();
                 }
             }
@@ -232,17 +232,17 @@
         int second = elected(first);
         take(Step.of(Step.Kind.SYNC, second));
         cut(second, Step.Kind.CUT);
-        for (int other = 0; other < weir.size(); other++) {
-            while (!weir.link(second, other).isEmpty()) {
+        for (int other = 0; other < cluster.size(); other++) {
+            while (!cluster.link(second, other).isEmpty()) {
                 take(new Step(Step.Kind.DROP, second, other, 0));
             }
         }
-        int third = weir.size() - first - second;
+        int third = cluster.size() - first - second;
         for (int[] link : new int[][] {{first, third}, {third, first}}) {
             take(new Step(Step.Kind.MEND, link[0], link[1], 0));
         }
         elected(second);
-        while (weir.machine(third).unsynced.stream().allMatch(change -> change.append().isEmpty())) {
+        while (cluster.machine(third).unsynced.stream().allMatch(change -> change.append().isEmpty())) {
             take(new Step(Step.Kind.DELIVER, first, third, 0));
             take(new Step(Step.Kind.DELIVER, third, first, 0));
         }
@@ -250,36 +250,36 @@
 
     /** Lets time pass until another than the last leads, and no longer. */
     private int elected(int last) {
-        long before = weir.leaders.size();
-        for (int i = 0; i < CALM_ROUNDS && weir.leaders.size() == before; i++) {
+        long before = cluster.leaders.size();
+        for (int i = 0; i < CALM_ROUNDS && cluster.leaders.size() == before; i++) {
             take(Step.pass(CALM_PACE));
             flow(before + 1);
         }
-        int next = place(weir.leader());
+        int next = place(cluster.leader());
         if (next == last) {
-            throw new IllegalStateException("nobody else leads: " + weir.line());
+            throw new IllegalStateException("nobody else leads: " + cluster.line());
         }
         return next;
     }
 
     /** Lets time pass until somebody leads whose term has a commit and whom a majority hears. */
     private int led() {
-        long before = weir.leaders.size();
+        long before = cluster.leaders.size();
         for (int i = 0; i < CALM_ROUNDS; i++) {
             take(Step.pass(CALM_PACE));
             flow();
-            Machine leader = weir.leader();
-            if (weir.leaders.size() > before && leader != null && leader.applied > 0
-                    && weir.committed.get((int) leader.applied - 1).term() == leader.standing.term()) {
+            Machine leader = cluster.leader();
+            if (cluster.leaders.size() > before && leader != null && leader.applied > 0
+                    && cluster.committed.get((int) leader.applied - 1).term() == leader.standing.term()) {
                 return place(leader);
             }
         }
-        throw new IllegalStateException("nobody leads: " + weir.line());
+        throw new IllegalStateException("nobody leads: " + cluster.line());
     }
 
     private int place(Machine machine) {
-        for (int i = 0; i < weir.size(); i++) {
-            if (weir.machine(i) == machine) {
+        for (int i = 0; i < cluster.size(); i++) {
+            if (cluster.machine(i) == machine) {
                 return i;
             }
         }
@@ -287,7 +287,7 @@
     }
 
     private void cut(int one, Step.Kind kind) {
-        for (int other = 0; other < weir.size(); other++) {
+        for (int other = 0; other < cluster.size(); other++) {
             take(new Step(kind, one, other, 0));
             take(new Step(kind, other, one, 0));
         }
@@ -301,22 +301,22 @@
     /** They do until there have been so many leaders. */
     private void flow(long leaders) {
         int moves = 0;
-        while (moves < CALM_MOVES && weir.leaders.size() < leaders && moveOne(moves)) {
+        while (moves < CALM_MOVES && cluster.leaders.size() < leaders && moveOne(moves)) {
             moves++;
         }
     }
 
     /** Moves one, not of the same machine each time; false if there is none. */
     private boolean moveOne(int turn) {
-        int size = weir.size();
+        int size = cluster.size();
         for (int i = 0; i < size; i++) {
             int a = (turn + i) % size;
-            if (weir.machine(a).up() && !weir.machine(a).unsynced.isEmpty()) {
+            if (cluster.machine(a).up() && !cluster.machine(a).unsynced.isEmpty()) {
                 take(Step.of(Step.Kind.SYNC, a));
                 return true;
             }
             for (int b = 0; b < size; b++) {
-                if (!weir.link(a, b).isEmpty()) {
+                if (!cluster.link(a, b).isEmpty()) {
                     take(new Step(Step.Kind.DELIVER, a, b, 0));
                     return true;
                 }
@@ -327,22 +327,22 @@
 
     /** All come back, one is cut off or none; who leads then has two calls. */
     private void calm(int apart) {
-        for (int a = 0; a < weir.size(); a++) {
-            for (int b = 0; b < weir.size(); b++) {
-                if (a != b && (a == apart || b == apart) != weir.isCut(a, b)) {
-                    take(new Step(weir.isCut(a, b) ? Step.Kind.MEND : Step.Kind.CUT, a, b, 0));
+        for (int a = 0; a < cluster.size(); a++) {
+            for (int b = 0; b < cluster.size(); b++) {
+                if (a != b && (a == apart || b == apart) != cluster.isCut(a, b)) {
+                    take(new Step(cluster.isCut(a, b) ? Step.Kind.MEND : Step.Kind.CUT, a, b, 0));
                 }
             }
-            if (a != apart && !weir.machine(a).up()) {
+            if (a != apart && !cluster.machine(a).up()) {
                 take(Step.of(Step.Kind.START, a));
             }
         }
-        long before = weir.committed.size();
-        for (int i = 0; i < CALM_ROUNDS && weir.committed.size() < before + 2; i++) {
+        long before = cluster.committed.size();
+        for (int i = 0; i < CALM_ROUNDS && cluster.committed.size() < before + 2; i++) {
             take(Step.pass(CALM_PACE));
             flow();
-            for (int a = 0; a < weir.size(); a++) {
-                if (weir.machine(a).leads()) {
+            for (int a = 0; a < cluster.size(); a++) {
+                if (cluster.machine(a).leads()) {
                     take(Step.of(Step.Kind.PROPOSE, a));
                     take(Step.of(Step.Kind.BARRIER, a));
                 }
--- a/bench/src/sablehinge/watermaster/Faults.java
+++ b/bench/src/sablehinge/consensus/Faults.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.List;
 import sablehinge.torture.Mutant;
@@ -6,19 +6,19 @@
 /** Faults that somebody could make in the agreement; a checker that doesn't find them shows nothing. */
 final class Faults {
 
-    private static final String MASTER = "watermaster/Watermaster";
-    private static final String LEDGER = "watermaster/Ledger";
-    private static final String DESK = "watermaster/Desk";
-    private static final String CISTERN = "cistern/Cistern";
+    private static final String MASTER = "consensus/RaftNode";
+    private static final String LEDGER = "consensus/RaftLog";
+    private static final String DESK = "consensus/PersistQueue";
+    private static final String CISTERN = "state/ConfigurationState";
 
     static final List<Mutant> ALL = List.of(
             new Mutant("a vote is answered before its sync", MASTER, "private void askVote(",
                     "desk.hold(from, new", "actions.send(from, new"),
             new Mutant("two votes in a term", MASTER, "private void askVote(",
                     "(votedFor == 0 || votedFor == from.id())", "term > 0"),
-            new Mutant("who lost its disk comes back as its old self", "watermaster/Member", "Member later(",
-                    "return new Member(even == 0 ? 2 : even, conduit, control);",
-                    "return founder(conduit, control);"),
+            new Mutant("who lost its disk comes back as its old self", "consensus/Member", "Member later(",
+                    "return new Member(even == 0 ? 2 : even, address, control);",
+                    "return founder(address, control);"),
             new Mutant("an older term's entry is committed by counting", MASTER, "private void advance(",
                     "index > commit && log.termAt(index) == term", "index > commit"),
             new Mutant("a lease counts from the answer's arrival", MASTER, "private void extendLease(",
--- a/bench/src/sablehinge/watermaster/Fingerprint.java
+++ b/bench/src/sablehinge/consensus/Fingerprint.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.lang.reflect.Field;
 import java.lang.reflect.Modifier;
@@ -18,8 +18,9 @@
 final class Fingerprint {
 
     private static final long PRIME = 0x100000001b3L;
-    private static final Set<Class<?>> NO_PART = Set.of(Random.class, Watermaster.Actions.class, Valley.class,
-            Terms.class);
+    private static final Set<Class<?>> NO_PART = Set.of(Random.class, RaftNode.Actions.class,
+            SimulatedCluster.class,
+            Timing.class);
     private static final Map<Class<?>, List<Field>> FIELDS = new ConcurrentHashMap<>();
 
     private long sum = 0xcbf29ce484222325L;
--- a/bench/src/sablehinge/watermaster/Hunt.java
+++ b/bench/src/sablehinge/consensus/Hunt.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.List;
 import java.util.Objects;
@@ -17,7 +17,8 @@
     static List<Script> byChance(long first, int most, int shown, Tally tally) {
         for (long from = first; from < first + most; from += BATCH) {
             List<Script> broken = LongStream.range(from, Math.min(first + most, from + BATCH)).parallel()
-                    .mapToObj(seed -> Wander.breaking(seed, tally)).filter(Objects::nonNull).toList();
+                    .mapToObj(seed -> RandomScheduler.breaking(seed,
+                            tally)).filter(Objects::nonNull).toList();
             if (!broken.isEmpty()) {
                 return broken.subList(0, Math.min(shown, broken.size()));
             }
--- a/bench/src/sablehinge/watermaster/QuorumBench.java
+++ b/bench/src/sablehinge/consensus/QuorumBench.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -113,7 +113,7 @@
 
     private static void print(String name, Tally tally, double seconds) {
         System.out.printf(Locale.ROOT, "%-10s %10d %12d %10d %12d %10d %10d %8.1f%n", name,
-                tally.schedules.sum(), tally.steps.sum(), tally.terms.sum(), tally.committed.sum(),
+                tally.schedules.sum(), tally.steps.sum(), tally.timing.sum(), tally.committed.sum(),
                 tally.acknowledged.sum(), tally.changes.sum(), seconds);
     }
 
--- a/bench/src/sablehinge/watermaster/Wander.java
+++ b/bench/src/sablehinge/consensus/RandomScheduler.java
@@ -1,16 +1,16 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import sablehinge.watermaster.Valley.Machine;
+import sablehinge.consensus.SimulatedCluster.Machine;
 
 /**
  * A schedule by chance. It goes in spells, each of which has its own pace, links that lag, disks that hang,
  * and machines that are cut off; between two of them a machine or all lose power, one loses its disk, one
  * comes in.
  */
-final class Wander {
+final class RandomScheduler {
 
     private static final int[] PACES = {5, 20, 50, 100};
     private static final int SPELLS = 14;
@@ -19,11 +19,11 @@
     private static final int LONG_WAIT = 350;
     private static final int NEWCOMERS = 2;
 
-    private final Weir weir;
+    private final SteppedCluster cluster;
     private final Random random;
     private final List<Step> steps = new ArrayList<>();
-    private final boolean[] lags = new boolean[Weir.MOST * Weir.MOST];
-    private final boolean[] hangs = new boolean[Weir.MOST];
+    private final boolean[] lags = new boolean[SteppedCluster.MOST * SteppedCluster.MOST];
+    private final boolean[] hangs = new boolean[SteppedCluster.MOST];
     /** Who does nothing in this spell, though it may be called in its last moment; -1 for none. */
     private int frozen = -1;
     /** Whether every other spell is without troubles. */
@@ -33,21 +33,21 @@
     private double overtaking;
     private double doubling;
 
-    private Wander(long seed) {
-        weir = new Weir(seed);
+    private RandomScheduler(long seed) {
+        cluster = new SteppedCluster(seed);
         random = new Random(seed * 7919 + 1);
     }
 
     /** Plays the schedule of a seed; its script up to what breaks, or null. */
     static Script breaking(long seed, Tally tally) {
-        Wander wander = new Wander(seed);
+        RandomScheduler scheduler = new RandomScheduler(seed);
         try {
-            wander.go();
+            scheduler.go();
             return null;
         } catch (AssertionError e) {
-            return new Script(seed, wander.steps);
+            return new Script(seed, scheduler.steps);
         } finally {
-            tally.add(wander.weir);
+            tally.add(scheduler.cluster);
         }
     }
 
@@ -58,7 +58,7 @@
 
     private void take(Step step) {
         steps.add(step);
-        weir.take(step);
+        cluster.take(step);
     }
 
     private void go() {
@@ -71,8 +71,8 @@
             if (chance(0.75)) {
                 fault();
             }
-            for (int i = 0; i < weir.size(); i++) {
-                if (!weir.machine(i).up() && chance(0.6)) {
+            for (int i = 0; i < cluster.size(); i++) {
+                if (!cluster.machine(i).up() && chance(0.6)) {
                     take(Step.of(Step.Kind.START, i));
                 }
             }
@@ -102,11 +102,11 @@
 
     /** Cuts one machine off, in one direction or both, from one other or all. */
     private List<Step> cuts() {
-        int one = chance(0.5) ? leader() : random.nextInt(weir.size());
-        int only = chance(0.4) ? random.nextInt(weir.size()) : -1;
+        int one = chance(0.5) ? leader() : random.nextInt(cluster.size());
+        int only = chance(0.4) ? random.nextInt(cluster.size()) : -1;
         int way = random.nextInt(4);
         List<Step> cuts = new ArrayList<>();
-        for (int other = 0; other < weir.size(); other++) {
+        for (int other = 0; other < cluster.size(); other++) {
             if (other != one && (only < 0 || only == other)) {
                 if (way != 0) {
                     cuts.add(new Step(Step.Kind.CUT, one, other, 0));
@@ -120,13 +120,13 @@
     }
 
     private int leader() {
-        Machine leader = weir.leader();
-        for (int i = 0; i < weir.size(); i++) {
-            if (weir.machine(i) == leader) {
+        Machine leader = cluster.leader();
+        for (int i = 0; i < cluster.size(); i++) {
+            if (cluster.machine(i) == leader) {
                 return i;
             }
         }
-        return random.nextInt(weir.size());
+        return random.nextInt(cluster.size());
     }
 
     private void round(int pace) {
@@ -140,23 +140,23 @@
 
     private void pass(int pace) {
         if (frozen >= 0) {
-            take(new Step(Step.Kind.TICK, (frozen + 1) % weir.size(), 0, pace));
-            for (int i = 2; i < weir.size(); i++) {
-                take(new Step(Step.Kind.TICK, (frozen + i) % weir.size(), 0, 0));
+            take(new Step(Step.Kind.TICK, (frozen + 1) % cluster.size(), 0, pace));
+            for (int i = 2; i < cluster.size(); i++) {
+                take(new Step(Step.Kind.TICK, (frozen + i) % cluster.size(), 0, 0));
             }
         } else if (chance(0.75)) {
             take(Step.pass(pace));
         } else {
-            take(new Step(Step.Kind.TICK, random.nextInt(weir.size()), 0, chance(0.2) ? LONG_WAIT : pace));
+            take(new Step(Step.Kind.TICK, random.nextInt(cluster.size()), 0, chance(0.2) ? LONG_WAIT : pace));
         }
     }
 
     /** Somebody calls who leads, or who thinks so. */
     private void call() {
-        int from = random.nextInt(weir.size());
-        for (int i = 0; i < weir.size(); i++) {
-            int at = (from + i) % weir.size();
-            if (weir.machine(at).leads()) {
+        int from = random.nextInt(cluster.size());
+        for (int i = 0; i < cluster.size(); i++) {
+            int at = (from + i) % cluster.size();
+            if (cluster.machine(at).leads()) {
                 double what = random.nextDouble();
                 take(Step.of(what < 0.6 ? Step.Kind.PROPOSE : what < 0.7 ? Step.Kind.REPEAT
                         : what < 0.9 ? Step.Kind.BARRIER : Step.Kind.COMPACT, at));
@@ -167,19 +167,19 @@
 
     /** A message or a write goes on; false if none may. */
     private boolean moveOne() {
-        int size = weir.size();
+        int size = cluster.size();
         int from = random.nextInt(size * size + size);
         for (int i = 0; i < size * size + size; i++) {
             int at = (from + i) % (size * size + size);
             if (at >= size * size) {
                 int disk = at - size * size;
-                if (!hangs[disk] && disk != frozen && !weir.machine(disk).unsynced.isEmpty()) {
+                if (!hangs[disk] && disk != frozen && !cluster.machine(disk).unsynced.isEmpty()) {
                     take(Step.of(Step.Kind.SYNC, disk));
                     return true;
                 }
-            } else if (!weir.link(at / size, at % size).isEmpty()
-                    && !lags[at / size * Weir.MOST + at % size] && at % size != frozen) {
-                int waiting = weir.link(at / size, at % size).size();
+            } else if (!cluster.link(at / size, at % size).isEmpty()
+                    && !lags[at / size * SteppedCluster.MOST + at % size] && at % size != frozen) {
+                int waiting = cluster.link(at / size, at % size).size();
                 Step.Kind kind = chance(loss) ? Step.Kind.DROP
                         : chance(doubling) ? Step.Kind.DOUBLE : Step.Kind.DELIVER;
                 take(new Step(kind, at / size, at % size,
@@ -191,31 +191,31 @@
     }
 
     private void fault() {
-        int hit = chance(0.5) ? leader() : random.nextInt(weir.size());
+        int hit = chance(0.5) ? leader() : random.nextInt(cluster.size());
         switch (random.nextInt(8)) {
             case 0, 1, 2 -> power(hit);
             case 3 -> {
-                for (int i = 0; i < weir.size(); i++) {
+                for (int i = 0; i < cluster.size(); i++) {
                     power(i);
                 }
             }
             case 4, 5 -> take(Step.of(Step.Kind.WIPE, hit));
             case 6 -> {
                 if (newcomers++ < NEWCOMERS) {
-                    take(Step.of(Step.Kind.NEWCOMER, weir.size()));
+                    take(Step.of(Step.Kind.NEWCOMER, cluster.size()));
                 }
             }
             default -> {
                 if (newcomers++ < NEWCOMERS) {
                     power(hit);
-                    take(Step.of(Step.Kind.NEWCOMER, weir.size()));
+                    take(Step.of(Step.Kind.NEWCOMER, cluster.size()));
                 }
             }
         }
     }
 
     private void power(int machine) {
-        int waiting = weir.machine(machine).unsynced.size();
+        int waiting = cluster.machine(machine).unsynced.size();
         take(new Step(Step.Kind.POWER, machine, 0, chance(0.6) ? 0 : random.nextInt(waiting + 1)));
     }
 }
--- a/bench/src/sablehinge/watermaster/Script.java
+++ b/bench/src/sablehinge/consensus/Script.java
@@ -1,9 +1,9 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
 
-/** A seed and the steps that are taken in its {@link Weir}. */
+/** A seed and the steps that are taken in its {@link SteppedCluster}. */
 record Script(long seed, List<Step> steps) {
 
     private static final String SEED = "seed ";
@@ -18,12 +18,12 @@
 
     /** Plays it; what broke, or null. */
     String breach() {
-        return breach(new Weir(seed), steps);
+        return breach(new SteppedCluster(seed), steps);
     }
 
-    private static String breach(Weir weir, List<Step> steps) {
+    private static String breach(SteppedCluster cluster, List<Step> steps) {
         try {
-            steps.forEach(weir::take);
+            steps.forEach(cluster::take);
             return null;
         } catch (AssertionError e) {
             return e.getMessage();
@@ -92,11 +92,11 @@
 
     /** Without steps that do nothing, and up to what breaks. */
     private Script effective() {
-        Weir weir = new Weir(seed);
+        SteppedCluster cluster = new SteppedCluster(seed);
         List<Step> kept = new ArrayList<>();
         for (Step step : steps) {
             try {
-                if (weir.take(step)) {
+                if (cluster.take(step)) {
                     kept.add(step);
                 }
             } catch (AssertionError e) {
@@ -141,14 +141,15 @@
 
     /** The script with what each step moves and comes to, and what breaks at its end. */
     String told() {
-        Weir weir = new Weir(seed);
-        StringBuilder text = new StringBuilder(SEED).append(seed).append("  # ").append(weir.settings())
+        SteppedCluster cluster = new SteppedCluster(seed);
+        StringBuilder text = new StringBuilder(SEED).append(seed).append("  # ").append(cluster.settings())
                 .append('\n');
-        String before = weir.line();
+        String before = cluster.line();
         for (Step step : steps) {
-            String breach = breach(weir, List.of(step));
-            String after = weir.line();
-            String comment = weir.moved().replaceAll("Member\\[id=(-?\\d+), conduit=([^,]*),[^\\]]*\\]", "$2")
+            String breach = breach(cluster, List.of(step));
+            String after = cluster.line();
+            String comment = cluster.moved().replaceAll("Member\\[id=(-?\\d+), address=([^,]*),[^\\]]*\\]",
+                    "$2")
                     .replaceAll(", data=\\[B@\\w+|\\w+Term=0, |state=\\[B@\\w+", "")
                     + (after.equals(before) ? "" : " => " + after);
             text.append(String.format("%-" + WIDTH + "s", step)).append("# ")
--- a/bench/src/sablehinge/watermaster/Step.java
+++ b/bench/src/sablehinge/consensus/Step.java
@@ -1,9 +1,10 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.Locale;
 
 /**
- * One thing that happens in a {@link Weir}. A step that can't happen does nothing, so that any part of a
+ * One thing that happens in a {@link SteppedCluster}. A step that can't happen does nothing, so that any
+ * part of a
  * script is a script.
  *
  * @param a the machine, or who has sent the message; 0 for {@code a}, the first founder
@@ -93,9 +94,9 @@
 
     private static int machine(String word) {
         int machine = word.charAt(0) - 'a';
-        if (word.length() != 1 || machine < 0 || machine >= Weir.MOST) {
+        if (word.length() != 1 || machine < 0 || machine >= SteppedCluster.MOST) {
             throw new IllegalArgumentException("no machine is called '" + word + "'; a to "
-                    + letter(Weir.MOST - 1) + " may be");
+                    + letter(SteppedCluster.MOST - 1) + " may be");
         }
         return machine;
     }
--- a/bench/src/sablehinge/watermaster/Weir.java
+++ b/bench/src/sablehinge/consensus/SteppedCluster.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -12,7 +12,7 @@
  * time stands still between two of them. Which founders there are, how fast their clocks go and the terms
  * follow from the seed; all else is up to the steps.
  */
-final class Weir extends Valley {
+final class SteppedCluster extends SimulatedCluster {
 
     /** Most machines. */
     static final int MOST = 8;
@@ -38,18 +38,18 @@
     /** Steps that did something. */
     private int done;
 
-    Weir(long seed) {
+    SteppedCluster(long seed) {
         super(seed);
         for (int i = 0; i < MOST * MOST; i++) {
             links.add(new ArrayList<>());
         }
-        Terms usual = Terms.usual();
+        Timing usual = Timing.usual();
         boolean plain = seed == PLAIN;
         for (int i = 0; i < MOST; i++) {
             rates[i] = plain ? 1 + (i % 3 - 1) * PLAINLY_WRONG : 1 + (random.nextInt(3) - 1) * WRONG;
         }
         // Few entries a message and short patience bring about what a core meets seldom.
-        terms = new Terms(usual.heartbeat(), usual.electionLeast(),
+        timing = new Timing(usual.heartbeat(), usual.electionLeast(),
                 plain ? usual.electionLeast() : usual.electionMost(), usual.quorum(), 700, usual.fresh(),
                 usual.stall(), usual.barrier(), plain ? 1 : 1 + random.nextInt(3), usual.bytes(),
                 usual.waiting());
@@ -108,7 +108,7 @@
     void carry(Member from, String to, Message message) {
         Integer place = places.get(to);
         if (place != null) {
-            List<Letter> link = link(places.get(from.conduit()), place);
+            List<Letter> link = link(places.get(from.address()), place);
             if (link.size() == MOST_ON_THE_WAY) {
                 link.remove(0);
             }
@@ -263,6 +263,6 @@
     /** The settings that follow from the seed. */
     String settings() {
         return byPlace.size() + " founders, clocks " + Arrays.toString(Arrays.copyOf(rates, size() + 2))
-                + ", " + terms.entries() + " entries a message";
+                + ", " + timing.entries() + " entries a message";
     }
 }
--- a/bench/src/sablehinge/watermaster/Tally.java
+++ b/bench/src/sablehinge/consensus/Tally.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.concurrent.atomic.LongAdder;
 
@@ -10,14 +10,14 @@
     final LongAdder committed = new LongAdder();
     final LongAdder acknowledged = new LongAdder();
     final LongAdder changes = new LongAdder();
-    final LongAdder terms = new LongAdder();
+    final LongAdder timing = new LongAdder();
 
-    void add(Weir weir) {
+    void add(SteppedCluster cluster) {
         schedules.increment();
-        steps.add(weir.done());
-        committed.add(weir.committed.size());
-        acknowledged.add(weir.claims.acknowledged());
-        changes.add(weir.changes);
-        terms.add(weir.leaders.size());
+        steps.add(cluster.done());
+        committed.add(cluster.committed.size());
+        acknowledged.add(cluster.claims.acknowledged());
+        changes.add(cluster.changes);
+        timing.add(cluster.leaders.size());
     }
 }
--- a/bench/src/sablehinge/reservoir/UnsyncedReservoir.java
+++ b/bench/src/sablehinge/control/UnsyncedControlNode.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -7,9 +7,9 @@
 import sablehinge.log.Logging;
 
 /** A machine of the core as its daemon runs it, but on a disk that keeps nothing but what was synced. */
-final class UnsyncedReservoir {
+final class UnsyncedControlNode {
 
-    private UnsyncedReservoir() {
+    private UnsyncedControlNode() {
     }
 
     /** Runs by the settings file that the environment names, until it is killed. */
@@ -17,7 +17,7 @@
         LocalSettings settings = LocalSettings.read(Path.of(System.getenv("SABLEHINGE_CONFIG")));
         Logging.apply(LogTerms.MESH);
         UnsyncedDisk disk = new UnsyncedDisk(Path.of(settings.dataDir()));
-        Reservoir.start(settings, System.nanoTime(), () -> LogStore.open(disk));
+        ControlNode.start(settings, System.nanoTime(), () -> RaftStore.open(disk));
         new CountDownLatch(1).await();
     }
 }
--- a/bench/src/sablehinge/spillway/SharesBench.java
+++ b/bench/src/sablehinge/retrybudget/SharesBench.java
@@ -1,4 +1,4 @@
-package sablehinge.spillway;
+package sablehinge.retrybudget;
 
 import java.util.function.Consumer;
 
@@ -39,14 +39,14 @@
         for (int balancers : new int[] {SMALL, LARGE}) {
             Sum calm = play("calm", balancers, world -> { });
             Sum hot = play("hot balancer", balancers, world -> {
-                world.spread(Catchment.ATLAS, 0, FAILS);
-                world.sluices[0].demand.put(Catchment.ATLAS, PER_S * balancers);
-                world.sluices[0].failing.put(Catchment.ATLAS, FAILS_HOT);
+                world.spread(SimulatedMesh.ATLAS, 0, FAILS);
+                world.sidecars[0].demand.put(SimulatedMesh.ATLAS, PER_S * balancers);
+                world.sidecars[0].failing.put(SimulatedMesh.ATLAS, FAILS_HOT);
             });
-            Sum cut = play("one cut", balancers, world -> world.sluices[0].cut = true);
+            Sum cut = play("one cut", balancers, world -> world.sidecars[0].cut = true);
             Sum lost = play("leader lost", balancers, world -> world.leaderless(MS_PER_S));
             Sum failing = play("failing 40%", balancers,
-                    world -> world.spread(Catchment.ATLAS, PER_S * balancers, FAILS_MUCH));
+                    world -> world.spread(SimulatedMesh.ATLAS, PER_S * balancers, FAILS_MUCH));
             for (Sum one : new Sum[] {calm, hot, cut, lost, failing}) {
                 excess = Math.max(excess, one.excess);
             }
@@ -60,18 +60,18 @@
                 Math.max(0, excess), (double) inside / wanted, follow);
     }
 
-    private static Sum play(String name, int balancers, Consumer<Catchment> trouble) {
-        Catchment world = new Catchment(1, balancers,
+    private static Sum play(String name, int balancers, Consumer<SimulatedMesh> trouble) {
+        SimulatedMesh world = new SimulatedMesh(1, balancers,
                 new Rule(0.2, 10_000, balancers > SMALL ? MANY : FEW));
         world.calls = CALLS;
-        world.spread(Catchment.ATLAS, PER_S * balancers, FAILS);
-        world.spread(Catchment.RELEVE, PER_S / 4 * balancers, FAILS);
+        world.spread(SimulatedMesh.ATLAS, PER_S * balancers, FAILS);
+        world.spread(SimulatedMesh.RELEVE, PER_S / 4 * balancers, FAILS);
         world.run(AT);
         trouble.accept(world);
         world.run(FOR);
-        double follow = world.sluices[0].follows(AT);
-        world.sluices[0].cut = false;
-        world.spread(Catchment.ATLAS, PER_S * balancers, FAILS);
+        double follow = world.sidecars[0].follows(AT);
+        world.sidecars[0].cut = false;
+        world.spread(SimulatedMesh.ATLAS, PER_S * balancers, FAILS);
         world.run(LENGTH - AT - FOR);
         int granted = world.granted();
         System.out.printf("%-14s %9d %9d %9d %9d %9d %9.2f %9.1f %9.2f%n", name, balancers, world.requests(),
--- a/bench/src/sablehinge/standin/mesh/RecoveryBench.java
+++ b/bench/src/sablehinge/standin/mesh/RecoveryBench.java
@@ -204,12 +204,12 @@
 
     private List<String> command(Loss loss, String role) {
         List<String> command = new ArrayList<>(commands.get(role));
-        if (loss.isOfPower() && role.equals("reservoir")) {
+        if (loss.isOfPower() && role.equals("control")) {
             // The same program but for the disk; an archive holds for its class path and what follows it.
             int jar = command.indexOf("-jar");
             String path = command.get(jar + 1) + ":target/test-classes";
             command.subList(jar, command.size()).clear();
-            command.addAll(List.of("-cp", path, "sablehinge.reservoir.UnsyncedReservoir"));
+            command.addAll(List.of("-cp", path, "sablehinge.control.UnsyncedControlNode"));
         }
         return command;
     }
@@ -224,7 +224,8 @@
         try (Pulse pulse = new Pulse(outbound, mesh.version(1, 0, SmallMesh.BASALT).routes(), PER_SECOND)) {
             double begun = Ledger.now();
             until("95% served before the strike", () -> !Double.isNaN(pulse.well(begun, CALM_MS)));
-            int struck = Math.floorMod(mesh.operator().leader() + number % UNLIKE, mesh.plan().reservoirs());
+            int struck = Math.floorMod(mesh.operator().leader() + number % UNLIKE,
+                    mesh.plan().controlNodes());
             mesh.operator().replace(mesh.version(2, 1, SmallMesh.MARL), WITHIN_MS);
             TimeUnit.MILLISECONDS.sleep(ThreadLocalRandom.current().nextInt(AFTER_ACK_MS + 1));
             try {
@@ -266,7 +267,7 @@
     private static void one(SmallMesh mesh, Loss loss, int struck, int number, Pulse pulse, Outcome outcome)
             throws InterruptedException {
         double strike = Ledger.now();
-        mesh.reservoir(struck).kill();
+        mesh.controlNode(struck).kill();
         CompletableFuture<Double> acked = CompletableFuture.supplyAsync(() -> {
             replace(mesh, 3);
             return Ledger.now();
@@ -280,8 +281,8 @@
             mesh.wipe(struck);
         }
         mesh.restart(newcomer, 1);
-        Daemon came = mesh.reservoir(newcomer);
-        until("a member again", () -> isMember(came.said(), mesh.plan().reservoirs()));
+        Daemon came = mesh.controlNode(newcomer);
+        until("a member again", () -> isMember(came.said(), mesh.plan().controlNodes()));
         outcome.times.put(Mark.MEMBER, Ledger.now() - back);
         outcome.times.put(Mark.ACKED, acked.join() - strike);
         served(pulse, strike, outcome);
@@ -289,7 +290,7 @@
         // The proof that the newcomer counts: with one more gone, nothing is taken without it.
         List<Integer> others = new ArrayList<>(List.of(0, 1, 2));
         others.remove(Integer.valueOf(struck));
-        mesh.reservoir(others.get(number / UNLIKE % others.size())).kill();
+        mesh.controlNode(others.get(number / UNLIKE % others.size())).kill();
         replace(mesh, 4);
     }
 
--- a/src/main/java/sablehinge/basin/Gate.java
+++ b/src/main/java/sablehinge/admission/AdmissionController.java
@@ -1,4 +1,4 @@
-package sablehinge.basin;
+package sablehinge.admission;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -15,7 +15,7 @@
  * <p>A request's {@code cost} is how long it may wait here, in ms; its {@code tenant} the rank, 0 being the
  * highest; its {@code key} the upstream's life that it is meant for.
  */
-public final class Gate implements LoadBalancer {
+public final class AdmissionController implements LoadBalancer {
 
     /** The number of the one upstream. */
     public static final long UPSTREAM = 1;
@@ -44,7 +44,7 @@
     }
 
     /** A gate that is closed until {@link #opens}. */
-    public Gate(Actions actions) {
+    public AdmissionController(Actions actions) {
         this.actions = actions;
     }
 
--- a/src/main/java/sablehinge/headgate/Door.java
+++ b/src/main/java/sablehinge/api/ApiServer.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate;
+package sablehinge.api;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -29,9 +29,9 @@
 import org.slf4j.LoggerFactory;
 
 /** Takes calls over HTTP/1.1 at an address and hands each to its operation. */
-public final class Door {
+public final class ApiServer {
 
-    private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ApiServer.class);
     private static final int MOST_CONNECTIONS = 256;
     private static final long IDLE_S = 60;
 
@@ -45,7 +45,7 @@
      *
      * @param mostBytes of a call's body; a longer one gets 413
      */
-    public Door(EventLoop loop, List<Operation<?, ?>> operations, int mostBytes) {
+    public ApiServer(EventLoop loop, List<Operation<?, ?>> operations, int mostBytes) {
         this.loop = loop;
         this.operations = List.copyOf(operations);
         this.mostBytes = mostBytes;
--- a/src/main/java/sablehinge/headgate/CheckException.java
+++ b/src/main/java/sablehinge/api/CheckException.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate;
+package sablehinge.api;
 
 import java.util.List;
 
--- a/src/main/java/sablehinge/headgate/ConfigurationCheck.java
+++ b/src/main/java/sablehinge/api/ConfigurationCheck.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate;
+package sablehinge.api;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -11,9 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.headgate.CheckException.Code;
-import sablehinge.headgate.CheckException.Problem;
+import sablehinge.routing.Configuration;
+import sablehinge.api.CheckException.Code;
+import sablehinge.api.CheckException.Problem;
 
 /**
  * Decides whether a configuration that an operator sent can be taken: first that its bytes are one whole JSON
--- a/src/main/java/sablehinge/headgate/Headed.java
+++ b/src/main/java/sablehinge/api/Headed.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate;
+package sablehinge.api;
 
 /**
  * An operation whose method and path are told once, where it is made.
--- a/src/main/java/sablehinge/headgate/Sense.java
+++ b/src/main/java/sablehinge/api/Sense.java
@@ -1,13 +1,13 @@
-package sablehinge.headgate;
+package sablehinge.api;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import sablehinge.aqueduct.Hosts;
-import sablehinge.headgate.CheckException.Code;
-import sablehinge.headgate.CheckException.Problem;
+import sablehinge.routing.Hosts;
+import sablehinge.api.CheckException.Code;
+import sablehinge.api.CheckException.Problem;
 
 /** What must hold between the parts of a configuration. What has not the right form is passed over here. */
 final class Sense {
--- a/src/main/java/sablehinge/headgate/Wording.java
+++ b/src/main/java/sablehinge/api/Wording.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate;
+package sablehinge.api;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/sablehinge/headgate/mesh/Machine.java
+++ b/src/main/java/sablehinge/api/mesh/Machine.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate.mesh;
+package sablehinge.api.mesh;
 
 /**
  * A member of the core as another one knows it.
--- a/src/main/java/sablehinge/headgate/mesh/MeshStatus.java
+++ b/src/main/java/sablehinge/api/mesh/MeshStatus.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate.mesh;
+package sablehinge.api.mesh;
 
 import java.util.List;
 
--- a/src/main/java/sablehinge/cli/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -17,7 +17,8 @@
 
 /**
  * The command line: {@code serve} runs one balancer on the platform, {@code wire} the same decisions for the
- * simulator, {@code sluice} and {@code reservoir} the mesh's daemons. These load nothing of the operators'
+ * simulator, {@code sidecar} and {@code control node} the mesh's daemons. These load nothing of the
+ * operators'
  * verbs, which are {@link Commands} and, about a mesh, {@link MeshCommands}.
  */
 public final class Main {
@@ -30,7 +31,7 @@
             sablehinge.wire.Main.main(args);
         } else if (args.length == 1 && args[0].equals("serve")) {
             serve();
-        } else if (args.length == 1 && (args[0].equals("sluice") || args[0].equals("reservoir"))) {
+        } else if (args.length == 1 && (args[0].equals("sidecar") || args[0].equals("control"))) {
             Waterworks.run(args[0]);
         } else if (args.length > 0 && args[0].equals("mesh")) {
             System.exit(MeshCommands.run(Arrays.copyOfRange(args, 1, args.length),
--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -11,10 +11,10 @@
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Log;
 import sablehinge.log.DirectProvider;
-import sablehinge.reservoir.Reservoir;
-import sablehinge.sluice.Sluice;
+import sablehinge.control.ControlNode;
+import sablehinge.sidecar.Sidecar;
 
-/** The mesh's daemons: {@code sluice} beside an upstream, {@code reservoir} on a machine of the core. */
+/** The mesh's daemons: {@code sidecar} beside an upstream, {@code control node} on a machine of the core. */
 final class Waterworks {
 
     private static final String SETTINGS = "SABLEHINGE_CONFIG";
@@ -39,14 +39,14 @@
                 throw new ConfigException(SETTINGS + " names no settings file");
             }
             LocalSettings settings = read(role, file);
-            ServerSocketChannel listening = settings.role() == LocalSettings.Role.SLUICE
-                    ? Sluice.listen(settings) : null;
+            ServerSocketChannel listening = settings.role() == LocalSettings.Role.SIDECAR
+                    ? Sidecar.listen(settings) : null;
             if (listening != null) {
-                Sluice sluice = Sluice.start(settings, listening);
-                takes.set(sluice::reload);
-                Main.drainAtShutdown(sluice::drain);
+                Sidecar sidecar = Sidecar.start(settings, listening);
+                takes.set(sidecar::reload);
+                Main.drainAtShutdown(sidecar::drain);
             } else {
-                takes.set(Reservoir.start(settings, born)::reload);
+                takes.set(ControlNode.start(settings, born)::reload);
             }
         } catch (ConfigException e) {
             System.err.println("sablehinge: " + e.getMessage());
--- a/src/main/java/sablehinge/cli/mesh/DemoVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/DemoVerb.java
@@ -14,8 +14,9 @@
 import sablehinge.standin.mesh.Tally;
 
 /** Shows a mesh at work and judges what was seen. */
-@Command(name = "demo", description = "Starts three reservoirs and three sluices on loopback with stand-in "
-        + "upstreams, sends some hundred requests while configurations change, the leading reservoir is "
+@Command(name = "demo",
+        description = "Starts three control nodes and three sidecars on loopback with stand-in "
+        + "upstreams, sends some hundred requests while configurations change, the leading control node is "
         + "killed and an upstream leaves, and judges the rules by what clients, upstreams and the operator "
         + "saw. Takes less than a minute.")
 @ExitCodes(codes = {0, 1}, descriptions = {"no rule was broken",
@@ -64,23 +65,23 @@
     }
 
     private int play(SmallMesh mesh, double begun) throws InterruptedException {
-        say(begun, "starts three reservoirs, three sluices and three upstreams on %s.*",
+        say(begun, "starts three control nodes, three sidecars and three upstreams on %s.*",
                 mesh.plan().prefix());
         mesh.start(mesh.version(FIRST, 0, SmallMesh.BASALT));
-        say(begun, "edition %d is taken, all sluices are ready; clients begin", FIRST);
+        say(begun, "edition %d is taken, all sidecars are ready; clients begin", FIRST);
         mesh.load(everyMs);
         TimeUnit.MILLISECONDS.sleep(CALM_MS);
         int leader = Math.max(0, mesh.operator().leader());
-        mesh.reservoir(leader).kill();
-        say(begun, "reservoir %d, which leads, is killed", leader + 1);
+        mesh.controlNode(leader).kill();
+        say(begun, "control node %d, which leads, is killed", leader + 1);
         mesh.operator().replace(mesh.version(SECOND, FIRST, SmallMesh.MARL), ANSWER_MS);
         say(begun, "edition %d is taken by the other two: reads move to %s", SECOND, SmallMesh.MARL);
         mesh.restart(leader, 1);
-        say(begun, "reservoir %d is started again", leader + 1);
+        say(begun, "control node %d is started again", leader + 1);
         TimeUnit.MILLISECONDS.sleep(CONTACT_MS);
         mesh.operator().replace(mesh.version(THIRD, SECOND, SmallMesh.BASALT), ANSWER_MS);
         say(begun, "edition %d is taken: reads move back to %s", THIRD, SmallMesh.BASALT);
-        say(begun, "upstream %d unloads, signs off and ends, and its sluice after it", LEAVES + 1);
+        say(begun, "upstream %d unloads, signs off and ends, and its sidecar after it", LEAVES + 1);
         boolean ended = mesh.leave(LEAVES, END_MS);
         TimeUnit.MILLISECONDS.sleep(AFTER_MS);
         mesh.quiet();
@@ -89,7 +90,7 @@
         List<String> breaches = new java.util.ArrayList<>(new MeshJudge(mesh.ledger(),
                 mesh.operator().orders(), MeshPlan.UNLOAD_MS, MeshPlan.EDITION_MS).breaches(readBack));
         if (!ended) {
-            breaches.add("END: sluice " + (LEAVES + 1) + " has not ended within " + END_MS + " ms");
+            breaches.add("END: sidecar " + (LEAVES + 1) + " has not ended within " + END_MS + " ms");
         }
         Tally tally = Tally.of(mesh.ledger());
         System.out.println();
--- a/src/main/java/sablehinge/cli/mesh/MeshCommands.java
+++ b/src/main/java/sablehinge/cli/mesh/MeshCommands.java
@@ -22,7 +22,7 @@
 import sablehinge.cli.mesh.operator.Shell;
 import sablehinge.cli.mesh.operator.StatusVerb;
 import sablehinge.cli.mesh.operator.VerbException;
-import sablehinge.headgate.Nearest;
+import sablehinge.api.Nearest;
 
 /**
  * The verbs about a mesh: those of its operators, and {@code demo}, {@code settings} and {@code upstream} for
--- a/src/main/java/sablehinge/cli/mesh/SettingsVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/SettingsVerb.java
@@ -13,11 +13,12 @@
 import sablehinge.standin.mesh.SmallMesh;
 
 /** Writes the files of a small mesh that is run by hand. */
-@Command(name = "settings", description = "Writes the settings files of three reservoirs and two sluices on "
+@Command(name = "settings",
+        description = "Writes the settings files of three control nodes and two sidecars on "
         + "loopback, and a first configuration, into a folder")
 public final class SettingsVerb implements MeshCommands.Verb {
 
-    private static final int RESERVOIRS = 3;
+    private static final int CONTROL_NODES = 3;
 
     @Required
     @Option(name = {"-o", "--out"}, title = "DIR", description = "The folder, made if there is none")
@@ -34,15 +35,15 @@
     @Override
     public int act() throws IOException {
         Path folder = Files.createDirectories(Path.of(out)).toAbsolutePath();
-        MeshPlan plan = new MeshPlan(addresses, RESERVOIRS, List.of(SmallMesh.BASALT, SmallMesh.MARL));
-        for (int i = 0; i < RESERVOIRS; i++) {
+        MeshPlan plan = new MeshPlan(addresses, CONTROL_NODES, List.of(SmallMesh.BASALT, SmallMesh.MARL));
+        for (int i = 0; i < CONTROL_NODES; i++) {
             Path data = Files.createDirectories(folder.resolve("core-" + (i + 1) + ".data"));
             Files.writeString(folder.resolve("core-" + (i + 1) + ".toml"),
-                    plan.reservoirSettings(i, data.toString(), true));
+                    plan.controlSettings(i, data.toString(), true));
             System.out.println("core-" + (i + 1) + ".toml: control " + plan.coreControl(i));
         }
         for (int i = 0; i < plan.services().size(); i++) {
-            Files.writeString(folder.resolve("sidecar-" + (i + 1) + ".toml"), plan.sluiceSettings(i));
+            Files.writeString(folder.resolve("sidecar-" + (i + 1) + ".toml"), plan.sidecarSettings(i));
             System.out.println("sidecar-" + (i + 1) + ".toml: clients " + plan.outbound(i) + ", upstream of "
                     + plan.services().get(i) + " " + plan.app(i) + ", beats " + plan.control(i) + ", ready "
                     + plan.ready(i));
--- a/src/main/java/sablehinge/cli/mesh/UpstreamVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/UpstreamVerb.java
@@ -11,7 +11,7 @@
 import sablehinge.standin.mesh.StandInUpstream;
 
 /** Runs one stand-in upstream until it is ended; at SIGTERM it leaves in order. */
-@Command(name = "upstream", description = "Runs a stand-in upstream, which tells the sluice beside it that "
+@Command(name = "upstream", description = "Runs a stand-in upstream, which tells the sidecar beside it that "
         + "it lives; at SIGTERM it unloads, signs off and ends")
 public final class UpstreamVerb implements MeshCommands.Verb {
 
@@ -24,7 +24,7 @@
     private String listen;
 
     @Required
-    @Option(name = {"-c", "--control"}, title = "ADDRESS", description = "The sluice's control address")
+    @Option(name = {"-c", "--control"}, title = "ADDRESS", description = "The sidecar's control address")
     private String control;
 
     @Option(name = {"-b", "--berths"}, title = "NUMBER",
--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigCheckVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigCheckVerb.java
@@ -4,9 +4,9 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.util.List;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.headgate.CheckException;
-import sablehinge.headgate.CheckException.Problem;
+import sablehinge.routing.Configuration;
+import sablehinge.api.CheckException;
+import sablehinge.api.CheckException.Problem;
 
 /** Checks a configuration without a core. */
 @Command(name = "check", description = "Checks a configuration as the core would, without calling it, and "
--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigGetVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigGetVerb.java
@@ -6,7 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import sablehinge.headgate.ConfigurationReader;
+import sablehinge.api.ConfigurationReader;
 
 /** Fetches the configuration in force. */
 @Command(name = "get", description = "Prints the configuration in force as it was sent, keys and all, or "
--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
@@ -1,7 +1,7 @@
 package sablehinge.cli.mesh.operator;
 
 import com.github.rvesse.airline.annotations.Command;
-import sablehinge.headgate.mesh.Editions;
+import sablehinge.api.mesh.Editions;
 
 /** Lists the configurations that were taken. */
 @Command(name = "history", description = "Lists the editions that were taken, the newest last, with what "
--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigPutVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigPutVerb.java
@@ -7,10 +7,10 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.util.Arrays;
 import java.util.Map;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.headgate.CheckException;
-import sablehinge.headgate.ConfigurationCheck;
-import sablehinge.headgate.ConfigurationReader;
+import sablehinge.routing.Configuration;
+import sablehinge.api.CheckException;
+import sablehinge.api.ConfigurationCheck;
+import sablehinge.api.ConfigurationReader;
 
 /** Sends a configuration. */
 @Command(name = "put", description = "Sends a configuration, and the very same call again until the core "
--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigurationFile.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigurationFile.java
@@ -4,14 +4,14 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.headgate.CheckException;
-import sablehinge.headgate.ConfigurationCheck;
+import sablehinge.routing.Configuration;
+import sablehinge.api.CheckException;
+import sablehinge.api.ConfigurationCheck;
 
 /** A configuration in a file, which has been checked. */
 record ConfigurationFile(byte[] body, Configuration configuration) {
 
-    /** More than a reservoir takes. */
+    /** More than a control node takes. */
     private static final int MOST_BYTES = 15 * 1024 * 1024;
 
     /**
--- a/src/main/java/sablehinge/cli/mesh/operator/DutiesVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/DutiesVerb.java
@@ -2,7 +2,7 @@
 
 import com.github.rvesse.airline.annotations.Command;
 import java.util.Locale;
-import sablehinge.headgate.mesh.MeshDuties;
+import sablehinge.api.mesh.MeshDuties;
 
 /** Tells what the leader does that nobody else may. */
 @Command(name = "duties", description = "Tells who holds the duties of the core, for how long its lease "
--- a/src/main/java/sablehinge/cli/mesh/operator/NodesVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/NodesVerb.java
@@ -1,7 +1,7 @@
 package sablehinge.cli.mesh.operator;
 
 import com.github.rvesse.airline.annotations.Command;
-import sablehinge.headgate.mesh.MeshNodes;
+import sablehinge.api.mesh.MeshNodes;
 
 /** Lists all machines that the leader knows. */
 @Command(name = "nodes", description = "Lists the balancers of the data plane that are on the leader's roll, "
--- a/src/main/java/sablehinge/cli/mesh/operator/StatusVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/StatusVerb.java
@@ -2,7 +2,7 @@
 
 import com.github.rvesse.airline.annotations.Command;
 import java.util.stream.Collectors;
-import sablehinge.headgate.mesh.MeshStatus;
+import sablehinge.api.mesh.MeshStatus;
 
 /** Tells how the core stands. */
 @Command(name = "status", description = "Tells who leads the core, which members answer and whether that is "
--- a/src/main/java/sablehinge/cli/mesh/operator/Survey.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/Survey.java
@@ -7,8 +7,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import sablehinge.headgate.mesh.Machine;
-import sablehinge.headgate.mesh.MeshStatus;
+import sablehinge.api.mesh.Machine;
+import sablehinge.api.mesh.MeshStatus;
 
 /**
  * What all machines of the core that can be reached say together.
--- a/src/main/java/sablehinge/config/local/LocalSettings.java
+++ b/src/main/java/sablehinge/config/local/LocalSettings.java
@@ -39,9 +39,9 @@
     /** What a process is. */
     public enum Role {
         /** Carries the traffic of the machine that it shares with an upstream. */
-        SLUICE,
+        SIDECAR,
         /** Keeps the configuration and knows the upstreams. */
-        RESERVOIR
+        CONTROL
     }
 
     /** Addresses with ports, each null where it is not served. */
--- a/src/main/java/sablehinge/config/local/Steps.java
+++ b/src/main/java/sablehinge/config/local/Steps.java
@@ -18,8 +18,8 @@
 
     private static LocalSettings.Role role(Table root) {
         return switch (root.name("role")) {
-            case "sluice" -> LocalSettings.Role.SLUICE;
-            case "reservoir" -> LocalSettings.Role.RESERVOIR;
+            case "sidecar" -> LocalSettings.Role.SIDECAR;
+            case "control" -> LocalSettings.Role.CONTROL;
             default -> throw root.off("role");
         };
     }
--- a/src/main/java/sablehinge/watermaster/Member.java
+++ b/src/main/java/sablehinge/consensus/Member.java
@@ -1,14 +1,14 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 /**
  * A machine of the core in one life of its disk. Who loses its disk comes back as another member: it has
  * forgotten what it voted for, so nothing that was said by the one before binds it or counts for it.
  *
  * @param id tells lives apart; never 0
- * @param conduit where it takes records from its peers, {@code ip:port}
+ * @param address where it takes records from its peers, {@code ip:port}
  * @param control where operators call it, {@code ip:port}
  */
-public record Member(long id, String conduit, String control) {
+public record Member(long id, String address, String control) {
 
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
@@ -17,17 +17,17 @@
      * A member of the very first core, whose id all who found it reckon alike from its address. The lowest
      * bit is set in founders' ids and clear in all others.
      */
-    public static Member founder(String conduit, String control) {
+    public static Member founder(String address, String control) {
         long hash = FNV_OFFSET;
-        for (int i = 0; i < conduit.length(); i++) {
-            hash = (hash ^ (conduit.charAt(i) & 0xff)) * FNV_PRIME;
+        for (int i = 0; i < address.length(); i++) {
+            hash = (hash ^ (address.charAt(i) & 0xff)) * FNV_PRIME;
         }
-        return new Member(hash | 1, conduit, control);
+        return new Member(hash | 1, address, control);
     }
 
     /** A member whose disk began empty after the founding; {@code random} tells it from all others. */
-    public static Member later(long random, String conduit, String control) {
+    public static Member later(long random, String address, String control) {
         long even = random & ~1L;
-        return new Member(even == 0 ? 2 : even, conduit, control);
+        return new Member(even == 0 ? 2 : even, address, control);
     }
 }
--- a/src/main/java/sablehinge/watermaster/Members.java
+++ b/src/main/java/sablehinge/consensus/Members.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -23,13 +23,13 @@
     public static byte[] write(List<Member> members) {
         int size = LENGTH;
         for (Member member : members) {
-            size += ID + LENGTH + member.conduit().length() + LENGTH + member.control().length();
+            size += ID + LENGTH + member.address().length() + LENGTH + member.control().length();
         }
         byte[] bytes = new byte[size];
         int at = number(members.size(), LENGTH, bytes, 0);
         for (Member member : members) {
             at = number(member.id(), ID, bytes, at);
-            at = text(member.conduit(), bytes, at);
+            at = text(member.address(), bytes, at);
             at = text(member.control(), bytes, at);
         }
         return bytes;
--- a/src/main/java/sablehinge/watermaster/Message.java
+++ b/src/main/java/sablehinge/consensus/Message.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.List;
 
--- a/src/main/java/sablehinge/watermaster/Desk.java
+++ b/src/main/java/sablehinge/consensus/PersistQueue.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /** What goes to the disk, what has arrived there, and the messages that wait for it. */
-final class Desk {
+final class PersistQueue {
 
     /** Changes that the disk is given at a time; what is decided while it has them goes in one after them. */
     private static final int MOST_CHANGES = 8;
@@ -120,7 +120,7 @@
     }
 
     /** Makes the next change, if there is any, and sends what need not wait. */
-    void flush(double now, long term, long votedFor, long lastIndex, Watermaster.Actions actions) {
+    void flush(double now, long term, long votedFor, long lastIndex, RaftNode.Actions actions) {
         Change change = null;
         if (dirty && outstanding.size() < MOST_CHANGES) {
             change = new Change(++number, term, votedFor, truncateFrom, append, snapshot);
@@ -144,7 +144,7 @@
     }
 
     /** The disk holds all changes up to a number. */
-    void persisted(long upTo, Watermaster.Actions actions) {
+    void persisted(long upTo, RaftNode.Actions actions) {
         while (!outstanding.isEmpty() && outstanding.peekFirst().number <= upTo) {
             Outstanding one = outstanding.removeFirst();
             synced = Math.max(synced, one.end);
@@ -153,7 +153,7 @@
         release(actions);
     }
 
-    private void release(Watermaster.Actions actions) {
+    private void release(RaftNode.Actions actions) {
         long done = outstanding.isEmpty() ? number : outstanding.peekFirst().number - 1;
         while (!held.isEmpty() && held.peekFirst().number <= done) {
             Held one = held.removeFirst();
--- a/src/main/java/sablehinge/watermaster/Ledger.java
+++ b/src/main/java/sablehinge/consensus/RaftLog.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,7 +6,7 @@
 import java.util.TreeMap;
 
 /** A member's log in memory: its last snapshot and all entries after it, synced or not. */
-final class Ledger {
+final class RaftLog {
 
     /** Of one that has nothing yet, not even the founders' list. */
     private static final Snapshot NOTHING = new Snapshot(0, 0, List.of(), new byte[0]);
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -23,19 +23,19 @@
  * leader's own copy counts like any other, when its disk has it and not before. So a commit needs a majority
  * of disks, whichever they are, and a member whose disk stalls delays nobody.
  */
-public final class Watermaster {
+public final class RaftNode {
 
     /** What the host does for a member; none of these may call back, except as said above. */
     public interface Actions {
 
         /**
          * Sends a message; it may be lost, doubled or overtaken. A member whose id is 0 is known by its
-         * {@code conduit} address only.
+         * {@code address} only.
          */
         void send(Member to, Message message);
 
         /**
-         * Writes and syncs, in order; {@link Watermaster#persisted} is called after. A disk that refuses is
+         * Writes and syncs, in order; {@link RaftNode#persisted} is called after. A disk that refuses is
          * one that takes longer. Some ten changes are under way at a time.
          */
         void persist(Change change);
@@ -49,7 +49,7 @@
         /** Called whenever it has changed. */
         void standing(Standing standing);
 
-        /** What was committed before {@link Watermaster#barrier} is applied here, and this still led. */
+        /** What was committed before {@link RaftNode#barrier} is applied here, and this still led. */
         void confirmed(long token);
 
         /** Nothing can be said about the barrier. */
@@ -87,10 +87,10 @@
     }
 
     private final Actions actions;
-    private final Terms terms;
+    private final Timing timing;
     private final Random random;
-    private final Ledger log = new Ledger();
-    private final Desk desk = new Desk();
+    private final RaftLog log = new RaftLog();
+    private final PersistQueue queue = new PersistQueue();
 
     private Member self;
     /** The time of the call that is under way, ms. */
@@ -129,9 +129,9 @@
     private final List<Barrier> barriers = new ArrayList<>();
 
     /** A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}. */
-    public Watermaster(Actions actions, Terms terms, long seed) {
+    public RaftNode(Actions actions, Timing timing, long seed) {
         this.actions = actions;
-        this.terms = terms;
+        this.timing = timing;
         this.random = new Random(seed);
     }
 
@@ -140,7 +140,7 @@
         self = me;
         Snapshot first = new Snapshot(0, 0, founders, new byte[0]);
         log.install(first);
-        desk.snapshot(first);
+        queue.snapshot(first);
         // Only persisted() sets it running: who forgot the founding after a vote would be another member.
         flush(now);
     }
@@ -164,7 +164,7 @@
         for (Entry entry : stored.entries()) {
             log.append(entry);
         }
-        desk.begin(log.lastIndex(), term);
+        queue.begin(log.lastIndex(), term);
         if (term > 0) {
             // A leader may hold a lease by an answer of the life before: as if it had been heard at its end.
             leaderHeard = born;
@@ -173,9 +173,9 @@
     }
 
     /** The disk is empty although the system was founded before: asks to be let in. */
-    public void outside(double now, Member me, List<String> conduitAddresses) {
+    public void outside(double now, Member me, List<String> addresses) {
         self = me;
-        contacts(conduitAddresses);
+        contacts(addresses);
         run(now);
     }
 
@@ -186,15 +186,15 @@
         joinAt = log.holds(self.id()) ? now + LOST : now;
         // Where all have just started there is no leader to wait for, only what they may have promised one;
         // where there is one, its followers refuse.
-        double bound = leaderHeard + terms.electionLeast();
-        electionAt = Math.max(bound, now + FIRST_PART * terms.electionLeast())
-                + FIRST_PART * random.nextDouble() * (terms.electionMost() - terms.electionLeast());
+        double bound = leaderHeard + timing.electionLeast();
+        electionAt = Math.max(bound, now + FIRST_PART * timing.electionLeast())
+                + FIRST_PART * random.nextDouble() * (timing.electionMost() - timing.electionLeast());
         end(now);
     }
 
     /** Addresses of machines that may be members, for one that looks for them. */
-    public void contacts(List<String> conduitAddresses) {
-        for (String address : conduitAddresses) {
+    public void contacts(List<String> addresses) {
+        for (String address : addresses) {
             if (contacts.size() < MOST_CONTACTS) {
                 contacts.add(address);
             }
@@ -216,7 +216,7 @@
 
     /** The disk holds all changes up to this number. */
     public void persisted(double now, long number) {
-        desk.persisted(number, actions);
+        queue.persisted(number, actions);
         if (!running) {
             run(now);
             return;
@@ -225,7 +225,7 @@
             advance(now);
         } else if (role == Standing.Role.CANDIDATE) {
             countOwnVote(now);
-        } else if (leader != null && desk.syncedTerm() == term) {
+        } else if (leader != null && queue.syncedTerm() == term) {
             actions.send(leader, appended(true, verified));
         }
         end(now);
@@ -239,8 +239,8 @@
      *     of another term there means that it never will be
      */
     public long propose(double now, byte[] command) {
-        if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= terms.waiting()
-                || desk.isFull()) {
+        if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= timing.waiting()
+                || queue.isFull()) {
             return 0;
         }
         long index = append(now, Entry.Kind.COMMAND, command);
@@ -256,7 +256,7 @@
         }
         boolean underWay = !barriers.isEmpty();
         // Only a question that is asked after this call counts; those that come meanwhile share the next one.
-        barriers.add(new Barrier(token, round + 1, Math.max(commit, firstOfTerm), now + terms.barrier()));
+        barriers.add(new Barrier(token, round + 1, Math.max(commit, firstOfTerm), now + timing.barrier()));
         if (!underWay) {
             ask(now);
         }
@@ -275,7 +275,7 @@
         // Entries that are to be written first go in a change of their own.
         flush(lastNow);
         log.compact(index, state);
-        desk.snapshot(log.base());
+        queue.snapshot(log.base());
         flush(lastNow);
     }
 
@@ -310,7 +310,7 @@
 
     private void flush(double now) {
         lastNow = now;
-        desk.flush(now, term, votedFor, log.lastIndex(), actions);
+        queue.flush(now, term, votedFor, log.lastIndex(), actions);
     }
 
     /** Ends each call: what was decided goes to the disk, and a new standing is told. */
@@ -328,7 +328,7 @@
 
     /** Whether the own disk is such that a vote of this one would come late, or never. */
     private boolean diskHangs(double now) {
-        return now - desk.busySince() > BUSY;
+        return now - queue.busySince() > BUSY;
     }
 
     private int majority() {
@@ -346,8 +346,8 @@
     }
 
     private void waitForLeader(double now) {
-        electionAt = now + terms.electionLeast()
-                + random.nextDouble() * (terms.electionMost() - terms.electionLeast());
+        electionAt = now + timing.electionLeast()
+                + random.nextDouble() * (timing.electionMost() - timing.electionLeast());
     }
 
     private void commitTo(double now, long index) {
@@ -363,7 +363,7 @@
         if (newTerm > term) {
             term = newTerm;
             votedFor = 0;
-            desk.touch();
+            queue.touch();
             verified = commit;
             lastRound = 0;
             leader = null;
@@ -422,7 +422,7 @@
         stepDown(now, newTerm, null);
         role = Standing.Role.CANDIDATE;
         votedFor = self.id();
-        desk.touch();
+        queue.touch();
         votes.clear();
         waitForLeader(now);
         // Held until the own vote is synced; with it goes all of the log that it is asked for.
@@ -433,7 +433,7 @@
         for (Member member : log.members()) {
             if (member.id() != self.id()) {
                 if (hold) {
-                    desk.hold(member, message);
+                    queue.hold(member, message);
                 } else {
                     actions.send(member, message);
                 }
@@ -442,7 +442,7 @@
     }
 
     private void countOwnVote(double now) {
-        if (desk.syncedTerm() == term && votedFor == self.id() && votes.add(self.id())) {
+        if (queue.syncedTerm() == term && votedFor == self.id() && votes.add(self.id())) {
             countVotes(now);
         }
     }
@@ -455,7 +455,7 @@
 
     private void askVote(double now, Member from, Message.AskVote ask) {
         boolean known = log.holds(from.id());
-        boolean led = role == Standing.Role.LEADER || now - leaderHeard < terms.electionLeast();
+        boolean led = role == Standing.Role.LEADER || now - leaderHeard < timing.electionLeast();
         // Who hears a leader disturbs it for nobody, save for whom the leader itself asked to stand.
         boolean refused = led && !(ask.handed() && known);
         boolean current = ask.lastTerm() > log.lastTerm()
@@ -476,11 +476,11 @@
         }
         if (votedFor == 0) {
             votedFor = from.id();
-            desk.touch();
+            queue.touch();
         }
         asking = false;
         waitForLeader(now);
-        desk.hold(from, new Message.Vote(term, true, false));
+        queue.hold(from, new Message.Vote(term, true, false));
     }
 
     private void vote(double now, Member from, Message.Vote vote) {
@@ -506,7 +506,7 @@
 
     private Message.Appended appended(boolean success, long hint) {
         // Entries count for a term only if the disk knows the term: else an older leader could undo them.
-        long match = success && desk.syncedTerm() == term ? Math.min(desk.synced(), verified) : 0;
+        long match = success && queue.syncedTerm() == term ? Math.min(queue.synced(), verified) : 0;
         return new Message.Appended(term, success, match, hint, lastRound);
     }
 
@@ -546,7 +546,7 @@
             actions.send(from, appended(false, hint));
             return;
         }
-        if (!append.entries().isEmpty() && desk.isFull()) {
+        if (!append.entries().isEmpty() && queue.isFull()) {
             // The leader says it again with its next sign of life, or when the disk has taken something.
             verified = Math.max(verified, previous);
             commitTo(now, Math.min(append.commit(), verified));
@@ -574,27 +574,27 @@
                         + " differs from a committed one");
             }
             log.truncate(entry.index());
-            desk.truncate(entry.index());
+            queue.truncate(entry.index());
         }
         log.append(entry);
-        desk.append(entry);
+        queue.append(entry);
     }
 
     private void takeInstall(double now, Member from, Message.Install install) {
         if (!heard(now, from, install.term(), install.round())) {
             return;
         }
-        if (desk.isFull()) {
+        if (queue.isFull()) {
             actions.send(from, appended(false, log.isBare() ? -1 : verified));
             return;
         }
         Snapshot snapshot = install.snapshot();
         if (snapshot.index() > commit || log.isBare()) {
             if (!log.holdsEntry(snapshot.index(), snapshot.term()) && log.lastIndex() > log.base().index()) {
-                desk.truncate(log.base().index() + 1);
+                queue.truncate(log.base().index() + 1);
             }
             log.install(snapshot);
-            desk.snapshot(snapshot);
+            queue.snapshot(snapshot);
             commit = snapshot.index();
             if (commit > 0) {
                 actions.restore(snapshot);
@@ -613,9 +613,9 @@
             return;
         }
         Set<String> asked = new HashSet<>();
-        asked.add(self.conduit());
+        asked.add(self.address());
         for (Member member : log.members()) {
-            if (member.id() != self.id() && asked.add(member.conduit())) {
+            if (member.id() != self.id() && asked.add(member.address())) {
                 actions.send(member, join);
             }
         }
@@ -651,7 +651,7 @@
         if (role == Standing.Role.LEADER || log.holds(self.id()) && now - leaderHeard < LOST) {
             return;
         }
-        guide.members().forEach(member -> contacts(List.of(member.conduit())));
+        guide.members().forEach(member -> contacts(List.of(member.address())));
         if (guide.leader() != null && guide.leader().id() != self.id()) {
             actions.send(guide.leader(), new Message.Join(self, log.lastIndex()));
         }
@@ -667,7 +667,7 @@
         round = 0;
         handedOver = false;
         leaseUntil = Double.NEGATIVE_INFINITY;
-        heartbeatAt = now + terms.heartbeat();
+        heartbeatAt = now + timing.heartbeat();
         handAt = now;
         keepPeers(now);
         firstOfTerm = append(now, Entry.Kind.NOOP, new byte[0]);
@@ -676,7 +676,7 @@
     private long append(double now, Entry.Kind kind, byte[] data) {
         Entry entry = new Entry(log.lastIndex() + 1, term, kind, data);
         log.append(entry);
-        desk.append(entry);
+        queue.append(entry);
         if (kind == Entry.Kind.MEMBERS) {
             keepPeers(now);
         }
@@ -699,7 +699,7 @@
     }
 
     private void lead(double now) {
-        if (!heardMajority(now, log.members(), terms.quorum(), 0)) {
+        if (!heardMajority(now, log.members(), timing.quorum(), 0)) {
             stepDown(now, term, null);
             return;
         }
@@ -714,7 +714,7 @@
         if (now >= heartbeatAt) {
             ask(now);
         }
-        if (now - desk.busySince() > terms.stall() && now >= handAt) {
+        if (now - queue.busySince() > timing.stall() && now >= handAt) {
             handOver(now);
         }
         changeMembers(now);
@@ -737,9 +737,9 @@
     private void ask(double now) {
         round++;
         askedAt[(int) (round % ASKED)] = now;
-        heartbeatAt = now + terms.heartbeat();
+        heartbeatAt = now + timing.heartbeat();
         for (Peer peer : peers.values()) {
-            feed(now, peer, now - peer.heard <= terms.fresh() || peer.probing);
+            feed(now, peer, now - peer.heard <= timing.fresh() || peer.probing);
         }
     }
 
@@ -760,7 +760,7 @@
             return;
         }
         List<Entry> entries = withEntries && (peer.probing || peer.next - 1 - peer.match < AHEAD)
-                ? log.from(peer.next, terms.entries(), terms.bytes()) : List.of();
+                ? log.from(peer.next, timing.entries(), timing.bytes()) : List.of();
         long previous = peer.next - 1;
         actions.send(peer.member,
                 new Message.Append(term, previous, log.termAt(previous), entries, commit, round));
@@ -770,7 +770,7 @@
     }
 
     private void feedMore(double now, Peer peer) {
-        if (peer.next <= log.lastIndex() && now >= peer.installing && now - peer.heard <= terms.fresh()
+        if (peer.next <= log.lastIndex() && now >= peer.installing && now - peer.heard <= timing.fresh()
                 && (peer.probing || peer.next - 1 - peer.match < AHEAD)) {
             feed(now, peer, true);
         }
@@ -821,7 +821,7 @@
         for (int i = 0; i < matches.length; i++) {
             long id = members.get(i).id();
             Peer peer = peers.get(id);
-            matches[i] = id == self.id() ? desk.synced() : peer == null ? 0 : peer.match;
+            matches[i] = id == self.id() ? queue.synced() : peer == null ? 0 : peer.match;
         }
         Arrays.sort(matches);
         long index = matches.length == 0 ? 0 : matches[matches.length - majority()];
@@ -893,7 +893,7 @@
         long answered = answered();
         if (!handedOver && answered > Math.max(0, round - ASKED)) {
             leaseUntil = Math.max(leaseUntil,
-                    askedAt[(int) (answered % ASKED)] + LEASE_PART * terms.electionLeast());
+                    askedAt[(int) (answered % ASKED)] + LEASE_PART * timing.electionLeast());
         }
     }
 
@@ -901,8 +901,8 @@
     private void handOver(double now) {
         Peer best = null;
         for (Peer peer : peers.values()) {
-            if (log.holds(peer.member.id()) && now - peer.heard <= terms.fresh() && peer.match >= commit
-                    && peer.match > desk.synced() && (best == null || peer.match > best.match)) {
+            if (log.holds(peer.member.id()) && now - peer.heard <= timing.fresh() && peer.match >= commit
+                    && peer.match > queue.synced() && (best == null || peer.match > best.match)) {
                 best = peer;
             }
         }
@@ -921,7 +921,7 @@
             return;
         }
         for (Peer peer : List.copyOf(peers.values())) {
-            boolean waits = !log.holds(peer.member.id()) && now - peer.heard <= terms.fresh()
+            boolean waits = !log.holds(peer.member.id()) && now - peer.heard <= timing.fresh()
                     && now - peer.asked <= LOST && peer.match + NEAR >= commit && peer.match > 0;
             if (waits && letIn(now, peer)) {
                 return;
@@ -940,14 +940,14 @@
         double longest = 0;
         for (Member member : members) {
             if (member.id() != self.id()) {
-                boolean same = member.conduit().equals(newcomer.member.conduit());
+                boolean same = member.address().equals(newcomer.member.address());
                 double silent = now - peers.get(member.id()).heard;
                 // Two lives of one disk can't both answer: the one before need not be waited for.
-                if (same && silent > terms.fresh()) {
+                if (same && silent > timing.fresh()) {
                     goes = member;
                     break;
                 }
-                if (silent > terms.silent() && silent > longest) {
+                if (silent > timing.silent() && silent > longest) {
                     goes = member;
                     longest = silent;
                 }
@@ -961,7 +961,7 @@
     }
 
     private boolean change(double now, List<Member> members) {
-        if (!heardMajority(now, members, terms.fresh(), commit)) {
+        if (!heardMajority(now, members, timing.fresh(), commit)) {
             return false;
         }
         append(now, Entry.Kind.MEMBERS, Members.write(members));
--- a/src/main/java/sablehinge/watermaster/Terms.java
+++ b/src/main/java/sablehinge/consensus/Timing.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 /**
  * The times and bounds of agreement. Times are in ms of the steady clock that is passed with each call.
@@ -16,11 +16,12 @@
  * @param bytes most bytes of entries in a message, but one entry always goes
  * @param waiting most entries that wait for their commit
  */
-public record Terms(double heartbeat, double electionLeast, double electionMost, double quorum, double silent,
+public record Timing(double heartbeat, double electionLeast, double electionMost, double quorum,
+        double silent,
         double fresh, double stall, double barrier, int entries, int bytes, int waiting) {
 
     /** For a few machines in one network whose disks sync in some ms. */
-    public static Terms usual() {
-        return new Terms(100, 500, 1000, 900, 3000, 500, 1000, 2000, 64, 256 << 10, 256);
+    public static Timing usual() {
+        return new Timing(100, 500, 1000, 900, 3000, 500, 1000, 2000, 64, 256 << 10, 256);
     }
 }
--- a/src/main/java/sablehinge/reservoir/Authority.java
+++ b/src/main/java/sablehinge/control/Authority.java
@@ -1,10 +1,10 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.util.function.Consumer;
-import sablehinge.cistern.Cistern;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Pulse;
-import sablehinge.watermaster.Standing;
+import sablehinge.state.ConfigurationState;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Pulse;
+import sablehinge.consensus.Standing;
 
 /** What settles operators' calls; all but {@link #check} is called on the thread of the door. */
 interface Authority {
@@ -20,7 +20,7 @@
 
     Pulse pulse();
 
-    Cistern cistern();
+    ConfigurationState configurations();
 
     /** Does work that takes long on a thread beside, and {@link #settle} comes back from there. */
     void check(Runnable work);
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -20,45 +20,45 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.cistern.Cistern;
-import sablehinge.cistern.Roll;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
-import sablehinge.conduit.MessageCodec;
+import sablehinge.routing.Configuration;
+import sablehinge.state.ConfigurationState;
+import sablehinge.state.Registry;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
+import sablehinge.rpc.MessageCodec;
 import sablehinge.config.ConfigException;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
 import sablehinge.core.Log;
-import sablehinge.gauge.Panel;
-import sablehinge.headgate.ConfigurationCheck;
-import sablehinge.headgate.ConfigurationReader;
-import sablehinge.headgate.Door;
-import sablehinge.headgate.Operation;
-import sablehinge.penstock.Ask;
-import sablehinge.penstock.Desk;
-import sablehinge.penstock.Spills;
-import sablehinge.penstock.Tokens;
-import sablehinge.spillway.Claim;
-import sablehinge.watermaster.Change;
-import sablehinge.watermaster.Entry;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Message;
-import sablehinge.watermaster.Pulse;
-import sablehinge.watermaster.Snapshot;
-import sablehinge.watermaster.Standing;
-import sablehinge.watermaster.Stored;
-import sablehinge.watermaster.Terms;
-import sablehinge.watermaster.Watermaster;
+import sablehinge.failuredetection.HealthView;
+import sablehinge.api.ConfigurationCheck;
+import sablehinge.api.ConfigurationReader;
+import sablehinge.api.ApiServer;
+import sablehinge.api.Operation;
+import sablehinge.watch.WatchRequest;
+import sablehinge.watch.WatchServer;
+import sablehinge.watch.Spills;
+import sablehinge.watch.Tokens;
+import sablehinge.retrybudget.Claim;
+import sablehinge.consensus.Change;
+import sablehinge.consensus.Entry;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Message;
+import sablehinge.consensus.Pulse;
+import sablehinge.consensus.Snapshot;
+import sablehinge.consensus.Standing;
+import sablehinge.consensus.Stored;
+import sablehinge.consensus.Timing;
+import sablehinge.consensus.RaftNode;
 
 /**
  * A machine of the core: it agrees with the others on the configuration, keeps it on disk, takes operators'
  * calls and, while it leads, tells the data plane the news. One thread owns all of it but the disk's work and
  * the checks of configurations, which have a thread each.
  */
-public final class Reservoir {
+public final class ControlNode {
 
-    private static final Logger LOG = LoggerFactory.getLogger(Reservoir.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ControlNode.class);
     private static final long TICK_MS = 20;
     private static final double NANOS_PER_MS = 1e6;
     /** A disk that is at one change for longer hangs, in ms; it is looked at as often. */
@@ -80,12 +80,12 @@
     private final ExecutorService checks = thread("checks");
     private final LocalSettings settings;
     private final long born;
-    private final Conduit conduit;
-    private final Scribe scribe;
-    private final Watermaster watermaster;
-    private final Cistern cistern = new Cistern();
-    private final Roll roll = new Roll(COMPLETE_MS, GONE_MS);
-    private final Desk<Conduit.Link> desk = new Desk<>(roll);
+    private final Connection connection;
+    private final DiskWriter diskWriter;
+    private final RaftNode raft;
+    private final ConfigurationState configurations = new ConfigurationState();
+    private final Registry registry = new Registry(COMPLETE_MS, GONE_MS);
+    private final WatchServer<Connection.Link> queue = new WatchServer<>(registry);
     private final Pools pools;
     private final Spillways spillways;
     private final Proposals proposals;
@@ -99,16 +99,16 @@
     private long bytesSinceSnapshot;
     private boolean hangs;
 
-    private Reservoir(LocalSettings settings, long born, EventLoop loop, Supplier<LogStore> opener) {
+    private ControlNode(LocalSettings settings, long born, EventLoop loop, Supplier<RaftStore> opener) {
         this.settings = settings;
         this.born = born;
         this.loop = loop;
-        conduit = new Conduit(loop, PING_MS, DEAD_MS);
-        scribe = new Scribe(opener, new Puts());
-        watermaster = new Watermaster(new Carries(), Terms.usual(), new SecureRandom().nextLong());
+        connection = new Connection(loop, PING_MS, DEAD_MS);
+        diskWriter = new DiskWriter(opener, new Puts());
+        raft = new RaftNode(new Carries(), Timing.usual(), new SecureRandom().nextLong());
         spillways = new Spillways(settings.bounds());
-        proposals = new Proposals(cistern);
-        pools = new Pools(loop, clock, settings.bounds(), desk::askers, watermaster::leases);
+        proposals = new Proposals(configurations);
+        pools = new Pools(loop, clock, settings.bounds(), queue::askers, raft::leases);
     }
 
     private static ExecutorService thread(String name) {
@@ -122,41 +122,41 @@
      * @param born when its process began, by {@link System#nanoTime}: whatever the process before promised a
      *     leader, it had promised by then
      */
-    public static Reservoir start(LocalSettings settings, long born)
+    public static ControlNode start(LocalSettings settings, long born)
             throws ConfigException, InterruptedException {
         if (settings.dataDir() == null) {
-            throw new ConfigException("a reservoir needs dataDir in its settings");
+            throw new ConfigException("a control node needs dataDir in its settings");
         }
         Path folder = Path.of(settings.dataDir());
-        return start(settings, born, () -> LogStore.open(folder));
+        return start(settings, born, () -> RaftStore.open(folder));
     }
 
     /** The same with a store of another kind; it is opened anew after each refusal. */
-    static Reservoir start(LocalSettings settings, long born, Supplier<LogStore> opener)
+    static ControlNode start(LocalSettings settings, long born, Supplier<RaftStore> opener)
             throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("reservoir", true), NioIoHandler.newFactory()).next();
-        Reservoir reservoir = new Reservoir(settings, born, loop, opener);
+                new DefaultThreadFactory("control", true), NioIoHandler.newFactory()).next();
+        ControlNode controlNode = new ControlNode(settings, born, loop, opener);
         String at = settings.ip() + ":" + settings.innerFirst();
         try {
-            await(reservoir.conduit.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
-                    reservoir.new Records()), at);
-            await(new Door(loop, reservoir.operations(), MOST_CONFIGURATION).listen(
+            await(controlNode.connection.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
+                    controlNode.new Records()), at);
+            await(new ApiServer(loop, controlNode.operations(), MOST_CONFIGURATION).listen(
                     address(settings.listenOn().control())), settings.listenOn().control());
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
         }
-        reservoir.disk.execute(reservoir.scribe::open);
-        loop.scheduleAtFixedRate(reservoir::watch, HANGS_MS, HANGS_MS, TimeUnit.MILLISECONDS);
+        controlNode.disk.execute(controlNode.diskWriter::open);
+        loop.scheduleAtFixedRate(controlNode::watch, HANGS_MS, HANGS_MS, TimeUnit.MILLISECONDS);
         // The schema is loaded before the first configuration comes, and beside what must not wait for it.
-        reservoir.checks.execute(ConfigurationCheck::warm);
-        return reservoir;
+        controlNode.checks.execute(ConfigurationCheck::warm);
+        return controlNode;
     }
 
     private List<Operation<?, ?>> operations() {
         Authority authority = new Settles();
         return Operators.all(authority, new Sight(settings.node(), settings.zone(),
-                settings.listenOn().control(), roll, desk, pools.pool(), authority));
+                settings.listenOn().control(), registry, queue, pools.pool(), authority));
     }
 
     private static void await(io.netty.channel.ChannelFuture bound, String at)
@@ -175,7 +175,7 @@
     void close() throws InterruptedException {
         loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
         checks.shutdown();
-        disk.execute(scribe::close);
+        disk.execute(diskWriter::close);
         disk.shutdown();
         disk.awaitTermination(1, TimeUnit.MINUTES);
     }
@@ -186,7 +186,7 @@
             List<String> contacts = new ArrayList<>();
             next.seeds().forEach(seed -> contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1)
                     + next.innerFirst()));
-            watermaster.contacts(contacts);
+            raft.contacts(contacts);
             Log.info(LOG, "settings").addKeyValue("seeds", contacts.size())
                     .log("the settings were read again");
         });
@@ -203,7 +203,7 @@
     private void begin(Member me, Stored stored) {
         double now = clock.now();
         self = me;
-        peers = new Peers(conduit, self, this::came);
+        peers = new Peers(connection, self, this::came);
         List<String> contacts = new ArrayList<>();
         List<Member> founders = new ArrayList<>();
         for (String seed : settings.seeds()) {
@@ -211,14 +211,14 @@
             contacts.add(at);
             founders.add(Member.founder(at, seed));
         }
-        watermaster.contacts(contacts);
+        raft.contacts(contacts);
         if (stored != null) {
             // Even who has nothing but a name, and asks to be let in, may have given its vote.
-            watermaster.start(now, stored, now - (System.nanoTime() - born) / NANOS_PER_MS);
+            raft.start(now, stored, now - (System.nanoTime() - born) / NANOS_PER_MS);
         } else if (founders.contains(self)) {
-            watermaster.found(now, self, founders);
+            raft.found(now, self, founders);
         } else {
-            watermaster.outside(now, self, contacts);
+            raft.outside(now, self, contacts);
         }
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("member", self.id())
@@ -229,14 +229,14 @@
 
     private void tick() {
         double now = clock.now();
-        watermaster.tick(now);
+        raft.tick(now);
         proposals.expire(now);
         answer(now);
     }
 
     /** A disk that answers nothing says nothing by itself. */
     private void watch() {
-        double ms = clock.now() - scribe.busySince();
+        double ms = clock.now() - diskWriter.busySince();
         if (ms > HANGS_MS && !hangs) {
             hangs = true;
             Log.warn(LOG, "disk-hangs").addKeyValue("ms", Math.round(ms)).log("the disk doesn't answer");
@@ -252,10 +252,10 @@
 
     private void answer(double now) {
         if (leads()) {
-            for (Desk.Told<Conduit.Link> told : desk.due(now)) {
-                told.to().send(new Frame(Frame.Kind.NEWS, told.news().bytes()));
+            for (WatchServer.Told<Connection.Link> told : queue.due(now)) {
+                told.to().send(new Frame(Frame.Kind.NEWS, told.update().bytes()));
             }
-            for (Panel.Ruling ruling : desk.rulings()) {
+            for (HealthView.Ruling ruling : queue.rulings()) {
                 Log.info(LOG, "health").addKeyValue("peer", ruling.node())
                         .addKeyValue("health", ruling.health()).addKeyValue("before", ruling.before())
                         .addKeyValue("accusers", ruling.accusers())
@@ -265,21 +265,21 @@
     }
 
     private void came(Member from, Message message) {
-        watermaster.message(clock.now(), from, message);
+        raft.message(clock.now(), from, message);
     }
 
-    private void asked(Conduit.Link link, Ask ask) {
+    private void asked(Connection.Link link, WatchRequest request) {
         if (!leads()) {
-            String leader = standing.leader() == null ? "" : standing.leader().conduit();
+            String leader = standing.leader() == null ? "" : standing.leader().address();
             link.send(new Frame(Frame.Kind.ELSEWHERE, leader.getBytes(StandardCharsets.UTF_8)));
             return;
         }
         double now = clock.now();
-        desk.asked(now, link, ask);
-        if (ask.confirm()) {
+        queue.asked(now, link, request);
+        if (request.confirm()) {
             barrier(sure -> {
                 if (sure) {
-                    desk.confirmed(link, ask.number());
+                    queue.confirmed(link, request.number());
                     answer(clock.now());
                 }
             });
@@ -287,8 +287,8 @@
         loop.execute(() -> answer(clock.now()));
     }
 
-    private void claimed(Conduit.Link link, Claim claim) {
-        Frame answer = watermaster.leases(clock.now()) ? spillways.answer(clock.now(), claim) : null;
+    private void claimed(Connection.Link link, Claim claim) {
+        Frame answer = raft.leases(clock.now()) ? spillways.answer(clock.now(), claim) : null;
         if (answer != null) {
             link.send(answer);
         }
@@ -296,8 +296,8 @@
 
     /** The quotas and services in force are what the pools are filled by. */
     private void fillPools() {
-        if (leads() && cistern.edition() > 0) {
-            Configuration configuration = ConfigurationReader.read(cistern.body());
+        if (leads() && configurations.edition() > 0) {
+            Configuration configuration = ConfigurationReader.read(configurations.body());
             pools.adopt(configuration);
             spillways.adopt(clock.now(), configuration);
         }
@@ -307,23 +307,23 @@
     private void barrier(Consumer<Boolean> then) {
         long token = ++barrierCount;
         barriers.put(token, then);
-        watermaster.barrier(clock.now(), token);
+        raft.barrier(clock.now(), token);
     }
 
     /** Hears connections of peers and of the data plane. */
-    private final class Records implements Conduit.Handler {
+    private final class Records implements Connection.Handler {
 
         @Override
-        public void came(Conduit.Link link, Frame frame) {
+        public void came(Connection.Link link, Frame frame) {
             try {
                 switch (frame.kind()) {
                     case HELLO -> link.attach(Peers.hello(frame));
                     case AGREE -> {
                         if (link.attachment() instanceof Member from) {
-                            Reservoir.this.came(from, MessageCodec.read(frame.body()));
+                            ControlNode.this.came(from, MessageCodec.read(frame.body()));
                         }
                     }
-                    case ASK -> asked(link, Ask.read(frame.body()));
+                    case ASK -> asked(link, WatchRequest.read(frame.body()));
                     case TOKENS -> pools.asked(link, Tokens.read(frame.body()));
                     case PULL -> pools.lent(Tokens.read(frame.body()));
                     case SHARES -> claimed(link, Spills.claim(frame.body()));
@@ -337,13 +337,13 @@
         }
 
         @Override
-        public void closed(Conduit.Link link) {
-            desk.gone(link);
+        public void closed(Connection.Link link) {
+            queue.gone(link);
         }
     }
 
     /** Carries out what the agreement asks for. */
-    private final class Carries implements Watermaster.Actions {
+    private final class Carries implements RaftNode.Actions {
 
         @Override
         public void send(Member to, Message message) {
@@ -352,7 +352,7 @@
 
         @Override
         public void persist(Change change) {
-            disk.execute(() -> scribe.write(change));
+            disk.execute(() -> diskWriter.write(change));
         }
 
         @Override
@@ -360,11 +360,11 @@
             sinceSnapshot++;
             bytesSinceSnapshot += entry.data().length;
             if (entry.kind() == Entry.Kind.COMMAND) {
-                Cistern.Outcome outcome = cistern.apply(entry.data());
+                ConfigurationState.Outcome outcome = configurations.apply(entry.data());
                 proposals.applied(entry, outcome);
-                if (outcome == Cistern.Outcome.TAKEN) {
+                if (outcome == ConfigurationState.Outcome.TAKEN) {
                     fillPools();
-                    Log.info(LOG, "configuration").addKeyValue("edition", cistern.edition())
+                    Log.info(LOG, "configuration").addKeyValue("edition", configurations.edition())
                             .addKeyValue("index", entry.index()).log("a configuration is in force");
                 }
                 holds();
@@ -372,14 +372,14 @@
             if (sinceSnapshot >= MOST_ENTRIES || bytesSinceSnapshot >= MOST_BYTES) {
                 sinceSnapshot = 0;
                 bytesSinceSnapshot = 0;
-                byte[] state = cistern.state();
-                loop.execute(() -> watermaster.compact(entry.index(), state));
+                byte[] state = configurations.state();
+                loop.execute(() -> raft.compact(entry.index(), state));
             }
         }
 
         @Override
         public void restore(Snapshot snapshot) {
-            cistern.restore(snapshot.state());
+            configurations.restore(snapshot.state());
             holds();
         }
 
@@ -389,17 +389,17 @@
             boolean newTerm = standing.term() != next.term();
             standing = next;
             Log.info(LOG, "standing").addKeyValue("role", next.role()).addKeyValue("term", next.term())
-                    .addKeyValue("leader", next.leader() == null ? "" : next.leader().conduit())
+                    .addKeyValue("leader", next.leader() == null ? "" : next.leader().address())
                     .addKeyValue("members", next.members().size()).log("the core's standing");
             if (leads() && (!led || newTerm)) {
-                desk.begin(clock.now(), next.term());
+                queue.begin(clock.now(), next.term());
                 pools.begin();
                 spillways.begin(next.term());
                 fillPools();
             } else if (led && !leads()) {
                 proposals.lost();
-                String leader = next.leader() == null ? "" : next.leader().conduit();
-                desk.askers().forEach(link -> link.send(new Frame(Frame.Kind.ELSEWHERE,
+                String leader = next.leader() == null ? "" : next.leader().address();
+                queue.askers().forEach(link -> link.send(new Frame(Frame.Kind.ELSEWHERE,
                         leader.getBytes(StandardCharsets.UTF_8))));
             }
             holds();
@@ -408,8 +408,8 @@
 
         private void holds() {
             List<String> members = new ArrayList<>();
-            standing.members().forEach(member -> members.add(member.conduit()));
-            desk.holds(cistern.edition(), cistern.body(), members);
+            standing.members().forEach(member -> members.add(member.address()));
+            queue.holds(configurations.edition(), configurations.body(), members);
             loop.execute(() -> answer(clock.now()));
         }
 
@@ -432,7 +432,7 @@
     }
 
     /** What the disk's thread calls. */
-    private final class Puts implements Scribe.Host {
+    private final class Puts implements DiskWriter.Host {
 
         @Override
         public double now() {
@@ -446,7 +446,7 @@
 
         @Override
         public Member named(boolean damaged) {
-            return Reservoir.this.named(damaged);
+            return ControlNode.this.named(damaged);
         }
 
         @Override
@@ -456,7 +456,7 @@
 
         @Override
         public void persisted(long number) {
-            loop.execute(() -> watermaster.persisted(clock.now(), number));
+            loop.execute(() -> raft.persisted(clock.now(), number));
         }
 
         @Override
@@ -488,7 +488,7 @@
 
         @Override
         public Pulse pulse() {
-            return watermaster.pulse(clock.now());
+            return raft.pulse(clock.now());
         }
 
         @Override
@@ -502,14 +502,14 @@
         }
 
         @Override
-        public Cistern cistern() {
-            return cistern;
+        public ConfigurationState configurations() {
+            return configurations;
         }
 
         @Override
         public void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then) {
             double now = clock.now();
-            long index = watermaster.propose(now, Cistern.replace(basedOn, edition, body,
+            long index = raft.propose(now, ConfigurationState.replace(basedOn, edition, body,
                     System.currentTimeMillis()));
             if (index == 0) {
                 then.accept(Proposals.Result.LOST);
@@ -520,7 +520,7 @@
 
         @Override
         public void barrier(Consumer<Boolean> then) {
-            Reservoir.this.barrier(then);
+            ControlNode.this.barrier(then);
         }
     }
 }
--- a/src/main/java/sablehinge/reservoir/Scribe.java
+++ b/src/main/java/sablehinge/control/DiskWriter.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -6,9 +6,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.core.Log;
-import sablehinge.watermaster.Change;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Stored;
+import sablehinge.consensus.Change;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Stored;
 
 /**
  * Puts changes down, in order, however often the disk refuses: to whoever waits for them a disk that refuses
@@ -16,7 +16,7 @@
  * change that was under way is there, or it is written again. None is reported before it is synced, and none
  * twice. All calls are made on one thread; how many changes wait is bounded by who makes them.
  */
-final class Scribe {
+final class DiskWriter {
 
     /** Whom it works for; all of it is called on the disk's thread. */
     interface Host {
@@ -39,13 +39,13 @@
         void lost(StoreException why);
     }
 
-    private static final Logger LOG = LoggerFactory.getLogger(Scribe.class);
+    private static final Logger LOG = LoggerFactory.getLogger(DiskWriter.class);
 
-    private final Supplier<LogStore> opener;
+    private final Supplier<RaftStore> opener;
     private final Host host;
     private final Patience patience = new Patience();
     private final Deque<Change> waiting = new ArrayDeque<>();
-    private LogStore store;
+    private RaftStore store;
     private Member self;
     private boolean begun;
     private boolean pausing;
@@ -55,7 +55,7 @@
     private volatile double busySince = Double.POSITIVE_INFINITY;
 
     /** Opens the store with each call of {@code opener}; that throws a {@link StoreException} if it can't. */
-    Scribe(Supplier<LogStore> opener, Host host) {
+    DiskWriter(Supplier<RaftStore> opener, Host host) {
         this.opener = opener;
         this.host = host;
     }
@@ -92,7 +92,7 @@
         try {
             busySince = host.now();
             if (store == null) {
-                LogStore opened = opener.get();
+                RaftStore opened = opener.get();
                 store = opened;
                 took(opened);
             }
@@ -110,7 +110,7 @@
     }
 
     /** Finds out what is on disk. */
-    private void took(LogStore opened) {
+    private void took(RaftStore opened) {
         if (!begun) {
             begin(opened);
             return;
@@ -125,7 +125,7 @@
         }
     }
 
-    private void begin(LogStore opened) {
+    private void begin(RaftStore opened) {
         Stored stored = opened.load();
         if (stored == null) {
             if (self == null) {
--- a/src/main/java/sablehinge/reservoir/Inquiry.java
+++ b/src/main/java/sablehinge/control/Inquiry.java
@@ -1,9 +1,9 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import sablehinge.headgate.Query;
-import sablehinge.headgate.Reply;
+import sablehinge.api.Query;
+import sablehinge.api.Reply;
 
 /** An operator asks, and nothing changes by it. */
 final class Inquiry extends Query<Settled> {
--- a/src/main/java/sablehinge/reservoir/Peers.java
+++ b/src/main/java/sablehinge/control/Peers.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -10,11 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
-import sablehinge.conduit.MessageCodec;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Message;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
+import sablehinge.rpc.MessageCodec;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Message;
 
 /**
  * Connections to the other machines of the core: one to each for what is said to it. What can't be sent now
@@ -24,14 +24,14 @@
 
     private static final int MOST = 128;
     private static final long RETRY_NANOS = 100_000_000;
-    private final Conduit conduit;
+    private final Connection connection;
     private final Member self;
     private final BiConsumer<Member, Message> hears;
     private final Map<String, Peer> peers = new HashMap<>();
 
-    private static final class Peer implements Conduit.Handler {
+    private static final class Peer implements Connection.Handler {
         private final Frame hello;
-        private Conduit.Link link;
+        private Connection.Link link;
         private long triedAt;
         /** What waits for the connection: the newest only. */
         private Frame first;
@@ -41,7 +41,7 @@
         }
 
         @Override
-        public void opened(Conduit.Link opened) {
+        public void opened(Connection.Link opened) {
             opened.send(hello);
             if (first != null) {
                 opened.send(first);
@@ -50,20 +50,20 @@
         }
 
         @Override
-        public void came(Conduit.Link from, Frame frame) {
+        public void came(Connection.Link from, Frame frame) {
             // The other end speaks on its own connection.
         }
 
         @Override
-        public void closed(Conduit.Link closed) {
+        public void closed(Connection.Link closed) {
             if (link == closed) {
                 link = null;
             }
         }
     }
 
-    Peers(Conduit conduit, Member self, BiConsumer<Member, Message> hears) {
-        this.conduit = conduit;
+    Peers(Connection connection, Member self, BiConsumer<Member, Message> hears) {
+        this.connection = connection;
         this.self = self;
         this.hears = hears;
     }
@@ -76,7 +76,7 @@
         if (peers.size() > MOST) {
             peers.values().removeIf(peer -> peer.link == null);
         }
-        Peer peer = peers.computeIfAbsent(to.conduit(), at -> new Peer(hello()));
+        Peer peer = peers.computeIfAbsent(to.address(), at -> new Peer(hello()));
         Frame frame = new Frame(Frame.Kind.AGREE, MessageCodec.write(message));
         if (peer.link != null && peer.link.isUp()) {
             peer.link.send(frame);
@@ -86,14 +86,14 @@
         long now = System.nanoTime();
         if (peer.link == null && now - peer.triedAt > RETRY_NANOS) {
             peer.triedAt = now;
-            peer.link = conduit.connect(Reservoir.address(to.conduit()), peer);
+            peer.link = connection.connect(ControlNode.address(to.address()), peer);
         }
     }
 
     /** Who is in the core now: connections to others end. */
     void members(List<Member> members) {
         peers.entrySet().removeIf(peer -> {
-            boolean gone = members.stream().noneMatch(member -> member.conduit().equals(peer.getKey()))
+            boolean gone = members.stream().noneMatch(member -> member.address().equals(peer.getKey()))
                     && peer.getValue().link == null;
             return gone;
         });
--- a/src/main/java/sablehinge/reservoir/Pools.java
+++ b/src/main/java/sablehinge/control/Pools.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -9,14 +9,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoublePredicate;
 import java.util.function.Supplier;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
+import sablehinge.routing.Configuration;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
-import sablehinge.meter.Pool;
-import sablehinge.meter.Quota;
-import sablehinge.penstock.Tokens;
+import sablehinge.quota.Pool;
+import sablehinge.quota.Quota;
+import sablehinge.watch.Tokens;
 
 /**
  * The duty of keeping the pools of quotas. Who asks one that is dry is answered a little later, once the
@@ -31,16 +31,16 @@
     private final EventLoop loop;
     private final Clock clock;
     private final LocalSettings.Bounds bounds;
-    private final Supplier<Collection<Conduit.Link>> balancers;
+    private final Supplier<Collection<Connection.Link>> balancers;
     private final DoublePredicate leases;
     private final Pool pool = new Pool();
     private final Map<String, List<Waiting>> waiting = new HashMap<>();
     private int waitingInAll;
 
-    private record Waiting(Conduit.Link link, int wanted) { }
+    private record Waiting(Connection.Link link, int wanted) { }
 
     Pools(EventLoop loop, Clock clock, LocalSettings.Bounds bounds,
-            Supplier<Collection<Conduit.Link>> balancers, DoublePredicate leases) {
+            Supplier<Collection<Connection.Link>> balancers, DoublePredicate leases) {
         this.loop = loop;
         this.clock = clock;
         this.bounds = bounds;
@@ -72,7 +72,7 @@
     }
 
     /** A balancer asks; without a lease it gets no answer. */
-    void asked(Conduit.Link link, Tokens wanted) {
+    void asked(Connection.Link link, Tokens wanted) {
         if (!leases.test(clock.now())) {
             return;
         }
@@ -108,7 +108,7 @@
         }
     }
 
-    private static void answer(Conduit.Link link, String tenant, int given) {
+    private static void answer(Connection.Link link, String tenant, int given) {
         link.send(new Frame(Frame.Kind.TOKENS, new Tokens(tenant, given).bytes()));
     }
 }
--- a/src/main/java/sablehinge/reservoir/Proposals.java
+++ b/src/main/java/sablehinge/control/Proposals.java
@@ -1,11 +1,11 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
-import sablehinge.cistern.Cistern;
-import sablehinge.watermaster.Entry;
+import sablehinge.state.ConfigurationState;
+import sablehinge.consensus.Entry;
 
 /** Operators' changes that are on their way through the log. */
 final class Proposals {
@@ -13,10 +13,10 @@
     /** Shorter than the second after which a caller goes elsewhere: no clear answer, it calls again. */
     private static final double PATIENCE_MS = 900;
     private final Map<Long, Waiting> waiting = new HashMap<>();
-    private final Cistern cistern;
+    private final ConfigurationState configurations;
 
-    Proposals(Cistern cistern) {
-        this.cistern = cistern;
+    Proposals(ConfigurationState configurations) {
+        this.configurations = configurations;
     }
 
     /** What became of one. */
@@ -37,7 +37,7 @@
         waiting.put(index, new Waiting(term, now + PATIENCE_MS, then));
     }
 
-    void applied(Entry entry, Cistern.Outcome outcome) {
+    void applied(Entry entry, ConfigurationState.Outcome outcome) {
         Waiting one = waiting.remove(entry.index());
         if (one != null) {
             one.then.accept(one.term != entry.term() ? Result.LOST : switch (outcome) {
@@ -67,6 +67,6 @@
 
     /** The edition in force. */
     long edition() {
-        return cistern.edition();
+        return configurations.edition();
     }
 }
--- a/src/main/java/sablehinge/reservoir/LogStore.java
+++ b/src/main/java/sablehinge/control/RaftStore.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -20,14 +20,14 @@
 import org.h2.mvstore.type.LongDataType;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sablehinge.conduit.MessageCodec;
+import sablehinge.rpc.MessageCodec;
 import sablehinge.core.Log;
-import sablehinge.watermaster.Change;
-import sablehinge.watermaster.Entry;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Members;
-import sablehinge.watermaster.Snapshot;
-import sablehinge.watermaster.Stored;
+import sablehinge.consensus.Change;
+import sablehinge.consensus.Entry;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Members;
+import sablehinge.consensus.Snapshot;
+import sablehinge.consensus.Stored;
 
 /**
  * What a member of the core has on its disk: who it is, its vote, its log. One file, {@code log.mv.db}, of
@@ -40,9 +40,9 @@
  * {@code log.mv.db.damaged}; as long as that is there and nothing was begun after it, {@link #damaged} says
  * so, in later processes also.
  */
-public final class LogStore implements AutoCloseable {
+public final class RaftStore implements AutoCloseable {
 
-    private static final Logger LOG = LoggerFactory.getLogger(LogStore.class);
+    private static final Logger LOG = LoggerFactory.getLogger(RaftStore.class);
 
     static final String FILE = "log.mv.db";
     static final String NEW = FILE + ".new";
@@ -77,7 +77,7 @@
      * @throws StoreException {@code LOCKED} if another process has it, {@code UNREADABLE} if the disk
      *     doesn't let it be read, {@code REFUSED} if it doesn't let it be made or mended
      */
-    public static LogStore open(Path folder) {
+    public static RaftStore open(Path folder) {
         try {
             return open(new SystemDisk(folder));
         } catch (IOException e) {
@@ -86,13 +86,13 @@
         }
     }
 
-    static LogStore open(Disk disk) {
+    static RaftStore open(Disk disk) {
         try {
             if (disk.has(FILE)) {
                 // It may have got its name just before an end, or before a sync that was refused.
                 disk.sync();
                 try {
-                    return new LogStore(disk, FILE, disk.has(ASIDE));
+                    return new RaftStore(disk, FILE, disk.has(ASIDE));
                 } catch (Damage e) {
                     Log.error(LOG, "disk-damaged").addKeyValue("file", disk.file(FILE))
                             .addKeyValue("cause", e.getMessage())
@@ -103,16 +103,16 @@
                 }
             }
             disk.delete(NEW);
-            new LogStore(disk, NEW, false).close();
+            new RaftStore(disk, NEW, false).close();
             disk.rename(NEW, FILE);
             disk.sync();
-            return new LogStore(disk, FILE, disk.has(ASIDE));
+            return new RaftStore(disk, FILE, disk.has(ASIDE));
         } catch (IOException e) {
             throw new StoreException(StoreException.Code.REFUSED, e.getMessage(), e);
         }
     }
 
-    private LogStore(Disk disk, String name, boolean aside) throws Damage {
+    private RaftStore(Disk disk, String name, boolean aside) throws Damage {
         String file = SealedPath.name(disk.file(name));
         MVStore opened = null;
         SealedChannel channel = null;
--- a/src/main/java/sablehinge/reservoir/Replace.java
+++ b/src/main/java/sablehinge/control/Replace.java
@@ -1,14 +1,14 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.headgate.Asked;
-import sablehinge.headgate.CallException;
-import sablehinge.headgate.CheckException;
-import sablehinge.headgate.ConfigurationCheck;
-import sablehinge.headgate.Headed;
-import sablehinge.headgate.Reply;
+import sablehinge.routing.Configuration;
+import sablehinge.api.Asked;
+import sablehinge.api.CallException;
+import sablehinge.api.CheckException;
+import sablehinge.api.ConfigurationCheck;
+import sablehinge.api.Headed;
+import sablehinge.api.Reply;
 
 /** An operator sends a configuration. */
 final class Replace extends Headed<Replace.Replacement, Settled> {
@@ -66,13 +66,15 @@
         authority.propose(call.basedOn(), checked.edition(), call.body(), result -> answer.accept(
                 switch (result) {
                     // A call that is repeated late was taken, and another edition may be in force by now.
-                    case TAKEN -> new Settled(Reply.of(200, ("{\"edition\":" + authority.cistern().edition()
+                    case TAKEN -> new Settled(Reply.of(200, ("{\"edition\":"
+                            + authority.configurations().edition()
                             + "}").getBytes(StandardCharsets.US_ASCII)));
-                    case STALE -> Settled.error(412, "STALE", "version " + authority.cistern().edition()
+                    case STALE -> Settled.error(412, "STALE", "version "
+                            + authority.configurations().edition()
                             + " is in place, not " + call.basedOn());
                     case OLD -> new Settled(Reply.error(400, CheckException.Code.OLD_EDITION.name(),
                             "/edition", "edition " + checked.edition() + " is not above "
-                                    + authority.cistern().edition()));
+                                    + authority.configurations().edition()));
                     case LOST -> Settled.error(503, "NO_MAJORITY",
                             "no majority has answered; the same call may be made again");
                 }));
--- a/src/main/java/sablehinge/reservoir/Seal.java
+++ b/src/main/java/sablehinge/control/Seal.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/sablehinge/reservoir/SealedPath.java
+++ b/src/main/java/sablehinge/control/SealedPath.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
--- a/src/main/java/sablehinge/reservoir/Settled.java
+++ b/src/main/java/sablehinge/control/Settled.java
@@ -1,6 +1,6 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
-import sablehinge.headgate.Reply;
+import sablehinge.api.Reply;
 
 /** What became of an operator's call. */
 record Settled(Reply reply) {
--- a/src/main/java/sablehinge/reservoir/Sight.java
+++ b/src/main/java/sablehinge/control/Sight.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.time.Instant;
 import java.util.ArrayList;
@@ -6,17 +6,17 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import sablehinge.cistern.Intake;
-import sablehinge.cistern.Roll;
-import sablehinge.headgate.mesh.Editions;
-import sablehinge.headgate.mesh.Machine;
-import sablehinge.headgate.mesh.MeshDuties;
-import sablehinge.headgate.mesh.MeshNodes;
-import sablehinge.headgate.mesh.MeshStatus;
-import sablehinge.meter.Pool;
-import sablehinge.penstock.Desk;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Pulse;
+import sablehinge.state.Registration;
+import sablehinge.state.Registry;
+import sablehinge.api.mesh.Editions;
+import sablehinge.api.mesh.Machine;
+import sablehinge.api.mesh.MeshDuties;
+import sablehinge.api.mesh.MeshNodes;
+import sablehinge.api.mesh.MeshStatus;
+import sablehinge.quota.Pool;
+import sablehinge.watch.WatchServer;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Pulse;
 
 /** What a machine of the core can tell operators of itself and, while it leads, of the mesh. */
 final class Sight {
@@ -27,18 +27,19 @@
     private final String node;
     private final String zone;
     private final String control;
-    private final Roll roll;
-    private final Desk<?> desk;
+    private final Registry registry;
+    private final WatchServer<?> queue;
     private final Pool pool;
     private final Authority authority;
 
     /** {@code control} is where operators call this machine. */
-    Sight(String node, String zone, String control, Roll roll, Desk<?> desk, Pool pool, Authority authority) {
+    Sight(String node, String zone, String control, Registry registry, WatchServer<?> queue, Pool pool,
+            Authority authority) {
         this.node = node;
         this.zone = zone;
         this.control = control;
-        this.roll = roll;
-        this.desk = desk;
+        this.registry = registry;
+        this.queue = queue;
         this.pool = pool;
         this.authority = authority;
     }
@@ -46,7 +47,8 @@
     MeshStatus status() {
         return new MeshStatus(node, zone, id(authority.self()), control,
                 authority.standing().role().name().toLowerCase(Locale.ROOT), authority.standing().term(),
-                authority.leader(), authority.pulse().commit(), authority.cistern().edition(), members(),
+                authority.leader(), authority.pulse().commit(), authority.configurations().edition(),
+                        members(),
                 authority.leads() ? plane() : null);
     }
 
@@ -70,17 +72,19 @@
         Map<String, MeshStatus.Service> services = new TreeMap<>();
         int known = 0;
         int ready = 0;
-        for (Roll.Line line : roll.lines(now)) {
-            Intake intake = line.intake();
-            boolean takes = intake.ready() && !line.gone();
+        for (Registry.Line line : registry.lines(now)) {
+            Registration registration = line.registration();
+            boolean takes = registration.ready() && !line.gone();
             known += line.gone() ? 0 : 1;
             ready += takes ? 1 : 0;
-            if (!intake.upstream().isEmpty()) {
-                services.merge(intake.service(), new MeshStatus.Service(intake.service(), 1, takes ? 1 : 0,
-                        takes ? intake.berths() : 0), Sight::sum);
+            if (!registration.upstream().isEmpty()) {
+                services.merge(registration.service(), new MeshStatus.Service(registration.service(), 1,
+                        takes ? 1 : 0,
+                        takes ? registration.berths() : 0), Sight::sum);
             }
         }
-        return new MeshStatus.Plane(known, ready, roll.isComplete(now), cut(List.copyOf(services.values())),
+        return new MeshStatus.Plane(known, ready, registry.isComplete(now),
+                cut(List.copyOf(services.values())),
                 more(services.size()));
     }
 
@@ -92,19 +96,20 @@
     MeshNodes nodes() {
         double now = authority.now();
         List<MeshNodes.Balancer> balancers = new ArrayList<>();
-        for (Roll.Line line : roll.lines(now)) {
-            Intake intake = line.intake();
-            balancers.add(new MeshNodes.Balancer(intake.node(), intake.zone(), intake.inbound(),
-                    intake.service(), intake.upstream(), state(line), intake.berths(),
+        for (Registry.Line line : registry.lines(now)) {
+            Registration registration = line.registration();
+            balancers.add(new MeshNodes.Balancer(registration.node(), registration.zone(),
+                    registration.inbound(),
+                    registration.service(), registration.upstream(), state(line), registration.berths(),
                     Math.round(line.silentMs())));
         }
-        return new MeshNodes(control, authority.standing().term(), roll.isComplete(now),
+        return new MeshNodes(control, authority.standing().term(), registry.isComplete(now),
                 cut(balancers), more(balancers.size()), members());
     }
 
-    private static String state(Roll.Line line) {
-        return line.gone() ? "gone" : line.intake().upstream().isEmpty() ? "empty"
-                : line.intake().ready() ? "ready" : "draining";
+    private static String state(Registry.Line line) {
+        return line.gone() ? "gone" : line.registration().upstream().isEmpty() ? "empty"
+                : line.registration().ready() ? "ready" : "draining";
     }
 
     MeshDuties duties() {
@@ -115,16 +120,17 @@
                     line.left()));
         }
         return new MeshDuties(node, control, authority.standing().term(),
-                Math.round(authority.pulse().leaseMs()), roll.stamp(), roll.isComplete(now),
-                desk.askers().size(), cut(pools), more(pools.size()));
+                Math.round(authority.pulse().leaseMs()), registry.stamp(), registry.isComplete(now),
+                queue.askers().size(), cut(pools), more(pools.size()));
     }
 
     Editions editions() {
         List<Editions.Taken> taken = new ArrayList<>();
-        authority.cistern().read((edition, basedOn, at, length, sum) -> taken.add(new Editions.Taken(edition,
+        authority.configurations().read((edition, basedOn, at, length, sum) ->
+                taken.add(new Editions.Taken(edition,
                 basedOn < 0 ? null : basedOn, length, String.format(Locale.ROOT, "%016x", sum),
                 at < 0 ? null : Instant.ofEpochMilli(at).toString())));
-        return new Editions(authority.cistern().edition(), taken);
+        return new Editions(authority.configurations().edition(), taken);
     }
 
     private static <T> List<T> cut(List<T> lines) {
--- a/src/main/java/sablehinge/reservoir/Spillways.java
+++ b/src/main/java/sablehinge/control/Spillways.java
@@ -1,15 +1,15 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import java.util.ArrayList;
 import java.util.List;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.conduit.Frame;
+import sablehinge.routing.Configuration;
+import sablehinge.rpc.Frame;
 import sablehinge.config.local.LocalSettings;
-import sablehinge.penstock.Spills;
-import sablehinge.spillway.Claim;
-import sablehinge.spillway.Grant;
-import sablehinge.spillway.Holder;
-import sablehinge.spillway.Rule;
+import sablehinge.watch.Spills;
+import sablehinge.retrybudget.Claim;
+import sablehinge.retrybudget.Grant;
+import sablehinge.retrybudget.Holder;
+import sablehinge.retrybudget.Rule;
 
 /** The duty of holding the budget of further tries: balancers' claims are answered under a lease only. */
 final class Spillways {
--- a/src/main/java/sablehinge/reservoir/StoreException.java
+++ b/src/main/java/sablehinge/control/StoreException.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 /** The store can't do what it was asked for. */
 public final class StoreException extends RuntimeException {
--- a/src/main/java/sablehinge/gauge/Accusation.java
+++ b/src/main/java/sablehinge/failuredetection/Accusation.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 /**
  * What a watcher says of one that it no longer hears.
--- a/src/main/java/sablehinge/gauge/Ring.java
+++ b/src/main/java/sablehinge/failuredetection/HashRing.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,7 +12,7 @@
  * stand shortly before it change theirs. Watchers are drawn from the next {@link #REACH}, so nobody watches
  * over more than that, and are of as many zones as can be, so that the cut of one zone blinds none.
  */
-public final class Ring {
+public final class HashRing {
 
     /** Watchers of each, where there are enough balancers. */
     public static final int WATCHERS = 3;
@@ -29,7 +29,7 @@
     private record Place(long at, String node, String zone) { }
 
     /** A ring of balancers, given with their zones. */
-    public Ring(Map<String, String> zones) {
+    public HashRing(Map<String, String> zones) {
         places = new ArrayList<>(zones.size());
         zones.forEach((node, zone) -> places.add(new Place(place(node), node, zone)));
         places.sort(Comparator.comparingLong(Place::at).thenComparing(Place::node));
--- a/src/main/java/sablehinge/gauge/Health.java
+++ b/src/main/java/sablehinge/failuredetection/Health.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 /** What is known of a balancer, by all who listen to it. */
 public enum Health {
--- a/src/main/java/sablehinge/gauge/Panel.java
+++ b/src/main/java/sablehinge/failuredetection/HealthView.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -17,7 +17,7 @@
  * service's ready upstreams taken away. Who is off is so until the keeper hears it again, or none of its
  * watchers accuses it. Times are in ms of a steady clock.
  */
-public final class Panel {
+public final class HealthView {
 
     /**
      * Silence after which the keeper doesn't hear one: each asks it again when it was answered, which is
@@ -27,7 +27,7 @@
 
     private final Map<String, Voice> voices = new HashMap<>();
     private final Map<String, Health> ruled = new HashMap<>();
-    private Ring ring = new Ring(Map.of());
+    private HashRing hashRing = new HashRing(Map.of());
     private Map<String, String> zones = Map.of();
 
     private double begunAt = Double.NEGATIVE_INFINITY;
@@ -72,7 +72,7 @@
         subjects.forEach(subject -> present.put(subject.node(), subject.zone()));
         if (!present.equals(zones)) {
             zones = present;
-            ring = new Ring(present);
+            hashRing = new HashRing(present);
             ruled.keySet().retainAll(present.keySet());
         }
         Map<String, Set<String>> accusers = new HashMap<>();
@@ -114,7 +114,7 @@
         int watchers = 0;
         int accusers = 0;
         Evidence gravest = Evidence.SILENT;
-        for (String watcher : ring.watchers(node)) {
+        for (String watcher : hashRing.watchers(node)) {
             if (hears(now, watcher)) {
                 watchers++;
                 if (accusedBy.contains(watcher)) {
--- a/src/main/java/sablehinge/gauge/Watch.java
+++ b/src/main/java/sablehinge/failuredetection/Monitor.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -11,7 +11,7 @@
  * know what answers at its address then, and accuses it once that is known; a beat takes all back at once.
  * Times are in ms of a steady clock.
  */
-public final class Watch {
+public final class Monitor {
 
     /** Between two beats of one. */
     public static final double BEAT_MS = 300;
@@ -22,7 +22,7 @@
     /** One that has just come under watch may take so much longer to speak: it may not know of it yet. */
     static final double GRACE_MS = 1_500;
     /** Most balancers watched over: all the ring can ask for, with some from rings a moment older. */
-    public static final int MOST = 4 * Ring.REACH;
+    public static final int MOST = 4 * HashRing.REACH;
 
     /** Each suspicion that proved wrong adds this part of the silence allowed, up to so many. */
     private static final double FLAP_PART = 0.5;
--- a/src/main/java/sablehinge/log/LogTerms.java
+++ b/src/main/java/sablehinge/log/LogTerms.java
@@ -19,7 +19,7 @@
 
     /** The parts of the program that have a level of their own; {@code netty} is the library below them. */
     public static final List<String> SUBSYSTEMS = List.of("cli", "core", "http1", "membership", "netty",
-            "node", "recorder", "reservoir", "sluice");
+            "node", "recorder", "control", "sidecar");
 
     /** Where nothing is said of it, as on the platform. */
     public static final LogTerms USUAL = new LogTerms(Format.TEXT, Level.INFO, Map.of(), 10);
--- a/src/main/java/sablehinge/meter/Bucket.java
+++ b/src/main/java/sablehinge/quota/Bucket.java
@@ -1,4 +1,4 @@
-package sablehinge.meter;
+package sablehinge.quota;
 
 /** A part of a quota: tokens that come with time, up to a bound. */
 public final class Bucket {
--- a/src/main/java/sablehinge/meter/Pool.java
+++ b/src/main/java/sablehinge/quota/Pool.java
@@ -1,4 +1,4 @@
-package sablehinge.meter;
+package sablehinge.quota;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/src/main/java/sablehinge/spillway/Holder.java
+++ b/src/main/java/sablehinge/retrybudget/Holder.java
@@ -1,4 +1,4 @@
-package sablehinge.spillway;
+package sablehinge.retrybudget;
 
 import java.util.ArrayList;
 import java.util.Collection;
--- a/src/main/java/sablehinge/spillway/Rule.java
+++ b/src/main/java/sablehinge/retrybudget/Rule.java
@@ -1,4 +1,4 @@
-package sablehinge.spillway;
+package sablehinge.retrybudget;
 
 /**
  * The rule on arrivals beyond the first (RULES, BUDGET), and how what it grants to a service is divided.
--- a/src/main/java/sablehinge/aqueduct/Hosts.java
+++ b/src/main/java/sablehinge/routing/Hosts.java
@@ -1,4 +1,4 @@
-package sablehinge.aqueduct;
+package sablehinge.routing;
 
 import java.util.Locale;
 
--- a/src/main/java/sablehinge/conduit/Conduit.java
+++ b/src/main/java/sablehinge/rpc/Connection.java
@@ -1,4 +1,4 @@
-package sablehinge.conduit;
+package sablehinge.rpc;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -21,7 +21,7 @@
  * Connections that carry records between processes of the system. Both ends ping each other while they have
  * nothing to say: a cut is silent, and only an answer tells that the other end is there.
  */
-public final class Conduit {
+public final class Connection {
 
     /**
      * The largest record, in bytes: a configuration with thousands of routes, or a snapshot that holds it.
@@ -56,7 +56,7 @@
      * @param pingMs how often an end that hears nothing asks
      * @param deadMs how long it hears nothing until it gives the connection up
      */
-    public Conduit(EventLoop loop, long pingMs, long deadMs) {
+    public Connection(EventLoop loop, long pingMs, long deadMs) {
         this.loop = loop;
         this.pingMs = pingMs;
         this.deadMs = deadMs;
--- a/src/main/java/sablehinge/conduit/Frame.java
+++ b/src/main/java/sablehinge/rpc/Frame.java
@@ -1,4 +1,4 @@
-package sablehinge.conduit;
+package sablehinge.rpc;
 
 /**
  * One record between processes of the system.
--- a/src/main/java/sablehinge/conduit/MessageCodec.java
+++ b/src/main/java/sablehinge/rpc/MessageCodec.java
@@ -1,4 +1,4 @@
-package sablehinge.conduit;
+package sablehinge.rpc;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -8,11 +8,11 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
-import sablehinge.watermaster.Entry;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Members;
-import sablehinge.watermaster.Message;
-import sablehinge.watermaster.Snapshot;
+import sablehinge.consensus.Entry;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Members;
+import sablehinge.consensus.Message;
+import sablehinge.consensus.Snapshot;
 
 /**
  * Messages of the core as bytes: one byte that says which, then its fields in order, numbers big-endian. What
@@ -209,7 +209,7 @@
     /** Writes a member. */
     public static void writeMember(Member member, DataOutputStream out) throws IOException {
         out.writeLong(member.id());
-        out.writeUTF(member.conduit());
+        out.writeUTF(member.address());
         out.writeUTF(member.control());
     }
 
--- a/src/main/java/sablehinge/sluice/Beats.java
+++ b/src/main/java/sablehinge/sidecar/Beats.java
@@ -1,14 +1,14 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.function.Consumer;
-import sablehinge.headgate.Asked;
-import sablehinge.headgate.CallException;
-import sablehinge.headgate.Headed;
-import sablehinge.headgate.Operation;
-import sablehinge.headgate.Reply;
+import sablehinge.api.Asked;
+import sablehinge.api.CallException;
+import sablehinge.api.Headed;
+import sablehinge.api.Operation;
+import sablehinge.api.Reply;
 
 /** The calls of the upstream beside a balancer (PROTOCOL, "Which upstreams there are"). */
 final class Beats {
--- a/src/main/java/sablehinge/sluice/HealthProbe.java
+++ b/src/main/java/sablehinge/sidecar/HealthProbe.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/sablehinge/sluice/InboundFront.java
+++ b/src/main/java/sablehinge/sidecar/InboundFront.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
--- a/src/main/java/sablehinge/sluice/MeshHeaders.java
+++ b/src/main/java/sablehinge/sidecar/MeshHeaders.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
--- a/src/main/java/sablehinge/sluice/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -11,21 +11,21 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
 import sablehinge.core.Clock;
 import sablehinge.core.Log;
-import sablehinge.penstock.Ask;
-import sablehinge.penstock.News;
-import sablehinge.penstock.Spills;
-import sablehinge.penstock.Tokens;
-import sablehinge.spillway.Grant;
+import sablehinge.watch.WatchRequest;
+import sablehinge.watch.Update;
+import sablehinge.watch.Spills;
+import sablehinge.watch.Tokens;
+import sablehinge.retrybudget.Grant;
 
 /**
  * Asks the core for news, one machine of it at a time: whoever does not lead names who does. An ask that is
  * not answered in time, or a connection that breaks, leads to the next machine that is known.
  */
-final class NewsClient implements Conduit.Handler {
+final class NewsClient implements Connection.Handler {
 
     private static final Logger LOG = LoggerFactory.getLogger(NewsClient.class);
     private static final long AGAIN_MS = 60;
@@ -34,11 +34,11 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Conduit conduit;
+    private final Connection connection;
     private List<String> seeds;
     private final Teller teller;
     private final Set<String> contacts = new LinkedHashSet<>();
-    private Conduit.Link link;
+    private Connection.Link link;
     private int number;
     private double askedAt;
     private int next;
@@ -46,10 +46,10 @@
     /** What is asked, and who hears the answer. */
     interface Teller {
 
-        Ask ask(int number);
+        WatchRequest request(int number);
 
-        /** News have come; {@code askedAt} is when their ask left. */
-        void news(double askedAt, News news);
+        /** Update have come; {@code askedAt} is when their ask left. */
+        void update(double askedAt, Update update);
 
         /** A part of a pool has come. */
         void tokens(Tokens tokens);
@@ -61,10 +61,10 @@
         void shares(Grant grant);
     }
 
-    NewsClient(EventLoop loop, Clock clock, Conduit conduit, List<String> seeds, Teller teller) {
+    NewsClient(EventLoop loop, Clock clock, Connection connection, List<String> seeds, Teller teller) {
         this.loop = loop;
         this.clock = clock;
-        this.conduit = conduit;
+        this.connection = connection;
         this.seeds = List.copyOf(seeds);
         this.teller = teller;
         contacts.addAll(seeds);
@@ -85,7 +85,7 @@
     /** Asks at once, in place of what was asked before. */
     void askNow() {
         if (link != null && link.isUp()) {
-            ask();
+            request();
         }
     }
 
@@ -103,9 +103,9 @@
         }
     }
 
-    private void ask() {
+    private void request() {
         askedAt = clock.now();
-        link.send(new Frame(Frame.Kind.ASK, teller.ask(++number).bytes()));
+        link.send(new Frame(Frame.Kind.ASK, teller.request(++number).bytes()));
         int waitsFor = number;
         loop.schedule(() -> {
             if (number == waitsFor && link != null) {
@@ -124,37 +124,37 @@
             to = known.get(Math.floorMod(next++, known.size()));
         }
         int colon = to.lastIndexOf(':');
-        link = conduit.connect(new InetSocketAddress(to.substring(0, colon),
+        link = connection.connect(new InetSocketAddress(to.substring(0, colon),
                 Integer.parseInt(to.substring(colon + 1))), this);
     }
 
     @Override
-    public void opened(Conduit.Link opened) {
+    public void opened(Connection.Link opened) {
         if (opened == link) {
-            ask();
+            request();
         } else {
             opened.close();
         }
     }
 
     @Override
-    public void came(Conduit.Link from, Frame frame) {
+    public void came(Connection.Link from, Frame frame) {
         if (from != link) {
             return;
         }
         try {
             if (frame.kind() == Frame.Kind.NEWS) {
-                News news = News.read(frame.body());
-                if (news.number() == number) {
+                Update update = Update.read(frame.body());
+                if (update.number() == number) {
                     double at = askedAt;
                     contacts.clear();
-                    contacts.addAll(news.core());
+                    contacts.addAll(update.core());
                     contacts.addAll(seeds);
                     while (contacts.size() > MOST_CONTACTS) {
                         contacts.remove(contacts.iterator().next());
                     }
-                    teller.news(at, news);
-                    ask();
+                    teller.update(at, update);
+                    request();
                 }
             } else if (frame.kind() == Frame.Kind.TOKENS) {
                 teller.tokens(Tokens.read(frame.body()));
@@ -180,7 +180,7 @@
     }
 
     @Override
-    public void closed(Conduit.Link closed) {
+    public void closed(Connection.Link closed) {
         if (closed == link) {
             link = null;
             number++;
--- a/src/main/java/sablehinge/sluice/OutboundFront.java
+++ b/src/main/java/sablehinge/sidecar/OutboundFront.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -8,8 +8,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.aqueduct.Plan;
+import sablehinge.routing.Configuration;
+import sablehinge.routing.Plan;
 import sablehinge.core.Answer;
 import sablehinge.core.Arrival;
 import sablehinge.core.Version;
--- a/src/main/java/sablehinge/sluice/Pulse.java
+++ b/src/main/java/sablehinge/sidecar/Pulse.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/main/java/sablehinge/sluice/Quotas.java
+++ b/src/main/java/sablehinge/sidecar/Quotas.java
@@ -1,13 +1,13 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.ObjIntConsumer;
-import sablehinge.aqueduct.Configuration;
+import sablehinge.routing.Configuration;
 import sablehinge.config.local.LocalSettings;
-import sablehinge.meter.Bucket;
-import sablehinge.meter.Quota;
+import sablehinge.quota.Bucket;
+import sablehinge.quota.Quota;
 
 /** This balancer's even parts of the tenants' quotas, and what it takes from the pools beside them. */
 final class Quotas {
--- a/src/main/java/sablehinge/sluice/Readiness.java
+++ b/src/main/java/sablehinge/sidecar/Readiness.java
@@ -1,9 +1,9 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import sablehinge.headgate.Query;
-import sablehinge.headgate.Reply;
+import sablehinge.api.Query;
+import sablehinge.api.Reply;
 
 /** The platform asks whether clients may come. */
 final class Readiness extends Query<Readiness.State> {
--- a/src/main/java/sablehinge/sluice/Sluice.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
@@ -18,12 +18,12 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.aqueduct.Plan;
-import sablehinge.basin.Gate;
-import sablehinge.cistern.Intake;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
+import sablehinge.routing.Configuration;
+import sablehinge.routing.Plan;
+import sablehinge.admission.AdmissionController;
+import sablehinge.state.Registration;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
 import sablehinge.config.ConfigException;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
@@ -33,20 +33,20 @@
 import sablehinge.core.Roster;
 import sablehinge.core.Roster.Member;
 import sablehinge.core.Version;
-import sablehinge.headgate.ConfigurationReader;
-import sablehinge.headgate.Door;
+import sablehinge.api.ConfigurationReader;
+import sablehinge.api.ApiServer;
 import sablehinge.http1.Frontend;
 import sablehinge.http1.Sockets;
 import sablehinge.http1.UpstreamClient;
 import sablehinge.node.LoopTimers;
-import sablehinge.penstock.Ask;
-import sablehinge.penstock.News;
-import sablehinge.penstock.Tokens;
+import sablehinge.watch.WatchRequest;
+import sablehinge.watch.Update;
+import sablehinge.watch.Tokens;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer.Change;
 import sablehinge.policy.LoadBalancer.State;
 import sablehinge.policy.LoadBalancer.Upstream;
-import sablehinge.spillway.Grant;
+import sablehinge.retrybudget.Grant;
 
 /**
  * The balancer of a machine with an upstream. Outbound it takes the requests that begin on its machine,
@@ -54,9 +54,9 @@
  * upstream for each and sends it to the balancer there; inbound it admits what others send to the upstream of
  * its own machine. All that it knows can be asked for again. One thread owns all of it.
  */
-public final class Sluice {
+public final class Sidecar {
 
-    private static final Logger LOG = LoggerFactory.getLogger(Sluice.class);
+    private static final Logger LOG = LoggerFactory.getLogger(Sidecar.class);
     private static final int BACKLOG = 1_024;
     private static final int PAGE = 8_192;
     private static final int CHUNK_ORDER = 7;
@@ -100,17 +100,17 @@
     private final Sockets sockets;
     private final Core outbound;
     private final Core inbound;
-    private Gate gate;
+    private AdmissionController admission;
     private final Frontend outFront;
     private final Frontend inFront;
     private final OutboundFront routes;
     private final Quotas quotas;
     private final Spill spill;
-    private final NewsClient news;
+    private final NewsClient update;
     private final Watchers watchers;
     private final List<String> zones;
     private final Map<String, Integer> kinds = Terms.kinds();
-    private final Map<String, Intake> roll = new LinkedHashMap<>();
+    private final Map<String, Registration> registry = new LinkedHashMap<>();
     /** When upstreams are warm, as first told, by their lives. */
     private final Map<String, Double> startedAt = new HashMap<>();
     private final Map<Integer, Version> versions = new HashMap<>();
@@ -129,7 +129,7 @@
     private boolean gone;
     private double beatAt;
 
-    private Sluice(LocalSettings settings, EventLoop loop) {
+    private Sidecar(LocalSettings settings, EventLoop loop) {
         this.settings = settings;
         this.loop = loop;
         zones = new ArrayList<>(settings.zones().keySet());
@@ -142,15 +142,15 @@
         spill = new Spill(clock, settings, this::claim);
         outbound = new Core(clock, timers, actions -> new LatencyWeightedBalancer(actions, Terms.EXTRAS));
         inbound = new Core(clock, timers, actions -> {
-            gate = new Gate(actions);
-            return gate;
+            admission = new AdmissionController(actions);
+            return admission;
         });
         routes = new OutboundFront(settings.depot(), quotas, spill, new OutboundFront.Confirming() {
             @Override
             public void ask() {
                 if (!wantsConfirmation) {
                     wantsConfirmation = true;
-                    news.askNow();
+                    update.askNow();
                 }
             }
 
@@ -166,16 +166,16 @@
         UpstreamClient app = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock,
                 spill::turnedAway));
         Version first = Terms.gate();
-        Upstream own = new Upstream(Gate.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
+        Upstream own = new Upstream(AdmissionController.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
         inbound.start(first, 1, new Roster(1, true, List.of(new Member(own, address(settings.app())))), app,
                 NO_REGISTRY);
         version = new Version(0, first.settings(), first.classes(), List.of(), false);
         versions.put(0, version);
         outbound.bound(spill);
         outbound.start(version, System.nanoTime(), new Roster(0, true, List.of()), peers, NO_REGISTRY);
-        news = new NewsClient(loop, clock, new Conduit(loop, PING_MS, DEAD_MS), contacts(settings),
+        update = new NewsClient(loop, clock, new Connection(loop, PING_MS, DEAD_MS), contacts(settings),
                 new Telling());
-        watchers = new Watchers(loop, clock, settings, news::askNow);
+        watchers = new Watchers(loop, clock, settings, update::askNow);
     }
 
     /**
@@ -195,41 +195,42 @@
     }
 
     /** Starts a balancer where nobody listens yet. */
-    public static Sluice start(LocalSettings settings) throws ConfigException, InterruptedException {
+    public static Sidecar start(LocalSettings settings) throws ConfigException, InterruptedException {
         return start(settings, listen(settings));
     }
 
     /** Starts a balancer; it asks for news and says that it is ready once it has them. */
-    public static Sluice start(LocalSettings settings, ServerSocketChannel listening)
+    public static Sidecar start(LocalSettings settings, ServerSocketChannel listening)
             throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("sluice", true), NioIoHandler.newFactory()).next();
-        Sluice[] made = new Sluice[1];
+                new DefaultThreadFactory("sidecar", true), NioIoHandler.newFactory()).next();
+        Sidecar[] made = new Sidecar[1];
         loop.submit(() -> {
-            made[0] = new Sluice(settings, loop);
+            made[0] = new Sidecar(settings, loop);
         }).sync();
-        Sluice sluice = made[0];
+        Sidecar sidecar = made[0];
         LocalSettings.ListenOn at = settings.listenOn();
         try {
-            sluice.inFront.bind(address(at.inbound()), false);
-            loop.submit(() -> sluice.outFront.adopt(listening)).sync();
-            sluice.opens(new Door(loop, List.of(Beats.beats(sluice::heard),
-                    Beats.signOffs(sluice::signedOff)),
+            sidecar.inFront.bind(address(at.inbound()), false);
+            loop.submit(() -> sidecar.outFront.adopt(listening)).sync();
+            sidecar.opens(new ApiServer(loop, List.of(Beats.beats(sidecar::heard),
+                    Beats.signOffs(sidecar::signedOff)),
                     MOST_BEAT), at.control());
-            sluice.watchers.listen();
-            sluice.opens(new Door(loop, List.of(new Readiness(sluice::isReady)), MOST_BEAT), at.ready());
+            sidecar.watchers.listen();
+            sidecar.opens(new ApiServer(loop, List.of(new Readiness(sidecar::isReady)), MOST_BEAT),
+                    at.ready());
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
         }
-        loop.submit(sluice.news::start).sync();
-        loop.scheduleAtFixedRate(sluice::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        loop.submit(sidecar.update::start).sync();
+        loop.scheduleAtFixedRate(sidecar::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("service", settings.depot())
                 .log("asks for news");
-        return sluice;
+        return sidecar;
     }
 
-    private void opens(Door door, String at) throws IOException, InterruptedException {
-        io.netty.channel.ChannelFuture bound = door.listen(address(at)).await();
+    private void opens(ApiServer apiServer, String at) throws IOException, InterruptedException {
+        io.netty.channel.ChannelFuture bound = apiServer.listen(address(at)).await();
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + at + ": " + bound.cause().getMessage());
         }
@@ -253,18 +254,18 @@
             upstream = beat;
             unloading = false;
             gone = false;
-            gate.opens(now, MeshHeaders.life(beat.id()), beat.berths());
+            admission.opens(now, MeshHeaders.life(beat.id()), beat.berths());
             Log.info(LOG, "upstream").addKeyValue("id", beat.id()).addKeyValue("berths", beat.berths())
                     .log("an upstream has begun a life");
-            news.askNow();
+            update.askNow();
         } else {
             if (upstream.berths() != beat.berths() && upstream.count() <= beat.count()) {
                 upstream = beat;
-                gate.opens(now, MeshHeaders.life(beat.id()), beat.berths());
+                admission.opens(now, MeshHeaders.life(beat.id()), beat.berths());
             }
             if (gone) {
                 gone = false;
-                news.askNow();
+                update.askNow();
             }
         }
         if (beat.unloading() && !unloading) {
@@ -289,10 +290,10 @@
 
     private void leaves(double now, String id, double at) {
         Log.info(LOG, "upstream-leaves").addKeyValue("id", id).log("the upstream leaves");
-        gate.closes(now, MeshHeaders.life(id), at);
-        loop.schedule(() -> gate.closes(clock.now(), MeshHeaders.life(id), at),
+        admission.closes(now, MeshHeaders.life(id), at);
+        loop.schedule(() -> admission.closes(clock.now(), MeshHeaders.life(id), at),
                 (long) Math.max(0, at - now) + 1, TimeUnit.MILLISECONDS);
-        news.askNow();
+        update.askNow();
     }
 
     private void tick() {
@@ -300,38 +301,38 @@
         watchers.tick();
         if (upstream != null && !gone && clock.now() - beatAt > MISSING * settings.beatMs()) {
             gone = true;
-            news.askNow();
+            update.askNow();
         }
     }
 
-    private Intake self() {
+    private Registration self() {
         boolean there = upstream != null && !gone;
-        return new Intake(settings.node(), settings.zone(), settings.listenOn().inbound(),
+        return new Registration(settings.node(), settings.zone(), settings.listenOn().inbound(),
                 there ? upstream.service() : settings.depot(), there ? upstream.id() : "",
                 there && !unloading && !shuts, there ? upstream.berths() : 0,
                 there ? upstream.coldMs() : 0);
     }
 
     private void claim(Frame frame) {
-        news.shares(frame);
+        update.shares(frame);
     }
 
     private void askPool(String tenant, int count) {
-        news.tokens(new Tokens(tenant, count));
+        update.tokens(new Tokens(tenant, count));
     }
 
-    // ---- News ----------------------------------------------------------------------------------------
+    // ---- Update ----------------------------------------------------------------------------------------
 
     private final class Telling implements NewsClient.Teller {
 
         @Override
-        public Ask ask(int number) {
-            return new Ask(number, self(), edition, rollTerm, rollStamp, wantsConfirmation,
+        public WatchRequest request(int number) {
+            return new WatchRequest(number, self(), edition, rollTerm, rollStamp, wantsConfirmation,
                     watchers.accusations(), watchers.vouched());
         }
 
         @Override
-        public void news(double askedAt, News told) {
+        public void update(double askedAt, Update told) {
             double now = clock.now();
             if (told.edition() > edition && told.body().length > 0) {
                 adopt(now, told.edition(), told.body());
@@ -381,39 +382,40 @@
                 .addKeyValue("routes", configuration.routes().size()).log("a configuration is in force here");
     }
 
-    private void enter(double now, News told) {
+    private void enter(double now, Update told) {
         if (told.term() < rollTerm) {
             return;
         }
-        boolean changed = !told.intakes().isEmpty();
+        boolean changed = !told.registrations().isEmpty();
         if (told.whole() && told.complete()) {
-            changed |= roll.size() != told.intakes().size();
-            roll.clear();
+            changed |= registry.size() != told.registrations().size();
+            registry.clear();
         }
         watchers.told(told);
         rollTerm = told.term();
         rollStamp = told.stamp();
-        for (Intake intake : told.intakes()) {
-            roll.put(intake.node(), intake);
+        for (Registration registration : told.registrations()) {
+            registry.put(registration.node(), registration);
         }
-        spill.divide(roll.values(), told.complete() ? 1 : RECKONED);
+        spill.divide(registry.values(), told.complete() ? 1 : RECKONED);
         if (changed) {
             outbound.told(Change.FULL, roster(now));
-            watchers.roll(roll.values());
+            watchers.registry(registry.values());
         }
     }
 
     private Roster roster(double now) {
         List<Member> members = new ArrayList<>();
-        for (Intake intake : roll.values()) {
-            Integer kind = kinds.get(intake.service());
-            if (!intake.upstream().isEmpty() && kind != null && kind < version.settings().kinds()) {
-                double began = startedAt.computeIfAbsent(intake.upstream(), id -> intake.coldMs() > 0
-                        ? now + intake.coldMs() - Terms.WARM_UP_MS : 0);
-                members.add(new Member(new Upstream(MeshHeaders.life(intake.upstream()),
-                        Math.max(0, zones.indexOf(intake.zone())), kind, 0,
-                        intake.ready() ? State.READY : State.DRAINING, 1, began),
-                        address(intake.inbound()), intake.upstream()));
+        for (Registration registration : registry.values()) {
+            Integer kind = kinds.get(registration.service());
+            if (!registration.upstream().isEmpty() && kind != null && kind < version.settings().kinds()) {
+                double began = startedAt.computeIfAbsent(registration.upstream(), id ->
+                        registration.coldMs() > 0
+                        ? now + registration.coldMs() - Terms.WARM_UP_MS : 0);
+                members.add(new Member(new Upstream(MeshHeaders.life(registration.upstream()),
+                        Math.max(0, zones.indexOf(registration.zone())), kind, 0,
+                        registration.ready() ? State.READY : State.DRAINING, 1, began),
+                        address(registration.inbound()), registration.upstream()));
             }
         }
         startedAt.keySet().retainAll(Arrays.asList(members.stream().map(Member::name).toArray()));
@@ -423,7 +425,7 @@
     /** Takes over what may change while it runs: where the core may be. */
     public void reload(LocalSettings next) {
         loop.execute(() -> {
-            news.seeds(contacts(next));
+            update.seeds(contacts(next));
             Log.info(LOG, "settings").addKeyValue("seeds", next.seeds().size())
                     .log("the settings were read again");
         });
@@ -451,7 +453,7 @@
         TimeUnit.MILLISECONDS.sleep((long) (UNHEARD_MS - TOLD_MS));
         loop.submit(() -> {
             shuts = true;
-            news.askNow();
+            update.askNow();
         }).sync();
         TimeUnit.MILLISECONDS.sleep((long) TOLD_MS);
         // Whoever comes from here on finds no one, rather than someone who has no time left to answer: where
--- a/src/main/java/sablehinge/sluice/Spill.java
+++ b/src/main/java/sablehinge/sidecar/Spill.java
@@ -1,21 +1,21 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.cistern.Intake;
-import sablehinge.conduit.Frame;
+import sablehinge.routing.Configuration;
+import sablehinge.state.Registration;
+import sablehinge.rpc.Frame;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
 import sablehinge.core.Extras;
 import sablehinge.core.Version;
-import sablehinge.penstock.Spills;
-import sablehinge.spillway.Claim;
-import sablehinge.spillway.Grant;
-import sablehinge.spillway.Rule;
-import sablehinge.spillway.Shares;
+import sablehinge.watch.Spills;
+import sablehinge.retrybudget.Claim;
+import sablehinge.retrybudget.Grant;
+import sablehinge.retrybudget.Rule;
+import sablehinge.retrybudget.Shares;
 
 /** Bounds the further tries of this balancer's requests by its shares, which it asks the core for. */
 final class Spill implements Extras {
@@ -46,13 +46,13 @@
     }
 
     /** Which balancers there are, at least so many: the places are by their names. */
-    void divide(Collection<Intake> roll, int reckoned) {
+    void divide(Collection<Registration> registry, int reckoned) {
         int place = 0;
         int among = 0;
-        for (Intake intake : roll) {
-            if (!intake.upstream().isEmpty()) {
+        for (Registration registration : registry) {
+            if (!registration.upstream().isEmpty()) {
                 among++;
-                place += intake.node().compareTo(node) < 0 ? 1 : 0;
+                place += registration.node().compareTo(node) < 0 ? 1 : 0;
             }
         }
         shares.place(place, Math.max(place + 1, Math.max(among, reckoned)));
--- a/src/main/java/sablehinge/sluice/Terms.java
+++ b/src/main/java/sablehinge/sidecar/Terms.java
@@ -1,10 +1,10 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import sablehinge.aqueduct.Configuration;
+import sablehinge.routing.Configuration;
 import sablehinge.core.Version;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer.Goal;
--- a/src/main/java/sablehinge/sluice/Watchers.java
+++ b/src/main/java/sablehinge/sidecar/Watchers.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -27,20 +27,21 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sablehinge.cistern.Intake;
+import sablehinge.state.Registration;
 import sablehinge.config.ConfigException;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
 import sablehinge.core.Log;
-import sablehinge.gauge.Accusation;
-import sablehinge.gauge.Evidence;
-import sablehinge.gauge.Ring;
-import sablehinge.gauge.Watch;
-import sablehinge.penstock.News;
+import sablehinge.failuredetection.Accusation;
+import sablehinge.failuredetection.Evidence;
+import sablehinge.failuredetection.HashRing;
+import sablehinge.failuredetection.Monitor;
+import sablehinge.watch.Update;
 
 /**
  * Sends beats to those that the ring names as watchers of this balancer, and watches over those that name it.
- * Beats are datagrams to the first of the inner ports, as many ticks apart as make {@link Watch#BEAT_MS}. The
+ * Beats are datagrams to the first of the inner ports, as many ticks apart as make {@link Monitor#BEAT_MS}.
+ * The
  * loop of its balancer owns it.
  */
 final class Watchers {
@@ -54,15 +55,15 @@
     private final EventLoop loop;
     private final Clock clock;
     private final LocalSettings settings;
-    private final Runnable news;
-    private final Watch watch = new Watch();
+    private final Runnable update;
+    private final Monitor watch = new Monitor();
     private final Bootstrap reaching;
-    private final Map<String, Intake> known = new HashMap<>();
+    private final Map<String, Registration> known = new HashMap<>();
     /** Of whom the present keeper of the roll knows. */
     private final Set<String> kept = new HashSet<>();
     private final long place;
     private final int life = ThreadLocalRandom.current().nextInt();
-    private Ring ring = new Ring(Map.of());
+    private HashRing hashRing = new HashRing(Map.of());
     private List<InetSocketAddress> beatTo = List.of();
     private Channel channel;
     private double beatAt = Double.NEGATIVE_INFINITY;
@@ -70,12 +71,12 @@
     private long malformed;
 
     /** Beats of a balancer; {@code news} is run when whom it accuses has changed. */
-    Watchers(EventLoop loop, Clock clock, LocalSettings settings, Runnable news) {
+    Watchers(EventLoop loop, Clock clock, LocalSettings settings, Runnable update) {
         this.loop = loop;
         this.clock = clock;
         this.settings = settings;
-        this.news = news;
-        place = Ring.place(settings.node());
+        this.update = update;
+        place = HashRing.place(settings.node());
         reaching = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, REACH_MS)
                 .handler(new ChannelInboundHandlerAdapter());
@@ -93,28 +94,28 @@
     }
 
     /** The keeper of the roll has told of some, or of all that it knows of. */
-    void told(News told) {
+    void told(Update told) {
         if (told.whole()) {
             kept.clear();
         }
-        told.intakes().forEach(intake -> kept.add(intake.node()));
+        told.registrations().forEach(registration -> kept.add(registration.node()));
     }
 
     /** Who is on the roll now. */
-    void roll(Collection<Intake> roll) {
+    void registry(Collection<Registration> registry) {
         Map<String, String> zones = new HashMap<>();
         known.clear();
-        for (Intake intake : roll) {
-            if (!intake.upstream().isEmpty()) {
-                known.put(intake.node(), intake);
-                zones.put(intake.node(), intake.zone());
+        for (Registration registration : registry) {
+            if (!registration.upstream().isEmpty()) {
+                known.put(registration.node(), registration);
+                zones.put(registration.node(), registration.zone());
             }
         }
-        ring = new Ring(zones);
+        hashRing = new HashRing(zones);
         beatTo = new ArrayList<>();
-        ring.watchers(settings.node()).forEach(watcher ->
+        hashRing.watchers(settings.node()).forEach(watcher ->
                 beatTo.add(new InetSocketAddress(at(watcher).getAddress(), settings.innerFirst())));
-        watch.over(clock.now(), ring.watched(settings.node()));
+        watch.over(clock.now(), hashRing.watched(settings.node()));
     }
 
     private InetSocketAddress at(String node) {
@@ -128,7 +129,7 @@
     void tick() {
         double now = clock.now();
         // A tick may come a little early: half a tick before its time is time enough.
-        if (channel != null && now - beatAt >= Watch.BEAT_MS - Sluice.TICK_MS / 2.0) {
+        if (channel != null && now - beatAt >= Monitor.BEAT_MS - Sidecar.TICK_MS / 2.0) {
             beatAt = now;
             byte[] beat = new Pulse(place, life, ++number).bytes();
             for (InetSocketAddress to : beatTo) {
@@ -145,8 +146,8 @@
     }
 
     /** Whom this balancer hears and the keeper of the roll does not know of: new, or cut off from it. */
-    List<Intake> vouched() {
-        List<Intake> vouched = new ArrayList<>();
+    List<Registration> vouched() {
+        List<Registration> vouched = new ArrayList<>();
         for (String node : watch.hears()) {
             if (!kept.contains(node)) {
                 vouched.add(known.get(node));
@@ -166,7 +167,7 @@
             if (watch.found(clock.now(), node, evidence)) {
                 Log.info(LOG, "accuses").addKeyValue("peer", node).addKeyValue("evidence", evidence)
                         .log("a balancer is not heard");
-                news.run();
+                update.run();
             }
         });
     }
@@ -190,10 +191,10 @@
             content.readBytes(bytes);
             try {
                 Pulse pulse = Pulse.read(bytes);
-                String node = ring.at(pulse.place());
+                String node = hashRing.at(pulse.place());
                 if (node != null && watch.heard(clock.now(), node, pulse.life(), pulse.number())) {
                     Log.info(LOG, "hears-again").addKeyValue("peer", node).log("a balancer is heard again");
-                    news.run();
+                    update.run();
                 }
             } catch (IOException e) {
                 if (malformed++ % EACH_MALFORMED == 0) {
--- a/src/main/java/sablehinge/standin/mesh/MeshPlan.java
+++ b/src/main/java/sablehinge/standin/mesh/MeshPlan.java
@@ -9,10 +9,10 @@
  * ports.
  *
  * @param prefix the first three numbers of all addresses, such as 127.0.0
- * @param reservoirs how many machines the core has
+ * @param control nodes how many machines the core has
  * @param services the services of the upstreams, one for each machine with an upstream
  */
-public record MeshPlan(String prefix, int reservoirs, List<String> services) {
+public record MeshPlan(String prefix, int controlNodes, List<String> services) {
 
     /** How long an upstream serves on once it has said that it leaves. */
     public static final int UNLOAD_MS = 2_000;
@@ -89,10 +89,10 @@
 
     private String head(String node, String role, int last) {
         List<String> seeds = new ArrayList<>();
-        for (int i = 0; i < Math.min(3, reservoirs); i++) {
+        for (int i = 0; i < Math.min(3, controlNodes); i++) {
             seeds.add('"' + coreControl(i) + '"');
         }
-        String machines = role.equals("reservoir") ? "core" : "sidecar";
+        String machines = role.equals("control") ? "core" : "sidecar";
         return String.format(Locale.ROOT, """
                 node = "%s"
                 role = "%s"
@@ -108,15 +108,15 @@
     }
 
     /** The settings file of a machine of the core. */
-    public String reservoirSettings(int place, String dataDir, boolean firstStart) {
-        return head("core-" + (place + 1), "reservoir", CORE + place) + "dataDir = \"" + dataDir + "\"\n"
+    public String controlSettings(int place, String dataDir, boolean firstStart) {
+        return head("core-" + (place + 1), "control", CORE + place) + "dataDir = \"" + dataDir + "\"\n"
                 + String.format(Locale.ROOT, REST, firstStart, true, BEAT_MS, 1_000, UNLOAD_MS, EDITION_MS)
                 + "[listenOn]\ncontrol = \"" + coreControl(place) + "\"\n";
     }
 
     /** The settings file of a machine with an upstream. */
-    public String sluiceSettings(int place) {
-        return head("sidecar-" + (place + 1), "sluice", SIDECARS + place) + "app = \"" + app(place)
+    public String sidecarSettings(int place) {
+        return head("sidecar-" + (place + 1), "sidecar", SIDECARS + place) + "app = \"" + app(place)
                 + "\"\ndepot = \"" + services.get(place) + "\"\n"
                 + String.format(Locale.ROOT, REST, true, false, BEAT_MS, 0, UNLOAD_MS, EDITION_MS)
                 + "[listenOn]\ninbound = \"" + at(SIDECARS + place, INBOUND) + "\"\noutbound = \""
--- a/src/main/java/sablehinge/standin/mesh/SmallMesh.java
+++ b/src/main/java/sablehinge/standin/mesh/SmallMesh.java
@@ -14,8 +14,8 @@
 import java.util.stream.Stream;
 
 /**
- * Three reservoirs and three sluices as child processes on loopback, with a stand-in upstream beside each
- * sluice, clients on each machine, and an operator. All of it ends when this is closed.
+ * Three control nodes and three sidecars as child processes on loopback, with a stand-in upstream beside each
+ * sidecar, clients on each machine, and an operator. All of it ends when this is closed.
  */
 public final class SmallMesh implements AutoCloseable {
 
@@ -23,7 +23,7 @@
     public static final String BASALT = "basalt";
     /** The service of one. */
     public static final String MARL = "marl";
-    private static final int RESERVOIRS = 3;
+    private static final int CONTROL_NODES = 3;
     private static final int BERTHS = 12;
     private static final int WORK_MS = 12;
     private static final int PROBE_MS = 1_000;
@@ -35,8 +35,8 @@
     private final Commands commands;
     private final Ledger ledger = new Ledger();
     private final Operator operator;
-    private final List<Daemon> reservoirs = new ArrayList<>();
-    private final List<Daemon> sluices = new ArrayList<>();
+    private final List<Daemon> controlNodes = new ArrayList<>();
+    private final List<Daemon> sidecars = new ArrayList<>();
     private final List<Beating> upstreams = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
 
@@ -51,21 +51,21 @@
     public SmallMesh(Commands commands) {
         this.commands = commands;
         ThreadLocalRandom random = ThreadLocalRandom.current();
-        plan = new MeshPlan("127." + random.nextInt(1, 255) + "." + random.nextInt(1, 255), RESERVOIRS,
+        plan = new MeshPlan("127." + random.nextInt(1, 255) + "." + random.nextInt(1, 255), CONTROL_NODES,
                 List.of(BASALT, BASALT, MARL));
         List<InetSocketAddress> core = new ArrayList<>();
-        for (int i = 0; i < RESERVOIRS; i++) {
+        for (int i = 0; i < CONTROL_NODES; i++) {
             core.add(Call.address(plan.coreControl(i)));
         }
         operator = new Operator(core);
         try {
             folder = Files.createTempDirectory("sablehinge-mesh");
-            for (int i = 0; i < RESERVOIRS; i++) {
+            for (int i = 0; i < CONTROL_NODES; i++) {
                 Files.createDirectories(data(i));
-                write("core-" + i, plan.reservoirSettings(i, data(i).toString(), true), reservoirs);
+                write("core-" + i, plan.controlSettings(i, data(i).toString(), true), controlNodes);
             }
             for (int i = 0; i < plan.services().size(); i++) {
-                write("sidecar-" + i, plan.sluiceSettings(i), sluices);
+                write("sidecar-" + i, plan.sidecarSettings(i), sidecars);
             }
         } catch (IOException e) {
             throw new MeshException(MeshException.Code.FILE, "the folder can't be made: " + e.getMessage(),
@@ -98,13 +98,13 @@
     }
 
     /** A machine of the core. */
-    public Daemon reservoir(int place) {
-        return reservoirs.get(place);
+    public Daemon controlNode(int place) {
+        return controlNodes.get(place);
     }
 
     /** The balancer of a machine. */
-    public Daemon sluice(int place) {
-        return sluices.get(place);
+    public Daemon sidecar(int place) {
+        return sidecars.get(place);
     }
 
     /** A version of the usual routes, whose reads go to one service. */
@@ -121,7 +121,7 @@
         restartAll(0);
         upstreamsCome();
         operator.replace(first, START_MS);
-        for (int i = 0; i < sluices.size(); i++) {
+        for (int i = 0; i < sidecars.size(); i++) {
             ready(i);
         }
         // The roll comes with the beats: every balancer has heard of every upstream after two of them.
@@ -130,8 +130,8 @@
 
     /** Ends all daemons at once, in any order, and returns when they are gone. */
     public void killAll() throws InterruptedException {
-        List<Daemon> all = new ArrayList<>(reservoirs);
-        all.addAll(sluices);
+        List<Daemon> all = new ArrayList<>(controlNodes);
+        all.addAll(sidecars);
         Collections.shuffle(all);
         all.forEach(Daemon::close);
         for (Daemon daemon : all) {
@@ -141,11 +141,11 @@
 
     /** Starts all daemons, for the so-many-th time. */
     public void restartAll(int start) {
-        for (int i = 0; i < reservoirs.size(); i++) {
+        for (int i = 0; i < controlNodes.size(); i++) {
             restart(i, start);
         }
-        for (int i = 0; i < sluices.size(); i++) {
-            sluices.get(i).start(commands.command("sluice", i, start));
+        for (int i = 0; i < sidecars.size(); i++) {
+            sidecars.get(i).start(commands.command("sidecar", i, start));
         }
     }
 
@@ -157,7 +157,7 @@
 
     /** Starts an upstream on each machine, in a new life. */
     public void upstreamsCome() {
-        for (int i = 0; i < sluices.size(); i++) {
+        for (int i = 0; i < sidecars.size(); i++) {
             StandInUpstream upstream = new StandInUpstream(new StandInUpstream.Terms("i-" + i + "-"
                     + Long.toHexString(ThreadLocalRandom.current().nextLong()), plan.services().get(i),
                     Call.address(plan.app(i)), BERTHS, WORK_MS), ledger);
@@ -178,10 +178,10 @@
 
     /** A further machine for the core, at an address of its own, that does not run yet; returns its place. */
     public int another() {
-        int place = reservoirs.size();
+        int place = controlNodes.size();
         try {
             Files.createDirectories(data(place));
-            write("core-" + place, plan.reservoirSettings(place, data(place).toString(), false), reservoirs);
+            write("core-" + place, plan.controlSettings(place, data(place).toString(), false), controlNodes);
         } catch (IOException e) {
             throw new MeshException(MeshException.Code.FILE, e.getMessage(), e);
         }
@@ -194,25 +194,25 @@
         if (start > 0) {
             try {
                 Files.writeString(folder.resolve("core-" + place + ".toml"),
-                        plan.reservoirSettings(place, data(place).toString(), false));
+                        plan.controlSettings(place, data(place).toString(), false));
             } catch (IOException e) {
                 throw new MeshException(MeshException.Code.FILE, e.getMessage(), e);
             }
         }
-        reservoirs.get(place).start(commands.command("reservoir", place, start));
+        controlNodes.get(place).start(commands.command("control", place, start));
     }
 
     /** Returns when a balancer says that it is ready. */
     public void ready(int place) throws InterruptedException {
         double end = Ledger.now() + START_MS;
         while (!isReady(place)) {
-            if (!sluices.get(place).runs()) {
-                throw new MeshException(MeshException.Code.DAEMON, "sluice " + place + " has ended:\n"
-                        + sluices.get(place).said(), null);
+            if (!sidecars.get(place).runs()) {
+                throw new MeshException(MeshException.Code.DAEMON, "sidecar " + place + " has ended:\n"
+                        + sidecars.get(place).said(), null);
             }
             if (Ledger.now() > end) {
-                throw new MeshException(MeshException.Code.TIMEOUT, "sluice " + place + " is not ready:\n"
-                        + sluices.get(place).said(), null);
+                throw new MeshException(MeshException.Code.TIMEOUT, "sidecar " + place + " is not ready:\n"
+                        + sidecars.get(place).said(), null);
             }
             TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
         }
@@ -232,7 +232,7 @@
     /** Starts the clients of all machines; each machine's send a request every so often. */
     public void load(long everyMs) {
         List<MeshVersion.Route> routes = version(1, 0, BASALT).routes();
-        for (int i = 0; i < sluices.size(); i++) {
+        for (int i = 0; i < sidecars.size(); i++) {
             Clients one = new Clients("machine-" + i, Call.address(plan.outbound(i)), plan.services().get(i),
                     routes, everyMs, ledger);
             one.start();
@@ -244,7 +244,7 @@
     public boolean leave(int place, long withinMs) throws InterruptedException {
         upstreams.get(place).leave(MeshPlan.UNLOAD_MS);
         clients.get(place).close();
-        return sluices.get(place).end(withinMs);
+        return sidecars.get(place).end(withinMs);
     }
 
     /** Returns when all clients have stopped and what they sent has come out. */
@@ -269,8 +269,8 @@
     public void close() {
         clients.forEach(Clients::close);
         upstreams.forEach(Beating::close);
-        sluices.forEach(Daemon::close);
-        reservoirs.forEach(Daemon::close);
+        sidecars.forEach(Daemon::close);
+        controlNodes.forEach(Daemon::close);
         try {
             empty(folder);
         } catch (IOException e) {
--- a/src/main/java/sablehinge/cistern/Cistern.java
+++ b/src/main/java/sablehinge/state/ConfigurationState.java
@@ -1,4 +1,4 @@
-package sablehinge.cistern;
+package sablehinge.state;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -14,7 +14,7 @@
  * The state that the core agrees upon: the newest configuration and which ones were taken before it. It
  * changes by committed commands only, alike on every member.
  */
-public final class Cistern {
+public final class ConfigurationState {
 
     /** Editions whose marks are kept, so that a call that is repeated late still has its true answer. */
     private static final int MOST_TAKEN = 2_000;
--- a/src/main/java/sablehinge/cistern/Intake.java
+++ b/src/main/java/sablehinge/state/Registration.java
@@ -1,4 +1,4 @@
-package sablehinge.cistern;
+package sablehinge.state;
 
 /**
  * A data-plane balancer and the upstream beside it, as that balancer tells it.
@@ -12,5 +12,5 @@
  * @param berths requests that the upstream works on at once
  * @param coldMs how much longer the upstream was slow when its life was first told
  */
-public record Intake(String node, String zone, String inbound, String service, String upstream,
+public record Registration(String node, String zone, String inbound, String service, String upstream,
         boolean ready, int berths, int coldMs) { }
