--- a/src/main/java/sablehinge/cistern/Roll.java
+++ b/src/main/java/sablehinge/state/Registry.java
@@ -1,4 +1,4 @@
-package sablehinge.cistern;
+package sablehinge.state;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,7 +12,7 @@
  * entry has the stamp of its last change, so that who knows all up to a stamp is told what came after. Who is
  * ruled off is told as not ready until it tells of itself again.
  */
-public final class Roll {
+public final class Registry {
 
     private final double goneAfter;
     private final double completeAfter;
@@ -21,14 +21,16 @@
     private double beganAt = Double.NaN;
 
     private static final class Row {
-        Intake intake;
+        Registration registration;
         long stamp;
         double heardAt;
         boolean off;
 
-        Intake told() {
-            return off ? new Intake(intake.node(), intake.zone(), intake.inbound(), intake.service(),
-                    intake.upstream(), false, intake.berths(), intake.coldMs()) : intake;
+        Registration told() {
+            return off ? new Registration(registration.node(), registration.zone(), registration.inbound(),
+                    registration.service(),
+                    registration.upstream(), false, registration.berths(), registration.coldMs())
+                            : registration;
         }
     }
 
@@ -38,7 +40,7 @@
      * @param completeAfter ms after its beginning until which whoever lives has told of itself
      * @param goneAfter ms without a word after which one counts as gone
      */
-    public Roll(double completeAfter, double goneAfter) {
+    public Registry(double completeAfter, double goneAfter) {
         this.completeAfter = completeAfter;
         this.goneAfter = goneAfter;
     }
@@ -51,31 +53,31 @@
     }
 
     /** A balancer tells of itself; true if that is news. */
-    public boolean told(double now, Intake intake) {
-        Row row = rows.computeIfAbsent(intake.node(), node -> new Row());
+    public boolean told(double now, Registration registration) {
+        Row row = rows.computeIfAbsent(registration.node(), node -> new Row());
         row.heardAt = now;
-        boolean news = row.off || row.intake == null || !sameBut(row.intake, intake);
+        boolean news = row.off || row.registration == null || !sameBut(row.registration, registration);
         row.off = false;
         if (news) {
-            row.intake = intake;
+            row.registration = registration;
             row.stamp = ++stamp;
         }
         return news;
     }
 
     /** How long it stays cold passes by itself, and is no news. */
-    private static boolean sameBut(Intake one, Intake other) {
+    private static boolean sameBut(Registration one, Registration other) {
         return one.upstream().equals(other.upstream()) && one.ready() == other.ready()
                 && one.inbound().equals(other.inbound()) && one.service().equals(other.service())
                 && one.berths() == other.berths() && one.zone().equals(other.zone());
     }
 
     /** Others hear one that tells nothing here: it stays, as they know it where it never told anything. */
-    public void vouched(double now, Intake intake) {
-        Row row = rows.computeIfAbsent(intake.node(), node -> new Row());
+    public void vouched(double now, Registration registration) {
+        Row row = rows.computeIfAbsent(registration.node(), node -> new Row());
         row.heardAt = now;
-        if (row.intake == null) {
-            row.intake = intake;
+        if (row.registration == null) {
+            row.registration = registration;
             row.stamp = ++stamp;
         }
     }
@@ -90,11 +92,11 @@
     }
 
     /** Those whose upstream is known, as they told of themselves. */
-    public List<Intake> present() {
-        List<Intake> present = new ArrayList<>(rows.size());
+    public List<Registration> present() {
+        List<Registration> present = new ArrayList<>(rows.size());
         for (Row row : rows.values()) {
-            if (!row.intake.upstream().isEmpty()) {
-                present.add(row.intake);
+            if (!row.registration.upstream().isEmpty()) {
+                present.add(row.registration);
             }
         }
         return present;
@@ -104,9 +106,10 @@
     public boolean expire(double now) {
         boolean news = false;
         for (Row row : rows.values()) {
-            Intake known = row.intake;
+            Registration known = row.registration;
             if (now - row.heardAt > goneAfter && !known.upstream().isEmpty()) {
-                row.intake = new Intake(known.node(), known.zone(), known.inbound(), known.service(), "",
+                row.registration = new Registration(known.node(), known.zone(), known.inbound(),
+                        known.service(), "",
                         false, 0, 0);
                 row.stamp = ++stamp;
                 news = true;
@@ -127,7 +130,7 @@
     }
 
     /** What changed after a stamp, in the order of the changes. */
-    public List<Intake> since(long known) {
+    public List<Registration> since(long known) {
         List<Row> later = new ArrayList<>();
         for (Row row : rows.values()) {
             if (row.stamp > known) {
@@ -135,7 +138,7 @@
             }
         }
         later.sort(Comparator.comparingLong(row -> row.stamp));
-        List<Intake> news = new ArrayList<>(later.size());
+        List<Registration> news = new ArrayList<>(later.size());
         later.forEach(row -> news.add(row.told()));
         return news;
     }
@@ -146,14 +149,14 @@
      * @param silentMs since it last told of itself
      * @param gone whether that is so long that it counts as gone
      */
-    public record Line(Intake intake, double silentMs, boolean gone) { }
+    public record Line(Registration registration, double silentMs, boolean gone) { }
 
     /** All that is on the roll, in the order of the nodes' names. */
     public List<Line> lines(double now) {
         List<Line> lines = new ArrayList<>(rows.size());
-        rows.values().forEach(row -> lines.add(new Line(row.intake, now - row.heardAt,
+        rows.values().forEach(row -> lines.add(new Line(row.registration, now - row.heardAt,
                 now - row.heardAt > goneAfter)));
-        lines.sort(Comparator.comparing(line -> line.intake().node()));
+        lines.sort(Comparator.comparing(line -> line.registration().node()));
         return lines;
     }
 
@@ -161,7 +164,7 @@
     public int size() {
         int alive = 0;
         for (Row row : rows.values()) {
-            alive += row.intake.upstream().isEmpty() ? 0 : 1;
+            alive += row.registration.upstream().isEmpty() ? 0 : 1;
         }
         return Math.max(1, alive);
     }
--- /dev/null
+++ b/src/main/java/sablehinge/watch/Registrations.java
@@ -0,0 +1,29 @@
+package sablehinge.watch;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import sablehinge.state.Registration;
+
+/** Registrations in records. */
+final class Registrations {
+
+    private Registrations() {
+    }
+
+    static void write(Registration registration, DataOutputStream out) throws IOException {
+        out.writeUTF(registration.node());
+        out.writeUTF(registration.zone());
+        out.writeUTF(registration.inbound());
+        out.writeUTF(registration.service());
+        out.writeUTF(registration.upstream());
+        out.writeBoolean(registration.ready());
+        out.writeShort(registration.berths());
+        out.writeInt(registration.coldMs());
+    }
+
+    static Registration read(DataInputStream in) throws IOException {
+        return new Registration(in.readUTF(), in.readUTF(), in.readUTF(), in.readUTF(), in.readUTF(),
+                in.readBoolean(), in.readUnsignedShort(), in.readInt());
+    }
+}
--- a/src/main/java/sablehinge/penstock/Spills.java
+++ b/src/main/java/sablehinge/watch/Spills.java
@@ -1,11 +1,11 @@
-package sablehinge.penstock;
+package sablehinge.watch;
 
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import sablehinge.spillway.Claim;
-import sablehinge.spillway.Grant;
+import sablehinge.retrybudget.Claim;
+import sablehinge.retrybudget.Grant;
 
 /** Claims on shares of further tries, and what is granted of them, in records. */
 public final class Spills {
--- a/src/main/java/sablehinge/penstock/Tokens.java
+++ b/src/main/java/sablehinge/watch/Tokens.java
@@ -1,4 +1,4 @@
-package sablehinge.penstock;
+package sablehinge.watch;
 
 import java.io.DataInputStream;
 import java.io.IOException;
--- a/src/main/java/sablehinge/penstock/News.java
+++ b/src/main/java/sablehinge/watch/Update.java
@@ -1,12 +1,12 @@
-package sablehinge.penstock;
+package sablehinge.watch;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import sablehinge.cistern.Intake;
-import sablehinge.conduit.Conduit;
+import sablehinge.state.Registration;
+import sablehinge.rpc.Connection;
 
 /**
  * The answer to an ask.
@@ -17,20 +17,20 @@
  * @param body that configuration, as it was sent; empty where the asker has it
  * @param term of who keeps the roll
  * @param stamp of the roll
- * @param whole whether the intakes are all there are, rather than those that changed
+ * @param whole whether the registrations are all there are, rather than those that changed
  * @param complete whether who is not on the roll is gone
  * @param size balancers on the roll
- * @param intakes that changed since the stamp of the ask
+ * @param registrations that changed since the stamp of the ask
  * @param core where the members of the core take records
  */
-public record News(int number, boolean confirmed, long edition, byte[] body, long term, long stamp,
-        boolean whole, boolean complete, int size, List<Intake> intakes, List<String> core) {
+public record Update(int number, boolean confirmed, long edition, byte[] body, long term, long stamp,
+        boolean whole, boolean complete, int size, List<Registration> registrations, List<String> core) {
 
     private static final int MOST = 10_000;
 
-    /** News whose lists can't be changed. */
-    public News {
-        intakes = List.copyOf(intakes);
+    /** Update whose lists can't be changed. */
+    public Update {
+        registrations = List.copyOf(registrations);
         core = List.copyOf(core);
     }
 
@@ -50,9 +50,9 @@
         out.writeBoolean(whole);
         out.writeBoolean(complete);
         out.writeShort(size);
-        out.writeShort(intakes.size());
-        for (Intake intake : intakes) {
-            Intakes.write(intake, out);
+        out.writeShort(registrations.size());
+        for (Registration registration : registrations) {
+            Registrations.write(registration, out);
         }
         out.writeByte(core.size());
         for (String member : core) {
@@ -61,12 +61,12 @@
     }
 
     /** Reads what {@link #bytes} wrote; fails on anything else. */
-    public static News read(byte[] bytes) throws IOException {
+    public static Update read(byte[] bytes) throws IOException {
         DataInputStream in = Bytes.in(bytes);
         int number = in.readInt();
         boolean confirmed = in.readBoolean();
         long edition = in.readLong();
-        byte[] body = new byte[Bytes.bounded(in.readInt(), Conduit.MOST_BYTES)];
+        byte[] body = new byte[Bytes.bounded(in.readInt(), Connection.MOST_BYTES)];
         in.readFully(body);
         long term = in.readLong();
         long stamp = in.readLong();
@@ -74,15 +74,16 @@
         boolean complete = in.readBoolean();
         int size = in.readUnsignedShort();
         int count = Bytes.bounded(in.readUnsignedShort(), MOST);
-        List<Intake> intakes = new ArrayList<>(count);
+        List<Registration> registrations = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            intakes.add(Intakes.read(in));
+            registrations.add(Registrations.read(in));
         }
         count = in.readUnsignedByte();
         List<String> core = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             core.add(in.readUTF());
         }
-        return new News(number, confirmed, edition, body, term, stamp, whole, complete, size, intakes, core);
+        return new Update(number, confirmed, edition, body, term, stamp, whole, complete, size,
+                registrations, core);
     }
 }
--- a/src/main/java/sablehinge/penstock/Ask.java
+++ b/src/main/java/sablehinge/watch/WatchRequest.java
@@ -1,14 +1,14 @@
-package sablehinge.penstock;
+package sablehinge.watch;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import sablehinge.cistern.Intake;
-import sablehinge.gauge.Accusation;
-import sablehinge.gauge.Evidence;
-import sablehinge.gauge.Watch;
+import sablehinge.state.Registration;
+import sablehinge.failuredetection.Accusation;
+import sablehinge.failuredetection.Evidence;
+import sablehinge.failuredetection.Monitor;
 
 /**
  * A data-plane balancer asks for news.
@@ -19,16 +19,17 @@
  * @param term of the one who kept the roll that it has; 0 for none
  * @param stamp of that roll
  * @param confirm whether it wants to be sure that nothing newer was acknowledged before it asked
- * @param accusations whom it watches over and doesn't hear; {@link Watch#MOST} at most
+ * @param accusations whom it watches over and doesn't hear; {@link Monitor#MOST} at most
  * @param vouched whom it hears, and the keeper of the roll doesn't know of; as many at most
  */
-public record Ask(int number, Intake intake, long edition, long term, long stamp, boolean confirm,
-        List<Accusation> accusations, List<Intake> vouched) {
+public record WatchRequest(int number, Registration registration, long edition, long term, long stamp,
+        boolean confirm,
+        List<Accusation> accusations, List<Registration> vouched) {
 
     private static final Evidence[] EVIDENCE = Evidence.values();
 
     /** An ask whose lists can't be changed. */
-    public Ask {
+    public WatchRequest {
         accusations = List.copyOf(accusations);
         vouched = List.copyOf(vouched);
     }
@@ -40,7 +41,7 @@
 
     private void write(DataOutputStream out) throws IOException {
         out.writeInt(number);
-        Intakes.write(intake, out);
+        Registrations.write(registration, out);
         out.writeLong(edition);
         out.writeLong(term);
         out.writeLong(stamp);
@@ -51,31 +52,31 @@
             out.writeByte(accusation.evidence().ordinal());
         }
         out.writeByte(vouched.size());
-        for (Intake other : vouched) {
-            Intakes.write(other, out);
+        for (Registration other : vouched) {
+            Registrations.write(other, out);
         }
     }
 
     /** Reads what {@link #bytes} wrote; fails on anything else. */
-    public static Ask read(byte[] bytes) throws IOException {
+    public static WatchRequest read(byte[] bytes) throws IOException {
         DataInputStream in = Bytes.in(bytes);
         int number = in.readInt();
-        Intake intake = Intakes.read(in);
+        Registration registration = Registrations.read(in);
         long edition = in.readLong();
         long term = in.readLong();
         long stamp = in.readLong();
         boolean confirm = in.readBoolean();
-        int count = Bytes.bounded(in.readUnsignedByte(), Watch.MOST);
+        int count = Bytes.bounded(in.readUnsignedByte(), Monitor.MOST);
         List<Accusation> accusations = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             accusations.add(new Accusation(in.readUTF(),
                     EVIDENCE[Bytes.bounded(in.readUnsignedByte(), EVIDENCE.length - 1)]));
         }
-        count = Bytes.bounded(in.readUnsignedByte(), Watch.MOST);
-        List<Intake> vouched = new ArrayList<>(count);
+        count = Bytes.bounded(in.readUnsignedByte(), Monitor.MOST);
+        List<Registration> vouched = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            vouched.add(Intakes.read(in));
+            vouched.add(Registrations.read(in));
         }
-        return new Ask(number, intake, edition, term, stamp, confirm, accusations, vouched);
+        return new WatchRequest(number, registration, edition, term, stamp, confirm, accusations, vouched);
     }
 }
--- a/src/main/java/sablehinge/penstock/Desk.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -1,14 +1,14 @@
-package sablehinge.penstock;
+package sablehinge.watch;
 
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import sablehinge.cistern.Intake;
-import sablehinge.cistern.Roll;
-import sablehinge.gauge.Health;
-import sablehinge.gauge.Panel;
+import sablehinge.state.Registration;
+import sablehinge.state.Registry;
+import sablehinge.failuredetection.Health;
+import sablehinge.failuredetection.HealthView;
 
 /**
  * Answers data-plane balancers that ask for news: at once where there is some, and after a while where there
@@ -16,7 +16,7 @@
  *
  * @param <K> what names an asker's connection
  */
-public final class Desk<K> {
+public final class WatchServer<K> {
 
     /** How long an ask without news is held, in ms. */
     private static final double HELD_MS = 400;
@@ -24,10 +24,10 @@
     private static final double JUDGE_MS = 40;
     private static final byte[] NONE = new byte[0];
 
-    private final Roll roll;
-    private final Panel panel = new Panel();
+    private final Registry registry;
+    private final HealthView healthView = new HealthView();
     private final Map<K, Asker> askers = new LinkedHashMap<>();
-    private final List<Panel.Ruling> rulings = new ArrayList<>();
+    private final List<HealthView.Ruling> rulings = new ArrayList<>();
     private double judgedAt = Double.NEGATIVE_INFINITY;
     private long term;
     private long edition;
@@ -35,7 +35,7 @@
     private List<String> core = List.of();
 
     private static final class Asker {
-        Ask ask;
+        WatchRequest request;
         double askedAt;
         boolean waits;
         boolean confirmed;
@@ -43,19 +43,19 @@
     }
 
     /** An answer for whoever asked. */
-    public record Told<K>(K to, News news) { }
+    public record Told<K>(K to, Update update) { }
 
     /** A desk over a roll, which it keeps up. */
-    public Desk(Roll roll) {
-        this.roll = roll;
+    public WatchServer(Registry registry) {
+        this.registry = registry;
     }
 
     /** Begins to answer as the leader of a term; the configuration is what is committed. */
     public void begin(double now, long asLeaderOf) {
         term = asLeaderOf;
         askers.clear();
-        roll.begin(now);
-        panel.begin(now);
+        registry.begin(now);
+        healthView.begin(now);
     }
 
     /** The committed configuration, and where the members of the core take records. */
@@ -66,21 +66,21 @@
     }
 
     /** An ask has come; its confirmation, if it wants one, is told by {@link #confirmed}. */
-    public void asked(double now, K from, Ask ask) {
+    public void asked(double now, K from, WatchRequest request) {
         Asker asker = askers.computeIfAbsent(from, key -> new Asker());
-        asker.ask = ask;
+        asker.request = request;
         asker.askedAt = now;
         asker.waits = true;
         asker.confirmed = false;
-        roll.told(now, ask.intake());
-        ask.vouched().forEach(intake -> roll.vouched(now, intake));
-        panel.heard(now, ask.intake().node(), ask.accusations());
+        registry.told(now, request.registration());
+        request.vouched().forEach(registration -> registry.vouched(now, registration));
+        healthView.heard(now, request.registration().node(), request.accusations());
     }
 
     /** All that was committed before an ask came is in {@link #holds} by now. */
     public void confirmed(K asker, int number) {
         Asker one = askers.get(asker);
-        if (one != null && one.ask.number() == number) {
+        if (one != null && one.request.number() == number) {
             one.confirmed = true;
         }
     }
@@ -101,14 +101,14 @@
             judgedAt = now;
             judge(now);
         }
-        roll.expire(now);
+        registry.expire(now);
         List<Told<K>> due = new ArrayList<>();
         for (Map.Entry<K, Asker> entry : askers.entrySet()) {
             Asker asker = entry.getValue();
             if (asker.waits) {
-                News news = news(now, asker);
-                if (news != null) {
-                    due.add(new Told<>(entry.getKey(), news));
+                Update update = update(now, asker);
+                if (update != null) {
+                    due.add(new Told<>(entry.getKey(), update));
                 }
             }
         }
@@ -116,41 +116,44 @@
     }
 
     private void judge(double now) {
-        List<Panel.Subject> subjects = new ArrayList<>();
-        List<Intake> present = roll.present();
-        present.forEach(intake -> subjects.add(new Panel.Subject(intake.node(), intake.zone(),
-                intake.service(), intake.ready())));
-        List<Panel.Ruling> changed = panel.judge(now, subjects);
-        changed.forEach(ruling -> roll.rule(ruling.node(), ruling.health().isOff()));
-        for (Intake intake : present) {
-            if (panel.health(intake.node()) == Health.CUT_FROM_CORE) {
-                roll.vouched(now, intake);
+        List<HealthView.Subject> subjects = new ArrayList<>();
+        List<Registration> present = registry.present();
+        present.forEach(registration -> subjects.add(new HealthView.Subject(registration.node(),
+                registration.zone(),
+                registration.service(), registration.ready())));
+        List<HealthView.Ruling> changed = healthView.judge(now, subjects);
+        changed.forEach(ruling -> registry.rule(ruling.node(), ruling.health().isOff()));
+        for (Registration registration : present) {
+            if (healthView.health(registration.node()) == Health.CUT_FROM_CORE) {
+                registry.vouched(now, registration);
             }
         }
         rulings.addAll(changed);
     }
 
     /** What has changed of who is heard, since this was asked last. */
-    public List<Panel.Ruling> rulings() {
-        List<Panel.Ruling> latest = List.copyOf(rulings);
+    public List<HealthView.Ruling> rulings() {
+        List<HealthView.Ruling> latest = List.copyOf(rulings);
         rulings.clear();
         return latest;
     }
 
-    private News news(double now, Asker asker) {
-        Ask ask = asker.ask;
-        boolean complete = roll.isComplete(now);
-        boolean whole = ask.term() != term || complete && !asker.toldComplete;
-        boolean newer = ask.edition() < edition;
-        boolean changed = whole || ask.stamp() < roll.stamp();
+    private Update update(double now, Asker asker) {
+        WatchRequest request = asker.request;
+        boolean complete = registry.isComplete(now);
+        boolean whole = request.term() != term || complete && !asker.toldComplete;
+        boolean newer = request.edition() < edition;
+        boolean changed = whole || request.stamp() < registry.stamp();
         boolean held = now - asker.askedAt < HELD_MS;
-        if (ask.confirm() && !asker.confirmed || !newer && !changed && !ask.confirm() && held) {
+        if (request.confirm() && !asker.confirmed || !newer && !changed && !request.confirm() && held) {
             return null;
         }
         asker.waits = false;
         asker.toldComplete |= complete;
-        return new News(ask.number(), asker.confirmed, edition, newer ? body : NONE, term, roll.stamp(),
-                whole, complete, roll.size(), changed ? roll.since(whole ? 0 : ask.stamp()) : List.of(),
+        return new Update(request.number(), asker.confirmed, edition, newer ? body : NONE, term,
+                registry.stamp(),
+                whole, complete, registry.size(), changed ? registry.since(whole ? 0 : request.stamp())
+                        : List.of(),
                 core);
     }
 }
--- a/src/test/java/sablehinge/basin/GateTest.java
+++ b/src/test/java/sablehinge/admission/AdmissionControllerTest.java
@@ -1,4 +1,4 @@
-package sablehinge.basin;
+package sablehinge.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -13,12 +13,12 @@
 import sablehinge.policy.LoadBalancer.Result;
 
 /** What the gate beside an upstream decides; the time is the test's. */
-class GateTest {
+class AdmissionControllerTest {
 
     private static final long LIFE = 7;
     private static final double DEADLINE = 10_000;
     private final List<String> done = new ArrayList<>();
-    private final Gate gate = new Gate(new Recorded());
+    private final AdmissionController admission = new AdmissionController(new Recorded());
 
     private final class Recorded implements Actions {
         @Override
@@ -83,7 +83,7 @@
     }
 
     private void asks(double now, long id, int rank, long life, double deadline, double patience) {
-        gate.request(now, new Request(id, 0, rank, life, deadline, patience, false, true, 0));
+        admission.request(now, new Request(id, 0, rank, life, deadline, patience, false, true, 0));
     }
 
     private void asks(double now, long id) {
@@ -91,7 +91,8 @@
     }
 
     private void ends(double now, long id, Result result) {
-        gate.attemptFinished(now, new Outcome(id, 0, Gate.UPSTREAM, result, result == Result.OK, 1, null));
+        admission.attemptFinished(now, new Outcome(id, 0, AdmissionController.UPSTREAM, result,
+                result == Result.OK, 1, null));
     }
 
     @Test
@@ -102,20 +103,20 @@
 
     @Test
     void asManyGoInAsThereAreSlotsAndTheNextWaitsForOne() {
-        gate.opens(0, LIFE, 2);
+        admission.opens(0, LIFE, 2);
         asks(0, 1);
         asks(0, 2);
         asks(0, 3);
         expect("send 1", "send 2", "timer 3 500");
-        assertEquals(2, gate.running());
-        assertEquals(1, gate.waiting());
+        assertEquals(2, admission.running());
+        assertEquals(1, admission.waiting());
         ends(10, 1, Result.OK);
         expect("send 3");
     }
 
     @Test
     void theHighestRankGoesFirstAndOfOneRankWhatHasTheLeastTimeLeft() {
-        gate.opens(0, LIFE, 2);
+        admission.opens(0, LIFE, 2);
         asks(0, 1);
         asks(0, 2);
         asks(0, 3, 2, LIFE, 1_000, 500);
@@ -130,11 +131,11 @@
 
     @Test
     void oneWaitsForAsLongAsItWasGivenAndNoLonger() {
-        gate.opens(0, LIFE, 1);
+        admission.opens(0, LIFE, 1);
         asks(0, 1);
         asks(5, 2, 0, LIFE, DEADLINE, 300);
         expect("send 1", "timer 2 305");
-        gate.timer(305, 2);
+        admission.timer(305, 2);
         expect("refuse 2 later");
         ends(400, 1, Result.OK);
         expect();
@@ -142,7 +143,7 @@
 
     @Test
     void whatMayNotWaitIsRefusedAtOnceAndSoIsWhatFindsAllPlacesTaken() {
-        gate.opens(0, LIFE, 1);
+        admission.opens(0, LIFE, 1);
         asks(0, 1);
         asks(0, 2, 0, LIFE, DEADLINE, 0);
         expect("send 1", "refuse 2 later");
@@ -156,25 +157,25 @@
 
     @Test
     void anotherLifeIsRefusedAtItsArrivalAndWhereItWaited() {
-        gate.opens(0, LIFE, 1);
+        admission.opens(0, LIFE, 1);
         asks(0, 1, 0, LIFE + 1, DEADLINE, 500);
         expect("refuse 1");
         asks(0, 2);
         asks(0, 3);
         done.clear();
-        gate.opens(10, LIFE + 1, 1);
+        admission.opens(10, LIFE + 1, 1);
         ends(11, 2, Result.RESET);
         expect("fail 2", "refuse 3");
     }
 
     @Test
     void anUpstreamThatLeavesTakesWhatComesUntilItsTimeAndNothingFromThenOn() {
-        gate.opens(0, LIFE, 1);
-        gate.closes(0, LIFE, 100);
+        admission.opens(0, LIFE, 1);
+        admission.closes(0, LIFE, 100);
         asks(99, 1);
         asks(99, 2);
         expect("send 1", "timer 2 599");
-        gate.closes(100, LIFE, 100);
+        admission.closes(100, LIFE, 100);
         expect("refuse 2");
         asks(100, 3);
         expect("refuse 3");
@@ -184,10 +185,10 @@
 
     @Test
     void whatWaitedWhenItsTimeCameIsNotSentEvenIfNobodyWokeTheGate() {
-        gate.opens(0, LIFE, 1);
+        admission.opens(0, LIFE, 1);
         asks(0, 1);
         asks(0, 2);
-        gate.closes(50, LIFE, 100);
+        admission.closes(50, LIFE, 100);
         done.clear();
         ends(101, 1, Result.OK);
         expect("refuse 2");
@@ -195,15 +196,15 @@
 
     @Test
     void aLateBeatOfTheSameLifeDoesNotOpenTheGateAgainButTheNextLifeDoes() {
-        gate.opens(0, LIFE, 1);
-        gate.closes(0, LIFE, 0);
-        gate.opens(10, LIFE, 1);
+        admission.opens(0, LIFE, 1);
+        admission.closes(0, LIFE, 0);
+        admission.opens(10, LIFE, 1);
         asks(10, 1);
         expect("refuse 1");
-        gate.opens(20, LIFE + 1, 1);
+        admission.opens(20, LIFE + 1, 1);
         asks(20, 2, 0, LIFE + 1, DEADLINE, 500);
         expect("send 2");
-        gate.closes(30, LIFE, 30);
+        admission.closes(30, LIFE, 30);
         ends(31, 2, Result.OK);
         asks(32, 3, 0, LIFE + 1, DEADLINE, 500);
         expect("send 3");
@@ -212,7 +213,7 @@
     @ParameterizedTest
     @EnumSource(Result.class)
     void onlyWhatIsProvenNotToHaveRunIsRefused(Result result) {
-        gate.opens(0, LIFE, 1);
+        admission.opens(0, LIFE, 1);
         asks(0, 1);
         done.clear();
         ends(10, 1, result);
@@ -221,22 +222,22 @@
             case FULL, CONNECT_FAILED, NOT_SENT -> expect("refuse 1 later");
             default -> expect("fail 1");
         }
-        assertEquals(0, gate.running());
+        assertEquals(0, admission.running());
     }
 
     @Test
     void whoeverLeavesWhileItWaitsIsForgottenAndWhoLeavesAtWorkKeepsItsSlotUntilItsEnd() {
-        gate.opens(0, LIFE, 1);
+        admission.opens(0, LIFE, 1);
         asks(0, 1);
         asks(0, 2);
         asks(0, 3);
         done.clear();
-        gate.clientGone(5, 2);
-        gate.timer(500, 2);
+        admission.clientGone(5, 2);
+        admission.timer(500, 2);
         expect();
-        gate.clientGone(6, 1);
+        admission.clientGone(6, 1);
         expect("cancel 1");
-        assertEquals(1, gate.running());
+        assertEquals(1, admission.running());
         ends(7, 1, Result.CANCELLED);
         expect("send 3");
     }
--- a/src/test/java/sablehinge/headgate/SpoiltPropertyTest.java
+++ b/src/test/java/sablehinge/api/SpoiltPropertyTest.java
@@ -1,4 +1,4 @@
-package sablehinge.headgate;
+package sablehinge.api;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -7,8 +7,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.aqueduct.Plan;
+import sablehinge.routing.Configuration;
+import sablehinge.routing.Plan;
 
 /** Whatever a body holds, the answer is a configuration or a refusal with a place. */
 class SpoiltPropertyTest {
--- a/src/test/java/sablehinge/cli/WaterworksTest.java
+++ b/src/test/java/sablehinge/cli/DaemonStartTest.java
@@ -14,11 +14,11 @@
 
 /** The mesh's daemons as processes: signals, and settings of no use. */
 @Timeout(60)
-class WaterworksTest {
+class DaemonStartTest {
 
     private static final String SETTINGS = """
             node = "core-1"
-            role = "reservoir"
+            role = "control"
             machineClass = "core"
             serves = ["control"]
             ip = "127.77.0.1"
@@ -82,7 +82,7 @@
     @Test
     void aHangUpReadsTheSettingsAgainAndEndsNothing() throws Exception {
         String text = SETTINGS.formatted(folder.resolve("data"));
-        Process process = start("reservoir", text);
+        Process process = start("control", text);
         try (BufferedReader said = process.errorReader()) {
             assertTrue(line(said, "event=starts").contains("node=core-1"));
             hangUp(process);
@@ -101,9 +101,9 @@
         String text = SETTINGS.formatted(folder.resolve("data"));
         String[][] spoilt = {{"zone = ", "zoone = ", "zone"},
             {"beatMs = 1500", "beatMs = \"soon\"", "beatMs"},
-            {"role = \"reservoir\"", "role = \"lake\"", "role"}};
+            {"role = \"control\"", "role = \"lake\"", "role"}};
         for (String[] one : spoilt) {
-            Process process = start("reservoir", text.replace(one[0], one[1]));
+            Process process = start("control", text.replace(one[0], one[1]));
             String said = new String(process.getErrorStream().readAllBytes());
             assertTrue(process.waitFor(30, TimeUnit.SECONDS));
             assertEquals(1, process.exitValue());
--- a/src/test/java/sablehinge/cli/mesh/operator/VerbsTest.java
+++ b/src/test/java/sablehinge/cli/mesh/operator/VerbsTest.java
@@ -25,8 +25,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import sablehinge.cli.mesh.MeshCommands;
-import sablehinge.headgate.mesh.Machine;
-import sablehinge.headgate.mesh.MeshStatus;
+import sablehinge.api.mesh.Machine;
+import sablehinge.api.mesh.MeshStatus;
 
 /** The verbs as they are typed, against a scripted core and a clock that only their own waits move. */
 class VerbsTest {
--- a/src/test/java/sablehinge/config/local/LocalSettingsTest.java
+++ b/src/test/java/sablehinge/config/local/LocalSettingsTest.java
@@ -32,7 +32,7 @@
             List.of("true", "-1", "1.5", "7", "70000", "\"\"", "\"x\"", "\"x:1\"", "[]", "[1]", "[\"x\"]",
                     "[1, 2]", "{a = 1}", "{a = \"x\"}", "inf", "nan", "3000000000", "\":1\"", "\"x:\"",
                     "\"x:123456\"", "\"x:1a\"", "\"x:1:2\"", "[\"x:1\"]", "[0, 1]", "[1, 2, 3]",
-                    "99999999999999999999", "1979-05-27", "{}", "[{}]", "[[1, 2]]", "\"sluice\"",
+                    "99999999999999999999", "1979-05-27", "{}", "[{}]", "[[1, 2]]", "\"sidecar\"",
                     "\"x:0\"", "\"x:080\"", "\"x:65535\"", "\"x:65536\"", "\"x:99999\"",
                     "\"x:9999\"", "\"x:60000\"", "\"x:655350\"");
 
@@ -70,7 +70,7 @@
     @Test
     void theExampleAsItIs() throws ConfigException {
         LocalSettings read = read(EXAMPLE);
-        assertEquals(LocalSettings.Role.SLUICE, read.role());
+        assertEquals(LocalSettings.Role.SIDECAR, read.role());
         assertEquals("sidecar-plateau-1 sidecar 10.1.0.11 plateau sahel-ouest", String.join(" ", read.node(),
                 read.machineClass(), read.ip(), read.zone(), read.region()));
         assertEquals(List.of("sidecar"), read.serves());
@@ -111,8 +111,8 @@
         "fds = 4100 | fds = 0.5 | limits.fds: of type integer was expected, found 0.5",
         "counted = false | counted = 0 | counted: of type boolean was expected, found 0",
         "cores = 1 | cores = -1 | limits.cores: at least 0 was expected, found -1",
-        "role = \"sluice\" | role = \"dam\" | role: "
-                + "one of [\"sluice\",\"reservoir\"] was expected, found \"dam\"",
+        "role = \"sidecar\" | role = \"dam\" | role: "
+                + "one of [\"sidecar\",\"control\"] was expected, found \"dam\"",
         "[7780,7795] | [7780] | innerPorts: a list of 2 was expected, found [7780]",
         "\"10.2.0.37:8367\" | \"10.2.0.37\" "
                 + "| seeds.1: an address with a port was expected, found \"10.2.0.37\"",
@@ -132,9 +132,9 @@
     @Test
     void whatIsOptional() throws ConfigException {
         LocalSettings read = read("dataDir = \"/data\"\n"
-                + EXAMPLE.replaceAll("(?m)^(app|depot|inbound).*$", "").replace("sluice", "reservoir"));
+                + EXAMPLE.replaceAll("(?m)^(app|depot|inbound).*$", "").replace("sidecar", "control"));
         assertEquals("/data", read.dataDir());
-        assertEquals(LocalSettings.Role.RESERVOIR, read.role());
+        assertEquals(LocalSettings.Role.CONTROL, read.role());
         assertNull(read.app());
         assertNull(read.depot());
         assertNull(read.listenOn().inbound());
--- a/src/test/java/sablehinge/watermaster/Claims.java
+++ b/src/test/java/sablehinge/consensus/Claims.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
-import sablehinge.cistern.Cistern;
-import sablehinge.watermaster.Valley.Machine;
+import sablehinge.state.ConfigurationState;
+import sablehinge.consensus.SimulatedCluster.Machine;
 
 /** What operators were told about configurations, held against every state that a machine comes to. */
 final class Claims {
@@ -19,7 +19,7 @@
     private record Acknowledged(long index, Call call) {
     }
 
-    private final Valley valley;
+    private final SimulatedCluster cluster;
     private final List<Acknowledged> acknowledged = new ArrayList<>();
     /** The index of the entry by which an edition was followed by another. */
     private final Map<Long, Long> successors = new HashMap<>();
@@ -28,8 +28,8 @@
     private Call latest;
     private long proposed;
 
-    Claims(Valley valley) {
-        this.valley = valley;
+    Claims(SimulatedCluster cluster) {
+        this.cluster = cluster;
     }
 
     int acknowledged() {
@@ -38,7 +38,7 @@
 
     /** Proposes a configuration, which differs from all others, to who may lead; whether it was taken on. */
     boolean propose(Machine at) {
-        long edition = at.cistern.edition();
+        long edition = at.configurations.edition();
         // Not each edition is the next number, so that two on one may differ in theirs.
         return propose(at, new Call(edition, edition + 1 + proposed % 2,
                 ByteBuffer.allocate(Long.BYTES).putLong(proposed).array(), 0));
@@ -51,7 +51,7 @@
 
     private boolean propose(Machine at, Call call) {
         double now = at.clock();
-        long index = at.master.propose(now, Cistern.replace(call.basedOn, call.edition, call.body,
+        long index = at.master.propose(now, ConfigurationState.replace(call.basedOn, call.edition, call.body,
                 (long) now));
         if (index > 0) {
             proposed++;
@@ -75,41 +75,42 @@
 
     /** Whether the operator is told that it is in force, or was. */
     private boolean command(Machine at, Entry entry) {
-        long before = at.cistern.edition();
-        Cistern.Outcome outcome = at.cistern.apply(entry.data());
-        valley.check(at.cistern.edition() >= before, at,
-                () -> "edition " + at.cistern.edition() + " after " + before);
-        String came = outcome + " " + at.cistern.edition();
+        long before = at.configurations.edition();
+        ConfigurationState.Outcome outcome = at.configurations.apply(entry.data());
+        cluster.check(at.configurations.edition() >= before, at,
+                () -> "edition " + at.configurations.edition() + " after " + before);
+        String came = outcome + " " + at.configurations.edition();
         String other = outcomes.putIfAbsent(entry.index(), came);
-        valley.check(other == null || other.equals(came), at,
+        cluster.check(other == null || other.equals(came), at,
                 () -> "entry " + entry.index() + " comes to " + came + ", elsewhere to " + other);
-        if (outcome == Cistern.Outcome.TAKEN) {
+        if (outcome == ConfigurationState.Outcome.TAKEN) {
             long basedOn = ByteBuffer.wrap(entry.data()).getLong(1);
             Long index = successors.putIfAbsent(basedOn, entry.index());
-            valley.check(index == null || index == entry.index(), at, () -> "edition " + basedOn
+            cluster.check(index == null || index == entry.index(), at, () -> "edition " + basedOn
                     + " is followed by entry " + index + " and by " + entry.index());
         }
-        return outcome == Cistern.Outcome.TAKEN || outcome == Cistern.Outcome.REPEATED;
+        return outcome == ConfigurationState.Outcome.TAKEN || outcome == ConfigurationState.Outcome.REPEATED;
     }
 
     /** Takes a snapshot's state over. */
     void restored(Machine at, long index, byte[] state) {
-        long before = at.cistern.edition();
-        at.cistern.restore(state);
-        valley.check(at.cistern.edition() >= before, at,
-                () -> "edition " + at.cistern.edition() + " restored over " + before);
+        long before = at.configurations.edition();
+        at.configurations.restore(state);
+        cluster.check(at.configurations.edition() >= before, at,
+                () -> "edition " + at.configurations.edition() + " restored over " + before);
         holds(at, one -> one.index <= index);
     }
 
     /** What was acknowledged must be known: to a leader of a later term, and where the entry is applied. */
     private void holds(Machine at, Predicate<Acknowledged> which) {
         for (Acknowledged one : acknowledged) {
-            valley.check(!which.test(one) || knows(at, one.call), at, () -> "acknowledged edition "
+            cluster.check(!which.test(one) || knows(at, one.call), at, () -> "acknowledged edition "
                     + one.call.edition + " of entry " + one.index + " is lost");
         }
     }
 
     private static boolean knows(Machine at, Call call) {
-        return at.cistern.foresee(call.basedOn, call.edition, call.body) == Cistern.Outcome.REPEATED;
+        return at.configurations.foresee(call.basedOn, call.edition,
+                call.body) == ConfigurationState.Outcome.REPEATED;
     }
 }
--- a/src/test/java/sablehinge/watermaster/QuorumTest.java
+++ b/src/test/java/sablehinge/consensus/QuorumTest.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/sablehinge/watermaster/WatermasterCodecTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeCodecTest.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,10 +12,10 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import sablehinge.conduit.MessageCodec;
+import sablehinge.rpc.MessageCodec;
 
 /** Messages as bytes: what is written reads the same, and nothing else brings the reader down. */
-class WatermasterCodecTest {
+class RaftNodeCodecTest {
 
     private static final List<Member> MEMBERS = List.of(Member.founder("10.0.0.1:1", "10.0.0.1:2"),
             Member.later(-7, "10.0.0.2:1", ""));
--- a/src/test/java/sablehinge/watermaster/WatermasterRandomTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeRandomTest.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,10 +7,13 @@
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import sablehinge.watermaster.Valley.Machine;
+import sablehinge.consensus.SimulatedCluster.Machine;
 
-/** Faults at random, several at a time; what must never break is checked by {@link Valley} at each step. */
-class WatermasterRandomTest {
+/**
+ * Faults at random, several at a time; what must never break is checked by {@link SimulatedCluster} at each
+ * step.
+ */
+class RaftNodeRandomTest {
 
     private static final int SEEDS = Integer.getInteger("watermaster.seeds", 300);
     private static final long FIRST = Long.getLong("watermaster.first", 1);
@@ -21,8 +24,8 @@
         long begun = System.nanoTime();
         // Each play has all its own, so that they may run beside each other.
         long[] sums = LongStream.range(FIRST, FIRST + SEEDS).parallel().mapToObj(seed -> {
-            Valley valley = play(seed);
-            return new long[] {valley.committed.size(), valley.changes, valley.events};
+            SimulatedCluster cluster = play(seed);
+            return new long[] {cluster.committed.size(), cluster.changes, cluster.events};
         }).reduce(new long[3], (a, b) -> new long[] {a[0] + b[0], a[1] + b[1], a[2] + b[2]});
         long commands = sums[0];
         long changes = sums[1];
@@ -32,19 +35,19 @@
         assertTrue(changes > SEEDS, changes + " changes of members only");
     }
 
-    static Valley play(long seed) {
+    static SimulatedCluster play(long seed) {
         Random random = new Random(seed * 7919);
-        Valley valley = new Valley(seed, seed % 10 == 0 ? 5 : 3);
-        valley.loss = random.nextInt(3) * 0.03;
-        valley.doubling = random.nextInt(3) * 0.05;
-        valley.strays = random.nextInt(3) * 0.02;
-        valley.jitter = 1 + random.nextInt(3) * 5;
+        SimulatedCluster cluster = new SimulatedCluster(seed, seed % 10 == 0 ? 5 : 3);
+        cluster.loss = random.nextInt(3) * 0.03;
+        cluster.doubling = random.nextInt(3) * 0.05;
+        cluster.strays = random.nextInt(3) * 0.02;
+        cluster.jitter = 1 + random.nextInt(3) * 5;
         double faultAt = 1500;
         int added = 0;
         try {
-            while (valley.now < LENGTH) {
-                valley.run(random.nextDouble() * 20);
-                for (Machine machine : List.copyOf(valley.machines.values())) {
+            while (cluster.now < LENGTH) {
+                cluster.run(random.nextDouble() * 20);
+                for (Machine machine : List.copyOf(cluster.machines.values())) {
                     if (machine.leads()) {
                         for (int i = random.nextInt(4); i > 0; i--) {
                             machine.propose();
@@ -54,22 +57,22 @@
                         }
                     }
                 }
-                if (valley.now >= faultAt) {
-                    faultAt = valley.now + random.nextDouble() * 1200;
-                    added += fault(valley, random, added);
+                if (cluster.now >= faultAt) {
+                    faultAt = cluster.now + random.nextDouble() * 1200;
+                    added += fault(cluster, random, added);
                 }
             }
-            heal(valley);
+            heal(cluster);
         } catch (IllegalStateException | IndexOutOfBoundsException | NullPointerException e) {
-            throw new AssertionError("seed " + seed + ", " + valley.now + " ms", e);
+            throw new AssertionError("seed " + seed + ", " + cluster.now + " ms", e);
         }
-        return valley;
+        return cluster;
     }
 
-    private static int fault(Valley valley, Random random, int added) {
-        List<Machine> all = new ArrayList<>(valley.machines.values());
+    private static int fault(SimulatedCluster cluster, Random random, int added) {
+        List<Machine> all = new ArrayList<>(cluster.machines.values());
         Machine one = all.get(random.nextInt(all.size()));
-        Machine leader = valley.leader();
+        Machine leader = cluster.leader();
         if (leader != null && random.nextInt(3) == 0) {
             one = leader;
         }
@@ -78,44 +81,44 @@
         double length = 50 + random.nextDouble() * random.nextInt(5000);
         switch (random.nextInt(11)) {
             case 0 -> {
-                valley.cut(hit, other);
-                valley.after(length, () -> valley.cuts.remove(hit.address + ">" + other.address));
+                cluster.cut(hit, other);
+                cluster.after(length, () -> cluster.cuts.remove(hit.address + ">" + other.address));
             }
             case 1 -> {
-                valley.cutOff(hit);
-                valley.after(length, valley.cuts::clear);
+                cluster.cutOff(hit);
+                cluster.after(length, cluster.cuts::clear);
             }
             case 2, 3 -> hit.stall(length);
-            case 4, 5 -> restart(valley, hit, length, random.nextBoolean());
+            case 4, 5 -> restart(cluster, hit, length, random.nextBoolean());
             case 6 -> all.forEach(machine -> {
                 machine.powerLoss();
-                valley.after(random.nextDouble() * 300, () -> up(machine));
+                cluster.after(random.nextDouble() * 300, () -> up(machine));
             });
             case 7, 8 -> {
-                if (valley.isWhole() && hit.self != null) {
+                if (cluster.isWhole() && hit.self != null) {
                     hit.wipe();
-                    valley.after(length, hit::outside);
+                    cluster.after(length, hit::outside);
                 }
             }
             case 9 -> {
-                if (added < 4 && valley.isWhole()) {
+                if (added < 4 && cluster.isWhole()) {
                     hit.kill(true);
-                    valley.add("10.0.1." + added + ":1").outside();
-                    valley.after(length * 3, () -> up(hit));
+                    cluster.add("10.0.1." + added + ":1").outside();
+                    cluster.after(length * 3, () -> up(hit));
                     return 1;
                 }
             }
             default -> {
-                all.forEach(machine -> restart(valley, machine, random.nextDouble() * 500, true));
+                all.forEach(machine -> restart(cluster, machine, random.nextDouble() * 500, true));
             }
         }
         return 0;
     }
 
-    private static void restart(Valley valley, Machine machine, double length, boolean power) {
+    private static void restart(SimulatedCluster cluster, Machine machine, double length, boolean power) {
         if (machine.up()) {
             machine.kill(power);
-            valley.after(length, () -> up(machine));
+            cluster.after(length, () -> up(machine));
         }
     }
 
@@ -126,29 +129,29 @@
         }
     }
 
-    private static void heal(Valley valley) {
-        valley.run(3000);
-        valley.cuts.clear();
-        valley.loss = 0;
-        valley.doubling = 0;
-        valley.strays = 0;
-        for (Machine machine : valley.machines.values()) {
+    private static void heal(SimulatedCluster cluster) {
+        cluster.run(3000);
+        cluster.cuts.clear();
+        cluster.loss = 0;
+        cluster.doubling = 0;
+        cluster.strays = 0;
+        for (Machine machine : cluster.machines.values()) {
             machine.stalledUntil = 0;
             up(machine);
             if (!machine.up()) {
                 machine.outside();
             }
         }
-        valley.run(7000);
-        valley.commitOne(4000);
-        valley.run(2000);
-        if (!valley.isWhole()) {
-            throw new AssertionError("seed " + valley.seed + ": not whole again, " + valley.list + "\n"
-                    + valley.describe());
+        cluster.run(7000);
+        cluster.commitOne(4000);
+        cluster.run(2000);
+        if (!cluster.isWhole()) {
+            throw new AssertionError("seed " + cluster.seed + ": not whole again, " + cluster.list + "\n"
+                    + cluster.describe());
         }
-        for (Member member : valley.list) {
-            Machine machine = valley.machines.get(member.conduit());
-            valley.check(valley.committed.size() == machine.applied, machine, valley::describe);
+        for (Member member : cluster.list) {
+            Machine machine = cluster.machines.get(member.address());
+            cluster.check(cluster.committed.size() == machine.applied, machine, cluster::describe);
         }
     }
 }
--- a/src/test/java/sablehinge/watermaster/WatermasterRulesTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeRulesTest.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 /** One member among scripted peers: what it may say when, which faults at random seldom show. */
-class WatermasterRulesTest implements Watermaster.Actions {
+class RaftNodeRulesTest implements RaftNode.Actions {
 
     private static final Member A = Member.founder("a:1", "ca");
     private static final Member B = Member.founder("b:1", "cb");
@@ -21,7 +21,7 @@
     private record Sent(Member to, Message message) {
     }
 
-    private final Watermaster master = new Watermaster(this, Terms.usual(), 1);
+    private final RaftNode master = new RaftNode(this, Timing.usual(), 1);
     private final List<Sent> sent = new ArrayList<>();
     private final List<Change> changes = new ArrayList<>();
     private final List<Entry> applied = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/sablehinge/consensus/RaftNodeTest.java
@@ -0,0 +1,314 @@
+package sablehinge.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.consensus.SimulatedCluster.Machine;
+
+/** The losses that the core must bear, one by one, for a few seeds each. */
+class RaftNodeTest {
+
+    private static final int SEEDS = 20;
+
+    private interface Play {
+        void on(SimulatedCluster cluster);
+    }
+
+    private static void play(Play play) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedCluster cluster = new SimulatedCluster(seed, 3);
+            cluster.awaitLeader();
+            play.on(cluster);
+        }
+    }
+
+    private static boolean listed(SimulatedCluster cluster, Machine machine) {
+        return cluster.list.contains(machine.self);
+    }
+
+    @Test
+    void commitsInAFewMillisecondsAndTellsWhoLeads() {
+        play(cluster -> {
+            double took = cluster.commitOne(100);
+            assertTrue(took <= 10, took + " ms");
+            cluster.run(200);
+            Machine leader = cluster.leader();
+            for (Machine machine : cluster.machines.values()) {
+                assertEquals(leader.self, machine.standing.leader());
+                assertEquals(cluster.committed.size(), machine.applied);
+            }
+        });
+    }
+
+    @Test
+    void aQuietCoreKeepsItsLeader() {
+        play(cluster -> {
+            long term = cluster.leader().standing.term();
+            cluster.run(20_000);
+            assertEquals(term, cluster.leader().standing.term());
+        });
+    }
+
+    @Test
+    void aCommitOutlivesAWipeRightAfterItAndTheOthersLossOfPower() {
+        play(cluster -> {
+            Machine leader = cluster.leader();
+            Machine lagging = cluster.others(leader).get(0);
+            lagging.stall(1000);
+            leader.propose();
+            int before = cluster.committed.size();
+            while (cluster.committed.size() == before) {
+                cluster.run(0.1);
+            }
+            // On two disks only; one of them is wiped now, and both others lose power.
+            Machine wiped = cluster.seed % 2 == 0 ? leader : cluster.others(leader, lagging).get(0);
+            wiped.wipe();
+            for (Machine other : cluster.others(wiped)) {
+                other.stalledUntil = 0;
+                other.powerLoss();
+            }
+            cluster.others(wiped).forEach(Machine::start);
+            wiped.outside();
+            cluster.awaitLeader();
+            cluster.commitOne(2000);
+            cluster.run(6000);
+            assertTrue(listed(cluster, wiped), "the wiped one is let in again");
+            assertEquals(3, cluster.list.size());
+            assertEquals(cluster.committed.size(), wiped.applied);
+        });
+    }
+
+    @Test
+    void aWipedMemberDoesNotVoteBeforeItIsLetIn() {
+        play(cluster -> {
+            Machine leader = cluster.leader();
+            List<Machine> others = cluster.others(leader);
+            // The second has nothing of what the first and the leader commit.
+            cluster.cutOff(others.get(1));
+            cluster.commitOne(100);
+            int size = cluster.committed.size();
+            leader.kill(false);
+            others.get(0).wipe();
+            others.get(0).outside();
+            cluster.cuts.clear();
+            cluster.run(20_000);
+            assertEquals(size, cluster.committed.size(), "a wiped disk made up a majority");
+            leader.start();
+            cluster.commitOne(5000);
+        });
+    }
+
+    @Test
+    void anEmptyMachineElsewhereTakesTheDeadOnesPlace() {
+        play(cluster -> {
+            Machine dead = cluster.seed % 2 == 0 ? cluster.leader() : cluster.others(cluster.leader()).get(0);
+            dead.kill(true);
+            Machine newcomer = cluster.add("10.0.1.1:1");
+            newcomer.outside();
+            cluster.run(9000);
+            assertTrue(listed(cluster, newcomer));
+            assertFalse(listed(cluster, dead));
+            cluster.commitOne(500);
+            // With it the core bears the loss of another.
+            cluster.others(dead, newcomer).get(0).kill(true);
+            cluster.commitOne(4000);
+        });
+    }
+
+    @Test
+    void anEmptyMachineWaitsWhileAllAreThereAndTakesThePlaceOfOneThatIsLostLater() {
+        play(cluster -> {
+            List<Member> before = cluster.list;
+            Machine newcomer = cluster.add("10.0.1.1:1");
+            newcomer.outside();
+            cluster.run(8000);
+            assertEquals(before, cluster.list);
+            assertEquals(Standing.Role.OUTSIDER, newcomer.standing.role());
+            assertEquals(cluster.leader().self, newcomer.standing.leader());
+            Machine dead = cluster.others(newcomer, cluster.leader()).get(0);
+            dead.kill(true);
+            cluster.run(5000);
+            assertTrue(listed(cluster, newcomer));
+        });
+    }
+
+    @Test
+    void theDeadOneComesBackAndFindsThatItWasReplaced() {
+        play(cluster -> {
+            Machine dead = cluster.others(cluster.leader()).get(0);
+            dead.kill(false);
+            Machine newcomer = cluster.add("10.0.1.1:1");
+            newcomer.outside();
+            cluster.run(9000);
+            long term = cluster.leader().standing.term();
+            dead.start();
+            cluster.run(5000);
+            assertEquals(Standing.Role.OUTSIDER, dead.standing.role());
+            assertEquals(term, cluster.leader().standing.term(), "it disturbed the others");
+            newcomer.kill(true);
+            cluster.run(6000);
+            assertTrue(listed(cluster, dead), "it takes the place of the next that is lost");
+            assertEquals(Standing.Role.FOLLOWER, dead.standing.role());
+        });
+    }
+
+    @Test
+    void aLeaderWhoseDiskStallsCommitsOnWithTheOthersDisks() {
+        play(cluster -> {
+            Machine leader = cluster.leader();
+            leader.stall(5000);
+            for (int i = 0; i < 160; i++) {
+                double took = cluster.commitOne(300);
+                assertTrue(took <= 60, took + " ms at " + i);
+                cluster.run(20);
+            }
+            assertTrue(cluster.leader() != leader, "it has handed over");
+            assertEquals(3, cluster.list.size());
+        });
+    }
+
+    @Test
+    void aFollowerWhoseDiskStallsDelaysNobodyAndStaysAMember() {
+        play(cluster -> {
+            Machine follower = cluster.others(cluster.leader()).get(0);
+            List<Member> before = cluster.list;
+            Machine waiting = cluster.add("10.0.1.1:1");
+            waiting.outside();
+            follower.stall(6000);
+            for (int i = 0; i < 200; i++) {
+                double took = cluster.commitOne(300);
+                assertTrue(took <= 10, took + " ms at " + i);
+                cluster.run(20);
+            }
+            assertEquals(before, cluster.list);
+            cluster.run(3000);
+            assertEquals(cluster.committed.size(), follower.applied);
+        });
+    }
+
+    @Test
+    void aLeaderThatCanHearButNotSpeakIsReplaced() {
+        play(cluster -> {
+            Machine leader = cluster.leader();
+            cluster.others(leader).forEach(other -> cluster.cut(leader, other));
+            cluster.run(3000);
+            assertNotNull(cluster.leader());
+            assertTrue(cluster.leader() != leader);
+            cluster.commitOne(100);
+        });
+    }
+
+    @Test
+    void aLeaderThatCanSpeakButNotHearIsReplaced() {
+        play(cluster -> {
+            Machine leader = cluster.leader();
+            cluster.others(leader).forEach(other -> cluster.cut(other, leader));
+            cluster.run(4000);
+            assertTrue(cluster.leader() != leader);
+            cluster.commitOne(100);
+        });
+    }
+
+    @Test
+    void aMemberThatHearsNothingDisturbsNobody() {
+        play(cluster -> {
+            Machine leader = cluster.leader();
+            long term = leader.standing.term();
+            Machine deaf = cluster.others(leader).get(0);
+            cluster.others(deaf).forEach(other -> cluster.cut(other, deaf));
+            cluster.run(5000);
+            assertEquals(term, cluster.leader().standing.term());
+            cluster.cuts.clear();
+            cluster.run(2000);
+            assertEquals(term, cluster.leader().standing.term());
+            assertEquals(cluster.committed.size(), deaf.applied);
+        });
+    }
+
+    @Test
+    void aCutOffLeaderNeitherCommitsNorConfirms() {
+        play(cluster -> {
+            Machine leader = cluster.leader();
+            cluster.cutOff(leader);
+            leader.barrier();
+            assertTrue(leader.propose());
+            cluster.run(2500);
+            assertEquals(1, leader.denied.size());
+            assertFalse(leader.propose());
+            cluster.commitOne(100);
+            Machine next = cluster.leader();
+            next.barrier();
+            cluster.run(20);
+            assertEquals(1, next.confirmed.size());
+            cluster.cuts.clear();
+            cluster.run(2000);
+            assertEquals(cluster.committed.size(), leader.applied);
+        });
+    }
+
+    @Test
+    void allLosePowerAtOnce() {
+        play(cluster -> {
+            for (int i = 0; i < 30; i++) {
+                cluster.leader().propose();
+                cluster.run(0.5);
+            }
+            int size = cluster.committed.size();
+            cluster.machines.values().forEach(Machine::powerLoss);
+            cluster.machines.values().forEach(Machine::start);
+            double start = cluster.now;
+            cluster.awaitLeader();
+            assertTrue(cluster.now - start < 3000);
+            assertTrue(cluster.committed.size() > size);
+            cluster.run(500);
+            cluster.machines.values().forEach(one -> assertEquals(cluster.committed.size(), one.applied));
+        });
+    }
+
+    @Test
+    void whoWasAwayForLongTakesASnapshot() {
+        play(cluster -> {
+            Machine away = cluster.others(cluster.leader()).get(0);
+            away.kill(false);
+            for (int i = 0; i < 400; i++) {
+                cluster.leader().propose();
+                cluster.run(2);
+            }
+            cluster.run(100);
+            away.start();
+            cluster.run(2000);
+            assertEquals(cluster.committed.size(), away.applied);
+        });
+    }
+
+    @Test
+    void tooManyWaitingAreRefused() {
+        SimulatedCluster cluster = new SimulatedCluster(1, 3);
+        Machine leader = cluster.awaitLeader();
+        cluster.cutOff(leader);
+        int taken = 0;
+        while (leader.propose()) {
+            taken++;
+        }
+        assertEquals(Timing.usual().waiting(), taken);
+    }
+
+    @Test
+    void fiveBearTwoLosses() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedCluster cluster = new SimulatedCluster(seed, 5);
+            Machine leader = cluster.awaitLeader();
+            leader.wipe();
+            cluster.others(leader).get(0).kill(true);
+            cluster.commitOne(4000);
+            leader.outside();
+            cluster.run(6000);
+            assertTrue(listed(cluster, leader));
+            assertEquals(5, cluster.list.size());
+        }
+    }
+}
--- a/src/test/java/sablehinge/watermaster/Valley.java
+++ b/src/test/java/sablehinge/consensus/SimulatedCluster.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -14,15 +14,16 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
-import sablehinge.cistern.Cistern;
-import sablehinge.conduit.MessageCodec;
+import sablehinge.state.ConfigurationState;
+import sablehinge.rpc.MessageCodec;
 
 /**
- * Machines, disks and a network on a made-up clock, around the real {@link Watermaster} and {@link Cistern}.
+ * Machines, disks and a network on a made-up clock, around the real {@link RaftNode} and {@link
+ * ConfigurationState}.
  * What they must keep is checked as it happens; a breach is an {@link AssertionError} that names the seed and
  * the time.
  */
-class Valley {
+class SimulatedCluster {
 
     private record Event(double at, long order, Runnable what) {
     }
@@ -69,16 +70,16 @@
     }
 
     /** One machine at its address; its process and its disk may go and come. */
-    final class Machine implements Watermaster.Actions {
+    final class Machine implements RaftNode.Actions {
         final String address;
         Member self;
         Disk disk = new Disk();
-        Watermaster master;
+        RaftNode master;
         Standing standing;
         long life;
         long applied;
         long chain;
-        Cistern cistern;
+        ConfigurationState configurations;
         double stalledUntil;
         double diskFreeAt;
         /** What its steady clock counts in a ms, and what it showed at the beginning. */
@@ -111,18 +112,18 @@
             life++;
             applied = 0;
             chain = 0;
-            cistern = new Cistern();
+            configurations = new ConfigurationState();
             calls.clear();
             standing = null;
             unsynced = new ArrayList<>();
             barriers.clear();
             diskFreeAt = now;
-            master = new Watermaster(this, terms, dice(this));
+            master = new RaftNode(this, timing, dice(this));
             booted(this);
         }
 
         void found(List<Member> founders) {
-            self = founders.stream().filter(one -> one.conduit().equals(address)).findAny().orElseThrow();
+            self = founders.stream().filter(one -> one.address().equals(address)).findAny().orElseThrow();
             disk.self = self;
             boot();
             master.found(clock(), self, founders);
@@ -185,8 +186,8 @@
         @Override
         public void send(Member to, Message message) {
             sent++;
-            if (cuts.isEmpty() || !cuts.contains(address + ">" + to.conduit())) {
-                carry(self, to.conduit(), message);
+            if (cuts.isEmpty() || !cuts.contains(address + ">" + to.address())) {
+                carry(self, to.address(), message);
             }
         }
 
@@ -260,7 +261,7 @@
         }
 
         void compact() {
-            byte[] state = cistern.state();
+            byte[] state = configurations.state();
             master.compact(applied, ByteBuffer.allocate(Long.BYTES + state.length).putLong(chain).put(state)
                     .array());
         }
@@ -359,20 +360,20 @@
     /** All entries that ever were to be written, by index and term. */
     final Map<Long, Entry> made = new HashMap<>();
     final Claims claims = new Claims(this);
-    Terms terms = Terms.usual();
+    Timing timing = Timing.usual();
     /** The last list that was committed. */
     List<Member> list;
     private final PriorityQueue<Event> queue = new PriorityQueue<>((a, b) -> a.at() == b.at()
             ? Long.compare(a.order(), b.order()) : Double.compare(a.at(), b.at()));
     private long order;
 
-    Valley(long seed, int founders) {
+    SimulatedCluster(long seed, int founders) {
         this(seed);
         found(founders);
     }
 
     /** An empty one. */
-    Valley(long seed) {
+    SimulatedCluster(long seed) {
         this.seed = seed;
         this.random = new Random(seed);
     }
@@ -384,7 +385,7 @@
         }
         list = List.copyOf(members);
         for (Member member : members) {
-            add(member.conduit()).found(members);
+            add(member.address()).found(members);
         }
     }
 
@@ -558,7 +559,7 @@
             return false;
         }
         for (Member member : list) {
-            Machine machine = machines.get(member.conduit());
+            Machine machine = machines.get(member.address());
             if (machine == null || machine.self.id() != member.id() || graves.containsKey(member.id())) {
                 return false;
             }
--- a/src/test/java/sablehinge/reservoir/ReservoirTest.java
+++ b/src/test/java/sablehinge/control/ControlNodeTest.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -33,16 +33,16 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import sablehinge.cistern.Intake;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
+import sablehinge.state.Registration;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
 import sablehinge.config.local.LocalSettings;
-import sablehinge.penstock.Ask;
-import sablehinge.penstock.News;
+import sablehinge.watch.WatchRequest;
+import sablehinge.watch.Update;
 
 /** Three real machines of the core on loopback addresses, each with a folder, called as operators call. */
 @Timeout(240)
-class ReservoirTest {
+class ControlNodeTest {
 
     private static final long PATIENCE_NANOS = 30_000_000_000L;
     /** Longer than a closed connection is remembered. */
@@ -53,7 +53,7 @@
 
     @TempDir
     Path folder;
-    private final Reservoir[] members = new Reservoir[3];
+    private final ControlNode[] members = new ControlNode[3];
     private final List<String> seeds = new ArrayList<>();
     private final List<String> redirects = new CopyOnWriteArrayList<>();
     private String net;
@@ -82,7 +82,7 @@
         String control = seeds.get(i);
         awaitFree(control);
         awaitFree(control.replace(":7090", ":7100"));
-        members[i] = Reservoir.start(new LocalSettings("r-" + i, LocalSettings.Role.RESERVOIR, "small",
+        members[i] = ControlNode.start(new LocalSettings("r-" + i, LocalSettings.Role.CONTROL, "small",
                 List.of("control"), control.substring(0, control.indexOf(':')), "monza-a", "monza",
                 7_100, 7_110, seeds, first, true, folder.resolve("r-" + i).toString(), 500, List.of(),
                 null, null,
@@ -98,7 +98,7 @@
         while (true) {
             try (Socket probe = new Socket()) {
                 probe.setReuseAddress(true);
-                probe.bind(Reservoir.address(address));
+                probe.bind(ControlNode.address(address));
                 return;
             } catch (BindException e) {
                 if (System.nanoTime() > end) {
@@ -348,44 +348,45 @@
         int leader = leader();
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         try {
-            Ask ask = new Ask(3, new Intake("s-1", "monza-a", "127.0.0.1:1", "huvo11a", "i-1", true, 4, 0), 0,
+            WatchRequest request = new WatchRequest(3, new Registration("s-1", "monza-a", "127.0.0.1:1",
+                    "huvo11a", "i-1", true, 4, 0), 0,
                     0, 0,
                     true, List.of(), List.of());
-            Frame elsewhere = asked(loop, (leader + 1) % 3, ask);
+            Frame elsewhere = asked(loop, (leader + 1) % 3, request);
             assertEquals(Frame.Kind.ELSEWHERE, elsewhere.kind());
             String host = seeds.get(leader).substring(0, seeds.get(leader).indexOf(':'));
             assertEquals(host + ":7100", new String(elsewhere.body(), StandardCharsets.UTF_8));
-            Frame told = asked(loop, leader, ask);
+            Frame told = asked(loop, leader, request);
             assertEquals(Frame.Kind.NEWS, told.kind());
-            News news = News.read(told.body());
-            assertEquals(3, news.number());
-            assertTrue(news.confirmed());
-            assertEquals(7, news.edition());
-            assertEquals(body, new String(news.body(), StandardCharsets.UTF_8));
-            assertEquals(List.of(ask.intake()), news.intakes());
+            Update update = Update.read(told.body());
+            assertEquals(3, update.number());
+            assertTrue(update.confirmed());
+            assertEquals(7, update.edition());
+            assertEquals(body, new String(update.body(), StandardCharsets.UTF_8));
+            assertEquals(List.of(request.registration()), update.registrations());
             assertEquals(Stream.of(0, 1, 2).map(i -> seeds.get(i).replace(":7090", ":7100")).sorted()
-                    .toList(), news.core().stream().sorted().toList());
+                    .toList(), update.core().stream().sorted().toList());
         } finally {
             loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
         }
     }
 
     /** The first record that a member answers to an ask. */
-    private Frame asked(EventLoop loop, int member, Ask ask) throws InterruptedException {
+    private Frame asked(EventLoop loop, int member, WatchRequest request) throws InterruptedException {
         LinkedBlockingQueue<Frame> answers = new LinkedBlockingQueue<>();
-        Conduit.Handler handler = new Conduit.Handler() {
+        Connection.Handler handler = new Connection.Handler() {
             @Override
-            public void opened(Conduit.Link link) {
-                link.send(new Frame(Frame.Kind.ASK, ask.bytes()));
+            public void opened(Connection.Link link) {
+                link.send(new Frame(Frame.Kind.ASK, request.bytes()));
             }
 
             @Override
-            public void came(Conduit.Link link, Frame frame) {
+            public void came(Connection.Link link, Frame frame) {
                 answers.add(frame);
             }
         };
         loop.submit(() -> {
-            new Conduit(loop, 300, 20_000).connect(Reservoir.address(seeds.get(member)
+            new Connection(loop, 300, 20_000).connect(ControlNode.address(seeds.get(member)
                     .replace(":7090", ":7100")), handler);
         }).sync();
         Frame answer = answers.poll(20, TimeUnit.SECONDS);
--- a/src/test/java/sablehinge/reservoir/ScribeTest.java
+++ b/src/test/java/sablehinge/control/DiskWriterTest.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,18 +10,18 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import sablehinge.watermaster.Change;
-import sablehinge.watermaster.Entry;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Stored;
+import sablehinge.consensus.Change;
+import sablehinge.consensus.Entry;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Stored;
 
 /** A disk that refuses for a while, at each of its steps in turn, on a made-up clock. */
-class ScribeTest implements Scribe.Host {
+class DiskWriterTest implements DiskWriter.Host {
 
     private static final int CHANGES = 14;
 
     private CrashDisk disk;
-    private Scribe scribe;
+    private DiskWriter diskWriter;
     private double now;
     private double wakesAt;
     private Runnable wakes;
@@ -46,12 +46,12 @@
 
     @Override
     public Member named(boolean damaged) {
-        return LogStoreCrashTest.SELF;
+        return RaftStoreCrashTest.SELF;
     }
 
     @Override
     public void opened(Member self, Stored stored) {
-        assertEquals(LogStoreCrashTest.SELF, self);
+        assertEquals(RaftStoreCrashTest.SELF, self);
         opened++;
         found = stored;
     }
@@ -74,7 +74,7 @@
         opened = 0;
         pauses = 0;
         reported.clear();
-        scribe = new Scribe(() -> LogStore.open(disk), this);
+        diskWriter = new DiskWriter(() -> RaftStore.open(disk), this);
     }
 
     private boolean wake() {
@@ -91,17 +91,17 @@
     /** The states after none, one, two and so on of all changes, which come while earlier ones wait. */
     private List<String> run(long seed) {
         Random random = new Random(seed);
-        LogStoreCrashTest.Model model = new LogStoreCrashTest.Model();
+        RaftStoreCrashTest.Model model = new RaftStoreCrashTest.Model();
         List<String> states = new ArrayList<>();
-        scribe.open();
+        diskWriter.open();
         model.begun = true;
         states.add(model.text());
         for (int i = 1; i <= CHANGES; i++) {
-            Change change = LogStoreCrashTest.next(model, i, random);
+            Change change = RaftStoreCrashTest.next(model, i, random);
             model.apply(change);
             states.add(model.text());
             if (!disk.dead) {
-                scribe.write(change);
+                diskWriter.write(change);
             }
             if (i % 3 == 0) {
                 wake();
@@ -114,9 +114,9 @@
     }
 
     private String onDisk(String place) {
-        try (LogStore store = LogStore.open(disk)) {
+        try (RaftStore store = RaftStore.open(disk)) {
             assertFalse(store.damaged(), place);
-            return LogStoreCrashTest.text(store.load());
+            return RaftStoreCrashTest.text(store.load());
         }
     }
 
@@ -137,7 +137,7 @@
                     assertEquals(CHANGES, reported.size(), place);
                     assertEquals(1, opened, place);
                     assertNull(found, place + ": it had begun in this life");
-                    scribe.close();
+                    diskWriter.close();
                     assertEquals(states.get(CHANGES), onDisk(place), place);
                 }
             }
@@ -174,11 +174,11 @@
     @Test
     void aFullDiskIsWaitedForWithPausesThatGrowToABound() {
         begins(5);
-        scribe.open();
-        disk.room = disk.bytes(LogStore.FILE).length;
+        diskWriter.open();
+        disk.room = disk.bytes(RaftStore.FILE).length;
         byte[] data = new byte[300_000];
-        scribe.write(new Change(1, 1, 0, 0, List.of(new Entry(1, 1, Entry.Kind.COMMAND, data)), null));
-        scribe.write(new Change(2, 2, 7, 0, List.of(), null));
+        diskWriter.write(new Change(1, 1, 0, 0, List.of(new Entry(1, 1, Entry.Kind.COMMAND, data)), null));
+        diskWriter.write(new Change(2, 2, 7, 0, List.of(), null));
         double start = now;
         double longest = 0;
         for (int i = 0; i < 100; i++) {
@@ -198,14 +198,14 @@
     @Test
     void aStoreThatIsFoundOlderThanWhatWasReportedIsNotGoneOnWith() {
         begins(6);
-        scribe.open();
-        scribe.write(new Change(1, 1, 7, 0, List.of(), null));
-        byte[] older = Arrays.copyOf(disk.bytes(LogStore.FILE), disk.bytes(LogStore.FILE).length);
-        scribe.write(new Change(2, 2, 8, 0, List.of(), null));
+        diskWriter.open();
+        diskWriter.write(new Change(1, 1, 7, 0, List.of(), null));
+        byte[] older = Arrays.copyOf(disk.bytes(RaftStore.FILE), disk.bytes(RaftStore.FILE).length);
+        diskWriter.write(new Change(2, 2, 8, 0, List.of(), null));
         disk.refuseFrom = disk.steps + 1;
         disk.refuseTo = disk.steps + 2;
-        scribe.write(new Change(3, 3, 9, 0, List.of(), null));
-        disk.bytes(LogStore.FILE, older);
+        diskWriter.write(new Change(3, 3, 9, 0, List.of(), null));
+        disk.bytes(RaftStore.FILE, older);
         wake();
         assertEquals(StoreException.Code.LOST, lost.code());
         assertEquals(List.of(1L, 2L), reported);
--- a/src/test/java/sablehinge/reservoir/OperatorsTest.java
+++ b/src/test/java/sablehinge/control/OperatorsTest.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -14,22 +14,22 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
-import sablehinge.cistern.Cistern;
-import sablehinge.cistern.Intake;
-import sablehinge.cistern.Roll;
-import sablehinge.headgate.Asked;
-import sablehinge.headgate.Operation;
-import sablehinge.headgate.Reply;
-import sablehinge.headgate.mesh.Editions;
-import sablehinge.headgate.mesh.MeshDuties;
-import sablehinge.headgate.mesh.MeshNodes;
-import sablehinge.headgate.mesh.MeshStatus;
-import sablehinge.meter.Pool;
-import sablehinge.meter.Quota;
-import sablehinge.penstock.Desk;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Pulse;
-import sablehinge.watermaster.Standing;
+import sablehinge.state.ConfigurationState;
+import sablehinge.state.Registration;
+import sablehinge.state.Registry;
+import sablehinge.api.Asked;
+import sablehinge.api.Operation;
+import sablehinge.api.Reply;
+import sablehinge.api.mesh.Editions;
+import sablehinge.api.mesh.MeshDuties;
+import sablehinge.api.mesh.MeshNodes;
+import sablehinge.api.mesh.MeshStatus;
+import sablehinge.quota.Pool;
+import sablehinge.quota.Quota;
+import sablehinge.watch.WatchServer;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Pulse;
+import sablehinge.consensus.Standing;
 
 /** What operators are told, by the operations' own types: no socket, no thread, a clock that is set. */
 class OperatorsTest {
@@ -37,8 +37,8 @@
     private static final Member ONE = new Member(1, "10.0.0.1:7780", "10.0.0.1:7701");
     private static final Member TWO = new Member(3, "10.0.0.2:7780", "10.0.0.2:7701");
 
-    private final Cistern cistern = new Cistern();
-    private final Roll roll = new Roll(2_500, 12_000);
+    private final ConfigurationState configurations = new ConfigurationState();
+    private final Registry registry = new Registry(2_500, 12_000);
     private final Pool pool = new Pool();
     private final Map<Long, Double> silent = new HashMap<>();
     private Standing standing = new Standing(Standing.Role.LEADER, 7, ONE, List.of(ONE, TWO));
@@ -68,8 +68,8 @@
         }
 
         @Override
-        public Cistern cistern() {
-            return cistern;
+        public ConfigurationState configurations() {
+            return configurations;
         }
 
         @Override
@@ -95,7 +95,8 @@
 
     private Reply call(String path, HttpHeaders headers, String body) {
         Authority authority = new Scripted();
-        Sight sight = new Sight("core-1", "z-a", ONE.control(), roll, new Desk<String>(roll), pool,
+        Sight sight = new Sight("core-1", "z-a", ONE.control(), registry, new WatchServer<String>(registry),
+                pool,
                 authority);
         for (Operation<?, ?> one : Operators.all(authority, sight)) {
             if (one.path().equals("/sablehinge/" + path)) {
@@ -118,7 +119,7 @@
     }
 
     private void tells(double at, String node, String upstream, boolean ready) {
-        roll.told(at, new Intake(node, "z-a", "10.0.1.1:7703", "basalt", upstream, ready, 12, 0));
+        registry.told(at, new Registration(node, "z-a", "10.0.1.1:7703", "basalt", upstream, ready, 12, 0));
     }
 
     @Test
@@ -143,7 +144,7 @@
 
     @Test
     void theLeaderTellsWhoIsReadyWhoDrainsAndWhoIsGone() throws IOException {
-        roll.begin(0);
+        registry.begin(0);
         silent.put(TWO.id(), 180.2);
         tells(0, "n-gone", "i-4", true);
         tells(9_000, "n-ready", "i-1", true);
@@ -173,7 +174,7 @@
 
     @Test
     void theHistoryIsToldOnlyWhereAMajorityConfirms() throws IOException {
-        cistern.apply(Cistern.replace(0, 3, new byte[] {'a'}, 1_700_000_000_000L));
+        configurations.apply(ConfigurationState.replace(0, 3, new byte[] {'a'}, 1_700_000_000_000L));
         assertEquals(new Editions(3, List.of(new Editions.Taken(3, 0L, 1, "af63dc4c8601ec8c",
                 "2023-11-14T22:13:20Z"))), told("Config.History", Editions.class));
         sure = false;
--- a/src/test/java/sablehinge/reservoir/LogStoreCrashTest.java
+++ b/src/test/java/sablehinge/control/RaftStoreCrashTest.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,14 +10,14 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import sablehinge.watermaster.Change;
-import sablehinge.watermaster.Entry;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Snapshot;
-import sablehinge.watermaster.Stored;
+import sablehinge.consensus.Change;
+import sablehinge.consensus.Entry;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Snapshot;
+import sablehinge.consensus.Stored;
 
 /** The power goes at each step; what is read back is the state before or after the change in flight. */
-class LogStoreCrashTest {
+class RaftStoreCrashTest {
 
     static final Member SELF = Member.founder("10.0.0.1:7000", "10.0.0.1:7001");
     private static final int CHANGES = 24;
@@ -49,7 +49,7 @@
         }
 
         String text() {
-            return begun ? LogStoreCrashTest.text(new Stored(SELF, term, vote, snapshot, entries))
+            return begun ? RaftStoreCrashTest.text(new Stored(SELF, term, vote, snapshot, entries))
                     : "nothing";
         }
     }
@@ -100,7 +100,7 @@
     private static List<String> run(CrashDisk disk, Model model, Random random, int changes) {
         String before = model.text();
         try {
-            LogStore store = LogStore.open(disk);
+            RaftStore store = RaftStore.open(disk);
             assertFalse(store.damaged());
             assertEquals(model.text(), text(store.load()));
             if (!model.begun) {
@@ -148,18 +148,18 @@
         // The power goes once more while the file is mended.
         disk.dieAt = disk.steps + 1 + at % 3;
         try {
-            LogStore.open(disk).close();
+            RaftStore.open(disk).close();
         } catch (StoreException e) {
             assertTrue(disk.dead, place);
         }
         disk.powerUp();
-        try (LogStore store = LogStore.open(disk)) {
+        try (RaftStore store = RaftStore.open(disk)) {
             assertFalse(store.damaged(), place);
             String found = text(store.load());
             assertTrue(allowed.contains(found), () -> place + ": found " + found + " of " + allowed);
         }
         // What was found is found again, and goes on from there.
-        try (LogStore store = LogStore.open(disk)) {
+        try (RaftStore store = RaftStore.open(disk)) {
             Stored stored = store.load();
             assertTrue(allowed.contains(text(stored)), place);
             if (stored == null) {
--- a/src/test/java/sablehinge/reservoir/LogStoreTest.java
+++ b/src/test/java/sablehinge/control/RaftStoreTest.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -13,13 +13,13 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import sablehinge.watermaster.Change;
-import sablehinge.watermaster.Entry;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Snapshot;
-import sablehinge.watermaster.Stored;
+import sablehinge.consensus.Change;
+import sablehinge.consensus.Entry;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Snapshot;
+import sablehinge.consensus.Stored;
 
-class LogStoreTest {
+class RaftStoreTest {
 
     private static final Member SELF = Member.founder("10.0.0.1:7000", "10.0.0.1:7001");
 
@@ -36,33 +36,33 @@
         return new Change(1, 1, 0, 0, Arrays.stream(indexes).mapToObj(i -> entry(i, 100)).toList(), null);
     }
 
-    private static List<Long> indexes(LogStore store) {
+    private static List<Long> indexes(RaftStore store) {
         return store.load().entries().stream().map(Entry::index).toList();
     }
 
     @Test
     void holdsWhatItWasGivenAcrossOpenings() {
-        try (LogStore store = LogStore.open(folder.resolve("a/b"))) {
+        try (RaftStore store = RaftStore.open(folder.resolve("a/b"))) {
             assertNull(store.load());
             assertFalse(store.damaged());
             store.begin(SELF);
             store.write(new Change(1, 7, 42, 0, List.of(entry(1, 10), entry(2, 300_000)), null));
         }
-        try (LogStore store = LogStore.open(folder.resolve("a/b"))) {
+        try (RaftStore store = RaftStore.open(folder.resolve("a/b"))) {
             Stored stored = store.load();
             assertEquals(SELF, stored.self());
             assertEquals(7, stored.term());
             assertEquals(42, stored.votedFor());
             assertArrayEquals(entry(2, 300_000).data(), stored.entries().get(1).data());
             assertEquals(StoreException.Code.LOCKED, assertThrows(StoreException.class,
-                    () -> LogStore.open(folder.resolve("a/b"))).code());
+                    () -> RaftStore.open(folder.resolve("a/b"))).code());
         }
     }
 
     @Test
     void truncatesAndTakesASnapshotInPlaceOfEntries() {
         CrashDisk disk = new CrashDisk(1);
-        try (LogStore store = LogStore.open(disk)) {
+        try (RaftStore store = RaftStore.open(disk)) {
             store.begin(SELF);
             store.write(append(1, 2, 3, 4, 5));
             store.write(new Change(2, 1, 0, 4, List.of(entry(4, 9)), null));
@@ -73,7 +73,7 @@
             store.write(new Change(4, 1, 0, 3, List.of(entry(11, 5)),
                     new Snapshot(10, 1, List.of(SELF), new byte[] {2})));
         }
-        try (LogStore store = LogStore.open(disk)) {
+        try (RaftStore store = RaftStore.open(disk)) {
             assertEquals(List.of(11L), indexes(store));
             assertEquals(10, store.load().snapshot().index());
             assertThrows(StoreException.class, () -> store.write(new Change(1, 1, 0, 5, List.of(), null)));
@@ -85,7 +85,7 @@
 
     @Test
     void refusesWhatDoesNotFollowAndStaysOpen() {
-        try (LogStore store = LogStore.open(new CrashDisk(1))) {
+        try (RaftStore store = RaftStore.open(new CrashDisk(1))) {
             assertEquals(StoreException.Code.ORDER,
                     assertThrows(StoreException.class, () -> store.write(append(1))).code());
             store.begin(SELF);
@@ -102,14 +102,14 @@
     void aDamagedFileIsMovedAsideAndToldOfUntilSomeoneBegins() {
         for (int kind = 0; kind < 4; kind++) {
             CrashDisk disk = new CrashDisk(kind);
-            try (LogStore store = LogStore.open(disk)) {
+            try (RaftStore store = RaftStore.open(disk)) {
                 store.begin(SELF);
                 store.write(new Change(1, 1, 0, 0, List.of(entry(1, 20_000)), null));
                 store.write(append(2));
                 store.write(append(3));
                 store.write(append(4));
             }
-            byte[] bytes = disk.bytes(LogStore.FILE).clone();
+            byte[] bytes = disk.bytes(RaftStore.FILE).clone();
             if (kind == 0) {
                 bytes = new byte[0];
             } else if (kind == 1) {
@@ -121,18 +121,18 @@
                     bytes[at] ^= at % 4096 == 2000 ? 1 : 0;
                 }
             }
-            disk.bytes(LogStore.FILE, bytes);
+            disk.bytes(RaftStore.FILE, bytes);
             for (int opening = 0; opening < 2; opening++) {
-                try (LogStore store = LogStore.open(disk)) {
+                try (RaftStore store = RaftStore.open(disk)) {
                     assertTrue(store.damaged(), "kind " + kind);
                     assertNull(store.load());
-                    assertTrue(disk.has(LogStore.ASIDE));
+                    assertTrue(disk.has(RaftStore.ASIDE));
                 }
             }
-            try (LogStore store = LogStore.open(disk)) {
+            try (RaftStore store = RaftStore.open(disk)) {
                 store.begin(Member.later(8, "10.0.0.1:7000", "10.0.0.1:7001"));
             }
-            try (LogStore store = LogStore.open(disk)) {
+            try (RaftStore store = RaftStore.open(disk)) {
                 assertFalse(store.damaged());
             }
         }
@@ -142,12 +142,12 @@
     @Test
     void doesWithoutTheHeader() {
         CrashDisk disk = new CrashDisk(1);
-        try (LogStore store = LogStore.open(disk)) {
+        try (RaftStore store = RaftStore.open(disk)) {
             store.begin(SELF);
             store.write(append(1, 2));
         }
-        Arrays.fill(disk.bytes(LogStore.FILE), 0, 8192, (byte) 0);
-        try (LogStore store = LogStore.open(disk)) {
+        Arrays.fill(disk.bytes(RaftStore.FILE), 0, 8192, (byte) 0);
+        try (RaftStore store = RaftStore.open(disk)) {
             assertFalse(store.damaged());
             assertEquals(List.of(1L, 2L), indexes(store));
         }
@@ -156,17 +156,17 @@
     @Test
     void aRefusedWriteClosesItForGood() {
         CrashDisk disk = new CrashDisk(1);
-        LogStore store = LogStore.open(disk);
+        RaftStore store = RaftStore.open(disk);
         store.begin(SELF);
         store.write(append(1, 2));
-        disk.room = disk.bytes(LogStore.FILE).length + 20_000;
+        disk.room = disk.bytes(RaftStore.FILE).length + 20_000;
         StoreException full = assertThrows(StoreException.class,
                 () -> store.write(new Change(2, 9, 9, 2, List.of(entry(2, 90_000)), null)));
         assertEquals(StoreException.Code.REFUSED, full.code());
         assertEquals(StoreException.Code.CLOSED,
                 assertThrows(StoreException.class, () -> store.write(append(3))).code());
         disk.room = Long.MAX_VALUE;
-        try (LogStore again = LogStore.open(disk)) {
+        try (RaftStore again = RaftStore.open(disk)) {
             assertEquals(List.of(1L, 2L), indexes(again));
             assertEquals(1, again.load().term());
         }
@@ -177,14 +177,14 @@
         int count = 2000;
         CrashDisk disk = new CrashDisk(1);
         long longest = 0;
-        try (LogStore store = LogStore.open(disk)) {
+        try (RaftStore store = RaftStore.open(disk)) {
             store.begin(SELF);
             int forces = disk.forces;
             for (int i = 1; i <= count; i++) {
                 Snapshot snapshot = i % 64 == 0
                         ? new Snapshot(i - 8, 1, List.of(SELF), new byte[200_000]) : null;
                 store.write(new Change(i, 1, 0, 0, List.of(entry(i, 50_000)), snapshot));
-                longest = Math.max(longest, disk.bytes(LogStore.FILE).length);
+                longest = Math.max(longest, disk.bytes(RaftStore.FILE).length);
             }
             assertTrue(disk.forces - forces <= count * 5 / 4, "syncs: " + (disk.forces - forces));
         }
@@ -193,9 +193,9 @@
 
     @Test
     void anEmptyFolderStaysWithoutThreads() {
-        LogStore.open(folder).close();
-        assertTrue(Files.exists(folder.resolve(LogStore.FILE)));
-        assertFalse(Files.exists(folder.resolve(LogStore.NEW)));
+        RaftStore.open(folder).close();
+        assertTrue(Files.exists(folder.resolve(RaftStore.FILE)));
+        assertFalse(Files.exists(folder.resolve(RaftStore.NEW)));
         assertTrue(Thread.getAllStackTraces().keySet().stream()
                 .noneMatch(t -> t.getName().contains("MVStore")));
     }
--- a/src/test/java/sablehinge/gauge/RingTest.java
+++ b/src/test/java/sablehinge/failuredetection/HashRingTest.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Who watches over whom. */
-class RingTest {
+class HashRingTest {
 
     private static String name(int number) {
         return "sidecar-" + number;
@@ -35,28 +35,28 @@
 
     @Test
     void aNameHasItsPlaceWhoeverElseIsThere() {
-        Ring ring = new Ring(zones(Set.of(1, 2, 3)));
-        assertEquals("sidecar-2", ring.at(Ring.place("sidecar-2")));
-        assertNull(ring.at(Ring.place("sidecar-9")));
-        assertEquals(List.of(), ring.watchers("sidecar-9"));
-        assertEquals(List.of(), new Ring(zones(Set.of(1))).watchers("sidecar-1"));
+        HashRing hashRing = new HashRing(zones(Set.of(1, 2, 3)));
+        assertEquals("sidecar-2", hashRing.at(HashRing.place("sidecar-2")));
+        assertNull(hashRing.at(HashRing.place("sidecar-9")));
+        assertEquals(List.of(), hashRing.watchers("sidecar-9"));
+        assertEquals(List.of(), new HashRing(zones(Set.of(1))).watchers("sidecar-1"));
         // On the wire between processes, and so never another.
-        assertEquals(-574169720292795091L, Ring.place("sidecar-plateau-1"));
+        assertEquals(-574169720292795091L, HashRing.place("sidecar-plateau-1"));
     }
 
     @Property(tries = 500)
     void eachHasItsWatchersOfAsManyZonesAsCanBeAndNobodyHasTooMany(
             @ForAll @Size(min = 1, max = 90) Set<@IntRange(max = 5_000) Integer> numbers) {
         Map<String, String> zones = zones(numbers);
-        Ring ring = new Ring(zones);
+        HashRing hashRing = new HashRing(zones);
         for (String node : zones.keySet()) {
-            List<String> watchers = ring.watchers(node);
-            assertEquals(Math.min(Ring.WATCHERS, zones.size() - 1), new HashSet<>(watchers).size());
+            List<String> watchers = hashRing.watchers(node);
+            assertEquals(Math.min(HashRing.WATCHERS, zones.size() - 1), new HashSet<>(watchers).size());
             assertFalse(watchers.contains(node));
-            assertTrue(ring.watched(node).size() <= Ring.REACH);
-            watchers.forEach(watcher -> assertTrue(ring.watched(watcher).contains(node)));
-            ring.watched(node).forEach(other -> assertTrue(ring.watchers(other).contains(node)));
-            if (zones.size() <= Ring.REACH + 1) {
+            assertTrue(hashRing.watched(node).size() <= HashRing.REACH);
+            watchers.forEach(watcher -> assertTrue(hashRing.watched(watcher).contains(node)));
+            hashRing.watched(node).forEach(other -> assertTrue(hashRing.watchers(other).contains(node)));
+            if (zones.size() <= HashRing.REACH + 1) {
                 Set<String> others = new HashSet<>(zones.values());
                 others.remove(zones.get(node));
                 Set<String> chosen = new HashSet<>();
@@ -72,11 +72,11 @@
             @ForAll @Size(min = 2, max = 90) Set<@IntRange(max = 5_000) Integer> numbers) {
         Map<String, String> zones = zones(numbers);
         String one = zones.keySet().iterator().next();
-        Ring with = new Ring(zones);
+        HashRing with = new HashRing(zones);
         zones.remove(one);
-        Ring without = new Ring(zones);
+        HashRing without = new HashRing(zones);
         long changed = zones.keySet().stream()
                 .filter(node -> !with.watchers(node).equals(without.watchers(node))).count();
-        assertTrue(changed <= Ring.REACH, changed + " of " + zones.size());
+        assertTrue(changed <= HashRing.REACH, changed + " of " + zones.size());
     }
 }
--- a/src/test/java/sablehinge/gauge/PanelTest.java
+++ b/src/test/java/sablehinge/failuredetection/HealthViewTest.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -17,26 +17,26 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import sablehinge.gauge.Panel.Ruling;
-import sablehinge.gauge.Panel.Subject;
+import sablehinge.failuredetection.HealthView.Ruling;
+import sablehinge.failuredetection.HealthView.Subject;
 
 /** Who is off, by what the keeper and the watchers hear. */
-class PanelTest {
+class HealthViewTest {
 
     private static final int COUNT = 12;
     private static final double SILENCE = 1_000;
-    private final Panel panel = new Panel();
+    private final HealthView healthView = new HealthView();
     private final List<Subject> subjects = new ArrayList<>();
-    private final Ring ring;
+    private final HashRing hashRing;
     private double now;
 
-    PanelTest() {
+    HealthViewTest() {
         Map<String, String> zones = new HashMap<>();
         for (int i = 0; i < COUNT; i++) {
             subjects.add(new Subject("n" + i, "z" + i % 4, "s" + i % 3, true));
             zones.put("n" + i, "z" + i % 4);
         }
-        ring = new Ring(zones);
+        hashRing = new HashRing(zones);
         asks(Set.of(), Map.of());
     }
 
@@ -44,7 +44,7 @@
     private void asks(Set<String> silent, Map<String, List<Accusation>> accusations) {
         for (Subject subject : subjects) {
             if (!silent.contains(subject.node())) {
-                panel.heard(now, subject.node(), accusations.getOrDefault(subject.node(), List.of()));
+                healthView.heard(now, subject.node(), accusations.getOrDefault(subject.node(), List.of()));
             }
         }
     }
@@ -52,13 +52,13 @@
     private List<Ruling> later(Set<String> silent, Map<String, List<Accusation>> accusations) {
         now += SILENCE;
         asks(silent, accusations);
-        return panel.judge(now, subjects);
+        return healthView.judge(now, subjects);
     }
 
     /** The first so many of its watchers accuse one. */
     private Map<String, List<Accusation>> accused(String node, int watchers, Evidence evidence) {
         Map<String, List<Accusation>> accusations = new HashMap<>();
-        ring.watchers(node).subList(0, watchers).forEach(watcher ->
+        hashRing.watchers(node).subList(0, watchers).forEach(watcher ->
                 accusations.put(watcher, List.of(new Accusation(node, evidence))));
         return accusations;
     }
@@ -67,7 +67,7 @@
         assertEquals(1, rulings.size(), rulings.toString());
         assertEquals("n1", rulings.get(0).node());
         assertEquals(health, rulings.get(0).health());
-        assertEquals(health, panel.health("n1"));
+        assertEquals(health, healthView.health("n1"));
     }
 
     @ParameterizedTest
@@ -77,8 +77,8 @@
         only(later(Set.of("n1"), accused("n1", 2, evidence)), health);
         assertTrue(health.isOff());
         assertEquals(List.of(), later(Set.of("n1"), accused("n1", 3, evidence)));
-        panel.heard(now, "n1", List.of());
-        only(panel.judge(now, subjects), Health.CUT_FROM_SOME);
+        healthView.heard(now, "n1", List.of());
+        only(healthView.judge(now, subjects), Health.CUT_FROM_SOME);
         only(later(Set.of(), Map.of()), Health.WELL);
     }
 
@@ -97,24 +97,24 @@
 
     @Test
     void aWatcherThatTheKeeperDoesNotHearAccusesNobody() {
-        List<String> watchers = ring.watchers("n1");
+        List<String> watchers = hashRing.watchers("n1");
         now += 1;
-        panel.heard(now, watchers.get(0), List.of(new Accusation("n1", Evidence.SILENT)));
-        panel.heard(now, watchers.get(1), List.of(new Accusation("n1", Evidence.SILENT)));
+        healthView.heard(now, watchers.get(0), List.of(new Accusation("n1", Evidence.SILENT)));
+        healthView.heard(now, watchers.get(1), List.of(new Accusation("n1", Evidence.SILENT)));
         now += SILENCE;
         asks(Set.of("n1", watchers.get(0), watchers.get(1)), Map.of());
-        panel.judge(now, subjects);
-        assertEquals(Health.CUT_FROM_CORE, panel.health("n1"));
+        healthView.judge(now, subjects);
+        assertEquals(Health.CUT_FROM_CORE, healthView.health("n1"));
         now += SILENCE;
         asks(Set.of("n1", watchers.get(0), watchers.get(1), watchers.get(2)), Map.of());
-        panel.judge(now, subjects);
-        assertEquals(Health.UNSEEN, panel.health("n1"));
+        healthView.judge(now, subjects);
+        assertEquals(Health.UNSEEN, healthView.health("n1"));
     }
 
     @Test
     void whoIsNoWatcherOfOneCanNotAccuseIt() {
         Map<String, List<Accusation>> all = new HashMap<>();
-        subjects.stream().filter(other -> !ring.watchers("n1").contains(other.node())).forEach(other ->
+        subjects.stream().filter(other -> !hashRing.watchers("n1").contains(other.node())).forEach(other ->
                 all.put(other.node(), List.of(new Accusation("n1", Evidence.RESET))));
         only(later(Set.of("n1"), all), Health.CUT_FROM_CORE);
     }
@@ -123,26 +123,26 @@
     void whoIsOffStaysSoWhileNobodyCanSayMore() {
         later(Set.of("n1"), accused("n1", 3, Evidence.SILENT));
         assertEquals(List.of(), later(Set.of("n1"), accused("n1", 1, Evidence.SILENT)));
-        Set<String> blind = new HashSet<>(ring.watchers("n1"));
+        Set<String> blind = new HashSet<>(hashRing.watchers("n1"));
         blind.add("n1");
         later(blind, Map.of());
-        assertEquals(Health.LOST, panel.health("n1"));
+        assertEquals(Health.LOST, healthView.health("n1"));
         now += 1;
         asks(Set.of("n1"), Map.of());
-        panel.judge(now, subjects);
-        assertEquals(Health.CUT_FROM_CORE, panel.health("n1"));
+        healthView.judge(now, subjects);
+        assertEquals(Health.CUT_FROM_CORE, healthView.health("n1"));
     }
 
     /** Those listed are silent, and whoever watches over them says so. */
     private void fall(Set<String> fallen) {
         Map<String, List<Accusation>> accusations = new HashMap<>();
-        fallen.forEach(node -> ring.watchers(node).forEach(watcher -> accusations.computeIfAbsent(watcher,
+        fallen.forEach(node -> hashRing.watchers(node).forEach(watcher -> accusations.computeIfAbsent(watcher,
                 name -> new ArrayList<>()).add(new Accusation(node, Evidence.SILENT))));
         later(fallen, accusations);
     }
 
     private long off() {
-        return subjects.stream().filter(subject -> panel.health(subject.node()).isOff()).count();
+        return subjects.stream().filter(subject -> healthView.health(subject.node()).isOff()).count();
     }
 
     @Test
@@ -170,7 +170,7 @@
             fall(names);
             Map<String, Integer> taken = new HashMap<>();
             for (Subject subject : subjects) {
-                if (panel.health(subject.node()).isOff()) {
+                if (healthView.health(subject.node()).isOff()) {
                     assertTrue(names.contains(subject.node()));
                     taken.merge(subject.service(), 1, Integer::sum);
                 }
--- a/src/test/java/sablehinge/gauge/WatchTest.java
+++ b/src/test/java/sablehinge/failuredetection/MonitorTest.java
@@ -1,4 +1,4 @@
-package sablehinge.gauge;
+package sablehinge.failuredetection;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,13 +9,13 @@
 import org.junit.jupiter.api.Test;
 
 /** What one watcher makes of beats; the time is the test's. */
-class WatchTest {
+class MonitorTest {
 
     private static final double TICK = 100;
-    private final Watch watch = new Watch();
+    private final Monitor watch = new Monitor();
     private double now;
 
-    WatchTest() {
+    MonitorTest() {
         watch.over(0, List.of("a", "b"));
         beat("a", 1);
         beat("b", 1);
@@ -84,7 +84,7 @@
     @Test
     void whoHasJustComeUnderWatchHasTimeToHearOfIt() {
         watch.over(now, List.of("b", "c"));
-        assertEquals(List.of("b"), until(Watch.GRACE_MS + Watch.SUSPECT_MS));
+        assertEquals(List.of("b"), until(Monitor.GRACE_MS + Monitor.SUSPECT_MS));
         assertEquals(List.of("c"), until(now + TICK));
         watch.found(now, "c", Evidence.SILENT);
         watch.over(now, List.of("b"));
@@ -94,11 +94,11 @@
     @Test
     void whoNeverSpokeAndWhoseMachineIsThereMayNotKnowThatItShouldSpeak() {
         watch.over(now, List.of("c", "d"));
-        assertEquals(List.of("c", "d"), until(Watch.GRACE_MS + Watch.SUSPECT_MS + TICK));
+        assertEquals(List.of("c", "d"), until(Monitor.GRACE_MS + Monitor.SUSPECT_MS + TICK));
         assertFalse(watch.found(now, "c", Evidence.FROZEN));
         assertTrue(watch.found(now, "d", Evidence.SILENT));
         assertEquals(List.of(), watch.hears());
-        assertEquals(List.of("c"), until(now + Watch.GRACE_MS + Watch.SUSPECT_MS + TICK));
+        assertEquals(List.of("c"), until(now + Monitor.GRACE_MS + Monitor.SUSPECT_MS + TICK));
         assertTrue(watch.found(now, "c", Evidence.RESET));
         beat("d", 1);
         assertEquals(List.of("d"), watch.hears());
@@ -109,13 +109,13 @@
         until(1_000);
         beat("a", 2);
         beat("b", 2);
-        assertEquals(List.of(), until(now + 1.5 * Watch.SUSPECT_MS - TICK));
+        assertEquals(List.of(), until(now + 1.5 * Monitor.SUSPECT_MS - TICK));
         assertEquals(List.of("a", "b"), until(now + 2 * TICK));
         for (int i = 3; i < 110; i++) {
             beat("a", i);
             beat("b", i);
-            until(now + Watch.BEAT_MS);
+            until(now + Monitor.BEAT_MS);
         }
-        assertEquals(List.of("a", "b"), until(now + Watch.SUSPECT_MS));
+        assertEquals(List.of("a", "b"), until(now + Monitor.SUSPECT_MS));
     }
 }
--- a/src/test/java/sablehinge/meter/MeterTest.java
+++ b/src/test/java/sablehinge/quota/MeterTest.java
@@ -1,4 +1,4 @@
-package sablehinge.meter;
+package sablehinge.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/sablehinge/spillway/SharesPropertyTest.java
+++ b/src/test/java/sablehinge/retrybudget/SharesPropertyTest.java
@@ -1,4 +1,4 @@
-package sablehinge.spillway;
+package sablehinge.retrybudget;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -16,7 +16,7 @@
     @Property(tries = 30, seed = "20261202", shrinking = ShrinkingMode.OFF)
     void noWindowHoldsMoreThanTheRuleGrants(@ForAll long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Catchment world = new Catchment(seed, 1 + random.nextInt(16), RULE);
+        SimulatedMesh world = new SimulatedMesh(seed, 1 + random.nextInt(16), RULE);
         world.loss = random.nextInt(3) * 0.1;
         world.doubling = random.nextInt(3) * 0.1;
         world.way = new double[] {2, 2, 20, 300}[random.nextInt(4)];
@@ -38,24 +38,25 @@
     @Test
     void onCalmDaysNextToNoneIsRefusedAndDemandIsFollowedWithinASecond() {
         for (int balancers : new int[] {11, 63}) {
-            Catchment world = new Catchment(5, balancers, new Rule(0.2, 10_000, balancers > 11 ? 192 : 62));
+            SimulatedMesh world = new SimulatedMesh(5, balancers, new Rule(0.2, 10_000, balancers > 11 ? 192
+                    : 62));
             world.calls = 0.5;
-            world.spread(Catchment.ATLAS, 18 * balancers, 0.02);
-            world.spread(Catchment.RELEVE, 4.5 * balancers, 0.02);
+            world.spread(SimulatedMesh.ATLAS, 18 * balancers, 0.02);
+            world.spread(SimulatedMesh.RELEVE, 4.5 * balancers, 0.02);
             world.run(20_000);
             double wanted = world.granted() + world.denied;
             assertTrue(wanted > 50 && world.denied <= 0.02 * wanted, world.denied + " of " + wanted);
-            world.spread(Catchment.ATLAS, 0, 0.02);
-            world.sluices[0].demand.put(Catchment.ATLAS, 18.0 * balancers);
+            world.spread(SimulatedMesh.ATLAS, 0, 0.02);
+            world.sidecars[0].demand.put(SimulatedMesh.ATLAS, 18.0 * balancers);
             world.run(10_000);
-            assertTrue(world.sluices[0].follows(20_000) < 1, "after " + world.sluices[0].follows(20_000));
+            assertTrue(world.sidecars[0].follows(20_000) < 1, "after " + world.sidecars[0].follows(20_000));
             assertTrue(world.excess() <= 0, "above the limit by " + world.excess());
         }
     }
 
-    private static void disturb(Catchment world, SplittableRandom random, double part) {
-        Catchment.Sluiceway one = world.sluices[random.nextInt(world.sluices.length)];
-        String service = random.nextBoolean() ? Catchment.ATLAS : Catchment.RELEVE;
+    private static void disturb(SimulatedMesh world, SplittableRandom random, double part) {
+        SimulatedMesh.Balancer one = world.sidecars[random.nextInt(world.sidecars.length)];
+        String service = random.nextBoolean() ? SimulatedMesh.ATLAS : SimulatedMesh.RELEVE;
         switch (random.nextInt(7)) {
             case 0 -> one.cut = random.nextInt(3) == 0;
             case 1 -> world.leaderless(random.nextInt(1_500));
--- a/src/test/java/sablehinge/spillway/SharesTest.java
+++ b/src/test/java/sablehinge/retrybudget/SharesTest.java
@@ -1,4 +1,4 @@
-package sablehinge.spillway;
+package sablehinge.retrybudget;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/sablehinge/spillway/Catchment.java
+++ b/src/test/java/sablehinge/retrybudget/SimulatedMesh.java
@@ -1,4 +1,4 @@
-package sablehinge.spillway;
+package sablehinge.retrybudget;
 
 import java.util.Arrays;
 import java.util.Comparator;
@@ -13,7 +13,7 @@
  * clocks run apart by a hundredth, balancers are cut off, the duty changes hands. What arrives beyond the
  * first is judged against the rule by its words, whatever the deciders believe.
  */
-final class Catchment {
+final class SimulatedMesh {
 
     static final String ATLAS = "atlas";
     static final String RELEVE = "releve";
@@ -23,7 +23,7 @@
 
     final Rule rule;
     final SplittableRandom random;
-    final Sluiceway[] sluices;
+    final Balancer[] sidecars;
     /** Shares of records that are lost and doubled, and their longest way, in ms. */
     double loss;
     double doubling;
@@ -98,7 +98,7 @@
     }
 
     /** A balancer, with what it meets. */
-    final class Sluiceway {
+    final class Balancer {
         final double rate = 0.99 + random.nextDouble() * 0.02;
         final double from = random.nextDouble() * 1e6;
         private final String beside;
@@ -113,7 +113,7 @@
         private final Times wanted = new Times();
         private final Times met = new Times();
 
-        Sluiceway(int place, String beside) {
+        Balancer(int place, String beside) {
             this.place = place;
             this.beside = beside;
             born();
@@ -122,7 +122,7 @@
         void born() {
             shares = new Shares(rule, random.nextLong(), beside);
             shares.adopt(List.of(ATLAS, RELEVE));
-            shares.place(place, sluices.length);
+            shares.place(place, sidecars.length);
         }
 
         double clock() {
@@ -153,8 +153,8 @@
         }
 
         /** Beside some upstream of atlas. */
-        private Sluiceway caller() {
-            return sluices[2 * random.nextInt((sluices.length + 1) / 2)];
+        private Balancer caller() {
+            return sidecars[2 * random.nextInt((sidecars.length + 1) / 2)];
         }
 
         private void again(String service, int tries) {
@@ -215,12 +215,12 @@
         }
     }
 
-    Catchment(long seed, int balancers, Rule rule) {
+    SimulatedMesh(long seed, int balancers, Rule rule) {
         this.rule = rule;
         random = new SplittableRandom(seed);
-        sluices = new Sluiceway[balancers];
+        sidecars = new Balancer[balancers];
         for (int i = 0; i < balancers; i++) {
-            sluices[i] = new Sluiceway(i, i % 2 == 0 ? ATLAS : RELEVE);
+            sidecars[i] = new Balancer(i, i % 2 == 0 ? ATLAS : RELEVE);
         }
         leads();
     }
@@ -241,8 +241,8 @@
 
     /** Each balancer's part of a demand in requests a second, and the share of its runs that fail. */
     void spread(String service, double perSecond, double failing) {
-        for (Sluiceway one : sluices) {
-            one.demand.put(service, perSecond / sluices.length);
+        for (Balancer one : sidecars) {
+            one.demand.put(service, perSecond / sidecars.length);
             one.failing.put(service, failing);
         }
     }
@@ -258,7 +258,7 @@
                 due.poll().what.run();
                 events++;
             }
-            for (Sluiceway one : sluices) {
+            for (Balancer one : sidecars) {
                 one.step();
                 if (Math.floor(now / TICK) > Math.floor((now - STEP) / TICK)) {
                     one.claim();
@@ -296,7 +296,7 @@
 
     /** Further tries that got a token. */
     int granted() {
-        return Arrays.stream(sluices).mapToInt(one -> one.granted).sum();
+        return Arrays.stream(sidecars).mapToInt(one -> one.granted).sum();
     }
 
     /** Of all windows, the most arrivals beyond the first for what the rule allows. */
--- a/src/test/java/sablehinge/rig/MeshRehearsal.java
+++ b/src/test/java/sablehinge/rig/MeshRehearsal.java
@@ -14,8 +14,9 @@
 
 /**
  * Run by the build: has the packed daemons serve a small mesh for a moment, by the very commands of the
- * deploy file, so that the virtual machine archives the classes that one sluice and one reservoir have loaded
- * by their end. The reservoir has by then read its disk, followed and, unless the box is slow, led.
+ * deploy file, so that the virtual machine archives the classes that one sidecar and one control node have
+ * loaded
+ * by their end. The control node has by then read its disk, followed and, unless the box is slow, led.
  */
 public final class MeshRehearsal {
 
@@ -37,7 +38,7 @@
     public static void main(String[] args) throws Exception {
         Map<String, List<String>> runs = runs(Path.of(args[0]));
         SmallMesh mesh = new SmallMesh((role, place, start) -> command(runs.get(role),
-                place == ACTOR && (role.equals("sluice") || start > 0)));
+                place == ACTOR && (role.equals("sidecar") || start > 0)));
         Thread end = new Thread(mesh::close, "end");
         Runtime.getRuntime().addShutdownHook(end);
         try (mesh) {
@@ -53,23 +54,23 @@
     private static void play(SmallMesh mesh) throws InterruptedException {
         mesh.start(mesh.version(1, 0, SmallMesh.BASALT));
         mesh.load(EVERY_MS);
-        mesh.reservoir(ACTOR).kill();
+        mesh.controlNode(ACTOR).kill();
         mesh.restart(ACTOR, 1);
         TimeUnit.MILLISECONDS.sleep(SERVES_MS);
         mesh.operator().replace(mesh.version(2, 1, SmallMesh.MARL), ANSWER_MS);
         for (int i = 1; i <= ROUNDS && !leads(mesh); i++) {
             int leader = mesh.operator().leader();
             if (leader > ACTOR) {
-                mesh.reservoir(leader).kill();
+                mesh.controlNode(leader).kill();
                 mesh.restart(leader, i);
             }
             TimeUnit.MILLISECONDS.sleep(SETTLES_MS);
         }
-        System.out.println("the reservoir leads: " + leads(mesh));
+        System.out.println("the control node leads: " + leads(mesh));
         mesh.operator().replace(mesh.version(3, 2, SmallMesh.BASALT), ANSWER_MS);
         TimeUnit.MILLISECONDS.sleep(SETTLES_MS);
-        System.out.println("the sluice has ended: " + mesh.leave(ACTOR, DUMP_MS));
-        System.out.println("the reservoir has ended: " + mesh.reservoir(ACTOR).end(DUMP_MS));
+        System.out.println("the sidecar has ended: " + mesh.leave(ACTOR, DUMP_MS));
+        System.out.println("the control node has ended: " + mesh.controlNode(ACTOR).end(DUMP_MS));
     }
 
     private static boolean leads(SmallMesh mesh) {
--- a/src/test/java/sablehinge/aqueduct/PlanPropertyTest.java
+++ b/src/test/java/sablehinge/routing/PlanPropertyTest.java
@@ -1,4 +1,4 @@
-package sablehinge.aqueduct;
+package sablehinge.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/sablehinge/sluice/Mesh.java
+++ b/src/test/java/sablehinge/sidecar/Mesh.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -10,7 +10,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import sablehinge.cistern.Intake;
+import sablehinge.state.Registration;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.rig.Listener;
 import sablehinge.rig.Peer;
@@ -27,7 +27,7 @@
 
     final StubCore core;
     final Listener app = new Listener();
-    final Sluice sluice;
+    final Sidecar sidecar;
     final LocalSettings.ListenOn at;
     final List<Wire.Message> arrived = new CopyOnWriteArrayList<>();
     private final List<Socket> served = new CopyOnWriteArrayList<>();
@@ -47,7 +47,7 @@
         core.confirms(confirms);
         String ip = net + (number + 1);
         at = new LocalSettings.ListenOn(ip + ":7002", ip + ":7001", ip + ":7003", ip + ":7004");
-        sluice = Sluice.start(new LocalSettings("s-1", LocalSettings.Role.SLUICE, "small",
+        sidecar = Sidecar.start(new LocalSettings("s-1", LocalSettings.Role.SIDECAR, "small",
                 List.of("sidecar"), ip, "monza-a", "monza", INNER, INNER + 10,
                 List.of(net + number + ":7090"), true, true, null, 20_000, List.of(), app.address(), CALLER,
                 Map.of("monza-a", "monza"), at,
@@ -201,7 +201,7 @@
     }
 
     void tells(String life, String inbound) {
-        core.tells(new Intake("s-" + life, "monza-a", inbound, SERVICE, life, true, 8, 0));
+        core.tells(new Registration("s-" + life, "monza-a", inbound, SERVICE, life, true, 8, 0));
     }
 
     Wire.Message call(String to, String method, String path, String body) throws IOException {
@@ -235,7 +235,7 @@
             listener.close();
         }
         try {
-            sluice.close();
+            sidecar.close();
         } catch (InterruptedException e) {
             throw new AssertionError(e);
         }
--- a/src/test/java/sablehinge/sluice/SpillTest.java
+++ b/src/test/java/sablehinge/sidecar/SpillTest.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,9 +12,9 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.cistern.Intake;
-import sablehinge.conduit.Frame;
+import sablehinge.routing.Configuration;
+import sablehinge.state.Registration;
+import sablehinge.rpc.Frame;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Answer;
 import sablehinge.core.Arrival;
@@ -26,14 +26,14 @@
 import sablehinge.core.Transport;
 import sablehinge.core.Version;
 import sablehinge.budget.Purses;
-import sablehinge.headgate.ConfigurationReader;
-import sablehinge.penstock.Spills;
+import sablehinge.api.ConfigurationReader;
+import sablehinge.watch.Spills;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer.Result;
 import sablehinge.policy.LoadBalancer.State;
 import sablehinge.policy.LoadBalancer.Upstream;
-import sablehinge.spillway.Holder;
-import sablehinge.spillway.Rule;
+import sablehinge.retrybudget.Holder;
+import sablehinge.retrybudget.Rule;
 
 /** The module and core under the mesh's terms, with shares from a holder that the test plays. */
 class SpillTest {
@@ -66,11 +66,12 @@
             holder.begin(1);
             holder.adopt(now, List.of(Mesh.SERVICE));
             spill.adopt(configuration);
-            List<Intake> roll = new ArrayList<>();
+            List<Registration> registry = new ArrayList<>();
             for (int i = 0; i < BALANCERS; i++) {
-                roll.add(new Intake("s-" + i, "monza-a", "127.0.0.1:1", Mesh.SERVICE, "i-" + i, true, 4, 0));
+                registry.add(new Registration("s-" + i, "monza-a", "127.0.0.1:1", Mesh.SERVICE, "i-" + i,
+                        true, 4, 0));
             }
-            spill.divide(roll, 1);
+            spill.divide(registry, 1);
             core.bound(spill);
             List<Roster.Member> members = new ArrayList<>();
             for (long id = 1; id <= 5; id++) {
@@ -128,7 +129,7 @@
     }
 
     private static LocalSettings settings() {
-        return new LocalSettings("s-5", LocalSettings.Role.SLUICE, "small", List.of("sidecar"), "127.0.0.1",
+        return new LocalSettings("s-5", LocalSettings.Role.SIDECAR, "small", List.of("sidecar"), "127.0.0.1",
                 "monza-a", "monza", 1, 2, List.of(), true, true, null, 20_000, List.of(), null, Mesh.CALLER,
                 Map.of("monza-a", "monza"), null, null, 1,
                 new LocalSettings.Bounds(3, 2, 3_000, 5_000, 4, 2_500, 6, 200, 2_500, 250, 8_000, false,
--- a/src/test/java/sablehinge/sluice/StopTest.java
+++ b/src/test/java/sablehinge/sidecar/StopTest.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -45,7 +45,7 @@
             }
             Mesh.await("clients are served", () -> answered.size() > CLIENTS);
             long from = System.nanoTime();
-            mesh.sluice.drain();
+            mesh.sidecar.drain();
             double took = (System.nanoTime() - from) / 1e6;
             for (Thread client : clients) {
                 client.join();
--- a/src/test/java/sablehinge/sluice/StubCore.java
+++ b/src/test/java/sablehinge/sidecar/StubCore.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -10,30 +10,30 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import sablehinge.cistern.Intake;
-import sablehinge.cistern.Roll;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
+import sablehinge.state.Registration;
+import sablehinge.state.Registry;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
 import sablehinge.core.Clock;
-import sablehinge.gauge.Accusation;
-import sablehinge.penstock.Ask;
-import sablehinge.penstock.Desk;
+import sablehinge.failuredetection.Accusation;
+import sablehinge.watch.WatchRequest;
+import sablehinge.watch.WatchServer;
 
 /** Plays the core: it holds what the test says, and confirms it when the test lets it. */
-final class StubCore implements Conduit.Handler, AutoCloseable {
+final class StubCore implements Connection.Handler, AutoCloseable {
 
     private static final long TERM = 3;
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
             new DefaultThreadFactory("stub-core", true), NioIoHandler.newFactory()).next();
     private final Clock clock = Clock.system();
-    private final Roll roll = new Roll(0, 600_000);
-    private final Desk<Conduit.Link> desk = new Desk<>(roll);
+    private final Registry registry = new Registry(0, 600_000);
+    private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
     private final String address;
     private long edition;
     private long nextEdition;
     private byte[] nextBody;
-    private Ask last;
-    private Conduit.Link lastFrom;
+    private WatchRequest last;
+    private Connection.Link lastFrom;
     private boolean confirms = true;
     private int confirmationsAsked;
     private long readyAt;
@@ -41,14 +41,14 @@
     StubCore(String ip, int port) throws Exception {
         address = ip + ":" + port;
         loop.submit(() -> {
-            desk.begin(clock.now(), TERM);
-            desk.holds(0, new byte[0], List.of(address));
+            watchServer.begin(clock.now(), TERM);
+            watchServer.holds(0, new byte[0], List.of(address));
         }).sync();
-        new Conduit(loop, 300, 1_200).listen(new InetSocketAddress(ip, port), this).sync();
+        new Connection(loop, 300, 1_200).listen(new InetSocketAddress(ip, port), this).sync();
         loop.scheduleAtFixedRate(this::answer, 10, 10, TimeUnit.MILLISECONDS);
     }
 
-    private <T> T ask(Callable<T> what) {
+    private <T> T request(Callable<T> what) {
         try {
             return loop.submit(what).sync().getNow();
         } catch (InterruptedException e) {
@@ -57,46 +57,46 @@
     }
 
     private void answer() {
-        for (Desk.Told<Conduit.Link> told : desk.due(clock.now())) {
-            told.to().send(new Frame(Frame.Kind.NEWS, told.news().bytes()));
+        for (WatchServer.Told<Connection.Link> told : watchServer.due(clock.now())) {
+            told.to().send(new Frame(Frame.Kind.NEWS, told.update().bytes()));
         }
     }
 
     @Override
-    public void came(Conduit.Link link, Frame frame) {
+    public void came(Connection.Link link, Frame frame) {
         if (frame.kind() != Frame.Kind.ASK) {
             return;
         }
         try {
-            last = Ask.read(frame.body());
+            last = WatchRequest.read(frame.body());
         } catch (IOException e) {
             throw new AssertionError(e);
         }
         lastFrom = link;
-        readyAt = last.intake().ready() ? System.nanoTime() : readyAt;
-        desk.asked(clock.now(), link, last);
+        readyAt = last.registration().ready() ? System.nanoTime() : readyAt;
+        watchServer.asked(clock.now(), link, last);
         confirmationsAsked += last.confirm() ? 1 : 0;
         if (last.confirm() && nextEdition > 0) {
             edition = nextEdition;
             nextEdition = 0;
-            desk.holds(edition, nextBody, List.of(address));
+            watchServer.holds(edition, nextBody, List.of(address));
         }
         if (last.confirm() && confirms) {
-            desk.confirmed(link, last.number());
+            watchServer.confirmed(link, last.number());
         }
         answer();
     }
 
     @Override
-    public void closed(Conduit.Link link) {
-        desk.gone(link);
+    public void closed(Connection.Link link) {
+        watchServer.gone(link);
     }
 
     /** A configuration is in force. */
     void holds(String configuration, long next) {
-        ask(() -> {
+        request(() -> {
             edition = next;
-            desk.holds(next, configuration.getBytes(StandardCharsets.UTF_8), List.of(address));
+            watchServer.holds(next, configuration.getBytes(StandardCharsets.UTF_8), List.of(address));
             answer();
             return null;
         });
@@ -104,7 +104,7 @@
 
     /** A configuration is in force that nobody hears of before somebody asks whether theirs is the newest. */
     void holdsUntilAsked(String configuration, long next) {
-        ask(() -> {
+        request(() -> {
             nextEdition = next;
             nextBody = configuration.getBytes(StandardCharsets.UTF_8);
             return null;
@@ -112,16 +112,16 @@
     }
 
     /** A balancer that the test plays is there. */
-    void tells(Intake intake) {
-        ask(() -> roll.told(clock.now(), intake));
+    void tells(Registration registration) {
+        request(() -> registry.told(clock.now(), registration));
     }
 
     /** Confirmations wait from now on, or no more. */
     void confirms(boolean on) {
-        ask(() -> {
+        request(() -> {
             confirms = on;
             if (on && last != null) {
-                desk.confirmed(lastFrom, last.number());
+                watchServer.confirmed(lastFrom, last.number());
                 answer();
             }
             return null;
@@ -130,29 +130,29 @@
 
     /** How often it was asked whether what it holds is the newest. */
     int confirmationsAsked() {
-        return ask(() -> confirmationsAsked);
+        return request(() -> confirmationsAsked);
     }
 
     /** Waits until whoever asks knows all that is held, and that its upstream is there as told. */
     void awaitKnown(String upstream) {
-        Mesh.await("the news are known", () -> ask(() -> last != null && last.edition() == edition
-                && last.term() == TERM && last.stamp() == roll.stamp()
-                && last.intake().upstream().equals(upstream)));
+        Mesh.await("the news are known", () -> request(() -> last != null && last.edition() == edition
+                && last.term() == TERM && last.stamp() == registry.stamp()
+                && last.registration().upstream().equals(upstream)));
     }
 
     /** What it was told last of who asks. */
-    Intake told() {
-        return ask(() -> last == null ? null : last.intake());
+    Registration told() {
+        return request(() -> last == null ? null : last.registration());
     }
 
     /** When it was last told that the upstream there is to be drawn, by {@link System#nanoTime}. */
     long readyAt() {
-        return ask(() -> readyAt);
+        return request(() -> readyAt);
     }
 
     /** Whom the last to ask accused. */
     List<Accusation> accusations() {
-        return ask(() -> last == null ? List.of() : last.accusations());
+        return request(() -> last == null ? List.of() : last.accusations());
     }
 
     @Override
--- a/src/test/java/sablehinge/sluice/TermsTest.java
+++ b/src/test/java/sablehinge/sidecar/TermsTest.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +10,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import sablehinge.core.Version;
-import sablehinge.headgate.ConfigurationReader;
+import sablehinge.api.ConfigurationReader;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer;
 import sablehinge.policy.LoadBalancer.Change;
--- a/src/test/java/sablehinge/sluice/WatchersTest.java
+++ b/src/test/java/sablehinge/sidecar/WatchersTest.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -18,10 +18,10 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import sablehinge.cistern.Intake;
-import sablehinge.gauge.Accusation;
-import sablehinge.gauge.Evidence;
-import sablehinge.gauge.Ring;
+import sablehinge.state.Registration;
+import sablehinge.failuredetection.Accusation;
+import sablehinge.failuredetection.Evidence;
+import sablehinge.failuredetection.HashRing;
 import sablehinge.rig.Backlog;
 import sablehinge.rig.Listener;
 import sablehinge.rig.Peer;
@@ -55,16 +55,17 @@
             String peer = own.substring(0, last) + (254 - Integer.parseInt(own.substring(last)));
             try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(peer, Mesh.INNER));
                     Backlog silent = new Backlog()) {
-                mesh.core.tells(intake(peer + ":7001", "i-2", true));
-                mesh.core.tells(new Intake("s-3", "monza-b", silent.address(), Mesh.SERVICE, "i-3", true, 4,
+                mesh.core.tells(registration(peer + ":7001", "i-2", true));
+                mesh.core.tells(new Registration("s-3", "monza-b", silent.address(), Mesh.SERVICE, "i-3",
+                        true, 4,
                         0));
                 Pulse first = read(socket);
-                assertEquals(Ring.place("s-1"), first.place());
+                assertEquals(HashRing.place("s-1"), first.place());
                 Pulse second = read(socket);
                 assertEquals(new Pulse(first.place(), first.life(), first.number() + 1), second);
-                Pulse beat = new Pulse(Ring.place(OTHER), 5, 1);
+                Pulse beat = new Pulse(HashRing.place(OTHER), 5, 1);
                 send(socket, mesh, beat.bytes());
-                send(socket, mesh, new Pulse(Ring.place("s-3"), 6, 1).bytes());
+                send(socket, mesh, new Pulse(HashRing.place("s-3"), 6, 1).bytes());
                 send(socket, mesh, new byte[3]);
                 Mesh.await("they are accused", () -> accused(mesh).equals(Set.of(OTHER, "s-3")));
                 send(socket, mesh, beat.bytes());
@@ -111,7 +112,7 @@
         for (int i = 0; i < 20 && took >= 900; i++) {
             try (Mesh mesh = new Mesh(); Backlog full = new Backlog()) {
                 mesh.core.holds(Mesh.configuration(4, "", ""), 4);
-                mesh.core.tells(intake(full.address(), "i-2", true));
+                mesh.core.tells(registration(full.address(), "i-2", true));
                 mesh.core.awaitKnown("");
                 Wire client = mesh.client();
                 long begun = System.nanoTime();
@@ -126,7 +127,7 @@
                 });
                 Listener other = mesh.other("i-3");
                 mesh.answers(other, request -> Mesh.ok(request.id(), "there"));
-                mesh.core.tells(intake(full.address(), "i-2", false));
+                mesh.core.tells(registration(full.address(), "i-2", false));
                 Wire.Message answer = client.read();
                 took = (System.nanoTime() - begun) / 1_000_000;
                 assertEquals("there", answer.body());
@@ -135,7 +136,7 @@
         assertTrue(took < 900, "took " + took + " ms");
     }
 
-    private static Intake intake(String at, String life, boolean ready) {
-        return new Intake(OTHER, "monza-a", at, Mesh.SERVICE, life, ready, 4, 0);
+    private static Registration registration(String at, String life, boolean ready) {
+        return new Registration(OTHER, "monza-a", at, Mesh.SERVICE, life, ready, 4, 0);
     }
 }
--- a/src/test/java/sablehinge/sluice/Wire.java
+++ b/src/test/java/sablehinge/sidecar/Wire.java
@@ -1,4 +1,4 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
--- a/src/test/java/sablehinge/cistern/CisternTest.java
+++ b/src/test/java/sablehinge/state/ConfigurationStateTest.java
@@ -1,4 +1,4 @@
-package sablehinge.cistern;
+package sablehinge.state;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -9,35 +9,35 @@
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import sablehinge.cistern.Cistern.Outcome;
+import sablehinge.state.ConfigurationState.Outcome;
 
 /** What becomes of configurations as they are committed, and what of that outlives a snapshot. */
-class CisternTest {
+class ConfigurationStateTest {
 
     private static final long AT = 1_000;
-    private final Cistern cistern = new Cistern();
+    private final ConfigurationState configurations = new ConfigurationState();
 
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private static Outcome send(Cistern to, long basedOn, long edition, String body) {
+    private static Outcome send(ConfigurationState to, long basedOn, long edition, String body) {
         Outcome foreseen = to.foresee(basedOn, edition, bytes(body));
-        Outcome outcome = to.apply(Cistern.replace(basedOn, edition, bytes(body), AT + edition));
+        Outcome outcome = to.apply(ConfigurationState.replace(basedOn, edition, bytes(body), AT + edition));
         assertEquals(foreseen, outcome);
         return outcome;
     }
 
     private Outcome send(long basedOn, long edition, String body) {
-        return send(cistern, basedOn, edition, body);
+        return send(configurations, basedOn, edition, body);
     }
 
     @Test
     void ofTwoOnOneVersionTheFirstIsTakenAndTheOtherStale() {
         assertEquals(Outcome.TAKEN, send(0, 3, "a"));
         assertEquals(Outcome.STALE, send(0, 5, "b"));
-        assertEquals(3, cistern.edition());
-        assertArrayEquals(bytes("a"), cistern.body());
+        assertEquals(3, configurations.edition());
+        assertArrayEquals(bytes("a"), configurations.body());
     }
 
     @Test
@@ -45,7 +45,7 @@
         send(0, 3, "a");
         assertEquals(Outcome.STALE, send(0, 3, "b"));
         assertEquals(Outcome.OLD, send(3, 3, "b"));
-        assertArrayEquals(bytes("a"), cistern.body());
+        assertArrayEquals(bytes("a"), configurations.body());
     }
 
     @Test
@@ -56,8 +56,8 @@
         send(8, 9, "c");
         assertEquals(Outcome.REPEATED, send(0, 3, "a"));
         assertEquals(Outcome.REPEATED, send(3, 8, "b"));
-        assertEquals(9, cistern.edition());
-        assertArrayEquals(bytes("c"), cistern.body());
+        assertEquals(9, configurations.edition());
+        assertArrayEquals(bytes("c"), configurations.body());
     }
 
     @Test
@@ -80,10 +80,10 @@
     void aStateThatIsTakenOverIsTheSameInEachByteAndAnswersAlike() {
         send(0, 3, "a");
         send(3, 8, "bb");
-        Cistern other = new Cistern();
+        ConfigurationState other = new ConfigurationState();
         send(other, 0, 1, "of another life");
-        other.restore(cistern.state());
-        assertArrayEquals(cistern.state(), other.state());
+        other.restore(configurations.state());
+        assertArrayEquals(configurations.state(), other.state());
         assertEquals(8, other.edition());
         assertArrayEquals(bytes("bb"), other.body());
         assertEquals(Outcome.REPEATED, send(other, 0, 3, "a"));
@@ -94,12 +94,12 @@
     void aSnapshotFromTheMiddleAndTheRestOfTheLogGiveTheSameAnswersAsTheWholeLog() {
         send(0, 3, "a");
         send(3, 8, "b");
-        byte[] middle = cistern.state();
+        byte[] middle = configurations.state();
         send(8, 9, "c");
-        Cistern later = new Cistern();
+        ConfigurationState later = new ConfigurationState();
         later.restore(middle);
         assertEquals(Outcome.TAKEN, send(later, 8, 9, "c"));
-        assertArrayEquals(cistern.state(), later.state());
+        assertArrayEquals(configurations.state(), later.state());
         assertEquals(Outcome.REPEATED, send(later, 0, 3, "a"));
         assertEquals(Outcome.REPEATED, send(later, 3, 8, "b"));
         assertEquals(Outcome.REPEATED, send(later, 8, 9, "c"));
@@ -108,25 +108,26 @@
     @Test
     void noBytesAreTheStateBeforeAnyConfiguration() {
         send(0, 3, "a");
-        cistern.restore(new byte[0]);
-        assertEquals(0, cistern.edition());
-        assertEquals(0, cistern.body().length);
+        configurations.restore(new byte[0]);
+        assertEquals(0, configurations.edition());
+        assertEquals(0, configurations.body().length);
         assertEquals(Outcome.TAKEN, send(0, 3, "b"));
     }
 
     @Test
     void aStateThatIsCutShortOrOfAnotherFormatIsRefused() {
         send(0, 3, "a");
-        byte[] state = cistern.state();
+        byte[] state = configurations.state();
         for (int length = 1; length < state.length; length++) {
             byte[] part = Arrays.copyOf(state, length);
-            assertThrows(RuntimeException.class, () -> new Cistern().restore(part), "of " + length);
+            assertThrows(RuntimeException.class, () -> new ConfigurationState().restore(part), "of "
+                    + length);
         }
         state[0]++;
-        assertThrows(IllegalArgumentException.class, () -> new Cistern().restore(state));
+        assertThrows(IllegalArgumentException.class, () -> new ConfigurationState().restore(state));
     }
 
-    private static List<String> history(Cistern of) {
+    private static List<String> history(ConfigurationState of) {
         List<String> history = new ArrayList<>();
         of.read((edition, basedOn, at, length, sum) -> history.add(edition + " on " + basedOn + " at " + at
                 + ", " + length + " bytes"));
@@ -139,21 +140,21 @@
         send(0, 5, "refused");
         send(3, 8, "bb");
         send(0, 3, "a");
-        Cistern other = new Cistern();
-        other.restore(cistern.state());
+        ConfigurationState other = new ConfigurationState();
+        other.restore(configurations.state());
         assertEquals(List.of("3 on 0 at 1003, 1 bytes", "8 on 3 at 1008, 2 bytes"), history(other));
     }
 
     /** What members of before wrote: a command without a time, and a state that tells editions alone. */
     @Test
     void theFormatsOfBeforeAreReadAndSayNothingOfTimes() {
-        byte[] command = Cistern.replace(0, 3, bytes("a"), AT);
-        cistern.apply(Arrays.copyOf(command, command.length - Long.BYTES));
-        assertEquals(List.of("3 on 0 at -1, 1 bytes"), history(cistern));
-        byte[] state = cistern.state();
+        byte[] command = ConfigurationState.replace(0, 3, bytes("a"), AT);
+        configurations.apply(Arrays.copyOf(command, command.length - Long.BYTES));
+        assertEquals(List.of("3 on 0 at -1, 1 bytes"), history(configurations));
+        byte[] state = configurations.state();
         byte[] before = Arrays.copyOf(state, state.length - 2 * Long.BYTES);
         before[0] = 1;
-        Cistern other = new Cistern();
+        ConfigurationState other = new ConfigurationState();
         other.restore(before);
         assertEquals(List.of("3 on -1 at -1, 1 bytes"), history(other));
         assertEquals(Outcome.REPEATED, send(other, 0, 3, "a"));
--- /dev/null
+++ b/src/test/java/sablehinge/state/RegistryTest.java
@@ -0,0 +1,84 @@
+package sablehinge.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What is known of who is there, and what is news. */
+class RegistryTest {
+
+    private final Registry registry = new Registry(2_500, 1_000);
+
+    RegistryTest() {
+        registry.begin(0);
+    }
+
+    private static Registration registration(String node, String upstream, boolean ready, int coldMs) {
+        return new Registration(node, "monza-a", "127.0.0.1:80", "huvo11a", upstream, ready, 4, coldMs);
+    }
+
+    private static List<String> lives(List<Registration> registrations) {
+        return registrations.stream().map(Registration::upstream).toList();
+    }
+
+    @Test
+    void whoKnowsAllUpToAStampIsToldWhatCameAfterInItsOrder() {
+        assertTrue(registry.told(0, registration("a", "i-1", true, 0)));
+        assertTrue(registry.told(0, registration("b", "i-2", true, 0)));
+        assertTrue(registry.told(0, registration("c", "i-3", true, 0)));
+        assertEquals(3, registry.stamp());
+        assertTrue(registry.told(1, registration("a", "i-1", false, 0)));
+        assertEquals(List.of("i-3", "i-1"), lives(registry.since(2)));
+        assertEquals(List.of(), registry.since(registry.stamp()));
+        assertEquals(List.of("i-2", "i-3", "i-1"), lives(registry.since(0)));
+    }
+
+    @Test
+    void toBeToldTheSameOrOnlyToWarmUpIsNoNews() {
+        registry.told(0, registration("a", "i-1", true, 900));
+        assertFalse(registry.told(1, registration("a", "i-1", true, 900)));
+        assertFalse(registry.told(2, registration("a", "i-1", true, 100)));
+        assertEquals(1, registry.stamp());
+    }
+
+    @Test
+    void whoSaysNothingForLongHasNoUpstreamAndThatIsNews() {
+        registry.told(0, registration("a", "i-1", true, 0));
+        registry.told(0, registration("b", "i-2", true, 0));
+        registry.told(600, registration("b", "i-2", true, 0));
+        assertFalse(registry.expire(1_000));
+        assertTrue(registry.expire(1_001));
+        assertFalse(registry.expire(1_002));
+        assertEquals(3, registry.stamp());
+        assertEquals(List.of(registration("a", "", false, 0).node()),
+                registry.since(2).stream().map(Registration::node).toList());
+        assertEquals("", registry.since(2).get(0).upstream());
+        assertFalse(registry.since(2).get(0).ready());
+        assertEquals(1, registry.size());
+        assertTrue(registry.told(1_100, registration("a", "i-1", true, 0)));
+        assertEquals(2, registry.size());
+    }
+
+    @Test
+    void whoIsLongGoneIsForgotten() {
+        registry.told(0, registration("a", "i-1", true, 0));
+        registry.expire(1_001);
+        registry.expire(4_001);
+        assertEquals(List.of(), registry.since(0));
+    }
+
+    @Test
+    void itIsCompleteOnceAllWhoLiveHadTheTimeToTellAndIncompleteAgainWhenKeptAnew() {
+        assertFalse(registry.isComplete(2_499));
+        assertTrue(registry.isComplete(2_500));
+        registry.told(2_500, registration("a", "i-1", true, 0));
+        registry.begin(3_000);
+        assertFalse(registry.isComplete(3_001));
+        assertEquals(0, registry.stamp());
+        assertEquals(List.of(), registry.since(0));
+        assertFalse(new Registry(0, 0).isComplete(1e9));
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/watch/WatchServerTest.java
@@ -0,0 +1,203 @@
+package sablehinge.watch;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.state.Registration;
+import sablehinge.state.Registry;
+import sablehinge.failuredetection.Accusation;
+import sablehinge.failuredetection.Evidence;
+import sablehinge.failuredetection.Health;
+import sablehinge.failuredetection.HealthView;
+
+/** When asks for news are answered, and with what; the time is the test's. */
+class WatchServerTest {
+
+    private static final long TERM = 5;
+    private static final byte[] BODY = {1, 2, 3};
+    private final Registry registry = new Registry(2_500, 10_000);
+    private final WatchServer<String> watchServer = new WatchServer<>(registry);
+
+    WatchServerTest() {
+        watchServer.begin(0, TERM);
+        watchServer.holds(4, BODY, List.of("127.0.0.1:7000"));
+    }
+
+    private static Registration registration(String node) {
+        return new Registration(node, "monza-a", "127.0.0.1:7001", "huvo11a", "i-" + node, true, 4, 0);
+    }
+
+    private void asks(double now, String node, int number, long edition, long stamp, boolean confirm) {
+        asks(now, node, number, edition, stamp, confirm, List.of(), List.of());
+    }
+
+    private void asks(double now, String node, int number, long edition, long stamp, boolean confirm,
+            List<Accusation> accusations, List<Registration> vouched) {
+        watchServer.asked(now, node, new WatchRequest(number, registration(node), edition, stamp == 0 ? 0
+                : TERM, stamp, confirm,
+                accusations, vouched));
+    }
+
+    private Update only(double now) {
+        List<WatchServer.Told<String>> due = watchServer.due(now);
+        assertEquals(1, due.size());
+        return due.get(0).update();
+    }
+
+    private void none(double now) {
+        assertEquals(List.of(), watchServer.due(now));
+    }
+
+    /** One that knows all there is. */
+    private void settled(String node) {
+        asks(0, node, 1, 0, 0, false);
+        Update first = only(0);
+        assertEquals(4, first.edition());
+        assertArrayEquals(BODY, first.body());
+        assertTrue(first.whole());
+        assertEquals(TERM, first.term());
+        asks(0, node, 2, 4, first.stamp(), false);
+    }
+
+    @Test
+    void whoKnowsNothingIsToldAllAtOnce() {
+        settled("a");
+    }
+
+    @Test
+    void anAskWithoutNewsIsHeldForAWhileAndAnsweredOnce() {
+        settled("a");
+        none(0);
+        none(399);
+        Update update = only(400);
+        assertEquals(2, update.number());
+        assertEquals(0, update.body().length);
+        assertFalse(update.whole());
+        assertEquals(List.of(), update.registrations());
+        none(500);
+    }
+
+    @Test
+    void aNewEditionIsToldAtOnceToWhoIsHeld() {
+        settled("a");
+        none(10);
+        watchServer.holds(6, new byte[] {9}, List.of());
+        Update update = only(11);
+        assertEquals(6, update.edition());
+        assertArrayEquals(new byte[] {9}, update.body());
+    }
+
+    @Test
+    void whoHasComeIsToldAtOnceToWhoIsHeldAndNothingElse() {
+        settled("a");
+        none(10);
+        asks(20, "b", 1, 4, registry.stamp(), false);
+        Update update = watchServer.due(20).stream().filter(told ->
+                told.to().equals("a")).findFirst().orElseThrow()
+                .update();
+        assertEquals(List.of(registration("b")), update.registrations());
+        assertFalse(update.whole());
+    }
+
+    @Test
+    void aConfirmationWaitsForItsBarrierHoweverLongThatTakesAndWhateverElseIsNew() {
+        settled("a");
+        asks(10, "a", 3, 4, registry.stamp(), true);
+        none(10);
+        none(5_000 - 1);
+        watchServer.holds(6, BODY, List.of());
+        none(5_000);
+        watchServer.confirmed("a", 2);
+        none(5_001);
+        watchServer.confirmed("a", 3);
+        Update update = only(5_002);
+        assertTrue(update.confirmed());
+        assertEquals(6, update.edition());
+    }
+
+    @Test
+    void theConfirmationOfOneAskIsNotThatOfTheNext() {
+        settled("a");
+        asks(10, "a", 3, 4, registry.stamp(), true);
+        watchServer.confirmed("a", 3);
+        assertTrue(only(10).confirmed());
+        asks(11, "a", 4, 4, registry.stamp(), false);
+        assertFalse(only(411).confirmed());
+    }
+
+    @Test
+    void theWholeRollIsToldOnceMoreWhenItIsComplete() {
+        settled("a");
+        assertFalse(only(400).complete());
+        asks(2_400, "a", 3, 4, registry.stamp(), false);
+        none(2_499);
+        Update whole = only(2_500);
+        assertTrue(whole.whole());
+        assertTrue(whole.complete());
+        assertEquals(List.of(registration("a")), whole.registrations());
+        asks(2_500, "a", 4, 4, registry.stamp(), false);
+        none(2_600);
+        assertFalse(only(2_900).whole());
+    }
+
+    private Update told(double now, String node) {
+        return watchServer.due(now).stream().filter(told ->
+                told.to().equals(node)).findFirst().orElseThrow().update();
+    }
+
+    @Test
+    void whoIsAccusedAndSilentIsToldAsNotReadyAndAsItWasOnceItAsks() {
+        settled("a");
+        asks(0, "b", 1, 4, registry.stamp(), false);
+        asks(1_000, "a", 3, 4, registry.stamp(), false, List.of(new Accusation("b", Evidence.RESET)),
+                List.of());
+        Registration off = told(1_000, "a").registrations().get(0);
+        assertEquals("i-b", off.upstream());
+        assertFalse(off.ready());
+        assertEquals(Health.DEAD, watchServer.rulings().get(0).health());
+        asks(1_010, "a", 4, 4, registry.stamp(), false);
+        asks(1_020, "b", 2, 4, registry.stamp(), false);
+        assertEquals(List.of(registration("b")), told(1_020, "a").registrations());
+    }
+
+    @Test
+    void whoIsCutFromTheCoreStaysHoweverLongAndAnotherLeaderHearsOfItFromThoseWhoHearIt() {
+        asks(0, "b", 1, 4, 0, false);
+        watchServer.begin(10, TERM);
+        settled("a");
+        for (int now = 100; now < 15_000; now += 500) {
+            List<Registration> unknown = registry.size() < 2 ? List.of(registration("b")) : List.of();
+            asks(now, "a", now, 4, registry.stamp(), false, List.of(), unknown);
+            watchServer.due(now);
+        }
+        assertEquals(List.of(registration("a"), registration("b")), registry.since(0));
+        assertEquals(List.of(Health.CUT_FROM_CORE),
+                watchServer.rulings().stream().map(HealthView.Ruling::health).toList());
+    }
+
+    @Test
+    void whoHasLeftIsToldNothing() {
+        settled("a");
+        watchServer.gone("a");
+        watchServer.holds(6, BODY, List.of());
+        none(1_000);
+        assertEquals(0, watchServer.askers().size());
+    }
+
+    @Test
+    void anotherLeaderTellsTheWholeRollAnew() {
+        settled("a");
+        long known = registry.stamp();
+        watchServer.begin(100, TERM + 1);
+        none(1_000);
+        asks(1_000, "a", 3, 4, known, false);
+        Update update = only(1_000);
+        assertEquals(TERM + 1, update.term());
+        assertTrue(update.whole());
+        assertFalse(update.complete());
+    }
+}
