ControlNode calls its WatchServer by its name

Cause: the rename of a variable met another class's rule and left a misleading name.

Change: the field `queue` is `watchServer`.

--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -85,7 +85,7 @@
     private final RaftNode raft;
     private final ConfigurationState configurations = new ConfigurationState();
     private final Registry registry = new Registry(COMPLETE_MS, GONE_MS);
-    private final WatchServer<Connection.Link> queue = new WatchServer<>(registry);
+    private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
     private final Pools pools;
     private final Spillways spillways;
     private final Proposals proposals;
@@ -108,7 +108,7 @@
         raft = new RaftNode(new Carries(), Timing.usual(), new SecureRandom().nextLong());
         spillways = new Spillways(settings.bounds());
         proposals = new Proposals(configurations);
-        pools = new Pools(loop, clock, settings.bounds(), queue::askers, raft::leases);
+        pools = new Pools(loop, clock, settings.bounds(), watchServer::askers, raft::leases);
     }
 
     private static ExecutorService thread(String name) {
@@ -156,7 +156,7 @@
     private List<Operation<?, ?>> operations() {
         Authority authority = new Settles();
         return Operators.all(authority, new Sight(settings.node(), settings.zone(),
-                settings.listenOn().control(), registry, queue, pools.pool(), authority));
+                settings.listenOn().control(), registry, watchServer, pools.pool(), authority));
     }
 
     private static void await(io.netty.channel.ChannelFuture bound, String at)
@@ -252,10 +252,10 @@
 
     private void answer(double now) {
         if (leads()) {
-            for (WatchServer.Told<Connection.Link> told : queue.due(now)) {
+            for (WatchServer.Told<Connection.Link> told : watchServer.due(now)) {
                 told.to().send(new Frame(Frame.Kind.NEWS, told.update().bytes()));
             }
-            for (HealthView.Ruling ruling : queue.rulings()) {
+            for (HealthView.Ruling ruling : watchServer.rulings()) {
                 Log.info(LOG, "health").addKeyValue("peer", ruling.node())
                         .addKeyValue("health", ruling.health()).addKeyValue("before", ruling.before())
                         .addKeyValue("accusers", ruling.accusers())
@@ -275,11 +275,11 @@
             return;
         }
         double now = clock.now();
-        queue.asked(now, link, request);
+        watchServer.asked(now, link, request);
         if (request.confirm()) {
             barrier(sure -> {
                 if (sure) {
-                    queue.confirmed(link, request.number());
+                    watchServer.confirmed(link, request.number());
                     answer(clock.now());
                 }
             });
@@ -338,7 +338,7 @@
 
         @Override
         public void closed(Connection.Link link) {
-            queue.gone(link);
+            watchServer.gone(link);
         }
     }
 
@@ -392,14 +392,14 @@
                     .addKeyValue("leader", next.leader() == null ? "" : next.leader().address())
                     .addKeyValue("members", next.members().size()).log("the core's standing");
             if (leads() && (!led || newTerm)) {
-                queue.begin(clock.now(), next.term());
+                watchServer.begin(clock.now(), next.term());
                 pools.begin();
                 spillways.begin(next.term());
                 fillPools();
             } else if (led && !leads()) {
                 proposals.lost();
                 String leader = next.leader() == null ? "" : next.leader().address();
-                queue.askers().forEach(link -> link.send(new Frame(Frame.Kind.ELSEWHERE,
+                watchServer.askers().forEach(link -> link.send(new Frame(Frame.Kind.ELSEWHERE,
                         leader.getBytes(StandardCharsets.UTF_8))));
             }
             holds();
@@ -409,7 +409,7 @@
         private void holds() {
             List<String> members = new ArrayList<>();
             standing.members().forEach(member -> members.add(member.address()));
-            queue.holds(configurations.edition(), configurations.body(), members);
+            watchServer.holds(configurations.edition(), configurations.body(), members);
             loop.execute(() -> answer(clock.now()));
         }
 
