The access log neither spins nor counts lines that nobody wrote while its disk fails

Cause: after a rotation that failed, the writer's file was closed but still flushed: with nothing to write it went round without end, logged each time, and each round counted as a line lost (4,357 and 179 where 100 lines had come). Found by AccessLogTest on a busy machine; LoggingTest failed beside it by the lines of that thread.

Change: a closed file is no file; the next line opens it again. AccessLogTest also holds that lines written and dropped sum up.

--- a/src/main/java/sablehinge/node/AccessLog.java
+++ b/src/main/java/sablehinge/node/AccessLog.java
@@ -36,6 +36,8 @@
     private final AtomicLong dropped = new AtomicLong();
     private final Thread writer;
     private long bytes;
+    /** Null while a rotation could not be finished. Only the writer's thread uses it. */
+    private BufferedWriter out;
 
     /** Appends to a file, which is renamed to {@code FILE.1} once it has so many bytes. */
     AccessLog(Path file, long mostBytes) throws IOException {
@@ -75,29 +77,19 @@
     }
 
     private void write(BufferedWriter first) {
-        BufferedWriter out = first;
+        out = first;
         while (true) {
             try {
                 String line = lines.poll();
                 if (line == null) {
-                    out.flush();
+                    flush();
                     line = lines.take();
                 }
                 if (line.equals(END)) {
-                    out.close();
+                    closeFile();
                     return;
                 }
-                if (bytes + line.length() > mostBytes) {
-                    out.close();
-                    // A beginning anew that failed half way must not fail for good for want of the old file.
-                    if (Files.exists(file)) {
-                        Files.move(file, file.resolveSibling(file.getFileName() + ".1"),
-                                StandardCopyOption.REPLACE_EXISTING);
-                    }
-                    out = open();
-                }
-                out.write(line);
-                bytes += line.length();
+                append(line);
             } catch (IOException e) {
                 // A full disk costs lines and nothing else.
                 dropped.incrementAndGet();
@@ -109,6 +101,39 @@
         }
     }
 
+    private void append(String line) throws IOException {
+        if (out == null || bytes + line.length() > mostBytes) {
+            rotate();
+        }
+        out.write(line);
+        bytes += line.length();
+    }
+
+    private void rotate() throws IOException {
+        closeFile();
+        // A rotation that failed half way must not fail for good for want of the old file.
+        if (Files.exists(file)) {
+            Files.move(file, file.resolveSibling(file.getFileName() + ".1"),
+                    StandardCopyOption.REPLACE_EXISTING);
+        }
+        out = open();
+    }
+
+    /** Without a file there is nothing to flush, and no line is lost by it. */
+    private void flush() throws IOException {
+        if (out != null) {
+            out.flush();
+        }
+    }
+
+    private void closeFile() throws IOException {
+        BufferedWriter closing = out;
+        out = null;
+        if (closing != null) {
+            closing.close();
+        }
+    }
+
     /** Writes what waits, and ends. */
     void close() throws InterruptedException {
         lines.put(END);
--- a/src/test/java/sablehinge/node/AccessLogTest.java
+++ b/src/test/java/sablehinge/node/AccessLogTest.java
@@ -50,6 +50,7 @@
         while (log.dropped() + Files.readAllLines(file).size() < 100) {
             Thread.onSpinWait();
         }
+        assertEquals(100, log.dropped() + Files.readAllLines(file).size(), "each line is written or dropped");
         Files.delete(old.resolve("in the way"));
         Files.delete(old);
         // As if a beginning anew had failed half way, too.
