The core grows from its founders to the voters that the deployment states

Need: a core founded by the three machines that `seeds` names stayed at three voters on sites with five, since an odd core took a newcomer only in place of a silent voter.

Change: MembershipPlanner, a pure class, decides each single change of the voters from the progress and silence of voters and learners. It grows an odd core by two learners that have everything on their disks, one after the other; keeps spares as learners that are fed; replaces a lost voter after 1.5 s of silence instead of 3 (a former life of a learner after 0.5 s, as before), removal first, so that a newcomer that dies while it is let in takes no majority with it; shrinks a core above its size by who is lost. A learner counts only with everything committed on its disk (was: 64 entries behind).

--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -56,8 +56,6 @@
         void denied(long token);
     }
 
-    /** How far behind a newcomer may be when it is let in, entries. */
-    private static final int NEAR = 64;
     /** How far ahead of what a peer has synced entries are sent, entries. */
     private static final int AHEAD = 256;
     /** Between two requests to be let in, ms. */
@@ -89,6 +87,7 @@
     private final Actions actions;
     private final Timing timing;
     private final Random random;
+    private final MembershipPlanner planner;
     private final RaftLog log = new RaftLog();
     private final PersistQueue queue = new PersistQueue();
 
@@ -127,12 +126,20 @@
     private double heartbeatAt;
     private double handAt;
     private final List<Barrier> barriers = new ArrayList<>();
+    /** The change of the voters that waits for answers to a round, and that round; null for none. */
+    private VoterChange dueChange;
+    private long dueRound;
 
-    /** A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}. */
-    public RaftNode(Actions actions, Timing timing, long seed) {
+    /**
+     * A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}.
+     *
+     * @param losses how many members may be lost at once while the core goes on
+     */
+    public RaftNode(Actions actions, Timing timing, int losses, long seed) {
         this.actions = actions;
         this.timing = timing;
         this.random = new Random(seed);
+        this.planner = new MembershipPlanner(losses, timing);
     }
 
     /** The first start of the system: the disk is empty, and all founders name the same founders. */
@@ -666,6 +673,7 @@
         peers.clear();
         round = 0;
         handedOver = false;
+        dueChange = null;
         leaseUntil = Double.NEGATIVE_INFINITY;
         heartbeatAt = now + timing.heartbeat();
         handAt = now;
@@ -699,7 +707,7 @@
     }
 
     private void lead(double now) {
-        if (!heardMajority(now, log.members(), timing.quorum(), 0)) {
+        if (!heardMajority(now)) {
             stepDown(now, term, null);
             return;
         }
@@ -720,17 +728,16 @@
         changeMembers(now);
     }
 
-    /** Whether a majority of a list has answered within some ms and holds the log up to an index. */
-    private boolean heardMajority(double now, Collection<Member> list, double within, long upTo) {
+    /** Whether a majority has answered lately enough to lead on. */
+    private boolean heardMajority(double now) {
         int count = 0;
-        for (Member member : list) {
+        for (Member member : log.members()) {
             Peer peer = peers.get(member.id());
-            boolean hears = peer != null && now - peer.heard <= within && peer.match >= upTo;
-            if (hears || member.id() == self.id()) {
+            if (member.id() == self.id() || peer != null && now - peer.heard <= timing.quorum()) {
                 count++;
             }
         }
-        return count >= list.size() / 2 + 1;
+        return count >= majority();
     }
 
     /** Asks all peers whether this still leads. */
@@ -813,6 +820,10 @@
             }
         }
         advance(now);
+        if (role == Standing.Role.LEADER && (dueChange != null || isLearner(now, peer))) {
+            // A voter's place may be free, and the core is weaker until it is filled: the next tick is late.
+            changeMembers(now);
+        }
     }
 
     private void advance(double now) {
@@ -856,16 +867,21 @@
         }
     }
 
-    /** The latest round that a majority has answered. */
+    /** The latest round that a majority of the voters has answered. */
     private long answered() {
-        long[] rounds = new long[log.members().size()];
+        return answered(log.members());
+    }
+
+    /** The latest round that a majority of a list has answered. */
+    private long answered(List<Member> members) {
+        long[] rounds = new long[members.size()];
         for (int i = 0; i < rounds.length; i++) {
-            long id = log.members().get(i).id();
+            long id = members.get(i).id();
             Peer peer = peers.get(id);
             rounds[i] = id == self.id() ? Long.MAX_VALUE : peer == null ? 0 : peer.round;
         }
         Arrays.sort(rounds);
-        return rounds[rounds.length - majority()];
+        return rounds[rounds.length - (members.size() / 2 + 1)];
     }
 
     /**
@@ -920,51 +936,50 @@
         if (commit < firstOfTerm || log.membersIndex() > commit || diskHangs(now)) {
             return;
         }
-        for (Peer peer : List.copyOf(peers.values())) {
-            boolean waits = !log.holds(peer.member.id()) && now - peer.heard <= timing.fresh()
-                    && now - peer.asked <= LOST && peer.match + NEAR >= commit && peer.match > 0;
-            if (waits && letIn(now, peer)) {
-                return;
+        List<MembershipPlanner.Replica> voters = new ArrayList<>();
+        for (Member member : log.members()) {
+            voters.add(replica(now, member));
+        }
+        List<MembershipPlanner.Replica> learners = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (isLearner(now, peer)) {
+                learners.add(replica(now, peer.member));
             }
         }
+        Optional<VoterChange> due = planner.next(voters, learners);
+        if (due.isPresent() && isConfirmed(now, due.get())) {
+            dueChange = null;
+            append(now, Entry.Kind.MEMBERS, Members.write(due.get().applied(log.members())));
+        }
     }
 
-    private boolean letIn(double now, Peer newcomer) {
-        List<Member> members = new ArrayList<>(log.members());
-        // An even core bears no more losses than the odd one below it: so a place is free.
-        if (members.size() % 2 == 0) {
-            members.add(newcomer.member);
-            return change(now, members);
-        }
-        Member goes = null;
-        double longest = 0;
-        for (Member member : members) {
-            if (member.id() != self.id()) {
-                boolean same = member.address().equals(newcomer.member.address());
-                double silent = now - peers.get(member.id()).heard;
-                // Two lives of one disk can't both answer: the one before need not be waited for.
-                if (same && silent > timing.fresh()) {
-                    goes = member;
-                    break;
-                }
-                if (silent > timing.silent() && silent > longest) {
-                    goes = member;
-                    longest = silent;
-                }
-            }
-        }
-        if (goes == null || members.size() < 3) {
-            return false;
+    /**
+     * Whether a majority of the voters after a change is there at this moment. While a core is even it needs
+     * more of its voters than before or after, and who answered some time ago may be lost by now.
+     */
+    private boolean isConfirmed(double now, VoterChange change) {
+        List<Member> next = change.applied(log.members());
+        if (next.size() % 2 == 1) {
+            return true;
+        }
+        if (!change.equals(dueChange)) {
+            dueChange = change;
+            dueRound = round + 1;
+            ask(now);
         }
-        members.remove(goes);
-        return change(now, members);
+        return answered(next) >= dueRound;
     }
 
-    private boolean change(double now, List<Member> members) {
-        if (!heardMajority(now, members, timing.fresh(), commit)) {
-            return false;
+    private MembershipPlanner.Replica replica(double now, Member member) {
+        if (member.id() == self.id()) {
+            return new MembershipPlanner.Replica(member, 0, true, false);
         }
-        append(now, Entry.Kind.MEMBERS, Members.write(members));
-        return true;
+        Peer peer = peers.get(member.id());
+        return new MembershipPlanner.Replica(member, now - peer.heard, peer.match >= commit, false);
+    }
+
+    /** Whether a peer is no voter and has asked lately to become one. */
+    private boolean isLearner(double now, Peer peer) {
+        return !log.holds(peer.member.id()) && now - peer.asked <= LOST;
     }
 }
--- a/src/main/java/sablehinge/consensus/Timing.java
+++ b/src/main/java/sablehinge/consensus/Timing.java
@@ -8,7 +8,7 @@
  *     it gives no vote
  * @param electionMost most time without a leader before a member stands
  * @param quorum a leader without answers of a majority for so long leads no more
- * @param silent a member that has not answered for so long may be replaced
+ * @param silent a voter that has not answered for so long may be replaced by a learner that has everything
  * @param fresh a peer that has answered within this time counts as alive
  * @param stall a leader whose own disk takes longer hands over
  * @param barrier a barrier that is not confirmed within this time is denied
@@ -22,6 +22,6 @@
 
     /** For a few machines in one network whose disks sync in some ms. */
     public static Timing usual() {
-        return new Timing(100, 500, 1000, 900, 3000, 500, 1000, 2000, 64, 256 << 10, 256);
+        return new Timing(100, 500, 1000, 900, 1500, 500, 1000, 2000, 64, 256 << 10, 256);
     }
 }
--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -105,7 +105,8 @@
         this.loop = loop;
         connection = new Connection(loop, PING_MS, DEAD_MS);
         diskWriter = new DiskWriter(opener, new Puts());
-        raft = new RaftNode(new Carries(), Timing.usual(), new SecureRandom().nextLong());
+        raft = new RaftNode(new Carries(), Timing.usual(), settings.tolerateMachines(),
+                new SecureRandom().nextLong());
         spillways = new Spillways(settings.bounds());
         proposals = new Proposals(configurations);
         pools = new Pools(loop, clock, settings.bounds(), watchServer::askers, raft::leases);
--- /dev/null
+++ b/src/test/java/sablehinge/consensus/RaftNodeMembershipTest.java
@@ -0,0 +1,293 @@
+package sablehinge.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.consensus.SimulatedCluster.Machine;
+
+/**
+ * The voters of the core as deployments bring them about: founded by the machines that {@code seeds} names,
+ * grown to all, replaced, wiped, restarted and lost again.
+ */
+class RaftNodeMembershipTest {
+
+    private static final int SEEDS = 20;
+    /** By when the core must be as strong as stated once all its machines run, ms; the deployments say 4 s. */
+    private static final double WHOLE_WITHIN = 2500;
+
+    private interface Play {
+        void on(SimulatedCluster cluster);
+    }
+
+    /** Plays on a core of three founders and, where two losses are to be borne, two machines more. */
+    private static void play(int losses, Play play) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedCluster cluster = new SimulatedCluster(seed, 3, losses);
+            for (int i = 3; i < 2 * losses + 1; i++) {
+                cluster.add("10.0.0." + i + ":1").outside();
+            }
+            awaitVoters(cluster, 2 * losses + 1, 5000);
+            play.on(cluster);
+        }
+    }
+
+    private static int voters(int losses) {
+        return 2 * losses + 1;
+    }
+
+    /** Lets time pass until the committed list has so many voters, all of them machines that run; the ms. */
+    private static double awaitVoters(SimulatedCluster cluster, int count, double atMost) {
+        double start = cluster.now;
+        while (!isFull(cluster, count)) {
+            assertTrue(cluster.now - start < atMost, "seed " + cluster.seed + ": " + cluster.list + "\n"
+                    + cluster.describe());
+            cluster.run(5);
+        }
+        return cluster.now - start;
+    }
+
+    private static boolean isFull(SimulatedCluster cluster, int count) {
+        return cluster.list.size() == count && cluster.leader() != null && cluster.list.stream()
+                .allMatch(member -> cluster.machines.values().stream()
+                        .anyMatch(machine -> machine.up() && machine.self.equals(member)));
+    }
+
+    private static List<Machine> voting(SimulatedCluster cluster) {
+        return cluster.machines.values().stream().filter(one -> cluster.list.contains(one.self)).toList();
+    }
+
+    private static boolean listed(SimulatedCluster cluster, Machine machine) {
+        return cluster.list.contains(machine.self);
+    }
+
+    @Test
+    void threeFoundersGrowToAllFiveAtOnce() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedCluster cluster = new SimulatedCluster(seed, 3, 2);
+            cluster.run(300 * (seed % 3));
+            cluster.add("10.0.0.3:1").outside();
+            cluster.run(300 * (seed % 2));
+            cluster.add("10.0.0.4:1").outside();
+            double took = awaitVoters(cluster, 5, 5000);
+            assertTrue(took < WHOLE_WITHIN, took + " ms with seed " + seed);
+            assertEquals(2, cluster.changes);
+        }
+    }
+
+    /** Two of the founders lose their power: three of five remain, with two disks that came later. */
+    @Test
+    void theGrownCoreBearsTheLossOfAnyTwo() {
+        play(2, cluster -> {
+            cluster.commitOne(100);
+            List<Machine> all = new ArrayList<>(cluster.machines.values());
+            int first = (int) (cluster.seed % all.size());
+            int second = (int) ((cluster.seed + 1 + cluster.seed / all.size() % 4) % all.size());
+            all.get(first).wipe();
+            all.get(second).powerLoss();
+            cluster.commitOne(4000);
+            all.get(first).outside();
+            all.get(second).start();
+            awaitVoters(cluster, 5, WHOLE_WITHIN);
+        });
+    }
+
+    @Test
+    void aLoneNewcomerLearnsUntilThereAreTwo() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SimulatedCluster cluster = new SimulatedCluster(seed, 3, 2);
+            Machine learner = cluster.add("10.0.0.3:1");
+            learner.outside();
+            cluster.run(5000);
+            assertEquals(3, cluster.list.size());
+            cluster.commitOne(100);
+            cluster.run(200);
+            assertEquals(cluster.committed.size(), learner.applied, "it is fed");
+            cluster.add("10.0.0.4:1").outside();
+            awaitVoters(cluster, 5, WHOLE_WITHIN);
+        }
+    }
+
+    @Test
+    void aLearnerTakesTheLostOnesPlaceWithinTwoSeconds() {
+        play(2, cluster -> {
+            Machine spare = cluster.add("10.0.1.1:1");
+            spare.outside();
+            cluster.run(3000);
+            assertFalse(listed(cluster, spare));
+            Machine lost = cluster.others(cluster.leader(), spare).get((int) (cluster.seed % 4));
+            lost.kill(true);
+            double took = awaitVoters(cluster, 5, 4000);
+            assertTrue(took < 2000, took + " ms with seed " + cluster.seed);
+            assertTrue(listed(cluster, spare));
+        });
+    }
+
+    /** One of three, or two of five, come back with empty disks; then as many others go. */
+    @Test
+    void theWipedAreReplacedAndAsManyMoreMayGoAtOnce() {
+        for (int losses = 1; losses <= 2; losses++) {
+            int stated = losses;
+            play(losses, cluster -> {
+                cluster.commitOne(100);
+                List<Machine> hit = lost(cluster, stated);
+                hit.forEach(Machine::wipe);
+                cluster.run(1000);
+                hit.forEach(Machine::outside);
+                double took = awaitVoters(cluster, voters(stated), 5000);
+                assertTrue(took < WHOLE_WITHIN, took + " ms with seed " + cluster.seed);
+                cluster.others(hit.toArray(Machine[]::new)).subList(0, stated).forEach(Machine::powerLoss);
+                cluster.commitOne(4000);
+            });
+        }
+    }
+
+    /** The leader among them with every second seed. */
+    private static List<Machine> lost(SimulatedCluster cluster, int count) {
+        Machine leader = cluster.leader();
+        List<Machine> order = new ArrayList<>(cluster.others(leader));
+        order.add((int) (cluster.seed % 2) * (order.size() - 1), leader);
+        return order.subList(0, count);
+    }
+
+    /** The same machine loses its disk again as soon as it is back in the list, or just before. */
+    @Test
+    void aMemberWipedTwiceInARowComesBack() {
+        for (int losses = 1; losses <= 2; losses++) {
+            int stated = losses;
+            play(losses, cluster -> {
+                Machine hit = lost(cluster, 1).get(0);
+                hit.wipe();
+                cluster.run(700);
+                hit.outside();
+                cluster.run(cluster.seed * 40);
+                hit.wipe();
+                cluster.run(700);
+                hit.outside();
+                double took = awaitVoters(cluster, voters(stated), 5000);
+                assertTrue(took < WHOLE_WITHIN, took + " ms with seed " + cluster.seed);
+                cluster.commitOne(200);
+            });
+        }
+    }
+
+    /** A newcomer dies at any moment while it takes a lost one's place, for good. */
+    @Test
+    void aNewcomerThatDiesWhileItIsLetInEndsNothing() {
+        for (int losses = 1; losses <= 2; losses++) {
+            int stated = losses;
+            for (int step = 0; step < 60; step++) {
+                int moves = step;
+                SimulatedCluster cluster = new SimulatedCluster(step, 3, losses);
+                for (int i = 3; i < voters(stated); i++) {
+                    cluster.add("10.0.0." + i + ":1").outside();
+                }
+                awaitVoters(cluster, voters(stated), 5000);
+                Machine dead = cluster.others(cluster.leader()).get(0);
+                dead.kill(true);
+                Machine newcomer = cluster.add("10.0.1.1:1");
+                newcomer.outside();
+                long before = cluster.changes;
+                while (cluster.leader().standing.members().contains(dead.self)) {
+                    cluster.run(1);
+                }
+                cluster.run(moves * 0.2);
+                newcomer.kill(true);
+                cluster.commitOne(2500);
+                assertTrue(cluster.changes > before);
+                Machine next = cluster.add("10.0.1.2:1");
+                next.outside();
+                awaitVoters(cluster, voters(stated), 4000);
+            }
+        }
+    }
+
+    /** A machine goes for good and one at another address comes a second later; then another goes. */
+    @Test
+    void afterAReplacementTheNextMayGoAtAnyMomentPastOnboarding() {
+        for (int losses = 1; losses <= 2; losses++) {
+            int stated = losses;
+            play(losses, cluster -> {
+                Machine gone = lost(cluster, 1).get(0);
+                gone.kill(true);
+                cluster.run(1000);
+                cluster.add("10.0.1.1:1").outside();
+                cluster.run(4000 + cluster.seed * 50);
+                assertTrue(isFull(cluster, voters(stated)), cluster.describe());
+                cluster.machines.remove(gone.address);
+                lost(cluster, stated).forEach(Machine::powerLoss);
+                cluster.commitOne(4000);
+            });
+        }
+    }
+
+    /** In a core of five another may go while the first one is being replaced. */
+    @Test
+    void aSecondLossOfFiveWhileTheFirstIsReplaced() {
+        for (int step = 0; step < 80; step++) {
+            SimulatedCluster cluster = new SimulatedCluster(step, 3, 2);
+            cluster.add("10.0.0.3:1").outside();
+            cluster.add("10.0.0.4:1").outside();
+            awaitVoters(cluster, 5, 5000);
+            Machine first = cluster.others(cluster.leader()).get(0);
+            first.wipe();
+            cluster.run(900);
+            first.outside();
+            cluster.run(step * 5);
+            Machine second = step % 2 == 0 ? cluster.awaitLeader() : cluster.others(first).get(1);
+            second.wipe();
+            cluster.commitOne(4000);
+            cluster.run(500);
+            second.outside();
+            awaitVoters(cluster, 5, 4000);
+        }
+    }
+
+    @Test
+    void theRemovedOneReturnsAsALearnerAndDisturbsNobody() {
+        play(2, cluster -> {
+            Machine away = cluster.others(cluster.leader()).get(0);
+            away.kill(false);
+            Machine newcomer = cluster.add("10.0.1.1:1");
+            newcomer.outside();
+            awaitVoters(cluster, 5, 5000);
+            long term = cluster.leader().standing.term();
+            away.start();
+            cluster.run(5000);
+            assertEquals(Standing.Role.OUTSIDER, away.standing.role());
+            assertEquals(term, cluster.leader().standing.term());
+            cluster.commitOne(100);
+            cluster.run(200);
+            assertEquals(cluster.committed.size(), away.applied);
+        });
+    }
+
+    /** All lose power when a change of the voters is appended, on some disks, or committed. */
+    @Test
+    void aChangeOfVotersOutlivesOrIsUndoneByAJointLossOfPower() {
+        for (int losses = 1; losses <= 2; losses++) {
+            int stated = losses;
+            play(losses, cluster -> {
+                cluster.commitOne(100);
+                Machine hit = cluster.others(cluster.leader()).get(0);
+                hit.wipe();
+                cluster.run(700);
+                hit.outside();
+                Machine leader = cluster.leader();
+                List<Member> before = leader.standing.members();
+                for (int i = 0; i < 4000 && leader.standing.members().equals(before); i++) {
+                    cluster.run(1);
+                }
+                assertFalse(leader.standing.members().equals(before));
+                cluster.run(cluster.seed * 0.3);
+                cluster.machines.values().forEach(Machine::powerLoss);
+                cluster.machines.values().forEach(Machine::start);
+                awaitVoters(cluster, voters(stated), 5000);
+                cluster.commitOne(500);
+            });
+        }
+    }
+}
