--- a/src/main/java/sablehinge/consensus/Message.java
+++ b/src/main/java/sablehinge/consensus/Message.java
@@ -60,13 +60,36 @@
     }
 
     /**
-     * A snapshot for who is behind the start of the leader's log.
+     * A chunk of a snapshot for who is behind the start of the leader's log.
      *
      * @param term of the leader
-     * @param snapshot the leader's last
+     * @param part the snapshot; of its state only the bytes from {@code offset} on that are in this chunk
+     * @param offset of the chunk's first byte in the state
+     * @param total bytes of the whole state
      * @param round as in {@link Append}
      */
-    record Install(long term, Snapshot snapshot, long round) implements Message {
+    record Install(long term, Snapshot part, int offset, int total, long round) implements Message {
+
+        /** A whole snapshot in one chunk. */
+        public Install(long term, Snapshot snapshot, long round) {
+            this(term, snapshot, 0, snapshot.state().length, round);
+        }
+
+        /** Whether this chunk is all of the snapshot. */
+        public boolean isWhole() {
+            return offset == 0 && part.state().length == total;
+        }
+    }
+
+    /**
+     * Answers an {@link Install} that does not make the snapshot whole.
+     *
+     * @param term the latest that the sender has seen
+     * @param index of the snapshot's last entry
+     * @param held up to this byte the sender holds the snapshot's state
+     * @param round the highest of this leader that the sender has seen
+     */
+    record Installing(long term, long index, int held, long round) implements Message {
     }
 
     /**
--- a/src/main/java/sablehinge/consensus/Peer.java
+++ b/src/main/java/sablehinge/consensus/Peer.java
@@ -18,8 +18,10 @@
     boolean probing = true;
     /** It has nothing to which entries could be appended. */
     boolean bare;
-    /** Until then a snapshot is under way, ms. */
-    double installing = Double.NEGATIVE_INFINITY;
+    /** The snapshot that is under way; null for none. */
+    SnapshotSender snapshot;
+    /** Entries that are under way. */
+    final SendWindow window = new SendWindow();
 
     Peer(Member member, long next, double heard) {
         this.member = member;
--- a/src/main/java/sablehinge/consensus/RaftLog.java
+++ b/src/main/java/sablehinge/consensus/RaftLog.java
@@ -13,6 +13,8 @@
 
     private Snapshot base = NOTHING;
     private final List<Entry> entries = new ArrayList<>();
+    /** Entries before the snapshot's end; only ever sent to others. */
+    private final RecentEntries recent = new RecentEntries();
     /** Lists by the index of the entry that they came with; a list holds as soon as it is appended. */
     private final TreeMap<Long, List<Member>> lists = new TreeMap<>(Map.of(0L, List.of()));
 
@@ -33,28 +35,34 @@
         return termAt(lastIndex());
     }
 
-    /** The term of the entry at an index from the snapshot's to the last. */
+    /** The term of the entry at an index from the snapshot's to the last, or one that is still kept. */
     long termAt(long index) {
         return index == base.index() ? base.term() : entry(index).term();
     }
 
     Entry entry(long index) {
-        return entries.get((int) (index - base.index() - 1));
+        return index <= base.index() ? recent.entry(index)
+                : entries.get((int) (index - base.index() - 1));
+    }
+
+    /** Whether entries from an index on, and the term of the one before it, are here. */
+    boolean reaches(long index) {
+        return index > base.index() || recent.holds(index - 1);
     }
 
     /** Entries from an index on, up to both bounds, but at least one if there is any. */
     List<Entry> from(long index, int most, int mostBytes) {
-        int start = (int) (index - base.index() - 1);
-        int end = start;
+        List<Entry> found = new ArrayList<>();
         long bytes = 0;
-        while (end < entries.size() && end - start < most) {
-            bytes += entries.get(end).data().length;
-            if (end > start && bytes > mostBytes) {
+        for (long next = index; next <= lastIndex() && found.size() < most; next++) {
+            Entry entry = entry(next);
+            bytes += entry.data().length;
+            if (!found.isEmpty() && bytes > mostBytes) {
                 break;
             }
-            end++;
+            found.add(entry);
         }
-        return List.copyOf(entries.subList(start, end));
+        return found;
     }
 
     void append(Entry entry) {
@@ -103,8 +111,10 @@
         boolean follows = holdsEntry(snapshot.index(), snapshot.term());
         if (!follows) {
             lists.clear();
+            recent.clear();
+            entries.clear();
         }
-        rebase(snapshot, follows ? (int) (snapshot.index() - base.index()) : entries.size());
+        rebase(snapshot, follows ? (int) (snapshot.index() - base.index()) : 0);
     }
 
     /** Whether the entry of this index and term, or a snapshot that ends with it, is here. */
@@ -114,7 +124,9 @@
 
     private void rebase(Snapshot snapshot, int dropped) {
         base = snapshot;
-        entries.subList(0, dropped).clear();
+        List<Entry> gone = entries.subList(0, dropped);
+        recent.add(gone);
+        gone.clear();
         lists.headMap(snapshot.index(), true).clear();
         lists.put(snapshot.index(), snapshot.members());
     }
--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -66,8 +66,6 @@
     private static final double LOST = 1500;
     /** Who has neither asked nor answered for so long is fed no more, ms. */
     private static final double FORGET = 10_000;
-    /** Between two sendings of a snapshot, ms. */
-    private static final double INSTALL_EVERY = 1500;
     /** Who has waited longer for its own disk neither stands nor changes members, ms. */
     private static final double BUSY = 200;
     /** Between two tries to hand over, ms. */
@@ -91,6 +89,7 @@
     private final Random random;
     private final RaftLog log = new RaftLog();
     private final PersistQueue queue = new PersistQueue();
+    private final SnapshotReceiver receiver = new SnapshotReceiver();
 
     private Member self;
     /** The time of the call that is under way, ms. */
@@ -294,6 +293,8 @@
             takeInstall(now, from, install);
         } else if (message instanceof Message.Appended appended) {
             takeAppended(now, from, appended);
+        } else if (message instanceof Message.Installing installing) {
+            takeInstalling(now, from, installing);
         } else if (message instanceof Message.Join join) {
             takeJoin(now, join);
         } else if (message instanceof Message.Guide guide) {
@@ -553,6 +554,9 @@
             actions.send(from, appended(false, verified));
             return;
         }
+        if (!append.entries().isEmpty()) {
+            receiver.clear();
+        }
         for (Entry entry : append.entries()) {
             take(entry);
         }
@@ -588,8 +592,14 @@
             actions.send(from, appended(false, log.isBare() ? -1 : verified));
             return;
         }
-        Snapshot snapshot = install.snapshot();
-        if (snapshot.index() > commit || log.isBare()) {
+        boolean wanted = install.part().index() > commit || log.isBare();
+        Snapshot snapshot = wanted ? receiver.take(install) : null;
+        if (wanted && snapshot == null) {
+            actions.send(from, new Message.Installing(term, install.part().index(), receiver.held(install),
+                    lastRound));
+            return;
+        }
+        if (wanted) {
             if (!log.holdsEntry(snapshot.index(), snapshot.term()) && log.lastIndex() > log.base().index()) {
                 queue.truncate(log.base().index() + 1);
             }
@@ -600,7 +610,7 @@
                 actions.restore(snapshot);
             }
         }
-        verified = Math.max(verified, snapshot.index());
+        verified = Math.max(verified, install.part().index());
         actions.send(from, appended(true, verified));
     }
 
@@ -666,6 +676,7 @@
         peers.clear();
         round = 0;
         handedOver = false;
+        receiver.clear();
         leaseUntil = Double.NEGATIVE_INFINITY;
         heartbeatAt = now + timing.heartbeat();
         handAt = now;
@@ -745,66 +756,102 @@
 
     /** Sends what a peer is to have next, or a sign of life. */
     private void feed(double now, Peer peer, boolean withEntries) {
-        Snapshot base = log.base();
-        if (now < peer.installing) {
-            // What lies at 0 is the same in all logs, so this is a sign of life only.
-            actions.send(peer.member, new Message.Append(term, 0, 0, List.of(), 0, round));
-            return;
-        }
-        if (peer.bare || peer.next <= base.index()) {
-            peer.installing = now + INSTALL_EVERY;
+        if (peer.snapshot == null && (peer.bare || !log.reaches(peer.next))) {
+            peer.snapshot = new SnapshotSender(log.base());
+            peer.window.clear();
             peer.bare = false;
             peer.probing = true;
-            peer.next = base.index() + 1;
-            actions.send(peer.member, new Message.Install(term, base, round));
+            peer.next = log.base().index() + 1;
+        }
+        if (peer.snapshot != null) {
+            feedSnapshot(now, peer);
             return;
         }
-        List<Entry> entries = withEntries && (peer.probing || peer.next - 1 - peer.match < AHEAD)
+        peer.window.expire(now);
+        List<Entry> entries = withEntries && mayHaveMore(peer)
                 ? log.from(peer.next, timing.entries(), timing.bytes()) : List.of();
         long previous = peer.next - 1;
         actions.send(peer.member,
                 new Message.Append(term, previous, log.termAt(previous), entries, commit, round));
+        if (!entries.isEmpty()) {
+            peer.window.sent(now, round, previous + entries.size(), bytes(entries));
+        }
         if (!peer.probing) {
             peer.next += entries.size();
         }
     }
 
+    private void feedSnapshot(double now, Peer peer) {
+        peer.snapshot.renew(now, log.base());
+        // What lies at 0 is the same in all logs, so this is a sign of life only.
+        actions.send(peer.member, peer.snapshot.isDue(now) ? peer.snapshot.next(now, term, round)
+                : new Message.Append(term, 0, 0, List.of(), 0, round));
+    }
+
+    private static long bytes(List<Entry> entries) {
+        long bytes = 0;
+        for (Entry entry : entries) {
+            bytes += entry.data().length;
+        }
+        return bytes;
+    }
+
+    private boolean mayHaveMore(Peer peer) {
+        return peer.probing ? peer.window.isEmpty()
+                : peer.window.isOpen() && peer.next - 1 - peer.match < AHEAD;
+    }
+
     private void feedMore(double now, Peer peer) {
-        if (peer.next <= log.lastIndex() && now >= peer.installing && now - peer.heard <= timing.fresh()
-                && (peer.probing || peer.next - 1 - peer.match < AHEAD)) {
+        while (peer.next <= log.lastIndex() && peer.snapshot == null && now - peer.heard <= timing.fresh()
+                && mayHaveMore(peer)) {
             feed(now, peer, true);
         }
     }
 
-    private void takeAppended(double now, Member from, Message.Appended answer) {
+    /** Notes an answer of a peer of this term; null if it is none. */
+    private Peer answered(double now, Member from, long itsTerm, long itsRound) {
         Peer peer = role == Standing.Role.LEADER ? peers.get(from.id()) : null;
-        if (peer == null || answer.term() < term) {
-            return;
+        if (peer == null || itsTerm < term) {
+            return null;
         }
-        if (answer.term() > term) {
+        if (itsTerm > term) {
             if (log.holds(from.id())) {
-                stepDown(now, answer.term(), null);
+                stepDown(now, itsTerm, null);
             } else {
                 // It can follow only a later term than its own: so it gets one, from the same leader.
-                stand(now, answer.term() + 1, true);
+                stand(now, itsTerm + 1, true);
             }
-            return;
+            return null;
         }
         peer.heard = now;
-        if (answer.round() > peer.round) {
-            peer.round = answer.round();
+        if (itsRound > peer.round) {
+            peer.round = itsRound;
             extendLease();
         }
+        return peer;
+    }
+
+    private void takeInstalling(double now, Member from, Message.Installing answer) {
+        Peer peer = answered(now, from, answer.term(), answer.round());
+        if (peer == null) {
+            return;
+        }
+        if (peer.snapshot != null && peer.snapshot.received(now, answer.index(), answer.held())) {
+            feedSnapshot(now, peer);
+        }
+        confirm(now);
+    }
+
+    private void takeAppended(double now, Member from, Message.Appended answer) {
+        Peer peer = answered(now, from, answer.term(), answer.round());
+        if (peer == null) {
+            return;
+        }
         if (answer.success()) {
-            peer.match = Math.max(peer.match, answer.matchIndex());
-            if (answer.hint() >= log.base().index()) {
-                peer.installing = Double.NEGATIVE_INFINITY;
-                peer.probing = false;
-            }
-            peer.next = Math.min(Math.max(peer.next, answer.hint() + 1), log.lastIndex() + 1);
-            feedMore(now, peer);
-        } else if (now >= peer.installing) {
+            took(now, peer, answer);
+        } else if (peer.snapshot == null) {
             long next = Math.max(peer.match + 1, Math.min(answer.hint(), log.lastIndex()) + 1);
+            peer.window.clear();
             if (next < peer.next || answer.hint() < 0) {
                 peer.bare = answer.hint() < 0;
                 peer.probing = true;
@@ -815,6 +862,26 @@
         advance(now);
     }
 
+    private void took(double now, Peer peer, Message.Appended answer) {
+        peer.match = Math.max(peer.match, answer.matchIndex());
+        peer.window.received(now, answer.hint(), answer.round());
+        boolean needsMore = peer.snapshot != null && answer.hint() < peer.snapshot.index();
+        if (needsMore && !log.reaches(answer.hint() + 1)) {
+            return;
+        }
+        if (peer.snapshot != null) {
+            peer.snapshot = null;
+            peer.next = answer.hint() + 1;
+        }
+        peer.probing = false;
+        peer.next = Math.min(Math.max(peer.next, answer.hint() + 1), log.lastIndex() + 1);
+        if (!log.reaches(peer.next)) {
+            // The log was cut again while the snapshot was under way.
+            feed(now, peer, false);
+        }
+        feedMore(now, peer);
+    }
+
     private void advance(double now) {
         List<Member> members = log.members();
         long[] matches = new long[members.size()];
--- /dev/null
+++ b/src/main/java/sablehinge/consensus/SendWindow.java
@@ -0,0 +1,91 @@
+package sablehinge.consensus;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * How many bytes of entries may be on their way to a peer: as many as it answers within some tenths of a
+ * second, so that on a slow link neither heartbeats nor their answers wait long behind entries. One message
+ * may always be on its way, however large it is.
+ */
+final class SendWindow {
+
+    /** Bounds of the window, bytes. */
+    static final int LEAST = 64 << 10;
+    static final int FIRST = 256 << 10;
+    static final int MOST = 4 << 20;
+    /** Messages that are on their way at most. */
+    static final int MOST_MESSAGES = 256;
+    /** Answered sooner, the window grows; answered later, it shrinks, ms. */
+    private static final double SOON = 100;
+    private static final double LATE = 300;
+    /** Without an answer for so long, what is on its way is taken for lost, ms; then for twice as long. */
+    static final double FIRST_PATIENCE = 1000;
+    static final double MOST_PATIENCE = 16_000;
+
+    private record OnItsWay(long round, long lastIndex, long bytes, double sentAt) {
+    }
+
+    private final Deque<OnItsWay> onTheirWay = new ArrayDeque<>();
+    private long bytes;
+    private int limit = FIRST;
+    private double patience = FIRST_PATIENCE;
+
+    /** Whether entries may be sent. */
+    boolean isOpen() {
+        return onTheirWay.isEmpty() || bytes < limit && onTheirWay.size() < MOST_MESSAGES;
+    }
+
+    /** Whether nothing is on its way. */
+    boolean isEmpty() {
+        return onTheirWay.isEmpty();
+    }
+
+    /** Entries up to an index were sent, in a round of the leader's questions. */
+    void sent(double now, long round, long lastIndex, long sentBytes) {
+        onTheirWay.addLast(new OnItsWay(round, lastIndex, sentBytes, now));
+        bytes += sentBytes;
+    }
+
+    /**
+     * The peer holds the entries up to an index, and has heard a round. What was sent before that round and
+     * is not there is lost, or was overtaken, which is as good.
+     */
+    void received(double now, long index, long round) {
+        OnItsWay newest = null;
+        while (!onTheirWay.isEmpty() && onTheirWay.peekFirst().lastIndex <= index) {
+            newest = onTheirWay.removeFirst();
+            bytes -= newest.bytes;
+        }
+        if (newest != null) {
+            adapt(now - newest.sentAt);
+        }
+        if (!onTheirWay.isEmpty() && onTheirWay.peekFirst().round < round) {
+            clear();
+        }
+    }
+
+    private void adapt(double took) {
+        patience = FIRST_PATIENCE;
+        if (took > LATE) {
+            limit = Math.max(LEAST, limit / 2);
+        } else if (took < SOON) {
+            limit = Math.min(MOST, limit * 2);
+        }
+    }
+
+    /** Gives up what has been on its way for too long. */
+    void expire(double now) {
+        if (!onTheirWay.isEmpty() && now - onTheirWay.peekFirst().sentAt >= patience) {
+            clear();
+            limit = LEAST;
+            patience = Math.min(MOST_PATIENCE, patience * 2);
+        }
+    }
+
+    /** What was on its way did not arrive, or does not follow on what the peer holds. */
+    void clear() {
+        onTheirWay.clear();
+        bytes = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/sablehinge/consensus/SnapshotSender.java
@@ -0,0 +1,95 @@
+package sablehinge.consensus;
+
+import java.util.Arrays;
+
+/**
+ * Sends one snapshot to one peer in chunks, one at a time: the next leaves when the peer has said up to which
+ * byte it holds the state, so that at most one chunk lies before a heartbeat. A chunk is as large as the link
+ * and the peer carry in some tenths of a second. Once the peer holds some of it, the snapshot stays the same
+ * to its end, whatever the leader compacts meanwhile; whoever lost what it had names a lower offset and gets
+ * it from there.
+ */
+final class SnapshotSender {
+
+    /** Sizes of a chunk, bytes. */
+    static final int LEAST_CHUNK = 16 << 10;
+    static final int FIRST_CHUNK = 64 << 10;
+    static final int MOST_CHUNK = 1 << 20;
+    /** A chunk that was answered sooner may be followed by a larger one, ms. */
+    private static final double SOON = 100;
+    /** One that was answered later is followed by a smaller one, ms: heartbeats wait behind it. */
+    private static final double LATE = 300;
+    /** Without an answer for so long, a chunk is sent again, ms; after each such time, twice as long. */
+    static final double FIRST_PATIENCE = 500;
+    static final double MOST_PATIENCE = 2000;
+
+    private Snapshot snapshot;
+    private int offset;
+    private int chunkBytes = FIRST_CHUNK;
+    private boolean waiting;
+    private double sentAt;
+    private double patience = FIRST_PATIENCE;
+
+    SnapshotSender(Snapshot snapshot) {
+        this.snapshot = snapshot;
+    }
+
+    /** Index of the last entry that is in the snapshot. */
+    long index() {
+        return snapshot.index();
+    }
+
+    /** Whether a chunk is to be sent: none is on its way, or the last one is taken for lost. */
+    boolean isDue(double now) {
+        return !waiting || now - sentAt >= patience;
+    }
+
+    /** Takes the leader's newest snapshot, unless the peer holds some of the one before, or may soon. */
+    void renew(double now, Snapshot newest) {
+        if (offset == 0 && isDue(now)) {
+            snapshot = newest;
+        }
+    }
+
+    /** The chunk to send, which counts as sent now. */
+    Message.Install next(double now, long term, long round) {
+        if (waiting) {
+            chunkBytes = Math.max(LEAST_CHUNK, chunkBytes / 2);
+            patience = Math.min(MOST_PATIENCE, patience * 2);
+        }
+        waiting = true;
+        sentAt = now;
+        int total = snapshot.state().length;
+        int end = Math.min(total, offset + chunkBytes);
+        Snapshot part = new Snapshot(snapshot.index(), snapshot.term(), snapshot.members(),
+                Arrays.copyOfRange(snapshot.state(), offset, end));
+        return new Message.Install(term, part, offset, total, round);
+    }
+
+    /**
+     * The peer holds the state up to an offset.
+     *
+     * @param index of the snapshot that it tells of
+     * @return whether that is news, so that the next chunk is due
+     */
+    boolean received(double now, long index, int held) {
+        if (index != snapshot.index() || held == offset || held < 0 || held > snapshot.state().length) {
+            return false;
+        }
+        if (held > offset) {
+            adapt(now - sentAt);
+        }
+        offset = held;
+        waiting = false;
+        return true;
+    }
+
+    private void adapt(double took) {
+        patience = FIRST_PATIENCE;
+        if (took > LATE) {
+            chunkBytes = Math.max(LEAST_CHUNK, chunkBytes / 2);
+        } else if (took < SOON) {
+            chunkBytes = Math.min(MOST_CHUNK, chunkBytes * 2);
+        }
+    }
+}
--- a/src/main/java/sablehinge/rpc/MessageCodec.java
+++ b/src/main/java/sablehinge/rpc/MessageCodec.java
@@ -34,6 +34,7 @@
     private static final int JOIN = 6;
     private static final int GUIDE = 7;
     private static final int TAKE_OVER = 8;
+    private static final int INSTALLING = 9;
 
     private MessageCodec() {
     }
@@ -84,7 +85,15 @@
             out.writeByte(INSTALL);
             out.writeLong(install.term());
             out.writeLong(install.round());
-            writeSnapshot(install.snapshot(), out);
+            out.writeInt(install.offset());
+            out.writeInt(install.total());
+            writeSnapshot(install.part(), out);
+        } else if (message instanceof Message.Installing installing) {
+            out.writeByte(INSTALLING);
+            out.writeLong(installing.term());
+            out.writeLong(installing.index());
+            out.writeInt(installing.held());
+            out.writeLong(installing.round());
         } else if (message instanceof Message.Join join) {
             out.writeByte(JOIN);
             writeMember(join.self(), out);
@@ -127,9 +136,9 @@
                 return new Message.Appended(in.readLong(), in.readBoolean(), in.readLong(), in.readLong(),
                         in.readLong());
             case INSTALL:
-                long term = in.readLong();
-                long round = in.readLong();
-                return new Message.Install(term, readSnapshot(in), round);
+                return readInstall(in);
+            case INSTALLING:
+                return new Message.Installing(in.readLong(), in.readLong(), in.readInt(), in.readLong());
             case JOIN:
                 return new Message.Join(readMember(in), in.readLong());
             case GUIDE:
@@ -142,6 +151,19 @@
         }
     }
 
+    private static Message readInstall(DataInputStream in) throws IOException {
+        long term = in.readLong();
+        long round = in.readLong();
+        int offset = in.readInt();
+        int total = in.readInt();
+        Snapshot part = readSnapshot(in);
+        if (offset < 0 || total > MOST_BYTES || total - part.state().length < offset) {
+            throw new IOException("bytes " + offset + " to " + ((long) offset + part.state().length)
+                    + " of a state of " + total);
+        }
+        return new Message.Install(term, part, offset, total, round);
+    }
+
     private static Message readAppend(DataInputStream in) throws IOException {
         long term = in.readLong();
         long prevIndex = in.readLong();
--- /dev/null
+++ b/src/test/java/sablehinge/consensus/CatchUpTest.java
@@ -0,0 +1,185 @@
+package sablehinge.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import sablehinge.consensus.SimulatedCluster.Machine;
+
+/**
+ * Storms of large orders, logs that are cut all the time, slow links and members that were away: in calm,
+ * each member has all that was committed after a bounded time.
+ */
+class CatchUpTest {
+
+    private static final int LARGE = 400_000;
+    /** Bytes per ms: 1 MB/s. */
+    private static final double SLOW = 1_000;
+    private static final double STORM = 10_000;
+    private static final int ORDERS = 8;
+
+    private static SlowLinkCluster cluster(int bodyBytes) {
+        SlowLinkCluster cluster = new SlowLinkCluster(1, 3);
+        cluster.awaitLeader();
+        cluster.claims.bodyBytes = bodyBytes;
+        return cluster;
+    }
+
+    private static Machine follower(SlowLinkCluster cluster) {
+        return cluster.others(cluster.leader()).get(0);
+    }
+
+    @Test
+    void whoIsOnASlowLinkCatchesUpAfterAStormAndHearsTheLeaderInIt() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine slow = follower(cluster);
+        cluster.slow(slow, SLOW);
+        long asked = cluster.votesAsked;
+        cluster.storm(STORM, ORDERS);
+        assertTrue(cluster.committed.size() > 100, cluster.committed.size() + " entries");
+        assertEquals(0, cluster.broken, "connections broke as too much waited");
+        assertTrue(cluster.longestWait < 1000, cluster.longestWait + " ms a message waited for others");
+        assertEquals(0, cluster.votesAsked - asked, "questions for votes");
+        double took = cluster.catchUp(slow, 3000);
+        System.out.printf("slow link: longest wait %.0f ms, caught up after %.0f ms%n",
+                cluster.longestWait, took);
+    }
+
+    @Test
+    void aCoreOnSlowLinksKeepsItsLeader() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine leader = cluster.leader();
+        cluster.machines.values().forEach(machine -> cluster.slow(machine, SLOW));
+        long term = leader.standing.term();
+        cluster.storm(STORM, ORDERS);
+        assertEquals(term, cluster.leader().standing.term());
+        assertTrue(cluster.committed.size() > 12, cluster.committed.size() + " entries");
+        for (Machine machine : cluster.others(leader)) {
+            cluster.catchUp(machine, 5000);
+        }
+    }
+
+    @Test
+    void whoWasAwayForTheWholeStormCatchesUpOnASlowLinkWhileTheLogIsCut() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(STORM, ORDERS);
+        cluster.slow(away, SLOW / 10);
+        away.start();
+        // One state takes 4 s on its link; the log is cut some ten times meanwhile.
+        cluster.storm(STORM, ORDERS);
+        assertTrue(away.applied > 100, "it has nothing newer than entry " + away.applied);
+        assertEquals(0, cluster.broken, "connections broke as too much waited");
+        cluster.slow(away, SLOW);
+        cluster.catchUp(away, 8000);
+    }
+
+    @Test
+    void aSnapshotUnderWayIsFinishedThoughTheLogIsCutAgain() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(2000, ORDERS);
+        cluster.slow(away, SLOW / 10);
+        away.start();
+        long before = cluster.snapshotBytes;
+        double start = cluster.now;
+        while (away.applied == 0) {
+            cluster.storm(100, ORDERS);
+            cluster.check(cluster.now - start < 10_000, away, () -> "no snapshot for 10 s");
+        }
+        long state = LARGE + 100_000;
+        assertTrue(cluster.snapshotBytes - before < 2 * state,
+                cluster.snapshotBytes - before + " bytes sent for a state of " + state);
+    }
+
+    @Test
+    void aSnapshotIsSentInPartsThatLetHeartbeatsThrough() {
+        SlowLinkCluster cluster = cluster(12_000_000);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(500, 1);
+        cluster.runAndCompact(500);
+        cluster.leader().compact();
+        cluster.slow(away, SLOW);
+        cluster.largest = 0;
+        cluster.longestWait = 0;
+        long asked = cluster.votesAsked;
+        away.start();
+        cluster.catchUp(away, 30_000);
+        assertTrue(cluster.largest < 1_100_000, "a message of " + cluster.largest + " bytes");
+        assertTrue(cluster.longestWait < 1000, cluster.longestWait + " ms a message waited for others");
+        assertEquals(asked, cluster.votesAsked, "questions for votes");
+    }
+
+    @Test
+    void whoLosesPowerAmidASnapshotGetsItFromTheStart() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(2000, ORDERS);
+        cluster.slow(away, SLOW / 2);
+        for (int i = 1; i <= 20; i++) {
+            away.start();
+            cluster.storm(i * 40, 1);
+            away.powerLoss();
+        }
+        away.start();
+        cluster.catchUp(away, 6000);
+    }
+
+    @Test
+    void aLeaderThatEndsAmidASnapshotIsFollowedByOneThatSendsItsOwn() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(2000, ORDERS);
+        cluster.slow(away, SLOW / 2);
+        away.start();
+        cluster.runAndCompact(400);
+        Machine first = cluster.leader();
+        first.kill(true);
+        // Only with the one on the slow link is there a majority.
+        Machine second = cluster.others(first, away).get(0);
+        double start = cluster.now;
+        while (!second.leads()) {
+            cluster.runAndCompact(20);
+            cluster.check(cluster.now - start < 5000, second, cluster::describe);
+        }
+        cluster.catchUp(away, 5000);
+        first.start();
+        cluster.catchUp(first, 5000);
+    }
+
+    @Test
+    void whoWasAwayForAMomentNeedsNoSnapshot() {
+        SlowLinkCluster cluster = cluster(Long.BYTES);
+        Machine away = follower(cluster);
+        cluster.storm(1000, ORDERS);
+        cluster.runAndCompact(500);
+        long before = cluster.snapshotMessages;
+        away.kill(true);
+        long gone = cluster.committed.size();
+        cluster.storm(1000, ORDERS);
+        assertTrue(cluster.committed.size() - gone > 3 * cluster.compactsEvery, "the log was cut");
+        away.start();
+        cluster.catchUp(away, 1000);
+        assertEquals(before, cluster.snapshotMessages, "messages of snapshots");
+    }
+
+    @Test
+    void lostMessagesDelayButDoNotStop() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(2000, ORDERS);
+        cluster.slow(away, SLOW);
+        cluster.loss = 0.2;
+        away.start();
+        cluster.storm(3000, 2);
+        for (Machine machine : cluster.machines.values()) {
+            cluster.catchUp(machine, 15_000);
+        }
+    }
+}
--- a/src/test/java/sablehinge/consensus/Claims.java
+++ b/src/test/java/sablehinge/consensus/Claims.java
@@ -27,6 +27,8 @@
     private final Map<Long, String> outcomes = new HashMap<>();
     private Call latest;
     private long proposed;
+    /** Length of the configurations that are proposed; at least 8, so that they differ. */
+    int bodyBytes = Long.BYTES;
 
     Claims(SimulatedCluster cluster) {
         this.cluster = cluster;
@@ -41,7 +43,7 @@
         long edition = at.configurations.edition();
         // Not each edition is the next number, so that two on one may differ in theirs.
         return propose(at, new Call(edition, edition + 1 + proposed % 2,
-                ByteBuffer.allocate(Long.BYTES).putLong(proposed).array(), 0));
+                ByteBuffer.allocate(bodyBytes).putLong(proposed).array(), 0));
     }
 
     /** Proposes the latest configuration again, perhaps to another. */
--- a/src/test/java/sablehinge/consensus/RaftNodeCodecTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeCodecTest.java
@@ -27,6 +27,8 @@
                     new Entry(8, 4, Entry.Kind.NOOP, new byte[0])), 5, 9),
             new Message.Appended(4, false, 0, -1, 9),
             new Message.Install(4, new Snapshot(9, 3, MEMBERS, new byte[] {3}), 2),
+            new Message.Install(4, new Snapshot(9, 3, MEMBERS, new byte[] {3}), 5, 7, 2),
+            new Message.Installing(4, 9, 6, 2),
             new Message.Join(MEMBERS.get(1), 0),
             new Message.Guide(4, null, MEMBERS),
             new Message.Guide(4, MEMBERS.get(0), List.of()),
--- /dev/null
+++ b/src/test/java/sablehinge/consensus/SendWindowTest.java
@@ -0,0 +1,110 @@
+package sablehinge.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** {@link SendWindow} and {@link RecentEntries}: what bounds them. */
+class SendWindowTest {
+
+    private final SendWindow window = new SendWindow();
+
+    @Test
+    void oneMessageMayAlwaysBeOnItsWayAndMoreUpToTheWindow() {
+        assertTrue(window.isOpen());
+        window.sent(0, 1, 1, 10 * SendWindow.MOST);
+        assertFalse(window.isOpen());
+        window.received(200, 1, 1);
+        assertTrue(window.isOpen());
+        window.sent(200, 1, 2, SendWindow.FIRST - 1);
+        assertTrue(window.isOpen());
+        window.sent(200, 1, 3, 1);
+        assertFalse(window.isOpen());
+        window.received(400, 2, 1);
+        assertTrue(window.isOpen());
+        assertFalse(window.isEmpty());
+    }
+
+    @Test
+    void manySmallMessagesAreBoundedToo() {
+        for (int i = 1; i <= SendWindow.MOST_MESSAGES; i++) {
+            assertTrue(window.isOpen());
+            window.sent(0, 1, i, 0);
+        }
+        assertFalse(window.isOpen());
+    }
+
+    @Test
+    void theWindowFollowsTheLink() {
+        for (int i = 1; i <= 20; i++) {
+            window.sent(i, 1, i, 1);
+            window.received(i + 450, i, 1);
+        }
+        window.sent(0, 1, 21, SendWindow.LEAST);
+        assertFalse(window.isOpen());
+        window.received(1, 21, 1);
+        for (int i = 22; i <= 40; i++) {
+            window.sent(i, 1, i, 1);
+            window.received(i + 1, i, 1);
+        }
+        window.sent(0, 1, 41, SendWindow.MOST - 1);
+        assertTrue(window.isOpen());
+        window.sent(0, 1, 42, 1);
+        assertFalse(window.isOpen());
+    }
+
+    @Test
+    void whatALaterRoundDoesNotFindIsLost() {
+        window.sent(0, 7, 5, SendWindow.MOST);
+        window.received(10, 4, 7);
+        assertFalse(window.isOpen(), "it may be on its way");
+        window.received(20, 4, 8);
+        assertTrue(window.isEmpty());
+    }
+
+    @Test
+    void whatIsNotAnsweredIsGivenUpEverLater() {
+        window.sent(0, 1, 1, SendWindow.MOST);
+        window.expire(SendWindow.FIRST_PATIENCE - 1);
+        assertFalse(window.isEmpty());
+        window.expire(SendWindow.FIRST_PATIENCE);
+        assertTrue(window.isEmpty());
+        window.sent(0, 1, 1, SendWindow.MOST);
+        window.expire(2 * SendWindow.FIRST_PATIENCE - 1);
+        assertFalse(window.isEmpty());
+        for (int i = 0; i < 20; i++) {
+            window.expire(Double.MAX_VALUE);
+            window.sent(0, 1, 1, 1);
+        }
+        window.expire(SendWindow.MOST_PATIENCE);
+        assertTrue(window.isEmpty());
+    }
+
+    private static Entry entry(long index, int bytes) {
+        return new Entry(index, 1, Entry.Kind.COMMAND, new byte[bytes]);
+    }
+
+    @Test
+    void recentEntriesAreBoundedByNumberAndBytes() {
+        RecentEntries recent = new RecentEntries();
+        assertFalse(recent.holds(0));
+        for (int i = 1; i <= RecentEntries.MOST_ENTRIES + 10; i++) {
+            recent.add(List.of(entry(i, 1)));
+        }
+        assertFalse(recent.holds(10));
+        assertTrue(recent.holds(11));
+        assertEquals(11, recent.entry(11).index());
+        assertTrue(recent.holds(RecentEntries.MOST_ENTRIES + 10));
+        assertFalse(recent.holds(RecentEntries.MOST_ENTRIES + 11));
+        recent.add(List.of(entry(RecentEntries.MOST_ENTRIES + 11, (int) RecentEntries.MOST_BYTES)));
+        assertFalse(recent.holds(RecentEntries.MOST_ENTRIES + 10));
+        assertTrue(recent.holds(RecentEntries.MOST_ENTRIES + 11));
+        recent.add(List.of(entry(RecentEntries.MOST_ENTRIES + 12, (int) RecentEntries.MOST_BYTES + 1)));
+        assertFalse(recent.holds(RecentEntries.MOST_ENTRIES + 12));
+        recent.clear();
+        assertFalse(recent.holds(RecentEntries.MOST_ENTRIES + 12));
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/consensus/SnapshotTransferTest.java
@@ -0,0 +1,200 @@
+package sablehinge.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** {@link SnapshotSender} and {@link SnapshotReceiver}, step by step and through losses by chance. */
+class SnapshotTransferTest {
+
+    private static final List<Member> MEMBERS = List.of(Member.founder("a:1", "ca"));
+    private static final int CHUNK = SnapshotSender.FIRST_CHUNK;
+
+    private final SnapshotReceiver receiver = new SnapshotReceiver();
+
+    private static Snapshot snapshot(long index, int bytes) {
+        byte[] state = new byte[bytes];
+        new Random(index).nextBytes(state);
+        return new Snapshot(index, 2, MEMBERS, state);
+    }
+
+    private static void assertSame(Snapshot expected, Snapshot found) {
+        assertEquals(expected.index(), found.index());
+        assertEquals(expected.term(), found.term());
+        assertEquals(expected.members(), found.members());
+        assertArrayEquals(expected.state(), found.state());
+    }
+
+    @Test
+    void aSmallOneGoesAsOneChunk() {
+        Snapshot small = snapshot(9, 100);
+        Message.Install only = new SnapshotSender(small).next(0, 3, 1);
+        assertTrue(only.isWhole());
+        assertSame(small, receiver.take(only));
+    }
+
+    @Test
+    void theNextChunkLeavesWhenTheLastIsAnswered() {
+        Snapshot large = snapshot(9, 3 * CHUNK);
+        SnapshotSender sender = new SnapshotSender(large);
+        Message.Install first = sender.next(0, 3, 1);
+        assertEquals(CHUNK, first.part().state().length);
+        assertFalse(sender.isDue(1));
+        assertNull(receiver.take(first));
+        assertTrue(sender.received(200, 9, receiver.held(first)));
+        assertTrue(sender.isDue(200));
+        Message.Install second = sender.next(200, 3, 1);
+        assertEquals(CHUNK, second.offset());
+        assertFalse(sender.received(210, 9, CHUNK), "an old answer is no news");
+        assertFalse(sender.received(210, 8, 2 * CHUNK), "of another snapshot");
+        assertFalse(sender.received(210, 9, 3 * CHUNK + 1), "more than there is");
+        assertFalse(sender.isDue(210));
+        assertNull(receiver.take(second));
+        assertTrue(sender.received(400, 9, 2 * CHUNK));
+        assertSame(large, receiver.take(sender.next(400, 3, 1)));
+    }
+
+    @Test
+    void theSizeOfAChunkFollowsTheLink() {
+        SnapshotSender sender = new SnapshotSender(snapshot(9, 40 * SnapshotSender.MOST_CHUNK));
+        double now = 0;
+        int held = 0;
+        int largest = 0;
+        for (int i = 0; i < 10; i++) {
+            int sent = sender.next(now, 3, 1).part().state().length;
+            largest = Math.max(largest, sent);
+            held += sent;
+            now += 1;
+            sender.received(now, 9, held);
+        }
+        assertEquals(SnapshotSender.MOST_CHUNK, largest);
+        for (int i = 0; i < 10; i++) {
+            held += sender.next(now, 3, 1).part().state().length;
+            now += 450;
+            sender.received(now, 9, held);
+        }
+        assertEquals(SnapshotSender.LEAST_CHUNK, sender.next(now, 3, 1).part().state().length);
+    }
+
+    @Test
+    void aLostChunkIsSentAgainSmallerAndEverLater() {
+        SnapshotSender sender = new SnapshotSender(snapshot(9, 3 * CHUNK));
+        sender.next(0, 3, 1);
+        assertFalse(sender.isDue(SnapshotSender.FIRST_PATIENCE - 1));
+        assertTrue(sender.isDue(SnapshotSender.FIRST_PATIENCE));
+        Message.Install again = sender.next(SnapshotSender.FIRST_PATIENCE, 3, 1);
+        assertEquals(0, again.offset());
+        assertEquals(CHUNK / 2, again.part().state().length);
+        assertFalse(sender.isDue(3 * SnapshotSender.FIRST_PATIENCE - 1));
+        assertTrue(sender.isDue(3 * SnapshotSender.FIRST_PATIENCE));
+        double now = 0;
+        for (int i = 0; i < 20; i++) {
+            now += SnapshotSender.MOST_PATIENCE;
+            assertTrue(sender.isDue(now));
+            assertEquals(SnapshotSender.LEAST_CHUNK, Math.min(SnapshotSender.LEAST_CHUNK,
+                    sender.next(now, 3, 1).part().state().length));
+        }
+    }
+
+    @Test
+    void whoLostWhatItHadGetsItFromThere() {
+        SnapshotSender sender = new SnapshotSender(snapshot(9, 3 * CHUNK));
+        sender.next(0, 3, 1);
+        sender.received(10, 9, CHUNK);
+        Message.Install second = sender.next(10, 3, 1);
+        assertNull(receiver.take(second));
+        assertEquals(0, receiver.held(second), "the first is not here");
+        assertTrue(sender.received(20, 9, 0));
+        assertEquals(0, sender.next(20, 3, 1).offset());
+    }
+
+    @Test
+    void onlyOneOfWhichNothingIsHeldGivesWayToANewer() {
+        Snapshot newer = snapshot(19, 5 * CHUNK);
+        SnapshotSender sender = new SnapshotSender(snapshot(9, 3 * CHUNK));
+        sender.next(0, 3, 1);
+        sender.renew(100, newer);
+        assertEquals(9, sender.index(), "the first chunk may be there");
+        sender.renew(SnapshotSender.FIRST_PATIENCE, newer);
+        assertEquals(19, sender.index());
+        sender.next(600, 3, 1);
+        sender.received(700, 19, CHUNK / 2);
+        sender.renew(5000, snapshot(29, 10));
+        assertEquals(19, sender.index());
+    }
+
+    @Test
+    void chunksOfAnotherLeaderOrSnapshotAreNotMixed() {
+        SnapshotSender of9 = new SnapshotSender(snapshot(9, 2 * CHUNK));
+        Snapshot second = snapshot(19, 2 * CHUNK);
+        SnapshotSender of19 = new SnapshotSender(second);
+        assertNull(receiver.take(of9.next(0, 3, 1)));
+        Message.Install other = of19.next(0, 3, 1);
+        assertNull(receiver.take(other));
+        assertEquals(CHUNK, receiver.held(other));
+        of9.received(1, 9, CHUNK);
+        assertNull(receiver.take(of9.next(1, 3, 1)), "the beginning of 9 is gone");
+        SnapshotSender later = new SnapshotSender(second);
+        later.next(2, 4, 1);
+        later.received(2, 19, CHUNK);
+        Message.Install ofLater = later.next(2, 4, 1);
+        assertNull(receiver.take(ofLater), "of a leader of another term");
+        assertEquals(0, receiver.held(ofLater));
+    }
+
+    @Test
+    void aLengthThatIsTooLargeOrDoesNotFitIsNotTaken() {
+        Snapshot part = snapshot(9, 100);
+        assertNull(receiver.take(new Message.Install(3, part, 0, SnapshotReceiver.MOST_BYTES + 1, 1)));
+        assertNull(receiver.take(new Message.Install(3, part, 50, 140, 1)));
+        Message.Install first = new Message.Install(3, part, 0, 140, 1);
+        assertNull(receiver.take(first));
+        assertEquals(100, receiver.held(first));
+        receiver.clear();
+        assertEquals(0, receiver.held(first));
+    }
+
+    @Test
+    void itArrivesThroughLossesDoublingAndOvertaking() {
+        for (long seed = 1; seed <= 200; seed++) {
+            Random random = new Random(seed);
+            Snapshot sent = snapshot(seed, 1 + random.nextInt(6 * CHUNK));
+            assertSame(sent, transferred(sent, random));
+        }
+    }
+
+    private static Snapshot transferred(Snapshot sent, Random random) {
+        SnapshotSender sender = new SnapshotSender(sent);
+        SnapshotReceiver receiver = new SnapshotReceiver();
+        List<Message.Install> onTheWay = new ArrayList<>();
+        for (double now = 0; now < 200_000; now += 50) {
+            if (sender.isDue(now)) {
+                Message.Install chunk = sender.next(now, 3, 1);
+                for (int copies = random.nextInt(3); copies > 0; copies--) {
+                    onTheWay.add(chunk);
+                }
+            }
+            if (!onTheWay.isEmpty() && random.nextBoolean()) {
+                Message.Install chunk = onTheWay.remove(random.nextInt(onTheWay.size()));
+                Snapshot whole = receiver.take(chunk);
+                if (whole != null) {
+                    return whole;
+                }
+                if (random.nextInt(4) > 0) {
+                    sender.received(now, chunk.part().index(), receiver.held(chunk));
+                }
+                if (random.nextInt(40) == 0) {
+                    receiver.clear();
+                }
+            }
+        }
+        throw new AssertionError("not there after 200 s");
+    }
+}
