--- a/bench/src/sablehinge/consensus/Faults.java
+++ b/bench/src/sablehinge/consensus/Faults.java
@@ -62,7 +62,7 @@
             new Mutant("an answer counts for a later term", MASTER, "private void takeAppended(",
                     "answer.term() < term", "answer.term() < 0"),
             new Mutant("a configuration on an old version is taken", CISTERN, "public Outcome foresee(",
-                    "basedOn != edition ? Outcome.STALE : ", ""),
+                    "basedOn != edition", "basedOn > edition"),
             new Mutant("a repeated configuration is not known again", CISTERN, "public Outcome foresee(",
                     "known != null &&", "known != null && edition < 0 &&"),
             new Mutant("a state forgets what was taken", CISTERN, "public void restore(byte[] state)",
--- a/src/main/java/sablehinge/api/mesh/Editions.java
+++ b/src/main/java/sablehinge/api/mesh/Editions.java
@@ -20,7 +20,8 @@
      *
      * @param basedOn the edition that it took the place of; null where that was not kept
      * @param bytes its length
-     * @param sum of its bytes, FNV-1a of 64 bits in hexadecimal digits
+     * @param sum SHA-256 of its bytes in hexadecimal digits; FNV-1a of 64 bits where it was taken under a
+     *     state format before the third
      * @param takenAt when the leader of that day took it up, by its time of day, ISO 8601; null where that
      *     was not kept
      */
--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
@@ -8,6 +8,9 @@
         + "each was based on and when it was taken up, by the clock of the leader of then")
 public final class ConfigHistoryVerb extends CoreVerb {
 
+    /** How many digits of a digest a table shows. */
+    private static final int SHOWN_DIGITS = 16;
+
     /** Made by the command line. */
     public ConfigHistoryVerb() {
     }
@@ -21,8 +24,12 @@
 
     private void show(Editions editions) {
         Table taken = new Table("EDITION", "BASED ON", "BYTES", "SUM", "TAKEN");
-        editions.taken().forEach(one -> taken.line(one.edition(), one.basedOn(), one.bytes(), one.sum(),
+        editions.taken().forEach(one -> taken.line(one.edition(), one.basedOn(), one.bytes(), shortened(one.sum()),
                 one.takenAt()));
         taken.print(shell());
     }
+
+    private static String shortened(String sum) {
+        return sum.substring(0, Math.min(SHOWN_DIGITS, sum.length()));
+    }
 }
--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -124,6 +124,9 @@
     private final double[] askedAt = new double[ASKED];
     private double leaseUntil = Double.NEGATIVE_INFINITY;
     private boolean handedOver;
+    /** When this one asked for the votes of its term, and the latest question that a majority answered. */
+    private double stoodAt = Double.NEGATIVE_INFINITY;
+    private double majorityAskedAt = Double.NEGATIVE_INFINITY;
     private double heartbeatAt;
     private double handAt;
     private final List<Barrier> barriers = new ArrayList<>();
@@ -422,6 +425,7 @@
         stepDown(now, newTerm, null);
         role = Standing.Role.CANDIDATE;
         votedFor = self.id();
+        stoodAt = now;
         queue.touch();
         votes.clear();
         waitForLeader(now);
@@ -667,6 +671,7 @@
         round = 0;
         handedOver = false;
         leaseUntil = Double.NEGATIVE_INFINITY;
+        majorityAskedAt = stoodAt;
         heartbeatAt = now + timing.heartbeat();
         handAt = now;
         keepPeers(now);
@@ -877,6 +882,24 @@
         return running && role == Standing.Role.LEADER && now < leaseUntil;
     }
 
+    /**
+     * How long ago the latest question was asked that a majority of the members has answered, ms; infinite
+     * where this one does not lead. Unlike the time at which an answer was read, it can't be made to look
+     * recent by answers that waited in a buffer while this process stood still.
+     */
+    public double sinceMajority(double now) {
+        if (!running || role != Standing.Role.LEADER) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return majority() == 1 ? 0 : now - majorityAskedAt;
+    }
+
+    /** How long ago a follower heard of the leader that it names, ms; infinite where it names none. */
+    public double sinceLeader(double now) {
+        return leader == null ? Double.POSITIVE_INFINITY
+                : role == Standing.Role.LEADER ? 0 : now - leaderHeard;
+    }
+
     /** What this member can tell of its part at this moment. */
     public Pulse pulse(double now) {
         Map<Long, Double> silentMs = new HashMap<>();
@@ -891,9 +914,12 @@
 
     private void extendLease() {
         long answered = answered();
-        if (!handedOver && answered > Math.max(0, round - ASKED)) {
-            leaseUntil = Math.max(leaseUntil,
-                    askedAt[(int) (answered % ASKED)] + LEASE_PART * timing.electionLeast());
+        if (answered <= Math.max(0, round - ASKED)) {
+            return;
+        }
+        majorityAskedAt = Math.max(majorityAskedAt, askedAt[(int) (answered % ASKED)]);
+        if (!handedOver) {
+            leaseUntil = Math.max(leaseUntil, majorityAskedAt + LEASE_PART * timing.electionLeast());
         }
     }
 
--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -6,23 +6,17 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sablehinge.routing.Configuration;
 import sablehinge.state.ConfigurationState;
-import sablehinge.state.Registry;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
 import sablehinge.rpc.MessageCodec;
@@ -30,16 +24,9 @@
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
 import sablehinge.core.Log;
-import sablehinge.failuredetection.HealthView;
 import sablehinge.api.ConfigurationCheck;
-import sablehinge.api.ConfigurationReader;
 import sablehinge.api.ApiServer;
 import sablehinge.api.Operation;
-import sablehinge.watch.WatchRequest;
-import sablehinge.watch.WatchServer;
-import sablehinge.watch.Spills;
-import sablehinge.watch.Tokens;
-import sablehinge.retrybudget.Claim;
 import sablehinge.consensus.Change;
 import sablehinge.consensus.Entry;
 import sablehinge.consensus.Member;
@@ -66,8 +53,6 @@
     /** What an end of a connection between processes does when it hears nothing, in ms. */
     static final long PING_MS = 300;
     static final long DEAD_MS = 1_200;
-    private static final double COMPLETE_MS = 2_500;
-    private static final double GONE_MS = 12_000;
     /** The log is cut to a snapshot after so many entries. */
     private static final int MOST_ENTRIES = 48;
     /** Or after so many bytes of entries, which bounds the file and what a start reads. */
@@ -84,17 +69,13 @@
     private final DiskWriter diskWriter;
     private final RaftNode raft;
     private final ConfigurationState configurations = new ConfigurationState();
-    private final Registry registry = new Registry(COMPLETE_MS, GONE_MS);
-    private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
-    private final Pools pools;
-    private final Spillways spillways;
-    private final Proposals proposals;
-    private final Map<Long, Consumer<Boolean>> barriers = new HashMap<>();
+    private final QuorumGate gate;
+    private final ChangeCoordinator changes;
+    private final DataPlane dataPlane;
     private Member self;
     /** Null, as is {@code self}, until the disk has been read. */
     private Peers peers;
     private Standing standing = new Standing(Standing.Role.OUTSIDER, 0, null, List.of());
-    private long barrierCount;
     private int sinceSnapshot;
     private long bytesSinceSnapshot;
     private boolean hangs;
@@ -106,9 +87,9 @@
         connection = new Connection(loop, PING_MS, DEAD_MS);
         diskWriter = new DiskWriter(opener, new Puts());
         raft = new RaftNode(new Carries(), Timing.usual(), new SecureRandom().nextLong());
-        spillways = new Spillways(settings.bounds());
-        proposals = new Proposals(configurations);
-        pools = new Pools(loop, clock, settings.bounds(), watchServer::askers, raft::leases);
+        gate = new QuorumGate(new RaftContact(), loop::execute);
+        changes = new ChangeCoordinator(raft, configurations, loop::execute);
+        dataPlane = new DataPlane(loop, clock, settings.bounds(), gate, configurations);
     }
 
     private static ExecutorService thread(String name) {
@@ -156,7 +137,8 @@
     private List<Operation<?, ?>> operations() {
         Authority authority = new Settles();
         return Operators.all(authority, new Sight(settings.node(), settings.zone(),
-                settings.listenOn().control(), registry, watchServer, pools.pool(), authority));
+                settings.listenOn().control(), dataPlane.registry(), dataPlane.watchServer(),
+                dataPlane.pool(), authority));
     }
 
     private static void await(io.netty.channel.ChannelFuture bound, String at)
@@ -230,8 +212,9 @@
     private void tick() {
         double now = clock.now();
         raft.tick(now);
-        proposals.expire(now);
-        answer(now);
+        changes.expire(now);
+        gate.expire(now);
+        dataPlane.tell();
     }
 
     /** A disk that answers nothing says nothing by itself. */
@@ -246,70 +229,10 @@
         }
     }
 
-    private boolean leads() {
-        return standing.role() == Standing.Role.LEADER;
-    }
-
-    private void answer(double now) {
-        if (leads()) {
-            for (WatchServer.Told<Connection.Link> told : watchServer.due(now)) {
-                told.to().send(new Frame(Frame.Kind.NEWS, told.update().bytes()));
-            }
-            for (HealthView.Ruling ruling : watchServer.rulings()) {
-                Log.info(LOG, "health").addKeyValue("peer", ruling.node())
-                        .addKeyValue("health", ruling.health()).addKeyValue("before", ruling.before())
-                        .addKeyValue("accusers", ruling.accusers())
-                        .addKeyValue("watchers", ruling.watchers()).log("what is known of a balancer");
-            }
-        }
-    }
-
     private void came(Member from, Message message) {
         raft.message(clock.now(), from, message);
     }
 
-    private void asked(Connection.Link link, WatchRequest request) {
-        if (!leads()) {
-            String leader = standing.leader() == null ? "" : standing.leader().address();
-            link.send(new Frame(Frame.Kind.ELSEWHERE, leader.getBytes(StandardCharsets.UTF_8)));
-            return;
-        }
-        double now = clock.now();
-        watchServer.asked(now, link, request);
-        if (request.confirm()) {
-            barrier(sure -> {
-                if (sure) {
-                    watchServer.confirmed(link, request.number());
-                    answer(clock.now());
-                }
-            });
-        }
-        loop.execute(() -> answer(clock.now()));
-    }
-
-    private void claimed(Connection.Link link, Claim claim) {
-        Frame answer = raft.leases(clock.now()) ? spillways.answer(clock.now(), claim) : null;
-        if (answer != null) {
-            link.send(answer);
-        }
-    }
-
-    /** The quotas and services in force are what the pools are filled by. */
-    private void fillPools() {
-        if (leads() && configurations.edition() > 0) {
-            Configuration configuration = ConfigurationReader.read(configurations.body());
-            pools.adopt(configuration);
-            spillways.adopt(clock.now(), configuration);
-        }
-    }
-
-    /** The callback is called with true once all that was committed before this call is applied here. */
-    private void barrier(Consumer<Boolean> then) {
-        long token = ++barrierCount;
-        barriers.put(token, then);
-        raft.barrier(clock.now(), token);
-    }
-
     /** Hears connections of peers and of the data plane. */
     private final class Records implements Connection.Handler {
 
@@ -323,11 +246,11 @@
                             ControlNode.this.came(from, MessageCodec.read(frame.body()));
                         }
                     }
-                    case ASK -> asked(link, WatchRequest.read(frame.body()));
-                    case TOKENS -> pools.asked(link, Tokens.read(frame.body()));
-                    case PULL -> pools.lent(Tokens.read(frame.body()));
-                    case SHARES -> claimed(link, Spills.claim(frame.body()));
-                    default -> link.close();
+                    default -> {
+                        if (!dataPlane.came(link, frame)) {
+                            link.close();
+                        }
+                    }
                 }
             } catch (IOException | IllegalArgumentException e) {
                 Log.warn(LOG, "record-malformed").addKeyValue("kind", frame.kind())
@@ -338,7 +261,7 @@
 
         @Override
         public void closed(Connection.Link link) {
-            watchServer.gone(link);
+            dataPlane.closed(link);
         }
     }
 
@@ -360,14 +283,12 @@
             sinceSnapshot++;
             bytesSinceSnapshot += entry.data().length;
             if (entry.kind() == Entry.Kind.COMMAND) {
-                ConfigurationState.Outcome outcome = configurations.apply(entry.data());
-                proposals.applied(entry, outcome);
+                ConfigurationState.Outcome outcome = changes.applied(entry);
                 if (outcome == ConfigurationState.Outcome.TAKEN) {
-                    fillPools();
+                    dataPlane.configuration();
                     Log.info(LOG, "configuration").addKeyValue("edition", configurations.edition())
                             .addKeyValue("index", entry.index()).log("a configuration is in force");
                 }
-                holds();
             }
             if (sinceSnapshot >= MOST_ENTRIES || bytesSinceSnapshot >= MOST_BYTES) {
                 sinceSnapshot = 0;
@@ -380,54 +301,57 @@
         @Override
         public void restore(Snapshot snapshot) {
             configurations.restore(snapshot.state());
-            holds();
+            dataPlane.configuration();
         }
 
         @Override
         public void standing(Standing next) {
-            boolean led = leads();
-            boolean newTerm = standing.term() != next.term();
             standing = next;
             Log.info(LOG, "standing").addKeyValue("role", next.role()).addKeyValue("term", next.term())
                     .addKeyValue("leader", next.leader() == null ? "" : next.leader().address())
                     .addKeyValue("members", next.members().size()).log("the core's standing");
-            if (leads() && (!led || newTerm)) {
-                watchServer.begin(clock.now(), next.term());
-                pools.begin();
-                spillways.begin(next.term());
-                fillPools();
-            } else if (led && !leads()) {
-                proposals.lost();
-                String leader = next.leader() == null ? "" : next.leader().address();
-                watchServer.askers().forEach(link -> link.send(new Frame(Frame.Kind.ELSEWHERE,
-                        leader.getBytes(StandardCharsets.UTF_8))));
-            }
-            holds();
+            changes.standing(next);
+            dataPlane.standing(next);
             peers.members(next.members());
         }
 
-        private void holds() {
-            List<String> members = new ArrayList<>();
-            standing.members().forEach(member -> members.add(member.address()));
-            watchServer.holds(configurations.edition(), configurations.body(), members);
-            loop.execute(() -> answer(clock.now()));
-        }
-
         @Override
         public void confirmed(long token) {
-            end(token, true);
+            gate.ended(clock.now(), token, true);
         }
 
         @Override
         public void denied(long token) {
-            end(token, false);
+            gate.ended(clock.now(), token, false);
         }
+    }
 
-        private void end(long token, boolean sure) {
-            Consumer<Boolean> then = barriers.remove(token);
-            if (then != null) {
-                loop.execute(() -> then.accept(sure));
-            }
+    /** What the gate knows of the core. */
+    private final class RaftContact implements QuorumGate.Contact {
+
+        @Override
+        public Standing standing() {
+            return standing;
+        }
+
+        @Override
+        public double sinceMajority(double now) {
+            return raft.sinceMajority(now);
+        }
+
+        @Override
+        public double sinceLeader(double now) {
+            return raft.sinceLeader(now);
+        }
+
+        @Override
+        public boolean leases(double now) {
+            return raft.leases(now);
+        }
+
+        @Override
+        public void barrier(double now, long token) {
+            raft.barrier(now, token);
         }
     }
 
@@ -502,25 +426,18 @@
         }
 
         @Override
-        public ConfigurationState configurations() {
-            return configurations;
+        public long timeOfDay() {
+            return System.currentTimeMillis();
         }
 
         @Override
-        public void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then) {
-            double now = clock.now();
-            long index = raft.propose(now, ConfigurationState.replace(basedOn, edition, body,
-                    System.currentTimeMillis()));
-            if (index == 0) {
-                then.accept(Proposals.Result.LOST);
-            } else {
-                proposals.waits(now, index, standing.term(), then);
-            }
+        public QuorumGate gate() {
+            return gate;
         }
 
         @Override
-        public void barrier(Consumer<Boolean> then) {
-            ControlNode.this.barrier(then);
+        public ChangeCoordinator changes() {
+            return changes;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -0,0 +1,200 @@
+package sablehinge.control;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sablehinge.api.ConfigurationReader;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.consensus.Standing;
+import sablehinge.core.Clock;
+import sablehinge.core.Log;
+import sablehinge.failuredetection.HealthView;
+import sablehinge.quota.Pool;
+import sablehinge.retrybudget.Claim;
+import sablehinge.routing.Configuration;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
+import sablehinge.state.ConfigurationState;
+import sablehinge.state.Registry;
+import sablehinge.watch.Spills;
+import sablehinge.watch.Tokens;
+import sablehinge.watch.WatchRequest;
+import sablehinge.watch.WatchServer;
+
+/**
+ * What a machine of the core does for the data plane while it leads: it tells balancers the news, and holds
+ * the pools of quotas and of retry budgets. Each answer passes the {@link QuorumGate}. Called on one thread.
+ */
+final class DataPlane {
+
+    private static final Logger LOG = LoggerFactory.getLogger(DataPlane.class);
+    private static final double COMPLETE_MS = 2_500;
+    private static final double GONE_MS = 12_000;
+    /** News are looked at each tick: after a longer pause, in ms, it was this process that stood still. */
+    private static final double STOOD_STILL_MS = 1_000;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final QuorumGate gate;
+    private final ConfigurationState configurations;
+    private final Registry registry = new Registry(COMPLETE_MS, GONE_MS);
+    private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
+    private final Pools pools;
+    private final Spillways spillways;
+    private double toldAt;
+    private Standing standing = new Standing(Standing.Role.OUTSIDER, 0, null, List.of());
+
+    DataPlane(EventLoop loop, Clock clock, LocalSettings.Bounds bounds, QuorumGate gate,
+            ConfigurationState configurations) {
+        this.loop = loop;
+        this.clock = clock;
+        this.gate = gate;
+        this.configurations = configurations;
+        spillways = new Spillways(bounds);
+        pools = new Pools(loop, clock, bounds, watchServer::askers,
+                now -> gate.allows(now, ControlRequest.QUOTA_TOKENS));
+    }
+
+    /** Who is known, to be looked at. */
+    Registry registry() {
+        return registry;
+    }
+
+    /** Who asks for news, to be looked at. */
+    WatchServer<?> watchServer() {
+        return watchServer;
+    }
+
+    /** The pools of quotas, to be looked at. */
+    Pool pool() {
+        return pools.pool();
+    }
+
+    /**
+     * A record of a balancer has come.
+     *
+     * @return whether it is of a kind that balancers send
+     * @throws IOException where it can't be read
+     */
+    boolean came(Connection.Link link, Frame frame) throws IOException {
+        switch (frame.kind()) {
+            case ASK -> watch(link, WatchRequest.read(frame.body()));
+            case TOKENS -> pools.asked(link, Tokens.read(frame.body()));
+            case PULL -> pools.lent(Tokens.read(frame.body()));
+            case SHARES -> claimed(link, Spills.claim(frame.body()));
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A connection has ended. */
+    void closed(Connection.Link link) {
+        watchServer.gone(link);
+    }
+
+    private void watch(Connection.Link link, WatchRequest request) {
+        if (request.term() > standing.term()) {
+            // It has been told news by the leader of a later term: what is known here is older.
+            elsewhere(link, new QuorumGate.Refusal(null, false));
+            return;
+        }
+        gate.require(clock.now(), ControlRequest.WATCH, () -> {
+            watchServer.asked(clock.now(), link, request);
+            if (request.confirm()) {
+                confirm(link, request);
+            }
+            loop.execute(this::tell);
+        }, refusal -> elsewhere(link, refusal));
+    }
+
+    private void confirm(Connection.Link link, WatchRequest request) {
+        gate.require(clock.now(), ControlRequest.WATCH_CONFIRMED, () -> {
+            watchServer.confirmed(link, request.number());
+            tell();
+        }, refusal -> elsewhere(link, refusal));
+    }
+
+    private static void elsewhere(Connection.Link link, QuorumGate.Refusal refusal) {
+        String leader = refusal.leader() == null ? "" : refusal.leader().address();
+        link.send(new Frame(Frame.Kind.ELSEWHERE, leader.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void claimed(Connection.Link link, Claim claim) {
+        gate.require(clock.now(), ControlRequest.RETRY_SHARES, () -> {
+            Frame answer = spillways.answer(clock.now(), claim);
+            if (answer != null) {
+                link.send(answer);
+            }
+        }, refusal -> { });
+    }
+
+    /** Sends the news that are due. */
+    void tell() {
+        double now = clock.now();
+        if (now - toldAt > STOOD_STILL_MS) {
+            registry.stoodStill(now, now - toldAt);
+        }
+        toldAt = now;
+        if (!gate.allows(now, ControlRequest.WATCH)) {
+            return;
+        }
+        for (WatchServer.Told<Connection.Link> told : watchServer.due(now)) {
+            told.to().send(new Frame(Frame.Kind.NEWS, told.update().bytes()));
+        }
+        for (HealthView.Ruling ruling : watchServer.rulings()) {
+            Log.info(LOG, "health").addKeyValue("peer", ruling.node())
+                    .addKeyValue("health", ruling.health()).addKeyValue("before", ruling.before())
+                    .addKeyValue("accusers", ruling.accusers())
+                    .addKeyValue("watchers", ruling.watchers()).log("what is known of a balancer");
+        }
+    }
+
+    /** The place of this machine in the core has changed. */
+    void standing(Standing next) {
+        boolean led = leads();
+        boolean newTerm = standing.term() != next.term();
+        standing = next;
+        if (leads() && (!led || newTerm)) {
+            watchServer.begin(clock.now(), next.term());
+            pools.begin();
+            spillways.begin(next.term());
+            adopt();
+        } else if (led && !leads()) {
+            QuorumGate.Refusal refusal = gate.refusal(clock.now());
+            watchServer.askers().forEach(link -> elsewhere(link, refusal));
+        }
+        holds();
+    }
+
+    private boolean leads() {
+        return standing.role() == Standing.Role.LEADER;
+    }
+
+    /** The committed configuration has changed. */
+    void configuration() {
+        adopt();
+        holds();
+    }
+
+    /** The quotas and services in force are what the pools are filled by. */
+    private void adopt() {
+        if (leads() && configurations.edition() > 0) {
+            Configuration configuration = ConfigurationReader.read(configurations.body());
+            pools.adopt(configuration);
+            spillways.adopt(clock.now(), configuration);
+        }
+    }
+
+    private void holds() {
+        List<String> members = new ArrayList<>();
+        standing.members().forEach(member -> members.add(member.address()));
+        watchServer.holds(configurations.edition(), configurations.body(), members);
+        loop.execute(this::tell);
+    }
+}
--- a/src/main/java/sablehinge/control/Inquiry.java
+++ b/src/main/java/sablehinge/control/Inquiry.java
@@ -9,39 +9,29 @@
 final class Inquiry extends Query<Settled> {
 
     private final Authority authority;
-    private final Whom whom;
+    private final ControlRequest request;
     private final Telling telling;
 
-    /** Who may answer. */
-    enum Whom {
-        /** Whoever is asked, for itself. */
-        ANYONE,
-        /** Who leads. */
-        LEADER,
-        /** Who leads, once a majority has confirmed, after the question, that it does. */
-        CONFIRMED
-    }
-
     /** What is answered. */
     private interface Telling {
         void to(Consumer<Settled> answer);
     }
 
-    private Inquiry(String path, Authority authority, Whom whom, Telling telling) {
-        super(path);
+    private Inquiry(Authority authority, ControlRequest request, Telling telling) {
+        super(request.path());
         this.authority = authority;
-        this.whom = whom;
+        this.request = request;
         this.telling = telling;
     }
 
     /** A question that a reply answers which is there. */
-    static Inquiry plain(String path, Authority authority, Whom whom, Supplier<Reply> reply) {
-        return new Inquiry(path, authority, whom, answer -> answer.accept(new Settled(reply.get())));
+    static Inquiry plain(Authority authority, ControlRequest request, Supplier<Reply> reply) {
+        return new Inquiry(authority, request, answer -> answer.accept(new Settled(reply.get())));
     }
 
-    /** A question that a record answers: it is taken on the thread of the door, and put in words beside. */
-    static Inquiry worded(String path, Authority authority, Whom whom, Supplier<Record> told) {
-        return new Inquiry(path, authority, whom, answer -> {
+    /** A question that a record answers: it is taken on the API server's thread, and put in words beside. */
+    static Inquiry worded(Authority authority, ControlRequest request, Supplier<Record> told) {
+        return new Inquiry(authority, request, answer -> {
             Record record = told.get();
             authority.check(() -> {
                 Settled settled;
@@ -58,19 +48,8 @@
 
     @Override
     protected void answer(Consumer<Settled> answer) {
-        if (whom != Whom.ANYONE && !authority.leads()) {
-            answer.accept(Settled.elsewhere(authority, path()));
-        } else if (whom == Whom.CONFIRMED) {
-            authority.barrier(sure -> {
-                if (sure) {
-                    telling.to(answer);
-                } else {
-                    answer.accept(Settled.error(503, "NO_MAJORITY", "no majority has answered"));
-                }
-            });
-        } else {
-            telling.to(answer);
-        }
+        authority.gate().require(authority.now(), request, () -> telling.to(answer),
+                refusal -> answer.accept(Settled.elsewhere(refusal, path())));
     }
 
     @Override
--- a/src/main/java/sablehinge/control/Replace.java
+++ b/src/main/java/sablehinge/control/Replace.java
@@ -2,13 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import sablehinge.routing.Configuration;
 import sablehinge.api.Asked;
 import sablehinge.api.CallException;
 import sablehinge.api.CheckException;
 import sablehinge.api.ConfigurationCheck;
 import sablehinge.api.Headed;
 import sablehinge.api.Reply;
+import sablehinge.routing.Configuration;
+import sablehinge.state.BodyDigest;
 
 /** An operator sends a configuration. */
 final class Replace extends Headed<Replace.Replacement, Settled> {
@@ -16,7 +17,7 @@
     private final Authority authority;
 
     Replace(Authority authority) {
-        super("POST", "/sablehinge/Config.Replace");
+        super("POST", ControlRequest.CONFIG_REPLACE.path());
         this.authority = authority;
     }
 
@@ -35,49 +36,57 @@
 
     @Override
     public void carryOut(Replacement call, Consumer<Settled> answer) {
-        if (!authority.leads()) {
-            answer.accept(Settled.elsewhere(authority, path()));
+        authority.gate().require(authority.now(), ControlRequest.CONFIG_REPLACE, () -> {
+            long term = authority.standing().term();
+            authority.check(() -> check(call, term, answer));
+        }, refusal -> answer.accept(Settled.elsewhere(refusal, path())));
+    }
+
+    /** On the thread beside: what is wrong with the body is so whoever is asked. */
+    private void check(Replacement call, long term, Consumer<Settled> answer) {
+        Settled refused;
+        try {
+            Configuration checked = ConfigurationCheck.check(call.body());
+            ChangeCoordinator.Order order = new ChangeCoordinator.Order(call.basedOn(), checked.edition(),
+                    BodyDigest.of(call.body()));
+            authority.settle(() -> submit(order, call.body(), term, answer));
             return;
+        } catch (CheckException e) {
+            refused = new Settled(Reply.error(400, e.code().name(), e.place(), e.problems().get(0).text()));
+        } catch (RuntimeException e) {
+            refused = Settled.error(500, "BROKEN", String.valueOf(e.getMessage()));
         }
-        authority.check(() -> {
-            Configuration checked;
-            try {
-                checked = ConfigurationCheck.check(call.body());
-            } catch (CheckException e) {
-                authority.settle(() -> answer.accept(new Settled(Reply.error(400, e.code().name(), e.place(),
-                        e.problems().get(0).text()))));
-                return;
-            } catch (RuntimeException e) {
-                authority.settle(() -> answer.accept(Settled.error(500, "BROKEN",
-                        String.valueOf(e.getMessage()))));
-                return;
-            }
-            authority.settle(() -> decide(call, checked, answer));
-        });
+        Settled settled = refused;
+        authority.settle(() -> answer.accept(settled));
     }
 
-    private void decide(Replacement call, Configuration checked, Consumer<Settled> answer) {
-        if (!authority.leads()) {
-            answer.accept(Settled.elsewhere(authority, path()));
+    private void submit(ChangeCoordinator.Order order, byte[] body, long term, Consumer<Settled> answer) {
+        if (authority.standing().term() != term) {
+            // A copy that was sent elsewhere meanwhile may have been answered there.
+            answer.accept(Settled.error(503, "NO_MAJORITY", "the core's leader has changed"));
             return;
         }
-        // What is applied here may be behind what was acknowledged: nothing is refused on its account
-        // unless the barrier says that it is the newest; the log decides in any case.
-        authority.propose(call.basedOn(), checked.edition(), call.body(), result -> answer.accept(
-                switch (result) {
-                    // A call that is repeated late was taken, and another edition may be in force by now.
-                    case TAKEN -> new Settled(Reply.of(200, ("{\"edition\":"
-                            + authority.configurations().edition()
-                            + "}").getBytes(StandardCharsets.US_ASCII)));
-                    case STALE -> Settled.error(412, "STALE", "version "
-                            + authority.configurations().edition()
-                            + " is in place, not " + call.basedOn());
-                    case OLD -> new Settled(Reply.error(400, CheckException.Code.OLD_EDITION.name(),
-                            "/edition", "edition " + checked.edition() + " is not above "
-                                    + authority.configurations().edition()));
-                    case LOST -> Settled.error(503, "NO_MAJORITY",
-                            "no majority has answered; the same call may be made again");
-                }));
+        authority.gate().require(authority.now(), ControlRequest.CONFIG_REPLACE,
+                () -> authority.changes().submit(authority.now(), order, body, authority.timeOfDay(),
+                        verdict -> answer.accept(reply(order, verdict))),
+                refusal -> answer.accept(Settled.elsewhere(refusal, path())));
+    }
+
+    private Settled reply(ChangeCoordinator.Order order, ChangeCoordinator.Verdict verdict) {
+        long current = authority.configurations().edition();
+        return switch (verdict) {
+            // An order that is repeated late was taken, and another edition may be in force by now.
+            case TAKEN -> new Settled(Reply.of(200, ("{\"edition\":" + current + "}")
+                    .getBytes(StandardCharsets.US_ASCII)));
+            case STALE -> Settled.error(412, "STALE", "version " + current + " is in place, not "
+                    + order.basedOn());
+            case OLD -> new Settled(Reply.error(400, CheckException.Code.OLD_EDITION.name(), "/edition",
+                    "edition " + order.edition() + " is not above " + current));
+            case AHEAD -> Settled.error(503, "AHEAD", "version " + order.basedOn()
+                    + " is not in place yet; the same call may be made again");
+            case UNCLEAR -> Settled.error(503, "NO_MAJORITY",
+                    "no majority has answered; the same call may be made again");
+        };
     }
 
     @Override
--- a/src/main/java/sablehinge/control/Settled.java
+++ b/src/main/java/sablehinge/control/Settled.java
@@ -6,11 +6,12 @@
 record Settled(Reply reply) {
 
     /** Where else to call; where no leader is known, nowhere. */
-    static Settled elsewhere(Authority authority, String path) {
-        String leader = authority.leader();
-        return new Settled(leader == null
-                ? Reply.error(503, "NO_LEADER", "the core has no leader at the moment")
-                : Reply.elsewhere("http://" + leader + path));
+    static Settled elsewhere(QuorumGate.Refusal refusal, String path) {
+        if (refusal.leader() != null) {
+            return new Settled(Reply.elsewhere("http://" + refusal.leader().control() + path));
+        }
+        return refusal.leads() ? error(503, "NO_MAJORITY", "no majority has answered")
+                : error(503, "NO_LEADER", "the core has no leader at the moment");
     }
 
     /** An error without a place. */
--- a/src/main/java/sablehinge/control/Sight.java
+++ b/src/main/java/sablehinge/control/Sight.java
@@ -47,9 +47,15 @@
     MeshStatus status() {
         return new MeshStatus(node, zone, id(authority.self()), control,
                 authority.standing().role().name().toLowerCase(Locale.ROOT), authority.standing().term(),
-                authority.leader(), authority.pulse().commit(), authority.configurations().edition(),
-                        members(),
-                authority.leads() ? plane() : null);
+                leader(), authority.pulse().commit(), authority.configurations().edition(), members(),
+                authority.gate().allows(authority.now(), ControlRequest.MESH_STATUS_PLANE) ? plane() : null);
+    }
+
+    /** Where operators call the leader; null where none is known. */
+    private String leader() {
+        QuorumGate.Refusal elsewhere = authority.gate().refusal(authority.now());
+        Member leader = elsewhere.leads() ? authority.self() : elsewhere.leader();
+        return leader == null ? null : leader.control();
     }
 
     private static String id(Member member) {
@@ -126,9 +132,8 @@
 
     Editions editions() {
         List<Editions.Taken> taken = new ArrayList<>();
-        authority.configurations().read((edition, basedOn, at, length, sum) ->
-                taken.add(new Editions.Taken(edition,
-                basedOn < 0 ? null : basedOn, length, String.format(Locale.ROOT, "%016x", sum),
+        authority.configurations().read((edition, basedOn, at, length, digest) ->
+                taken.add(new Editions.Taken(edition, basedOn < 0 ? null : basedOn, length, digest.hex(),
                 at < 0 ? null : Instant.ofEpochMilli(at).toString())));
         return new Editions(authority.configurations().edition(), taken);
     }
--- a/src/main/java/sablehinge/state/ConfigurationState.java
+++ b/src/main/java/sablehinge/state/ConfigurationState.java
@@ -6,7 +6,6 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -16,53 +15,53 @@
  */
 public final class ConfigurationState {
 
-    /** Editions whose marks are kept, so that a call that is repeated late still has its true answer. */
+    /** Editions that are remembered, so that an order that is repeated late still has its true answer. */
     private static final int MOST_TAKEN = 2_000;
-    private static final int FORMAT = 2;
-    /** States of this format do not tell what an edition was based on, nor when it was taken. */
+    private static final int FORMAT = 3;
+    /** States of this format have checksums of bodies in the place of digests. */
+    private static final int CHECKSUM_FORMAT = 2;
+    /** States of this format do not tell either what an edition was based on, nor when it was taken. */
     private static final int BARE_FORMAT = 1;
     private static final int COMMAND_FORMAT = 1;
     /** What is not known of an edition that was taken under the bare format. */
     private static final long UNKNOWN = -1;
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
 
-    /** What became of a command. */
+    /** What became of a command. Nothing that was {@link #STALE} or {@link #OLD} is ever taken later. */
     public enum Outcome {
         /** The configuration is in force. */
         TAKEN,
-        /** That very configuration had been taken before. */
+        /** That very order, on the same base, had been taken before. */
         REPEATED,
-        /** Another version is current. */
+        /** It is based on a version that was current before; another one is now. */
         STALE,
         /** Its edition is not above the current one. */
-        OLD
+        OLD,
+        /** It is based on a version that is not there yet: the same order may be taken later. */
+        AHEAD,
+        /** So many editions have been taken since that it can't be told whether it was one of them. */
+        FORGOTTEN
     }
 
     private final Map<Long, Taken> taken = new LinkedHashMap<>();
     private long edition;
     private byte[] body = new byte[0];
-
-    /** What tells one body from another: its length and two sums. */
-    private record Mark(int length, long sum, int hash) {
-
-        static Mark of(byte[] body) {
-            long sum = FNV_OFFSET;
-            for (byte b : body) {
-                sum = (sum ^ (b & 0xff)) * FNV_PRIME;
-            }
-            return new Mark(body.length, sum, Arrays.hashCode(body));
-        }
-    }
+    /** Editions up to this one may have been taken and are no longer remembered; 0 for none. */
+    private long forgottenUpTo;
 
     /**
      * A configuration that was taken.
      *
+     * @param length of its body in bytes
      * @param basedOn the edition that it took the place of; -1 where that is not known
      * @param at when it was proposed, by the time of day of whoever proposed it, in ms since 1970; -1 where
      *     that is not known. It is only ever told, and nothing is decided by it
      */
-    private record Taken(Mark mark, long basedOn, long at) { }
+    private record Taken(int length, BodyDigest digest, long basedOn, long at) {
+
+        boolean isOrder(long base, byte[] sent) {
+            return (basedOn == base || basedOn == UNKNOWN) && length == sent.length && digest.matches(sent);
+        }
+    }
 
     /** Is told of the editions that were taken. */
     public interface Reader {
@@ -74,15 +73,13 @@
          * @param at when it was proposed, in ms since 1970 by the proposer's time of day; -1 where that is
          *     not known
          * @param length of the configuration in bytes
-         * @param sum of these, FNV-1a of 64 bits
          */
-        void taken(long edition, long basedOn, long at, int length, long sum);
+        void taken(long edition, long basedOn, long at, int length, BodyDigest digest);
     }
 
     /** Tells the editions that were taken, the oldest that is kept first, at most 2,000. */
     public void read(Reader reader) {
-        taken.forEach((one, what) -> reader.taken(one, what.basedOn, what.at, what.mark.length,
-                what.mark.sum));
+        taken.forEach((one, what) -> reader.taken(one, what.basedOn, what.at, what.length, what.digest));
     }
 
     /**
@@ -102,13 +99,19 @@
         });
     }
 
-    /** What a command would come to if it were committed now. */
+    /** What a command would come to if it were committed now. An order is its base, edition and body. */
     public Outcome foresee(long basedOn, long next, byte[] nextBody) {
         Taken known = taken.get(next);
-        if (known != null && known.mark.equals(Mark.of(nextBody))) {
+        if (known != null && known.isOrder(basedOn, nextBody)) {
             return Outcome.REPEATED;
         }
-        return basedOn != edition ? Outcome.STALE : next <= edition ? Outcome.OLD : Outcome.TAKEN;
+        if (next <= forgottenUpTo) {
+            return Outcome.FORGOTTEN;
+        }
+        if (basedOn != edition) {
+            return basedOn < edition ? Outcome.STALE : Outcome.AHEAD;
+        }
+        return next <= edition ? Outcome.OLD : Outcome.TAKEN;
     }
 
     /** Carries out a committed command. */
@@ -124,10 +127,7 @@
             if (outcome == Outcome.TAKEN) {
                 edition = next;
                 body = nextBody;
-                taken.put(next, new Taken(Mark.of(nextBody), basedOn, at));
-                if (taken.size() > MOST_TAKEN) {
-                    taken.remove(taken.keySet().iterator().next());
-                }
+                remember(next, new Taken(nextBody.length, BodyDigest.of(nextBody), basedOn, at));
             }
             return outcome;
         } catch (IOException e) {
@@ -135,6 +135,14 @@
         }
     }
 
+    private void remember(long one, Taken what) {
+        taken.put(one, what);
+        if (taken.size() > MOST_TAKEN) {
+            forgottenUpTo = taken.keySet().iterator().next();
+            taken.remove(forgottenUpTo);
+        }
+    }
+
     /** The edition in force; 0 where there is none. */
     public long edition() {
         return edition;
@@ -152,13 +160,12 @@
             out.writeLong(edition);
             out.writeInt(body.length);
             out.write(body);
+            out.writeLong(forgottenUpTo);
             out.writeInt(taken.size());
             for (Map.Entry<Long, Taken> one : taken.entrySet()) {
-                Mark mark = one.getValue().mark;
                 out.writeLong(one.getKey());
-                out.writeInt(mark.length);
-                out.writeLong(mark.sum);
-                out.writeInt(mark.hash);
+                out.writeInt(one.getValue().length);
+                one.getValue().digest.write(out);
                 out.writeLong(one.getValue().basedOn);
                 out.writeLong(one.getValue().at);
             }
@@ -170,30 +177,43 @@
         taken.clear();
         edition = 0;
         body = new byte[0];
+        forgottenUpTo = 0;
         if (state.length == 0) {
             return;
         }
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(state))) {
             int format = in.readByte();
-            if (format != FORMAT && format != BARE_FORMAT) {
-                throw new IllegalArgumentException("a state of format " + format + "; " + FORMAT + " or "
-                        + BARE_FORMAT + " is expected");
+            if (format < BARE_FORMAT || format > FORMAT) {
+                throw new IllegalArgumentException("a state of format " + format + "; " + BARE_FORMAT
+                        + " to " + FORMAT + " are expected");
             }
             edition = in.readLong();
             body = new byte[in.readInt()];
             in.readFully(body);
+            long forgotten = format >= FORMAT ? in.readLong() : UNKNOWN;
             int count = in.readInt();
             for (int i = 0; i < count; i++) {
-                long one = in.readLong();
-                Mark mark = new Mark(in.readInt(), in.readLong(), in.readInt());
-                taken.put(one, format == BARE_FORMAT ? new Taken(mark, UNKNOWN, UNKNOWN)
-                        : new Taken(mark, in.readLong(), in.readLong()));
+                taken.put(in.readLong(), readTaken(format, in));
             }
+            forgottenUpTo = forgotten == UNKNOWN ? mayBeForgotten() : forgotten;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    private static Taken readTaken(int format, DataInputStream in) throws IOException {
+        int length = in.readInt();
+        BodyDigest digest = format <= CHECKSUM_FORMAT ? BodyDigest.checksums(in.readLong(), in.readInt())
+                : BodyDigest.read(in);
+        return format == BARE_FORMAT ? new Taken(length, digest, UNKNOWN, UNKNOWN)
+                : new Taken(length, digest, in.readLong(), in.readLong());
+    }
+
+    /** The formats before the third don't tell; where they are full, one may have been dropped. */
+    private long mayBeForgotten() {
+        return taken.size() < MOST_TAKEN ? 0 : taken.keySet().iterator().next() - 1;
+    }
+
     private interface Writing {
         void to(DataOutputStream out) throws IOException;
     }
--- a/src/main/java/sablehinge/state/Registry.java
+++ b/src/main/java/sablehinge/state/Registry.java
@@ -102,6 +102,14 @@
         return present;
     }
 
+    /**
+     * This process stood still for some ms until now: what was said to it meanwhile waits in its buffers, so
+     * that this time counts as nobody's silence.
+     */
+    public void stoodStill(double now, double ms) {
+        rows.values().forEach(row -> row.heardAt = Math.min(now, row.heardAt + ms));
+    }
+
     /** Strikes out who has long said nothing; true if there was one. */
     public boolean expire(double now) {
         boolean news = false;
--- a/src/test/java/sablehinge/control/OperatorsTest.java
+++ b/src/test/java/sablehinge/control/OperatorsTest.java
@@ -12,7 +12,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import sablehinge.state.ConfigurationState;
 import sablehinge.state.Registration;
@@ -43,8 +42,41 @@
     private final Map<Long, Double> silent = new HashMap<>();
     private Standing standing = new Standing(Standing.Role.LEADER, 7, ONE, List.of(ONE, TWO));
     private boolean sure = true;
+    private double sinceMajority = 50;
+    private double sinceLeader = 50;
+    private final QuorumGate gate = new QuorumGate(new ScriptedContact(), Runnable::run);
+    private final ChangeCoordinator changes = new ChangeCoordinator(null, configurations, Runnable::run);
     private double now = 10_000;
 
+    /** The core as the test sets it. */
+    private final class ScriptedContact implements QuorumGate.Contact {
+
+        @Override
+        public Standing standing() {
+            return standing;
+        }
+
+        @Override
+        public double sinceMajority(double at) {
+            return sinceMajority;
+        }
+
+        @Override
+        public double sinceLeader(double at) {
+            return sinceLeader;
+        }
+
+        @Override
+        public boolean leases(double at) {
+            return sinceMajority < 400;
+        }
+
+        @Override
+        public void barrier(double at, long token) {
+            gate.ended(at, token, sure);
+        }
+    }
+
     private final class Scripted implements Authority {
 
         @Override
@@ -68,28 +100,28 @@
         }
 
         @Override
-        public ConfigurationState configurations() {
-            return configurations;
+        public long timeOfDay() {
+            return 1_700_000_000_000L;
         }
 
         @Override
-        public void check(Runnable work) {
-            work.run();
+        public QuorumGate gate() {
+            return gate;
         }
 
         @Override
-        public void settle(Runnable work) {
-            work.run();
+        public ChangeCoordinator changes() {
+            return changes;
         }
 
         @Override
-        public void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then) {
-            then.accept(basedOn == 0 ? Proposals.Result.TAKEN : Proposals.Result.OLD);
+        public void check(Runnable work) {
+            work.run();
         }
 
         @Override
-        public void barrier(Consumer<Boolean> then) {
-            then.accept(sure);
+        public void settle(Runnable work) {
+            work.run();
         }
     }
 
@@ -175,8 +207,8 @@
     @Test
     void theHistoryIsToldOnlyWhereAMajorityConfirms() throws IOException {
         configurations.apply(ConfigurationState.replace(0, 3, new byte[] {'a'}, 1_700_000_000_000L));
-        assertEquals(new Editions(3, List.of(new Editions.Taken(3, 0L, 1, "af63dc4c8601ec8c",
-                "2023-11-14T22:13:20Z"))), told("Config.History", Editions.class));
+        assertEquals(new Editions(3, List.of(new Editions.Taken(3, 0L, 1, "ca978112ca1bbdcafac231b39a23dc4d"
+                + "a786eff8147c4e72b9807785afee48bb", "2023-11-14T22:13:20Z"))), told("Config.History", Editions.class));
         sure = false;
         assertEquals(503, call("Config.History", new DefaultHttpHeaders(), "").status());
     }
--- a/src/test/java/sablehinge/state/ConfigurationStateTest.java
+++ b/src/test/java/sablehinge/state/ConfigurationStateTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -129,7 +132,7 @@
 
     private static List<String> history(ConfigurationState of) {
         List<String> history = new ArrayList<>();
-        of.read((edition, basedOn, at, length, sum) -> history.add(edition + " on " + basedOn + " at " + at
+        of.read((edition, basedOn, at, length, digest) -> history.add(edition + " on " + basedOn + " at " + at
                 + ", " + length + " bytes"));
         return history;
     }
@@ -145,28 +148,116 @@
         assertEquals(List.of("3 on 0 at 1003, 1 bytes", "8 on 3 at 1008, 2 bytes"), history(other));
     }
 
-    /** What members of before wrote: a command without a time, and a state that tells editions alone. */
+    /** What members of before wrote: a command without a time. */
     @Test
-    void theFormatsOfBeforeAreReadAndSayNothingOfTimes() {
+    void aCommandWithoutATimeIsRead() {
         byte[] command = ConfigurationState.replace(0, 3, bytes("a"), AT);
         configurations.apply(Arrays.copyOf(command, command.length - Long.BYTES));
         assertEquals(List.of("3 on 0 at -1, 1 bytes"), history(configurations));
+    }
+
+    /** FNV-1a of 64 bits over "a", and its hash: what the formats before the third kept of it. */
+    private static final long FNV_OF_A = 0xaf63dc4c8601ec8cL;
+
+    private static byte[] stateOf(int format, int editions) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeByte(format);
+        out.writeLong(editions + 2);
+        out.writeInt(1);
+        out.writeByte('a');
+        out.writeInt(editions);
+        for (int edition = 3; edition < editions + 3; edition++) {
+            out.writeLong(edition);
+            out.writeInt(1);
+            out.writeLong(FNV_OF_A);
+            out.writeInt(Arrays.hashCode(bytes("a")));
+            if (format == 2) {
+                out.writeLong(edition - 1);
+                out.writeLong(AT);
+            }
+        }
+        return bytes.toByteArray();
+    }
+
+    @Test
+    void aStateOfTheFirstFormatIsReadAndSaysNothingOfBasesAndTimes() throws IOException {
+        configurations.restore(stateOf(1, 1));
+        assertEquals(List.of("3 on -1 at -1, 1 bytes"), history(configurations));
+        assertEquals(Outcome.REPEATED, send(2, 3, "a"));
+        assertEquals(Outcome.STALE, send(2, 3, "b"));
+        assertEquals(Outcome.TAKEN, send(3, 4, "b"));
+    }
+
+    @Test
+    void aStateOfTheSecondFormatIsReadAndWrittenAsTheThird() throws IOException {
+        configurations.restore(stateOf(2, 2));
+        assertEquals(4, configurations.edition());
+        assertEquals(Outcome.TAKEN, send(4, 6, "c"));
         byte[] state = configurations.state();
-        byte[] before = Arrays.copyOf(state, state.length - 2 * Long.BYTES);
-        before[0] = 1;
+        assertEquals(3, state[0]);
         ConfigurationState other = new ConfigurationState();
-        other.restore(before);
-        assertEquals(List.of("3 on -1 at -1, 1 bytes"), history(other));
-        assertEquals(Outcome.REPEATED, send(other, 0, 3, "a"));
-        assertEquals(Outcome.TAKEN, send(other, 3, 4, "b"));
+        other.restore(state);
+        assertArrayEquals(state, other.state());
+        assertEquals(List.of("3 on 2 at 1000, 1 bytes", "4 on 3 at 1000, 1 bytes",
+                "6 on 4 at 1006, 1 bytes"), history(other));
+        assertEquals(Outcome.REPEATED, send(other, 2, 3, "a"));
+        assertEquals(Outcome.STALE, send(other, 2, 3, "b"));
+        assertEquals(Outcome.REPEATED, send(other, 4, 6, "c"));
     }
 
+    /** A state of before that is full may have dropped editions without saying so. */
     @Test
-    void whatIsKeptOfTheEditionsOfThePastIsBounded() {
+    void whatAFullStateOfBeforeMayHaveDroppedIsNotRefused() throws IOException {
+        configurations.restore(stateOf(2, 2_000));
+        assertEquals(Outcome.FORGOTTEN, send(0, 2, "a"));
+        assertEquals(Outcome.REPEATED, send(2, 3, "a"));
+        configurations.restore(stateOf(2, 1_999));
+        assertEquals(Outcome.STALE, send(0, 2, "a"));
+    }
+
+    @Test
+    void aDigestTellsBodiesApartThatTheFormerChecksumsDidNot() {
+        assertEquals("ca978112ca1bbdcafac231b39a23dc4da786eff8147c4e72b9807785afee48bb",
+                BodyDigest.of(bytes("a")).hex());
+        // Both have the same Arrays.hashCode.
+        assertEquals(Arrays.hashCode(bytes("Aa")), Arrays.hashCode(bytes("BB")));
+        send(0, 3, "Aa");
+        assertEquals(Outcome.REPEATED, send(0, 3, "Aa"));
+        assertEquals(Outcome.STALE, send(0, 3, "BB"));
+    }
+
+    /** Else two changes on the version that follows could both be acknowledged, this one and a later one. */
+    @Test
+    void theSameBodyOnAnotherBaseIsAnotherOrder() {
+        send(0, 3, "a");
+        assertEquals(Outcome.OLD, send(3, 3, "a"));
+        send(3, 8, "b");
+        assertEquals(Outcome.STALE, send(3, 3, "a"));
+        assertEquals(Outcome.OLD, send(8, 3, "a"));
+        assertEquals(Outcome.REPEATED, send(0, 3, "a"));
+    }
+
+    /** A copy of it that comes late would be in force after it was refused. */
+    @Test
+    void anOrderOnAVersionThatIsNotThereYetIsNotRefused() {
+        assertEquals(Outcome.AHEAD, send(3, 8, "b"));
+        send(0, 3, "a");
+        assertEquals(Outcome.TAKEN, send(3, 8, "b"));
+    }
+
+    @Test
+    void whatIsKeptOfTheEditionsOfThePastIsBoundedAndWhatWasDroppedIsNotRefused() {
         for (int i = 1; i <= 2_001; i++) {
             send(i - 1, i, "body");
         }
-        assertEquals(Outcome.STALE, send(0, 1, "body"));
+        assertEquals(Outcome.FORGOTTEN, send(0, 1, "body"));
+        assertEquals(Outcome.FORGOTTEN, send(0, 1, "another"));
         assertEquals(Outcome.REPEATED, send(1, 2, "body"));
+        assertEquals(Outcome.STALE, send(1, 2, "another"));
+        ConfigurationState other = new ConfigurationState();
+        other.restore(configurations.state());
+        assertEquals(Outcome.FORGOTTEN, send(other, 0, 1, "body"));
+        assertEquals(Outcome.REPEATED, send(other, 1, 2, "body"));
     }
 }
