--- a/src/main/java/sablehinge/sidecar/Beats.java
+++ b/src/main/java/sablehinge/sidecar/Beats.java
@@ -49,7 +49,7 @@
                 }
                 String state = text(body, "state");
                 if (!state.equals("ready") && !state.equals("unloading")) {
-                    throw new CallException(400, "STATE", "state is neither ready nor unloading: " + state);
+                    throw new CallException(400, "STATE", "state is neither ready nor unloading");
                 }
                 return new Beat(asked.name(), text(body, "depot"), text(body, "address"),
                         state.equals("unloading"), Math.max(1, Math.min(MOST_BERTHS,
--- a/src/main/java/sablehinge/sidecar/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -37,6 +37,7 @@
     private final Connection connection;
     private List<String> seeds;
     private final Teller teller;
+    private final NewsFilter filter = new NewsFilter();
     private final Set<String> contacts = new LinkedHashSet<>();
     private Connection.Link link;
     private int number;
@@ -146,15 +147,7 @@
             if (frame.kind() == Frame.Kind.NEWS) {
                 Update update = Update.read(frame.body());
                 if (update.number() == number) {
-                    double at = askedAt;
-                    contacts.clear();
-                    contacts.addAll(update.core());
-                    contacts.addAll(seeds);
-                    while (contacts.size() > MOST_CONTACTS) {
-                        contacts.remove(contacts.iterator().next());
-                    }
-                    teller.update(at, update);
-                    request();
+                    news(from, update);
                 }
             } else if (frame.kind() == Frame.Kind.TOKENS) {
                 teller.tokens(Tokens.read(frame.body()));
@@ -168,10 +161,7 @@
                 teller.shares(Spills.grant(frame.body()));
             } else if (frame.kind() == Frame.Kind.ELSEWHERE) {
                 String leader = new String(frame.body(), StandardCharsets.UTF_8);
-                link = null;
-                from.close();
-                number++;
-                loop.schedule(() -> reach(leader.isEmpty() ? null : leader), AGAIN_MS, TimeUnit.MILLISECONDS);
+                leave(from, leader.isEmpty() ? null : leader);
             }
         } catch (IOException e) {
             Log.warn(LOG, "news-malformed").addKeyValue("cause", e.getMessage()).log("news can't be read");
@@ -179,6 +169,32 @@
         }
     }
 
+    private void news(Connection.Link from, Update update) {
+        NewsFilter.Verdict verdict = filter.judge(update);
+        if (verdict == NewsFilter.Verdict.DEPOSED) {
+            leave(from, null);
+            return;
+        }
+        if (verdict == NewsFilter.Verdict.TAKE) {
+            contacts.clear();
+            contacts.addAll(update.core());
+            contacts.addAll(seeds);
+            while (contacts.size() > MOST_CONTACTS) {
+                contacts.remove(contacts.iterator().next());
+            }
+            teller.update(askedAt, update);
+        }
+        request();
+    }
+
+    /** Asks another machine from now on: one that is named, or the next that is known. */
+    private void leave(Connection.Link from, String to) {
+        link = null;
+        from.close();
+        number++;
+        loop.schedule(() -> reach(to), AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void closed(Connection.Link closed) {
         if (closed == link) {
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -123,9 +123,11 @@
     private boolean leaving;
     /** Whether the upstream beside is to be drawn no more, as this process is about to end. */
     private boolean shuts;
-    private Beats.Beat upstream;
+    private final UpstreamLife upstream = new UpstreamLife();
     private boolean probed;
-    private boolean unloading;
+    /** Whether the present life of the upstream is about to end, and is admitted nothing new. */
+    private boolean closes;
+    /** Whether beats of it are missing. */
     private boolean gone;
     private double beatAt;
 
@@ -249,41 +251,43 @@
 
     private void heard(Beats.Beat beat) {
         double now = clock.now();
-        beatAt = now;
-        if (upstream == null || !upstream.id().equals(beat.id())) {
-            upstream = beat;
-            unloading = false;
-            gone = false;
-            admission.opens(now, MeshHeaders.life(beat.id()), beat.berths());
+        UpstreamLife.News news = upstream.heard(beat);
+        if (news != UpstreamLife.News.LATE) {
+            beatAt = now;
+            began(now, news, beat);
+        }
+        if (upstream.isLeaving() && !closes) {
+            closes = true;
+            leaves(now, upstream.latest().id(), now + UNLOAD_PART * settings.bounds().unloadMs());
+        }
+    }
+
+    private void began(double now, UpstreamLife.News news, Beats.Beat beat) {
+        boolean begins = news == UpstreamLife.News.BEGAN;
+        if (begins) {
+            closes = false;
             Log.info(LOG, "upstream").addKeyValue("id", beat.id()).addKeyValue("berths", beat.berths())
                     .log("an upstream has begun a life");
-            update.askNow();
-        } else {
-            if (upstream.berths() != beat.berths() && upstream.count() <= beat.count()) {
-                upstream = beat;
-                admission.opens(now, MeshHeaders.life(beat.id()), beat.berths());
-            }
-            if (gone) {
-                gone = false;
-                update.askNow();
-            }
         }
-        if (beat.unloading() && !unloading) {
-            unloading = true;
-            leaves(now, beat.id(), now + UNLOAD_PART * settings.bounds().unloadMs());
+        if (news != UpstreamLife.News.ALIVE) {
+            admission.opens(now, MeshHeaders.life(beat.id()), beat.berths());
+        }
+        if (begins || gone) {
+            gone = false;
+            update.askNow();
         }
     }
 
     /** The upstream beside was there before this process; its next beat tells the rest. */
     private void answered(String id) {
-        if (upstream == null) {
+        if (upstream.latest() == null) {
             heard(new Beats.Beat(id, settings.depot(), settings.app(), false, LIKELY_BERTHS, 0, 0));
         }
     }
 
     private void signedOff(Beats.SignOff call) {
-        if (upstream != null && upstream.id().equals(call.id())) {
-            unloading = true;
+        if (upstream.signedOff(call.id())) {
+            closes = true;
             leaves(clock.now(), call.id(), clock.now());
         }
     }
@@ -299,18 +303,19 @@
     private void tick() {
         spill.tick();
         watchers.tick();
-        if (upstream != null && !gone && clock.now() - beatAt > MISSING * settings.beatMs()) {
+        if (upstream.latest() != null && !gone && clock.now() - beatAt > MISSING * settings.beatMs()) {
             gone = true;
             update.askNow();
         }
     }
 
     private Registration self() {
-        boolean there = upstream != null && !gone;
+        Beats.Beat beat = gone ? null : upstream.latest();
+        boolean there = beat != null;
         return new Registration(settings.node(), settings.zone(), settings.listenOn().inbound(),
-                there ? upstream.service() : settings.depot(), there ? upstream.id() : "",
-                there && !unloading && !shuts, there ? upstream.berths() : 0,
-                there ? upstream.coldMs() : 0);
+                there ? beat.service() : settings.depot(), there ? beat.id() : "",
+                there && !upstream.isLeaving() && !shuts, there ? beat.berths() : 0,
+                there ? beat.coldMs() : 0);
     }
 
     private void claim(Frame frame) {
@@ -374,7 +379,7 @@
         outbound.adopt(version, roster(now));
         outbound.release(before.number());
         Configuration.Service own = routes.plan().service(settings.depot());
-        if (!probed && upstream == null && own != null) {
+        if (!probed && upstream.latest() == null && own != null) {
             probed = true;
             HealthProbe.ask(loop, address(settings.app()), own.healthPath(), this::answered);
         }
--- /dev/null
+++ b/src/test/java/sablehinge/sidecar/NewsFilterTest.java
@@ -0,0 +1,42 @@
+package sablehinge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.sidecar.NewsFilter.Verdict;
+import sablehinge.watch.Update;
+
+/** Which news a balancer takes. */
+class NewsFilterTest {
+
+    private final NewsFilter filter = new NewsFilter();
+
+    private Verdict judge(long term, boolean confirmed) {
+        return filter.judge(new Update(1, confirmed, 4, new byte[] {1}, term, 1, true, true, 1, List.of(),
+                List.of()));
+    }
+
+    @Test
+    void aProcessThatHasJustStartedTakesNothingThatIsNotConfirmed() {
+        assertEquals(Verdict.UNCONFIRMED, judge(3, false));
+        assertEquals(Verdict.TAKE, judge(3, true));
+        assertEquals(Verdict.TAKE, judge(3, false));
+    }
+
+    @Test
+    void whoeverLedAnEarlierTermIsLeft() {
+        judge(5, true);
+        assertEquals(Verdict.DEPOSED, judge(4, false));
+        assertEquals(Verdict.TAKE, judge(6, false));
+        assertEquals(Verdict.DEPOSED, judge(5, false));
+    }
+
+    /** A majority has confirmed that it leads: the core was founded anew. */
+    @Test
+    void aLeaderThatIsConfirmedIsNotDeposed() {
+        judge(5, true);
+        assertEquals(Verdict.TAKE, judge(2, true));
+        assertEquals(Verdict.TAKE, judge(2, false));
+    }
+}
