A machine of the core that is stopped hands over and leaves nothing behind

Need: SIGTERM ended a control process at once. A leader so stopped left the core without one for half a second and more; one that was taken away for good could take the only other copy of what it had committed with it, and its place stayed empty until its silence was noticed.

Change: at SIGTERM RaftNode.leave hands leadership to who has all of the log and says Leave to the leader until that answers Released: once a majority of those that stay has everything committed on disk and, where a learner waits to take the place, once it has. The planner lets the learner come first and the leaver go after it. Without a learner the voters stay as they are, since a process cannot know whether its machine comes back, and a list changed for each restart would be weaker twice. Bounded by graceS less 1 s.

--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -46,7 +46,9 @@
                 takes.set(sidecar::reload);
                 Main.drainAtShutdown(sidecar::drain);
             } else {
-                takes.set(ControlNode.start(settings, born)::reload);
+                ControlNode node = ControlNode.start(settings, born);
+                takes.set(node::reload);
+                Main.drainAtShutdown(node::leave);
             }
         } catch (ConfigException e) {
             System.err.println("sablehinge: " + e.getMessage());
--- a/src/main/java/sablehinge/consensus/Message.java
+++ b/src/main/java/sablehinge/consensus/Message.java
@@ -100,4 +100,22 @@
      */
     record TakeOver(long term) implements Message {
     }
+
+    /**
+     * The sender's process is about to end, perhaps for good. Said to the leader again and again until it
+     * answers with {@link Released}.
+     *
+     * @param self who ends
+     */
+    record Leave(Member self) implements Message {
+    }
+
+    /**
+     * Answers {@link Leave}: a majority of those that stay has everything on disk that is committed, and the
+     * one that leaves is no voter any more or has no successor yet.
+     *
+     * @param term of the leader
+     */
+    record Released(long term) implements Message {
+    }
 }
--- a/src/main/java/sablehinge/consensus/Peer.java
+++ b/src/main/java/sablehinge/consensus/Peer.java
@@ -14,6 +14,8 @@
     double heard;
     /** When it last asked to be let in, ms. */
     double asked = Double.NEGATIVE_INFINITY;
+    /** When it last said that its process is about to end, ms. */
+    double leaves = Double.NEGATIVE_INFINITY;
     /** Whether {@code next} is a guess: then nothing is sent ahead of answers. */
     boolean probing = true;
     /** It has nothing to which entries could be appended. */
--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -54,6 +54,10 @@
 
         /** Nothing can be said about the barrier. */
         void denied(long token);
+
+        /** After {@link RaftNode#leave}: nothing that is committed hangs on this process any more. */
+        default void released() {
+        }
     }
 
     /** How far ahead of what a peer has synced entries are sent, entries. */
@@ -68,6 +72,12 @@
     private static final double INSTALL_EVERY = 1500;
     /** Who has waited longer for its own disk neither stands nor changes members, ms. */
     private static final double BUSY = 200;
+    /** Between two words to the leader that this process is about to end, ms. */
+    private static final double LEAVE_EVERY = 100;
+    /** After so long all that ask to become voters have asked a new leader, ms. */
+    private static final double ALL_ASKED = ASK_EVERY + 100;
+    /** For so long a leader that leaves waits for a successor that has all of its log, ms. */
+    private static final double HEIR_WAIT = 300;
     /** Between two tries to hand over, ms. */
     private static final double HAND_EVERY = 500;
     /** Most that ask to be let in and are fed at a time. */
@@ -116,6 +126,7 @@
 
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private long firstOfTerm;
+    private double wonAt;
     private long round;
     /**
      * When each of the last rounds was asked, until when a lease holds, and whether this term was given up.
@@ -130,6 +141,11 @@
     private VoterChange dueChange;
     private long dueRound;
 
+    /** Since when this process is about to end, ms; infinity while it is not. */
+    private double leavingSince = Double.POSITIVE_INFINITY;
+    private double leaveAt;
+    private boolean released;
+
     /**
      * A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}.
      *
@@ -208,6 +224,26 @@
         }
     }
 
+    /**
+     * This process is about to end, perhaps for good: leadership goes to another, and {@link
+     * Actions#released} is called once a majority of those that stay has everything on disk that is
+     * committed, and, where a learner waits to take the place, once it has taken it. Without a majority that
+     * is never. Nothing may be proposed here any more; all else goes on until the process ends.
+     */
+    public void leave(double now) {
+        if (isLeaving()) {
+            return;
+        }
+        leavingSince = now;
+        leaveAt = now;
+        if (!running) {
+            release();
+            return;
+        }
+        leaveOn(now);
+        end(now);
+    }
+
     /** Lets time pass; called some ten times per heartbeat or less. */
     public void tick(double now) {
         if (!running) {
@@ -218,6 +254,9 @@
         } else {
             follow(now);
         }
+        if (isLeaving()) {
+            leaveOn(now);
+        }
         end(now);
     }
 
@@ -247,7 +286,7 @@
      */
     public long propose(double now, byte[] command) {
         if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= timing.waiting()
-                || queue.isFull()) {
+                || queue.isFull() || isLeaving()) {
             return 0;
         }
         long index = append(now, Entry.Kind.COMMAND, command);
@@ -305,8 +344,16 @@
             takeJoin(now, join);
         } else if (message instanceof Message.Guide guide) {
             takeGuide(now, guide);
+        } else if (message instanceof Message.Leave leave) {
+            takeLeave(now, leave.self());
+        } else if (message instanceof Message.Released answer) {
+            if (answer.term() == term) {
+                release();
+            }
         } else if (message instanceof Message.TakeOver take) {
-            if (take.term() == term && role == Standing.Role.FOLLOWER && log.holds(self.id())) {
+            // Two that leave would hand over to each other for ever.
+            if (take.term() == term && role == Standing.Role.FOLLOWER && log.holds(self.id())
+                    && !isLeaving()) {
                 stand(now, term + 1, true);
             }
         }
@@ -404,7 +451,7 @@
                 waitForLeader(now);
             }
         }
-        if ((!member || now - leaderHeard > LOST) && now >= joinAt) {
+        if ((!member || now - leaderHeard > LOST) && now >= joinAt && !isLeaving()) {
             joinAt = now + ASK_EVERY;
             join();
         }
@@ -674,6 +721,7 @@
         round = 0;
         handedOver = false;
         dueChange = null;
+        wonAt = now;
         leaseUntil = Double.NEGATIVE_INFINITY;
         heartbeatAt = now + timing.heartbeat();
         handAt = now;
@@ -915,25 +963,119 @@
 
     /** The own disk hangs: whoever answers, and has synced what this one could not, leads better. */
     private void handOver(double now) {
+        Peer best = heir(now, Math.max(commit, queue.synced() + 1));
+        if (best != null) {
+            handOverTo(now, best);
+        }
+    }
+
+    /** Who answers, stays and has synced most, at least up to an index; null if nobody has. */
+    private Peer heir(double now, long least) {
         Peer best = null;
         for (Peer peer : peers.values()) {
-            if (log.holds(peer.member.id()) && now - peer.heard <= timing.fresh() && peer.match >= commit
-                    && peer.match > queue.synced() && (best == null || peer.match > best.match)) {
+            if (log.holds(peer.member.id()) && now - peer.heard <= timing.fresh() && !leaves(now, peer)
+                    && peer.match >= least && (best == null || peer.match > best.match)) {
                 best = peer;
             }
         }
-        if (best != null) {
-            handAt = now + HAND_EVERY;
-            handedOver = true;
-            leaseUntil = Double.NEGATIVE_INFINITY;
-            actions.send(best.member, new Message.TakeOver(term));
+        return best;
+    }
+
+    private void handOverTo(double now, Peer heir) {
+        handAt = now + HAND_EVERY;
+        handedOver = true;
+        leaseUntil = Double.NEGATIVE_INFINITY;
+        actions.send(heir.member, new Message.TakeOver(term));
+    }
+
+    // Leaving.
+
+    private boolean isLeaving() {
+        return leavingSince < Double.POSITIVE_INFINITY;
+    }
+
+    /** Whether a peer has said lately that it is about to end; one that has come back says so no more. */
+    private boolean leaves(double now, Peer peer) {
+        return now - peer.leaves <= timing.fresh();
+    }
+
+    private void leaveOn(double now) {
+        if (role == Standing.Role.LEADER) {
+            leaveLeading(now);
+        } else if (log.isBare()) {
+            release();
+        } else if (leader != null && now >= leaveAt) {
+            leaveAt = now + LEAVE_EVERY;
+            actions.send(leader, new Message.Leave(self));
+        }
+    }
+
+    private void leaveLeading(double now) {
+        if (now >= handAt) {
+            Peer heir = heir(now, now - leavingSince <= HEIR_WAIT ? log.lastIndex() : commit);
+            if (heir != null) {
+                handOverTo(now, heir);
+                return;
+            }
+        }
+        if (heir(now, 0) == null && log.lastIndex() == commit && isHeldWithout(now, self.id())) {
+            release();
+        }
+    }
+
+    private void release() {
+        if (isLeaving() && !released) {
+            released = true;
+            actions.released();
+        }
+    }
+
+    private void takeLeave(double now, Member who) {
+        if (role != Standing.Role.LEADER || commit < firstOfTerm) {
+            return;
+        }
+        Peer peer = peers.get(who.id());
+        if (peer != null) {
+            peer.leaves = now;
+            changeMembers(now);
+        }
+        if (isLeaving()) {
+            // It may be the one that was to take over.
+            handAt = Math.min(handAt, now);
+        }
+        boolean replaceable = log.holds(who.id()) && (hasLearner(now) || now - wonAt <= ALL_ASKED);
+        if (log.membersIndex() <= commit && !replaceable && isHeldWithout(now, who.id())) {
+            actions.send(who, new Message.Released(term));
+        }
+    }
+
+    private boolean hasLearner(double now) {
+        return peers.values().stream()
+                .anyMatch(peer -> isLearner(now, peer) && now - peer.heard <= timing.fresh());
+    }
+
+    /**
+     * Whether a majority of the voters that stay without one has everything that is committed. Where those
+     * that stay are no majority the core is being stopped as a whole, and nobody has to wait for it.
+     */
+    private boolean isHeldWithout(double now, long id) {
+        int stay = 0;
+        int hold = 0;
+        for (Member member : log.members()) {
+            boolean own = member.id() == self.id();
+            Peer peer = peers.get(member.id());
+            if (member.id() != id && !(own ? isLeaving() : leaves(now, peer))) {
+                stay++;
+                hold += (own ? queue.synced() : peer.match) >= commit ? 1 : 0;
+            }
         }
+        return stay < majority() || hold >= stay / 2 + 1;
     }
 
     // Members come and go.
 
     private void changeMembers(double now) {
-        if (commit < firstOfTerm || log.membersIndex() > commit || diskHangs(now)) {
+        if (commit < firstOfTerm || log.membersIndex() > commit || diskHangs(now) || isLeaving()) {
             return;
         }
         List<MembershipPlanner.Replica> voters = new ArrayList<>();
@@ -975,11 +1117,12 @@
             return new MembershipPlanner.Replica(member, 0, true, false);
         }
         Peer peer = peers.get(member.id());
-        return new MembershipPlanner.Replica(member, now - peer.heard, peer.match >= commit, false);
+        return new MembershipPlanner.Replica(member, now - peer.heard, peer.match >= commit,
+                leaves(now, peer));
     }
 
     /** Whether a peer is no voter and has asked lately to become one. */
     private boolean isLearner(double now, Peer peer) {
-        return !log.holds(peer.member.id()) && now - peer.asked <= LOST;
+        return !log.holds(peer.member.id()) && now - peer.asked <= LOST && !leaves(now, peer);
     }
 }
--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +61,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ControlNode.class);
     private static final long TICK_MS = 20;
+    private static final long MS_PER_S = 1_000;
+    /** What is kept of the grace time to end in, in ms. */
+    private static final long END_MS = 1_000;
     private static final double NANOS_PER_MS = 1e6;
     /** A disk that is at one change for longer hangs, in ms; it is looked at as often. */
     private static final long HANGS_MS = 1_000;
@@ -98,6 +102,8 @@
     private int sinceSnapshot;
     private long bytesSinceSnapshot;
     private boolean hangs;
+    /** Opened once nothing that is committed hangs on this process. */
+    private final CountDownLatch released = new CountDownLatch(1);
 
     private ControlNode(LocalSettings settings, long born, EventLoop loop, Supplier<RaftStore> opener) {
         this.settings = settings;
@@ -181,6 +187,18 @@
         disk.awaitTermination(1, TimeUnit.MINUTES);
     }
 
+    /**
+     * Ends its part in the core as SIGTERM wants it: hands leadership over and returns once others hold what
+     * it holds, or when the time to end is nearly up. Whether the machine comes back is not known to it, so
+     * its place goes to another only if a learner waits for it.
+     */
+    public void leave() throws InterruptedException {
+        long ms = Math.max(0, Math.round(settings.bounds().graceS() * MS_PER_S) - END_MS);
+        loop.execute(() -> raft.leave(clock.now()));
+        boolean inOrder = released.await(ms, TimeUnit.MILLISECONDS);
+        Log.info(LOG, "leaves").addKeyValue("released", inOrder).log("leaves the core");
+    }
+
     /** Takes over what may change while it runs: where other machines of the core may be. */
     public void reload(LocalSettings next) {
         loop.execute(() -> {
@@ -424,6 +442,11 @@
             end(token, false);
         }
 
+        @Override
+        public void released() {
+            released.countDown();
+        }
+
         private void end(long token, boolean sure) {
             Consumer<Boolean> then = barriers.remove(token);
             if (then != null) {
--- a/src/main/java/sablehinge/rpc/MessageCodec.java
+++ b/src/main/java/sablehinge/rpc/MessageCodec.java
@@ -34,6 +34,8 @@
     private static final int JOIN = 6;
     private static final int GUIDE = 7;
     private static final int TAKE_OVER = 8;
+    private static final int LEAVE = 9;
+    private static final int RELEASED = 10;
 
     private MessageCodec() {
     }
@@ -100,6 +102,12 @@
         } else if (message instanceof Message.TakeOver take) {
             out.writeByte(TAKE_OVER);
             out.writeLong(take.term());
+        } else if (message instanceof Message.Leave leave) {
+            out.writeByte(LEAVE);
+            writeMember(leave.self(), out);
+        } else if (message instanceof Message.Released released) {
+            out.writeByte(RELEASED);
+            out.writeLong(released.term());
         }
     }
 
@@ -137,6 +145,10 @@
                         readMembers(in));
             case TAKE_OVER:
                 return new Message.TakeOver(in.readLong());
+            case LEAVE:
+                return new Message.Leave(readMember(in));
+            case RELEASED:
+                return new Message.Released(in.readLong());
             default:
                 throw new IOException("a message of the unknown kind " + kind);
         }
--- a/src/test/java/sablehinge/consensus/RaftNodeCodecTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeCodecTest.java
@@ -30,7 +30,9 @@
             new Message.Join(MEMBERS.get(1), 0),
             new Message.Guide(4, null, MEMBERS),
             new Message.Guide(4, MEMBERS.get(0), List.of()),
-            new Message.TakeOver(8));
+            new Message.TakeOver(8),
+            new Message.Leave(MEMBERS.get(0)),
+            new Message.Released(8));
 
     @Test
     void whatIsWrittenReadsTheSame() throws IOException {
--- a/src/test/java/sablehinge/consensus/RaftNodeMembershipTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeMembershipTest.java
@@ -290,4 +290,155 @@
             });
         }
     }
+
+    /** SIGTERM to a machine; the ms until it may end. */
+    private static double leave(SimulatedCluster cluster, Machine machine, double atMost) {
+        double start = cluster.now;
+        machine.master.leave(machine.clock());
+        while (!machine.released) {
+            assertTrue(cluster.now - start < atMost, "seed " + cluster.seed + ": not released\n"
+                    + cluster.describe());
+            cluster.run(1);
+        }
+        return cluster.now - start;
+    }
+
+    /** A kill of the leader leaves the core without one for half a second at least. */
+    @Test
+    void aLeaderThatLeavesHandsOverAtOnce() {
+        for (int losses = 1; losses <= 2; losses++) {
+            play(losses, cluster -> {
+                cluster.commitOne(100);
+                Machine leader = cluster.leader();
+                leader.master.leave(leader.clock());
+                cluster.run(60);
+                assertTrue(cluster.leader() != null && cluster.leader() != leader, cluster.describe());
+                cluster.commitOne(30);
+                leave(cluster, leader, 500);
+                leader.kill(false);
+                cluster.commitOne(100);
+            });
+        }
+    }
+
+    /** The machine comes back with its disk: to change the voters for it would make the core weaker twice. */
+    @Test
+    void aRestartInOrderChangesNoVoters() {
+        play(1, cluster -> {
+            List<Member> before = cluster.list;
+            // A new leader waits until all that may want the place have asked it.
+            cluster.run(500);
+            for (Machine machine : List.copyOf(cluster.machines.values())) {
+                leave(cluster, machine, machine.leads() ? 600 : 100);
+                machine.kill(false);
+                cluster.run(900);
+                machine.start();
+                cluster.run(1500);
+                cluster.commitOne(100);
+            }
+            assertEquals(before, cluster.list);
+            assertEquals(0, cluster.changes);
+            Machine spare = cluster.add("10.0.1.1:1");
+            spare.outside();
+            cluster.run(2000);
+            assertFalse(listed(cluster, spare), "nobody leaves any more");
+        });
+    }
+
+    /** The new machine first, then SIGTERM of the old one, as operators replace a machine. */
+    @Test
+    void whoLeavesEndsWhenItsSuccessorHasItsPlace() {
+        for (int losses = 1; losses <= 2; losses++) {
+            int stated = losses;
+            play(losses, cluster -> {
+                cluster.commitOne(100);
+                Machine leaver = lost(cluster, 1).get(0);
+                Machine successor = cluster.add("10.0.1.1:1");
+                successor.outside();
+                // By then it asks to be let in, and need not have caught up.
+                cluster.run(5 + cluster.seed * 20);
+                leave(cluster, leaver, 3000);
+                assertTrue(listed(cluster, successor), cluster.list.toString());
+                assertFalse(listed(cluster, leaver), cluster.list.toString());
+                assertEquals(voters(stated), cluster.list.size());
+                leaver.wipe();
+                cluster.machines.remove(leaver.address);
+                cluster.awaitLeader();
+                lost(cluster, stated).forEach(Machine::powerLoss);
+                cluster.commitOne(4000);
+            });
+        }
+    }
+
+    @Test
+    void twoOfFiveLeaveTogetherForTwoOthers() {
+        play(2, cluster -> {
+            cluster.commitOne(100);
+            Machine leader = cluster.leader();
+            Machine other = cluster.others(leader).get(0);
+            cluster.add("10.0.1.1:1").outside();
+            cluster.add("10.0.1.2:1").outside();
+            cluster.run(1000);
+            other.master.leave(other.clock());
+            leave(cluster, leader, 3000);
+            leader.wipe();
+            cluster.machines.remove(leader.address);
+            for (int i = 0; i < 1000 && !other.released; i++) {
+                cluster.run(1);
+            }
+            assertTrue(other.released, cluster.describe());
+            other.wipe();
+            cluster.machines.remove(other.address);
+            awaitVoters(cluster, 5, 100);
+            voting(cluster).subList(0, 2).forEach(Machine::powerLoss);
+            cluster.commitOne(4000);
+        });
+    }
+
+    /** What only the leaver and one more have: it stays until the third has it too. */
+    @Test
+    void whoLeavesWaitsUntilThoseThatStayHaveWhatItHas() {
+        play(1, cluster -> {
+            Machine leader = cluster.leader();
+            Machine slow = cluster.others(leader).get((int) (cluster.seed / 2 % 2));
+            slow.stall(1500);
+            cluster.commitOne(100);
+            int committed = cluster.committed.size();
+            Entry last = cluster.committed.get(committed - 1);
+            assertFalse(slow.disk.holds(last.index(), last.term()));
+            Machine leaver = cluster.seed % 2 == 0 ? leader : cluster.others(leader, slow).get(0);
+            leaver.master.leave(leaver.clock());
+            cluster.run(1000);
+            assertFalse(leaver.released);
+            for (int i = 0; i < 2000 && !leaver.released; i++) {
+                cluster.run(1);
+            }
+            assertTrue(leaver.released, cluster.describe());
+            for (Machine stays : cluster.others(leaver)) {
+                assertTrue(stays.disk.holds(last.index(), last.term()));
+            }
+        });
+    }
+
+    /** Nobody stays to whom anything could be left: nobody waits. */
+    @Test
+    void aCoreThatIsStoppedAsAWholeStops() {
+        for (int losses = 1; losses <= 2; losses++) {
+            play(losses, cluster -> {
+                cluster.commitOne(100);
+                cluster.run(300);
+                cluster.machines.values().forEach(one -> one.master.leave(one.clock()));
+                double start = cluster.now;
+                while (cluster.machines.values().stream().anyMatch(Machine::up)) {
+                    cluster.machines.values().stream().filter(one -> one.up() && one.released)
+                            .forEach(one -> one.kill(false));
+                    assertTrue(cluster.now - start < 4000, cluster.describe());
+                    cluster.run(1);
+                }
+                cluster.machines.values().forEach(Machine::start);
+                cluster.awaitLeader();
+                cluster.commitOne(500);
+            });
+        }
+    }
 }
--- a/src/test/java/sablehinge/consensus/SimulatedCluster.java
+++ b/src/test/java/sablehinge/consensus/SimulatedCluster.java
@@ -91,6 +91,8 @@
         final Map<Long, Long> barriers = new HashMap<>();
         final List<Long> confirmed = new ArrayList<>();
         final List<Long> denied = new ArrayList<>();
+        /** Whether this life, which is to end, may. */
+        boolean released;
 
         Machine(String address) {
             this.address = address;
@@ -117,6 +119,7 @@
             standing = null;
             unsynced = new ArrayList<>();
             barriers.clear();
+            released = false;
             diskFreeAt = now;
             master = new RaftNode(this, timing, losses, dice(this));
             booted(this);
@@ -322,6 +325,11 @@
             denied.add(token);
         }
 
+        @Override
+        public void released() {
+            released = true;
+        }
+
         void barrier() {
             long token = ++tokens;
             barriers.put(token, (long) committed.size());
