--- a/src/main/java/sablehinge/consensus/RaftLog.java
+++ b/src/main/java/sablehinge/consensus/RaftLog.java
@@ -125,7 +125,7 @@
     private void rebase(Snapshot snapshot, int dropped) {
         base = snapshot;
         List<Entry> gone = entries.subList(0, dropped);
-        recent.add(gone);
+        recent.add(gone, snapshot.state().length);
         gone.clear();
         lists.headMap(snapshot.index(), true).clear();
         lists.put(snapshot.index(), snapshot.members());
--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -768,8 +768,9 @@
             return;
         }
         peer.window.expire(now);
+        int most = Math.min(timing.bytes(), peer.window.limit());
         List<Entry> entries = withEntries && mayHaveMore(peer)
-                ? log.from(peer.next, timing.entries(), timing.bytes()) : List.of();
+                ? log.from(peer.next, timing.entries(), most) : List.of();
         long previous = peer.next - 1;
         actions.send(peer.member,
                 new Message.Append(term, previous, log.termAt(previous), entries, commit, round));
@@ -851,11 +852,12 @@
             took(now, peer, answer);
         } else if (peer.snapshot == null) {
             long next = Math.max(peer.match + 1, Math.min(answer.hint(), log.lastIndex()) + 1);
-            peer.window.clear();
+            peer.window.passed(answer.round());
             if (next < peer.next || answer.hint() < 0) {
                 peer.bare = answer.hint() < 0;
                 peer.probing = true;
                 peer.next = next;
+                peer.window.clear();
                 feed(now, peer, true);
             }
         }
--- a/src/main/java/sablehinge/consensus/RecentEntries.java
+++ b/src/main/java/sablehinge/consensus/RecentEntries.java
@@ -5,25 +5,29 @@
 
 /**
  * The last entries that a snapshot has taken the place of, kept in memory so that a member that was away
- * for a short while gets them and no snapshot. Bounded by their number and their bytes.
+ * for a short while gets them and no snapshot. Bounded by their number and by their bytes, which are no more
+ * than the snapshot's: who needs more gets it sooner by the snapshot.
  */
 final class RecentEntries {
 
     static final int MOST_ENTRIES = 512;
-    static final long MOST_BYTES = 4 << 20;
+    /** Where the snapshot is smaller, so many bytes are kept all the same. */
+    static final int ALWAYS_BYTES = 64 << 10;
+    static final int MOST_BYTES = 4 << 20;
 
     private final List<Entry> entries = new ArrayList<>();
     private long bytes;
 
-    /** Takes entries that follow on those that are kept. */
-    void add(List<Entry> more) {
+    /** Takes entries that follow on those that are kept, as a snapshot of some bytes takes their place. */
+    void add(List<Entry> more, int snapshotBytes) {
+        int most = Math.max(ALWAYS_BYTES, Math.min(MOST_BYTES, snapshotBytes));
         for (Entry entry : more) {
             entries.add(entry);
             bytes += entry.data().length;
         }
         int dropped = 0;
         while (dropped < entries.size()
-                && (bytes > MOST_BYTES || entries.size() - dropped > MOST_ENTRIES)) {
+                && (bytes > most || entries.size() - dropped > MOST_ENTRIES)) {
             bytes -= entries.get(dropped++).data().length;
         }
         entries.subList(0, dropped).clear();
--- a/src/main/java/sablehinge/consensus/SendWindow.java
+++ b/src/main/java/sablehinge/consensus/SendWindow.java
@@ -11,15 +11,18 @@
 final class SendWindow {
 
     /** Bounds of the window, bytes. */
-    static final int LEAST = 64 << 10;
-    static final int FIRST = 256 << 10;
+    static final int LEAST = 16 << 10;
+    static final int FIRST = 64 << 10;
     static final int MOST = 4 << 20;
     /** Messages that are on their way at most. */
     static final int MOST_MESSAGES = 256;
     /** Answered sooner, the window grows; answered later, it shrinks, ms. */
     private static final double SOON = 100;
     private static final double LATE = 300;
-    /** Without an answer for so long, what is on its way is taken for lost, ms; then for twice as long. */
+    /**
+     * Bounds of the time, in ms, after which what has no answer is taken for lost: twice what the last answer
+     * took, and twice as long after each time that none came.
+     */
     static final double FIRST_PATIENCE = 1000;
     static final double MOST_PATIENCE = 16_000;
 
@@ -36,6 +39,11 @@
         return onTheirWay.isEmpty() || bytes < limit && onTheirWay.size() < MOST_MESSAGES;
     }
 
+    /** How many bytes may be on their way, and so how many a message is to have if it can. */
+    int limit() {
+        return limit;
+    }
+
     /** Whether nothing is on its way. */
     boolean isEmpty() {
         return onTheirWay.isEmpty();
@@ -60,13 +68,18 @@
         if (newest != null) {
             adapt(now - newest.sentAt);
         }
+        passed(round);
+    }
+
+    /** The peer has heard a round: what was sent before it and has not been answered is lost. */
+    void passed(long round) {
         if (!onTheirWay.isEmpty() && onTheirWay.peekFirst().round < round) {
             clear();
         }
     }
 
     private void adapt(double took) {
-        patience = FIRST_PATIENCE;
+        patience = Math.max(FIRST_PATIENCE, Math.min(MOST_PATIENCE, 2 * took));
         if (took > LATE) {
             limit = Math.max(LEAST, limit / 2);
         } else if (took < SOON) {
--- a/src/main/java/sablehinge/consensus/SnapshotSender.java
+++ b/src/main/java/sablehinge/consensus/SnapshotSender.java
@@ -19,7 +19,10 @@
     private static final double SOON = 100;
     /** One that was answered later is followed by a smaller one, ms: heartbeats wait behind it. */
     private static final double LATE = 300;
-    /** Without an answer for so long, a chunk is sent again, ms; after each such time, twice as long. */
+    /**
+     * Bounds of the time, in ms, after which a chunk that has no answer is sent again: twice what the last
+     * answer took, and twice as long after each time that none came.
+     */
     static final double FIRST_PATIENCE = 500;
     static final double MOST_PATIENCE = 2000;
 
@@ -85,7 +88,7 @@
     }
 
     private void adapt(double took) {
-        patience = FIRST_PATIENCE;
+        patience = Math.max(FIRST_PATIENCE, Math.min(MOST_PATIENCE, 2 * took));
         if (took > LATE) {
             chunkBytes = Math.max(LEAST_CHUNK, chunkBytes / 2);
         } else if (took < SOON) {
--- a/src/main/java/sablehinge/rpc/Connection.java
+++ b/src/main/java/sablehinge/rpc/Connection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -16,6 +17,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Connections that carry records between processes of the system. Both ends ping each other while they have
@@ -36,6 +38,7 @@
     private final EventLoop loop;
     private final long pingMs;
     private final long deadMs;
+    private final LongSupplier nanoTime;
 
     /** What one end of a connection hears. */
     public interface Handler {
@@ -57,6 +60,12 @@
      * @param deadMs how long it hears nothing until it gives the connection up
      */
     public Connection(EventLoop loop, long pingMs, long deadMs) {
+        this(loop, pingMs, deadMs, System::nanoTime);
+    }
+
+    /** The same by another clock, for tests. */
+    Connection(EventLoop loop, long pingMs, long deadMs, LongSupplier nanoTime) {
+        this.nanoTime = nanoTime;
         this.loop = loop;
         this.pingMs = pingMs;
         this.deadMs = deadMs;
@@ -97,9 +106,10 @@
         return link;
     }
 
-    private static void equip(Channel channel, Link link) {
-        channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(MOST_BYTES + 1, 0, LENGTH_BYTES, 0,
-                LENGTH_BYTES), link);
+    /** Makes a channel one end of a connection. */
+    static void equip(Channel channel, Link link) {
+        channel.pipeline().addLast(link.new Ear(), new LengthFieldBasedFrameDecoder(MOST_BYTES + 1, 0,
+                LENGTH_BYTES, 0, LENGTH_BYTES), link);
     }
 
     /** One end of a connection. */
@@ -107,7 +117,7 @@
 
         private final Channel channel;
         private final Handler handler;
-        private long heardAt = System.nanoTime();
+        private long heardAt = nanoTime.getAsLong();
         private boolean ended;
         private Future<?> pings;
         /** What its user keeps with it. */
@@ -155,13 +165,13 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            heardAt = System.nanoTime();
+            heardAt = nanoTime.getAsLong();
             pings = loop.scheduleAtFixedRate(this::ping, pingMs, pingMs, TimeUnit.MILLISECONDS);
             handler.opened(this);
         }
 
         private void ping() {
-            long silent = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+            long silent = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - heardAt);
             if (silent > deadMs) {
                 channel.close();
             } else if (silent >= pingMs) {
@@ -171,7 +181,6 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
-            heardAt = System.nanoTime();
             int kind = in.readableBytes() == 0 ? -1 : in.readUnsignedByte();
             if (kind < 0 || kind >= KINDS.length) {
                 // Some other program, or one of another version: nothing that it says is believed.
@@ -192,6 +201,16 @@
             end();
         }
 
+        /** Any bytes tell that the other end is there: on a slow link a large record takes long. */
+        final class Ear extends ChannelInboundHandlerAdapter {
+
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                heardAt = nanoTime.getAsLong();
+                ctx.fireChannelRead(bytes);
+            }
+        }
+
         private void end() {
             if (!ended) {
                 ended = true;
--- /dev/null
+++ b/src/test/java/sablehinge/rpc/ConnectionTest.java
@@ -0,0 +1,84 @@
+package sablehinge.rpc;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** One end of a connection, on a clock that the test sets. */
+class ConnectionTest {
+
+    private static final long PING_MS = 300;
+    private static final long DEAD_MS = 1_200;
+    private static final int RECORD = 1_000_000;
+    private static final int PART = 10_000;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final List<Frame> came = new ArrayList<>();
+    private long nanos;
+    private boolean closed;
+
+    private ConnectionTest() {
+        Connection connection = new Connection(channel.eventLoop(), PING_MS, DEAD_MS, () -> nanos);
+        Connection.Handler handler = new Connection.Handler() {
+            @Override
+            public void came(Connection.Link link, Frame frame) {
+                came.add(frame);
+            }
+
+            @Override
+            public void closed(Connection.Link link) {
+                closed = true;
+            }
+        };
+        Connection.equip(channel, connection.new Link(channel, handler));
+        channel.pipeline().fireChannelActive();
+    }
+
+    private void pass(long ms) {
+        nanos += TimeUnit.MILLISECONDS.toNanos(ms);
+        channel.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    /** A record on a link that takes some seconds for it; nothing else can come before its end. */
+    @Test
+    void aLargeRecordOnASlowLinkIsNoSilence() {
+        byte[] body = new byte[RECORD];
+        body[RECORD - 1] = 7;
+        ByteBuf record = Unpooled.buffer().writeInt(1 + RECORD).writeByte(Frame.Kind.NEWS.ordinal())
+                .writeBytes(body);
+        while (record.isReadable()) {
+            assertFalse(closed, "closed with " + record.readableBytes() + " bytes to come");
+            channel.writeInbound(record.readBytes(Math.min(PART, record.readableBytes())));
+            pass(50);
+        }
+        assertEquals(1, came.size());
+        assertArrayEquals(body, came.get(0).body());
+        record.release();
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void whoSaysNothingIsAskedAndThenGivenUp() {
+        pass(PING_MS);
+        assertFalse(closed);
+        ByteBuf ping = channel.readOutbound();
+        assertEquals(Frame.Kind.PING.ordinal(), ping.getByte(Integer.BYTES));
+        ping.release();
+        for (long ms = PING_MS; ms <= DEAD_MS; ms += PING_MS) {
+            assertFalse(closed);
+            pass(PING_MS);
+        }
+        assertTrue(closed);
+        channel.finishAndReleaseAll();
+    }
+}
