--- a/src/main/java/sablehinge/control/Seal.java
+++ b/src/main/java/sablehinge/control/Seal.java
@@ -58,7 +58,7 @@
         return (fields + FLETCHER + Integer.toHexString(check)).getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    /** A text of fields, up to its checksum; null if that is another. */
+    /** A text of fields, up to its checksum; null if that is another, or if it doesn't end as written. */
     static String fields(byte[] bytes) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
         int end = text.indexOf(FLETCHER);
@@ -72,7 +72,17 @@
             to++;
         }
         String check = Integer.toHexString(DataUtils.getFletcher32(bytes, 0, end));
-        return text.substring(from, to).equals(check) ? fields : null;
+        return text.substring(from, to).equals(check) && endsBlank(bytes, to) ? fields : null;
+    }
+
+    /** Whether only blanks and a line's end follow: MVStore takes no chunk that ends in anything else. */
+    private static boolean endsBlank(byte[] bytes, int from) {
+        for (int i = from; i < bytes.length - 1; i++) {
+            if (bytes[i] != ' ') {
+                return false;
+            }
+        }
+        return bytes[bytes.length - 1] == '\n';
     }
 
     /** A number of such a text, -1 if it has no such field or that is no number. */
--- a/src/test/java/sablehinge/control/RaftStoreCrashTest.java
+++ b/src/test/java/sablehinge/control/RaftStoreCrashTest.java
@@ -72,7 +72,24 @@
         return text.toString();
     }
 
+    /** Another's snapshot, further than the log is, and entries after it. */
+    private static Change install(Model model, int number, Random random) {
+        long base = model.snapshot == null ? 0 : model.snapshot.index();
+        long index = model.last() + 1 + random.nextInt(30);
+        byte[] state = new byte[random.nextInt(200_000)];
+        random.nextBytes(state);
+        List<Entry> append = new ArrayList<>();
+        for (int i = random.nextInt(3); i > 0; i--) {
+            append.add(0, new Entry(index + i, number, Entry.Kind.NOOP, new byte[i]));
+        }
+        return new Change(number, number / 5, random.nextInt(2), model.entries.isEmpty() ? 0 : base + 1,
+                append, new Snapshot(index, number, List.of(SELF), state));
+    }
+
     static Change next(Model model, int number, Random random) {
+        if (random.nextInt(8) == 0) {
+            return install(model, number, random);
+        }
         long from = 0;
         long base = model.snapshot == null ? 0 : model.snapshot.index();
         long end = model.last();
--- a/src/test/java/sablehinge/control/RaftStoreTest.java
+++ b/src/test/java/sablehinge/control/RaftStoreTest.java
@@ -172,6 +172,30 @@
         }
     }
 
+    /** A write that was refused or cut short may end anywhere, with older bytes behind it. */
+    @Test
+    void aCommitWhoseLastBytesAreOlderOnesIsTorn() {
+        CrashDisk disk = new CrashDisk(1);
+        RaftStore store = RaftStore.open(disk);
+        store.begin(SELF);
+        store.write(append(1));
+        byte[] before = disk.bytes(RaftStore.FILE).clone();
+        store.write(append(2));
+        byte[] after = disk.bytes(RaftStore.FILE).clone();
+        store.close();
+        int end = after.length;
+        assertEquals(before.length + Seal.BLOCK, end, "the last commit is the last block");
+        for (int older = 1; older <= Seal.LENGTH; older++) {
+            byte[] torn = after.clone();
+            Arrays.fill(torn, end - older, end, (byte) 'x');
+            disk.bytes(RaftStore.FILE, torn);
+            try (RaftStore found = RaftStore.open(disk)) {
+                assertFalse(found.damaged(), older + " bytes");
+                assertEquals(List.of(1L), indexes(found), older + " bytes");
+            }
+        }
+    }
+
     @Test
     void spaceIsUsedAgain() throws Exception {
         int count = 2000;
