A sole control machine holds its lease; a keeper that stood still strikes nobody out

Cause: a lease was only ever extended by answers of peers, so a core of one machine never gave out tokens or shares. The registry's pause and the answer to a balancer that knows a later term had no test; nor was it tested that answers out of a buffer are no recent contact (a mutant that counts them was not found).

Change: a sole member holds the lease while it leads; tests of these.

--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -879,7 +879,8 @@
      * wait, as clocks differ in speed. Not in a term in which it asked another to take over.
      */
     public boolean leases(double now) {
-        return running && role == Standing.Role.LEADER && now < leaseUntil;
+        // A sole member has nobody to ask, and nobody else can be voted for.
+        return running && role == Standing.Role.LEADER && (now < leaseUntil || majority() == 1);
     }
 
     /**
--- a/src/test/java/sablehinge/control/ControlCluster.java
+++ b/src/test/java/sablehinge/control/ControlCluster.java
@@ -165,6 +165,10 @@
             return raft != null;
         }
 
+        ControlCluster cluster() {
+            return ControlCluster.this;
+        }
+
         private void boot() {
             life++;
             buffers.clear();
--- a/src/test/java/sablehinge/control/ControlNodeTest.java
+++ b/src/test/java/sablehinge/control/ControlNodeTest.java
@@ -371,6 +371,22 @@
         }
     }
 
+    @Test
+    void whoWasToldNewsByALeaderOfALaterTermIsSentElsewhere() throws Exception {
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+        int leader = leader();
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try {
+            Frame elsewhere = asked(loop, leader, new WatchRequest(3, new Registration("s-1", "monza-a",
+                    "127.0.0.1:1", "huvo11a", "i-1", true, 4, 0), 0, 1_000_000, 0, false, List.of(),
+                    List.of()));
+            assertEquals(Frame.Kind.ELSEWHERE, elsewhere.kind());
+            assertEquals("", new String(elsewhere.body(), StandardCharsets.UTF_8));
+        } finally {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** The first record that a member answers to an ask. */
     private Frame asked(EventLoop loop, int member, WatchRequest request) throws InterruptedException {
         LinkedBlockingQueue<Frame> answers = new LinkedBlockingQueue<>();
--- a/src/test/java/sablehinge/control/QuorumContactTest.java
+++ b/src/test/java/sablehinge/control/QuorumContactTest.java
@@ -67,6 +67,17 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(ControlRequest.class)
+    void aSoleMachineIsItsOwnMajority(ControlRequest request) {
+        ControlCluster.Machine sole = new ControlCluster(7, 1).machines.values().iterator().next();
+        while (sole.state.edition() == 0) {
+            sole.call(ControlRequest.CONFIG_REPLACE, 0, OperatorModel.body(3, 1), reply -> { });
+            sole.cluster().run(300);
+        }
+        assertTrue(sole.gate.allows(sole.now(), request));
+    }
+
     /** What a process that stood still finds in its buffers comes before its first tick. */
     @ParameterizedTest
     @EnumSource(ControlRequest.class)
@@ -98,9 +109,11 @@
     @Test
     void answersThatWaitedInABufferAreNoRecentContact() {
         ControlCluster.Machine leader = led();
-        cluster.cuts.clear();
+        // A read asks a question at once; its answers come while the leader stands still.
+        leader.call(ControlRequest.CONFIG_READ, 0, "", reply -> { });
+        cluster.run(0.1);
         leader.freeze();
-        cluster.run(3);
+        cluster.run(5);
         cluster.others(leader).forEach(ControlCluster.Machine::kill);
         cluster.run(FROZEN_MS);
         leader.thaw();
--- a/src/test/java/sablehinge/state/RegistryTest.java
+++ b/src/test/java/sablehinge/state/RegistryTest.java
@@ -70,6 +70,17 @@
         assertEquals(List.of(), registry.since(0));
     }
 
+    /** Else all who are told of would be gone as soon as a machine that was stopped goes on. */
+    @Test
+    void aTimeInWhichTheKeeperItselfStoodStillIsNobodysSilence() {
+        registry.told(0, registration("a", "i-1", true, 0));
+        registry.told(500, registration("b", "i-2", true, 0));
+        registry.stoodStill(20_700, 20_000);
+        assertFalse(registry.expire(20_900));
+        assertTrue(registry.expire(21_050));
+        assertEquals(List.of("i-2", ""), lives(registry.since(0)));
+    }
+
     @Test
     void itIsCompleteOnceAllWhoLiveHadTheTimeToTellAndIncompleteAgainWhenKeptAnew() {
         assertFalse(registry.isComplete(2_499));
