The gate opens by a heartbeat alone; a late or foreign one changes nothing

Cause: a balancer that was killed after it had acknowledged `unloading` and was started again asked the health path, whose answer may be false, and opened the gate for a life of which it no longer knew that it leaves. A first heartbeat that said `unloading` gave another half of unloadMs, whenever the process before had acknowledged it. callCount was never looked at, a late heartbeat of an earlier life or of one that had signed off brought it back, and a heartbeat of an upstream at another address was taken for the own one's and acknowledged by a balancer that keeps no gate before it.

Change: admission.UpstreamLifecycle decides by lives, counts and times; the health probe is gone (one probe less in the life of each process).

A failure whose status we replace (503, 429, 408, 421 of an upstream that may have run it) no longer bears the upstream's stamp (MIXED).

--- a/src/main/java/sablehinge/sidecar/Beats.java
+++ b/src/main/java/sablehinge/sidecar/Beats.java
@@ -8,6 +8,7 @@
 import sablehinge.api.CallException;
 import sablehinge.api.Headed;
 import sablehinge.api.Operation;
+import sablehinge.admission.UpstreamLifecycle.Heartbeat;
 import sablehinge.api.Reply;
 
 /** The calls of the upstream beside a balancer (PROTOCOL, "Which upstreams there are"). */
@@ -15,32 +16,27 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST_BERTHS = 60_000;
+    private static final int MISDIRECTED = 421;
 
     private Beats() {
     }
 
-    /**
-     * A beat.
-     *
-     * @param id of the upstream's life
-     * @param unloading whether it is about to leave
-     * @param coldMs how much longer it is slow
-     * @param count rises with each call
-     */
-    record Beat(String id, String service, String address, boolean unloading, int berths, int coldMs,
-            long count) { }
-
     /** That a beat was heard. */
     record Heard() { }
 
     /** An upstream has left. */
     record SignOff(String id) { }
 
-    /** The operation of beats. */
-    static Operation<Beat, Heard> beats(Consumer<Beat> hears) {
+    /**
+     * The operation of heartbeats. One of an upstream elsewhere is not acknowledged: the gate before it is
+     * not here.
+     *
+     * @param app the address of the upstream of the own machine, {@code ip:port}
+     */
+    static Operation<Heartbeat, Heard> beats(String app, Consumer<Heartbeat> hears) {
         return new Headed<>("POST", "/sablehinge/Servers.Heartbeat/") {
             @Override
-            public Beat read(Asked asked) {
+            public Heartbeat read(Asked asked) {
                 JsonNode body;
                 try {
                     body = JSON.readTree(asked.body());
@@ -51,14 +47,19 @@
                 if (!state.equals("ready") && !state.equals("unloading")) {
                     throw new CallException(400, "STATE", "state is neither ready nor unloading: " + state);
                 }
-                return new Beat(asked.name(), text(body, "depot"), text(body, "address"),
-                        state.equals("unloading"), Math.max(1, Math.min(MOST_BERTHS,
-                                body.path("berths").asInt(1))),
+                text(body, "depot");
+                String address = text(body, "address");
+                if (!address.equals(app)) {
+                    throw new CallException(MISDIRECTED, "ELSEWHERE", "the upstream here is at " + app
+                            + ", not at " + address);
+                }
+                return new Heartbeat(asked.name(), state.equals("unloading"),
+                        Math.max(1, Math.min(MOST_BERTHS, body.path("berths").asInt(1))),
                         Math.max(0, body.path("coldLeftMs").asInt(0)), body.path("callCount").asLong(0));
             }
 
             @Override
-            public void carryOut(Beat beat, Consumer<Heard> answer) {
+            public void carryOut(Heartbeat beat, Consumer<Heard> answer) {
                 hears.accept(beat);
                 answer.accept(new Heard());
             }
--- a/src/main/java/sablehinge/sidecar/MeshAnswers.java
+++ b/src/main/java/sablehinge/sidecar/MeshAnswers.java
@@ -51,6 +51,10 @@
             // What frames the answer was set before; a copy must not add to it.
             HopHeaders.copy(given.headers(), response.headers());
             response.headers().remove(MeshHeaders.VERDICT);
+            if (given instanceof HttpResponse answered && promises(answered.status())) {
+                // The stamp is the upstream's word for its own status and body, which it does not get here.
+                response.headers().remove(MeshHeaders.STAMP).remove(MeshHeaders.NOT_RUN);
+            }
         } else if (request != null && request.headers().contains(MeshHeaders.TRY)) {
             response.headers().set(MeshHeaders.TRY, request.headers().get(MeshHeaders.TRY));
         }
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -21,6 +21,7 @@
 import sablehinge.routing.Configuration;
 import sablehinge.routing.Plan;
 import sablehinge.admission.AdmissionController;
+import sablehinge.admission.UpstreamLifecycle;
 import sablehinge.state.Registration;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
@@ -63,15 +64,6 @@
     private static final int CACHED = 32;
     private static final long PING_MS = 300;
     private static final long DEAD_MS = 1_200;
-    /** An upstream that says it leaves gets nothing new from this part of its time on. */
-    private static final double UNLOAD_PART = 0.5;
-    /** Beats that may be missing until an upstream counts as gone. */
-    private static final double MISSING = 3.5;
-    /**
-     * Berths of an upstream that has not told how many it has, until its next beat: where it has fewer, it
-     * queues the rest itself; where it has more, they stand idle while the most waits.
-     */
-    private static final int LIKELY_BERTHS = 10;
     static final long TICK_MS = 100;
     private static final int MOST_BEAT = 64 * 1024;
     /** After SIGTERM: how long clients may not have heard yet, and what is kept of the grace to end. */
@@ -123,11 +115,8 @@
     private boolean leaving;
     /** Whether the upstream beside is to be drawn no more, as this process is about to end. */
     private boolean shuts;
-    private Beats.Beat upstream;
-    private boolean probed;
-    private boolean unloading;
-    private boolean gone;
-    private double beatAt;
+    private final UpstreamLifecycle lifecycle;
+    private final double startedListeningAt = clock.now();
 
     private Sidecar(LocalSettings settings, EventLoop loop) {
         this.settings = settings;
@@ -145,6 +134,8 @@
             admission = new AdmissionController(actions);
             return admission;
         });
+        lifecycle = new UpstreamLifecycle(admission, MeshHeaders::life, settings.bounds().unloadMs(),
+                settings.beatMs());
         routes = new OutboundFront(settings.depot(), quotas, spill, new OutboundFront.Confirming() {
             @Override
             public void ask() {
@@ -213,7 +204,7 @@
         try {
             sidecar.inFront.bind(address(at.inbound()), false);
             loop.submit(() -> sidecar.outFront.adopt(listening)).sync();
-            sidecar.opens(new ApiServer(loop, List.of(Beats.beats(sidecar::heard),
+            sidecar.opens(new ApiServer(loop, List.of(Beats.beats(settings.app(), sidecar::heard),
                     Beats.signOffs(sidecar::signedOff)),
                     MOST_BEAT), at.control());
             sidecar.watchers.listen();
@@ -247,70 +238,51 @@
 
     // ---- The upstream beside -------------------------------------------------------------------------
 
-    private void heard(Beats.Beat beat) {
+    private void heard(UpstreamLifecycle.Heartbeat beat) {
         double now = clock.now();
-        beatAt = now;
-        if (upstream == null || !upstream.id().equals(beat.id())) {
-            upstream = beat;
-            unloading = false;
-            gone = false;
-            admission.opens(now, MeshHeaders.life(beat.id()), beat.berths());
-            Log.info(LOG, "upstream").addKeyValue("id", beat.id()).addKeyValue("berths", beat.berths())
-                    .log("an upstream has begun a life");
+        UpstreamLifecycle.Heartbeat before = lifecycle.present();
+        double closed = lifecycle.closesAt();
+        if (lifecycle.heard(now, beat)) {
             update.askNow();
-        } else {
-            if (upstream.berths() != beat.berths() && upstream.count() <= beat.count()) {
-                upstream = beat;
-                admission.opens(now, MeshHeaders.life(beat.id()), beat.berths());
-            }
-            if (gone) {
-                gone = false;
-                update.askNow();
-            }
         }
-        if (beat.unloading() && !unloading) {
-            unloading = true;
-            leaves(now, beat.id(), now + UNLOAD_PART * settings.bounds().unloadMs());
+        if (before == null || !before.id().equals(beat.id())) {
+            Log.info(LOG, "upstream").addKeyValue("id", beat.id()).addKeyValue("berths", beat.berths())
+                    .addKeyValue("unloading", beat.unloading())
+                    .addKeyValue("after-ms", (long) (now - startedListeningAt))
+                    .log("an upstream is heard");
         }
-    }
-
-    /** The upstream beside was there before this process; its next beat tells the rest. */
-    private void answered(String id) {
-        if (upstream == null) {
-            heard(new Beats.Beat(id, settings.depot(), settings.app(), false, LIKELY_BERTHS, 0, 0));
+        if (lifecycle.closesAt() < closed) {
+            leaves(beat.id(), lifecycle.closesAt() - now);
         }
     }
 
     private void signedOff(Beats.SignOff call) {
-        if (upstream != null && upstream.id().equals(call.id())) {
-            unloading = true;
-            leaves(clock.now(), call.id(), clock.now());
+        if (lifecycle.signedOff(clock.now(), call.id())) {
+            leaves(call.id(), 0);
+            update.askNow();
         }
     }
 
-    private void leaves(double now, String id, double at) {
+    /** Those that wait at the gate when it closes are refused then, and not by the next tick. */
+    private void leaves(String id, double closesInMs) {
         Log.info(LOG, "upstream-leaves").addKeyValue("id", id).log("the upstream leaves");
-        admission.closes(now, MeshHeaders.life(id), at);
-        loop.schedule(() -> admission.closes(clock.now(), MeshHeaders.life(id), at),
-                (long) Math.max(0, at - now) + 1, TimeUnit.MILLISECONDS);
-        update.askNow();
+        loop.schedule(() -> lifecycle.tick(clock.now()), (long) Math.max(0, closesInMs) + 1,
+                TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
         spill.tick();
         watchers.tick();
-        if (upstream != null && !gone && clock.now() - beatAt > MISSING * settings.beatMs()) {
-            gone = true;
+        if (lifecycle.tick(clock.now())) {
             update.askNow();
         }
     }
 
     private Registration self() {
-        boolean there = upstream != null && !gone;
+        UpstreamLifecycle.Heartbeat present = lifecycle.present();
         return new Registration(settings.node(), settings.zone(), settings.listenOn().inbound(),
-                there ? upstream.service() : settings.depot(), there ? upstream.id() : "",
-                there && !unloading && !shuts, there ? upstream.berths() : 0,
-                there ? upstream.coldMs() : 0);
+                settings.depot(), present == null ? "" : present.id(), lifecycle.isReady() && !shuts,
+                present == null ? 0 : present.berths(), present == null ? 0 : present.coldMs());
     }
 
     private void claim(Frame frame) {
@@ -373,11 +345,6 @@
         spill.adopt(configuration);
         outbound.adopt(version, roster(now));
         outbound.release(before.number());
-        Configuration.Service own = routes.plan().service(settings.depot());
-        if (!probed && upstream == null && own != null) {
-            probed = true;
-            HealthProbe.ask(loop, address(settings.app()), own.healthPath(), this::answered);
-        }
         Log.info(LOG, "configuration").addKeyValue("edition", next)
                 .addKeyValue("routes", configuration.routes().size()).log("a configuration is in force here");
     }
--- /dev/null
+++ b/src/test/java/sablehinge/admission/UpstreamLifecycleTest.java
@@ -0,0 +1,292 @@
+package sablehinge.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.admission.UpstreamLifecycle.Heartbeat;
+import sablehinge.policy.LoadBalancer.Actions;
+import sablehinge.policy.LoadBalancer.Request;
+
+/**
+ * What heartbeats and sign-offs do to the gate (RULES, DRAIN), through ends and starts of the balancer's
+ * process: every order of a few events, with requests tried all the while. The time is the test's.
+ */
+class UpstreamLifecycleTest {
+
+    private static final double UNLOAD_MS = 2_400;
+    private static final double BEAT_MS = 1_500;
+    private static final int BERTHS = 1_000;
+    private static final String LIFE = "i-1";
+    private static final String NEXT = "i-2";
+    /** Between two events; together with a start they fit into {@code unloadMs}, alone they may not. */
+    private static final double[] GAPS = {150, 1_100, 2_600};
+    private static final double TRIED_EVERY_MS = 50;
+    private static final int STEPS = 5;
+
+    /** What may happen to the balancer beside an upstream. */
+    private enum Event { READY_BEAT, UNLOADING_BEAT, LATE_READY_BEAT, KILL, START, HEALTH_ANSWER, SIGN_OFF }
+
+    /** The balancer's machine: its process, if it runs, and what the upstream beside has seen. */
+    private static final class Machine implements Actions {
+        private AdmissionController gate;
+        private UpstreamLifecycle lifecycle;
+        private double now;
+        private long requests;
+        private long callCount = 10;
+        private boolean leaves;
+        /** When this machine first acknowledged that the life leaves; it must get nothing so long after. */
+        private double leavesAt = Double.POSITIVE_INFINITY;
+        private double latest = Double.NEGATIVE_INFINITY;
+
+        void start() {
+            gate = new AdmissionController(this);
+            lifecycle = new UpstreamLifecycle(gate, Machine::number, UNLOAD_MS, BEAT_MS);
+        }
+
+        void kill() {
+            gate = null;
+            lifecycle = null;
+        }
+
+        static long number(String id) {
+            return id.equals(LIFE) ? 1 : 2;
+        }
+
+        boolean runs() {
+            return lifecycle != null;
+        }
+
+        void beats(boolean unloading, long count) {
+            if (runs()) {
+                lifecycle.heard(now, new Heartbeat(LIFE, unloading, BERTHS, 0, count));
+                if (unloading) {
+                    leavesAt = Math.min(leavesAt, now);
+                }
+            }
+        }
+
+        void befalls(Event event) {
+            switch (event) {
+                case READY_BEAT -> {
+                    // The upstream itself never takes back that it leaves.
+                    if (!leaves) {
+                        beats(false, ++callCount);
+                    }
+                }
+                case UNLOADING_BEAT -> {
+                    leaves = true;
+                    beats(true, ++callCount);
+                }
+                case LATE_READY_BEAT -> {
+                    // One that has been under way through an end of the process died with it.
+                    if (leavesAt == Double.POSITIVE_INFINITY || runs() && lifecycle.present() != null) {
+                        beats(false, 3);
+                    }
+                }
+                case KILL -> kill();
+                case START -> {
+                    if (!runs()) {
+                        start();
+                    }
+                }
+                case SIGN_OFF -> {
+                    leaves = true;
+                    if (runs()) {
+                        lifecycle.signedOff(now, LIFE);
+                        leavesAt = Math.min(leavesAt, now);
+                    }
+                }
+                default -> {
+                    // A health answer, true or false, says nothing to the gate.
+                }
+            }
+        }
+
+        /** Time passes; other balancers, whose roll is old, send requests for the life all the while. */
+        void passes(double millis) {
+            double end = now + millis;
+            while (now < end) {
+                now += TRIED_EVERY_MS;
+                if (runs()) {
+                    lifecycle.tick(now);
+                    gate.request(now, new Request(++requests, 0, 0, number(LIFE), now + 10_000, 100, false,
+                            true, 0));
+                }
+            }
+        }
+
+        @Override
+        public void send(long requestId, long upstream, double timeout) {
+            latest = now;
+        }
+
+        @Override
+        public void refuse(long requestId, double retryAfter) {
+            // It has not run.
+        }
+
+        @Override
+        public void fail(long requestId) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void cancel(long requestId, int attempt) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void probe(long upstream) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void closeIdle(long upstream) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void fetch() {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void watch(boolean on) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void setTimer(long token, double at) {
+            // What waits is refused by a later call.
+        }
+
+        @Override
+        public void tell(int peer, byte[] payload) {
+            throw new AssertionError();
+        }
+
+        @Override
+        public void log(String text) {
+            throw new AssertionError();
+        }
+    }
+
+    /** All orders of five events, each with three gaps between them, behind a first heartbeat. */
+    @Test
+    void noOrderOfEventsLetsARequestThroughAfterTheDrainTime() {
+        List<String> broken = new ArrayList<>();
+        int plays = 0;
+        int drained = 0;
+        Event[] events = Event.values();
+        for (double gap : GAPS) {
+            for (int order = 0; order < Math.pow(events.length, STEPS); order++) {
+                Machine machine = new Machine();
+                machine.start();
+                machine.befalls(Event.READY_BEAT);
+                machine.passes(gap);
+                StringBuilder told = new StringBuilder();
+                for (int step = 0, rest = order; step < STEPS; step++, rest /= events.length) {
+                    Event event = events[rest % events.length];
+                    machine.befalls(event);
+                    machine.passes(gap);
+                    told.append(event).append(' ');
+                }
+                machine.passes(2 * UNLOAD_MS);
+                plays++;
+                drained += machine.leavesAt < Double.POSITIVE_INFINITY ? 1 : 0;
+                if (machine.latest > machine.leavesAt + UNLOAD_MS) {
+                    broken.add(gap + " ms: " + told + "sent " + (machine.latest - machine.leavesAt)
+                            + " ms after it was acknowledged");
+                }
+            }
+        }
+        assertEquals(List.of(), broken.stream().limit(5).toList(), broken.size() + " of " + plays);
+        assertTrue(drained > plays / 2, drained + " of " + plays + " drain at all");
+    }
+
+    /** A restarted balancer serves again with the first heartbeat that says ready. */
+    @Test
+    void aHeartbeatOpensTheGateOfAProcessThatHasBegunAnew() {
+        Machine machine = new Machine();
+        machine.start();
+        machine.befalls(Event.READY_BEAT);
+        machine.befalls(Event.KILL);
+        machine.passes(500);
+        machine.befalls(Event.START);
+        double before = machine.latest;
+        machine.passes(500);
+        assertEquals(before, machine.latest);
+        machine.befalls(Event.READY_BEAT);
+        machine.passes(100);
+        assertEquals(machine.now, machine.latest);
+    }
+
+    /** An upstream that this process has known for long serves on for a part of its time. */
+    @Test
+    void anUnloadingUpstreamServesOnForAPart() {
+        Machine machine = new Machine();
+        machine.start();
+        machine.befalls(Event.READY_BEAT);
+        machine.passes(10 * UNLOAD_MS);
+        machine.befalls(Event.UNLOADING_BEAT);
+        double at = machine.now;
+        machine.passes(2 * UNLOAD_MS);
+        assertTrue(machine.latest > at + UNLOAD_MS / 4 && machine.latest < at + UNLOAD_MS * 3 / 4,
+                "served until " + (machine.latest - at) + " ms after");
+    }
+
+    private static Heartbeat beat(String id, long count) {
+        return new Heartbeat(id, false, 4, 0, count);
+    }
+
+    private static UpstreamLifecycle lifecycle() {
+        Machine machine = new Machine();
+        return new UpstreamLifecycle(new AdmissionController(machine), Machine::number, UNLOAD_MS, BEAT_MS);
+    }
+
+    @Test
+    void aLateHeartbeatChangesNothing() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        assertTrue(lifecycle.heard(0, beat(LIFE, 5)));
+        assertFalse(lifecycle.heard(1, new Heartbeat(LIFE, false, 9, 0, 4)));
+        assertEquals(4, lifecycle.present().berths());
+        // Nor does it say that the upstream lives still.
+        lifecycle.heard(5_000, beat(LIFE, 4));
+        assertTrue(lifecycle.tick(5_400));
+        assertNull(lifecycle.present());
+    }
+
+    @Test
+    void aLateHeartbeatThatSaysUnloadingIsAcknowledgedAndSoHolds() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        lifecycle.heard(0, beat(LIFE, 5));
+        assertTrue(lifecycle.heard(5_000, new Heartbeat(LIFE, true, 4, 0, 4)));
+        assertFalse(lifecycle.isReady());
+    }
+
+    @Test
+    void aLateHeartbeatOfAnEarlierLifeDoesNotBringItBack() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        lifecycle.heard(0, beat(LIFE, 5));
+        lifecycle.heard(1, beat(NEXT, 1));
+        assertFalse(lifecycle.heard(2, beat(LIFE, 5)));
+        assertEquals(NEXT, lifecycle.present().id());
+        // A process that has just begun may hear a late one first: the live one goes on calling.
+        lifecycle.heard(3, beat(LIFE, 6));
+        assertTrue(lifecycle.heard(4, beat(NEXT, 2)));
+        assertEquals(NEXT, lifecycle.present().id());
+    }
+
+    @Test
+    void aLifeThatHasSignedOffNeverComesBack() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        assertFalse(lifecycle.signedOff(0, LIFE));
+        assertFalse(lifecycle.heard(1, beat(LIFE, 50)));
+        assertNull(lifecycle.present());
+    }
+}
--- a/src/test/java/sablehinge/sidecar/RequestsTest.java
+++ b/src/test/java/sablehinge/sidecar/RequestsTest.java
@@ -220,6 +220,18 @@
         }
     }
 
+    /** RULES, MIXED: the stamp is the upstream's word for the status that it gave. */
+    @ParameterizedTest
+    @CsvSource({"503 Run,502,0", "429 Run,502,0", "408 Run,502,0", "500 Oh,500,1", "404 Gone,404,1"})
+    void aFailureKeepsItsStampOnlyWithItsStatus(String given, int status, int stamps) throws Exception {
+        try (Mesh mesh = Mesh.served().answers(request -> "HTTP/1.1 " + given + "\r\nSablehinge-Try-Id: "
+                + request.id() + "\r\nSablehinge-Postmark: 3e1b.x\r\nContent-Length: 0\r\n\r\n")) {
+            Wire.Message answer = mesh.client().ask(Mesh.post("/u/x", "t-1", "b"));
+            assertEquals(status, answer.status());
+            assertEquals(stamps, answer.all("Sablehinge-Postmark").size());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"503 Full", "429 Many", "400 Bad", "421 Other"})
     void whatTheUpstreamSaysIsNotRunIsAPromiseForTheClient(String status) throws Exception {
