--- a/bench/src/sablehinge/consensus/Calm.java
+++ b/bench/src/sablehinge/consensus/Calm.java
@@ -107,6 +107,11 @@
         if (voters < voters()) {
             return voters + " voters of " + voters();
         }
+        for (Member voter : leader.standing.members()) {
+            if (cluster.machines.get(voter.address()).self.id() != voter.id()) {
+                return "a voter at " + voter.address() + " that lost its disk is not replaced";
+            }
+        }
         for (int i = 0; i < cluster.size(); i++) {
             Machine machine = cluster.machine(i);
             if (machine.applied < cluster.committed.size()) {
--- a/bench/src/sablehinge/consensus/DeploymentStart.java
+++ b/bench/src/sablehinge/consensus/DeploymentStart.java
@@ -66,23 +66,6 @@
         } else {
             cluster.graves.put(name.id(), new Disk());
         }
-        if (step.kind() != Step.Kind.SYNC && isFoundingLost(machine)) {
-            cluster.loseMoreThanBorne();
-        }
         return true;
     }
-
-    /**
-     * Whether a founder is down whose founding is on no disk, and a second founder is like it: with three
-     * of them no majority is left that knows of the core.
-     */
-    boolean isFoundingLost(Machine machine) {
-        int lost = 0;
-        for (Member founder : founders) {
-            Machine one = cluster.machines.get(founder.address());
-            boolean never = one.self.id() != founder.id() || cluster.graves.containsKey(founder.id());
-            lost += never || one.life > 0 && !one.up() && one.disk.snapshot == null ? 1 : 0;
-        }
-        return lost > 1 && machine.disk.snapshot == null;
-    }
 }
--- a/bench/src/sablehinge/consensus/RandomScheduler.java
+++ b/bench/src/sablehinge/consensus/RandomScheduler.java
@@ -152,7 +152,8 @@
     /** Somebody calls who leads, or who thinks so; a host may put its state into a snapshot anywhere. */
     private void call(Step.Kind kind) {
         int from = draw(cluster.size());
-        boolean anywhere = kind == Step.Kind.CAPTURE || kind == Step.Kind.COMPACT;
+        boolean anywhere = kind == Step.Kind.CAPTURE || kind == Step.Kind.COMPACT
+                || kind == Step.Kind.FORGET;
         for (int i = 0; i < cluster.size(); i++) {
             int at = (from + i) % cluster.size();
             Machine machine = cluster.machine(at);
--- a/bench/src/sablehinge/consensus/Step.java
+++ b/bench/src/sablehinge/consensus/Step.java
@@ -41,6 +41,8 @@
         CAPTURE(1, false),
         /** A snapshot takes the place of all that was applied by the last capture, or by now if there is none. */
         COMPACT(1, false),
+        /** Entries behind its snapshot are kept no more: who lacks one of them needs the snapshot. */
+        FORGET(1, false),
         /** Process and power are lost, and all writes under way but the first so many. */
         POWER(1, true),
         /** It starts with what its disk holds; as another if that is nothing. */
--- a/bench/src/sablehinge/consensus/SteppedCluster.java
+++ b/bench/src/sablehinge/consensus/SteppedCluster.java
@@ -22,6 +22,9 @@
     private static final int MOST_ON_THE_WAY = 32;
     /** Clocks go 10% wrong at most, of which a lease must take account. */
     private static final double WRONG = 0.1;
+    /** Length of a configuration whose snapshot needs several chunks, bytes; and how many seeds have it. */
+    private static final int LARGE = 70_000;
+    private static final int FEW_LARGE = 24;
     private static final double PLAINLY_WRONG = 0.05;
     private static final double APART = 1e5;
     /** A member from whom the leader has not heard for so long may be down, ms. */
@@ -54,6 +57,7 @@
     private int done;
     /** Losses that the core is to bear once all machines of the beginning take part. */
     private final int tolerates;
+    private final List<Member> founders;
     private boolean beyond;
 
     SteppedCluster(long seed) {
@@ -71,20 +75,25 @@
                 plain ? usual.electionLeast() : usual.electionMost(), usual.quorum(), 700, usual.fresh(),
                 usual.stall(), usual.barrier(), plain ? 1 : 1 + random.nextInt(3), usual.bytes(),
                 usual.waiting());
+        if (!plain && (Focus.of(seed) == Focus.SNAPSHOTS && random.nextInt(FEW_LARGE) == 0)) {
+            claims.bodyBytes = LARGE;
+        }
         int dice = plain ? FOUNDED_BY_THREE : random.nextInt(20);
         if (dice < FOUNDED_BY_THREE) {
             deployment = null;
             tolerates = dice == 0 ? 2 : 1;
-            found(dice == 0 ? 5 : 4);
+            found(dice == 0 ? 5 : 4, tolerates);
         } else if (dice < STARTED) {
             deployment = null;
             tolerates = 1;
-            found(SEEDS);
+            found(SEEDS, tolerates);
         } else {
             deployment = new DeploymentStart(this);
             tolerates = dice < GROWING ? 1 : 2;
+            losses = tolerates;
             deployment.machines(SEEDS, dice < GROWING ? SEEDS + dice % 2 : 2 * tolerates + 1);
         }
+        founders = list;
     }
 
     int tolerates() {
@@ -218,7 +227,11 @@
                 }
                 yield may;
             }
-            case SYNC, POWER -> isStarting(step.a()) ? deployment.take(a, step) : a.up() && alive(a, step);
+            case SYNC, POWER -> {
+                boolean did = isStarting(step.a()) ? deployment.take(a, step) : a.up() && alive(a, step);
+                beyond |= step.kind() == Step.Kind.POWER && isFoundingLost();
+                yield did;
+            }
             default -> a.up() && alive(a, step);
         };
     }
@@ -246,14 +259,12 @@
             }
             case BARRIER -> a.barrier();
             case CAPTURE -> captured[step.a()] = new Captured(a.life, a.applied, a.state());
+            case FORGET -> KeptEntries.forget(a.master);
             case COMPACT -> {
                 return compact(a, step.a());
             }
             default -> {
                 a.end(Math.min(step.n(), a.unsynced.size()));
-                if (deployment != null && deployment.isFoundingLost(a)) {
-                    loseMoreThanBorne();
-                }
             }
         }
         return true;
@@ -335,8 +346,18 @@
         return beyond;
     }
 
-    void loseMoreThanBorne() {
-        beyond = true;
+    /**
+     * Whether so many founders ended before their founding was on a disk that those who are left are no
+     * majority: then the core was never founded.
+     */
+    private boolean isFoundingLost() {
+        int lost = 0;
+        for (Member founder : founders) {
+            Machine machine = machines.get(founder.address());
+            boolean never = machine.self.id() != founder.id() || graves.containsKey(founder.id());
+            lost += never || machine.life > 0 && !machine.up() && machine.disk.snapshot == null ? 1 : 0;
+        }
+        return lost > (founders.size() - 1) / 2;
     }
 
     /** Members that the core of now may lose. */
--- a/src/test/java/sablehinge/consensus/SimulatedCluster.java
+++ b/src/test/java/sablehinge/consensus/SimulatedCluster.java
@@ -408,7 +408,7 @@
         found(founders, founders / 2);
     }
 
-    private void found(int founders, int bears) {
+    final void found(int founders, int bears) {
         losses = bears;
         List<Member> members = new ArrayList<>();
         for (int i = 0; i < founders; i++) {
