Faults of the checker stand where they bite, and each is held to have its place

"What a follower holds counts as the leader's" was put in at the first of two places with one text, the one that waits for a full disk queue, which no schedule reaches: so it was never found. Cuts between a leader and one other last longer in the focus CUT_OFF. A test holds that each fault has a place in its class and that each of the four points has at least eight.

--- a/bench/src/sablehinge/consensus/Focus.java
+++ b/bench/src/sablehinge/consensus/Focus.java
@@ -9,17 +9,17 @@
  */
 enum Focus {
     /** A little of all. */
-    GENERAL(0.10, 0.5, new int[] {50, 6, 4, 4, 20, 3, 9, 4}, new int[] {3, 1, 2, 1, 1}),
+    GENERAL(0.10, 0.1, 0.5, 0.4, new int[] {50, 6, 4, 4, 20, 3, 9, 4}, new int[] {3, 1, 2, 1, 1}),
     /** Machines that are cut off, frozen or slow, with questions to whoever takes itself for the leader. */
-    CUT_OFF(0.15, 0.9, new int[] {35, 5, 5, 5, 45, 0, 4, 1}, new int[] {4, 1, 0, 0, 0}),
+    CUT_OFF(0.10, 0.2, 0.9, 0.7, new int[] {35, 5, 5, 5, 45, 0, 4, 1}, new int[] {4, 1, 0, 0, 0}),
     /** Orders that are sent again, sent elsewhere, or have something in common. */
-    ORDERS(0.30, 0.5, new int[] {30, 15, 25, 20, 3, 2, 4, 1}, new int[] {5, 2, 1, 0, 0}),
+    ORDERS(0.30, 0.1, 0.5, 0.4, new int[] {30, 15, 25, 20, 3, 2, 4, 1}, new int[] {5, 2, 1, 0, 0}),
     /** Machines that come, go and lose their disks, one after the other. */
-    MEMBERSHIP(0.10, 0.5, new int[] {60, 4, 2, 2, 10, 4, 12, 6}, new int[] {2, 1, 4, 2, 2}),
+    MEMBERSHIP(0.10, 0.1, 0.5, 0.4, new int[] {60, 4, 2, 2, 10, 4, 12, 6}, new int[] {2, 1, 4, 2, 2}),
     /** Compaction and snapshots under way. */
-    SNAPSHOTS(0.25, 0.5, new int[] {50, 4, 2, 2, 2, 12, 16, 12}, new int[] {4, 1, 3, 1, 0}),
+    SNAPSHOTS(0.25, 0.1, 0.5, 0.4, new int[] {50, 4, 2, 2, 2, 12, 16, 12}, new int[] {4, 1, 3, 1, 0}),
     /** A follower with a deposed leader's entries meets a leader who never had them; see {@link Outrun}. */
-    OUTRUN(0.15, 0.5, new int[] {70, 4, 4, 4, 8, 3, 5, 2}, new int[] {4, 1, 0, 0, 0});
+    OUTRUN(0.15, 0.1, 0.5, 0.4, new int[] {70, 4, 4, 4, 8, 3, 5, 2}, new int[] {4, 1, 0, 0, 0});
 
     /** A fault between two spells. */
     enum Fault {
@@ -40,14 +40,19 @@
 
     /** The part of the rounds in which somebody calls. */
     final double calls;
-    /** The part of the spells in which somebody is cut off. */
+    /** The part of the rounds in which time passes though something could move. */
+    final double waits;
+    /** The part of the spells in which somebody is cut off, and the part of these in which from one only. */
     final double cuts;
+    final double cutsFromOne;
     private final int[] callWeights;
     private final int[] faultWeights;
 
-    Focus(double calls, double cuts, int[] callWeights, int[] faultWeights) {
+    Focus(double calls, double waits, double cuts, double cutsFromOne, int[] callWeights, int[] faultWeights) {
         this.calls = calls;
+        this.waits = waits;
         this.cuts = cuts;
+        this.cutsFromOne = cutsFromOne;
         this.callWeights = callWeights;
         this.faultWeights = faultWeights;
     }
--- a/bench/src/sablehinge/consensus/LogFaults.java
+++ b/bench/src/sablehinge/consensus/LogFaults.java
@@ -35,7 +35,7 @@
 
     /** Faults by which a deposed leader's entries count. */
     static final List<Mutant> DEPOSED = List.of(
-            new Mutant("what a follower holds counts as the leader's", NODE, "private void takeAppend(",
+            new Mutant("what a follower holds counts as the leader's", NODE, "            take(entry);",
                     "Math.min(append.commit(), verified)", "Math.min(append.commit(), log.lastIndex())"),
             new Mutant("what another leader verified counts for the next", NODE, "private void stepDown(",
                     "verified = commit;", "verified += 0;"));
--- a/bench/src/sablehinge/consensus/Outrun.java
+++ b/bench/src/sablehinge/consensus/Outrun.java
@@ -58,8 +58,8 @@
             for (int i = player.random.nextInt(waiting + 1); i > 0; i--) {
                 player.deliver(first, other);
             }
-            while (other != first && player.sync(other) && player.chance(0.9)) {
-                player.chance(0.5);
+            while (other != first && player.chance(0.9) && player.sync(other)) {
+                continue;
             }
         }
     }
--- a/bench/src/sablehinge/consensus/RandomScheduler.java
+++ b/bench/src/sablehinge/consensus/RandomScheduler.java
@@ -111,7 +111,7 @@
     /** Cuts one machine off, in one direction or both, from one other or all. */
     private List<Step> cuts() {
         int one = chance(0.5) ? player.leader() : draw(cluster.size());
-        int only = chance(0.4) ? draw(cluster.size()) : -1;
+        int only = chance(focus.cutsFromOne) ? draw(cluster.size()) : -1;
         int way = draw(4);
         List<Step> cuts = new ArrayList<>();
         for (int other = 0; other < cluster.size(); other++) {
@@ -131,7 +131,7 @@
         double what = player.random.nextDouble();
         if (what < focus.calls) {
             call(focus.call(player.random));
-        } else if (what < focus.calls + 0.1 || !moveOne()) {
+        } else if (what < focus.calls + focus.waits || !moveOne()) {
             pass(pace);
         }
     }
--- a/src/test/java/sablehinge/consensus/QuorumTest.java
+++ b/src/test/java/sablehinge/consensus/QuorumTest.java
@@ -2,12 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -17,6 +21,8 @@
 class QuorumTest {
 
     private static final int LONGEST = 60;
+    /** Faults of each of the points that can go wrong. */
+    private static final int LEAST_FAULTS = 8;
 
     /** A founder that lost its founding, votes, loses power, and is asked by another in the same term. */
     private static final String NAME_ONLY = """
@@ -66,6 +72,22 @@
         assertNull(script.breach(), "the fault, not the checker, broke it");
     }
 
+    @Test
+    void everyFaultHasItsPlaceAndEveryPointItsFaults() throws Exception {
+        Map<Fault.Point, Integer> counts = new EnumMap<>(Fault.Point.class);
+        for (Fault fault : Faults.ALL) {
+            Path file = Path.of("src/main/java/sablehinge/" + fault.mutant().in() + ".java");
+            String source = Files.readString(file);
+            assertNotEquals(source, fault.mutant().applied(source), fault.name());
+            counts.merge(fault.point(), 1, Integer::sum);
+        }
+        assertEquals(Faults.ALL.size(), Faults.ALL.stream().map(Fault::name).distinct().count());
+        for (Fault.Point point : List.of(Fault.Point.CUT_OFF, Fault.Point.ORDERS, Fault.Point.MEMBERSHIP,
+                Fault.Point.SNAPSHOTS)) {
+            assertTrue(counts.get(point) >= LEAST_FAULTS, point + " has " + counts.get(point));
+        }
+    }
+
     private static String[] hunt(Fault fault) throws Exception {
         return (String[]) MutantLoader.of(fault.mutant(), Path.of("src/main/java")).loadClass(Hunt.class.getName())
                 .getMethod("hunt", String.class, int.class, int.class)
