--- a/bench/src/sablehinge/consensus/CutOffFaults.java
+++ b/bench/src/sablehinge/consensus/CutOffFaults.java
@@ -39,7 +39,7 @@
                     "role == Standing.Role.CANDIDATE && vote.term() == term",
                     "role == Standing.Role.CANDIDATE"),
             new Mutant("who has handed over takes a lease again", NODE, "private void extendLease(",
-                    "!handedOver && ", ""));
+                    "if (!handedOver) {", "if (round >= 0) {"));
 
     private CutOffFaults() {
     }
--- a/bench/src/sablehinge/consensus/RandomScheduler.java
+++ b/bench/src/sablehinge/consensus/RandomScheduler.java
@@ -100,7 +100,13 @@
         }
         List<Step> cuts = calm || !chance(focus.cuts) ? List.of() : cuts();
         cuts.forEach(this::take);
-        for (int i = SHORTEST + draw(VARIES); i > 0; i--) {
+        int rounds = SHORTEST + draw(VARIES);
+        if (!calm && focus == Focus.CUT_OFF && chance(0.15)) {
+            // As long as it takes until a leader gives up for its disk.
+            hangs[player.leader()] = true;
+            rounds *= 3;
+        }
+        for (int i = rounds; i > 0; i--) {
             round(pace);
         }
         if (chance(0.7)) {
@@ -149,10 +155,10 @@
         }
     }
 
-    /** Somebody calls who leads, or who thinks so; a host may put its state into a snapshot anywhere. */
+    /** Who leads is called, or thinks so; sometimes any. A host may put its state into a snapshot anywhere. */
     private void call(Step.Kind kind) {
         int from = draw(cluster.size());
-        boolean anywhere = kind == Step.Kind.CAPTURE || kind == Step.Kind.COMPACT
+        boolean anywhere = focus == Focus.ORDERS && chance(0.2) || kind == Step.Kind.CAPTURE || kind == Step.Kind.COMPACT
                 || kind == Step.Kind.FORGET;
         for (int i = 0; i < cluster.size(); i++) {
             int at = (from + i) % cluster.size();
--- a/src/test/java/sablehinge/consensus/Claims.java
+++ b/src/test/java/sablehinge/consensus/Claims.java
@@ -73,11 +73,12 @@
         Call like = sent.get(sent.size() - 1 - which);
         byte[] other = ByteBuffer.allocate(Long.BYTES).putLong(-1 - proposed).array();
         long edition = at.configurations.edition();
-        return propose(at, switch ((int) (proposed % 4)) {
+        return propose(at, switch ((int) (proposed % 5)) {
             case 0 -> new Call(like.basedOn, like.edition, other, 0);
             case 1 -> new Call(like.basedOn, like.edition + 1, like.body, 0);
             case 2 -> new Call(edition, Math.max(edition, like.edition) + 1, like.body, 0);
-            default -> new Call(edition, like.edition, other, 0);
+            case 3 -> new Call(edition, like.edition, other, 0);
+            default -> new Call(edition, like.edition, like.body, 0);
         });
     }
 
@@ -127,6 +128,8 @@
                 cluster.check(one.call.edition != call.edition || Arrays.equals(one.call.body, call.body), at,
                         () -> "two orders were confirmed as edition " + call.edition);
             }
+            cluster.check(inForce.stream().anyMatch(one -> isSame(one, call)), at,
+                    () -> "the order of edition " + call.edition + " is confirmed and was never in force");
             acknowledged.add(new Acknowledged(entry.index(), call));
         } else if (outcome == ConfigurationState.Outcome.STALE
                 || outcome == ConfigurationState.Outcome.OLD) {
