--- a/bench/src/sablehinge/consensus/RandomScheduler.java
+++ b/bench/src/sablehinge/consensus/RandomScheduler.java
@@ -209,6 +209,7 @@
                 take(Step.of(Step.Kind.WIPE, hit));
             }
             case NEWCOMER -> newcomer();
+            case LEAVE -> leave(hit);
             default -> {
                 if (newcomers < NEWCOMERS) {
                     player.power(hit);
@@ -218,6 +219,17 @@
         }
     }
 
+    /** A process is told to end; when it may, it does, or loses power before. */
+    private void leave(int machine) {
+        take(Step.of(Step.Kind.LEAVE, machine));
+        for (int i = 0; i < SETTLES; i++) {
+            take(Step.pass(PACES[PACES.length - 1]));
+            player.flow();
+        }
+        take(Step.of(Step.Kind.RETIRE, machine));
+        player.power(machine);
+    }
+
     /** Nothing is cut, and all hear of each other: then the loss of a disk is one that the core must bear. */
     private void settle() {
         for (int i = 0; i < cluster.size(); i++) {
--- a/bench/src/sablehinge/consensus/Step.java
+++ b/bench/src/sablehinge/consensus/Step.java
@@ -49,6 +49,10 @@
         START(1, false),
         /** It is down, and its disk is empty; unless more is broken already than the core must bear. */
         WIPE(1, false),
+        /** Its process is told to end, and hands over what hangs on it. */
+        LEAVE(1, false),
+        /** Once it may end, it ends, and its disk is gone for good; unless more is broken already, as in a wipe. */
+        RETIRE(1, false),
         /** A machine at an address of its own, with an empty disk, starts. */
         NEWCOMER(1, false),
         /** Nothing more is carried from one to the other. */
--- a/bench/src/sablehinge/consensus/SteppedCluster.java
+++ b/bench/src/sablehinge/consensus/SteppedCluster.java
@@ -219,14 +219,8 @@
                     && cuts.add(a.address + ">" + byPlace.get(step.b()).address);
             case MEND -> cuts.remove(a.address + ">" + byPlace.get(step.b()).address);
             case START -> start(a);
-            case WIPE -> {
-                boolean may = a.disk.self != null && knowSameList() && lost() < bearable();
-                if (may) {
-                    beyond |= lostOrSilent(a) >= bearable();
-                    a.wipe();
-                }
-                yield may;
-            }
+            case WIPE -> lose(a);
+            case RETIRE -> a.up() && a.released && lose(a);
             case SYNC, POWER -> {
                 boolean did = isStarting(step.a()) ? deployment.take(a, step) : a.up() && alive(a, step);
                 beyond |= step.kind() == Step.Kind.POWER && isFoundingLost();
@@ -259,6 +253,7 @@
             }
             case BARRIER -> a.barrier();
             case CAPTURE -> captured[step.a()] = new Captured(a.life, a.applied, a.state());
+            case LEAVE -> a.master.leave(a.clock());
             case FORGET -> KeptEntries.forget(a.master);
             case COMPACT -> {
                 return compact(a, step.a());
@@ -332,6 +327,16 @@
         return move(Step.of(Step.Kind.SYNC, place));
     }
 
+    /** A machine loses its disk, if the core may bear it. */
+    private boolean lose(Machine machine) {
+        boolean may = machine.disk.self != null && knowSameList() && lost() < bearable();
+        if (may) {
+            beyond |= lostOrSilent(machine) >= bearable();
+            machine.wipe();
+        }
+        return may;
+    }
+
     /** Whether a machine's name is on the way to its empty disk. */
     boolean isStarting(int place) {
         return deployment != null && deployment.isStarting(byPlace.get(place));
