bench/run fleet: a hollow fleet of the project's own client code

Change: HollowSidecar is the control side of a sidecar with its own classes (NewsClient, Watchers, Quotas, Spill) over rpc.Connection; one process holds hundreds of them beside real control nodes and three real sidecars. In the product: Connection may have an observer that is told of each record, NewsClient and Watchers can be closed, Daemon tells its process's number.

--- /dev/null
+++ b/bench/src/sablehinge/fleet/FleetPlan.java
@@ -0,0 +1,161 @@
+package sablehinge.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import sablehinge.config.local.LocalSettings;
+
+/**
+ * Names, zones and loopback addresses of a fleet: each machine has an address of its own, all have the same
+ * ports.
+ *
+ * @param network second number of all addresses, 1 to 254
+ * @param controlNodes machines of the control plane
+ * @param sidecars machines with a sidecar process
+ * @param hollow machines whose sidecar is hollow
+ * @param services names of services are numbered from 0
+ */
+record FleetPlan(int network, int controlNodes, int sidecars, int hollow, int services) {
+
+    static final int ZONES = 6;
+    private static final int REGIONS = 2;
+    private static final int CONTROL_HOST = 11;
+    private static final int SIDECAR_HOST = 101;
+    private static final int HOSTS = 250;
+    private static final int INNER = 7780;
+    private static final int INNER_LAST = 7795;
+    private static final int CONTROL = 7701;
+    private static final int OUTBOUND = 7702;
+    private static final int INBOUND = 7703;
+    private static final int READY = 7704;
+    private static final int APP = 7705;
+    private static final double BEAT_MS = 1_500;
+    private static final int SEEDS = 3;
+    /** What the operators' smaller site says. */
+    private static final LocalSettings.Bounds BOUNDS = new LocalSettings.Bounds(3, 2, 3_000, 5_000, 4, 2_500,
+            6, 200, 2_500, 250, 8_000, false, 5_000, 0.2, 10, 62, 5, 0.1, 20, 15);
+
+    /** The zone of the machine that has this number among its kind. */
+    static String zone(int number) {
+        return "zone-" + number % ZONES;
+    }
+
+    private static String region(int number) {
+        return "region-" + number % ZONES * REGIONS / ZONES;
+    }
+
+    private static Map<String, String> zones() {
+        Map<String, String> zones = new LinkedHashMap<>();
+        for (int i = 0; i < ZONES; i++) {
+            zones.put(zone(i), region(i));
+        }
+        return zones;
+    }
+
+    private String controlIp(int place) {
+        return "127." + network + ".0." + (CONTROL_HOST + place);
+    }
+
+    private String sidecarIp(int place) {
+        return "127." + network + ".0." + (SIDECAR_HOST + place);
+    }
+
+    private String hollowIp(int place) {
+        return "127." + network + "." + (1 + place / HOSTS) + "." + (1 + place % HOSTS);
+    }
+
+    /** Where a control node takes operators' calls. */
+    String control(int place) {
+        return controlIp(place) + ":" + CONTROL;
+    }
+
+    /** Where a sidecar process hears its upstream. */
+    String beats(int place) {
+        return sidecarIp(place) + ":" + CONTROL;
+    }
+
+    /** Where the upstream of a sidecar process listens. */
+    String app(int place) {
+        return sidecarIp(place) + ":" + APP;
+    }
+
+    /** Where a sidecar process takes its clients' requests. */
+    String outbound(int place) {
+        return sidecarIp(place) + ":" + OUTBOUND;
+    }
+
+    /** The service of a machine with a sidecar process; they have one to themselves. */
+    static String service(int number) {
+        return "service-" + number;
+    }
+
+    /** The name of a hollow machine. */
+    static String node(int place) {
+        return "hollow-" + place;
+    }
+
+    private List<String> seeds() {
+        List<String> seeds = new ArrayList<>();
+        for (int i = 0; i < Math.min(SEEDS, controlNodes); i++) {
+            seeds.add(control(i));
+        }
+        return seeds;
+    }
+
+    /** The settings of a hollow sidecar. */
+    LocalSettings hollowSettings(int place) {
+        String ip = hollowIp(place);
+        LocalSettings.ListenOn listen = new LocalSettings.ListenOn(ip + ":" + INBOUND, ip + ":" + OUTBOUND,
+                ip + ":" + READY, ip + ":" + CONTROL);
+        return new LocalSettings(node(place), LocalSettings.Role.SIDECAR, "sidecar", List.of("sidecar"), ip,
+                zone(place), region(place), INNER, INNER_LAST, seeds(), true, false, null, BEAT_MS,
+                List.of("base", "quota", "retry"), ip + ":" + APP, service(1 + place % (services - 1)),
+                zones(), listen, new LocalSettings.Limits(1, 1, 400, 2_000, 1_000, 0), 1, BOUNDS);
+    }
+
+    private String head(String node, String role, String ip, int number) {
+        StringBuilder seeds = new StringBuilder();
+        seeds().forEach(seed -> seeds.append(seeds.length() == 0 ? "" : ",").append('"').append(seed)
+                .append('"'));
+        boolean isControl = role.equals("control");
+        return String.format(Locale.ROOT, """
+                node = "%s"
+                role = "%s"
+                machineClass = "%s"
+                serves = ["%s"]
+                ip = "%s"
+                zone = "%s"
+                region = "%s"
+                innerPorts = [%d,%d]
+                seeds = [%s]
+                beatMs = %.0f
+                contracts = ["base","drain","config","cost","retry","recover","tenants","quota"]
+                """, node, role, isControl ? "core" : "sidecar", isControl ? "control" : "sidecar", ip,
+                zone(number), region(number), INNER, INNER_LAST, seeds, BEAT_MS);
+    }
+
+    private static String tail(int diskMb) {
+        StringBuilder zones = new StringBuilder("[zones]\n");
+        zones().forEach((zone, region) -> zones.append(zone).append(" = \"").append(region).append("\"\n"));
+        return zones + "[limits]\ncpuShare = 1.0\ncores = 1\nmemoryMb = 430\nfds = 4100\nlinkMbps = 1000.0\n"
+                + "diskMb = " + diskMb + "\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n";
+    }
+
+    /** The settings file of a control node. */
+    String controlSettings(int place, String dataDir, boolean firstStart) {
+        return head("control-" + place, "control", controlIp(place), place) + "dataDir = \"" + dataDir
+                + "\"\nfirstStart = " + firstStart + "\ncounted = true\n" + tail(256)
+                + "[listenOn]\ncontrol = \"" + control(place) + "\"\n";
+    }
+
+    /** The settings file of a sidecar process. */
+    String sidecarSettings(int place) {
+        String ip = sidecarIp(place);
+        return head("sidecar-" + place, "sidecar", ip, place) + "app = \"" + app(place) + "\"\ndepot = \""
+                + service(0) + "\"\nfirstStart = true\ncounted = false\n" + tail(0)
+                + "[listenOn]\ninbound = \"" + ip + ":" + INBOUND + "\"\noutbound = \"" + outbound(place)
+                + "\"\nready = \"" + ip + ":" + READY + "\"\ncontrol = \"" + beats(place) + "\"\n";
+    }
+}
--- /dev/null
+++ b/bench/src/sablehinge/fleet/Processes.java
@@ -0,0 +1,166 @@
+package sablehinge.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import sablehinge.standin.mesh.Beating;
+import sablehinge.standin.mesh.Daemon;
+import sablehinge.standin.mesh.Ledger;
+import sablehinge.standin.mesh.StandInUpstream;
+
+/** The real processes of a fleet: control nodes, and a few sidecars with a stand-in upstream each. */
+final class Processes implements AutoCloseable {
+
+    private static final Pattern RUN = Pattern.compile("\\[roles\\.(\\w+)]\\s+run = \"java ([^\"]+)\"");
+    private static final Pattern IN_FORCE = Pattern.compile(
+            "at=(\\d+) .*event=configuration edition=(\\d+) ");
+    private static final Pattern LOST = Pattern.compile("event=(\\S*failed\\S*)|OutOfMemoryError"
+            + "|OutOfDirectMemoryError|Exception");
+    private static final int BERTHS = 12;
+    private static final int WORK_MS = 5;
+    private static final long BEAT_MS = 1_500;
+
+    private final FleetPlan plan;
+    private final Path folder;
+    private final Map<String, List<String>> commands = new HashMap<>();
+    private final List<Daemon> control = new ArrayList<>();
+    private final List<Daemon> sidecars = new ArrayList<>();
+    private final List<Beating> upstreams = new ArrayList<>();
+
+    /** Processes that do not run yet, with the commands of the deploy file. */
+    Processes(FleetPlan plan) throws IOException {
+        this.plan = plan;
+        folder = Files.createTempDirectory("sablehinge-fleet");
+        Matcher run = RUN.matcher(Files.readString(Path.of("deploy/system.toml")));
+        while (run.find()) {
+            List<String> command = new ArrayList<>();
+            command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+            command.addAll(List.of(run.group(2).split(" ")));
+            commands.put(run.group(1), List.copyOf(command));
+        }
+        for (int i = 0; i < plan.controlNodes(); i++) {
+            Files.createDirectories(data(i));
+            control.add(daemon("control-" + i, plan.controlSettings(i, data(i).toString(), true)));
+        }
+        for (int i = 0; i < plan.sidecars(); i++) {
+            sidecars.add(daemon("sidecar-" + i, plan.sidecarSettings(i)));
+        }
+    }
+
+    private Path data(int place) {
+        return folder.resolve("control-" + place + ".data");
+    }
+
+    private Daemon daemon(String name, String settings) throws IOException {
+        Path file = Files.writeString(folder.resolve(name + ".toml"), settings);
+        return new Daemon(name, file, folder.resolve(name + ".log"));
+    }
+
+    /** Starts all of them at once. */
+    void start() {
+        control.forEach(daemon -> daemon.start(commands.get("control")));
+        sidecars.forEach(daemon -> daemon.start(commands.get("sidecar")));
+        Ledger ledger = new Ledger();
+        for (int i = 0; i < sidecars.size(); i++) {
+            StandInUpstream upstream = new StandInUpstream(new StandInUpstream.Terms("i-sidecar-" + i,
+                    FleetPlan.service(0), address(plan.app(i)), BERTHS, WORK_MS), ledger);
+            upstreams.add(new Beating(upstream, address(plan.beats(i)), FleetPlan.zone(i), BEAT_MS, ledger));
+        }
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** Kills a control node; its disk stays. */
+    void killControl(int place) throws InterruptedException {
+        control.get(place).kill();
+    }
+
+    /** Starts a control node again. */
+    void restartControl(int place) throws IOException {
+        Files.writeString(folder.resolve("control-" + place + ".toml"),
+                plan.controlSettings(place, data(place).toString(), false));
+        control.get(place).start(commands.get("control"));
+    }
+
+    /** What each control node has used; null for one that does not run. */
+    List<Usage> controlUsage() {
+        return usage(control);
+    }
+
+    /** What each sidecar has used; null for one that does not run. */
+    List<Usage> sidecarUsage() {
+        return usage(sidecars);
+    }
+
+    private static List<Usage> usage(List<Daemon> daemons) {
+        List<Usage> usage = new ArrayList<>();
+        daemons.forEach(daemon -> usage.add(daemon.runs() ? Usage.of(daemon.pid()) : null));
+        return usage;
+    }
+
+    /** Bytes of a control node's files. */
+    long stateBytes(int place) {
+        try (Stream<Path> files = Files.walk(data(place))) {
+            return files.filter(Files::isRegularFile).mapToLong(file -> file.toFile().length()).sum();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** When each sidecar had an edition in force, in ms since 1970 by its log; NaN where it has not. */
+    double[] inForceAt(long edition) {
+        double[] times = new double[sidecars.size()];
+        for (int i = 0; i < times.length; i++) {
+            times[i] = Double.NaN;
+            Matcher line = IN_FORCE.matcher(sidecars.get(i).said());
+            while (line.find()) {
+                if (Long.parseLong(line.group(2)) >= edition && Double.isNaN(times[i])) {
+                    times[i] = Double.parseDouble(line.group(1));
+                }
+            }
+        }
+        return times;
+    }
+
+    /** Lines of all logs that tell of a failure, at most so many of each. */
+    List<String> failures(int most) {
+        List<String> failures = new ArrayList<>();
+        List<Daemon> all = new ArrayList<>(control);
+        all.addAll(sidecars);
+        for (Daemon daemon : all) {
+            if (!daemon.runs()) {
+                failures.add("a process has ended by itself or was killed");
+            }
+            daemon.said().lines().filter(line -> LOST.matcher(line).find()).limit(most)
+                    .forEach(failures::add);
+        }
+        return failures;
+    }
+
+    @Override
+    public void close() {
+        upstreams.forEach(Beating::close);
+        sidecars.forEach(Daemon::close);
+        control.forEach(Daemon::close);
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException e) {
+            // A folder for what is not kept may stay.
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/sablehinge/sidecar/HollowSidecar.java
@@ -0,0 +1,296 @@
+package sablehinge.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import sablehinge.config.ConfigException;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.core.Clock;
+import sablehinge.retrybudget.Grant;
+import sablehinge.routing.Configuration;
+import sablehinge.rpc.Connection;
+import sablehinge.standin.mesh.Ledger;
+import sablehinge.state.Registration;
+import sablehinge.watch.Tokens;
+import sablehinge.watch.Update;
+import sablehinge.watch.WatchRequest;
+
+/**
+ * The control side of a sidecar without its data plane: it asks the control nodes for news, takes part in the
+ * ring of watchers and claims quota tokens and retry shares with the sidecar's own classes. It forwards
+ * nothing, and its upstream exists in its registration only. Its event loop owns it.
+ */
+public final class HollowSidecar {
+
+    private static final long PING_MS = 300;
+    private static final long DEAD_MS = 1_200;
+    private static final int BERTHS = 12;
+    /** Balancers that are reckoned with until the roster is complete, as in a sidecar. */
+    private static final int RECKONED = 16;
+    /** How often requests that are due are claimed for, in ms. */
+    private static final long DEMAND_MS = 25;
+    private static final double MS_PER_S = 1_000;
+    /** Services that one calls. */
+    private static final int CALLED = 4;
+
+    private final LocalSettings settings;
+    private final EventLoop loop;
+    private final Clock clock = Clock.system();
+    private final NewsClient news;
+    private final Watchers watchers;
+    private final Quotas quotas;
+    private final Spill spill;
+    private final Function<Update, Configuration> reader;
+    private final Map<String, Registration> roster = new HashMap<>();
+    private final SplittableRandom random;
+    private final List<String> called = new ArrayList<>();
+    private Configuration configuration;
+    private String upstream;
+    private long edition;
+    private long term;
+    private long stamp;
+    private boolean complete;
+    private boolean wantsConfirmation = true;
+    private boolean closed;
+    private double perSecond;
+    private double due;
+    private long granted;
+    private long refused;
+    private long asked;
+    private Predicate<View> awaited;
+    private volatile double awaitedAt = Double.NaN;
+
+    /**
+     * What a sidecar knows at some moment; its roster must not be changed.
+     *
+     * @param edition of the configuration in force; 0 for none
+     * @param term of the leader that sent the roster
+     * @param complete whether that leader has heard of all that live
+     * @param roster by the names of nodes
+     */
+    public record View(long edition, long term, boolean complete, Map<String, Registration> roster) { }
+
+    /**
+     * Starts a hollow sidecar on a loop.
+     *
+     * @param reader parses the configuration of an update; sidecars of one process may share a parsed one
+     * @throws ConfigException if its address can't be bound
+     */
+    public static HollowSidecar start(LocalSettings settings, EventLoop loop, String upstream,
+            Connection.Observer observer, Function<Update, Configuration> reader)
+            throws ConfigException, InterruptedException {
+        HollowSidecar sidecar = prepare(settings, loop, upstream, observer, reader);
+        sidecar.begin();
+        return sidecar;
+    }
+
+    /** The same, but that it only hears beats until {@link #begin}. */
+    public static HollowSidecar prepare(LocalSettings settings, EventLoop loop, String upstream,
+            Connection.Observer observer, Function<Update, Configuration> reader)
+            throws ConfigException, InterruptedException {
+        HollowSidecar sidecar = new HollowSidecar(settings, loop, upstream, observer, reader);
+        sidecar.watchers.listen();
+        return sidecar;
+    }
+
+    private HollowSidecar(LocalSettings settings, EventLoop loop, String upstream,
+            Connection.Observer observer, Function<Update, Configuration> reader) {
+        this.settings = settings;
+        this.loop = loop;
+        this.upstream = upstream;
+        this.reader = reader;
+        random = new SplittableRandom(settings.node().hashCode());
+        List<String> contacts = new ArrayList<>();
+        for (String seed : settings.seeds()) {
+            contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1) + settings.innerFirst());
+        }
+        news = new NewsClient(loop, clock, new Connection(loop, PING_MS, DEAD_MS, observer), contacts,
+                new Hears());
+        watchers = new Watchers(loop, clock, settings, news::askNow);
+        quotas = new Quotas(settings.bounds(), (tenant, count) -> news.tokens(new Tokens(tenant, count)));
+        spill = new Spill(clock, settings, news::shares);
+    }
+
+    /** Takes part from now on. */
+    public void begin() {
+        loop.execute(() -> {
+            news.start();
+            every(Sidecar.TICK_MS, () -> {
+                spill.tick();
+                watchers.tick();
+            });
+            every(DEMAND_MS, this::claim);
+        });
+    }
+
+    private void every(long ms, Runnable work) {
+        // Spread over the period, as sidecars on machines of their own are.
+        loop.scheduleAtFixedRate(() -> {
+            if (!closed) {
+                work.run();
+            }
+        }, random.nextLong(ms), ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** The settings that it was started with. */
+    public LocalSettings settings() {
+        return settings;
+    }
+
+    /** Awaits that what it knows meets a condition; {@link #awaitedAt} tells when that was first so. */
+    public void await(Predicate<View> condition) {
+        awaitedAt = Double.NaN;
+        loop.execute(() -> {
+            awaited = condition;
+            look();
+        });
+    }
+
+    /** When the awaited condition was met, by {@link Ledger#now}; NaN until then. */
+    public double awaitedAt() {
+        return awaitedAt;
+    }
+
+    /** From now on so many requests a second arrive here and claim tokens, without being forwarded. */
+    public void demand(double requestsPerSecond) {
+        loop.execute(() -> {
+            perSecond = requestsPerSecond;
+            due = 0;
+        });
+    }
+
+    /** Its upstream is replaced by another, which is news to all. */
+    public void replaceUpstream(String id) {
+        loop.execute(() -> {
+            upstream = id;
+            news.askNow();
+        });
+    }
+
+    /** Requests that had a token; exact once no demand is left. */
+    public long granted() {
+        return granted;
+    }
+
+    /** Requests that had none. */
+    public long refused() {
+        return refused;
+    }
+
+    /** Requests that would have waited for the pool's answer. */
+    public long asked() {
+        return asked;
+    }
+
+    /** Ends it as a killed process ends: connections close, beats stop. */
+    public void close() {
+        loop.execute(() -> {
+            closed = true;
+            news.close();
+            watchers.close();
+        });
+    }
+
+    private void claim() {
+        if (configuration == null || configuration.tenants().isEmpty() || perSecond == 0) {
+            return;
+        }
+        double now = clock.now();
+        for (due += perSecond * DEMAND_MS / MS_PER_S; due >= 1; due--) {
+            List<Configuration.Tenant> tenants = configuration.tenants();
+            Quotas.Claim claim = quotas.claim(now, tenants.get(random.nextInt(tenants.size())));
+            if (claim == Quotas.Claim.GRANTED) {
+                granted++;
+            } else if (claim == Quotas.Claim.REFUSED) {
+                refused++;
+            } else {
+                asked++;
+            }
+            spill.came(called.get(random.nextInt(called.size())), false);
+        }
+    }
+
+    private void adopt(double now, Update update) {
+        configuration = reader.apply(update);
+        edition = update.edition();
+        quotas.adopt(now, configuration.tenants());
+        spill.adopt(configuration);
+        called.clear();
+        List<Configuration.Service> services = configuration.services();
+        int first = Math.floorMod(settings.depot().hashCode(), services.size());
+        for (int i = 0; i < Math.min(CALLED, services.size()); i++) {
+            called.add(services.get((first + i) % services.size()).name());
+        }
+    }
+
+    private void enter(double now, Update update) {
+        if (update.term() < term) {
+            return;
+        }
+        boolean changed = !update.registrations().isEmpty();
+        if (update.whole() && update.complete()) {
+            changed |= roster.size() != update.registrations().size();
+            roster.clear();
+        }
+        watchers.told(update);
+        term = update.term();
+        stamp = update.stamp();
+        complete = update.complete();
+        update.registrations().forEach(registration -> roster.put(registration.node(), registration));
+        spill.divide(roster.values(), complete ? 1 : RECKONED);
+        quotas.divide(now, complete ? update.size() : Math.max(RECKONED, update.size()));
+        if (changed) {
+            watchers.registry(roster.values());
+        }
+    }
+
+    private void look() {
+        if (awaited != null && awaited.test(new View(edition, term, complete, roster))) {
+            awaited = null;
+            awaitedAt = Ledger.now();
+        }
+    }
+
+    private final class Hears implements NewsClient.Teller {
+
+        @Override
+        public WatchRequest request(int number) {
+            Registration self = new Registration(settings.node(), settings.zone(),
+                    settings.listenOn().inbound(), settings.depot(), upstream, true, BERTHS, 0);
+            return new WatchRequest(number, self, edition, term, stamp, wantsConfirmation,
+                    watchers.accusations(), watchers.vouched());
+        }
+
+        @Override
+        public void update(double askedAt, Update update) {
+            double now = clock.now();
+            if (update.edition() > edition && update.body().length > 0) {
+                adopt(now, update);
+            }
+            wantsConfirmation &= !update.confirmed();
+            enter(now, update);
+            look();
+        }
+
+        @Override
+        public void tokens(Tokens tokens) {
+            quotas.given(clock.now(), tokens.tenant(), tokens.count());
+        }
+
+        @Override
+        public int lends(String tenant) {
+            return quotas.lend(clock.now(), tenant);
+        }
+
+        @Override
+        public void shares(Grant grant) {
+            spill.granted(grant);
+        }
+    }
+}
--- a/src/main/java/sablehinge/rpc/Connection.java
+++ b/src/main/java/sablehinge/rpc/Connection.java
@@ -36,6 +36,20 @@
     private final EventLoop loop;
     private final long pingMs;
     private final long deadMs;
+    private final Observer observer;
+
+    /** Is told of each record on its way, with its bytes on the wire; called on the loop. */
+    public interface Observer {
+
+        /** Of one that observes nothing. */
+        Observer NONE = new Observer() { };
+
+        /** A record was handed to the operating system or waits for it. */
+        default void sent(Frame.Kind kind, int bytes) { }
+
+        /** A record was read. */
+        default void received(Frame.Kind kind, int bytes) { }
+    }
 
     /** What one end of a connection hears. */
     public interface Handler {
@@ -57,9 +71,15 @@
      * @param deadMs how long it hears nothing until it gives the connection up
      */
     public Connection(EventLoop loop, long pingMs, long deadMs) {
+        this(loop, pingMs, deadMs, Observer.NONE);
+    }
+
+    /** The same, with somebody who is told of all records. */
+    public Connection(EventLoop loop, long pingMs, long deadMs, Observer observer) {
         this.loop = loop;
         this.pingMs = pingMs;
         this.deadMs = deadMs;
+        this.observer = observer;
     }
 
     /** Takes connections at an address. */
@@ -130,6 +150,7 @@
             }
             ByteBuf out = channel.alloc().buffer(LENGTH_BYTES + 1 + frame.body().length);
             out.writeInt(1 + frame.body().length).writeByte(frame.kind().ordinal()).writeBytes(frame.body());
+            observer.sent(frame.kind(), out.readableBytes());
             channel.writeAndFlush(out);
         }
 
@@ -178,6 +199,7 @@
                 channel.close();
                 return;
             }
+            observer.received(KINDS[kind], LENGTH_BYTES + 1 + in.readableBytes());
             byte[] body = new byte[in.readableBytes()];
             in.readBytes(body);
             if (KINDS[kind] == Frame.Kind.PING) {
--- a/src/main/java/sablehinge/sidecar/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -42,6 +42,7 @@
     private int number;
     private double askedAt;
     private int next;
+    private boolean closed;
 
     /** What is asked, and who hears the answer. */
     interface Teller {
@@ -82,6 +83,17 @@
         reach(null);
     }
 
+    /** Asks nobody any more. */
+    void close() {
+        Connection.Link open = link;
+        closed = true;
+        link = null;
+        number++;
+        if (open != null) {
+            open.close();
+        }
+    }
+
     /** Asks at once, in place of what was asked before. */
     void askNow() {
         if (link != null && link.isUp()) {
@@ -115,7 +127,7 @@
     }
 
     private void reach(String at) {
-        if (link != null) {
+        if (link != null || closed) {
             return;
         }
         String to = at;
--- a/src/main/java/sablehinge/sidecar/Watchers.java
+++ b/src/main/java/sablehinge/sidecar/Watchers.java
@@ -93,6 +93,12 @@
         channel = bound.channel();
     }
 
+    /** Beats and hears no more. */
+    void close() {
+        channel.close();
+        channel = null;
+    }
+
     /** The keeper of the roll has told of some, or of all that it knows of. */
     void told(Update told) {
         if (told.whole()) {
--- a/src/main/java/sablehinge/standin/mesh/Daemon.java
+++ b/src/main/java/sablehinge/standin/mesh/Daemon.java
@@ -55,6 +55,11 @@
         }
     }
 
+    /** The number of its process. */
+    public long pid() {
+        return process.pid();
+    }
+
     /** The processor time that it has used, in ms; 0 where the system does not say. */
     public long cpuMs() {
         return process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
--- /dev/null
+++ b/src/test/java/sablehinge/rpc/ConnectionTest.java
@@ -0,0 +1,64 @@
+package sablehinge.rpc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What the ends of a connection hear of each other's records. */
+@Timeout(30)
+class ConnectionTest {
+
+    private static final long NEVER_MS = 60_000;
+
+    /** Writes down what it is told. */
+    private static final class Notes implements Connection.Observer {
+        private final BlockingQueue<String> notes = new LinkedBlockingQueue<>();
+
+        @Override
+        public void sent(Frame.Kind kind, int bytes) {
+            notes.add("sent " + kind + " " + bytes);
+        }
+
+        @Override
+        public void received(Frame.Kind kind, int bytes) {
+            notes.add("received " + kind + " " + bytes);
+        }
+    }
+
+    @Test
+    void anObserverIsToldOfEachRecordWithItsBytesOnTheWire() throws Exception {
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try {
+            Connection server = new Connection(loop, NEVER_MS, NEVER_MS);
+            var listening = server.listen(new InetSocketAddress("127.0.0.1", 0),
+                    (link, frame) -> link.send(new Frame(Frame.Kind.NEWS, new byte[100]))).sync();
+            Notes notes = new Notes();
+            Connection client = new Connection(loop, NEVER_MS, NEVER_MS, notes);
+            client.connect((InetSocketAddress) listening.channel().localAddress(), new Connection.Handler() {
+                @Override
+                public void opened(Connection.Link link) {
+                    link.send(new Frame(Frame.Kind.ASK, new byte[7]));
+                }
+
+                @Override
+                public void came(Connection.Link link, Frame frame) {
+                    notes.notes.add("handled " + frame.kind());
+                }
+            });
+            // Four bytes of length and one of kind stand before each body.
+            assertEquals(List.of("sent ASK 12", "received NEWS 105", "handled NEWS"),
+                    List.of(notes.notes.take(), notes.notes.take(), notes.notes.take()));
+        } finally {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/sidecar/HollowSidecarTest.java
@@ -0,0 +1,112 @@
+package sablehinge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sablehinge.api.ConfigurationReader;
+import sablehinge.config.local.LocalSettings;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
+import sablehinge.state.Registration;
+
+/** What a sidecar without a data plane says to the core, and learns from it. */
+@Timeout(30)
+class HollowSidecarTest {
+
+    /** Of this process alone, as those of {@link Mesh}. */
+    private static final long PROCESS = ProcessHandle.current().pid();
+    private static final String NET = "127." + (1 + PROCESS % 250) + "." + (1 + PROCESS / 250 % 250) + ".";
+    private static final String IP = NET + "91";
+    private static final String CORE = NET + "92";
+    /** A port for each test: what one has bound may be let go of late. */
+    private static final int FIRST = 7780;
+    private static final int SECOND = 7800;
+    private static final class Asks implements Connection.Observer {
+        private final AtomicInteger tokens = new AtomicInteger();
+
+        @Override
+        public void sent(Frame.Kind kind, int bytes) {
+            if (kind == Frame.Kind.TOKENS) {
+                tokens.incrementAndGet();
+            }
+        }
+    }
+
+    @Test
+    void itTellsOfItselfLearnsTheConfigurationAndTheRosterAndClaimsTokens() throws Exception {
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try (StubCore core = new StubCore(CORE, FIRST)) {
+            Asks asks = new Asks();
+            HollowSidecar hollow = HollowSidecar.start(settings(FIRST), loop, "i-1", asks,
+                    update -> ConfigurationReader.read(update.body()));
+            core.tells(new Registration("other", "z-1", NET + "93:7703", "s", "i-2", true, 4, 0));
+            core.holds(Mesh.configuration(4, "{\"name\":\"t\",\"passes\":[\"k\"],\"perS\":1,\"burst\":1}",
+                    ""), 4);
+            hollow.await(view -> view.edition() == 4 && view.roster().size() == 2);
+            Mesh.await("it knows all", () -> !Double.isNaN(hollow.awaitedAt()));
+            core.awaitKnown("i-1");
+            assertEquals(IP + ":7703", core.told().inbound());
+            hollow.replaceUpstream("i-9");
+            core.awaitKnown("i-9");
+            assertEquals(0, asks.tokens.get());
+            hollow.demand(1_000);
+            Mesh.await("it claims", () -> asks.tokens.get() > 0 && hollow.asked() > 0);
+        } finally {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Test
+    void onceClosedItHasNoConnectionAndMakesNone() throws Exception {
+        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch gone = new CountDownLatch(1);
+        AtomicInteger asks = new AtomicInteger();
+        try {
+            new Connection(loop, 300, 60_000).listen(new InetSocketAddress(CORE, SECOND),
+                    new Connection.Handler() {
+                @Override
+                public void came(Connection.Link link, Frame frame) {
+                    if (frame.kind() == Frame.Kind.ASK) {
+                        asks.incrementAndGet();
+                        asked.countDown();
+                    }
+                }
+
+                @Override
+                public void closed(Connection.Link link) {
+                    gone.countDown();
+                }
+            }).sync();
+            HollowSidecar hollow = HollowSidecar.start(settings(SECOND), loop, "i-1",
+                    Connection.Observer.NONE, update -> ConfigurationReader.read(update.body()));
+            asked.await();
+            hollow.close();
+            gone.await();
+            // A connection that is lost, and not closed, is made again 60 ms later by this very loop.
+            loop.schedule(() -> { }, 200, TimeUnit.MILLISECONDS).sync();
+            assertEquals(1, asks.get());
+        } finally {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static LocalSettings settings(int inner) {
+        return new LocalSettings("hollow-1", LocalSettings.Role.SIDECAR,
+                "sidecar", List.of("sidecar"), IP, "z-1", "r-1", inner, inner + 15, List.of(CORE + ":7701"),
+                true, false, null, 1_500, List.of(), IP + ":7705", "s", Map.of("z-1", "r-1"),
+                new LocalSettings.ListenOn(IP + ":7703", IP + ":7702", IP + ":7704", IP + ":7701"),
+                new LocalSettings.Limits(1, 1, 400, 2_000, 1_000, 0), 1, new LocalSettings.Bounds(3, 2, 3_000,
+                5_000, 4, 2_500, 6, 200, 2_500, 250, 8_000, false, 5_000, 0.2, 10, 62, 5, 0.1, 20, 15));
+    }
+}
