--- a/src/test/java/sablehinge/rpc/ConnectionTest.java
+++ b/src/test/java/sablehinge/rpc/ConnectionTest.java
@@ -27,7 +27,8 @@
     private boolean closed;
 
     private ConnectionTest() {
-        Connection connection = new Connection(channel.eventLoop(), PING_MS, DEAD_MS, () -> nanos);
+        Connection connection = new Connection(channel.eventLoop(), PING_MS, DEAD_MS,
+                Connection.Observer.NONE, () -> nanos);
         Connection.Handler handler = new Connection.Handler() {
             @Override
             public void came(Connection.Link link, Frame frame) {
