--- a/bench/src/sablehinge/consensus/Calm.java
+++ b/bench/src/sablehinge/consensus/Calm.java
@@ -3,9 +3,10 @@
 import sablehinge.consensus.SimulatedCluster.Machine;
 
 /**
- * A time in which nothing goes wrong. All machines run, nothing is cut, all writes end and all messages
- * arrive. Within a bounded time one machine leads, the core has as many voters as the losses that it is to
- * bear ask for, every running machine holds all that is committed, and an order is taken.
+ * A time in which nothing goes wrong. All machines run (who was told to end has, and is back), nothing is
+ * cut, all writes end and all messages arrive. Within a bounded time one machine leads, the core has as many
+ * voters as the losses that it is to bear ask for, every running machine holds all that is committed, and an
+ * order is taken.
  */
 final class Calm {
 
@@ -59,6 +60,7 @@
 
     private void startAll() {
         for (int i = 0; i < cluster.size(); i++) {
+            cluster.endLeaving(i);
             cluster.start(cluster.machine(i));
         }
     }
@@ -115,7 +117,8 @@
         for (int i = 0; i < cluster.size(); i++) {
             Machine machine = cluster.machine(i);
             if (machine.applied < cluster.committed.size()) {
-                return machine.address + " has applied " + machine.applied + " of " + cluster.committed.size();
+                return machine.address + " has applied " + machine.applied + " of "
+                        + cluster.committed.size();
             }
             boolean listed = leader.standing.members().contains(machine.self);
             if (listed == (machine.standing.role() == Standing.Role.OUTSIDER)) {
--- a/bench/src/sablehinge/consensus/Focus.java
+++ b/bench/src/sablehinge/consensus/Focus.java
@@ -50,7 +50,8 @@
     private final int[] callWeights;
     private final int[] faultWeights;
 
-    Focus(double calls, double waits, double cuts, double cutsFromOne, int[] callWeights, int[] faultWeights) {
+    Focus(double calls, double waits, double cuts, double cutsFromOne, int[] callWeights,
+            int[] faultWeights) {
         this.calls = calls;
         this.waits = waits;
         this.cuts = cuts;
--- a/bench/src/sablehinge/consensus/QuorumBench.java
+++ b/bench/src/sablehinge/consensus/QuorumBench.java
@@ -83,7 +83,7 @@
             System.out.printf("%nBROKEN, cut down from %d steps:%n%s", script.steps().size(),
                     script.shortened().told());
         }
-        int found = hunt(faults, Math.min(most, MOST_HUNTED), depth);
+        int found = hunt(faults, Math.min(most, MOST_HUNTED), Math.min(depth, USUAL_DEPTH));
         ObjectNode json = JsonMapper.builder().build().createObjectNode();
         json.put("schedules", byChance.schedules.sum() + inOrder.schedules.sum());
         json.put("violations", broken.size() - stuck);
