--- a/src/main/java/sablehinge/sidecar/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -29,7 +29,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(NewsClient.class);
     private static final long AGAIN_MS = 60;
-    private static final double PATIENCE_MS = 1_500;
+    private static final double PATIENCE_MS = NewsFilter.MOST_AGE_MS;
     private static final int MOST_CONTACTS = 32;
 
     private final EventLoop loop;
@@ -170,7 +170,7 @@
     }
 
     private void news(Connection.Link from, Update update) {
-        NewsFilter.Verdict verdict = filter.judge(update);
+        NewsFilter.Verdict verdict = filter.judge(clock.now() - askedAt, update);
         if (verdict == NewsFilter.Verdict.DEPOSED) {
             leave(from, null);
             return;
--- a/src/main/java/sablehinge/sidecar/NewsFilter.java
+++ b/src/main/java/sablehinge/sidecar/NewsFilter.java
@@ -8,6 +8,9 @@
  */
 final class NewsFilter {
 
+    /** News that took longer, in ms, waited in a buffer while this process stood still, or the other one. */
+    static final double MOST_AGE_MS = 1_500;
+
     private long latestTerm;
     private boolean confirmedOnce;
 
@@ -17,17 +20,21 @@
         TAKE,
         /** Whoever sent them leads no more: another machine is to be asked. */
         DEPOSED,
-        /** Nothing was confirmed to this process yet, nor are these: they are asked for once more. */
-        UNCONFIRMED
+        /** They are old, or the first that come and not confirmed: they are asked for once more. */
+        ASK_AGAIN
     }
 
-    /** Judges news that have come. */
-    Verdict judge(Update update) {
+    /**
+     * Judges news that have come.
+     *
+     * @param ageMs how long ago they were asked for: they tell nothing of what was acknowledged since
+     */
+    Verdict judge(double ageMs, Update update) {
         if (update.term() < latestTerm && !update.confirmed()) {
             return Verdict.DEPOSED;
         }
-        if (!confirmedOnce && !update.confirmed()) {
-            return Verdict.UNCONFIRMED;
+        if (ageMs > MOST_AGE_MS || !confirmedOnce && !update.confirmed()) {
+            return Verdict.ASK_AGAIN;
         }
         latestTerm = update.term();
         confirmedOnce = true;
--- a/src/test/java/sablehinge/control/OperatorsTest.java
+++ b/src/test/java/sablehinge/control/OperatorsTest.java
@@ -42,6 +42,7 @@
     private final Map<Long, Double> silent = new HashMap<>();
     private Standing standing = new Standing(Standing.Role.LEADER, 7, ONE, List.of(ONE, TWO));
     private boolean sure = true;
+    private Runnable duringCheck = () -> { };
     private double sinceMajority = 50;
     private double sinceLeader = 50;
     private final QuorumGate gate = new QuorumGate(new ScriptedContact(), Runnable::run);
@@ -116,6 +117,7 @@
 
         @Override
         public void check(Runnable work) {
+            duringCheck.run();
             work.run();
         }
 
@@ -213,6 +215,21 @@
         assertEquals(503, call("Config.History", new DefaultHttpHeaders(), "").status());
     }
 
+    /** Its copies may have been answered by whoever led in between; the log of this term is another. */
+    @Test
+    void anOrderThatCameInAnEarlierTermIsLeftWithoutAClearAnswer() throws IOException {
+        String body = OperatorModel.body(3, 1);
+        duringCheck = () -> standing = new Standing(Standing.Role.LEADER, 9, ONE, List.of(ONE, TWO));
+        assertEquals(503, replaced(body));
+        duringCheck = () -> standing = new Standing(Standing.Role.FOLLOWER, 9, TWO, List.of(ONE, TWO));
+        standing = new Standing(Standing.Role.LEADER, 9, ONE, List.of(ONE, TWO));
+        assertEquals(307, replaced(body));
+    }
+
+    private int replaced(String body) {
+        return call("Config.Replace", new DefaultHttpHeaders().add("Sablehinge-Based-On", "0"), body).status();
+    }
+
     @Test
     void aRefusalNamesItsCodeAndItsPlace() throws IOException {
         Reply reply = call("Config.Replace", new DefaultHttpHeaders().add("Sablehinge-Based-On", "0"),
--- a/src/test/java/sablehinge/sidecar/NewsFilterTest.java
+++ b/src/test/java/sablehinge/sidecar/NewsFilterTest.java
@@ -13,13 +13,17 @@
     private final NewsFilter filter = new NewsFilter();
 
     private Verdict judge(long term, boolean confirmed) {
-        return filter.judge(new Update(1, confirmed, 4, new byte[] {1}, term, 1, true, true, 1, List.of(),
+        return judge(400, term, confirmed);
+    }
+
+    private Verdict judge(double ageMs, long term, boolean confirmed) {
+        return filter.judge(ageMs, new Update(1, confirmed, 4, new byte[] {1}, term, 1, true, true, 1, List.of(),
                 List.of()));
     }
 
     @Test
     void aProcessThatHasJustStartedTakesNothingThatIsNotConfirmed() {
-        assertEquals(Verdict.UNCONFIRMED, judge(3, false));
+        assertEquals(Verdict.ASK_AGAIN, judge(3, false));
         assertEquals(Verdict.TAKE, judge(3, true));
         assertEquals(Verdict.TAKE, judge(3, false));
     }
@@ -32,6 +36,15 @@
         assertEquals(Verdict.DEPOSED, judge(5, false));
     }
 
+    /** They were confirmed when they were asked for, and waited in a buffer since. */
+    @Test
+    void newsThatWaitedWhileTheProcessStoodStillAreAskedForAgain() {
+        assertEquals(Verdict.ASK_AGAIN, judge(20_000, 3, true));
+        assertEquals(Verdict.ASK_AGAIN, judge(400, 3, false));
+        assertEquals(Verdict.TAKE, judge(400, 3, true));
+        assertEquals(Verdict.ASK_AGAIN, judge(1_501, 3, true));
+    }
+
     /** A majority has confirmed that it leads: the core was founded anew. */
     @Test
     void aLeaderThatIsConfirmedIsNotDeposed() {
