--- /dev/null
+++ b/bench/src/sablehinge/consensus/KeptEntries.java
@@ -0,0 +1,35 @@
+package sablehinge.consensus;
+
+import java.lang.reflect.Field;
+
+/**
+ * Entries that a member keeps in memory behind its snapshot, so that who lags a little needs none. Schedules
+ * are too short to push them out by hundreds of others, so this does.
+ */
+final class KeptEntries {
+
+    private static final Field LOG = field(RaftNode.class, "log");
+    private static final Field RECENT = field(RaftLog.class, "recent");
+
+    private KeptEntries() {
+    }
+
+    private static Field field(Class<?> of, String name) {
+        try {
+            Field field = of.getDeclaredField(name);
+            field.setAccessible(true);
+            return field;
+        } catch (NoSuchFieldException e) {
+            throw new IllegalStateException(of + " has no field " + name, e);
+        }
+    }
+
+    /** Has a member forget them. */
+    static void forget(RaftNode member) {
+        try {
+            ((RecentEntries) RECENT.get(LOG.get(member))).clear();
+        } catch (IllegalAccessException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/src/main/java/sablehinge/consensus/Peer.java
+++ b/src/main/java/sablehinge/consensus/Peer.java
@@ -14,12 +14,16 @@
     double heard;
     /** When it last asked to be let in, ms. */
     double asked = Double.NEGATIVE_INFINITY;
+    /** When it last said that its process is about to end, ms. */
+    double leaves = Double.NEGATIVE_INFINITY;
     /** Whether {@code next} is a guess: then nothing is sent ahead of answers. */
     boolean probing = true;
     /** It has nothing to which entries could be appended. */
     boolean bare;
-    /** Until then a snapshot is under way, ms. */
-    double installing = Double.NEGATIVE_INFINITY;
+    /** The snapshot that is under way; null for none. */
+    SnapshotSender snapshot;
+    /** Entries that are under way. */
+    final SendWindow window = new SendWindow();
 
     Peer(Member member, long next, double heard) {
         this.member = member;
--- a/src/test/java/sablehinge/control/ControlCluster.java
+++ b/src/test/java/sablehinge/control/ControlCluster.java
@@ -178,7 +178,7 @@
             diskFreeAt = now;
             standing = new Standing(Standing.Role.OUTSIDER, 0, null, List.of());
             state = new ConfigurationState();
-            raft = new RaftNode(this, Timing.usual(), random.nextLong());
+            raft = new RaftNode(this, Timing.usual(), machines.size() / 2, random.nextLong());
             gate = new QuorumGate(this, this::later);
             changes = new ChangeCoordinator(raft, state, this::later);
             Registry registry = new Registry(2_500, 12_000);
