--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -860,15 +860,25 @@
                 peer.window.clear();
                 feed(now, peer, true);
             }
+        } else {
+            feedLost(now, peer, answer);
         }
         advance(now);
     }
 
+    /** Who was away says nothing of a chunk that was sent to it meanwhile. */
+    private void feedLost(double now, Peer peer, Message.Appended answer) {
+        if (peer.snapshot.passed(answer.round())) {
+            feedSnapshot(now, peer);
+        }
+    }
+
     private void took(double now, Peer peer, Message.Appended answer) {
         peer.match = Math.max(peer.match, answer.matchIndex());
         peer.window.received(now, answer.hint(), answer.round());
         boolean needsMore = peer.snapshot != null && answer.hint() < peer.snapshot.index();
         if (needsMore && !log.reaches(answer.hint() + 1)) {
+            feedLost(now, peer, answer);
             return;
         }
         if (peer.snapshot != null) {
--- a/src/main/java/sablehinge/consensus/SnapshotSender.java
+++ b/src/main/java/sablehinge/consensus/SnapshotSender.java
@@ -31,6 +31,7 @@
     private int chunkBytes = FIRST_CHUNK;
     private boolean waiting;
     private double sentAt;
+    private long sentRound;
     private double patience = FIRST_PATIENCE;
 
     SnapshotSender(Snapshot snapshot) {
@@ -62,6 +63,7 @@
         }
         waiting = true;
         sentAt = now;
+        sentRound = round;
         int total = snapshot.state().length;
         int end = Math.min(total, offset + chunkBytes);
         Snapshot part = new Snapshot(snapshot.index(), snapshot.term(), snapshot.members(),
@@ -87,6 +89,20 @@
         return true;
     }
 
+    /**
+     * The peer has answered a round and said nothing of the chunk.
+     *
+     * @return whether the chunk left before that round, so that it is lost and due again
+     */
+    boolean passed(long round) {
+        if (!waiting || round <= sentRound) {
+            return false;
+        }
+        waiting = false;
+        patience = FIRST_PATIENCE;
+        return true;
+    }
+
     private void adapt(double took) {
         patience = Math.max(FIRST_PATIENCE, Math.min(MOST_PATIENCE, 2 * took));
         if (took > LATE) {
--- a/src/test/java/sablehinge/consensus/CatchUpTest.java
+++ b/src/test/java/sablehinge/consensus/CatchUpTest.java
@@ -168,6 +168,23 @@
         assertEquals(before, cluster.snapshotMessages, "messages of snapshots");
     }
 
+    @Test
+    void whoComesBackAfterLongIsSentTheNewestStateAtOnce() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(STORM, ORDERS);
+        cluster.runAndCompact(1000);
+        for (int i = 0; i < 20; i++) {
+            away.start();
+            // At most a heartbeat, and the time that the state takes on a fast link.
+            cluster.catchUp(away, 300);
+            away.kill(true);
+            cluster.storm(1000, 2);
+            cluster.runAndCompact(600 + 150 * i);
+        }
+    }
+
     @Test
     void lostMessagesDelayButDoNotStop() {
         SlowLinkCluster cluster = cluster(LARGE);
--- a/src/test/java/sablehinge/consensus/SnapshotTransferTest.java
+++ b/src/test/java/sablehinge/consensus/SnapshotTransferTest.java
@@ -103,6 +103,17 @@
         }
     }
 
+    @Test
+    void whoAnswersALaterRoundAndSaysNothingOfAChunkHasNotGotIt() {
+        SnapshotSender sender = new SnapshotSender(snapshot(9, 3 * CHUNK));
+        sender.next(0, 3, 7);
+        assertFalse(sender.passed(7), "it may be on its way");
+        assertFalse(sender.isDue(1));
+        assertTrue(sender.passed(8));
+        assertTrue(sender.isDue(1));
+        assertFalse(sender.passed(9), "nothing is on its way");
+    }
+
     @Test
     void whoLostWhatItHadGetsItFromThere() {
         SnapshotSender sender = new SnapshotSender(snapshot(9, 3 * CHUNK));
