--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -191,12 +191,15 @@
      * Ends its part in the core as SIGTERM wants it: hands leadership over and returns once others hold what
      * it holds, or when the time to end is nearly up. Whether the machine comes back is not known to it, so
      * its place goes to another only if a learner waits for it.
+     *
+     * @return whether others hold it
      */
-    public void leave() throws InterruptedException {
+    public boolean leave() throws InterruptedException {
         long ms = Math.max(0, Math.round(settings.bounds().graceS() * MS_PER_S) - END_MS);
         loop.execute(() -> raft.leave(clock.now()));
         boolean inOrder = released.await(ms, TimeUnit.MILLISECONDS);
         Log.info(LOG, "leaves").addKeyValue("released", inOrder).log("leaves the core");
+        return inOrder;
     }
 
     /** Takes over what may change while it runs: where other machines of the core may be. */
--- a/src/test/java/sablehinge/consensus/RaftNodeMembershipTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeMembershipTest.java
@@ -16,7 +16,7 @@
 class RaftNodeMembershipTest {
 
     private static final int SEEDS = 20;
-    /** By when the core must be as strong as stated once all its machines run, ms; the deployments say 4 s. */
+    /** By when the core must be as strong as stated once all its machines run, ms; deployments say 4 s. */
     private static final double WHOLE_WITHIN = 2500;
 
     private interface Play {
--- a/src/test/java/sablehinge/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeRulesTest.java
@@ -292,6 +292,50 @@
         assertEquals(List.of(A, B), standing.members());
     }
 
+    /** As an outsider it would be given the place that it has just left. */
+    @Test
+    void whoLeavesAndIsNoVoterAnyMoreDoesNotAskToBeLetIn() {
+        start(1, List.of(A, B, C));
+        from(B, new Message.Append(2, 0, 0,
+                List.of(new Entry(1, 2, Entry.Kind.MEMBERS, Members.write(List.of(B, C, D)))), 0, 1));
+        assertEquals(Standing.Role.OUTSIDER, standing.role());
+        master.leave(now);
+        for (int i = 0; i < 100; i++) {
+            now += 20;
+            master.tick(now);
+        }
+        assertEquals(List.of(), sent(Message.Join.class));
+        assertFalse(sent(Message.Leave.class).isEmpty());
+    }
+
+    @Test
+    void aLeaderThatLeavesTakesNoProposals() {
+        start(1, List.of(A, B, C));
+        elect(B);
+        persisted();
+        answer(B, 1);
+        assertTrue(master.propose(now, NONE) > 0);
+        master.leave(now);
+        assertEquals(0, master.propose(now, NONE));
+    }
+
+    /** What it has beyond them it gives to others first; if they do not take it, the best of them leads. */
+    @Test
+    void aLeaderThatLeavesHandsOverToWhoHasAllOfItsLog() {
+        start(1, List.of(A, B, C));
+        elect(B);
+        persisted();
+        answer(B, 1);
+        master.propose(now, NONE);
+        master.leave(now);
+        assertEquals(List.of(), sent(Message.TakeOver.class));
+        answer(C, 2);
+        now += 20;
+        master.tick(now);
+        assertEquals(1, sent(Message.TakeOver.class).size());
+        assertEquals(C, sent.get(sent.size() - 1).to());
+    }
+
     @Test
     void aStrangerDeposesNobody() {
         start(1, List.of(A, B, C));
--- a/src/test/java/sablehinge/control/ControlNodeTest.java
+++ b/src/test/java/sablehinge/control/ControlNodeTest.java
@@ -284,6 +284,20 @@
         assertEquals(configuration(10, "huvo11a"), read(leader).body());
     }
 
+    /** What SIGTERM calls: it returns once another leads and a majority of the others holds all. */
+    @Test
+    void aLeaderThatIsStoppedHandsOverBeforeItEnds() throws Exception {
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+        int leader = leader();
+        long end = System.nanoTime() + PATIENCE_NANOS;
+        while (!members[leader].leave()) {
+            assertTrue(System.nanoTime() < end, "nobody takes over");
+        }
+        assertTrue(leader() != leader);
+        stop(leader);
+        assertEquals(200, replaced(7, configuration(8, "wuno96b")));
+    }
+
     @Test
     void withoutAMajorityNothingIsAcknowledgedNorRead() throws Exception {
         assertEquals(200, replaced(0, configuration(7, "huvo11a")));
