One table decides whether an attempt may have run

Need: whether a request may have run was decided at eight places of the transport, each by a flag of its own reading. core.AttemptState is now the one place: five states, ten events, and a test that walks all fifty pairs by a table. New in it: once the first byte of an answer has come, a connection that ends, a spoilt answer or a deadline no longer counts as proof that a half-sent upload has not run; the upstream's own word does still.

--- a/src/main/java/sablehinge/admission/UpstreamLifecycle.java
+++ b/src/main/java/sablehinge/admission/UpstreamLifecycle.java
@@ -26,12 +26,14 @@
      * What an upstream says of itself.
      *
      * @param id of its life
+     * @param service that it is of
      * @param unloading whether it is about to leave
      * @param berths requests that it works on at once
      * @param coldMs how much longer it is slow
      * @param callCount rises with each call of the life
      */
-    public record Heartbeat(String id, boolean unloading, int berths, int coldMs, long callCount) { }
+    public record Heartbeat(String id, String service, boolean unloading, int berths, int coldMs,
+            long callCount) { }
 
     private final AdmissionController gate;
     private final ToLongFunction<String> lifeOf;
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -54,6 +54,8 @@
 import sablehinge.budget.HeaderText;
 import sablehinge.budget.Purses;
 import sablehinge.core.AttemptResult;
+import sablehinge.core.AttemptState;
+import sablehinge.core.AttemptState.Event;
 import sablehinge.core.Clock;
 import sablehinge.core.Payload;
 import sablehinge.core.Roster;
@@ -211,7 +213,7 @@
             if (dialect.terms().wary()) {
                 // It may be gone without a word: what has not been sent goes elsewhere once the module knows.
                 loop.execute(() -> List.copyOf(target.waiting)
-                        .forEach(attempt -> attempt.giveUp(Result.CONNECT_FAILED)));
+                        .forEach(attempt -> attempt.giveUp(Event.NO_CONNECTION)));
             }
         }
     }
@@ -343,7 +345,8 @@
         private Target target;
         private Channel channel;
         private Connection connection;
-        private boolean written;
+        /** How far it has come, which decides what its end says. */
+        private AttemptState state = AttemptState.UNSENT;
         private boolean over;
         private Budget budget;
         /** When a part of its body was last written. */
@@ -383,7 +386,7 @@
         private void start(Target to) {
             target = to;
             if (to == null) {
-                end(Result.CONNECT_FAILED, Payload.NONE);
+                end(state.ends(Event.NO_CONNECTION), Payload.NONE);
                 return;
             }
             Connection idle = takeIdle(to, resendable());
@@ -392,14 +395,14 @@
                 begin(idle);
             } else if (!sockets.roomForUpstream(clock.now())) {
                 // A shortage here says nothing of the upstream.
-                end(Result.NOT_SENT, Payload.NONE);
+                end(state.ends(Event.NO_ROOM), Payload.NONE);
             } else {
                 int patience = (int) Math.max(1, terms.limits().connectTimeout());
                 bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, patience);
                 ChannelFuture connect = bootstrap.connect(to.member.address());
                 if (connect.cause() instanceof ChannelException) {
                     // There is no socket, for want of a descriptor.
-                    end(Result.NOT_SENT, Payload.NONE);
+                    end(state.ends(Event.NO_ROOM), Payload.NONE);
                     return;
                 }
                 channel = connect.channel();
@@ -417,7 +420,7 @@
                         channel.pipeline().get(Connection.class).trace(TraceEvent.CONNECTED, 0);
                         begin(channel.pipeline().get(Connection.class));
                     } else {
-                        end(Result.CONNECT_FAILED, Payload.NONE);
+                        end(state.ends(Event.NO_CONNECTION), Payload.NONE);
                     }
                 });
             }
@@ -436,10 +439,11 @@
             boolean dead = grant != null && budget == null;
             if (drained || dead || now >= until && !comes() || passing != null && passing.body().isTaken()) {
                 connection.park(target);
-                end(Result.CONNECT_FAILED, Payload.NONE);
+                end(state.ends(Event.NO_CONNECTION), Payload.NONE);
                 return;
             }
             connection.carry(this);
+            state = state.partSent();
             if (passing != null) {
                 HttpRequest copy = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(),
                         request.uri());
@@ -474,10 +478,11 @@
         /** Writes the last of the request. */
         private void write(Object last) {
             channel.writeAndFlush(last).addListener(write -> {
-                written = write.isSuccess();
-                connection.trace(TraceEvent.SENT, written ? 1 : 0);
-                if (!written) {
-                    broke(Result.CONNECT_FAILED);
+                connection.trace(TraceEvent.SENT, write.isSuccess() ? 1 : 0);
+                if (write.isSuccess()) {
+                    state = state.wholeSent();
+                } else {
+                    broke(Event.WRITE_FAILED);
                 }
             });
         }
@@ -486,7 +491,7 @@
         private void wrotePart(io.netty.util.concurrent.Future<? super Void> write) {
             movedAt = clock.now();
             if (!write.isSuccess()) {
-                broke(Result.CONNECT_FAILED);
+                broke(Event.WRITE_FAILED);
             }
         }
 
@@ -495,11 +500,11 @@
          * nothing: without this, one that never reads again would hold both for good.
          */
         private void look() {
-            if (over || written) {
+            if (over || isWhole()) {
                 return;
             }
             if (!channel.isWritable() && clock.now() - movedAt > dialect.terms().stuckMs()) {
-                broke(Result.CONNECT_FAILED);
+                broke(Event.WRITE_FAILED);
             } else {
                 loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
             }
@@ -535,17 +540,22 @@
             cancel();
         }
 
+        /** Whether the system has taken all of the request. */
+        private boolean isWhole() {
+            return state == AttemptState.SENT || state == AttemptState.ANSWERING;
+        }
+
         /** Whether the module may ever send this again once it may have run. */
         private boolean resendable() {
             return dialect.resendable(request);
         }
 
         /** The connection is of no more use: what was not written whole can't have run. */
-        private void broke(Result result) {
+        private void broke(Event event) {
             if (!over && !Double.isNaN(rested) && clock.now() - begunAt < Freshness.AT_ONCE_MS) {
                 freshness.broke(rested);
             }
-            giveUp(result);
+            giveUp(event);
         }
 
         private void connectionEnded() {
@@ -553,30 +563,30 @@
                 // Its process or its machine may be another one by now, which knows nothing of the others.
                 target.closeIdle();
             }
-            broke(written ? Result.RESET : Result.CONNECT_FAILED);
+            broke(Event.CONNECTION_ENDED);
         }
 
         private void expire() {
-            giveUp(written ? Result.TIMEOUT : Result.CONNECT_FAILED);
+            giveUp(Event.DEADLINE);
         }
 
         /** Stops waiting, and lets the upstream know by closing the connection. */
         @Override
         public void cancel() {
-            giveUp(Result.CANCELLED);
+            giveUp(Event.CANCELLED);
         }
 
         /**
          * Ends the attempt with its connection. That is closed first: what the module sends in answer to the
          * outcome would otherwise overtake it, and be a second copy.
          */
-        private void giveUp(Result result) {
+        private void giveUp(Event event) {
             if (!over) {
                 over = true;
                 if (channel != null) {
                     channel.close();
                 }
-                finish(result, Payload.NONE);
+                finish(state.ends(event), Payload.NONE);
             }
         }
 
@@ -594,10 +604,11 @@
 
         /** An answer, with its body or with the beginning of that. */
         private void answered(HttpResponse head, Payload payload) {
-            // What is served before the request has come was made for something else.
-            Result judged = dialect.judge(head);
-            Result result = judged == Result.OK && comes() ? Result.ERROR : judged;
-            end(result, payload);
+            end(state.ends(switch (dialect.judge(head)) {
+                case OK -> Event.SERVED_ANSWER;
+                case FULL -> Event.REFUSED_ANSWER;
+                default -> Event.FAILED_ANSWER;
+            }), payload);
         }
 
         private void end(Result result, Payload payload) {
@@ -759,7 +770,7 @@
             carried = null;
             channel.close();
             if (attempt != null) {
-                attempt.giveUp(attempt.written ? Result.ERROR : Result.CONNECT_FAILED);
+                attempt.giveUp(Event.MALFORMED_ANSWER);
             }
             breakOff();
         }
@@ -798,6 +809,9 @@
             }
             amid = true;
             moved = true;
+            if (carried != null) {
+                carried.state = carried.state.answerBegins();
+            }
         }
 
         /** An answer that has begun and stands still will not be whole in time. */
@@ -891,7 +905,7 @@
 
         private void beginToPass() {
             Attempt attempt = carried;
-            if (attempt == null || attempt.over || !attempt.written || !channel.isActive()
+            if (attempt == null || attempt.over || !attempt.isWhole() || !channel.isActive()
                     || !dialect.passable(head) || !dialect.answers(attempt.request, head)) {
                 spoilt();
                 return;
@@ -994,7 +1008,7 @@
             }
             Attempt attempt = carried;
             carried = null;
-            boolean keep = !attempt.over && attempt.written && HttpUtil.isKeepAlive(response)
+            boolean keep = !attempt.over && attempt.isWhole() && HttpUtil.isKeepAlive(response)
                     && !decoder.holdsMore();
             attempt.answered(response, new HttpPayload(response));
             // Only now: the module's next send must not read from a connection that is being read.
--- a/src/main/java/sablehinge/sidecar/Beats.java
+++ b/src/main/java/sablehinge/sidecar/Beats.java
@@ -47,13 +47,12 @@
                 if (!state.equals("ready") && !state.equals("unloading")) {
                     throw new CallException(400, "STATE", "state is neither ready nor unloading: " + state);
                 }
-                text(body, "depot");
                 String address = text(body, "address");
                 if (!address.equals(app)) {
                     throw new CallException(MISDIRECTED, "ELSEWHERE", "the upstream here is at " + app
                             + ", not at " + address);
                 }
-                return new Heartbeat(asked.name(), state.equals("unloading"),
+                return new Heartbeat(asked.name(), text(body, "depot"), state.equals("unloading"),
                         Math.max(1, Math.min(MOST_BERTHS, body.path("berths").asInt(1))),
                         Math.max(0, body.path("coldLeftMs").asInt(0)), body.path("callCount").asLong(0));
             }
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -281,7 +281,8 @@
     private Registration self() {
         UpstreamLifecycle.Heartbeat present = lifecycle.present();
         return new Registration(settings.node(), settings.zone(), settings.listenOn().inbound(),
-                settings.depot(), present == null ? "" : present.id(), lifecycle.isReady() && !shuts,
+                present == null ? settings.depot() : present.service(),
+                present == null ? "" : present.id(), lifecycle.isReady() && !shuts,
                 present == null ? 0 : present.berths(), present == null ? 0 : present.coldMs());
     }
 
--- a/src/test/java/sablehinge/admission/UpstreamLifecycleTest.java
+++ b/src/test/java/sablehinge/admission/UpstreamLifecycleTest.java
@@ -21,6 +21,7 @@
     private static final double UNLOAD_MS = 2_400;
     private static final double BEAT_MS = 1_500;
     private static final int BERTHS = 1_000;
+    private static final String SERVICE = "huvo11a";
     private static final String LIFE = "i-1";
     private static final String NEXT = "i-2";
     /** Between two events; together with a start they fit into {@code unloadMs}, alone they may not. */
@@ -63,7 +64,7 @@
 
         void beats(boolean unloading, long count) {
             if (runs()) {
-                lifecycle.heard(now, new Heartbeat(LIFE, unloading, BERTHS, 0, count));
+                lifecycle.heard(now, new Heartbeat(LIFE, SERVICE, unloading, BERTHS, 0, count));
                 if (unloading) {
                     leavesAt = Math.min(leavesAt, now);
                 }
@@ -241,7 +242,7 @@
     }
 
     private static Heartbeat beat(String id, long count) {
-        return new Heartbeat(id, false, 4, 0, count);
+        return new Heartbeat(id, SERVICE, false, 4, 0, count);
     }
 
     private static UpstreamLifecycle lifecycle() {
@@ -253,7 +254,7 @@
     void aLateHeartbeatChangesNothing() {
         UpstreamLifecycle lifecycle = lifecycle();
         assertTrue(lifecycle.heard(0, beat(LIFE, 5)));
-        assertFalse(lifecycle.heard(1, new Heartbeat(LIFE, false, 9, 0, 4)));
+        assertFalse(lifecycle.heard(1, new Heartbeat(LIFE, SERVICE, false, 9, 0, 4)));
         assertEquals(4, lifecycle.present().berths());
         // Nor does it say that the upstream lives still.
         lifecycle.heard(5_000, beat(LIFE, 4));
@@ -265,7 +266,7 @@
     void aLateHeartbeatThatSaysUnloadingIsAcknowledgedAndSoHolds() {
         UpstreamLifecycle lifecycle = lifecycle();
         lifecycle.heard(0, beat(LIFE, 5));
-        assertTrue(lifecycle.heard(5_000, new Heartbeat(LIFE, true, 4, 0, 4)));
+        assertTrue(lifecycle.heard(5_000, new Heartbeat(LIFE, SERVICE, true, 4, 0, 4)));
         assertFalse(lifecycle.isReady());
     }
 
--- /dev/null
+++ b/src/test/java/sablehinge/core/AttemptStateTest.java
@@ -0,0 +1,73 @@
+package sablehinge.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import sablehinge.core.AttemptState.Event;
+import sablehinge.policy.LoadBalancer.Result;
+
+/** What may have run: every state of an attempt with every event that can end it. */
+class AttemptStateTest {
+
+    /** The rows are events; the columns UNSENT, PARTLY_SENT, SENT, ANSWERED_EARLY, ANSWERING. */
+    private static final String TABLE = """
+            NO_ROOM           NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            NO_CONNECTION     NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            WRITE_FAILED      NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            CONNECTION_ENDED  NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            MALFORMED_ANSWER  NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            DEADLINE          NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            CANCELLED         MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            REFUSED_ANSWER    NOT_RUN      NOT_RUN      NOT_RUN      NOT_RUN      NOT_RUN
+            FAILED_ANSWER     MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            SERVED_ANSWER     MAY_HAVE_RUN MAY_HAVE_RUN RAN          MAY_HAVE_RUN RAN
+            """;
+
+    @Test
+    void everyStateWithEveryEventHasItsVerdict() {
+        Set<Event> walked = new HashSet<>();
+        List<String> wrong = new ArrayList<>();
+        for (String line : TABLE.split("\n")) {
+            String[] words = line.trim().split(" +");
+            Event event = Event.valueOf(words[0]);
+            walked.add(event);
+            assertEquals(1 + AttemptState.values().length, words.length, line);
+            for (AttemptState state : AttemptState.values()) {
+                Verdict expected = Verdict.valueOf(words[1 + state.ordinal()]);
+                Verdict actual = Verdict.of(state.ends(event));
+                if (expected != actual) {
+                    wrong.add(state + " and " + event + ": " + actual + " instead of " + expected);
+                }
+            }
+        }
+        assertEquals(List.of(), wrong);
+        assertEquals(Set.of(Event.values()), walked);
+    }
+
+    /** The module reckons with kinds of failure beside the verdict. */
+    @ParameterizedTest
+    @CsvSource({"SENT,DEADLINE,TIMEOUT", "SENT,CONNECTION_ENDED,RESET", "SENT,MALFORMED_ANSWER,ERROR",
+        "UNSENT,NO_ROOM,NOT_SENT", "UNSENT,NO_CONNECTION,CONNECT_FAILED", "SENT,REFUSED_ANSWER,FULL",
+        "SENT,CANCELLED,CANCELLED", "ANSWERING,SERVED_ANSWER,OK", "ANSWERED_EARLY,SERVED_ANSWER,ERROR"})
+    void eachEndHasItsKind(AttemptState state, Event event, Result result) {
+        assertEquals(result, state.ends(event));
+    }
+
+    /** No step leads back to a state from which less may have run. */
+    @Test
+    void whatMayHaveRunNeverGoesBack() {
+        for (AttemptState state : AttemptState.values()) {
+            for (AttemptState next : List.of(state.partSent(), state.wholeSent(), state.answerBegins())) {
+                assertEquals(state.mayHaveRun() || next.mayHaveRun(), next.mayHaveRun(), state + " " + next);
+            }
+        }
+        assertEquals(AttemptState.ANSWERED_EARLY, AttemptState.PARTLY_SENT.answerBegins());
+        assertEquals(AttemptState.ANSWERING, AttemptState.ANSWERED_EARLY.wholeSent());
+    }
+}
