--- a/src/main/java/sablehinge/admission/UpstreamLifecycle.java
+++ b/src/main/java/sablehinge/admission/UpstreamLifecycle.java
@@ -108,7 +108,7 @@
         boolean others = current.berths() != beat.berths();
         boolean changed = silent || others;
         // How long it stays cold was told once, and passes by itself: telling it anew would be news to all.
-        current = new Heartbeat(beat.id(), beat.unloading(), beat.berths(), current.coldMs(),
+        current = new Heartbeat(beat.id(), beat.service(), beat.unloading(), beat.berths(), current.coldMs(),
                 beat.callCount());
         heardAt = now;
         silent = false;
--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
@@ -24,7 +24,8 @@
 
     private void show(Editions editions) {
         Table taken = new Table("EDITION", "BASED ON", "BYTES", "SUM", "TAKEN");
-        editions.taken().forEach(one -> taken.line(one.edition(), one.basedOn(), one.bytes(), shortened(one.sum()),
+        editions.taken().forEach(one -> taken.line(one.edition(), one.basedOn(), one.bytes(),
+                shortened(one.sum()),
                 one.takenAt()));
         taken.print(shell());
     }
--- a/src/main/java/sablehinge/control/Operators.java
+++ b/src/main/java/sablehinge/control/Operators.java
@@ -14,7 +14,8 @@
     /** All calls, settled by an authority, with what this machine sees. */
     static List<Operation<?, ?>> all(Authority authority, Sight sight) {
         return List.of(new Replace(authority),
-                Inquiry.plain(authority, ControlRequest.CONFIG_READ, () -> newest(authority.configurations())),
+                Inquiry.plain(authority, ControlRequest.CONFIG_READ, () ->
+                        newest(authority.configurations())),
                 Inquiry.worded(authority, ControlRequest.CONFIG_HISTORY, sight::editions),
                 Inquiry.worded(authority, ControlRequest.MESH_STATUS, sight::status),
                 Inquiry.worded(authority, ControlRequest.MESH_NODES, sight::nodes),
--- a/src/test/java/sablehinge/admission/UpstreamLifecycleTest.java
+++ b/src/test/java/sablehinge/admission/UpstreamLifecycleTest.java
@@ -275,9 +275,9 @@
     @Test
     void aLaterHeartbeatResizesItAndItsColdTimeStays() {
         UpstreamLifecycle lifecycle = lifecycle();
-        lifecycle.heard(0, new Heartbeat(LIFE, false, 4, 3_000, 1));
-        assertTrue(lifecycle.heard(1, new Heartbeat(LIFE, false, 6, 2_000, 2)));
-        assertFalse(lifecycle.heard(2, new Heartbeat(LIFE, false, 6, 1_000, 3)));
+        lifecycle.heard(0, new Heartbeat(LIFE, SERVICE, false, 4, 3_000, 1));
+        assertTrue(lifecycle.heard(1, new Heartbeat(LIFE, SERVICE, false, 6, 2_000, 2)));
+        assertFalse(lifecycle.heard(2, new Heartbeat(LIFE, SERVICE, false, 6, 1_000, 3)));
         assertEquals(6, lifecycle.present().berths());
         assertEquals(3_000, lifecycle.present().coldMs());
     }
@@ -286,7 +286,7 @@
     void thatItUnloadsIsNotTakenBackButByTheNextLife() {
         UpstreamLifecycle lifecycle = lifecycle();
         lifecycle.heard(0, beat(LIFE, 1));
-        lifecycle.heard(1, new Heartbeat(LIFE, true, 4, 0, 2));
+        lifecycle.heard(1, new Heartbeat(LIFE, SERVICE, true, 4, 0, 2));
         lifecycle.heard(2, beat(LIFE, 3));
         assertFalse(lifecycle.isReady());
         lifecycle.heard(3, beat(NEXT, 1));
--- a/src/test/java/sablehinge/control/OperatorModel.java
+++ b/src/test/java/sablehinge/control/OperatorModel.java
@@ -13,7 +13,8 @@
 
 /**
  * Operators over a {@link ControlCluster}, who follow the protocol: up to eight orders under way, each sent
- * again as it was, elsewhere, after a second of silence, a 5xx or a lost answer; 307 is followed twice. Copies
+ * again as it was, elsewhere, after a second of silence, a 5xx or a lost answer; 307 is followed twice.
+ * Copies
  * of an order may also come once more, up to 20 s late. It knows only what operators saw, and fails as soon
  * as that can't be true of one history.
  */
@@ -236,7 +237,9 @@
         read(any());
     }
 
-    /** In calm: all that is under way ends, what was acknowledged is acknowledged again and in the history. */
+    /**
+     * In calm: all that is under way ends, what was acknowledged is acknowledged again and in the history.
+     */
     void concludes() {
         lossOfAnswers = 0;
         for (int i = 0; i < 100 && orders.stream().anyMatch(this::isOpen); i++) {
@@ -250,7 +253,8 @@
             }
         }
         cluster.run(30_000);
-        check(orders.stream().noneMatch(order -> order.acknowledged && order.underWay), "not acknowledged again");
+        check(orders.stream().noneMatch(order -> order.acknowledged && order.underWay),
+                "not acknowledged again");
         agreesWithHistory();
     }
 
--- a/src/test/java/sablehinge/control/OperatorsTest.java
+++ b/src/test/java/sablehinge/control/OperatorsTest.java
@@ -210,7 +210,8 @@
     void theHistoryIsToldOnlyWhereAMajorityConfirms() throws IOException {
         configurations.apply(ConfigurationState.replace(0, 3, new byte[] {'a'}, 1_700_000_000_000L));
         assertEquals(new Editions(3, List.of(new Editions.Taken(3, 0L, 1, "ca978112ca1bbdcafac231b39a23dc4d"
-                + "a786eff8147c4e72b9807785afee48bb", "2023-11-14T22:13:20Z"))), told("Config.History", Editions.class));
+                + "a786eff8147c4e72b9807785afee48bb", "2023-11-14T22:13:20Z"))), told("Config.History",
+                        Editions.class));
         sure = false;
         assertEquals(503, call("Config.History", new DefaultHttpHeaders(), "").status());
     }
@@ -227,7 +228,8 @@
     }
 
     private int replaced(String body) {
-        return call("Config.Replace", new DefaultHttpHeaders().add("Sablehinge-Based-On", "0"), body).status();
+        return call("Config.Replace", new DefaultHttpHeaders().add("Sablehinge-Based-On", "0"),
+                body).status();
     }
 
     @Test
