bench/run exchange: all orders of events before and behind the gate

Change: the real front, gate and transport between scripted ends on the torture rig's network in virtual time; each order of events to a depth, behind three beginnings; what cannot happen is not gone on with. The rig's loop slept 100 ms of real time at the end of each play; an interrupt wakes it.

--- /dev/null
+++ b/bench/src/sablehinge/sidecar/GateParts.java
@@ -0,0 +1,60 @@
+package sablehinge.sidecar;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import sablehinge.admission.AdmissionController;
+import sablehinge.core.Clock;
+import sablehinge.core.Core;
+import sablehinge.core.Registry;
+import sablehinge.core.Roster;
+import sablehinge.core.Timers;
+import sablehinge.http1.Frontend;
+import sablehinge.http1.Sockets;
+import sablehinge.http1.UpstreamClient;
+import sablehinge.policy.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Upstream;
+
+/** The real front, gate and transport before an upstream, put together on somebody else's loop and clock. */
+public final class GateParts {
+
+    /** The life to which the gate is open. */
+    public static final String LIFE = "i-1";
+    private static final int BERTHS = 2;
+    private AdmissionController gate;
+
+    private GateParts(EventLoop loop, Clock clock, Timers timers, Sockets sockets, ByteBufAllocator memory,
+            InetSocketAddress upstream, InetSocketAddress at, Consumer<String> done) {
+        Core core = new Core(clock, timers, actions -> {
+            gate = new AdmissionController(actions);
+            return gate;
+        });
+        Frontend front = new Frontend(loop, sockets, memory, core, new InboundFront(core));
+        UpstreamClient transport = new UpstreamClient(loop, clock, sockets, memory,
+                new MeshUpstream(clock, () -> { }));
+        Upstream own = new Upstream(AdmissionController.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
+        core.start(Terms.gate(), 1, new Roster(1, true, List.of(new Roster.Member(own, upstream))), transport,
+                new Registry() {
+                    @Override
+                    public void fetch() {
+                        // The one upstream is known.
+                    }
+
+                    @Override
+                    public void watch(boolean on) {
+                        // The one upstream is known.
+                    }
+                });
+        gate.opens(clock.now(), MeshHeaders.life(LIFE), BERTHS);
+        front.open(at, done);
+    }
+
+    /** Puts them together, with the gate open; {@code done} hears why they can't listen, or null. */
+    public static void start(EventLoop loop, Clock clock, Timers timers, Sockets sockets,
+            ByteBufAllocator memory, InetSocketAddress upstream, InetSocketAddress at,
+            Consumer<String> done) {
+        new GateParts(loop, clock, timers, sockets, memory, upstream, at, done);
+    }
+}
--- /dev/null
+++ b/bench/src/sablehinge/torture/ExchangePlay.java
@@ -0,0 +1,533 @@
+package sablehinge.torture;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32C;
+import sablehinge.core.Clock;
+import sablehinge.core.Timers;
+import sablehinge.http1.Sockets;
+import sablehinge.sidecar.GateParts;
+
+/**
+ * One order of events on the connections before and behind the gate, played on the real front, gate and
+ * transport in virtual time. Requests are all of a kind that may run once. What must hold is judged by what
+ * the callers and the upstream have seen alone.
+ */
+final class ExchangePlay {
+
+    /** What a caller, a neighbour or the upstream may do next. */
+    enum Event {
+        /** The caller sends a whole request on its connection, behind what it has sent before. */
+        CALL,
+        /** The caller sends the beginning of a long body, and its rest. */
+        UPLOAD_HALF, UPLOAD_REST,
+        CALLER_RESETS,
+        /** Somebody else calls on a connection of its own: a neighbour, or the same client once more. */
+        NEIGHBOUR_CALLS,
+        ANSWER,
+        /** An answer with another whole one right behind it, which names no request. */
+        ANSWER_AND_MORE,
+        /** An answer with the beginning of another one behind it. */
+        ANSWER_AND_PART,
+        /** A whole answer to a request of before. */
+        SURPLUS,
+        HALF_ANSWER, REST_OF_ANSWER,
+        RESET, CLOSE, NOISE,
+        /** The upstream says that the request has not run. */
+        REFUSE,
+        /** The upstream has run it and answers 503. */
+        FAIL_AS_FULL,
+        /** A success without a stamp. */
+        UNSTAMPED,
+        /** A success before the request is whole. */
+        ANSWER_EARLY,
+        /** The beginning of an answer before the request is whole. */
+        EARLY_HALF,
+        /** The upstream forgets its idle connections: what is sent on them next is reset. */
+        FORGET,
+        /** The time of every request is over. */
+        WAIT
+    }
+
+    private static final int LONG_BODY = 2_000_000;
+    private static final int HALF_BODY = 100_000;
+    private static final int ROOM = 1 << 22;
+    private static final int TIME_LEFT = 1_500;
+    private static final int PATIENCE = 300;
+    private static final double WAIT_MS = 1_700;
+    private static final double REST_MS = 12_000;
+    private static final double STEP_MS = 500;
+    private static final InetSocketAddress UPSTREAM =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 10_001);
+
+    /** A try of a caller and all that is known of it. */
+    private static final class Sent {
+        private final String id;
+        private final int length;
+        private int ran;
+        /** The status of the whole answer that the upstream made for it; 0 for none. */
+        private int made;
+        private boolean promised;
+        private boolean refused;
+
+        Sent(String id, int length) {
+            this.id = id;
+            this.length = length;
+        }
+
+        String body() {
+            return "made for " + id;
+        }
+    }
+
+    private final Net net = new Net(1, new Memory());
+    private final Map<String, Sent> all = new TreeMap<>();
+    private final List<Client> clients = new ArrayList<>();
+    private final List<Line> lines = new ArrayList<>();
+    private Client caller;
+    private int number;
+    private boolean forgets;
+
+    ExchangePlay() {
+        Clock clock = net::now;
+        Timers timers = (time, call) -> {
+            Future<?> due = net.loop.schedule(call, (long) Math.ceil(Math.max(0, time - clock.now()) * 1e6),
+                    TimeUnit.NANOSECONDS);
+            return () -> due.cancel(false);
+        };
+        net.listen(UPSTREAM, new Net.Listener() {
+            @Override
+            public double answersAfter() {
+                return 0;
+            }
+
+            @Override
+            public void connected(PipeChannel channel) {
+                lines.add(new Line(channel));
+            }
+        });
+        GateParts.start(net.loop, clock, timers, new Sockets(1_024, net), net.memory, UPSTREAM,
+                new InetSocketAddress("127.0.0.1", 1), why -> { });
+        net.settle();
+        caller = new Client();
+    }
+
+    /** Plays it; null where an event could not happen, else what was violated. */
+    List<String> play(List<Event> events) {
+        try {
+            for (Event event : events) {
+                if (!befalls(event)) {
+                    return null;
+                }
+                net.settle();
+                if (!net.violations.isEmpty()) {
+                    return net.violations;
+                }
+            }
+            double end = net.now() + REST_MS;
+            while (net.now() < end) {
+                net.advance(STEP_MS);
+                net.settle();
+            }
+            clients.forEach(Client::check);
+            return net.violations;
+        } finally {
+            net.end();
+        }
+    }
+
+    private boolean befalls(Event event) {
+        return switch (event) {
+            case CALL -> caller.open() && !caller.uploads() && caller.sends(id(), 4);
+            case UPLOAD_HALF -> caller.open() && caller.waiting.isEmpty() && caller.sends(id(), LONG_BODY);
+            case UPLOAD_REST -> caller.open() && caller.uploads() && caller.sendsRest();
+            case CALLER_RESETS -> caller.open() && caller.resets();
+            case NEIGHBOUR_CALLS -> clients.size() < 4 && new Client().sends(id(), 4);
+            case ANSWER -> working(line -> line.serves(line.at, true, ""));
+            case ANSWER_AND_MORE -> working(line -> line.serves(line.at, true,
+                    "HTTP/1.1 200 OK\r\nSablehinge-Postmark: x\r\nContent-Length: 2\r\n\r\nno"));
+            case ANSWER_AND_PART -> working(line -> line.serves(line.at, true,
+                    "HTTP/1.1 200 OK\r\nSablehinge-Postmark: x\r\nX-Next: "));
+            case SURPLUS -> live(line -> line.surplus());
+            case HALF_ANSWER -> working(Line::half);
+            case REST_OF_ANSWER -> live(line -> line.rest != null && line.restComes());
+            case RESET -> live(line -> line.ends(true));
+            case CLOSE -> live(line -> line.ends(false));
+            // In the middle of a body its bytes would be the body.
+            case NOISE -> live(line -> line.rest == null && line.puts("\u0001what is this?\r\n\r\n"));
+            case REFUSE -> working(line -> line.fails("503 Full\r\nSablehinge-Not-Run: 1", true));
+            case FAIL_AS_FULL -> working(line -> line.fails("503 Oh\r\nSablehinge-Postmark: f", false));
+            case UNSTAMPED -> working(line -> line.serves(line.at, false, ""));
+            case ANSWER_EARLY -> live(line -> line.at != null && !line.isWhole && line.early());
+            case EARLY_HALF -> live(line -> line.at != null && !line.isWhole && line.earlyHalf());
+            case FORGET -> {
+                boolean idle = !forgets && lines.stream().anyMatch(line -> line.open() && line.at == null);
+                forgets |= idle;
+                yield idle;
+            }
+            case WAIT -> {
+                net.advance(WAIT_MS);
+                yield true;
+            }
+        };
+    }
+
+    private String id() {
+        return "t-" + ++number;
+    }
+
+    /** What happens to a connection of the upstream; false where it can't. */
+    private interface Move {
+        boolean on(Line line);
+    }
+
+    /** The oldest connection with a whole request at work, and no part of an answer to it sent. */
+    private boolean working(Move move) {
+        for (Line line : lines) {
+            if (line.open() && line.at != null && line.isWhole && line.rest == null) {
+                return move.on(line);
+            }
+        }
+        return false;
+    }
+
+    /** The oldest connection that is open. */
+    private boolean live(Move move) {
+        for (Line line : lines) {
+            if (line.open()) {
+                return move.on(line);
+            }
+        }
+        return false;
+    }
+
+    private static boolean write(Net net, PipeChannel channel, byte[] bytes) {
+        int at = 0;
+        while (at < bytes.length) {
+            int count;
+            try {
+                count = channel.in.write(bytes, at, bytes.length - at);
+            } catch (IOException e) {
+                return true;
+            }
+            at += count;
+            channel.came();
+            net.settle();
+            if (count == 0) {
+                return true;
+            }
+        }
+        return true;
+    }
+
+    // ---- Before the gate ---------------------------------------------------------------------------
+
+    /** A connection to the front and what is sent on it. */
+    private final class Client implements Net.End, HttpReader.Heard {
+        private final PipeChannel channel;
+        private final HttpReader reader = new HttpReader(true, this);
+        private final ArrayDeque<Sent> waiting = new ArrayDeque<>();
+        private Sent half;
+        private boolean gone;
+
+        Client() {
+            channel = net.caller(ROOM, ROOM, new Dice(1, "client", clients.size()));
+            channel.playedBy(this);
+            clients.add(this);
+            net.settle();
+        }
+
+        boolean open() {
+            return !gone && !channel.out.isEnded() && !channel.out.isBroken();
+        }
+
+        boolean uploads() {
+            return half != null;
+        }
+
+        boolean sends(String id, int length) {
+            Sent sent = new Sent(id, length);
+            all.put(id, sent);
+            waiting.add(sent);
+            byte[] head = ("POST /u/x HTTP/1.1\r\nHost: h\r\nSablehinge-Try-Id: " + id
+                    + "\r\nSablehinge-Time-Left: " + TIME_LEFT + "\r\nSablehinge-Patience: " + PATIENCE
+                    + "\r\nSablehinge-Rank: 1\r\nSablehinge-Deliver-To: " + GateParts.LIFE
+                    + "\r\nContent-Length: " + length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+            boolean whole = length <= HALF_BODY;
+            half = whole ? null : sent;
+            write(net, channel, head);
+            return write(net, channel, new byte[whole ? length : HALF_BODY]);
+        }
+
+        boolean sendsRest() {
+            Sent sent = half;
+            half = null;
+            return write(net, channel, new byte[sent.length - HALF_BODY]);
+        }
+
+        boolean resets() {
+            gone = true;
+            channel.in.breakOff(true);
+            channel.out.breakOff(true);
+            channel.came();
+            channel.taken();
+            return true;
+        }
+
+        @Override
+        public void came() {
+            if (gone) {
+                return;
+            }
+            byte[] bytes = channel.out.read(ROOM);
+            if (bytes.length > 0) {
+                channel.taken();
+                reader.read(bytes);
+                if (reader.flaw != null) {
+                    net.violated("a caller can't read its answer: " + reader.flaw);
+                }
+            }
+        }
+
+        @Override
+        public void taken() {
+            // It sends by events alone.
+        }
+
+        @Override
+        public void left() {
+            came();
+        }
+
+        @Override
+        public void head(HttpReader message) {
+            // It is judged once it is whole.
+        }
+
+        @Override
+        public boolean whole(HttpReader message) {
+            if (message.status() < 200) {
+                return true;
+            }
+            Sent sent = waiting.poll();
+            if (sent == null) {
+                net.violated("an answer where no request waits: " + message.start);
+                return false;
+            }
+            judge(sent, message);
+            return !"close".equals(message.headers.get("connection"));
+        }
+
+        /** Whoever waits has an answer in the end, or the end of its connection. */
+        void check() {
+            if (open() && half == null && !waiting.isEmpty()) {
+                net.violated(waiting.peek().id + " has no answer and an open connection");
+            }
+        }
+    }
+
+    private void judge(Sent sent, HttpReader answer) {
+        int status = answer.status();
+        String named = answer.headers.get("sablehinge-try-id");
+        String stamp = answer.headers.get("sablehinge-postmark");
+        String verdict = answer.headers.get("sablehinge-verdict");
+        if (named != null && !named.equals(sent.id)) {
+            net.violated("MIXED: " + sent.id + " gets the answer to " + named);
+        }
+        if (status == 200) {
+            CRC32C sum = new CRC32C();
+            sum.update(sent.body().getBytes(StandardCharsets.US_ASCII));
+            if (sent.made != status || !("s." + sent.id).equals(stamp) || sum.getValue() != answer.sum.getValue()) {
+                net.violated("MIXED: " + sent.id + " is served with what was not made for it whole");
+            }
+        } else if (stamp != null && sent.made != status) {
+            net.violated("MIXED: " + sent.id + " has the stamp of " + sent.made + " with " + status);
+        }
+        boolean promises = status == 503 || status == 429 || status == 408 || status == 421;
+        if (promises || "not-run".equals(verdict)) {
+            sent.promised = true;
+            if (sent.ran > 0 && !sent.refused) {
+                net.violated("REFUSED: " + sent.id + " has run and gets " + status + ", " + verdict);
+            }
+        }
+        if ("ran".equals(verdict) && sent.ran == 0) {
+            net.violated("REFUSED: " + sent.id + " is said to have run");
+        }
+    }
+
+    // ---- The upstream ------------------------------------------------------------------------------
+
+    /** A connection of the upstream. */
+    private final class Line implements Net.End, HttpReader.Heard {
+        private final PipeChannel channel;
+        private final HttpReader reader = new HttpReader(false, this);
+        private Sent at;
+        private boolean isWhole;
+        private Sent before;
+        private String rest;
+        private boolean over;
+
+        Line(PipeChannel channel) {
+            this.channel = channel;
+            channel.playedBy(this);
+        }
+
+        boolean open() {
+            return !over && !channel.out.isEnded() && !channel.out.isBroken();
+        }
+
+        @Override
+        public void came() {
+            byte[] bytes = over ? new byte[0] : channel.out.read(ROOM);
+            if (bytes.length == 0) {
+                return;
+            }
+            channel.taken();
+            if (at != null && !isWhole && !isBody(bytes)) {
+                net.violated("UNASKED: a request inside the body of " + at.id);
+            }
+            if (forgets && at == null) {
+                ends(true);
+                return;
+            }
+            reader.read(bytes);
+            if (reader.flaw != null) {
+                net.violated("UNASKED: an upstream can't read its request: " + reader.flaw);
+            }
+        }
+
+        @Override
+        public void taken() {
+            // It answers by events alone.
+        }
+
+        @Override
+        public void left() {
+            came();
+        }
+
+        @Override
+        public void head(HttpReader message) {
+            if (at != null) {
+                net.violated("a second request on a connection at work");
+            }
+            at = all.get(message.headers.get("sablehinge-try-id"));
+            isWhole = false;
+        }
+
+        @Override
+        public boolean whole(HttpReader message) {
+            if (at == null || message.length != at.length) {
+                net.violated("UNASKED: a request that nobody sent so");
+                return false;
+            }
+            isWhole = true;
+            runs();
+            return true;
+        }
+
+        /** All bodies are of zeros. */
+        private boolean isBody(byte[] bytes) {
+            for (byte one : bytes) {
+                if (one != 0) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private void runs() {
+            if (++at.ran > 1) {
+                net.violated("TWICE: " + at.id);
+            }
+            if (at.promised) {
+                net.violated("REFUSED: " + at.id + " runs after it was refused");
+            }
+        }
+
+        private String answer(Sent to, boolean stamped) {
+            return "HTTP/1.1 200 OK\r\nSablehinge-Try-Id: " + to.id
+                    + (stamped ? "\r\nSablehinge-Postmark: s." + to.id : "") + "\r\nContent-Length: "
+                    + to.body().length() + "\r\n\r\n" + to.body();
+        }
+
+        boolean puts(String text) {
+            return write(net, channel, text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        private void answered(int status) {
+            at.made = status;
+            before = at;
+            at = null;
+            rest = null;
+        }
+
+        boolean serves(Sent to, boolean stamped, String more) {
+            answered(stamped ? 200 : 0);
+            return puts(answer(to, stamped) + more);
+        }
+
+        boolean half() {
+            String text = answer(at, true);
+            rest = text.substring(text.length() - 4);
+            return puts(text.substring(0, text.length() - 4));
+        }
+
+        boolean restComes() {
+            String text = rest;
+            answered(200);
+            return puts(text);
+        }
+
+        boolean surplus() {
+            return before != null && before != at && rest == null && puts(answer(before, true));
+        }
+
+        boolean fails(String status, boolean notRun) {
+            Sent to = at;
+            to.refused = notRun;
+            if (notRun) {
+                to.ran--;
+            }
+            answered(503);
+            return puts("HTTP/1.1 " + status + "\r\nSablehinge-Try-Id: " + to.id
+                    + "\r\nContent-Length: 0\r\n\r\n");
+        }
+
+        boolean early() {
+            Sent to = at;
+            to.ran++;
+            before = to;
+            // What it says is that it has begun without the rest.
+            return puts(answer(to, true));
+        }
+
+        boolean earlyHalf() {
+            at.ran++;
+            before = at;
+            return puts("HTTP/1.1 200 OK\r\nSablehinge-Try-Id: " + at.id + "\r\n");
+        }
+
+        boolean ends(boolean resets) {
+            over = true;
+            if (resets) {
+                channel.in.breakOff(true);
+            } else {
+                channel.in.end();
+            }
+            channel.out.breakOff(true);
+            channel.came();
+            channel.taken();
+            return true;
+        }
+    }
+}
--- a/bench/src/sablehinge/torture/Net.java
+++ b/bench/src/sablehinge/torture/Net.java
@@ -91,9 +91,12 @@
     void end() {
         loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
         for (int turns = 0; !loop.isTerminated() && turns < MOST_TURNS; turns++) {
+            // Netty sleeps through its quiet time in real time; an interrupt wakes it at once.
+            Thread.currentThread().interrupt();
             loop.runNow(0);
             advance(1);
         }
+        Thread.interrupted();
     }
 
     void advance(double millis) {
