A learner is caught up by the latest question that it answered

Change: a learner or voter counts as caught up as well when its disk has all that was committed when the latest question, or the one before it, was asked that it has answered. The checker's fingerprint knows arrays of long.

--- a/bench/src/sablehinge/consensus/Fingerprint.java
+++ b/bench/src/sablehinge/consensus/Fingerprint.java
@@ -45,6 +45,8 @@
             number(Arrays.hashCode(bytes));
         } else if (value instanceof double[] numbers) {
             number(Arrays.hashCode(numbers));
+        } else if (value instanceof long[] numbers) {
+            number(Arrays.hashCode(numbers));
         } else if (value instanceof Collection<?> all) {
             number(all.size());
             all.forEach(this::add);
--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -132,6 +132,8 @@
      * When each of the last rounds was asked, until when a lease holds, and whether this term was given up.
      */
     private final double[] askedAt = new double[ASKED];
+    /** Up to where all was committed when each of the last rounds was asked. */
+    private final long[] committedAt = new long[ASKED];
     private double leaseUntil = Double.NEGATIVE_INFINITY;
     private boolean handedOver;
     private double heartbeatAt;
@@ -792,6 +794,7 @@
     private void ask(double now) {
         round++;
         askedAt[(int) (round % ASKED)] = now;
+        committedAt[(int) (round % ASKED)] = commit;
         heartbeatAt = now + timing.heartbeat();
         for (Peer peer : peers.values()) {
             feed(now, peer, now - peer.heard <= timing.fresh() || peer.probing);
@@ -1117,8 +1120,17 @@
             return new MembershipPlanner.Replica(member, 0, true, false);
         }
         Peer peer = peers.get(member.id());
-        return new MembershipPlanner.Replica(member, now - peer.heard, peer.match >= commit,
-                leaves(now, peer));
+        return new MembershipPlanner.Replica(member, now - peer.heard, isCaughtUp(peer), leaves(now, peer));
+    }
+
+    /**
+     * Whether a peer's disk has all that is committed, or had all when the latest question was asked or the
+     * one before it, which it has answered: under load, what is committed now is newer than any answer.
+     */
+    private boolean isCaughtUp(Peer peer) {
+        boolean hadAll = peer.round > 0 && peer.round >= round - 1
+                && peer.match >= committedAt[(int) (peer.round % ASKED)];
+        return hadAll || peer.match >= commit;
     }
 
     /** Whether a peer is no voter and has asked lately to become one. */
