--- a/bench/src/sablehinge/fleet/FleetPlan.java
+++ b/bench/src/sablehinge/fleet/FleetPlan.java
@@ -143,11 +143,12 @@
                 zone(number), region(number), INNER, INNER_LAST, seeds, BEAT_MS);
     }
 
-    private static String tail(int diskMb) {
+    private String tail(int diskMb) {
         StringBuilder zones = new StringBuilder("[zones]\n");
         zones().forEach((zone, region) -> zones.append(zone).append(" = \"").append(region).append("\"\n"));
         return zones + "[limits]\ncpuShare = 1.0\ncores = 1\nmemoryMb = 430\nfds = 4100\nlinkMbps = 1000.0\n"
-                + "diskMb = " + diskMb + "\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n";
+                + "diskMb = " + diskMb + "\n[tolerate]\nmachines = " + (controlNodes - 1) / 2
+                + "\nzones = 0\nregions = 0\n";
     }
 
     /** The settings file of a control node. */
