--- a/src/main/java/sablehinge/sidecar/Watchers.java
+++ b/src/main/java/sablehinge/sidecar/Watchers.java
@@ -165,17 +165,20 @@
     /** Finds out what is left of one that has fallen silent: a machine answers even where no process does. */
     private void reach(String node) {
         ChannelFuture connect = reaching.connect(at(node));
-        connect.addListener(up -> {
-            if (up.isSuccess()) {
-                connect.channel().close();
-            }
-            Evidence evidence = evidence(up.cause());
-            if (watch.found(clock.now(), node, evidence)) {
-                Log.info(LOG, "accuses").addKeyValue("peer", node).addKeyValue("evidence", evidence)
-                        .log("a balancer is not heard");
-                update.run();
-            }
-        });
+        // Where no channel can be made, Netty calls back on another thread than the loop.
+        connect.addListener(up -> loop.execute(() -> reached(node, connect)));
+    }
+
+    private void reached(String node, ChannelFuture connect) {
+        if (connect.isSuccess()) {
+            connect.channel().close();
+        }
+        Evidence evidence = evidence(connect.cause());
+        if (watch.found(clock.now(), node, evidence)) {
+            Log.info(LOG, "accuses").addKeyValue("peer", node).addKeyValue("evidence", evidence)
+                    .log("a balancer is not heard");
+            update.run();
+        }
     }
 
     /** What it tells that a connection came up, where there is no cause, or why it did not. */
