--- a/src/test/java/sablehinge/consensus/CatchUpTest.java
+++ b/src/test/java/sablehinge/consensus/CatchUpTest.java
@@ -185,6 +185,21 @@
         }
     }
 
+    @Test
+    void whoseDiskHangsAmidASnapshotGoesOnWhenItAnswers() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(2000, ORDERS);
+        cluster.slow(away, SLOW);
+        away.start();
+        cluster.runAndCompact(150);
+        away.stall(STORM);
+        cluster.storm(STORM, ORDERS);
+        assertEquals(0, cluster.broken, "connections broke as too much waited");
+        cluster.catchUp(away, 5000);
+    }
+
     @Test
     void lostMessagesDelayButDoNotStop() {
         SlowLinkCluster cluster = cluster(LARGE);
