--- /dev/null
+++ b/src/test/java/sablehinge/torture/ExchangeTest.java
@@ -0,0 +1,43 @@
+package sablehinge.torture;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.torture.ExchangePlay.Event;
+
+/** A part of {@code bench/run exchange}, which plays longer orders and all faults. */
+class ExchangeTest {
+
+    private static final int DEPTH = 2;
+    private static final int LEAST_PLAYED = 200;
+
+    @Test
+    void noShortOrderOfEventsBreaksWhatMustHold() throws Exception {
+        List<String> found = ExchangeBench.search(DEPTH, Integer.MAX_VALUE);
+        assertEquals(List.of(), found.subList(1, found.size()));
+        assertTrue(Long.parseLong(found.get(0)) > LEAST_PLAYED, found.get(0));
+    }
+
+    @Test
+    void whatCannotHappenIsNotPlayed() {
+        assertNull(new ExchangePlay().play(List.of(Event.REST_OF_ANSWER)));
+        assertNotNull(new ExchangePlay().play(List.of(Event.CALL, Event.HALF_ANSWER, Event.REST_OF_ANSWER)));
+    }
+
+    @Test
+    void eachFaultHasItsPlaceAndOneIsFound() throws Exception {
+        for (Mutant fault : ExchangeBench.MUTANTS) {
+            fault.applied(Files.readString(Path.of("src/main/java/sablehinge/" + fault.in() + ".java")));
+        }
+        List<?> found = (List<?>) MutantLoader.of(ExchangeBench.MUTANTS.get(0), Path.of("src/main/java"))
+                .loadClass(ExchangeBench.class.getName()).getMethod("search", int.class, int.class)
+                .invoke(null, DEPTH, 1);
+        assertTrue(found.size() > 1, ExchangeBench.MUTANTS.get(0).name());
+    }
+}
