--- a/bench/lib/worst_days.py
+++ b/bench/lib/worst_days.py
@@ -92,8 +92,9 @@
 
 
 def scripted(path, seed):
-    """The play of a file named by its day and its site."""
-    kind = tomllib.loads(path.read_text())["day"][0]["name"]
+    """The play of a file named by its day and its site; the day may stand under [[day]] or by itself."""
+    content = tomllib.loads(path.read_text())
+    kind = content.get("day", [content])[0]["name"]
     return Play(kind, path.stem.removeprefix(kind + "-"), path, seed)
 
 
