--- a/src/main/java/sablehinge/consensus/SnapshotSender.java
+++ b/src/main/java/sablehinge/consensus/SnapshotSender.java
@@ -19,7 +19,10 @@
     private static final double SOON = 100;
     /** One that was answered later is followed by a smaller one, ms: heartbeats wait behind it. */
     private static final double LATE = 300;
-    /** Without an answer for so long, a chunk is sent again, ms; after each such time, twice as long. */
+    /**
+     * Bounds of the time, in ms, after which a chunk that has no answer is sent again: twice what the last
+     * answer took, and twice as long after each time that none came.
+     */
     static final double FIRST_PATIENCE = 500;
     static final double MOST_PATIENCE = 2000;
 
@@ -28,6 +31,7 @@
     private int chunkBytes = FIRST_CHUNK;
     private boolean waiting;
     private double sentAt;
+    private long sentRound;
     private double patience = FIRST_PATIENCE;
 
     SnapshotSender(Snapshot snapshot) {
@@ -59,6 +63,7 @@
         }
         waiting = true;
         sentAt = now;
+        sentRound = round;
         int total = snapshot.state().length;
         int end = Math.min(total, offset + chunkBytes);
         Snapshot part = new Snapshot(snapshot.index(), snapshot.term(), snapshot.members(),
@@ -84,8 +89,22 @@
         return true;
     }
 
-    private void adapt(double took) {
+    /**
+     * The peer has answered a round and said nothing of the chunk.
+     *
+     * @return whether the chunk left before that round, so that it is lost and due again
+     */
+    boolean passed(long round) {
+        if (!waiting || round <= sentRound) {
+            return false;
+        }
+        waiting = false;
         patience = FIRST_PATIENCE;
+        return true;
+    }
+
+    private void adapt(double took) {
+        patience = Math.max(FIRST_PATIENCE, Math.min(MOST_PATIENCE, 2 * took));
         if (took > LATE) {
             chunkBytes = Math.max(LEAST_CHUNK, chunkBytes / 2);
         } else if (took < SOON) {
--- a/src/main/java/sablehinge/sidecar/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -29,7 +29,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(NewsClient.class);
     private static final long AGAIN_MS = 60;
-    private static final double PATIENCE_MS = 1_500;
+    private static final double PATIENCE_MS = NewsFilter.MOST_AGE_MS;
     private static final int MOST_CONTACTS = 32;
 
     private final EventLoop loop;
@@ -43,6 +43,7 @@
     private int number;
     private double askedAt;
     private int next;
+    private boolean closed;
 
     /** What is asked, and who hears the answer. */
     interface Teller {
@@ -83,6 +84,17 @@
         reach(null);
     }
 
+    /** Asks nobody any more. */
+    void close() {
+        Connection.Link open = link;
+        closed = true;
+        link = null;
+        number++;
+        if (open != null) {
+            open.close();
+        }
+    }
+
     /** Asks at once, in place of what was asked before. */
     void askNow() {
         if (link != null && link.isUp()) {
@@ -116,7 +128,7 @@
     }
 
     private void reach(String at) {
-        if (link != null) {
+        if (link != null || closed) {
             return;
         }
         String to = at;
@@ -170,7 +182,7 @@
     }
 
     private void news(Connection.Link from, Update update) {
-        NewsFilter.Verdict verdict = filter.judge(update);
+        NewsFilter.Verdict verdict = filter.judge(clock.now() - askedAt, update);
         if (verdict == NewsFilter.Verdict.DEPOSED) {
             leave(from, null);
             return;
--- a/src/test/java/sablehinge/consensus/QuorumTest.java
+++ b/src/test/java/sablehinge/consensus/QuorumTest.java
@@ -2,22 +2,31 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import sablehinge.torture.Mutant;
 import sablehinge.torture.MutantLoader;
 
 /** The checker of the agreement: that it is quiet on what is right, and finds and tells what is not. */
 class QuorumTest {
 
     private static final int LONGEST = 60;
+    /** A seed by which five machines start, three of which found. */
+    private static final long FIVE_START = 7;
+    /** Faults of each of the points that can go wrong. */
+    private static final int LEAST_FAULTS = 8;
 
     /** A founder that lost its founding, votes, loses power, and is asked by another in the same term. */
     private static final String NAME_ONLY = """
@@ -58,18 +67,129 @@
     @ValueSource(strings = {"two votes in a term", "entries are acknowledged before their sync",
         "who lost its disk comes back as its old self"})
     void aFaultIsFoundAndCutShort(String name) throws Exception {
-        Mutant fault = Faults.ALL.stream().filter(one -> one.name().equals(name)).findAny().orElseThrow();
-        String[] first = hunt(fault);
-        assertArrayEquals(first, hunt(fault), "another verdict");
+        String[] first = hunt(fault(name));
+        assertArrayEquals(first, hunt(fault(name)), "another verdict");
         Script script = Script.parse(first[0].lines().toList());
         assertEquals(first[0], script.toString());
         assertTrue(script.steps().size() <= LONGEST, first[0]);
         assertNull(script.breach(), "the fault, not the checker, broke it");
     }
 
-    private static String[] hunt(Mutant fault) throws Exception {
-        return (String[]) MutantLoader.of(fault, Path.of("src/main/java")).loadClass(Hunt.class.getName())
-                .getMethod("hunt", long.class, int.class, int.class).invoke(null, 1L, 100, 0);
+    @Test
+    void everyFaultHasItsPlaceAndEveryPointItsFaults() throws Exception {
+        Map<Fault.Point, Integer> counts = new EnumMap<>(Fault.Point.class);
+        for (Fault fault : Faults.ALL) {
+            Path file = Path.of("src/main/java/sablehinge/" + fault.mutant().in() + ".java");
+            String source = Files.readString(file);
+            assertNotEquals(source, fault.mutant().applied(source), fault.name());
+            counts.merge(fault.point(), 1, Integer::sum);
+        }
+        assertEquals(Faults.ALL.size(), Faults.ALL.stream().map(Fault::name).distinct().count());
+        for (Fault.Point point : List.of(Fault.Point.CUT_OFF, Fault.Point.ORDERS, Fault.Point.MEMBERSHIP,
+                Fault.Point.SNAPSHOTS)) {
+            assertTrue(counts.get(point) >= LEAST_FAULTS, point + " has " + counts.get(point));
+        }
+    }
+
+    private static Fault fault(String name) {
+        return Faults.ALL.stream().filter(one -> one.name().equals(name)).findAny().orElseThrow();
+    }
+
+    private static String[] hunt(Fault fault) throws Exception {
+        return (String[]) MutantLoader.of(fault.mutant(), Path.of("src/main/java"))
+                .loadClass(Hunt.class.getName()).getMethod("hunt", String.class, int.class, int.class)
+                .invoke(null, fault.point().focus().name(), 100, 0);
+    }
+
+    /** Five machines of which the deployment names three start, and all that happens is calm. */
+    @Test
+    void aCoreGrowsFromItsFoundersToAll() {
+        SteppedCluster cluster = new SteppedCluster(FIVE_START);
+        assertEquals(5, cluster.size());
+        assertEquals(3, cluster.list.size());
+        cluster.take(Step.of(Step.Kind.CALM, 0));
+        assertEquals(5, cluster.list.size());
+    }
+
+    @Test
+    void whatDoesNotHealIsToldAsLiveness() throws Exception {
+        String[] found = hunt(fault("the core does not grow"));
+        assertTrue(found[1].contains(Calm.LIVENESS + "3 voters of 5"), found[1]);
+    }
+
+    /** One founder loses power before its name is on its disk: it comes back as another and is let in. */
+    @Test
+    void aFounderThatNeverWasIsReplaced() {
+        Script script = Script.parse(List.of("seed " + FIVE_START, "start a", "start b", "start c",
+                "power a 0", "calm"));
+        assertNull(script.breach());
+        SteppedCluster cluster = new SteppedCluster(FIVE_START);
+        script.steps().forEach(cluster::take);
+        assertFalse(cluster.isBeyond());
+        assertTrue(cluster.list.contains(cluster.machine(0).self));
+        assertNotEquals(Member.founder(cluster.machine(0).address, "").id(), cluster.machine(0).self.id());
+    }
+
+    /** Two of three founders are more than the core bears, so nothing is asked of the calm after it. */
+    @Test
+    void whatIsBeyondTheBoundsIsSetAside() {
+        SteppedCluster cluster = new SteppedCluster(FIVE_START);
+        for (String step : List.of("start a", "start b", "power a 0", "power b 0", "calm")) {
+            cluster.take(Step.parse(step));
+        }
+        assertTrue(cluster.isBeyond());
+    }
+
+    /**
+     * One of three is cut off for long, and the other follower loses its disk just after it was heard. Its
+     * successor is ready before the leader can know that the former life is gone: if the silent one went
+     * for it, the list that is left could never agree to anything again.
+     */
+    @Test
+    void whoIsSilentDoesNotGoForOneThatIsLostForGood() {
+        Player player = new Player(SteppedCluster.PLAIN);
+        SteppedCluster cluster = player.cluster;
+        player.elect();
+        int leader = player.leader();
+        int away = (leader + 1) % 3;
+        int lost = (leader + 2) % 3;
+        player.ways(Step.Kind.CUT, away);
+        for (int i = 0; i < 17; i++) {
+            player.take(Step.pass(100));
+            player.flow();
+        }
+        player.take(Step.of(Step.Kind.WIPE, lost));
+        player.take(Step.of(Step.Kind.START, lost));
+        for (int i = 0; i < 10; i++) {
+            player.flow();
+            player.take(Step.pass(20));
+        }
+        player.take(Step.of(Step.Kind.CALM, 0));
+        assertTrue(cluster.isBeyond(), "two of three were lost at once");
+        player.elect();
+        assertTrue(cluster.list.contains(cluster.machine(lost).self), cluster.line());
+        assertTrue(cluster.list.contains(cluster.machine(away).self), cluster.line());
+    }
+
+    @Test
+    void seedsHaveTheirFocus() {
+        for (Focus focus : Focus.values()) {
+            assertEquals(focus, Focus.of(focus.seed(0)));
+            assertEquals(focus, Focus.of(focus.seed(12_345)));
+        }
+    }
+
+    @Test
+    void anOrderIsSentAgainAndVaried() {
+        SteppedCluster cluster = new SteppedCluster(SteppedCluster.PLAIN);
+        cluster.take(Step.of(Step.Kind.CALM, 0));
+        int leader = IntStream.range(0, 3).filter(i -> cluster.machine(i).leads()).findAny().orElseThrow();
+        int before = cluster.claims.acknowledged();
+        assertTrue(cluster.take(new Step(Step.Kind.RESEND, leader, 0, 0)));
+        assertTrue(cluster.take(new Step(Step.Kind.VARY, leader, 0, 0)));
+        cluster.take(Step.of(Step.Kind.CALM, 0));
+        assertTrue(cluster.claims.acknowledged() >= before + 2, "the order sent again, and that of the calm");
+        assertFalse(cluster.take(new Step(Step.Kind.RESEND, leader, 0, 7)), "there are not so many");
     }
 
     @Test
