Who is left out by a list that is not committed may stand for election

A leader ended while it removed a voter, and that voter alone got the entry: nobody with a shorter log got its vote, and it took itself for an outsider and did not stand. No leader until the former one came back.

Change: such a one stands while the list that leaves it out is not committed to its knowledge, its own vote counts for nothing, and it leads no more as soon as it has applied the list.

--- a/src/main/java/sablehinge/consensus/RaftLog.java
+++ b/src/main/java/sablehinge/consensus/RaftLog.java
@@ -92,7 +92,17 @@
     }
 
     boolean holds(long id) {
-        for (Member member : members()) {
+        return contains(members(), id);
+    }
+
+    /** Whether a member is in the list that holds at an index, from the snapshot's on. */
+    boolean held(long id, long index) {
+        Map.Entry<Long, List<Member>> list = lists.floorEntry(index);
+        return list != null && contains(list.getValue(), id);
+    }
+
+    private static boolean contains(List<Member> list, long id) {
+        for (Member member : list) {
             if (member.id() == id) {
                 return true;
             }
--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -451,7 +451,7 @@
             leader = null;
         }
         if (now >= electionAt) {
-            if (member && !diskHangs(now)) {
+            if (mayStand() && !diskHangs(now)) {
                 askAround(now);
             } else {
                 waitForLeader(now);
@@ -463,6 +463,15 @@
         }
     }
 
+    /**
+     * Whether this one may stand for election. A list that leaves it out counts only once it is committed:
+     * until then it may be the only one that holds that entry, and nobody with a shorter log gets its vote.
+     * It asks the voters of that list, and its own vote counts for nothing.
+     */
+    private boolean mayStand() {
+        return log.holds(self.id()) || log.held(self.id(), commit);
+    }
+
     /** Asks who would vote for this member; nothing changes by it, so that a lonely one disturbs nobody. */
     private void askAround(double now) {
         role = Standing.Role.FOLLOWER;
@@ -975,6 +984,10 @@
         if (index > commit && log.termAt(index) == term) {
             boolean changed = log.membersIndex() > commit && log.membersIndex() <= index;
             commitTo(now, index);
+            if (changed && !log.holds(self.id())) {
+                stepDown(now, term, null);
+                return;
+            }
             if (changed) {
                 // A removal makes the core weaker until the newcomer is in: the next tick would be late.
                 changeMembers(now);
--- a/src/test/java/sablehinge/consensus/QuorumTest.java
+++ b/src/test/java/sablehinge/consensus/QuorumTest.java
@@ -183,6 +183,13 @@
         assertNotEquals(Member.founder(cluster.machine(0).address, "").id(), cluster.machine(0).self.id());
     }
 
+    /** Found among a million schedules: a leader ended while it removed a voter, which alone heard of it. */
+    @Test
+    void aVoterThatIsLeftOutByAnEntryOnlyItHoldsDoesNotEndTheCore() throws Exception {
+        Path file = Path.of("src/test/resources/sablehinge/consensus/left-out-voter.script");
+        assertNull(Script.parse(Files.readAllLines(file)).breach());
+    }
+
     /** Two of three founders are more than the core bears, so nothing is asked of the calm after it. */
     @Test
     void whatIsBeyondTheBoundsIsSetAside() {
--- a/src/test/java/sablehinge/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeRulesTest.java
@@ -112,6 +112,37 @@
                 .filter(one -> one.kind() == Entry.Kind.MEMBERS).count();
     }
 
+    /**
+     * A leader ended while it removed this one, which alone got the entry: the others have shorter logs and
+     * can't win without its vote.
+     */
+    @Test
+    void whoIsLeftOutByAListThatIsNotCommittedStandsAndEndsWithItsCommit() {
+        start(1, List.of(A, B, C));
+        from(B, new Message.Append(1, 0, 0,
+                List.of(new Entry(1, 1, Entry.Kind.MEMBERS, Members.write(List.of(B, C)))), 0, 1));
+        persisted();
+        now += 1100;
+        master.tick(now);
+        assertEquals(2, sent(Message.AskVote.class).size());
+        from(B, new Message.Vote(2, true, true));
+        assertEquals(Standing.Role.OUTSIDER, standing.role(), "its own vote counts for nothing");
+        from(C, new Message.Vote(2, true, true));
+        persisted();
+        from(B, new Message.Vote(2, true, false));
+        from(C, new Message.Vote(2, true, false));
+        assertEquals(Standing.Role.LEADER, standing.role());
+        persisted();
+        answer(B, 2);
+        answer(C, 2);
+        master.tick(now);
+        assertEquals(Standing.Role.OUTSIDER, standing.role());
+        now += 5000;
+        sent.clear();
+        master.tick(now);
+        assertEquals(List.of(), sent(Message.AskVote.class));
+    }
+
     @Test
     void anEntryOfAnOlderTermIsNotCommittedByCounting() {
         start(3, List.of(A, B, C), entry(1, 2));
