RequestsTest lets the balancer end a connection amid a surplus answer

Cause: on a busy machine the stand-in upstream was still writing its 200 kB when the balancer had given the connection up, and its broken pipe ended the test (once in 1,088 tests). That the balancer closes is what the test is for.

Change: the end of that one write is no error of the large case; all that the client is told is held as before.

Result: RequestsTest passes; the whole of the tests before it: 1,088 run, this one error.

--- a/src/test/java/sablehinge/sidecar/RequestsTest.java
+++ b/src/test/java/sablehinge/sidecar/RequestsTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.SocketException;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -276,7 +277,12 @@
             client.read();
             client.write(Mesh.post("/u/2", "t-2", "b"));
             upstream.read();
-            upstream.write(Mesh.ok("t-1", "s".repeat(large ? 200_000 : 7)));
+            try {
+                upstream.write(Mesh.ok("t-1", "s".repeat(large ? 200_000 : 7)));
+            } catch (SocketException e) {
+                // The balancer may give the connection up while the rest is on its way, as it should.
+                assertTrue(large, e::toString);
+            }
             upstream.close();
             Wire.Message answer = client.read();
             assertEquals(502, answer.status());
