--- a/bench/src/sablehinge/watermaster/Faults.java
+++ b/bench/src/sablehinge/consensus/Faults.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.List;
 import sablehinge.torture.Mutant;
@@ -6,34 +6,34 @@
 /** Faults that somebody could make in the agreement; a checker that doesn't find them shows nothing. */
 final class Faults {
 
-    private static final String MASTER = "watermaster/Watermaster";
-    private static final String LEDGER = "watermaster/Ledger";
-    private static final String DESK = "watermaster/Desk";
-    private static final String CISTERN = "cistern/Cistern";
+    private static final String MASTER = "consensus/RaftNode";
+    private static final String LEDGER = "consensus/RaftLog";
+    private static final String DESK = "consensus/PersistQueue";
+    private static final String CISTERN = "state/ConfigurationState";
 
     static final List<Mutant> ALL = List.of(
             new Mutant("a vote is answered before its sync", MASTER, "private void askVote(",
-                    "desk.hold(from, new", "actions.send(from, new"),
+                    "queue.hold(from, new", "actions.send(from, new"),
             new Mutant("two votes in a term", MASTER, "private void askVote(",
                     "(votedFor == 0 || votedFor == from.id())", "term > 0"),
-            new Mutant("who lost its disk comes back as its old self", "watermaster/Member", "Member later(",
-                    "return new Member(even == 0 ? 2 : even, conduit, control);",
-                    "return founder(conduit, control);"),
+            new Mutant("who lost its disk comes back as its old self", "consensus/Member", "Member later(",
+                    "return new Member(even == 0 ? 2 : even, address, control);",
+                    "return founder(address, control);"),
             new Mutant("an older term's entry is committed by counting", MASTER, "private void advance(",
                     "index > commit && log.termAt(index) == term", "index > commit"),
             new Mutant("a lease counts from the answer's arrival", MASTER, "private void extendLease(",
                     "askedAt[(int) (answered % ASKED)]",
                     "peers.values().stream().mapToDouble(one -> one.heard).max().orElse(0)"),
             new Mutant("a lease is as long as voters wait", MASTER, "private void extendLease(",
-                    "LEASE_PART * terms", "terms"),
+                    "LEASE_PART * timing", "timing"),
             new Mutant("who hears a leader votes for another", MASTER, "private void askVote(",
                     "led && !(ask.handed() && known)", "led && !known"),
             new Mutant("who starts again forgets that it answered a leader", MASTER, "public void start(",
                     "leaderHeard = born;", ""),
             new Mutant("entries are acknowledged before their sync", MASTER,
-                    "private Message.Appended appended(", "Math.min(desk.synced(), verified)", "verified"),
+                    "private Message.Appended appended(", "Math.min(queue.synced(), verified)", "verified"),
             new Mutant("a leader counts its own copy before its sync", MASTER, "private void advance(",
-                    "desk.synced()", "log.lastIndex()"),
+                    "queue.synced()", "log.lastIndex()"),
             new Mutant("members change while a change is uncommitted", MASTER, "private void changeMembers(",
                     "log.membersIndex() > commit || ", ""),
             new Mutant("a barrier counts answers to an older round", MASTER, "public void barrier(",
@@ -62,7 +62,7 @@
             new Mutant("an answer counts for a later term", MASTER, "private void takeAppended(",
                     "answer.term() < term", "answer.term() < 0"),
             new Mutant("a configuration on an old version is taken", CISTERN, "public Outcome foresee(",
-                    "basedOn != edition ? Outcome.STALE : ", ""),
+                    "basedOn != edition", "basedOn > edition"),
             new Mutant("a repeated configuration is not known again", CISTERN, "public Outcome foresee(",
                     "known != null &&", "known != null && edition < 0 &&"),
             new Mutant("a state forgets what was taken", CISTERN, "public void restore(byte[] state)",
--- /dev/null
+++ b/src/main/java/sablehinge/control/Authority.java
@@ -0,0 +1,42 @@
+package sablehinge.control;
+
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Pulse;
+import sablehinge.consensus.Standing;
+import sablehinge.state.ConfigurationState;
+
+/** What settles operators' calls; all but {@link #check} is called on the thread of the API server. */
+interface Authority {
+
+    /** A steady clock, ms. */
+    double now();
+
+    /** The time of day, ms since 1970. */
+    long timeOfDay();
+
+    /** This machine as a member; null until its disk has been read. */
+    Member self();
+
+    /** The place of this machine in the core. */
+    Standing standing();
+
+    /** What this machine can tell of its part in the agreement. */
+    Pulse pulse();
+
+    /** Holds what each answer needs of a majority. */
+    QuorumGate gate();
+
+    /** Takes changes through the log. */
+    ChangeCoordinator changes();
+
+    /** The state that is applied here. */
+    default ConfigurationState configurations() {
+        return changes().configurations();
+    }
+
+    /** Does work that takes long on a thread beside, and {@link #settle} comes back from there. */
+    void check(Runnable work);
+
+    /** Comes back to the thread of the API server. */
+    void settle(Runnable work);
+}
