--- a/src/main/java/sablehinge/rpc/MessageCodec.java
+++ b/src/main/java/sablehinge/rpc/MessageCodec.java
@@ -35,6 +35,8 @@
     private static final int GUIDE = 7;
     private static final int TAKE_OVER = 8;
     private static final int INSTALLING = 9;
+    private static final int LEAVE = 10;
+    private static final int RELEASED = 11;
 
     private MessageCodec() {
     }
@@ -109,6 +111,12 @@
         } else if (message instanceof Message.TakeOver take) {
             out.writeByte(TAKE_OVER);
             out.writeLong(take.term());
+        } else if (message instanceof Message.Leave leave) {
+            out.writeByte(LEAVE);
+            writeMember(leave.self(), out);
+        } else if (message instanceof Message.Released released) {
+            out.writeByte(RELEASED);
+            out.writeLong(released.term());
         }
     }
 
@@ -146,6 +154,10 @@
                         readMembers(in));
             case TAKE_OVER:
                 return new Message.TakeOver(in.readLong());
+            case LEAVE:
+                return new Message.Leave(readMember(in));
+            case RELEASED:
+                return new Message.Released(in.readLong());
             default:
                 throw new IOException("a message of the unknown kind " + kind);
         }
