--- a/src/test/java/sablehinge/consensus/CatchUpTest.java
+++ b/src/test/java/sablehinge/consensus/CatchUpTest.java
@@ -168,6 +168,38 @@
         assertEquals(before, cluster.snapshotMessages, "messages of snapshots");
     }
 
+    @Test
+    void whoComesBackAfterLongIsSentTheNewestStateAtOnce() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(STORM, ORDERS);
+        cluster.runAndCompact(1000);
+        for (int i = 0; i < 20; i++) {
+            away.start();
+            // At most a heartbeat, and the time that the state takes on a fast link.
+            cluster.catchUp(away, 300);
+            away.kill(true);
+            cluster.storm(1000, 2);
+            cluster.runAndCompact(600 + 150 * i);
+        }
+    }
+
+    @Test
+    void whoseDiskHangsAmidASnapshotGoesOnWhenItAnswers() {
+        SlowLinkCluster cluster = cluster(LARGE);
+        Machine away = follower(cluster);
+        away.kill(true);
+        cluster.storm(2000, ORDERS);
+        cluster.slow(away, SLOW);
+        away.start();
+        cluster.runAndCompact(150);
+        away.stall(STORM);
+        cluster.storm(STORM, ORDERS);
+        assertEquals(0, cluster.broken, "connections broke as too much waited");
+        cluster.catchUp(away, 5000);
+    }
+
     @Test
     void lostMessagesDelayButDoNotStop() {
         SlowLinkCluster cluster = cluster(LARGE);
