--- a/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/ConfigHistoryVerb.java
@@ -1,13 +1,16 @@
 package sablehinge.cli.mesh.operator;
 
 import com.github.rvesse.airline.annotations.Command;
-import sablehinge.headgate.mesh.Editions;
+import sablehinge.api.mesh.Editions;
 
 /** Lists the configurations that were taken. */
 @Command(name = "history", description = "Lists the editions that were taken, the newest last, with what "
         + "each was based on and when it was taken up, by the clock of the leader of then")
 public final class ConfigHistoryVerb extends CoreVerb {
 
+    /** How many digits of a digest a table shows. */
+    private static final int SHOWN_DIGITS = 16;
+
     /** Made by the command line. */
     public ConfigHistoryVerb() {
     }
@@ -21,8 +24,12 @@
 
     private void show(Editions editions) {
         Table taken = new Table("EDITION", "BASED ON", "BYTES", "SUM", "TAKEN");
-        editions.taken().forEach(one -> taken.line(one.edition(), one.basedOn(), one.bytes(), one.sum(),
+        editions.taken().forEach(one -> taken.line(one.edition(), one.basedOn(), one.bytes(), shortened(one.sum()),
                 one.takenAt()));
         taken.print(shell());
     }
+
+    private static String shortened(String sum) {
+        return sum.substring(0, Math.min(SHOWN_DIGITS, sum.length()));
+    }
 }
--- a/src/main/java/sablehinge/watermaster/Peer.java
+++ b/src/main/java/sablehinge/consensus/Peer.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 /** What a leader knows of one that it feeds, be it a member or one that waits to be let in. */
 final class Peer {
@@ -18,8 +18,10 @@
     boolean probing = true;
     /** It has nothing to which entries could be appended. */
     boolean bare;
-    /** Until then a snapshot is under way, ms. */
-    double installing = Double.NEGATIVE_INFINITY;
+    /** The snapshot that is under way; null for none. */
+    SnapshotSender snapshot;
+    /** Entries that are under way. */
+    final SendWindow window = new SendWindow();
 
     Peer(Member member, long next, double heard) {
         this.member = member;
--- a/src/main/java/sablehinge/watermaster/Watermaster.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -1,8 +1,7 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -23,19 +23,19 @@
  * leader's own copy counts like any other, when its disk has it and not before. So a commit needs a majority
  * of disks, whichever they are, and a member whose disk stalls delays nobody.
  */
-public final class Watermaster {
+public final class RaftNode {
 
     /** What the host does for a member; none of these may call back, except as said above. */
     public interface Actions {
 
         /**
          * Sends a message; it may be lost, doubled or overtaken. A member whose id is 0 is known by its
-         * {@code conduit} address only.
+         * {@code address} only.
          */
         void send(Member to, Message message);
 
         /**
-         * Writes and syncs, in order; {@link Watermaster#persisted} is called after. A disk that refuses is
+         * Writes and syncs, in order; {@link RaftNode#persisted} is called after. A disk that refuses is
          * one that takes longer. Some ten changes are under way at a time.
          */
         void persist(Change change);
@@ -49,15 +49,13 @@
         /** Called whenever it has changed. */
         void standing(Standing standing);
 
-        /** What was committed before {@link Watermaster#barrier} is applied here, and this still led. */
+        /** What was committed before {@link RaftNode#barrier} is applied here, and this still led. */
         void confirmed(long token);
 
         /** Nothing can be said about the barrier. */
         void denied(long token);
     }
 
-    /** How far behind a newcomer may be when it is let in, entries. */
-    private static final int NEAR = 64;
     /** How far ahead of what a peer has synced entries are sent, entries. */
     private static final int AHEAD = 256;
     /** Between two requests to be let in, ms. */
@@ -66,8 +64,6 @@
     private static final double LOST = 1500;
     /** Who has neither asked nor answered for so long is fed no more, ms. */
     private static final double FORGET = 10_000;
-    /** Between two sendings of a snapshot, ms. */
-    private static final double INSTALL_EVERY = 1500;
     /** Who has waited longer for its own disk neither stands nor changes members, ms. */
     private static final double BUSY = 200;
     /** Between two tries to hand over, ms. */
@@ -87,10 +83,12 @@
     }
 
     private final Actions actions;
-    private final Terms terms;
+    private final Timing timing;
     private final Random random;
-    private final Ledger log = new Ledger();
-    private final Desk desk = new Desk();
+    private final MembershipPlanner planner;
+    private final RaftLog log = new RaftLog();
+    private final PersistQueue queue = new PersistQueue();
+    private final SnapshotReceiver receiver = new SnapshotReceiver();
 
     private Member self;
     /** The time of the call that is under way, ms. */
@@ -124,15 +122,26 @@
     private final double[] askedAt = new double[ASKED];
     private double leaseUntil = Double.NEGATIVE_INFINITY;
     private boolean handedOver;
+    /** When this one asked for the votes of its term, and the latest question that a majority answered. */
+    private double stoodAt = Double.NEGATIVE_INFINITY;
+    private double majorityAskedAt = Double.NEGATIVE_INFINITY;
     private double heartbeatAt;
     private double handAt;
     private final List<Barrier> barriers = new ArrayList<>();
+    /** The change of the voters that waits for answers to a round, and that round; null for none. */
+    private VoterChange dueChange;
+    private long dueRound;
 
-    /** A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}. */
-    public Watermaster(Actions actions, Terms terms, long seed) {
+    /**
+     * A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}.
+     *
+     * @param losses how many members may be lost at once while the core goes on
+     */
+    public RaftNode(Actions actions, Timing timing, int losses, long seed) {
         this.actions = actions;
-        this.terms = terms;
+        this.timing = timing;
         this.random = new Random(seed);
+        this.planner = new MembershipPlanner(losses, timing);
     }
 
     /** The first start of the system: the disk is empty, and all founders name the same founders. */
@@ -140,7 +149,7 @@
         self = me;
         Snapshot first = new Snapshot(0, 0, founders, new byte[0]);
         log.install(first);
-        desk.snapshot(first);
+        queue.snapshot(first);
         // Only persisted() sets it running: who forgot the founding after a vote would be another member.
         flush(now);
     }
@@ -164,7 +173,7 @@
         for (Entry entry : stored.entries()) {
             log.append(entry);
         }
-        desk.begin(log.lastIndex(), term);
+        queue.begin(log.lastIndex(), term);
         if (term > 0) {
             // A leader may hold a lease by an answer of the life before: as if it had been heard at its end.
             leaderHeard = born;
@@ -173,9 +182,9 @@
     }
 
     /** The disk is empty although the system was founded before: asks to be let in. */
-    public void outside(double now, Member me, List<String> conduitAddresses) {
+    public void outside(double now, Member me, List<String> addresses) {
         self = me;
-        contacts(conduitAddresses);
+        contacts(addresses);
         run(now);
     }
 
@@ -186,15 +195,15 @@
         joinAt = log.holds(self.id()) ? now + LOST : now;
         // Where all have just started there is no leader to wait for, only what they may have promised one;
         // where there is one, its followers refuse.
-        double bound = leaderHeard + terms.electionLeast();
-        electionAt = Math.max(bound, now + FIRST_PART * terms.electionLeast())
-                + FIRST_PART * random.nextDouble() * (terms.electionMost() - terms.electionLeast());
+        double bound = leaderHeard + timing.electionLeast();
+        electionAt = Math.max(bound, now + FIRST_PART * timing.electionLeast())
+                + FIRST_PART * random.nextDouble() * (timing.electionMost() - timing.electionLeast());
         end(now);
     }
 
     /** Addresses of machines that may be members, for one that looks for them. */
-    public void contacts(List<String> conduitAddresses) {
-        for (String address : conduitAddresses) {
+    public void contacts(List<String> addresses) {
+        for (String address : addresses) {
             if (contacts.size() < MOST_CONTACTS) {
                 contacts.add(address);
             }
@@ -216,7 +225,7 @@
 
     /** The disk holds all changes up to this number. */
     public void persisted(double now, long number) {
-        desk.persisted(number, actions);
+        queue.persisted(number, actions);
         if (!running) {
             run(now);
             return;
@@ -225,7 +234,7 @@
             advance(now);
         } else if (role == Standing.Role.CANDIDATE) {
             countOwnVote(now);
-        } else if (leader != null && desk.syncedTerm() == term) {
+        } else if (leader != null && queue.syncedTerm() == term) {
             actions.send(leader, appended(true, verified));
         }
         end(now);
@@ -239,8 +248,8 @@
      *     of another term there means that it never will be
      */
     public long propose(double now, byte[] command) {
-        if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= terms.waiting()
-                || desk.isFull()) {
+        if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= timing.waiting()
+                || queue.isFull()) {
             return 0;
         }
         long index = append(now, Entry.Kind.COMMAND, command);
@@ -256,7 +265,7 @@
         }
         boolean underWay = !barriers.isEmpty();
         // Only a question that is asked after this call counts; those that come meanwhile share the next one.
-        barriers.add(new Barrier(token, round + 1, Math.max(commit, firstOfTerm), now + terms.barrier()));
+        barriers.add(new Barrier(token, round + 1, Math.max(commit, firstOfTerm), now + timing.barrier()));
         if (!underWay) {
             ask(now);
         }
@@ -275,7 +284,7 @@
         // Entries that are to be written first go in a change of their own.
         flush(lastNow);
         log.compact(index, state);
-        desk.snapshot(log.base());
+        queue.snapshot(log.base());
         flush(lastNow);
     }
 
@@ -294,6 +303,8 @@
             takeInstall(now, from, install);
         } else if (message instanceof Message.Appended appended) {
             takeAppended(now, from, appended);
+        } else if (message instanceof Message.Installing installing) {
+            takeInstalling(now, from, installing);
         } else if (message instanceof Message.Join join) {
             takeJoin(now, join);
         } else if (message instanceof Message.Guide guide) {
@@ -310,7 +321,7 @@
 
     private void flush(double now) {
         lastNow = now;
-        desk.flush(now, term, votedFor, log.lastIndex(), actions);
+        queue.flush(now, term, votedFor, log.lastIndex(), actions);
     }
 
     /** Ends each call: what was decided goes to the disk, and a new standing is told. */
@@ -328,7 +339,7 @@
 
     /** Whether the own disk is such that a vote of this one would come late, or never. */
     private boolean diskHangs(double now) {
-        return now - desk.busySince() > BUSY;
+        return now - queue.busySince() > BUSY;
     }
 
     private int majority() {
@@ -346,8 +357,8 @@
     }
 
     private void waitForLeader(double now) {
-        electionAt = now + terms.electionLeast()
-                + random.nextDouble() * (terms.electionMost() - terms.electionLeast());
+        electionAt = now + timing.electionLeast()
+                + random.nextDouble() * (timing.electionMost() - timing.electionLeast());
     }
 
     private void commitTo(double now, long index) {
@@ -363,7 +374,7 @@
         if (newTerm > term) {
             term = newTerm;
             votedFor = 0;
-            desk.touch();
+            queue.touch();
             verified = commit;
             lastRound = 0;
             leader = null;
@@ -422,7 +433,8 @@
         stepDown(now, newTerm, null);
         role = Standing.Role.CANDIDATE;
         votedFor = self.id();
-        desk.touch();
+        stoodAt = now;
+        queue.touch();
         votes.clear();
         waitForLeader(now);
         // Held until the own vote is synced; with it goes all of the log that it is asked for.
@@ -433,7 +445,7 @@
         for (Member member : log.members()) {
             if (member.id() != self.id()) {
                 if (hold) {
-                    desk.hold(member, message);
+                    queue.hold(member, message);
                 } else {
                     actions.send(member, message);
                 }
@@ -442,7 +454,7 @@
     }
 
     private void countOwnVote(double now) {
-        if (desk.syncedTerm() == term && votedFor == self.id() && votes.add(self.id())) {
+        if (queue.syncedTerm() == term && votedFor == self.id() && votes.add(self.id())) {
             countVotes(now);
         }
     }
@@ -455,7 +467,7 @@
 
     private void askVote(double now, Member from, Message.AskVote ask) {
         boolean known = log.holds(from.id());
-        boolean led = role == Standing.Role.LEADER || now - leaderHeard < terms.electionLeast();
+        boolean led = role == Standing.Role.LEADER || now - leaderHeard < timing.electionLeast();
         // Who hears a leader disturbs it for nobody, save for whom the leader itself asked to stand.
         boolean refused = led && !(ask.handed() && known);
         boolean current = ask.lastTerm() > log.lastTerm()
@@ -476,11 +488,11 @@
         }
         if (votedFor == 0) {
             votedFor = from.id();
-            desk.touch();
+            queue.touch();
         }
         asking = false;
         waitForLeader(now);
-        desk.hold(from, new Message.Vote(term, true, false));
+        queue.hold(from, new Message.Vote(term, true, false));
     }
 
     private void vote(double now, Member from, Message.Vote vote) {
@@ -506,7 +518,7 @@
 
     private Message.Appended appended(boolean success, long hint) {
         // Entries count for a term only if the disk knows the term: else an older leader could undo them.
-        long match = success && desk.syncedTerm() == term ? Math.min(desk.synced(), verified) : 0;
+        long match = success && queue.syncedTerm() == term ? Math.min(queue.synced(), verified) : 0;
         return new Message.Appended(term, success, match, hint, lastRound);
     }
 
@@ -546,13 +558,16 @@
             actions.send(from, appended(false, hint));
             return;
         }
-        if (!append.entries().isEmpty() && desk.isFull()) {
+        if (!append.entries().isEmpty() && queue.isFull()) {
             // The leader says it again with its next sign of life, or when the disk has taken something.
             verified = Math.max(verified, previous);
             commitTo(now, Math.min(append.commit(), verified));
             actions.send(from, appended(false, verified));
             return;
         }
+        if (!append.entries().isEmpty()) {
+            receiver.clear();
+        }
         for (Entry entry : append.entries()) {
             take(entry);
         }
@@ -574,33 +589,39 @@
                         + " differs from a committed one");
             }
             log.truncate(entry.index());
-            desk.truncate(entry.index());
+            queue.truncate(entry.index());
         }
         log.append(entry);
-        desk.append(entry);
+        queue.append(entry);
     }
 
     private void takeInstall(double now, Member from, Message.Install install) {
         if (!heard(now, from, install.term(), install.round())) {
             return;
         }
-        if (desk.isFull()) {
+        if (queue.isFull()) {
             actions.send(from, appended(false, log.isBare() ? -1 : verified));
             return;
         }
-        Snapshot snapshot = install.snapshot();
-        if (snapshot.index() > commit || log.isBare()) {
+        boolean wanted = install.part().index() > commit || log.isBare();
+        Snapshot snapshot = wanted ? receiver.take(install) : null;
+        if (wanted && snapshot == null) {
+            actions.send(from, new Message.Installing(term, install.part().index(), receiver.held(install),
+                    lastRound));
+            return;
+        }
+        if (wanted) {
             if (!log.holdsEntry(snapshot.index(), snapshot.term()) && log.lastIndex() > log.base().index()) {
-                desk.truncate(log.base().index() + 1);
+                queue.truncate(log.base().index() + 1);
             }
             log.install(snapshot);
-            desk.snapshot(snapshot);
+            queue.snapshot(snapshot);
             commit = snapshot.index();
             if (commit > 0) {
                 actions.restore(snapshot);
             }
         }
-        verified = Math.max(verified, snapshot.index());
+        verified = Math.max(verified, install.part().index());
         actions.send(from, appended(true, verified));
     }
 
@@ -613,9 +634,9 @@
             return;
         }
         Set<String> asked = new HashSet<>();
-        asked.add(self.conduit());
+        asked.add(self.address());
         for (Member member : log.members()) {
-            if (member.id() != self.id() && asked.add(member.conduit())) {
+            if (member.id() != self.id() && asked.add(member.address())) {
                 actions.send(member, join);
             }
         }
@@ -651,7 +672,7 @@
         if (role == Standing.Role.LEADER || log.holds(self.id()) && now - leaderHeard < LOST) {
             return;
         }
-        guide.members().forEach(member -> contacts(List.of(member.conduit())));
+        guide.members().forEach(member -> contacts(List.of(member.address())));
         if (guide.leader() != null && guide.leader().id() != self.id()) {
             actions.send(guide.leader(), new Message.Join(self, log.lastIndex()));
         }
@@ -666,8 +687,11 @@
         peers.clear();
         round = 0;
         handedOver = false;
+        dueChange = null;
+        receiver.clear();
         leaseUntil = Double.NEGATIVE_INFINITY;
-        heartbeatAt = now + terms.heartbeat();
+        majorityAskedAt = stoodAt;
+        heartbeatAt = now + timing.heartbeat();
         handAt = now;
         keepPeers(now);
         firstOfTerm = append(now, Entry.Kind.NOOP, new byte[0]);
@@ -676,7 +700,7 @@
     private long append(double now, Entry.Kind kind, byte[] data) {
         Entry entry = new Entry(log.lastIndex() + 1, term, kind, data);
         log.append(entry);
-        desk.append(entry);
+        queue.append(entry);
         if (kind == Entry.Kind.MEMBERS) {
             keepPeers(now);
         }
@@ -699,7 +723,7 @@
     }
 
     private void lead(double now) {
-        if (!heardMajority(now, log.members(), terms.quorum(), 0)) {
+        if (!heardMajority(now)) {
             stepDown(now, term, null);
             return;
         }
@@ -714,97 +738,132 @@
         if (now >= heartbeatAt) {
             ask(now);
         }
-        if (now - desk.busySince() > terms.stall() && now >= handAt) {
+        if (now - queue.busySince() > timing.stall() && now >= handAt) {
             handOver(now);
         }
         changeMembers(now);
     }
 
-    /** Whether a majority of a list has answered within some ms and holds the log up to an index. */
-    private boolean heardMajority(double now, Collection<Member> list, double within, long upTo) {
+    /** Whether a majority has answered lately enough to lead on. */
+    private boolean heardMajority(double now) {
         int count = 0;
-        for (Member member : list) {
+        for (Member member : log.members()) {
             Peer peer = peers.get(member.id());
-            boolean hears = peer != null && now - peer.heard <= within && peer.match >= upTo;
-            if (hears || member.id() == self.id()) {
+            if (member.id() == self.id() || peer != null && now - peer.heard <= timing.quorum()) {
                 count++;
             }
         }
-        return count >= list.size() / 2 + 1;
+        return count >= majority();
     }
 
     /** Asks all peers whether this still leads. */
     private void ask(double now) {
         round++;
         askedAt[(int) (round % ASKED)] = now;
-        heartbeatAt = now + terms.heartbeat();
+        heartbeatAt = now + timing.heartbeat();
         for (Peer peer : peers.values()) {
-            feed(now, peer, now - peer.heard <= terms.fresh() || peer.probing);
+            feed(now, peer, now - peer.heard <= timing.fresh() || peer.probing);
         }
     }
 
     /** Sends what a peer is to have next, or a sign of life. */
     private void feed(double now, Peer peer, boolean withEntries) {
-        Snapshot base = log.base();
-        if (now < peer.installing) {
-            // What lies at 0 is the same in all logs, so this is a sign of life only.
-            actions.send(peer.member, new Message.Append(term, 0, 0, List.of(), 0, round));
-            return;
-        }
-        if (peer.bare || peer.next <= base.index()) {
-            peer.installing = now + INSTALL_EVERY;
+        if (peer.snapshot == null && (peer.bare || !log.reaches(peer.next))) {
+            peer.snapshot = new SnapshotSender(log.base());
+            peer.window.clear();
             peer.bare = false;
             peer.probing = true;
-            peer.next = base.index() + 1;
-            actions.send(peer.member, new Message.Install(term, base, round));
+            peer.next = log.base().index() + 1;
+        }
+        if (peer.snapshot != null) {
+            feedSnapshot(now, peer);
             return;
         }
-        List<Entry> entries = withEntries && (peer.probing || peer.next - 1 - peer.match < AHEAD)
-                ? log.from(peer.next, terms.entries(), terms.bytes()) : List.of();
+        peer.window.expire(now);
+        List<Entry> entries = withEntries && mayHaveMore(peer)
+                ? log.from(peer.next, timing.entries(), timing.bytes()) : List.of();
         long previous = peer.next - 1;
         actions.send(peer.member,
                 new Message.Append(term, previous, log.termAt(previous), entries, commit, round));
+        if (!entries.isEmpty()) {
+            peer.window.sent(now, round, previous + entries.size(), bytes(entries));
+        }
         if (!peer.probing) {
             peer.next += entries.size();
         }
     }
 
+    private void feedSnapshot(double now, Peer peer) {
+        peer.snapshot.renew(now, log.base());
+        // What lies at 0 is the same in all logs, so this is a sign of life only.
+        actions.send(peer.member, peer.snapshot.isDue(now) ? peer.snapshot.next(now, term, round)
+                : new Message.Append(term, 0, 0, List.of(), 0, round));
+    }
+
+    private static long bytes(List<Entry> entries) {
+        long bytes = 0;
+        for (Entry entry : entries) {
+            bytes += entry.data().length;
+        }
+        return bytes;
+    }
+
+    private boolean mayHaveMore(Peer peer) {
+        return peer.probing ? peer.window.isEmpty()
+                : peer.window.isOpen() && peer.next - 1 - peer.match < AHEAD;
+    }
+
     private void feedMore(double now, Peer peer) {
-        if (peer.next <= log.lastIndex() && now >= peer.installing && now - peer.heard <= terms.fresh()
-                && (peer.probing || peer.next - 1 - peer.match < AHEAD)) {
+        while (peer.next <= log.lastIndex() && peer.snapshot == null && now - peer.heard <= timing.fresh()
+                && mayHaveMore(peer)) {
             feed(now, peer, true);
         }
     }
 
-    private void takeAppended(double now, Member from, Message.Appended answer) {
+    /** Notes an answer of a peer of this term; null if it is none. */
+    private Peer answered(double now, Member from, long itsTerm, long itsRound) {
         Peer peer = role == Standing.Role.LEADER ? peers.get(from.id()) : null;
-        if (peer == null || answer.term() < term) {
-            return;
+        if (peer == null || itsTerm < term) {
+            return null;
         }
-        if (answer.term() > term) {
+        if (itsTerm > term) {
             if (log.holds(from.id())) {
-                stepDown(now, answer.term(), null);
+                stepDown(now, itsTerm, null);
             } else {
                 // It can follow only a later term than its own: so it gets one, from the same leader.
-                stand(now, answer.term() + 1, true);
+                stand(now, itsTerm + 1, true);
             }
-            return;
+            return null;
         }
         peer.heard = now;
-        if (answer.round() > peer.round) {
-            peer.round = answer.round();
+        if (itsRound > peer.round) {
+            peer.round = itsRound;
             extendLease();
         }
+        return peer;
+    }
+
+    private void takeInstalling(double now, Member from, Message.Installing answer) {
+        Peer peer = answered(now, from, answer.term(), answer.round());
+        if (peer == null) {
+            return;
+        }
+        if (peer.snapshot != null && peer.snapshot.received(now, answer.index(), answer.held())) {
+            feedSnapshot(now, peer);
+        }
+        confirm(now);
+    }
+
+    private void takeAppended(double now, Member from, Message.Appended answer) {
+        Peer peer = answered(now, from, answer.term(), answer.round());
+        if (peer == null) {
+            return;
+        }
         if (answer.success()) {
-            peer.match = Math.max(peer.match, answer.matchIndex());
-            if (answer.hint() >= log.base().index()) {
-                peer.installing = Double.NEGATIVE_INFINITY;
-                peer.probing = false;
-            }
-            peer.next = Math.min(Math.max(peer.next, answer.hint() + 1), log.lastIndex() + 1);
-            feedMore(now, peer);
-        } else if (now >= peer.installing) {
+            took(now, peer, answer);
+        } else if (peer.snapshot == null) {
             long next = Math.max(peer.match + 1, Math.min(answer.hint(), log.lastIndex()) + 1);
+            peer.window.clear();
             if (next < peer.next || answer.hint() < 0) {
                 peer.bare = answer.hint() < 0;
                 peer.probing = true;
@@ -813,6 +872,30 @@
             }
         }
         advance(now);
+        if (role == Standing.Role.LEADER && (dueChange != null || isLearner(now, peer))) {
+            // A voter's place may be free, and the core is weaker until it is filled: the next tick is late.
+            changeMembers(now);
+        }
+    }
+
+    private void took(double now, Peer peer, Message.Appended answer) {
+        peer.match = Math.max(peer.match, answer.matchIndex());
+        peer.window.received(now, answer.hint(), answer.round());
+        boolean needsMore = peer.snapshot != null && answer.hint() < peer.snapshot.index();
+        if (needsMore && !log.reaches(answer.hint() + 1)) {
+            return;
+        }
+        if (peer.snapshot != null) {
+            peer.snapshot = null;
+            peer.next = answer.hint() + 1;
+        }
+        peer.probing = false;
+        peer.next = Math.min(Math.max(peer.next, answer.hint() + 1), log.lastIndex() + 1);
+        if (!log.reaches(peer.next)) {
+            // The log was cut again while the snapshot was under way.
+            feed(now, peer, false);
+        }
+        feedMore(now, peer);
     }
 
     private void advance(double now) {
@@ -821,7 +904,7 @@
         for (int i = 0; i < matches.length; i++) {
             long id = members.get(i).id();
             Peer peer = peers.get(id);
-            matches[i] = id == self.id() ? desk.synced() : peer == null ? 0 : peer.match;
+            matches[i] = id == self.id() ? queue.synced() : peer == null ? 0 : peer.match;
         }
         Arrays.sort(matches);
         long index = matches.length == 0 ? 0 : matches[matches.length - majority()];
@@ -856,16 +939,21 @@
         }
     }
 
-    /** The latest round that a majority has answered. */
+    /** The latest round that a majority of the voters has answered. */
     private long answered() {
-        long[] rounds = new long[log.members().size()];
+        return answered(log.members());
+    }
+
+    /** The latest round that a majority of a list has answered. */
+    private long answered(List<Member> members) {
+        long[] rounds = new long[members.size()];
         for (int i = 0; i < rounds.length; i++) {
-            long id = log.members().get(i).id();
+            long id = members.get(i).id();
             Peer peer = peers.get(id);
             rounds[i] = id == self.id() ? Long.MAX_VALUE : peer == null ? 0 : peer.round;
         }
         Arrays.sort(rounds);
-        return rounds[rounds.length - majority()];
+        return rounds[rounds.length - (members.size() / 2 + 1)];
     }
 
     /**
@@ -877,6 +965,24 @@
         return running && role == Standing.Role.LEADER && now < leaseUntil;
     }
 
+    /**
+     * How long ago the latest question was asked that a majority of the members has answered, ms; infinite
+     * where this one does not lead. Unlike the time at which an answer was read, it can't be made to look
+     * recent by answers that waited in a buffer while this process stood still.
+     */
+    public double sinceMajority(double now) {
+        if (!running || role != Standing.Role.LEADER) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return majority() == 1 ? 0 : now - majorityAskedAt;
+    }
+
+    /** How long ago a follower heard of the leader that it names, ms; infinite where it names none. */
+    public double sinceLeader(double now) {
+        return leader == null ? Double.POSITIVE_INFINITY
+                : role == Standing.Role.LEADER ? 0 : now - leaderHeard;
+    }
+
     /** What this member can tell of its part at this moment. */
     public Pulse pulse(double now) {
         Map<Long, Double> silentMs = new HashMap<>();
@@ -891,9 +997,12 @@
 
     private void extendLease() {
         long answered = answered();
-        if (!handedOver && answered > Math.max(0, round - ASKED)) {
-            leaseUntil = Math.max(leaseUntil,
-                    askedAt[(int) (answered % ASKED)] + LEASE_PART * terms.electionLeast());
+        if (answered <= Math.max(0, round - ASKED)) {
+            return;
+        }
+        majorityAskedAt = Math.max(majorityAskedAt, askedAt[(int) (answered % ASKED)]);
+        if (!handedOver) {
+            leaseUntil = Math.max(leaseUntil, majorityAskedAt + LEASE_PART * timing.electionLeast());
         }
     }
 
@@ -901,8 +1010,8 @@
     private void handOver(double now) {
         Peer best = null;
         for (Peer peer : peers.values()) {
-            if (log.holds(peer.member.id()) && now - peer.heard <= terms.fresh() && peer.match >= commit
-                    && peer.match > desk.synced() && (best == null || peer.match > best.match)) {
+            if (log.holds(peer.member.id()) && now - peer.heard <= timing.fresh() && peer.match >= commit
+                    && peer.match > queue.synced() && (best == null || peer.match > best.match)) {
                 best = peer;
             }
         }
@@ -920,51 +1029,50 @@
         if (commit < firstOfTerm || log.membersIndex() > commit || diskHangs(now)) {
             return;
         }
-        for (Peer peer : List.copyOf(peers.values())) {
-            boolean waits = !log.holds(peer.member.id()) && now - peer.heard <= terms.fresh()
-                    && now - peer.asked <= LOST && peer.match + NEAR >= commit && peer.match > 0;
-            if (waits && letIn(now, peer)) {
-                return;
+        List<MembershipPlanner.Replica> voters = new ArrayList<>();
+        for (Member member : log.members()) {
+            voters.add(replica(now, member));
+        }
+        List<MembershipPlanner.Replica> learners = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (isLearner(now, peer)) {
+                learners.add(replica(now, peer.member));
             }
         }
+        Optional<VoterChange> due = planner.next(voters, learners);
+        if (due.isPresent() && isConfirmed(now, due.get())) {
+            dueChange = null;
+            append(now, Entry.Kind.MEMBERS, Members.write(due.get().applied(log.members())));
+        }
     }
 
-    private boolean letIn(double now, Peer newcomer) {
-        List<Member> members = new ArrayList<>(log.members());
-        // An even core bears no more losses than the odd one below it: so a place is free.
-        if (members.size() % 2 == 0) {
-            members.add(newcomer.member);
-            return change(now, members);
-        }
-        Member goes = null;
-        double longest = 0;
-        for (Member member : members) {
-            if (member.id() != self.id()) {
-                boolean same = member.conduit().equals(newcomer.member.conduit());
-                double silent = now - peers.get(member.id()).heard;
-                // Two lives of one disk can't both answer: the one before need not be waited for.
-                if (same && silent > terms.fresh()) {
-                    goes = member;
-                    break;
-                }
-                if (silent > terms.silent() && silent > longest) {
-                    goes = member;
-                    longest = silent;
-                }
-            }
-        }
-        if (goes == null || members.size() < 3) {
-            return false;
+    /**
+     * Whether a majority of the voters after a change is there at this moment. While a core is even it needs
+     * more of its voters than before or after, and who answered some time ago may be lost by now.
+     */
+    private boolean isConfirmed(double now, VoterChange change) {
+        List<Member> next = change.applied(log.members());
+        if (next.size() % 2 == 1) {
+            return true;
+        }
+        if (!change.equals(dueChange)) {
+            dueChange = change;
+            dueRound = round + 1;
+            ask(now);
         }
-        members.remove(goes);
-        return change(now, members);
+        return answered(next) >= dueRound;
     }
 
-    private boolean change(double now, List<Member> members) {
-        if (!heardMajority(now, members, terms.fresh(), commit)) {
-            return false;
+    private MembershipPlanner.Replica replica(double now, Member member) {
+        if (member.id() == self.id()) {
+            return new MembershipPlanner.Replica(member, 0, true, false);
         }
-        append(now, Entry.Kind.MEMBERS, Members.write(members));
-        return true;
+        Peer peer = peers.get(member.id());
+        return new MembershipPlanner.Replica(member, now - peer.heard, peer.match >= commit, false);
+    }
+
+    /** Whether a peer is no voter and has asked lately to become one. */
+    private boolean isLearner(double now, Peer peer) {
+        return !log.holds(peer.member.id()) && now - peer.asked <= LOST;
     }
 }
--- a/src/main/java/sablehinge/sluice/Beats.java
+++ b/src/main/java/sablehinge/sidecar/Beats.java
@@ -1,14 +1,14 @@
-package sablehinge.sluice;
+package sablehinge.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.function.Consumer;
-import sablehinge.headgate.Asked;
-import sablehinge.headgate.CallException;
-import sablehinge.headgate.Headed;
-import sablehinge.headgate.Operation;
-import sablehinge.headgate.Reply;
+import sablehinge.api.Asked;
+import sablehinge.api.CallException;
+import sablehinge.api.Headed;
+import sablehinge.api.Operation;
+import sablehinge.api.Reply;
 
 /** The calls of the upstream beside a balancer (PROTOCOL, "Which upstreams there are"). */
 final class Beats {
@@ -49,7 +49,7 @@
                 }
                 String state = text(body, "state");
                 if (!state.equals("ready") && !state.equals("unloading")) {
-                    throw new CallException(400, "STATE", "state is neither ready nor unloading: " + state);
+                    throw new CallException(400, "STATE", "state is neither ready nor unloading");
                 }
                 return new Beat(asked.name(), text(body, "depot"), text(body, "address"),
                         state.equals("unloading"), Math.max(1, Math.min(MOST_BERTHS,
