--- a/src/test/java/sablehinge/consensus/QuorumTest.java
+++ b/src/test/java/sablehinge/consensus/QuorumTest.java
@@ -2,22 +2,27 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import sablehinge.torture.Mutant;
 import sablehinge.torture.MutantLoader;
 
 /** The checker of the agreement: that it is quiet on what is right, and finds and tells what is not. */
 class QuorumTest {
 
     private static final int LONGEST = 60;
+    /** Faults of each of the points that can go wrong. */
+    private static final int LEAST_FAULTS = 8;
 
     /** A founder that lost its founding, votes, loses power, and is asked by another in the same term. */
     private static final String NAME_ONLY = """
@@ -58,7 +63,7 @@
     @ValueSource(strings = {"two votes in a term", "entries are acknowledged before their sync",
         "who lost its disk comes back as its old self"})
     void aFaultIsFoundAndCutShort(String name) throws Exception {
-        Mutant fault = Faults.ALL.stream().filter(one -> one.name().equals(name)).findAny().orElseThrow();
+        Fault fault = Faults.ALL.stream().filter(one -> one.name().equals(name)).findAny().orElseThrow();
         String[] first = hunt(fault);
         assertArrayEquals(first, hunt(fault), "another verdict");
         Script script = Script.parse(first[0].lines().toList());
@@ -67,9 +72,26 @@
         assertNull(script.breach(), "the fault, not the checker, broke it");
     }
 
-    private static String[] hunt(Mutant fault) throws Exception {
-        return (String[]) MutantLoader.of(fault, Path.of("src/main/java")).loadClass(Hunt.class.getName())
-                .getMethod("hunt", long.class, int.class, int.class).invoke(null, 1L, 100, 0);
+    @Test
+    void everyFaultHasItsPlaceAndEveryPointItsFaults() throws Exception {
+        Map<Fault.Point, Integer> counts = new EnumMap<>(Fault.Point.class);
+        for (Fault fault : Faults.ALL) {
+            Path file = Path.of("src/main/java/sablehinge/" + fault.mutant().in() + ".java");
+            String source = Files.readString(file);
+            assertNotEquals(source, fault.mutant().applied(source), fault.name());
+            counts.merge(fault.point(), 1, Integer::sum);
+        }
+        assertEquals(Faults.ALL.size(), Faults.ALL.stream().map(Fault::name).distinct().count());
+        for (Fault.Point point : List.of(Fault.Point.CUT_OFF, Fault.Point.ORDERS, Fault.Point.MEMBERSHIP,
+                Fault.Point.SNAPSHOTS)) {
+            assertTrue(counts.get(point) >= LEAST_FAULTS, point + " has " + counts.get(point));
+        }
+    }
+
+    private static String[] hunt(Fault fault) throws Exception {
+        return (String[]) MutantLoader.of(fault.mutant(), Path.of("src/main/java")).loadClass(Hunt.class.getName())
+                .getMethod("hunt", String.class, int.class, int.class)
+                .invoke(null, fault.point().focus().name(), 100, 0);
     }
 
     @Test
