--- a/src/test/java/sablehinge/consensus/QuorumTest.java
+++ b/src/test/java/sablehinge/consensus/QuorumTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,6 +14,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -21,6 +24,8 @@
 class QuorumTest {
 
     private static final int LONGEST = 60;
+    /** A seed by which five machines start, three of which found. */
+    private static final long FIVE_START = 7;
     /** Faults of each of the points that can go wrong. */
     private static final int LEAST_FAULTS = 8;
 
@@ -49,6 +54,58 @@
             deliver a c 0
             """;
 
+    /**
+     * A leader asks a round whether a silent voter may go, hears of it again and drops the thought; a voter
+     * that has answered that round is wiped, and then the first one leaves.
+     */
+    private static final String OLD_ROUND = """
+            seed 140379
+            sync a
+            pass 300
+            sync b
+            deliver a b 0
+            deliver a c 0
+            deliver b a 0
+            sync a
+            deliver a b 0
+            sync b
+            deliver a c 0
+            sync c
+            deliver b a 0
+            sync a
+            deliver a b 0
+            sync b
+            deliver a c 0
+            sync c
+            deliver c a 0
+            deliver c a 0
+            tick b 200
+            compact a
+            newcomer d
+            sync a
+            deliver b a 0
+            propose a
+            deliver a b 0
+            sync a
+            sync b
+            pass 100
+            deliver a c 0
+            tick b 550
+            deliver b a 0
+            deliver d a 0
+            deliver a d 0
+            deliver d a 0
+            deliver a b 0
+            sync d
+            deliver d a 0
+            deliver a b 0
+            double c a 0
+            wipe b
+            leave c
+            deliver a c 0
+            calm
+            """;
+
     @Test
     void nothingBreaksAndThereIsWork() {
         Tally tally = new Tally();
@@ -63,9 +120,8 @@
     @ValueSource(strings = {"two votes in a term", "entries are acknowledged before their sync",
         "who lost its disk comes back as its old self"})
     void aFaultIsFoundAndCutShort(String name) throws Exception {
-        Fault fault = Faults.ALL.stream().filter(one -> one.name().equals(name)).findAny().orElseThrow();
-        String[] first = hunt(fault);
-        assertArrayEquals(first, hunt(fault), "another verdict");
+        String[] first = hunt(fault(name));
+        assertArrayEquals(first, hunt(fault(name)), "another verdict");
         Script script = Script.parse(first[0].lines().toList());
         assertEquals(first[0], script.toString());
         assertTrue(script.steps().size() <= LONGEST, first[0]);
@@ -88,12 +144,116 @@
         }
     }
 
+    private static Fault fault(String name) {
+        return Faults.ALL.stream().filter(one -> one.name().equals(name)).findAny().orElseThrow();
+    }
+
     private static String[] hunt(Fault fault) throws Exception {
-        return (String[]) MutantLoader.of(fault.mutant(), Path.of("src/main/java")).loadClass(Hunt.class.getName())
-                .getMethod("hunt", String.class, int.class, int.class)
+        return (String[]) MutantLoader.of(fault.mutant(), Path.of("src/main/java"))
+                .loadClass(Hunt.class.getName()).getMethod("hunt", String.class, int.class, int.class)
                 .invoke(null, fault.point().focus().name(), 100, 0);
     }
 
+    /** Five machines of which the deployment names three start, and all that happens is calm. */
+    @Test
+    void aCoreGrowsFromItsFoundersToAll() {
+        SteppedCluster cluster = new SteppedCluster(FIVE_START);
+        assertEquals(5, cluster.size());
+        assertEquals(3, cluster.list.size());
+        cluster.take(Step.of(Step.Kind.CALM, 0));
+        assertEquals(5, cluster.list.size());
+    }
+
+    @Test
+    void whatDoesNotHealIsToldAsLiveness() throws Exception {
+        String[] found = hunt(fault("the core does not grow"));
+        assertTrue(found[1].contains(Calm.LIVENESS + "3 voters of 5"), found[1]);
+    }
+
+    /** One founder loses power before its name is on its disk: it comes back as another and is let in. */
+    @Test
+    void aFounderThatNeverWasIsReplaced() {
+        Script script = Script.parse(List.of("seed " + FIVE_START, "start a", "start b", "start c",
+                "power a 0", "calm"));
+        assertNull(script.breach());
+        SteppedCluster cluster = new SteppedCluster(FIVE_START);
+        script.steps().forEach(cluster::take);
+        assertFalse(cluster.isBeyond());
+        assertTrue(cluster.list.contains(cluster.machine(0).self));
+        assertNotEquals(Member.founder(cluster.machine(0).address, "").id(), cluster.machine(0).self.id());
+    }
+
+    /** Two of three founders are more than the core bears, so nothing is asked of the calm after it. */
+    @Test
+    void whatIsBeyondTheBoundsIsSetAside() {
+        SteppedCluster cluster = new SteppedCluster(FIVE_START);
+        for (String step : List.of("start a", "start b", "power a 0", "power b 0", "calm")) {
+            cluster.take(Step.parse(step));
+        }
+        assertTrue(cluster.isBeyond());
+    }
+
+    /**
+     * One of three is cut off for long, and the other follower loses its disk just after it was heard. Its
+     * successor is ready before the leader can know that the former life is gone: if the silent one went
+     * for it, the list that is left could never agree to anything again.
+     */
+    @Test
+    void whoIsSilentDoesNotGoForOneThatIsLostForGood() {
+        Player player = new Player(SteppedCluster.PLAIN);
+        SteppedCluster cluster = player.cluster;
+        player.elect();
+        int leader = player.leader();
+        int away = (leader + 1) % 3;
+        int lost = (leader + 2) % 3;
+        player.ways(Step.Kind.CUT, away);
+        for (int i = 0; i < 17; i++) {
+            player.take(Step.pass(100));
+            player.flow();
+        }
+        player.take(Step.of(Step.Kind.WIPE, lost));
+        player.take(Step.of(Step.Kind.START, lost));
+        for (int i = 0; i < 10; i++) {
+            player.flow();
+            player.take(Step.pass(20));
+        }
+        player.take(Step.of(Step.Kind.CALM, 0));
+        assertTrue(cluster.isBeyond(), "two of three were lost at once");
+        player.elect();
+        assertTrue(cluster.list.contains(cluster.machine(lost).self), cluster.line());
+        assertTrue(cluster.list.contains(cluster.machine(away).self), cluster.line());
+    }
+
+    /** Answers to the round count for the change that it was asked for, not for the same one later. */
+    @Test
+    void aChangeThatWasDroppedIsAskedForAnew() {
+        Script script = Script.parse(OLD_ROUND.lines().toList());
+        SteppedCluster cluster = new SteppedCluster(script.seed());
+        script.steps().forEach(cluster::take);
+        assertNotNull(cluster.leader(), cluster.line());
+    }
+
+    @Test
+    void seedsHaveTheirFocus() {
+        for (Focus focus : Focus.values()) {
+            assertEquals(focus, Focus.of(focus.seed(0)));
+            assertEquals(focus, Focus.of(focus.seed(12_345)));
+        }
+    }
+
+    @Test
+    void anOrderIsSentAgainAndVaried() {
+        SteppedCluster cluster = new SteppedCluster(SteppedCluster.PLAIN);
+        cluster.take(Step.of(Step.Kind.CALM, 0));
+        int leader = IntStream.range(0, 3).filter(i -> cluster.machine(i).leads()).findAny().orElseThrow();
+        int before = cluster.claims.acknowledged();
+        assertTrue(cluster.take(new Step(Step.Kind.RESEND, leader, 0, 0)));
+        assertTrue(cluster.take(new Step(Step.Kind.VARY, leader, 0, 0)));
+        cluster.take(Step.of(Step.Kind.CALM, 0));
+        assertTrue(cluster.claims.acknowledged() >= before + 2, "the order sent again, and that of the calm");
+        assertFalse(cluster.take(new Step(Step.Kind.RESEND, leader, 0, 7)), "there are not so many");
+    }
+
     @Test
     void whoHasNoLogKeepsItsVote() {
         assertNull(Script.parse(NAME_ONLY.lines().toList()).breach());
