--- a/src/main/java/sablehinge/watermaster/Terms.java
+++ b/src/main/java/sablehinge/consensus/Timing.java
@@ -1,4 +1,4 @@
-package sablehinge.watermaster;
+package sablehinge.consensus;
 
 /**
  * The times and bounds of agreement. Times are in ms of the steady clock that is passed with each call.
@@ -8,7 +8,7 @@
  *     it gives no vote
  * @param electionMost most time without a leader before a member stands
  * @param quorum a leader without answers of a majority for so long leads no more
- * @param silent a member that has not answered for so long may be replaced
+ * @param silent a voter that has not answered for so long may be replaced by a learner that has everything
  * @param fresh a peer that has answered within this time counts as alive
  * @param stall a leader whose own disk takes longer hands over
  * @param barrier a barrier that is not confirmed within this time is denied
@@ -16,11 +16,12 @@
  * @param bytes most bytes of entries in a message, but one entry always goes
  * @param waiting most entries that wait for their commit
  */
-public record Terms(double heartbeat, double electionLeast, double electionMost, double quorum, double silent,
+public record Timing(double heartbeat, double electionLeast, double electionMost, double quorum,
+        double silent,
         double fresh, double stall, double barrier, int entries, int bytes, int waiting) {
 
     /** For a few machines in one network whose disks sync in some ms. */
-    public static Terms usual() {
-        return new Terms(100, 500, 1000, 900, 3000, 500, 1000, 2000, 64, 256 << 10, 256);
+    public static Timing usual() {
+        return new Timing(100, 500, 1000, 900, 1500, 500, 1000, 2000, 64, 256 << 10, 256);
     }
 }
--- a/src/main/java/sablehinge/reservoir/Reservoir.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -1,4 +1,4 @@
-package sablehinge.reservoir;
+package sablehinge.control;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -6,59 +6,46 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sablehinge.aqueduct.Configuration;
-import sablehinge.cistern.Cistern;
-import sablehinge.cistern.Roll;
-import sablehinge.conduit.Conduit;
-import sablehinge.conduit.Frame;
-import sablehinge.conduit.MessageCodec;
+import sablehinge.state.ConfigurationState;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Frame;
+import sablehinge.rpc.MessageCodec;
 import sablehinge.config.ConfigException;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.core.Clock;
 import sablehinge.core.Log;
-import sablehinge.gauge.Panel;
-import sablehinge.headgate.ConfigurationCheck;
-import sablehinge.headgate.ConfigurationReader;
-import sablehinge.headgate.Door;
-import sablehinge.headgate.Operation;
-import sablehinge.penstock.Ask;
-import sablehinge.penstock.Desk;
-import sablehinge.penstock.Spills;
-import sablehinge.penstock.Tokens;
-import sablehinge.spillway.Claim;
-import sablehinge.watermaster.Change;
-import sablehinge.watermaster.Entry;
-import sablehinge.watermaster.Member;
-import sablehinge.watermaster.Message;
-import sablehinge.watermaster.Pulse;
-import sablehinge.watermaster.Snapshot;
-import sablehinge.watermaster.Standing;
-import sablehinge.watermaster.Stored;
-import sablehinge.watermaster.Terms;
-import sablehinge.watermaster.Watermaster;
+import sablehinge.api.ConfigurationCheck;
+import sablehinge.api.ApiServer;
+import sablehinge.api.Operation;
+import sablehinge.consensus.Change;
+import sablehinge.consensus.Entry;
+import sablehinge.consensus.Member;
+import sablehinge.consensus.Message;
+import sablehinge.consensus.Pulse;
+import sablehinge.consensus.Snapshot;
+import sablehinge.consensus.Standing;
+import sablehinge.consensus.Stored;
+import sablehinge.consensus.Timing;
+import sablehinge.consensus.RaftNode;
 
 /**
  * A machine of the core: it agrees with the others on the configuration, keeps it on disk, takes operators'
  * calls and, while it leads, tells the data plane the news. One thread owns all of it but the disk's work and
  * the checks of configurations, which have a thread each.
  */
-public final class Reservoir {
+public final class ControlNode {
 
-    private static final Logger LOG = LoggerFactory.getLogger(Reservoir.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ControlNode.class);
     private static final long TICK_MS = 20;
     private static final double NANOS_PER_MS = 1e6;
     /** A disk that is at one change for longer hangs, in ms; it is looked at as often. */
@@ -66,8 +53,6 @@
     /** What an end of a connection between processes does when it hears nothing, in ms. */
     static final long PING_MS = 300;
     static final long DEAD_MS = 1_200;
-    private static final double COMPLETE_MS = 2_500;
-    private static final double GONE_MS = 12_000;
     /** The log is cut to a snapshot after so many entries. */
     private static final int MOST_ENTRIES = 48;
     /** Or after so many bytes of entries, which bounds the file and what a start reads. */
@@ -80,35 +65,32 @@
     private final ExecutorService checks = thread("checks");
     private final LocalSettings settings;
     private final long born;
-    private final Conduit conduit;
-    private final Scribe scribe;
-    private final Watermaster watermaster;
-    private final Cistern cistern = new Cistern();
-    private final Roll roll = new Roll(COMPLETE_MS, GONE_MS);
-    private final Desk<Conduit.Link> desk = new Desk<>(roll);
-    private final Pools pools;
-    private final Spillways spillways;
-    private final Proposals proposals;
-    private final Map<Long, Consumer<Boolean>> barriers = new HashMap<>();
+    private final Connection connection;
+    private final DiskWriter diskWriter;
+    private final RaftNode raft;
+    private final ConfigurationState configurations = new ConfigurationState();
+    private final QuorumGate gate;
+    private final ChangeCoordinator changes;
+    private final DataPlane dataPlane;
     private Member self;
     /** Null, as is {@code self}, until the disk has been read. */
     private Peers peers;
     private Standing standing = new Standing(Standing.Role.OUTSIDER, 0, null, List.of());
-    private long barrierCount;
     private int sinceSnapshot;
     private long bytesSinceSnapshot;
     private boolean hangs;
 
-    private Reservoir(LocalSettings settings, long born, EventLoop loop, Supplier<LogStore> opener) {
+    private ControlNode(LocalSettings settings, long born, EventLoop loop, Supplier<RaftStore> opener) {
         this.settings = settings;
         this.born = born;
         this.loop = loop;
-        conduit = new Conduit(loop, PING_MS, DEAD_MS);
-        scribe = new Scribe(opener, new Puts());
-        watermaster = new Watermaster(new Carries(), Terms.usual(), new SecureRandom().nextLong());
-        spillways = new Spillways(settings.bounds());
-        proposals = new Proposals(cistern);
-        pools = new Pools(loop, clock, settings.bounds(), desk::askers, watermaster::leases);
+        connection = new Connection(loop, PING_MS, DEAD_MS);
+        diskWriter = new DiskWriter(opener, new Puts());
+        raft = new RaftNode(new Carries(), Timing.usual(), settings.tolerateMachines(),
+                new SecureRandom().nextLong());
+        gate = new QuorumGate(new RaftContact(), loop::execute);
+        changes = new ChangeCoordinator(raft, configurations, loop::execute);
+        dataPlane = new DataPlane(loop, clock, settings.bounds(), gate, configurations);
     }
 
     private static ExecutorService thread(String name) {
@@ -122,41 +104,42 @@
      * @param born when its process began, by {@link System#nanoTime}: whatever the process before promised a
      *     leader, it had promised by then
      */
-    public static Reservoir start(LocalSettings settings, long born)
+    public static ControlNode start(LocalSettings settings, long born)
             throws ConfigException, InterruptedException {
         if (settings.dataDir() == null) {
-            throw new ConfigException("a reservoir needs dataDir in its settings");
+            throw new ConfigException("a control node needs dataDir in its settings");
         }
         Path folder = Path.of(settings.dataDir());
-        return start(settings, born, () -> LogStore.open(folder));
+        return start(settings, born, () -> RaftStore.open(folder));
     }
 
     /** The same with a store of another kind; it is opened anew after each refusal. */
-    static Reservoir start(LocalSettings settings, long born, Supplier<LogStore> opener)
+    static ControlNode start(LocalSettings settings, long born, Supplier<RaftStore> opener)
             throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("reservoir", true), NioIoHandler.newFactory()).next();
-        Reservoir reservoir = new Reservoir(settings, born, loop, opener);
+                new DefaultThreadFactory("control", true), NioIoHandler.newFactory()).next();
+        ControlNode controlNode = new ControlNode(settings, born, loop, opener);
         String at = settings.ip() + ":" + settings.innerFirst();
         try {
-            await(reservoir.conduit.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
-                    reservoir.new Records()), at);
-            await(new Door(loop, reservoir.operations(), MOST_CONFIGURATION).listen(
+            await(controlNode.connection.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
+                    controlNode.new Records()), at);
+            await(new ApiServer(loop, controlNode.operations(), MOST_CONFIGURATION).listen(
                     address(settings.listenOn().control())), settings.listenOn().control());
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
         }
-        reservoir.disk.execute(reservoir.scribe::open);
-        loop.scheduleAtFixedRate(reservoir::watch, HANGS_MS, HANGS_MS, TimeUnit.MILLISECONDS);
+        controlNode.disk.execute(controlNode.diskWriter::open);
+        loop.scheduleAtFixedRate(controlNode::watch, HANGS_MS, HANGS_MS, TimeUnit.MILLISECONDS);
         // The schema is loaded before the first configuration comes, and beside what must not wait for it.
-        reservoir.checks.execute(ConfigurationCheck::warm);
-        return reservoir;
+        controlNode.checks.execute(ConfigurationCheck::warm);
+        return controlNode;
     }
 
     private List<Operation<?, ?>> operations() {
         Authority authority = new Settles();
         return Operators.all(authority, new Sight(settings.node(), settings.zone(),
-                settings.listenOn().control(), roll, desk, pools.pool(), authority));
+                settings.listenOn().control(), dataPlane.registry(), dataPlane.watchServer(),
+                dataPlane.pool(), authority));
     }
 
     private static void await(io.netty.channel.ChannelFuture bound, String at)
@@ -175,7 +158,7 @@
     void close() throws InterruptedException {
         loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
         checks.shutdown();
-        disk.execute(scribe::close);
+        disk.execute(diskWriter::close);
         disk.shutdown();
         disk.awaitTermination(1, TimeUnit.MINUTES);
     }
@@ -186,7 +169,7 @@
             List<String> contacts = new ArrayList<>();
             next.seeds().forEach(seed -> contacts.add(seed.substring(0, seed.lastIndexOf(':') + 1)
                     + next.innerFirst()));
-            watermaster.contacts(contacts);
+            raft.contacts(contacts);
             Log.info(LOG, "settings").addKeyValue("seeds", contacts.size())
                     .log("the settings were read again");
         });
@@ -203,7 +186,7 @@
     private void begin(Member me, Stored stored) {
         double now = clock.now();
         self = me;
-        peers = new Peers(conduit, self, this::came);
+        peers = new Peers(connection, self, this::came);
         List<String> contacts = new ArrayList<>();
         List<Member> founders = new ArrayList<>();
         for (String seed : settings.seeds()) {
@@ -211,14 +194,14 @@
             contacts.add(at);
             founders.add(Member.founder(at, seed));
         }
-        watermaster.contacts(contacts);
+        raft.contacts(contacts);
         if (stored != null) {
             // Even who has nothing but a name, and asks to be let in, may have given its vote.
-            watermaster.start(now, stored, now - (System.nanoTime() - born) / NANOS_PER_MS);
+            raft.start(now, stored, now - (System.nanoTime() - born) / NANOS_PER_MS);
         } else if (founders.contains(self)) {
-            watermaster.found(now, self, founders);
+            raft.found(now, self, founders);
         } else {
-            watermaster.outside(now, self, contacts);
+            raft.outside(now, self, contacts);
         }
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("member", self.id())
@@ -229,14 +212,15 @@
 
     private void tick() {
         double now = clock.now();
-        watermaster.tick(now);
-        proposals.expire(now);
-        answer(now);
+        raft.tick(now);
+        changes.expire(now);
+        gate.expire(now);
+        dataPlane.tell();
     }
 
     /** A disk that answers nothing says nothing by itself. */
     private void watch() {
-        double ms = clock.now() - scribe.busySince();
+        double ms = clock.now() - diskWriter.busySince();
         if (ms > HANGS_MS && !hangs) {
             hangs = true;
             Log.warn(LOG, "disk-hangs").addKeyValue("ms", Math.round(ms)).log("the disk doesn't answer");
@@ -246,88 +230,28 @@
         }
     }
 
-    private boolean leads() {
-        return standing.role() == Standing.Role.LEADER;
-    }
-
-    private void answer(double now) {
-        if (leads()) {
-            for (Desk.Told<Conduit.Link> told : desk.due(now)) {
-                told.to().send(new Frame(Frame.Kind.NEWS, told.news().bytes()));
-            }
-            for (Panel.Ruling ruling : desk.rulings()) {
-                Log.info(LOG, "health").addKeyValue("peer", ruling.node())
-                        .addKeyValue("health", ruling.health()).addKeyValue("before", ruling.before())
-                        .addKeyValue("accusers", ruling.accusers())
-                        .addKeyValue("watchers", ruling.watchers()).log("what is known of a balancer");
-            }
-        }
-    }
-
     private void came(Member from, Message message) {
-        watermaster.message(clock.now(), from, message);
-    }
-
-    private void asked(Conduit.Link link, Ask ask) {
-        if (!leads()) {
-            String leader = standing.leader() == null ? "" : standing.leader().conduit();
-            link.send(new Frame(Frame.Kind.ELSEWHERE, leader.getBytes(StandardCharsets.UTF_8)));
-            return;
-        }
-        double now = clock.now();
-        desk.asked(now, link, ask);
-        if (ask.confirm()) {
-            barrier(sure -> {
-                if (sure) {
-                    desk.confirmed(link, ask.number());
-                    answer(clock.now());
-                }
-            });
-        }
-        loop.execute(() -> answer(clock.now()));
-    }
-
-    private void claimed(Conduit.Link link, Claim claim) {
-        Frame answer = watermaster.leases(clock.now()) ? spillways.answer(clock.now(), claim) : null;
-        if (answer != null) {
-            link.send(answer);
-        }
-    }
-
-    /** The quotas and services in force are what the pools are filled by. */
-    private void fillPools() {
-        if (leads() && cistern.edition() > 0) {
-            Configuration configuration = ConfigurationReader.read(cistern.body());
-            pools.adopt(configuration);
-            spillways.adopt(clock.now(), configuration);
-        }
-    }
-
-    /** The callback is called with true once all that was committed before this call is applied here. */
-    private void barrier(Consumer<Boolean> then) {
-        long token = ++barrierCount;
-        barriers.put(token, then);
-        watermaster.barrier(clock.now(), token);
+        raft.message(clock.now(), from, message);
     }
 
     /** Hears connections of peers and of the data plane. */
-    private final class Records implements Conduit.Handler {
+    private final class Records implements Connection.Handler {
 
         @Override
-        public void came(Conduit.Link link, Frame frame) {
+        public void came(Connection.Link link, Frame frame) {
             try {
                 switch (frame.kind()) {
                     case HELLO -> link.attach(Peers.hello(frame));
                     case AGREE -> {
                         if (link.attachment() instanceof Member from) {
-                            Reservoir.this.came(from, MessageCodec.read(frame.body()));
+                            ControlNode.this.came(from, MessageCodec.read(frame.body()));
+                        }
+                    }
+                    default -> {
+                        if (!dataPlane.came(link, frame)) {
+                            link.close();
                         }
                     }
-                    case ASK -> asked(link, Ask.read(frame.body()));
-                    case TOKENS -> pools.asked(link, Tokens.read(frame.body()));
-                    case PULL -> pools.lent(Tokens.read(frame.body()));
-                    case SHARES -> claimed(link, Spills.claim(frame.body()));
-                    default -> link.close();
                 }
             } catch (IOException | IllegalArgumentException e) {
                 Log.warn(LOG, "record-malformed").addKeyValue("kind", frame.kind())
@@ -337,13 +261,13 @@
         }
 
         @Override
-        public void closed(Conduit.Link link) {
-            desk.gone(link);
+        public void closed(Connection.Link link) {
+            dataPlane.closed(link);
         }
     }
 
     /** Carries out what the agreement asks for. */
-    private final class Carries implements Watermaster.Actions {
+    private final class Carries implements RaftNode.Actions {
 
         @Override
         public void send(Member to, Message message) {
@@ -352,7 +276,7 @@
 
         @Override
         public void persist(Change change) {
-            disk.execute(() -> scribe.write(change));
+            disk.execute(() -> diskWriter.write(change));
         }
 
         @Override
@@ -360,79 +284,80 @@
             sinceSnapshot++;
             bytesSinceSnapshot += entry.data().length;
             if (entry.kind() == Entry.Kind.COMMAND) {
-                Cistern.Outcome outcome = cistern.apply(entry.data());
-                proposals.applied(entry, outcome);
-                if (outcome == Cistern.Outcome.TAKEN) {
-                    fillPools();
-                    Log.info(LOG, "configuration").addKeyValue("edition", cistern.edition())
+                ConfigurationState.Outcome outcome = changes.applied(entry);
+                if (outcome == ConfigurationState.Outcome.TAKEN) {
+                    dataPlane.configuration();
+                    Log.info(LOG, "configuration").addKeyValue("edition", configurations.edition())
                             .addKeyValue("index", entry.index()).log("a configuration is in force");
                 }
-                holds();
             }
             if (sinceSnapshot >= MOST_ENTRIES || bytesSinceSnapshot >= MOST_BYTES) {
                 sinceSnapshot = 0;
                 bytesSinceSnapshot = 0;
-                byte[] state = cistern.state();
-                loop.execute(() -> watermaster.compact(entry.index(), state));
+                byte[] state = configurations.state();
+                loop.execute(() -> raft.compact(entry.index(), state));
             }
         }
 
         @Override
         public void restore(Snapshot snapshot) {
-            cistern.restore(snapshot.state());
-            holds();
+            configurations.restore(snapshot.state());
+            dataPlane.configuration();
         }
 
         @Override
         public void standing(Standing next) {
-            boolean led = leads();
-            boolean newTerm = standing.term() != next.term();
             standing = next;
             Log.info(LOG, "standing").addKeyValue("role", next.role()).addKeyValue("term", next.term())
-                    .addKeyValue("leader", next.leader() == null ? "" : next.leader().conduit())
+                    .addKeyValue("leader", next.leader() == null ? "" : next.leader().address())
                     .addKeyValue("members", next.members().size()).log("the core's standing");
-            if (leads() && (!led || newTerm)) {
-                desk.begin(clock.now(), next.term());
-                pools.begin();
-                spillways.begin(next.term());
-                fillPools();
-            } else if (led && !leads()) {
-                proposals.lost();
-                String leader = next.leader() == null ? "" : next.leader().conduit();
-                desk.askers().forEach(link -> link.send(new Frame(Frame.Kind.ELSEWHERE,
-                        leader.getBytes(StandardCharsets.UTF_8))));
-            }
-            holds();
+            changes.standing(next);
+            dataPlane.standing(next);
             peers.members(next.members());
         }
 
-        private void holds() {
-            List<String> members = new ArrayList<>();
-            standing.members().forEach(member -> members.add(member.conduit()));
-            desk.holds(cistern.edition(), cistern.body(), members);
-            loop.execute(() -> answer(clock.now()));
-        }
-
         @Override
         public void confirmed(long token) {
-            end(token, true);
+            gate.ended(clock.now(), token, true);
         }
 
         @Override
         public void denied(long token) {
-            end(token, false);
+            gate.ended(clock.now(), token, false);
         }
+    }
 
-        private void end(long token, boolean sure) {
-            Consumer<Boolean> then = barriers.remove(token);
-            if (then != null) {
-                loop.execute(() -> then.accept(sure));
-            }
+    /** What the gate knows of the core. */
+    private final class RaftContact implements QuorumGate.Contact {
+
+        @Override
+        public Standing standing() {
+            return standing;
+        }
+
+        @Override
+        public double sinceMajority(double now) {
+            return raft.sinceMajority(now);
+        }
+
+        @Override
+        public double sinceLeader(double now) {
+            return raft.sinceLeader(now);
+        }
+
+        @Override
+        public boolean leases(double now) {
+            return raft.leases(now);
+        }
+
+        @Override
+        public void barrier(double now, long token) {
+            raft.barrier(now, token);
         }
     }
 
     /** What the disk's thread calls. */
-    private final class Puts implements Scribe.Host {
+    private final class Puts implements DiskWriter.Host {
 
         @Override
         public double now() {
@@ -446,7 +371,7 @@
 
         @Override
         public Member named(boolean damaged) {
-            return Reservoir.this.named(damaged);
+            return ControlNode.this.named(damaged);
         }
 
         @Override
@@ -456,7 +381,7 @@
 
         @Override
         public void persisted(long number) {
-            loop.execute(() -> watermaster.persisted(clock.now(), number));
+            loop.execute(() -> raft.persisted(clock.now(), number));
         }
 
         @Override
@@ -488,7 +413,7 @@
 
         @Override
         public Pulse pulse() {
-            return watermaster.pulse(clock.now());
+            return raft.pulse(clock.now());
         }
 
         @Override
@@ -502,25 +427,18 @@
         }
 
         @Override
-        public Cistern cistern() {
-            return cistern;
+        public long timeOfDay() {
+            return System.currentTimeMillis();
         }
 
         @Override
-        public void propose(long basedOn, long edition, byte[] body, Consumer<Proposals.Result> then) {
-            double now = clock.now();
-            long index = watermaster.propose(now, Cistern.replace(basedOn, edition, body,
-                    System.currentTimeMillis()));
-            if (index == 0) {
-                then.accept(Proposals.Result.LOST);
-            } else {
-                proposals.waits(now, index, standing.term(), then);
-            }
+        public QuorumGate gate() {
+            return gate;
         }
 
         @Override
-        public void barrier(Consumer<Boolean> then) {
-            Reservoir.this.barrier(then);
+        public ChangeCoordinator changes() {
+            return changes;
         }
     }
 }
