--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -131,6 +131,8 @@
      * When each of the last rounds was asked, until when a lease holds, and whether this term was given up.
      */
     private final double[] askedAt = new double[ASKED];
+    /** Up to where all was committed when each of the last rounds was asked. */
+    private final long[] committedAt = new long[ASKED];
     private double leaseUntil = Double.NEGATIVE_INFINITY;
     private boolean handedOver;
     /** When this one asked for the votes of its term, and the latest question that a majority answered. */
@@ -808,6 +810,7 @@
     private void ask(double now) {
         round++;
         askedAt[(int) (round % ASKED)] = now;
+        committedAt[(int) (round % ASKED)] = commit;
         heartbeatAt = now + timing.heartbeat();
         for (Peer peer : peers.values()) {
             feed(now, peer, now - peer.heard <= timing.fresh() || peer.probing);
@@ -920,6 +923,8 @@
                 peer.window.clear();
                 feed(now, peer, true);
             }
+        } else {
+            feedLost(now, peer, answer);
         }
         advance(now);
         if (role == Standing.Role.LEADER && (dueChange != null || isLearner(now, peer))) {
@@ -928,11 +933,19 @@
         }
     }
 
+    /** Who was away says nothing of a chunk that was sent to it meanwhile. */
+    private void feedLost(double now, Peer peer, Message.Appended answer) {
+        if (peer.snapshot.passed(answer.round())) {
+            feedSnapshot(now, peer);
+        }
+    }
+
     private void took(double now, Peer peer, Message.Appended answer) {
         peer.match = Math.max(peer.match, answer.matchIndex());
         peer.window.received(now, answer.hint(), answer.round());
         boolean needsMore = peer.snapshot != null && answer.hint() < peer.snapshot.index();
         if (needsMore && !log.reaches(answer.hint() + 1)) {
+            feedLost(now, peer, answer);
             return;
         }
         if (peer.snapshot != null) {
@@ -1185,6 +1198,10 @@
             }
         }
         Optional<VoterChange> due = planner.next(voters, learners);
+        if (due.isEmpty()) {
+            // If it is due again later, answers of before say nothing of who is there then.
+            dueChange = null;
+        }
         if (due.isPresent() && isConfirmed(now, due.get())) {
             dueChange = null;
             append(now, Entry.Kind.MEMBERS, Members.write(due.get().applied(log.members())));
@@ -1213,8 +1230,17 @@
             return new MembershipPlanner.Replica(member, 0, true, false);
         }
         Peer peer = peers.get(member.id());
-        return new MembershipPlanner.Replica(member, now - peer.heard, peer.match >= commit,
-                leaves(now, peer));
+        return new MembershipPlanner.Replica(member, now - peer.heard, isCaughtUp(peer), leaves(now, peer));
+    }
+
+    /**
+     * Whether a peer's disk has all that is committed, or had all when the latest question was asked or the
+     * one before it, which it has answered: under load, what is committed now is newer than any answer.
+     */
+    private boolean isCaughtUp(Peer peer) {
+        boolean hadAll = peer.round > 0 && peer.round >= round - 1
+                && peer.match >= committedAt[(int) (peer.round % ASKED)];
+        return hadAll || peer.match >= commit;
     }
 
     /** Whether a peer is no voter and has asked lately to become one. */
