--- a/bench/src/sablehinge/consensus/SteppedCluster.java
+++ b/bench/src/sablehinge/consensus/SteppedCluster.java
@@ -22,21 +22,45 @@
     private static final int MOST_ON_THE_WAY = 32;
     /** Clocks go 10% wrong at most, of which a lease must take account. */
     private static final double WRONG = 0.1;
+    /** Length of a configuration whose snapshot needs several chunks, bytes; and how many seeds have it. */
+    private static final int LARGE = 70_000;
+    private static final int FEW_LARGE = 24;
     private static final double PLAINLY_WRONG = 0.05;
     private static final double APART = 1e5;
+    /** A member from whom the leader has not heard for so long may be down, ms. */
+    private static final double SILENT = 150;
+    /** Founders that a deployment names. */
+    private static final int SEEDS = 3;
+    /** Of twenty throws, those below have 4 or 5 founders, then 3; then 3 or 4 machines start, then 5. */
+    private static final int FOUNDED_BY_THREE = 3;
+    private static final int STARTED = 9;
+    private static final int GROWING = 13;
 
     /** A message with who has sent it. */
     record Letter(Member from, Message message) {
     }
 
+    private record Captured(long life, long index, byte[] state) {
+    }
+
     private final List<Machine> byPlace = new ArrayList<>();
     private final Map<String, Integer> places = new HashMap<>();
     private final List<List<Letter>> links = new ArrayList<>();
     private final double[] rates = new double[MOST];
+    /** The state that was put aside at a machine for a snapshot, in its life; by place. */
+    private final Captured[] captured = new Captured[MOST];
+    /** The life in which a machine's process was told to end; by place. */
+    private final long[] leaving = new long[MOST];
+    /** Starts of processes on empty disks; null where machines are there from the beginning. */
+    private final DeploymentStart deployment;
     /** What the last step has moved, for who reads a script. */
     private Object moved = "";
     /** Steps that did something. */
     private int done;
+    /** Losses that the core is to bear once all machines of the beginning take part. */
+    private final int tolerates;
+    private final List<Member> founders;
+    private boolean beyond;
 
     SteppedCluster(long seed) {
         super(seed);
@@ -53,8 +77,35 @@
                 plain ? usual.electionLeast() : usual.electionMost(), usual.quorum(), 700, usual.fresh(),
                 usual.stall(), usual.barrier(), plain ? 1 : 1 + random.nextInt(3), usual.bytes(),
                 usual.waiting());
-        int dice = random.nextInt(20);
-        found(plain || dice > 2 ? 3 : dice == 0 ? 5 : 4);
+        if (!plain && (Focus.of(seed) == Focus.SNAPSHOTS && random.nextInt(FEW_LARGE) == 0)) {
+            claims.bodyBytes = LARGE;
+        }
+        int dice = plain ? FOUNDED_BY_THREE : random.nextInt(20);
+        if (dice < FOUNDED_BY_THREE) {
+            deployment = null;
+            tolerates = dice == 0 ? 2 : 1;
+            found(dice == 0 ? 5 : 4, tolerates);
+        } else if (dice < STARTED) {
+            deployment = null;
+            tolerates = 1;
+            found(SEEDS, tolerates);
+        } else {
+            deployment = new DeploymentStart(this);
+            tolerates = dice < GROWING ? 1 : 2;
+            losses = tolerates;
+            deployment.machines(SEEDS, dice < GROWING ? SEEDS + dice % 2 : 2 * tolerates + 1);
+        }
+        founders = list;
+    }
+
+    int tolerates() {
+        return tolerates;
+    }
+
+    /** Where machines look for the core: a deployment names its founders only. */
+    @Override
+    List<String> addresses() {
+        return deployment == null ? super.addresses() : super.addresses().subList(0, SEEDS);
     }
 
     int size() {
@@ -148,6 +199,10 @@
             byPlace.forEach(this::tick);
             return true;
         }
+        if (step.kind() == Step.Kind.CALM) {
+            new Calm(this).await();
+            return true;
+        }
         if (step.kind() == Step.Kind.NEWCOMER) {
             return newcomer(step.a());
         }
@@ -166,12 +221,12 @@
                     && cuts.add(a.address + ">" + byPlace.get(step.b()).address);
             case MEND -> cuts.remove(a.address + ">" + byPlace.get(step.b()).address);
             case START -> start(a);
-            case WIPE -> {
-                boolean may = a.disk.self != null && isWhole();
-                if (may) {
-                    a.wipe();
-                }
-                yield may;
+            case WIPE -> lose(a);
+            case RETIRE -> a.up() && a.released && lose(a);
+            case SYNC, POWER -> {
+                boolean did = isStarting(step.a()) ? deployment.take(a, step) : a.up() && alive(a, step);
+                beyond |= step.kind() == Step.Kind.POWER && isFoundingLost();
+                yield did;
             }
             default -> a.up() && alive(a, step);
         };
@@ -192,14 +247,26 @@
             case REPEAT -> {
                 return claims.repeat(a);
             }
+            case RESEND -> {
+                return claims.resend(a, step.n());
+            }
+            case VARY -> {
+                return claims.vary(a, step.n());
+            }
             case BARRIER -> a.barrier();
+            case CAPTURE -> captured[step.a()] = new Captured(a.life, a.applied, a.state());
+            case LEAVE -> {
+                beyond |= lost() >= bearable();
+                a.master.leave(a.clock());
+                leaving[step.a()] = a.life;
+            }
+            case FORGET -> KeptEntries.forget(a.master);
             case COMPACT -> {
-                if (a.applied == 0) {
-                    return false;
-                }
-                a.compact();
+                return compact(a, step.a());
+            }
+            default -> {
+                a.end(Math.min(step.n(), a.unsynced.size()));
             }
-            default -> a.end(Math.min(step.n(), a.unsynced.size()));
         }
         return true;
     }
@@ -210,11 +277,27 @@
         }
     }
 
-    private boolean start(Machine machine) {
-        if (machine.up()) {
+    private boolean compact(Machine machine, int place) {
+        Captured one = captured[place];
+        captured[place] = null;
+        if (machine.applied == 0) {
+            return false;
+        }
+        if (one != null && one.life == machine.life && one.index > 0) {
+            machine.master.compact(one.index, one.state);
+        } else {
+            machine.compact();
+        }
+        return true;
+    }
+
+    boolean start(Machine machine) {
+        if (machine.up() || deployment != null && deployment.isStarting(machine)) {
             return false;
         }
-        if (machine.disk.self == null) {
+        if (machine.disk.self == null && deployment != null) {
+            deployment.start(machine);
+        } else if (machine.disk.self == null) {
             machine.outside();
         } else {
             machine.start();
@@ -245,6 +328,83 @@
         return true;
     }
 
+    /** Goes on with the oldest write of a machine, be it its name; false if there is none. */
+    boolean syncOne(int place) {
+        return move(Step.of(Step.Kind.SYNC, place));
+    }
+
+    /** A machine loses its disk, if the core may bear it. */
+    private boolean lose(Machine machine) {
+        boolean may = machine.disk.self != null && knowSameList() && lost() < bearable();
+        if (may) {
+            beyond |= lostOrSilent(machine) >= bearable();
+            machine.wipe();
+        }
+        return may;
+    }
+
+    /** Whether a machine's name is on the way to its empty disk. */
+    boolean isStarting(int place) {
+        return deployment != null && deployment.isStarting(byPlace.get(place));
+    }
+
+    /** Ends a process that was told to, if it still runs. */
+    void endLeaving(int place) {
+        Machine machine = byPlace.get(place);
+        if (machine.up() && leaving[place] == machine.life) {
+            machine.end(machine.unsynced.size());
+        }
+    }
+
+    void mendAll() {
+        cuts.clear();
+    }
+
+    /** Whether more was lost at once than the core is to bear, so that it need not heal. */
+    boolean isBeyond() {
+        return beyond;
+    }
+
+    /**
+     * Whether so many founders ended before their founding was on a disk that those who are left are no
+     * majority: then the core was never founded.
+     */
+    private boolean isFoundingLost() {
+        int lost = 0;
+        for (Member founder : founders) {
+            Machine machine = machines.get(founder.address());
+            boolean never = machine.self.id() != founder.id() || graves.containsKey(founder.id());
+            boolean ended = machine.life > 0 && !machine.up() && !isStarting(places.get(machine.address));
+            lost += never || ended && machine.disk.snapshot == null ? 1 : 0;
+        }
+        return lost > (founders.size() - 1) / 2;
+    }
+
+    /** Members that the core of now may lose. */
+    private int bearable() {
+        return (list.size() - 1) / 2;
+    }
+
+    /** Other members whose disks are lost, or from whom the leader has not heard of late. */
+    private int lostOrSilent(Machine but) {
+        Machine leader = leader();
+        if (leader == null) {
+            return list.size();
+        }
+        Map<Long, Double> silentMs = leader.master.pulse(leader.clock()).silentMs();
+        int count = 0;
+        for (Member member : list) {
+            Standing its = machines.get(member.address()).standing;
+            int place = places.get(member.address());
+            boolean lost = graves.containsKey(member.id()) || leaving[place] == byPlace.get(place).life;
+            // Whoever has just won counts all as heard, also those that know nothing of its term.
+            boolean silent = its == null || its.term() != leader.standing.term()
+                    || silentMs.getOrDefault(member.id(), Double.MAX_VALUE) > SILENT;
+            count += member.id() != but.self.id() && (lost || silent) ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Who is what, on a line. */
     String line() {
         StringBuilder text = new StringBuilder();
--- a/src/main/java/sablehinge/admission/UpstreamLifecycle.java
+++ b/src/main/java/sablehinge/admission/UpstreamLifecycle.java
@@ -107,7 +107,9 @@
     private boolean goesOn(double now, Heartbeat beat) {
         boolean others = current.berths() != beat.berths();
         boolean changed = silent || others;
-        current = beat;
+        // How long it stays cold was told once, and passes by itself: telling it anew would be news to all.
+        current = new Heartbeat(beat.id(), beat.service(), beat.unloading(), beat.berths(), current.coldMs(),
+                beat.callCount());
         heardAt = now;
         silent = false;
         if (others && !unloading) {
--- a/src/main/java/sablehinge/rpc/Connection.java
+++ b/src/main/java/sablehinge/rpc/Connection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -16,6 +17,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Connections that carry records between processes of the system. Both ends ping each other while they have
@@ -36,6 +38,21 @@
     private final EventLoop loop;
     private final long pingMs;
     private final long deadMs;
+    private final LongSupplier nanoTime;
+    private final Observer observer;
+
+    /** Is told of each record on its way, with its bytes on the wire; called on the loop. */
+    public interface Observer {
+
+        /** Of one that observes nothing. */
+        Observer NONE = new Observer() { };
+
+        /** A record was handed to the operating system or waits for it. */
+        default void sent(Frame.Kind kind, int bytes) { }
+
+        /** A record was read. */
+        default void received(Frame.Kind kind, int bytes) { }
+    }
 
     /** What one end of a connection hears. */
     public interface Handler {
@@ -57,9 +74,21 @@
      * @param deadMs how long it hears nothing until it gives the connection up
      */
     public Connection(EventLoop loop, long pingMs, long deadMs) {
+        this(loop, pingMs, deadMs, Observer.NONE);
+    }
+
+    /** The same, with somebody who is told of all records. */
+    public Connection(EventLoop loop, long pingMs, long deadMs, Observer observer) {
+        this(loop, pingMs, deadMs, observer, System::nanoTime);
+    }
+
+    /** The same by another clock, for tests. */
+    Connection(EventLoop loop, long pingMs, long deadMs, Observer observer, LongSupplier nanoTime) {
         this.loop = loop;
         this.pingMs = pingMs;
         this.deadMs = deadMs;
+        this.nanoTime = nanoTime;
+        this.observer = observer;
     }
 
     /** Takes connections at an address. */
@@ -97,9 +126,10 @@
         return link;
     }
 
-    private static void equip(Channel channel, Link link) {
-        channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(MOST_BYTES + 1, 0, LENGTH_BYTES, 0,
-                LENGTH_BYTES), link);
+    /** Makes a channel one end of a connection. */
+    static void equip(Channel channel, Link link) {
+        channel.pipeline().addLast(link.new Ear(), new LengthFieldBasedFrameDecoder(MOST_BYTES + 1, 0,
+                LENGTH_BYTES, 0, LENGTH_BYTES), link);
     }
 
     /** One end of a connection. */
@@ -107,7 +137,7 @@
 
         private final Channel channel;
         private final Handler handler;
-        private long heardAt = System.nanoTime();
+        private long heardAt = nanoTime.getAsLong();
         private boolean ended;
         private Future<?> pings;
         /** What its user keeps with it. */
@@ -130,6 +160,7 @@
             }
             ByteBuf out = channel.alloc().buffer(LENGTH_BYTES + 1 + frame.body().length);
             out.writeInt(1 + frame.body().length).writeByte(frame.kind().ordinal()).writeBytes(frame.body());
+            observer.sent(frame.kind(), out.readableBytes());
             channel.writeAndFlush(out);
         }
 
@@ -155,13 +186,13 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            heardAt = System.nanoTime();
+            heardAt = nanoTime.getAsLong();
             pings = loop.scheduleAtFixedRate(this::ping, pingMs, pingMs, TimeUnit.MILLISECONDS);
             handler.opened(this);
         }
 
         private void ping() {
-            long silent = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAt);
+            long silent = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - heardAt);
             if (silent > deadMs) {
                 channel.close();
             } else if (silent >= pingMs) {
@@ -171,13 +202,13 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
-            heardAt = System.nanoTime();
             int kind = in.readableBytes() == 0 ? -1 : in.readUnsignedByte();
             if (kind < 0 || kind >= KINDS.length) {
                 // Some other program, or one of another version: nothing that it says is believed.
                 channel.close();
                 return;
             }
+            observer.received(KINDS[kind], LENGTH_BYTES + 1 + in.readableBytes());
             byte[] body = new byte[in.readableBytes()];
             in.readBytes(body);
             if (KINDS[kind] == Frame.Kind.PING) {
@@ -192,6 +223,16 @@
             end();
         }
 
+        /** Any bytes tell that the other end is there: on a slow link a large record takes long. */
+        final class Ear extends ChannelInboundHandlerAdapter {
+
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                heardAt = nanoTime.getAsLong();
+                ctx.fireChannelRead(bytes);
+            }
+        }
+
         private void end() {
             if (!ended) {
                 ended = true;
--- a/src/main/java/sablehinge/sidecar/Beats.java
+++ b/src/main/java/sablehinge/sidecar/Beats.java
@@ -45,7 +45,7 @@
                 }
                 String state = text(body, "state");
                 if (!state.equals("ready") && !state.equals("unloading")) {
-                    throw new CallException(400, "STATE", "state is neither ready nor unloading: " + state);
+                    throw new CallException(400, "STATE", "state is neither ready nor unloading");
                 }
                 String address = text(body, "address");
                 if (!address.equals(app)) {
--- a/src/test/java/sablehinge/admission/UpstreamLifecycleTest.java
+++ b/src/test/java/sablehinge/admission/UpstreamLifecycleTest.java
@@ -262,6 +262,37 @@
         assertNull(lifecycle.present());
     }
 
+    /** A copy of a heartbeat is no later one, and says that the upstream lives. */
+    @Test
+    void aHeartbeatThatComesTwiceIsTheSame() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        lifecycle.heard(0, beat(LIFE, 5));
+        assertFalse(lifecycle.heard(5_000, beat(LIFE, 5)));
+        assertFalse(lifecycle.tick(5_400));
+        assertEquals(LIFE, lifecycle.present().id());
+    }
+
+    @Test
+    void aLaterHeartbeatResizesItAndItsColdTimeStays() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        lifecycle.heard(0, new Heartbeat(LIFE, SERVICE, false, 4, 3_000, 1));
+        assertTrue(lifecycle.heard(1, new Heartbeat(LIFE, SERVICE, false, 6, 2_000, 2)));
+        assertFalse(lifecycle.heard(2, new Heartbeat(LIFE, SERVICE, false, 6, 1_000, 3)));
+        assertEquals(6, lifecycle.present().berths());
+        assertEquals(3_000, lifecycle.present().coldMs());
+    }
+
+    @Test
+    void thatItUnloadsIsNotTakenBackButByTheNextLife() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        lifecycle.heard(0, beat(LIFE, 1));
+        lifecycle.heard(1, new Heartbeat(LIFE, SERVICE, true, 4, 0, 2));
+        lifecycle.heard(2, beat(LIFE, 3));
+        assertFalse(lifecycle.isReady());
+        lifecycle.heard(3, beat(NEXT, 1));
+        assertTrue(lifecycle.isReady());
+    }
+
     @Test
     void aLateHeartbeatThatSaysUnloadingIsAcknowledgedAndSoHolds() {
         UpstreamLifecycle lifecycle = lifecycle();
--- a/src/test/java/sablehinge/consensus/RaftNodeRulesTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeRulesTest.java
@@ -21,7 +21,7 @@
     private record Sent(Member to, Message message) {
     }
 
-    private final RaftNode master = new RaftNode(this, Timing.usual(), 1);
+    private final RaftNode master = new RaftNode(this, Timing.usual(), 1, 1);
     private final List<Sent> sent = new ArrayList<>();
     private final List<Change> changes = new ArrayList<>();
     private final List<Entry> applied = new ArrayList<>();
@@ -101,11 +101,48 @@
         from(member, new Message.Appended(standing.term(), true, match, match, 1));
     }
 
+    /** The same in answer to the latest question. */
+    private void answerLatest(Member member, long match) {
+        from(member, new Message.Appended(standing.term(), true, match, match,
+                last(Message.Append.class).round()));
+    }
+
     private long memberChanges() {
         return changes.stream().flatMap(change -> change.append().stream())
                 .filter(one -> one.kind() == Entry.Kind.MEMBERS).count();
     }
 
+    /**
+     * A leader ended while it removed this one, which alone got the entry: the others have shorter logs and
+     * can't win without its vote.
+     */
+    @Test
+    void whoIsLeftOutByAListThatIsNotCommittedStandsAndEndsWithItsCommit() {
+        start(1, List.of(A, B, C));
+        from(B, new Message.Append(1, 0, 0,
+                List.of(new Entry(1, 1, Entry.Kind.MEMBERS, Members.write(List.of(B, C)))), 0, 1));
+        persisted();
+        now += 1100;
+        master.tick(now);
+        assertEquals(2, sent(Message.AskVote.class).size());
+        from(B, new Message.Vote(2, true, true));
+        assertEquals(Standing.Role.OUTSIDER, standing.role(), "its own vote counts for nothing");
+        from(C, new Message.Vote(2, true, true));
+        persisted();
+        from(B, new Message.Vote(2, true, false));
+        from(C, new Message.Vote(2, true, false));
+        assertEquals(Standing.Role.LEADER, standing.role());
+        persisted();
+        answer(B, 2);
+        answer(C, 2);
+        master.tick(now);
+        assertEquals(Standing.Role.OUTSIDER, standing.role());
+        now += 5000;
+        sent.clear();
+        master.tick(now);
+        assertEquals(List.of(), sent(Message.AskVote.class));
+    }
+
     @Test
     void anEntryOfAnOlderTermIsNotCommittedByCounting() {
         start(3, List.of(A, B, C), entry(1, 2));
@@ -231,10 +268,16 @@
         assertEquals(1, memberChanges());
         assertEquals(Standing.Role.LEADER, standing.role());
         answer(D, 3);
-        answer(E, 3);
+        answerLatest(D, 3);
         master.tick(now);
+        answerLatest(D, 3);
+        assertEquals(List.of(A, B, D), standing.members(), "E's disk has not all that is committed");
+        answer(E, 3);
+        assertEquals(List.of(A, B, D), standing.members(), "D may have gone since it answered");
+        answerLatest(D, 3);
         assertEquals(List.of(A, D), standing.members());
         persisted();
+        answerLatest(E, 3);
         answer(D, 4);
         // Without a tick: it lets the newcomer in as soon as the removal is committed.
         assertEquals(List.of(A, D, E), standing.members());
@@ -263,12 +306,12 @@
         from(D, new Message.Join(D, 0));
         answer(B, 1);
         answer(D, 1);
-        // C counts as lost after 3000 ms, when B's last answer is 600 ms old: enough to lead, not to remove.
-        for (int ms = 20; ms <= 3160; ms += 20) {
+        // C counts as lost after 1500 ms, when B's last answer is 700 ms old: enough to lead, not to remove.
+        for (int ms = 20; ms <= 1660; ms += 20) {
             now += 20;
             from(D, new Message.Join(D, 0));
             answer(D, 1);
-            if (ms % 600 == 0 && ms < 3000) {
+            if (ms % 400 == 0 && ms <= 800) {
                 answer(B, 1);
             }
             master.tick(now);
@@ -277,9 +320,55 @@
         assertEquals(Standing.Role.LEADER, standing.role());
         answer(B, 1);
         master.tick(now);
+        assertEquals(0, memberChanges(), "B may have gone since it answered");
+        answerLatest(B, 1);
         assertEquals(List.of(A, B), standing.members());
     }
 
+    /** As an outsider it would be given the place that it has just left. */
+    @Test
+    void whoLeavesAndIsNoVoterAnyMoreDoesNotAskToBeLetIn() {
+        start(1, List.of(A, B, C));
+        from(B, new Message.Append(2, 0, 0,
+                List.of(new Entry(1, 2, Entry.Kind.MEMBERS, Members.write(List.of(B, C, D)))), 0, 1));
+        assertEquals(Standing.Role.OUTSIDER, standing.role());
+        master.leave(now);
+        for (int i = 0; i < 100; i++) {
+            now += 20;
+            master.tick(now);
+        }
+        assertEquals(List.of(), sent(Message.Join.class));
+        assertFalse(sent(Message.Leave.class).isEmpty());
+    }
+
+    @Test
+    void aLeaderThatLeavesTakesNoProposals() {
+        start(1, List.of(A, B, C));
+        elect(B);
+        persisted();
+        answer(B, 1);
+        assertTrue(master.propose(now, NONE) > 0);
+        master.leave(now);
+        assertEquals(0, master.propose(now, NONE));
+    }
+
+    /** What it has beyond them it gives to others first; if they do not take it, the best of them leads. */
+    @Test
+    void aLeaderThatLeavesHandsOverToWhoHasAllOfItsLog() {
+        start(1, List.of(A, B, C));
+        elect(B);
+        persisted();
+        answer(B, 1);
+        master.propose(now, NONE);
+        master.leave(now);
+        assertEquals(List.of(), sent(Message.TakeOver.class));
+        answer(C, 2);
+        now += 20;
+        master.tick(now);
+        assertEquals(1, sent(Message.TakeOver.class).size());
+        assertEquals(C, sent.get(sent.size() - 1).to());
+    }
+
     @Test
     void aStrangerDeposesNobody() {
         start(1, List.of(A, B, C));
