--- a/src/main/java/sablehinge/consensus/RaftNode.java
+++ b/src/main/java/sablehinge/consensus/RaftNode.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -54,10 +54,12 @@
 
         /** Nothing can be said about the barrier. */
         void denied(long token);
+
+        /** After {@link RaftNode#leave}: nothing that is committed hangs on this process any more. */
+        default void released() {
+        }
     }
 
-    /** How far behind a newcomer may be when it is let in, entries. */
-    private static final int NEAR = 64;
     /** How far ahead of what a peer has synced entries are sent, entries. */
     private static final int AHEAD = 256;
     /** Between two requests to be let in, ms. */
@@ -68,6 +70,12 @@
     private static final double FORGET = 10_000;
     /** Who has waited longer for its own disk neither stands nor changes members, ms. */
     private static final double BUSY = 200;
+    /** Between two words to the leader that this process is about to end, ms. */
+    private static final double LEAVE_EVERY = 100;
+    /** After so long all that ask to become voters have asked a new leader, ms. */
+    private static final double ALL_ASKED = ASK_EVERY + 100;
+    /** For so long a leader that leaves waits for a successor that has all of its log, ms. */
+    private static final double HEIR_WAIT = 300;
     /** Between two tries to hand over, ms. */
     private static final double HAND_EVERY = 500;
     /** Most that ask to be let in and are fed at a time. */
@@ -87,6 +95,7 @@
     private final Actions actions;
     private final Timing timing;
     private final Random random;
+    private final MembershipPlanner planner;
     private final RaftLog log = new RaftLog();
     private final PersistQueue queue = new PersistQueue();
     private final SnapshotReceiver receiver = new SnapshotReceiver();
@@ -116,22 +125,41 @@
 
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private long firstOfTerm;
+    private double wonAt;
     private long round;
     /**
      * When each of the last rounds was asked, until when a lease holds, and whether this term was given up.
      */
     private final double[] askedAt = new double[ASKED];
+    /** Up to where all was committed when each of the last rounds was asked. */
+    private final long[] committedAt = new long[ASKED];
     private double leaseUntil = Double.NEGATIVE_INFINITY;
     private boolean handedOver;
+    /** When this one asked for the votes of its term, and the latest question that a majority answered. */
+    private double stoodAt = Double.NEGATIVE_INFINITY;
+    private double majorityAskedAt = Double.NEGATIVE_INFINITY;
     private double heartbeatAt;
     private double handAt;
     private final List<Barrier> barriers = new ArrayList<>();
+    /** The change of the voters that waits for answers to a round, and that round; null for none. */
+    private VoterChange dueChange;
+    private long dueRound;
 
-    /** A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}. */
-    public RaftNode(Actions actions, Timing timing, long seed) {
+    /** Since when this process is about to end, ms; infinity while it is not. */
+    private double leavingSince = Double.POSITIVE_INFINITY;
+    private double leaveAt;
+    private boolean released;
+
+    /**
+     * A member that takes part after one of {@link #found}, {@link #start}, {@link #outside}.
+     *
+     * @param losses how many members may be lost at once while the core goes on
+     */
+    public RaftNode(Actions actions, Timing timing, int losses, long seed) {
         this.actions = actions;
         this.timing = timing;
         this.random = new Random(seed);
+        this.planner = new MembershipPlanner(losses, timing);
     }
 
     /** The first start of the system: the disk is empty, and all founders name the same founders. */
@@ -200,6 +228,26 @@
         }
     }
 
+    /**
+     * This process is about to end, perhaps for good: leadership goes to another, and {@link
+     * Actions#released} is called once a majority of those that stay has everything on disk that is
+     * committed, and, where a learner waits to take the place, once it has taken it. Without a majority that
+     * is never. Nothing may be proposed here any more; all else goes on until the process ends.
+     */
+    public void leave(double now) {
+        if (isLeaving()) {
+            return;
+        }
+        leavingSince = now;
+        leaveAt = now;
+        if (!running) {
+            release();
+            return;
+        }
+        leaveOn(now);
+        end(now);
+    }
+
     /** Lets time pass; called some ten times per heartbeat or less. */
     public void tick(double now) {
         if (!running) {
@@ -210,6 +258,9 @@
         } else {
             follow(now);
         }
+        if (isLeaving()) {
+            leaveOn(now);
+        }
         end(now);
     }
 
@@ -239,7 +290,7 @@
      */
     public long propose(double now, byte[] command) {
         if (!running || role != Standing.Role.LEADER || log.lastIndex() - commit >= timing.waiting()
-                || queue.isFull()) {
+                || queue.isFull() || isLeaving()) {
             return 0;
         }
         long index = append(now, Entry.Kind.COMMAND, command);
@@ -299,8 +350,16 @@
             takeJoin(now, join);
         } else if (message instanceof Message.Guide guide) {
             takeGuide(now, guide);
+        } else if (message instanceof Message.Leave leave) {
+            takeLeave(now, leave.self());
+        } else if (message instanceof Message.Released answer) {
+            if (answer.term() == term) {
+                release();
+            }
         } else if (message instanceof Message.TakeOver take) {
-            if (take.term() == term && role == Standing.Role.FOLLOWER && log.holds(self.id())) {
+            // Two that leave would hand over to each other for ever.
+            if (take.term() == term && role == Standing.Role.FOLLOWER && log.holds(self.id())
+                    && !isLeaving()) {
                 stand(now, term + 1, true);
             }
         }
@@ -392,18 +451,27 @@
             leader = null;
         }
         if (now >= electionAt) {
-            if (member && !diskHangs(now)) {
+            if (mayStand() && !diskHangs(now)) {
                 askAround(now);
             } else {
                 waitForLeader(now);
             }
         }
-        if ((!member || now - leaderHeard > LOST) && now >= joinAt) {
+        if ((!member || now - leaderHeard > LOST) && now >= joinAt && !isLeaving()) {
             joinAt = now + ASK_EVERY;
             join();
         }
     }
 
+    /**
+     * Whether this one may stand for election. A list that leaves it out counts only once it is committed:
+     * until then it may be the only one that holds that entry, and nobody with a shorter log gets its vote.
+     * It asks the voters of that list, and its own vote counts for nothing.
+     */
+    private boolean mayStand() {
+        return log.holds(self.id()) || log.held(self.id(), commit);
+    }
+
     /** Asks who would vote for this member; nothing changes by it, so that a lonely one disturbs nobody. */
     private void askAround(double now) {
         role = Standing.Role.FOLLOWER;
@@ -423,6 +491,7 @@
         stepDown(now, newTerm, null);
         role = Standing.Role.CANDIDATE;
         votedFor = self.id();
+        stoodAt = now;
         queue.touch();
         votes.clear();
         waitForLeader(now);
@@ -676,8 +745,11 @@
         peers.clear();
         round = 0;
         handedOver = false;
+        dueChange = null;
         receiver.clear();
+        wonAt = now;
         leaseUntil = Double.NEGATIVE_INFINITY;
+        majorityAskedAt = stoodAt;
         heartbeatAt = now + timing.heartbeat();
         handAt = now;
         keepPeers(now);
@@ -710,7 +782,7 @@
     }
 
     private void lead(double now) {
-        if (!heardMajority(now, log.members(), timing.quorum(), 0)) {
+        if (!heardMajority(now)) {
             stepDown(now, term, null);
             return;
         }
@@ -731,23 +803,23 @@
         changeMembers(now);
     }
 
-    /** Whether a majority of a list has answered within some ms and holds the log up to an index. */
-    private boolean heardMajority(double now, Collection<Member> list, double within, long upTo) {
+    /** Whether a majority has answered lately enough to lead on. */
+    private boolean heardMajority(double now) {
         int count = 0;
-        for (Member member : list) {
+        for (Member member : log.members()) {
             Peer peer = peers.get(member.id());
-            boolean hears = peer != null && now - peer.heard <= within && peer.match >= upTo;
-            if (hears || member.id() == self.id()) {
+            if (member.id() == self.id() || peer != null && now - peer.heard <= timing.quorum()) {
                 count++;
             }
         }
-        return count >= list.size() / 2 + 1;
+        return count >= majority();
     }
 
     /** Asks all peers whether this still leads. */
     private void ask(double now) {
         round++;
         askedAt[(int) (round % ASKED)] = now;
+        committedAt[(int) (round % ASKED)] = commit;
         heartbeatAt = now + timing.heartbeat();
         for (Peer peer : peers.values()) {
             feed(now, peer, now - peer.heard <= timing.fresh() || peer.probing);
@@ -864,6 +936,10 @@
             feedLost(now, peer, answer);
         }
         advance(now);
+        if (role == Standing.Role.LEADER && (dueChange != null || isLearner(now, peer))) {
+            // A voter's place may be free, and the core is weaker until it is filled: the next tick is late.
+            changeMembers(now);
+        }
     }
 
     /** Who was away says nothing of a chunk that was sent to it meanwhile. */
@@ -908,6 +984,10 @@
         if (index > commit && log.termAt(index) == term) {
             boolean changed = log.membersIndex() > commit && log.membersIndex() <= index;
             commitTo(now, index);
+            if (changed && !log.holds(self.id())) {
+                stepDown(now, term, null);
+                return;
+            }
             if (changed) {
                 // A removal makes the core weaker until the newcomer is in: the next tick would be late.
                 changeMembers(now);
@@ -935,16 +1015,21 @@
         }
     }
 
-    /** The latest round that a majority has answered. */
+    /** The latest round that a majority of the voters has answered. */
     private long answered() {
-        long[] rounds = new long[log.members().size()];
+        return answered(log.members());
+    }
+
+    /** The latest round that a majority of a list has answered. */
+    private long answered(List<Member> members) {
+        long[] rounds = new long[members.size()];
         for (int i = 0; i < rounds.length; i++) {
-            long id = log.members().get(i).id();
+            long id = members.get(i).id();
             Peer peer = peers.get(id);
             rounds[i] = id == self.id() ? Long.MAX_VALUE : peer == null ? 0 : peer.round;
         }
         Arrays.sort(rounds);
-        return rounds[rounds.length - majority()];
+        return rounds[rounds.length - (members.size() / 2 + 1)];
     }
 
     /**
@@ -953,7 +1038,26 @@
      * wait, as clocks differ in speed. Not in a term in which it asked another to take over.
      */
     public boolean leases(double now) {
-        return running && role == Standing.Role.LEADER && now < leaseUntil;
+        // A sole member has nobody to ask, and nobody else can be voted for.
+        return running && role == Standing.Role.LEADER && (now < leaseUntil || majority() == 1);
+    }
+
+    /**
+     * How long ago the latest question was asked that a majority of the members has answered, ms; infinite
+     * where this one does not lead. Unlike the time at which an answer was read, it can't be made to look
+     * recent by answers that waited in a buffer while this process stood still.
+     */
+    public double sinceMajority(double now) {
+        if (!running || role != Standing.Role.LEADER) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return majority() == 1 ? 0 : now - majorityAskedAt;
+    }
+
+    /** How long ago a follower heard of the leader that it names, ms; infinite where it names none. */
+    public double sinceLeader(double now) {
+        return leader == null ? Double.POSITIVE_INFINITY
+                : role == Standing.Role.LEADER ? 0 : now - leaderHeard;
     }
 
     /** What this member can tell of its part at this moment. */
@@ -970,80 +1074,190 @@
 
     private void extendLease() {
         long answered = answered();
-        if (!handedOver && answered > Math.max(0, round - ASKED)) {
-            leaseUntil = Math.max(leaseUntil,
-                    askedAt[(int) (answered % ASKED)] + LEASE_PART * timing.electionLeast());
+        if (answered <= Math.max(0, round - ASKED)) {
+            return;
+        }
+        majorityAskedAt = Math.max(majorityAskedAt, askedAt[(int) (answered % ASKED)]);
+        if (!handedOver) {
+            leaseUntil = Math.max(leaseUntil, majorityAskedAt + LEASE_PART * timing.electionLeast());
         }
     }
 
     /** The own disk hangs: whoever answers, and has synced what this one could not, leads better. */
     private void handOver(double now) {
+        Peer best = heir(now, Math.max(commit, queue.synced() + 1));
+        if (best != null) {
+            handOverTo(now, best);
+        }
+    }
+
+    /** Who answers, stays and has synced most, at least up to an index; null if nobody has. */
+    private Peer heir(double now, long least) {
         Peer best = null;
         for (Peer peer : peers.values()) {
-            if (log.holds(peer.member.id()) && now - peer.heard <= timing.fresh() && peer.match >= commit
-                    && peer.match > queue.synced() && (best == null || peer.match > best.match)) {
+            if (log.holds(peer.member.id()) && now - peer.heard <= timing.fresh() && !leaves(now, peer)
+                    && peer.match >= least && (best == null || peer.match > best.match)) {
                 best = peer;
             }
         }
-        if (best != null) {
-            handAt = now + HAND_EVERY;
-            handedOver = true;
-            leaseUntil = Double.NEGATIVE_INFINITY;
-            actions.send(best.member, new Message.TakeOver(term));
+        return best;
+    }
+
+    private void handOverTo(double now, Peer heir) {
+        handAt = now + HAND_EVERY;
+        handedOver = true;
+        leaseUntil = Double.NEGATIVE_INFINITY;
+        actions.send(heir.member, new Message.TakeOver(term));
+    }
+
+    // Leaving.
+
+    private boolean isLeaving() {
+        return leavingSince < Double.POSITIVE_INFINITY;
+    }
+
+    /** Whether a peer has said lately that it is about to end; one that has come back says so no more. */
+    private boolean leaves(double now, Peer peer) {
+        return now - peer.leaves <= timing.fresh();
+    }
+
+    private void leaveOn(double now) {
+        if (role == Standing.Role.LEADER) {
+            leaveLeading(now);
+        } else if (log.isBare()) {
+            release();
+        } else if (leader != null && now >= leaveAt) {
+            leaveAt = now + LEAVE_EVERY;
+            actions.send(leader, new Message.Leave(self));
         }
     }
 
-    // Members come and go.
+    private void leaveLeading(double now) {
+        if (now >= handAt) {
+            Peer heir = heir(now, now - leavingSince <= HEIR_WAIT ? log.lastIndex() : commit);
+            if (heir != null) {
+                handOverTo(now, heir);
+                return;
+            }
+        }
+        if (heir(now, 0) == null && log.lastIndex() == commit && isHeldWithout(now, self.id())) {
+            release();
+        }
+    }
 
-    private void changeMembers(double now) {
-        if (commit < firstOfTerm || log.membersIndex() > commit || diskHangs(now)) {
+    private void release() {
+        if (isLeaving() && !released) {
+            released = true;
+            actions.released();
+        }
+    }
+
+    private void takeLeave(double now, Member who) {
+        if (role != Standing.Role.LEADER || commit < firstOfTerm) {
             return;
         }
-        for (Peer peer : List.copyOf(peers.values())) {
-            boolean waits = !log.holds(peer.member.id()) && now - peer.heard <= timing.fresh()
-                    && now - peer.asked <= LOST && peer.match + NEAR >= commit && peer.match > 0;
-            if (waits && letIn(now, peer)) {
-                return;
+        Peer peer = peers.get(who.id());
+        if (peer != null) {
+            peer.leaves = now;
+            changeMembers(now);
+        }
+        if (isLeaving()) {
+            // It may be the one that was to take over.
+            handAt = Math.min(handAt, now);
+        }
+        boolean replaceable = log.holds(who.id()) && (hasLearner(now) || now - wonAt <= ALL_ASKED);
+        if (log.membersIndex() <= commit && !replaceable && isHeldWithout(now, who.id())) {
+            actions.send(who, new Message.Released(term));
+        }
+    }
+
+    private boolean hasLearner(double now) {
+        return peers.values().stream()
+                .anyMatch(peer -> isLearner(now, peer) && now - peer.heard <= timing.fresh());
+    }
+
+    /**
+     * Whether a majority of the voters that stay without one has everything that is committed. Where those
+     * that stay are no majority the core is being stopped as a whole, and nobody has to wait for it.
+     */
+    private boolean isHeldWithout(double now, long id) {
+        int stay = 0;
+        int hold = 0;
+        for (Member member : log.members()) {
+            boolean own = member.id() == self.id();
+            Peer peer = peers.get(member.id());
+            if (member.id() != id && !(own ? isLeaving() : leaves(now, peer))) {
+                stay++;
+                hold += (own ? queue.synced() : peer.match) >= commit ? 1 : 0;
             }
         }
+        return stay < majority() || hold >= stay / 2 + 1;
     }
 
-    private boolean letIn(double now, Peer newcomer) {
-        List<Member> members = new ArrayList<>(log.members());
-        // An even core bears no more losses than the odd one below it: so a place is free.
-        if (members.size() % 2 == 0) {
-            members.add(newcomer.member);
-            return change(now, members);
+    // Members come and go.
+
+    private void changeMembers(double now) {
+        if (commit < firstOfTerm || log.membersIndex() > commit || diskHangs(now) || isLeaving()) {
+            return;
         }
-        Member goes = null;
-        double longest = 0;
-        for (Member member : members) {
-            if (member.id() != self.id()) {
-                boolean same = member.address().equals(newcomer.member.address());
-                double silent = now - peers.get(member.id()).heard;
-                // Two lives of one disk can't both answer: the one before need not be waited for.
-                if (same && silent > timing.fresh()) {
-                    goes = member;
-                    break;
-                }
-                if (silent > timing.silent() && silent > longest) {
-                    goes = member;
-                    longest = silent;
-                }
+        List<MembershipPlanner.Replica> voters = new ArrayList<>();
+        for (Member member : log.members()) {
+            voters.add(replica(now, member));
+        }
+        List<MembershipPlanner.Replica> learners = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (isLearner(now, peer)) {
+                learners.add(replica(now, peer.member));
             }
         }
-        if (goes == null || members.size() < 3) {
-            return false;
+        Optional<VoterChange> due = planner.next(voters, learners);
+        if (due.isEmpty()) {
+            // If it is due again later, answers of before say nothing of who is there then.
+            dueChange = null;
+        }
+        if (due.isPresent() && isConfirmed(now, due.get())) {
+            dueChange = null;
+            append(now, Entry.Kind.MEMBERS, Members.write(due.get().applied(log.members())));
         }
-        members.remove(goes);
-        return change(now, members);
     }
 
-    private boolean change(double now, List<Member> members) {
-        if (!heardMajority(now, members, timing.fresh(), commit)) {
-            return false;
+    /**
+     * Whether a majority of the voters after a change is there at this moment. While a core is even it needs
+     * more of its voters than before or after, and who answered some time ago may be lost by now.
+     */
+    private boolean isConfirmed(double now, VoterChange change) {
+        List<Member> next = change.applied(log.members());
+        if (next.size() % 2 == 1) {
+            return true;
+        }
+        if (!change.equals(dueChange)) {
+            dueChange = change;
+            dueRound = round + 1;
+            ask(now);
         }
-        append(now, Entry.Kind.MEMBERS, Members.write(members));
-        return true;
+        return answered(next) >= dueRound;
+    }
+
+    private MembershipPlanner.Replica replica(double now, Member member) {
+        if (member.id() == self.id()) {
+            return new MembershipPlanner.Replica(member, 0, true, false);
+        }
+        Peer peer = peers.get(member.id());
+        return new MembershipPlanner.Replica(member, now - peer.heard, isCaughtUp(peer), leaves(now, peer));
+    }
+
+    /**
+     * Whether a peer's disk has all that is committed, or had all when the latest question was asked or the
+     * one before it, which it has answered: under load, what is committed now is newer than any answer.
+     */
+    private boolean isCaughtUp(Peer peer) {
+        boolean hadAll = peer.round > 0 && peer.round >= round - 1
+                && peer.match >= committedAt[(int) (peer.round % ASKED)];
+        return hadAll || peer.match >= commit;
+    }
+
+    /** Whether a peer is no voter and has asked lately to become one. */
+    private boolean isLearner(double now, Peer peer) {
+        return !log.holds(peer.member.id()) && now - peer.asked <= LOST && !leaves(now, peer);
     }
 }
--- a/src/main/java/sablehinge/sidecar/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -29,7 +29,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(NewsClient.class);
     private static final long AGAIN_MS = 60;
-    private static final double PATIENCE_MS = 1_500;
+    private static final double PATIENCE_MS = NewsFilter.MOST_AGE_MS;
     private static final int MOST_CONTACTS = 32;
 
     private final EventLoop loop;
@@ -37,11 +37,13 @@
     private final Connection connection;
     private List<String> seeds;
     private final Teller teller;
+    private final NewsFilter filter = new NewsFilter();
     private final Set<String> contacts = new LinkedHashSet<>();
     private Connection.Link link;
     private int number;
     private double askedAt;
     private int next;
+    private boolean closed;
 
     /** What is asked, and who hears the answer. */
     interface Teller {
@@ -82,6 +84,17 @@
         reach(null);
     }
 
+    /** Asks nobody any more. */
+    void close() {
+        Connection.Link open = link;
+        closed = true;
+        link = null;
+        number++;
+        if (open != null) {
+            open.close();
+        }
+    }
+
     /** Asks at once, in place of what was asked before. */
     void askNow() {
         if (link != null && link.isUp()) {
@@ -115,7 +128,7 @@
     }
 
     private void reach(String at) {
-        if (link != null) {
+        if (link != null || closed) {
             return;
         }
         String to = at;
@@ -146,15 +159,7 @@
             if (frame.kind() == Frame.Kind.NEWS) {
                 Update update = Update.read(frame.body());
                 if (update.number() == number) {
-                    double at = askedAt;
-                    contacts.clear();
-                    contacts.addAll(update.core());
-                    contacts.addAll(seeds);
-                    while (contacts.size() > MOST_CONTACTS) {
-                        contacts.remove(contacts.iterator().next());
-                    }
-                    teller.update(at, update);
-                    request();
+                    news(from, update);
                 }
             } else if (frame.kind() == Frame.Kind.TOKENS) {
                 teller.tokens(Tokens.read(frame.body()));
@@ -168,10 +173,7 @@
                 teller.shares(Spills.grant(frame.body()));
             } else if (frame.kind() == Frame.Kind.ELSEWHERE) {
                 String leader = new String(frame.body(), StandardCharsets.UTF_8);
-                link = null;
-                from.close();
-                number++;
-                loop.schedule(() -> reach(leader.isEmpty() ? null : leader), AGAIN_MS, TimeUnit.MILLISECONDS);
+                leave(from, leader.isEmpty() ? null : leader);
             }
         } catch (IOException e) {
             Log.warn(LOG, "news-malformed").addKeyValue("cause", e.getMessage()).log("news can't be read");
@@ -179,6 +181,32 @@
         }
     }
 
+    private void news(Connection.Link from, Update update) {
+        NewsFilter.Verdict verdict = filter.judge(clock.now() - askedAt, update);
+        if (verdict == NewsFilter.Verdict.DEPOSED) {
+            leave(from, null);
+            return;
+        }
+        if (verdict == NewsFilter.Verdict.TAKE) {
+            contacts.clear();
+            contacts.addAll(update.core());
+            contacts.addAll(seeds);
+            while (contacts.size() > MOST_CONTACTS) {
+                contacts.remove(contacts.iterator().next());
+            }
+            teller.update(askedAt, update);
+        }
+        request();
+    }
+
+    /** Asks another machine from now on: one that is named, or the next that is known. */
+    private void leave(Connection.Link from, String to) {
+        link = null;
+        from.close();
+        number++;
+        loop.schedule(() -> reach(to), AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void closed(Connection.Link closed) {
         if (closed == link) {
