--- a/bench/src/sablehinge/consensus/LogFaults.java
+++ b/bench/src/sablehinge/consensus/LogFaults.java
@@ -1,6 +1,5 @@
 package sablehinge.consensus;
 
-import static sablehinge.consensus.Faults.LOG;
 import static sablehinge.consensus.Faults.NODE;
 import static sablehinge.consensus.Faults.QUEUE;
 
