Shares of further tries for up to 200 services

66 services are asked for (docs/CAPACITY.md), and a claim told of 64 at most: the sidecars dropped the rest, so that no further try of their requests was ever sent. The count is a byte in the record and the bound is 200 now. SharesTest.furtherTriesOfEachOfSixtySixServicesHaveAShare had 64 lines instead of 66 with the old bound; a claim and a grant of 200 lines travel (RecordsTest).

--- a/src/main/java/sablehinge/retrybudget/Claim.java
+++ b/src/main/java/sablehinge/retrybudget/Claim.java
@@ -14,8 +14,8 @@
  */
 public record Claim(long life, int number, long term, String service, List<Line> lines) {
 
-    /** Services that one claim may tell of. */
-    public static final int MOST = 64;
+    /** Services that one claim may tell of; further tries of more services are not sent. */
+    public static final int MOST = 200;
 
     /** A claim whose list can't be changed. */
     public Claim {
--- a/src/test/java/sablehinge/retrybudget/SharesTest.java
+++ b/src/test/java/sablehinge/retrybudget/SharesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Shares of the pools, step by step. */
@@ -103,6 +104,21 @@
         return told[0];
     }
 
+    /** So many services are asked for in docs/CAPACITY.md. */
+    @Test
+    void furtherTriesOfEachOfSixtySixServicesHaveAShare() {
+        List<String> services = IntStream.range(0, 66).mapToObj(i -> "service-" + i).toList();
+        holder.adopt(0, services);
+        Shares shares = new Shares(RULE, 7, services.get(0));
+        shares.adopt(services);
+        shares.place(0, 100);
+        services.forEach(shares::requested);
+        services.forEach(service -> taken(shares, 0, service, false));
+        Claim claim = shares.claim(0);
+        assertEquals(66, claim.lines().size());
+        assertEquals(66, holder.claimed(0, claim).lines().size());
+    }
+
     @Test
     void aShareEndsWithItsOwnerBeforeItEndsWithTheHolder() {
         Shares shares = new Shares(RULE, 7, B);
--- a/src/test/java/sablehinge/watch/RecordsTest.java
+++ b/src/test/java/sablehinge/watch/RecordsTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import sablehinge.state.Registration;
 import sablehinge.failuredetection.Accusation;
@@ -77,6 +78,16 @@
         }
     }
 
+    @Test
+    void claimsAndGrantsTellOfAsManyServicesAsTheyMay() throws Exception {
+        List<Claim.Line> lines = IntStream.range(0, Claim.MOST)
+                .mapToObj(i -> new Claim.Line("service-" + i, i, 0, 0, 0, 1)).toList();
+        Claim claim = new Claim(1, 1, 1, "service-0", lines);
+        assertEquals(claim, Spills.claim(Spills.bytes(claim)));
+        Grant grant = new Grant(1, 1, lines.stream().map(line -> new Grant.Line(line.service(), 3)).toList());
+        assertEquals(grant, Spills.grant(Spills.bytes(grant)));
+    }
+
     @Test
     void claimsAndGrantsAreReadAsTheyWereWrittenAndNothingElseIs() throws Exception {
         Claim claim = new Claim(-3, 7, 1L << 40, "huvo11a", List.of(
