Configurations travel deflated, packed once for each edition

A change of 194 kB went whole to each sidecar: a third of the control bytes at a sidecar (docs/CAPACITY.md), 132 MB at the leader at once for 680 of them, and more than 1.5 s on a link of 4 Mbit/s for bodies from 750 kB on, after which the answer is too old to be taken. The leader now packs each edition once, as a format byte, the length and the deflated body, and sends that; a sidecar unpacks it. What is torn, of another format, longer than 16 MB or longer than it names is an error, and the sidecar asks the next control node. Deciders are not touched: the watch server passes the packed bytes on.

StubCore, HollowSidecarTest and ControlNodeTest pack and unpack what travels, as the record has changed; they assert what they did.

--- a/bench/src/sablehinge/fleet/HollowFleet.java
+++ b/bench/src/sablehinge/fleet/HollowFleet.java
@@ -4,6 +4,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,6 +17,7 @@
 import sablehinge.routing.Configuration;
 import sablehinge.sidecar.HollowSidecar;
 import sablehinge.standin.mesh.Ledger;
+import sablehinge.watch.PackedConfiguration;
 import sablehinge.watch.Update;
 
 /** Hundreds of hollow sidecars on a few threads of this process. */
@@ -75,11 +78,19 @@
     /** One parses a configuration for all of this process: only the newest is kept. */
     private Configuration read(Update update) {
         Configuration configuration = parsed.computeIfAbsent(update.edition(),
-                edition -> ConfigurationReader.read(update.body()));
+                edition -> parse(update.body()));
         parsed.keySet().removeIf(edition -> edition < update.edition());
         return configuration;
     }
 
+    private static Configuration parse(byte[] packed) {
+        try {
+            return ConfigurationReader.read(PackedConfiguration.unpack(packed));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** The hollow sidecars, by their places. */
     List<HollowSidecar> all() {
         return sidecars;
--- a/src/main/java/sablehinge/control/DataPlane.java
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -20,6 +20,7 @@
 import sablehinge.rpc.Frame;
 import sablehinge.state.ConfigurationState;
 import sablehinge.state.Registry;
+import sablehinge.watch.PackedConfiguration;
 import sablehinge.watch.Spills;
 import sablehinge.watch.Tokens;
 import sablehinge.watch.WatchRequest;
@@ -36,6 +37,7 @@
     private static final double GONE_MS = 12_000;
     /** News are looked at each tick: after a longer pause, in ms, it was this process that stood still. */
     private static final double STOOD_STILL_MS = 1_000;
+    private static final byte[] NONE = new byte[0];
 
     private final EventLoop loop;
     private final Clock clock;
@@ -46,6 +48,9 @@
     private final Pools pools;
     private final Spillways spillways;
     private double toldAt;
+    /** The edition in force as all are sent it; packed once for each edition, and only while this leads. */
+    private byte[] packed = NONE;
+    private long packedEdition;
     private Standing standing = new Standing(Standing.Role.OUTSIDER, 0, null, List.of());
 
     DataPlane(EventLoop loop, Clock clock, LocalSettings.Bounds bounds, QuorumGate gate,
@@ -194,7 +199,18 @@
     private void holds() {
         List<String> members = new ArrayList<>();
         standing.members().forEach(member -> members.add(member.address()));
-        watchServer.holds(configurations.edition(), configurations.body(), members);
+        watchServer.holds(configurations.edition(), packed(), members);
         loop.execute(this::tell);
     }
+
+    private byte[] packed() {
+        if (!leads() || configurations.edition() == 0) {
+            return NONE;
+        }
+        if (packedEdition != configurations.edition()) {
+            packed = PackedConfiguration.pack(configurations.body());
+            packedEdition = configurations.edition();
+        }
+        return packed;
+    }
 }
--- a/src/main/java/sablehinge/sidecar/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -50,8 +50,12 @@
 
         WatchRequest request(int number);
 
-        /** Update have come; {@code askedAt} is when their ask left. */
-        void update(double askedAt, Update update);
+        /**
+         * News have come; {@code askedAt} is when their ask left.
+         *
+         * @throws IOException where their configuration can't be read; nothing of them is taken then
+         */
+        void update(double askedAt, Update update) throws IOException;
 
         /** A part of a pool has come. */
         void tokens(Tokens tokens);
@@ -181,7 +185,7 @@
         }
     }
 
-    private void news(Connection.Link from, Update update) {
+    private void news(Connection.Link from, Update update) throws IOException {
         NewsFilter.Verdict verdict = filter.judge(clock.now() - askedAt, update);
         if (verdict == NewsFilter.Verdict.DEPOSED) {
             leave(from, null);
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -41,6 +41,7 @@
 import sablehinge.http1.UpstreamClient;
 import sablehinge.node.LoopTimers;
 import sablehinge.watch.WatchRequest;
+import sablehinge.watch.PackedConfiguration;
 import sablehinge.watch.Update;
 import sablehinge.watch.Tokens;
 import sablehinge.policy.LatencyWeightedBalancer;
@@ -305,10 +306,10 @@
         }
 
         @Override
-        public void update(double askedAt, Update told) {
+        public void update(double askedAt, Update told) throws IOException {
             double now = clock.now();
             if (told.edition() > edition && told.body().length > 0) {
-                adopt(now, told.edition(), told.body());
+                adopt(now, told.edition(), PackedConfiguration.unpack(told.body()));
             }
             if (told.confirmed()) {
                 confirmedAt = Math.max(confirmedAt, askedAt);
--- a/src/main/java/sablehinge/watch/Update.java
+++ b/src/main/java/sablehinge/watch/Update.java
@@ -14,7 +14,7 @@
  * @param number of the ask
  * @param confirmed whether nothing newer had been acknowledged when the ask came
  * @param edition of the configuration in force; 0 for none
- * @param body that configuration, as it was sent; empty where the asker has it
+ * @param body that configuration as {@link PackedConfiguration} packs it; empty where the asker has it
  * @param term of who keeps the roll
  * @param stamp of the roll
  * @param whole whether the registrations are all there are, rather than those that changed
--- a/src/main/java/sablehinge/watch/WatchServer.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -58,7 +58,10 @@
         healthView.begin(now);
     }
 
-    /** The committed configuration, and where the members of the core take records. */
+    /**
+     * The committed configuration as {@link PackedConfiguration} packs it, and where the members of the core
+     * take records.
+     */
     public void holds(long newest, byte[] newestBody, List<String> members) {
         edition = newest;
         body = newestBody;
--- a/src/test/java/sablehinge/control/ControlNodeTest.java
+++ b/src/test/java/sablehinge/control/ControlNodeTest.java
@@ -38,6 +38,7 @@
 import sablehinge.rpc.Frame;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.watch.WatchRequest;
+import sablehinge.watch.PackedConfiguration;
 import sablehinge.watch.Update;
 
 /** Three real machines of the core on loopback addresses, each with a folder, called as operators call. */
@@ -376,7 +377,8 @@
             assertEquals(3, update.number());
             assertTrue(update.confirmed());
             assertEquals(7, update.edition());
-            assertEquals(body, new String(update.body(), StandardCharsets.UTF_8));
+            assertEquals(body, new String(PackedConfiguration.unpack(update.body()),
+                    StandardCharsets.UTF_8));
             assertEquals(List.of(request.registration()), update.registrations());
             assertEquals(Stream.of(0, 1, 2).map(i -> seeds.get(i).replace(":7090", ":7100")).sorted()
                     .toList(), update.core().stream().sorted().toList());
--- a/src/test/java/sablehinge/sidecar/HollowSidecarTest.java
+++ b/src/test/java/sablehinge/sidecar/HollowSidecarTest.java
@@ -5,6 +5,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -15,9 +17,12 @@
 import org.junit.jupiter.api.Timeout;
 import sablehinge.api.ConfigurationReader;
 import sablehinge.config.local.LocalSettings;
+import sablehinge.routing.Configuration;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
 import sablehinge.state.Registration;
+import sablehinge.watch.PackedConfiguration;
+import sablehinge.watch.Update;
 
 /** What a sidecar without a data plane says to the core, and learns from it. */
 @Timeout(30)
@@ -48,7 +53,7 @@
         try (StubCore core = new StubCore(CORE, FIRST)) {
             Asks asks = new Asks();
             HollowSidecar hollow = HollowSidecar.start(settings(FIRST), loop, "i-1", asks,
-                    update -> ConfigurationReader.read(update.body()));
+                    HollowSidecarTest::read);
             core.tells(new Registration("other", "z-1", NET + "93:7703", "s", "i-2", true, 4, 0));
             core.holds(Mesh.configuration(4, "{\"name\":\"t\",\"passes\":[\"k\"],\"perS\":1,\"burst\":1}",
                     ""), 4);
@@ -89,7 +94,7 @@
                 }
             }).sync();
             HollowSidecar hollow = HollowSidecar.start(settings(SECOND), loop, "i-1",
-                    Connection.Observer.NONE, update -> ConfigurationReader.read(update.body()));
+                    Connection.Observer.NONE, HollowSidecarTest::read);
             asked.await();
             hollow.close();
             gone.await();
@@ -101,6 +106,14 @@
         }
     }
 
+    private static Configuration read(Update update) {
+        try {
+            return ConfigurationReader.read(PackedConfiguration.unpack(update.body()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static LocalSettings settings(int inner) {
         return new LocalSettings("hollow-1", LocalSettings.Role.SIDECAR,
                 "sidecar", List.of("sidecar"), IP, "z-1", "r-1", inner, inner + 15, List.of(CORE + ":7701"),
--- a/src/test/java/sablehinge/sidecar/NewsTest.java
+++ b/src/test/java/sablehinge/sidecar/NewsTest.java
@@ -42,6 +42,22 @@
         }
     }
 
+    @Test
+    void aConfigurationThatIsTornOnItsWayIsNotTakenAndIsAskedForAgain() throws Exception {
+        try (Mesh mesh = Mesh.served().answers(NewsTest::echo)) {
+            byte[] torn = StubCore.packed(Mesh.configuration(9, "", "").replace("\"/s/\"", "\"/moved/\""));
+            torn[torn.length - 1]++;
+            int connections = mesh.core.connections();
+            mesh.core.holdsAsItTravels(torn, 9);
+            Mesh.await("it asks on a new connection", () -> mesh.core.connections() > connections);
+            assertEquals(200, mesh.client().ask(Mesh.get("/s/x", "t-1")).status());
+            torn[torn.length - 1]--;
+            mesh.core.holdsAsItTravels(torn, 9);
+            mesh.core.awaitKnown("i-1");
+            assertEquals(200, mesh.client().ask(Mesh.get("/moved/x", "t-2")).status());
+        }
+    }
+
     @Test
     void whatIsNotConfirmedToBeTheNewestMakesNobodyReady() throws Exception {
         try (Mesh mesh = new Mesh(false)) {
--- a/src/test/java/sablehinge/sidecar/StubCore.java
+++ b/src/test/java/sablehinge/sidecar/StubCore.java
@@ -16,6 +16,7 @@
 import sablehinge.rpc.Frame;
 import sablehinge.core.Clock;
 import sablehinge.failuredetection.Accusation;
+import sablehinge.watch.PackedConfiguration;
 import sablehinge.watch.WatchRequest;
 import sablehinge.watch.WatchServer;
 
@@ -37,6 +38,7 @@
     private boolean confirms = true;
     private int confirmationsAsked;
     private long readyAt;
+    private int connections;
 
     StubCore(String ip, int port) throws Exception {
         address = ip + ":" + port;
@@ -62,6 +64,11 @@
         }
     }
 
+    @Override
+    public void opened(Connection.Link link) {
+        connections++;
+    }
+
     @Override
     public void came(Connection.Link link, Frame frame) {
         if (frame.kind() != Frame.Kind.ASK) {
@@ -96,17 +103,32 @@
     void holds(String configuration, long next) {
         request(() -> {
             edition = next;
-            watchServer.holds(next, configuration.getBytes(StandardCharsets.UTF_8), List.of(address));
+            watchServer.holds(next, packed(configuration), List.of(address));
+            answer();
+            return null;
+        });
+    }
+
+    /** What travels as the configuration in force is what the test says. */
+    void holdsAsItTravels(byte[] packed, long next) {
+        request(() -> {
+            edition = next;
+            watchServer.holds(next, packed, List.of(address));
             answer();
             return null;
         });
     }
 
+    /** A configuration as it travels. */
+    static byte[] packed(String configuration) {
+        return PackedConfiguration.pack(configuration.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** A configuration is in force that nobody hears of before somebody asks whether theirs is the newest. */
     void holdsUntilAsked(String configuration, long next) {
         request(() -> {
             nextEdition = next;
-            nextBody = configuration.getBytes(StandardCharsets.UTF_8);
+            nextBody = packed(configuration);
             return null;
         });
     }
@@ -140,6 +162,11 @@
                 && last.registration().upstream().equals(upstream)));
     }
 
+    /** How often somebody has connected. */
+    int connections() {
+        return request(() -> connections);
+    }
+
     /** What it was told last of who asks. */
     Registration told() {
         return request(() -> last == null ? null : last.registration());
