--- a/bench/lib/worst_days.py
+++ b/bench/lib/worst_days.py
@@ -81,9 +81,9 @@
                    day.get("rules"), day.get("fault"), tuple(day.get("short") or ()))
 
 
-def run(bench, site, play, reports):
+def run(bench, site, play, reports, reason="worst days"):
     """Plays one day; keeps the whole report if a folder for reports is given."""
-    why = "worst days: %s, seed %d" % (play.file.stem, play.seed)
+    why = "%s: %s, seed %d" % (reason, play.file.stem, play.seed)
     command = [bench, "run", str(site), str(play.file), "--seed", str(play.seed), "--jobs", "1", "--why", why]
     done = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, check=False)
     if reports:
