Event loops close their sockets when they end; a failed start leaves no listener

Cause: ControlNodeTest failed with "Address already in use" after 80 s of waiting. The listeners of a control node that had been closed were still open: Netty 4.2's loop looks whether it is to end, closes its channels then, runs its tasks and confirms the end. A shutdown with no quiet period that is asked for while tasks run is confirmed without the channels having been closed, and they stay open as long as the process lives. `ss` showed listeners, and connections with bytes that nobody read, of loops that had terminated. The same held for every loop of the process: balancers, stand-in servers, the load generator, test rigs. A control node whose second address was taken also left its first listener and its loop behind.

Change: package eventloop, whose loops close their channels before they confirm a shutdown; all owners of loops use it but the sidecar. A control node's failed start ends its loop. ControlNodeTest no longer waits for addresses: it binds at once, which holds close() to more than before.

The new tests fail without their code.

--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -1,8 +1,6 @@
 package sablehinge.control;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -17,6 +15,7 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.state.ConfigurationState;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
@@ -122,8 +121,7 @@
     /** The same with a store of another kind; it is opened anew after each refusal. */
     static ControlNode start(LocalSettings settings, long born, Supplier<RaftStore> opener)
             throws ConfigException, InterruptedException {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("control", true), NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("control");
         ControlNode controlNode = new ControlNode(settings, born, loop, opener);
         String at = settings.ip() + ":" + settings.innerFirst();
         try {
@@ -132,6 +130,7 @@
             await(new ApiServer(loop, controlNode.operations(), MOST_CONFIGURATION).listen(
                     address(settings.listenOn().control())), settings.listenOn().control());
         } catch (IOException e) {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
             throw new ConfigException(e.getMessage());
         }
         controlNode.disk.execute(controlNode.diskWriter::open);
--- /dev/null
+++ b/src/main/java/sablehinge/eventloop/ClosingEventLoops.java
@@ -0,0 +1,57 @@
+package sablehinge.eventloop;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoEventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadIoEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.Executor;
+
+/**
+ * Event loops whose channels are closed, listeners among them, once their shutdown has been awaited.
+ *
+ * <p>Netty's own loop closes its channels only if it sees the shutdown between its I/O and its tasks. If the
+ * shutdown is asked for while tasks run, with no quiet period, the loop ends and its sockets stay open for as
+ * long as the process lives: a listener then holds its address and accepts connections that nobody reads.
+ */
+public final class ClosingEventLoops extends MultiThreadIoEventLoopGroup {
+
+    /**
+     * Loops over NIO, each with a daemon thread.
+     *
+     * @param loops how many
+     * @param name what their threads' names begin with
+     */
+    public ClosingEventLoops(int loops, String name) {
+        super(loops, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    }
+
+    /** One loop; its shutdown ends its thread. */
+    public static EventLoop single(String name) {
+        return new ClosingEventLoops(1, name).next();
+    }
+
+    @Override
+    protected IoEventLoop newChild(Executor executor, IoHandlerFactory handlers, Object... none) {
+        return new ClosingEventLoop(this, executor, handlers);
+    }
+
+    /** Closes its channels before it confirms each step of a shutdown. */
+    private static final class ClosingEventLoop extends SingleThreadIoEventLoop {
+
+        ClosingEventLoop(IoEventLoopGroup parent, Executor executor, IoHandlerFactory handlers) {
+            super(parent, executor, handlers);
+        }
+
+        @Override
+        protected boolean confirmShutdown() {
+            if (isShuttingDown()) {
+                ioHandler().prepareToDestroy();
+            }
+            return super.confirmShutdown();
+        }
+    }
+}
--- a/src/main/java/sablehinge/node/Node.java
+++ b/src/main/java/sablehinge/node/Node.java
@@ -2,9 +2,6 @@
 
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -26,6 +23,7 @@
 import sablehinge.core.Observer;
 import sablehinge.core.Roster;
 import sablehinge.core.Version;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.http1.Frontend;
 import sablehinge.http1.Sockets;
 import sablehinge.http1.UpstreamClient;
@@ -105,8 +103,7 @@
     /** Starts a balancer with the given module; it serves once this returns. */
     public static Node start(PlatformConfig config, Function<LoadBalancer.Actions, LoadBalancer> module)
             throws ConfigException, InterruptedException {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("node", true), NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("node");
         Node node = new Node(config, loop, module);
         try {
             if (config.operator() != null && config.scratch() != null) {
--- a/src/main/java/sablehinge/node/OperatorNode.java
+++ b/src/main/java/sablehinge/node/OperatorNode.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -41,6 +39,7 @@
 import sablehinge.core.Log;
 import sablehinge.core.Timers;
 import sablehinge.core.Version;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.http1.Frontend;
 import sablehinge.http1.Sockets;
 import sablehinge.http1.UpstreamClient;
@@ -99,8 +98,7 @@
             Function<LoadBalancer.Actions, LoadBalancer> module, HeaderText text) {
         this.file = file;
         this.store = store;
-        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("node", true),
-                NioIoHandler.newFactory()).next();
+        loop = ClosingEventLoops.single("node");
         timers = new LoopTimers(loop, clock);
         sockets = new Sockets(first.config().node().descriptors());
         core = new Core(clock, timers, module);
--- a/src/main/java/sablehinge/replay/run/Load.java
+++ b/src/main/java/sablehinge/replay/run/Load.java
@@ -1,9 +1,6 @@
 package sablehinge.replay.run;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
@@ -18,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import sablehinge.audit.Stamps;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.judge.Evidence;
 import sablehinge.judge.Evidence.Tried;
 import sablehinge.judge.Evidence.Unasked;
@@ -85,8 +83,7 @@
         SplittableRandom seeds = new SplittableRandom(options.seed());
         laneThreads = new long[options.lanes()];
         for (int i = 0; i < options.lanes(); i++) {
-            EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                    new DefaultThreadFactory("load", true), NioIoHandler.newFactory()).next();
+            EventLoop loop = ClosingEventLoops.single("load");
             List<Lane.Target> targets = new ArrayList<>();
             for (InetSocketAddress address : options.targets()) {
                 targets.add(new Lane.Target(address, address.getHostString() + ":" + address.getPort()));
--- a/src/main/java/sablehinge/replay/run/Warmup.java
+++ b/src/main/java/sablehinge/replay/run/Warmup.java
@@ -6,9 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -17,12 +15,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.judge.Evidence.Tried;
 import sablehinge.judge.Evidence.Unasked;
 import sablehinge.judge.Terms.Effect;
@@ -49,8 +47,7 @@
         if (DONE.getAndSet(true)) {
             return;
         }
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(lanes + 1,
-                new DefaultThreadFactory("warm-up", true), NioIoHandler.newFactory());
+        ClosingEventLoops group = new ClosingEventLoops(lanes + 1, "warm-up");
         try {
             Channel server = new ServerBootstrap().group((EventLoop) group.next())
                     .channel(NioServerSocketChannel.class).childHandler(new ChannelInitializer<Channel>() {
--- a/src/main/java/sablehinge/standin/Fleet.java
+++ b/src/main/java/sablehinge/standin/Fleet.java
@@ -1,8 +1,6 @@
 package sablehinge.standin;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -24,6 +22,7 @@
 import sablehinge.config.scenario.Scenario;
 import sablehinge.config.scenario.Scenario.ClassPart;
 import sablehinge.config.scenario.Scenario.TierPart;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.judge.Evidence;
 import sablehinge.judge.Evidence.Ended;
 import sablehinge.judge.Terms;
@@ -92,8 +91,7 @@
         this.story = story;
         faults = new Faults(scenario.faults(), scenario.tiers().stream().map(TierPart::servers).toList(),
                 scenario.seed());
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(threads,
-                new DefaultThreadFactory("standin", true), NioIoHandler.newFactory());
+        ClosingEventLoops group = new ClosingEventLoops(threads, "standin");
         for (int i = 0; i < threads; i++) {
             loops.add((EventLoop) group.next());
         }
--- a/src/test/java/sablehinge/control/ControlNodeTest.java
+++ b/src/test/java/sablehinge/control/ControlNodeTest.java
@@ -2,14 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.Socket;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -33,9 +32,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.state.Registration;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
+import sablehinge.config.ConfigException;
 import sablehinge.config.local.LocalSettings;
 import sablehinge.watch.WatchRequest;
 import sablehinge.watch.Update;
@@ -45,8 +46,6 @@
 class ControlNodeTest {
 
     private static final long PATIENCE_NANOS = 30_000_000_000L;
-    /** Longer than a closed connection is remembered. */
-    private static final long HELD_NANOS = 80_000_000_000L;
     private static final AtomicInteger MADE = new AtomicInteger();
     private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
             .followRedirects(HttpClient.Redirect.NEVER).connectTimeout(Duration.ofSeconds(5)).build();
@@ -79,34 +78,19 @@
     }
 
     private void start(int i, boolean first) throws Exception {
+        members[i] = ControlNode.start(settings(i, first), System.nanoTime());
+    }
+
+    private LocalSettings settings(int i, boolean first) {
         String control = seeds.get(i);
-        awaitFree(control);
-        awaitFree(control.replace(":7090", ":7100"));
-        members[i] = ControlNode.start(new LocalSettings("r-" + i, LocalSettings.Role.CONTROL, "small",
+        return new LocalSettings("r-" + i, LocalSettings.Role.CONTROL, "small",
                 List.of("control"), control.substring(0, control.indexOf(':')), "monza-a", "monza",
                 7_100, 7_110, seeds, first, true, folder.resolve("r-" + i).toString(), 500, List.of(),
                 null, null,
                 Map.of("monza-a", "monza"), new LocalSettings.ListenOn(null, null, null, control),
                 new LocalSettings.Limits(1, 1, 256, 1_024, 1_000, 100), 1,
                 new LocalSettings.Bounds(3, 2, 3_000, 5_000, 4, 2_500, 6, 200, 2_500, 250, 8_000, false,
-                        5_000, 0.2, 10, 62, 5, 0.1, 20, 15)), System.nanoTime());
-    }
-
-    /** Kernels may hold an address for a while after whoever listened there has closed it. */
-    private static void awaitFree(String address) throws IOException {
-        long end = System.nanoTime() + HELD_NANOS;
-        while (true) {
-            try (Socket probe = new Socket()) {
-                probe.setReuseAddress(true);
-                probe.bind(ControlNode.address(address));
-                return;
-            } catch (BindException e) {
-                if (System.nanoTime() > end) {
-                    throw e;
-                }
-            }
-            LockSupport.parkNanos(2_000_000);
-        }
+                        5_000, 0.2, 10, 62, 5, 0.1, 20, 15));
     }
 
     private void stop(int i) throws InterruptedException {
@@ -334,6 +318,23 @@
         assertEquals(200, replaced(50, configuration(51, "huvo11a")));
     }
 
+    /** Whoever tries again with another address finds the first one free. */
+    @Test
+    void aStartThatFailsLeavesNoListenerBehind() throws Exception {
+        stop(0);
+        InetSocketAddress control = ControlNode.address(seeds.get(0));
+        InetSocketAddress inner = new InetSocketAddress(control.getAddress(), 7_100);
+        try (ServerSocket taken = new ServerSocket()) {
+            taken.bind(control);
+            assertThrows(ConfigException.class, () -> start(0, false));
+        }
+        try (ServerSocket free = new ServerSocket()) {
+            free.bind(inner);
+        }
+        start(0, false);
+        assertEquals(200, replaced(0, configuration(7, "huvo11a")));
+    }
+
     /** A disk that can't be had at a start: here, its folder's name is taken by a file. */
     @Test
     void aMachineWhoseDiskRefusesAtItsStartAnswersAndTakesPartOnceItIsWell() throws Exception {
@@ -360,7 +361,7 @@
         String body = configuration(7, "huvo11a");
         assertEquals(200, replaced(0, body));
         int leader = leader();
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         try {
             WatchRequest request = new WatchRequest(3, new Registration("s-1", "monza-a", "127.0.0.1:1",
                     "huvo11a", "i-1", true, 4, 0), 0,
@@ -389,7 +390,7 @@
     void whoWasToldNewsByALeaderOfALaterTermIsSentElsewhere() throws Exception {
         assertEquals(200, replaced(0, configuration(7, "huvo11a")));
         int leader = leader();
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         try {
             Frame elsewhere = asked(loop, leader, new WatchRequest(3, new Registration("s-1", "monza-a",
                     "127.0.0.1:1", "huvo11a", "i-1", true, 4, 0), 0, 1_000_000, 0, false, List.of(),
--- /dev/null
+++ b/src/test/java/sablehinge/eventloop/ClosingEventLoopsTest.java
@@ -0,0 +1,80 @@
+package sablehinge.eventloop;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Sockets of event loops that have ended. */
+@Timeout(30)
+class ClosingEventLoopsTest {
+
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final EventLoop loop = ClosingEventLoops.single("closing");
+    private final Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .childHandler(new ChannelInboundHandlerAdapter()).bind(ANY).syncUninterruptibly().channel();
+    private final Channel connection = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .handler(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelInactive(ChannelHandlerContext ctx) {
+                    closed.countDown();
+                }
+            }).connect(listener.localAddress()).syncUninterruptibly().channel();
+
+    private void assertAllIsClosed() throws Exception {
+        assertFalse(listener.isOpen(), "the listener is open");
+        assertFalse(connection.isOpen(), "the connection is open");
+        assertTrue(closed.await(0, TimeUnit.SECONDS), "the connection's handler was told");
+        InetSocketAddress address = (InetSocketAddress) listener.localAddress();
+        try (ServerSocket again = new ServerSocket()) {
+            again.setReuseAddress(true);
+            again.bind(address);
+            assertEquals(address.getPort(), again.getLocalPort());
+        }
+    }
+
+    /** A task runs after the loop has looked whether it is to end, and before it confirms that. */
+    @Test
+    void aShutdownAmidTheTasksOfALoopClosesItsChannels() throws Exception {
+        loop.execute(() -> loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
+        assertTrue(loop.terminationFuture().await(20, TimeUnit.SECONDS));
+        assertAllIsClosed();
+    }
+
+    @Test
+    void aShutdownByAnotherThreadClosesItsChannels() throws Exception {
+        assertTrue(loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).await(20, TimeUnit.SECONDS));
+        assertAllIsClosed();
+    }
+
+    /** What is still to be done when the shutdown is asked for is done, and may open nothing. */
+    @Test
+    void aConnectionThatIsMadeDuringAShutdownIsClosedToo() throws Exception {
+        Channel[] late = new Channel[1];
+        loop.execute(() -> {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            late[0] = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter()).connect(listener.localAddress()).channel();
+        });
+        assertTrue(loop.terminationFuture().await(20, TimeUnit.SECONDS));
+        assertFalse(late[0].isOpen(), "the late connection is open");
+        assertAllIsClosed();
+    }
+}
--- a/src/test/java/sablehinge/membership/DiscoveryTest.java
+++ b/src/test/java/sablehinge/membership/DiscoveryTest.java
@@ -3,12 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer.Change;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -135,7 +134,7 @@
 
     @Test
     void aSilentDiscoveryIsAFailureOnceItsWaitIsOver() throws Exception {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         Path file = Files.createTempFile("node", ".json");
         try (stage) {
             Files.writeString(file, stage.config());
--- a/src/test/java/sablehinge/rig/Relay.java
+++ b/src/test/java/sablehinge/rig/Relay.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -18,7 +16,6 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Collections;
@@ -26,6 +23,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import sablehinge.eventloop.ClosingEventLoops;
 
 /** Stands before a balancer and spoils one answer of many, as no module could, since core would not let it.
  * */
@@ -34,8 +32,7 @@
     /** What is done to an answer. */
     public enum Deed { TWICE, LOST, OF_ANOTHER }
 
-    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("relay", true), NioIoHandler.newFactory()).next();
+    private final EventLoop loop = ClosingEventLoops.single("relay");
     private final InetSocketAddress behind;
     private final Deed deed;
     private final int every;
--- a/src/test/java/sablehinge/rig/StandIn.java
+++ b/src/test/java/sablehinge/rig/StandIn.java
@@ -6,11 +6,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -19,7 +17,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -29,6 +26,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import sablehinge.eventloop.ClosingEventLoops;
 
 /** A server of any number of connections, which notes what reaches it and answers as it is told. */
 public final class StandIn implements AutoCloseable {
@@ -39,8 +37,7 @@
     /** What to do with a request; a status of 0 holds it until {@link #release}. */
     public record Plan(int status, int delayMillis) { }
 
-    private static final EventLoopGroup LOOPS = new MultiThreadIoEventLoopGroup(2,
-            new DefaultThreadFactory("stand-in", true), NioIoHandler.newFactory());
+    private static final EventLoopGroup LOOPS = new ClosingEventLoops(2, "stand-in");
 
     /** The requests in the order in which they came. */
     public final ConcurrentLinkedQueue<Seen> seen = new ConcurrentLinkedQueue<>();
--- a/src/test/java/sablehinge/rpc/ConnectionObserverTest.java
+++ b/src/test/java/sablehinge/rpc/ConnectionObserverTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -12,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import sablehinge.eventloop.ClosingEventLoops;
 
 /** What the ends of a connection hear of each other's records. */
 @Timeout(30)
@@ -36,7 +35,7 @@
 
     @Test
     void anObserverIsToldOfEachRecordWithItsBytesOnTheWire() throws Exception {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         try {
             Connection server = new Connection(loop, NEVER_MS, NEVER_MS);
             var listening = server.listen(new InetSocketAddress("127.0.0.1", 0),
--- a/src/test/java/sablehinge/sidecar/HollowSidecarTest.java
+++ b/src/test/java/sablehinge/sidecar/HollowSidecarTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +13,7 @@
 import org.junit.jupiter.api.Timeout;
 import sablehinge.api.ConfigurationReader;
 import sablehinge.config.local.LocalSettings;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
 import sablehinge.state.Registration;
@@ -44,7 +43,7 @@
 
     @Test
     void itTellsOfItselfLearnsTheConfigurationAndTheRosterAndClaimsTokens() throws Exception {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         try (StubCore core = new StubCore(CORE, FIRST)) {
             Asks asks = new Asks();
             HollowSidecar hollow = HollowSidecar.start(settings(FIRST), loop, "i-1", asks,
@@ -68,7 +67,7 @@
 
     @Test
     void onceClosedItHasNoConnectionAndMakesNone() throws Exception {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         CountDownLatch asked = new CountDownLatch(1);
         CountDownLatch gone = new CountDownLatch(1);
         AtomicInteger asks = new AtomicInteger();
--- a/src/test/java/sablehinge/sidecar/StubCore.java
+++ b/src/test/java/sablehinge/sidecar/StubCore.java
@@ -1,15 +1,13 @@
 package sablehinge.sidecar;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.state.Registration;
 import sablehinge.state.Registry;
 import sablehinge.rpc.Connection;
@@ -23,8 +21,7 @@
 final class StubCore implements Connection.Handler, AutoCloseable {
 
     private static final long TERM = 3;
-    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("stub-core", true), NioIoHandler.newFactory()).next();
+    private final EventLoop loop = ClosingEventLoops.single("stub-core");
     private final Clock clock = Clock.system();
     private final Registry registry = new Registry(0, 600_000);
     private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
