Exchange: what names no request, and a body that breaks off, prove nothing

Cause: found by reading the path of a request. (1) A whole answer without a try id in the place of the next one (503 with Sablehinge-Not-Run, or 421) was taken as the proof that the request there had not run, while the upstream went on with it; a 500 without an id was passed on as the request's own. (2) A client could name the protocol's headers in Connection, by which the caller, the sender, the id and the patience were taken out again on the next hop. (3) A body that was sent on and broke off once its answer had begun got a 408, which promises that it has not run. (4) A chunk that is none, in a body that was sent on, left the request waiting for its rest without an end. (5) Whether an attempt was sent whole was noted by a listener, which Netty tells a turn later once listeners are nested deeply; a reset in between counted as proof that nothing ran.

Change: an answer without an id proves nothing and is nobody's own; Sablehinge-* is never a connection's own; a body that breaks off is withdrawn first and answered 502 where its attempt may have run; the write itself is asked instead of a listener.

--- a/bench/src/sablehinge/torture/ExchangePlay.java
+++ b/bench/src/sablehinge/torture/ExchangePlay.java
@@ -44,6 +44,8 @@
         RESET, CLOSE, NOISE,
         /** The upstream says that the request has not run. */
         REFUSE,
+        /** A whole answer that says so and names no request, while the one there goes on. */
+        UNNAMED_REFUSAL,
         /** The upstream has run it and answers 503. */
         FAIL_AS_FULL,
         /** A success without a stamp. */
@@ -165,6 +167,8 @@
             // In the middle of a body its bytes would be the body.
             case NOISE -> live(line -> line.rest == null && line.puts("\u0001what is this?\r\n\r\n"));
             case REFUSE -> working(line -> line.fails("503 Full\r\nSablehinge-Not-Run: 1", true));
+            case UNNAMED_REFUSAL -> working(line -> line.puts("HTTP/1.1 503 Full\r\nSablehinge-Not-Run: 1"
+                    + "\r\nContent-Length: 0\r\n\r\n"));
             case FAIL_AS_FULL -> working(line -> line.fails("503 Oh\r\nSablehinge-Postmark: f", false));
             case UNSTAMPED -> working(line -> line.serves(line.at, false, ""));
             case ANSWER_EARLY -> live(line -> line.at != null && !line.isWhole && line.early());
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -577,6 +577,11 @@
             }
         }
 
+        @Override
+        public boolean mayHaveRun() {
+            return out != null && out.mayHaveRun();
+        }
+
         @Override
         public void cancel() {
             if (out != null) {
--- a/src/main/java/sablehinge/core/Exchange.java
+++ b/src/main/java/sablehinge/core/Exchange.java
@@ -73,6 +73,11 @@
         return true;
     }
 
+    /** Whether an attempt of it was sent whole, or has had a part of an answer, and so may have run. */
+    public boolean mayHaveRun() {
+        return attempts.stream().anyMatch(attempt -> attempt != null && attempt.mayHaveRun());
+    }
+
     /** Keeps what a server answered that failed it in place of what was kept before. */
     void failed(Payload answer) {
         failure.release();
--- a/src/main/java/sablehinge/core/Transport.java
+++ b/src/main/java/sablehinge/core/Transport.java
@@ -30,6 +30,11 @@
         /** Stops waiting; the result comes before this returns, unless it has come already. */
         void cancel();
 
+        /** Whether nothing but its server's word could prove that it has not run. */
+        default boolean mayHaveRun() {
+            return true;
+        }
+
         /** The request has come to its end only now: from here on waits until the given time. */
         default void waitUntil(double until) { }
     }
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -372,6 +372,8 @@
         /** The body that is sent on while it comes; whether the rest of one is of no use. */
         private Relay coming;
         private boolean skipping;
+        /** Whether a body broke off that was sent on, and its request may have run for all that. */
+        private boolean doubtful;
         /** What is reserved for a long body that is kept; bytes that came since it last began to wait. */
         private int reserved;
         private long came;
@@ -495,7 +497,6 @@
                 channel.close();
                 return;
             }
-            breakOff();
             spoil(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT, "too slow"));
             advance();
         }
@@ -505,6 +506,7 @@
             if (coming != null) {
                 Relay half = coming;
                 coming = null;
+                doubtful = exchange != null && exchange.mayHaveRun();
                 // Known to the module before it hears what becomes of the attempt.
                 abandon();
                 half.broke();
@@ -639,7 +641,6 @@
         private void passOn(HttpContent content) throws BadRequestException {
             sent += content.content().readableBytes();
             if (sent > dialect.terms().bodyBytes()) {
-                breakOff();
                 throw RequestCheck.tooLarge();
             }
             coming.add(content.content());
@@ -711,7 +712,9 @@
             ctx.fireChannelReadComplete();
         }
 
+        /** Nothing after this is read; a body that was sent on meanwhile won't be whole. */
         private void spoil(BadRequestException why) {
+            breakOff();
             flaw = why;
             dropPart();
             if (current != null) {
@@ -854,6 +857,12 @@
                 closing = true;
                 dropAhead();
             }
+            if (doubtful) {
+                // Its status must not promise that nothing has run.
+                said = new Answer(Answer.Kind.FAILED, Payload.NONE, 0);
+                write(dialect.status(said), Unpooled.EMPTY_BUFFER, 0);
+                return;
+            }
             write(why.status(), Unpooled.copiedBuffer(why.getMessage() + "\n", StandardCharsets.UTF_8),
                     why.retryAfter());
         }
--- a/src/main/java/sablehinge/http1/HopHeaders.java
+++ b/src/main/java/sablehinge/http1/HopHeaders.java
@@ -10,6 +10,9 @@
 
     private static final Set<String> OF_A_CONNECTION = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
 
+    /** How the names of the protocol's own headers begin. */
+    private static final String OURS = "Sablehinge-";
+
     static {
         OF_A_CONNECTION.addAll(Set.of("Connection", "Keep-Alive", "Proxy-Connection",
                 "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -29,7 +32,10 @@
         }
     }
 
-    /** What a message itself says is for its connection only. */
+    /**
+     * What a message itself says is for its connection only. Headers of the protocol are not, whatever it
+     * says: a sender could else take out what was set after it, such as the caller's name.
+     */
     private static Set<String> named(HttpHeaders headers) {
         if (!headers.contains("Connection")) {
             return Set.of();
@@ -37,7 +43,9 @@
         Set<String> named = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
         for (String value : headers.getAll("Connection")) {
             for (String name : value.split(",")) {
-                named.add(name.strip());
+                if (!name.strip().regionMatches(true, 0, OURS, 0, OURS.length())) {
+                    named.add(name.strip());
+                }
             }
         }
         return named;
--- a/src/main/java/sablehinge/http1/HttpPayload.java
+++ b/src/main/java/sablehinge/http1/HttpPayload.java
@@ -4,7 +4,7 @@
 import sablehinge.core.Payload;
 
 /** A whole HTTP/1.1 request or response. */
-record HttpPayload(FullHttpMessage message) implements Payload {
+public record HttpPayload(FullHttpMessage message) implements Payload {
 
     @Override
     public Payload keep() {
--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -347,6 +347,8 @@
         private Connection connection;
         /** How far it has come, which decides what its end says. */
         private AttemptState state = AttemptState.UNSENT;
+        /** The write of its last byte; null before that. */
+        private ChannelFuture lastWrite;
         private boolean over;
         private Budget budget;
         /** When a part of its body was last written. */
@@ -477,16 +479,35 @@
 
         /** Writes the last of the request. */
         private void write(Object last) {
-            channel.writeAndFlush(last).addListener(write -> {
+            lastWrite = channel.writeAndFlush(last);
+            lastWrite.addListener(write -> {
                 connection.trace(TraceEvent.SENT, write.isSuccess() ? 1 : 0);
-                if (write.isSuccess()) {
-                    state = state.wholeSent();
-                } else {
+                if (!write.isSuccess()) {
                     broke(Event.WRITE_FAILED);
                 }
             });
         }
 
+        /**
+         * How far it has come by now. The write itself is asked, as its listeners may be told a turn later:
+         * Netty puts them off once they are nested deeply, and a reset could come first.
+         */
+        private AttemptState reached() {
+            if (lastWrite != null && lastWrite.isSuccess()) {
+                state = state.wholeSent();
+            }
+            return state;
+        }
+
+        private void answerBegins() {
+            state = reached().answerBegins();
+        }
+
+        @Override
+        public boolean mayHaveRun() {
+            return reached().mayHaveRun();
+        }
+
         /** What can't be written, for want of memory say, leaves a gap: the request will never be whole. */
         private void wrotePart(io.netty.util.concurrent.Future<? super Void> write) {
             movedAt = clock.now();
@@ -542,7 +563,8 @@
 
         /** Whether the system has taken all of the request. */
         private boolean isWhole() {
-            return state == AttemptState.SENT || state == AttemptState.ANSWERING;
+            AttemptState now = reached();
+            return now == AttemptState.SENT || now == AttemptState.ANSWERING;
         }
 
         /** Whether the module may ever send this again once it may have run. */
@@ -586,7 +608,7 @@
                 if (channel != null) {
                     channel.close();
                 }
-                finish(state.ends(event), Payload.NONE);
+                finish(reached().ends(event), Payload.NONE);
             }
         }
 
@@ -604,7 +626,7 @@
 
         /** An answer, with its body or with the beginning of that. */
         private void answered(HttpResponse head, Payload payload) {
-            end(state.ends(switch (dialect.judge(head)) {
+            end(reached().ends(switch (dialect.judge(head)) {
                 case OK -> Event.SERVED_ANSWER;
                 case FULL -> Event.REFUSED_ANSWER;
                 default -> Event.FAILED_ANSWER;
@@ -810,7 +832,7 @@
             amid = true;
             moved = true;
             if (carried != null) {
-                carried.state = carried.state.answerBegins();
+                carried.answerBegins();
             }
         }
 
--- a/src/main/java/sablehinge/sidecar/MeshUpstream.java
+++ b/src/main/java/sablehinge/sidecar/MeshUpstream.java
@@ -92,22 +92,27 @@
 
     private Result verdict(HttpResponse answer) {
         HttpHeaders headers = answer.headers();
+        if (!headers.contains(MeshHeaders.TRY)) {
+            // It names no request, so it proves nothing of this one.
+            return Result.ERROR;
+        }
         if (toBalancers ? MeshHeaders.PROVEN.equals(headers.get(MeshHeaders.VERDICT))
                 : headers.contains(MeshHeaders.NOT_RUN) || answer.status().code() == MISDIRECTED) {
             return Result.FULL;
         }
         boolean served = answer.status().codeClass() == HttpStatusClass.SUCCESS
-                && headers.contains(MeshHeaders.STAMP) && headers.contains(MeshHeaders.TRY)
+                && headers.contains(MeshHeaders.STAMP)
                 && !headers.contains("Content-Encoding");
         return served ? Result.OK : Result.ERROR;
     }
 
     /**
-     * A success that lacks its stamp must not reach a client, and neither must what was encoded on the way.
+     * A success that lacks its stamp must not reach a client, and neither must what was encoded on the way
+     * or names no request.
      */
     @Override
     public boolean keeps(HttpMessage answer) {
-        return answer instanceof HttpResponse response
+        return answer instanceof HttpResponse response && response.headers().contains(MeshHeaders.TRY)
                 && response.status().codeClass() != HttpStatusClass.SUCCESS
                 && response.status().codeClass() != HttpStatusClass.REDIRECTION
                 && !response.headers().contains("Content-Encoding")
--- a/src/test/java/sablehinge/http1/PassingTest.java
+++ b/src/test/java/sablehinge/http1/PassingTest.java
@@ -376,4 +376,46 @@
             assertEquals(-1, in.read());
         }
     }
+
+    /** The same where an answer has begun: what a 408 promises is not known then. */
+    @Test
+    void aBodyThatStandsStillWhileItsAnswerBeginsIsNotSaidNotToHaveRun() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("1", LONG));
+            caller.socket.getOutputStream().write(bytes(400_000));
+            Peer upstream = stage.upstreams.get(0).accept();
+            InputStream in = upstream.socket.getInputStream();
+            head(in);
+            in.readNBytes(400_000);
+            upstream.write("HTTP/1.1 200 OK\r\n");
+            // What came before is read before this is answered.
+            Peer other = stage.caller();
+            other.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+            assertEquals(200, other.read().status());
+            stage.node.onLoop((frontend, upstreams) -> {
+                frontend.sweep(stage.node.now() + 70_000);
+                return null;
+            });
+            assertEquals(502, caller.read().status());
+            assertEquals(-1, in.read());
+        }
+    }
+
+    /** What breaks the framing of a body breaks its request off, which would else wait for the rest. */
+    @Test
+    void aBodyThatGoesOnAsNoneIsAnErrorAtOnce() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(post("1", 0).replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+            caller.write(Integer.toHexString(400_000) + "\r\n");
+            caller.socket.getOutputStream().write(bytes(400_000));
+            Peer upstream = stage.upstreams.get(0).accept();
+            InputStream in = upstream.socket.getInputStream();
+            head(in);
+            caller.write("\r\nno length\r\n");
+            assertEquals(400, caller.read().status());
+            assertNotNull(Script.next(stage.script.gone));
+        }
+    }
 }
--- a/src/test/java/sablehinge/sidecar/RequestsTest.java
+++ b/src/test/java/sablehinge/sidecar/RequestsTest.java
@@ -107,6 +107,24 @@
         }
     }
 
+    /** RULES, UNASKED: what is set for an upstream can't be taken out by naming it a connection's own. */
+    @Test
+    void noHeaderOfTheProtocolIsAConnectionsOwn() throws Exception {
+        try (Mesh mesh = Mesh.served(TENANTS).answers(request -> Mesh.ok(request.id(), "",
+                lines("Connection: Sablehinge-Postmark, Sablehinge-Try-Id")))) {
+            Wire.Message answer = mesh.client().ask(Mesh.get("/s/x", "t-1", lines("Sablehinge-Key: k-1",
+                    "Connection: sablehinge-caller, Sablehinge-Sender,Sablehinge-Patience, "
+                    + "Sablehinge-Try-Id, Sablehinge-Time-Left, Sablehinge-Deliver-To, Sablehinge-Rank")));
+            assertEquals(200, answer.status());
+            assertEquals("3e1b.t-1", answer.one("Sablehinge-Postmark"));
+            Wire.Message request = mesh.arrived.get(0);
+            assertEquals(Mesh.CALLER, request.one("Sablehinge-Caller"));
+            assertEquals("hule930", request.one("Sablehinge-Sender"));
+            assertEquals("t-1", request.id());
+            assertEquals("i-1", request.one("Sablehinge-Deliver-To"));
+        }
+    }
+
     @Test
     void theKeyStaysHereAndWhoSentWhatIsSetWhateverWasSent() throws Exception {
         try (Mesh mesh = Mesh.served(TENANTS).answers(RequestsTest::echo)) {
@@ -189,6 +207,9 @@
         "HTTP/1.1 302 Found\r\nSablehinge-Try-Id: t-1\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 503 Run\r\nSablehinge-Try-Id: t-1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 429 Run\r\nSablehinge-Try-Id: t-1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Whose\r\nSablehinge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Whose\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 500 Whose\r\nSablehinge-Postmark: p\r\nContent-Length: 4\r\n\r\nbody",
         "noise\r\n\r\n", "HTTP/1.1 200 OK\r\nSablehinge-Try", ""})
     void whatIsNoWholeSuccessOfTheUpstreamIsNoneForTheClientAndNoPromise(String answer) throws Exception {
         try (Mesh mesh = Mesh.served().answers(request -> answer)) {
--- /dev/null
+++ b/src/test/java/sablehinge/sidecar/WrittenTest.java
@@ -0,0 +1,115 @@
+package sablehinge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultPromise;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sablehinge.admission.AdmissionController;
+import sablehinge.core.AttemptResult;
+import sablehinge.core.Clock;
+import sablehinge.core.Roster;
+import sablehinge.core.Transport;
+import sablehinge.http1.HttpPayload;
+import sablehinge.http1.Sockets;
+import sablehinge.http1.UpstreamClient;
+import sablehinge.policy.LoadBalancer.Result;
+import sablehinge.policy.LoadBalancer.State;
+import sablehinge.policy.LoadBalancer.Upstream;
+import sablehinge.rig.Listener;
+import sablehinge.rig.Peer;
+
+/** When an attempt counts as sent whole: from the moment in which the system has taken its last byte. */
+@Timeout(60)
+class WrittenTest {
+
+    /** So deeply nested, Netty tells listeners only in a later turn of the loop. */
+    private static final int NESTED = 8;
+    private static final double LATER_MS = 60_000;
+
+    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+            .next();
+    private final Clock clock = Clock.system();
+
+    /** Notes how an attempt ended. */
+    private static final class Ended extends CompletableFuture<Result> implements Transport.Progress {
+
+        @Override
+        public double begun() {
+            return Double.POSITIVE_INFINITY;
+        }
+
+        @Override
+        public void ended(AttemptResult result) {
+            complete(result.result());
+        }
+    }
+
+    private Transport.Attempt send(UpstreamClient client, String id, Ended ended) {
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                "/u/x", Unpooled.EMPTY_BUFFER);
+        request.headers().set(MeshHeaders.TRY, id);
+        return client.send(Terms.gate(), AdmissionController.UPSTREAM, new HttpPayload(request),
+                clock.now() + LATER_MS, null, ended);
+    }
+
+    private static InetSocketAddress at(Listener listener) {
+        String address = listener.address();
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    private void nested(int depth, Runnable call) {
+        if (depth == 0) {
+            call.run();
+            return;
+        }
+        DefaultPromise<Void> promise = new DefaultPromise<>(loop);
+        promise.addListener(done -> nested(depth - 1, call));
+        promise.setSuccess(null);
+    }
+
+    @Test
+    void whatIsWrittenMayHaveRunThoughNobodyHasBeenToldYet() throws Exception {
+        try (Listener upstream = new Listener()) {
+            Upstream own = new Upstream(AdmissionController.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
+            UpstreamClient client = loop.submit(() -> {
+                UpstreamClient made = new UpstreamClient(loop, clock, new Sockets(100),
+                        PooledByteBufAllocator.DEFAULT, new MeshUpstream(clock, () -> { }));
+                made.adopt(Terms.gate());
+                made.update(new Roster(1, true, List.of(new Roster.Member(own, at(upstream)))));
+                return made;
+            }).get();
+            Ended first = new Ended();
+            loop.submit(() -> send(client, "t-1", first)).get();
+            Peer peer = upstream.accept();
+            peer.read();
+            peer.write(Mesh.ok("t-1", "first"));
+            assertEquals(Result.OK, first.get(20, TimeUnit.SECONDS));
+            Ended second = new Ended();
+            boolean[] mayHaveRun = new boolean[1];
+            loop.submit(() -> nested(NESTED, () ->
+                    mayHaveRun[0] = send(client, "t-2", second).mayHaveRun())).get();
+            assertEquals("t-2", peer.read().header("Sablehinge-Try-Id"));
+            assertTrue(mayHaveRun[0], "it counts as sent in part");
+            peer.reset();
+            assertEquals(Result.RESET, second.get(20, TimeUnit.SECONDS));
+        } finally {
+            loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
+        }
+    }
+}
