--- a/src/main/java/sablehinge/watch/PackedConfiguration.java
+++ b/src/main/java/sablehinge/watch/PackedConfiguration.java
@@ -8,9 +8,9 @@
 import sablehinge.rpc.Connection;
 
 /**
- * A configuration as it travels to sidecars: one byte for the format, four for the length of the body, and the
- * body deflated (RFC 1950, whose checksum tells what was torn). The leader packs each edition once, whatever
- * the number of sidecars; each of them unpacks it once.
+ * A configuration as it travels to sidecars: one byte for the format, four for the length of the body, and
+ * the body deflated (RFC 1950, whose checksum tells what was torn). The leader packs each edition once,
+ * whatever the number of sidecars; each of them unpacks it once.
  */
 public final class PackedConfiguration {
 
