A test's listener waits until nobody accepts any more when it is closed

Cause: FrontendTest.anAttemptOverTheLimitIsNotSent failed beside other work: it closes its upstream and counts refused connections. ServerSocket.close returns while another thread is still amid accept, and the system listens until that thread has run: on a busy machine the balancer's connection was taken, and nobody answered it until the caller's time was up (2 outcomes in place of 5, after 10.1 s). The port could not be kept either.

Change: close waits for the accepting thread's end before it keeps the port; a connection that is accepted after close was called is reset.

--- a/src/test/java/sablehinge/rig/Listener.java
+++ b/src/test/java/sablehinge/rig/Listener.java
@@ -13,6 +13,8 @@
     private final ServerSocket server;
     private final java.net.Socket kept = new java.net.Socket();
     private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
+    private final Thread accepting = new Thread(this::acceptAll, "listener");
+    private volatile boolean closing;
 
     public Listener() throws IOException {
         this(0);
@@ -25,17 +27,23 @@
             server.setReceiveBufferSize(receiveBuffer);
         }
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
-        Thread thread = new Thread(() -> {
-            try {
-                while (true) {
-                    accepted.add(new Peer(server.accept()));
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    private void acceptAll() {
+        try {
+            while (true) {
+                Peer peer = new Peer(server.accept());
+                if (closing) {
+                    peer.reset();
+                } else {
+                    accepted.add(peer);
                 }
-            } catch (IOException e) {
-                // The test is over.
             }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        } catch (IOException e) {
+            // The test is over.
+        }
     }
 
     public String address() {
@@ -56,10 +64,19 @@
         return accepted.size();
     }
 
-    /** Keeps the port, with nobody listening: a connection could else be given it and meet itself there. */
+    /**
+     * Keeps the port, with nobody listening: a connection could else be given it and meet itself there. The
+     * system listens on for as long as a thread is still amid its call to accept, so that is waited for.
+     */
     @Override
     public void close() throws IOException {
+        closing = true;
         server.close();
+        try {
+            accepting.join(Peer.PATIENCE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         try {
             kept.setReuseAddress(true);
             kept.bind(server.getLocalSocketAddress());
