A lane of the load generator that was stopped waits for no request that came after

Cause: whoever reads the log may wait for a place in a lane's queue. The stop empties the queue, the waiting request is added to it, is never sent, and the run never ends: an interrupted replay then leaves no report.

Change: a stopped lane is done once nothing is out.

--- a/src/main/java/sablehinge/replay/run/Lane.java
+++ b/src/main/java/sablehinge/replay/run/Lane.java
@@ -169,7 +169,8 @@
 
     /** Whether all that was added has come out; to be asked on the loop. */
     boolean isDone() {
-        return ahead.isEmpty() && outstanding == 0;
+        // Who waited for a place when it was stopped adds its request after that, and it is never sent.
+        return (stopped || ahead.isEmpty()) && outstanding == 0;
     }
 
     /** Sends nothing more; to be called on the loop. */
--- a/src/test/java/sablehinge/replay/run/LoadTest.java
+++ b/src/test/java/sablehinge/replay/run/LoadTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -12,12 +13,14 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.judge.Evidence;
 import sablehinge.judge.Evidence.End;
 import sablehinge.judge.Evidence.Tried;
@@ -271,6 +274,21 @@
         }
     }
 
+    /** Whoever reads the log may wait for a place in the lane's queue while it is stopped. */
+    @Test
+    void aRequestThatIsAddedAsALaneStopsIsNeitherSentNorWaitedFor() throws Exception {
+        EventLoop loop = ClosingEventLoops.single("lane");
+        try {
+            Lane lane = new Lane(loop, "clients", List.of(new Lane.Target(new InetSocketAddress("127.0.0.1", 9),
+                    "127.0.0.1:9")), 1, ONCE, 1, System.nanoTime(), null);
+            loop.submit(lane::stop).sync();
+            assertTrue(lane.add(new Planned(System.nanoTime(), "look", null, "/look", "", "", 1_000, 0), 0));
+            assertTrue(loop.submit(lane::isDone).sync().getNow());
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
     @Test
     void targetsBeginWithTheClassAndHoldPlainCharactersOnly() {
         assertEquals("/look/7?z=3", Load.target("look", "/look/7?z=3"));
