A restarted balancer listens for its upstream before it loads anything else

Cause: the gate beside an upstream opens with the first heartbeat, and the first calls were refused: the control port was opened some 0.3 s after the process listened for clients, a good part of which went to the JSON mapper that reads heartbeats.

Change: sidecar.ListeningSockets opens outbound and control at once; a call waits in the backlog until the process can answer it. HeartbeatReader reads heartbeats token by token, without the mapper (110 to 140 of some 500 ms of a start on this machine, by the times of loaded classes, trial). The core is asked for news before the other ports are opened.

Tests: UpstreamDrainTest.aHeartbeatOfWhileTheProcessLoadsIsHeard (a call sent before the process is there), HeartbeatReaderTest. HeartbeatReaderTest, UpstreamDrainTest, UpstreamLifecycleTest, RequestsTest, NewsTest, StopTest pass.

--- a/src/main/java/sablehinge/api/ApiServer.java
+++ b/src/main/java/sablehinge/api/ApiServer.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.List;
@@ -53,8 +54,17 @@
 
     /** Takes calls at an address. */
     public ChannelFuture listen(InetSocketAddress address) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+        return server().channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+                .bind(address);
+    }
+
+    /** Takes calls where the process listens already, those that wait in the backlog first. */
+    public ChannelFuture adopt(ServerSocketChannel listening) {
+        return server().channelFactory(() -> new NioServerSocketChannel(listening)).register();
+    }
+
+    private ServerBootstrap server() {
+        return new ServerBootstrap().group(loop).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -67,7 +77,7 @@
                         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(mostBytes),
                                 new Calls());
                     }
-                }).bind(address);
+                });
     }
 
     /** The calls of one connection, one after the other. */
--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -1,6 +1,5 @@
 package sablehinge.cli;
 
-import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
@@ -39,10 +38,8 @@
                 throw new ConfigException(SETTINGS + " names no settings file");
             }
             LocalSettings settings = read(role, file);
-            ServerSocketChannel listening = settings.role() == LocalSettings.Role.SIDECAR
-                    ? Sidecar.listen(settings) : null;
-            if (listening != null) {
-                Sidecar sidecar = Sidecar.start(settings, listening);
+            if (settings.role() == LocalSettings.Role.SIDECAR) {
+                Sidecar sidecar = Sidecar.start(settings);
                 takes.set(sidecar::reload);
                 Main.drainAtShutdown(sidecar::drain);
             } else {
--- a/src/main/java/sablehinge/sidecar/Beats.java
+++ b/src/main/java/sablehinge/sidecar/Beats.java
@@ -1,11 +1,7 @@
 package sablehinge.sidecar;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.util.function.Consumer;
 import sablehinge.api.Asked;
-import sablehinge.api.CallException;
 import sablehinge.api.Headed;
 import sablehinge.api.Operation;
 import sablehinge.admission.UpstreamLifecycle.Heartbeat;
@@ -14,10 +10,6 @@
 /** The calls of the upstream beside a balancer (PROTOCOL, "Which upstreams there are"). */
 final class Beats {
 
-    private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int MOST_BERTHS = 60_000;
-    private static final int MISDIRECTED = 421;
-
     private Beats() {
     }
 
@@ -37,24 +29,7 @@
         return new Headed<>("POST", "/sablehinge/Servers.Heartbeat/") {
             @Override
             public Heartbeat read(Asked asked) {
-                JsonNode body;
-                try {
-                    body = JSON.readTree(asked.body());
-                } catch (IOException e) {
-                    throw new CallException(400, "NOT_JSON", "the beat is no JSON");
-                }
-                String state = text(body, "state");
-                if (!state.equals("ready") && !state.equals("unloading")) {
-                    throw new CallException(400, "STATE", "state is neither ready nor unloading");
-                }
-                String address = text(body, "address");
-                if (!address.equals(app)) {
-                    throw new CallException(MISDIRECTED, "ELSEWHERE", "the upstream here is at " + app
-                            + ", not at " + address);
-                }
-                return new Heartbeat(asked.name(), text(body, "depot"), state.equals("unloading"),
-                        Math.max(1, Math.min(MOST_BERTHS, body.path("berths").asInt(1))),
-                        Math.max(0, body.path("coldLeftMs").asInt(0)), body.path("callCount").asLong(0));
+                return HeartbeatReader.read(asked.name(), asked.body(), app);
             }
 
             @Override
@@ -90,12 +65,4 @@
             }
         };
     }
-
-    private static String text(JsonNode body, String name) {
-        JsonNode value = body.path(name);
-        if (!value.isTextual()) {
-            throw new CallException(400, "MISSING", name + " is missing or no text");
-        }
-        return value.asText();
-    }
 }
--- /dev/null
+++ b/src/main/java/sablehinge/sidecar/HeartbeatReader.java
@@ -0,0 +1,95 @@
+package sablehinge.sidecar;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import sablehinge.admission.UpstreamLifecycle.Heartbeat;
+import sablehinge.api.CallException;
+
+/**
+ * Reads heartbeats token by token. A mapper would do it in a line, and takes a tenth of a second to load, in
+ * which a process that has just begun could not hear its upstream.
+ */
+final class HeartbeatReader {
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int MOST_BERTHS = 60_000;
+    private static final int BAD_REQUEST = 400;
+    private static final int MISDIRECTED = 421;
+
+    private String service;
+    private String address;
+    private String state;
+    private int berths = 1;
+    private int coldMs;
+    private long callCount;
+
+    private HeartbeatReader() { }
+
+    /**
+     * The heartbeat in a body. What may be missing: {@code berths} (1), {@code coldLeftMs} and
+     * {@code callCount} (0).
+     *
+     * @param id of the life that it is of
+     * @param app the address of the upstream of the own machine, {@code ip:port}
+     * @throws CallException 400 where it can't be read, 421 where it is of an upstream elsewhere
+     */
+    static Heartbeat read(String id, byte[] body, String app) {
+        HeartbeatReader reader = new HeartbeatReader();
+        try (JsonParser in = JSON.createParser(body)) {
+            reader.fields(in);
+        } catch (IOException e) {
+            throw new CallException(BAD_REQUEST, "NOT_JSON", "the beat is no JSON");
+        }
+        return reader.heartbeat(id, app);
+    }
+
+    private void fields(JsonParser in) throws IOException {
+        if (in.nextToken() != JsonToken.START_OBJECT) {
+            return;
+        }
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            in.nextToken();
+            switch (name) {
+                case "depot" -> service = text(in);
+                case "address" -> address = text(in);
+                case "state" -> state = text(in);
+                case "berths" -> berths = in.getValueAsInt(1);
+                case "coldLeftMs" -> coldMs = in.getValueAsInt(0);
+                case "callCount" -> callCount = in.getValueAsLong(0);
+                default -> {
+                    // What is not known here is skipped.
+                }
+            }
+            in.skipChildren();
+        }
+    }
+
+    private static String text(JsonParser in) throws IOException {
+        return in.currentToken() == JsonToken.VALUE_STRING ? in.getText() : null;
+    }
+
+    private Heartbeat heartbeat(String id, String app) {
+        require("state", state);
+        boolean unloading = state.equals("unloading");
+        if (!unloading && !state.equals("ready")) {
+            throw new CallException(BAD_REQUEST, "STATE", "state is neither ready nor unloading");
+        }
+        require("address", address);
+        if (!address.equals(app)) {
+            throw new CallException(MISDIRECTED, "ELSEWHERE", "the upstream here is at " + app + ", not at "
+                    + address);
+        }
+        require("depot", service);
+        return new Heartbeat(id, service, unloading, Math.max(1, Math.min(MOST_BERTHS, berths)),
+                Math.max(0, coldMs), callCount);
+    }
+
+    private static void require(String name, String value) {
+        if (value == null) {
+            throw new CallException(BAD_REQUEST, "MISSING", name + " is missing or no text");
+        }
+    }
+}
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -6,9 +6,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
-import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -58,7 +55,6 @@
 public final class Sidecar {
 
     private static final Logger LOG = LoggerFactory.getLogger(Sidecar.class);
-    private static final int BACKLOG = 1_024;
     private static final int PAGE = 8_192;
     private static final int CHUNK_ORDER = 7;
     private static final int CACHED = 32;
@@ -158,8 +154,8 @@
                 spill::turnedAway));
         Version first = Terms.gate();
         Upstream own = new Upstream(AdmissionController.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
-        inbound.start(first, 1, new Roster(1, true, List.of(new Member(own, address(settings.app())))), app,
-                NO_REGISTRY);
+        inbound.start(first, 1, new Roster(1, true, List.of(new Member(own,
+                ListeningSockets.address(settings.app())))), app, NO_REGISTRY);
         version = new Version(0, first.settings(), first.classes(), List.of(), false);
         versions.put(0, version);
         outbound.bound(spill);
@@ -169,29 +165,13 @@
         watchers = new Watchers(loop, clock, settings, update::askNow);
     }
 
-    /**
-     * Listens for clients, before anything else is there to serve them: they wait for moments where they
-     * would
-     * else be told that nobody is here, and use their few tries up.
-     */
-    public static ServerSocketChannel listen(LocalSettings settings) throws ConfigException {
-        String at = settings.listenOn().outbound();
-        try {
-            ServerSocketChannel listening = ServerSocketChannel.open();
-            listening.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            return listening.bind(address(at), BACKLOG);
-        } catch (IOException e) {
-            throw new ConfigException("cannot listen on " + at + ": " + e.getMessage());
-        }
-    }
-
     /** Starts a balancer where nobody listens yet. */
     public static Sidecar start(LocalSettings settings) throws ConfigException, InterruptedException {
-        return start(settings, listen(settings));
+        return start(settings, ListeningSockets.open(settings));
     }
 
     /** Starts a balancer; it asks for news and says that it is ready once it has them. */
-    public static Sidecar start(LocalSettings settings, ServerSocketChannel listening)
+    public static Sidecar start(LocalSettings settings, ListeningSockets listening)
             throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("sidecar", true), NioIoHandler.newFactory()).next();
@@ -202,18 +182,19 @@
         Sidecar sidecar = made[0];
         LocalSettings.ListenOn at = settings.listenOn();
         try {
-            sidecar.inFront.bind(address(at.inbound()), false);
-            loop.submit(() -> sidecar.outFront.adopt(listening)).sync();
-            sidecar.opens(new ApiServer(loop, List.of(Beats.beats(settings.app(), sidecar::heard),
-                    Beats.signOffs(sidecar::signedOff)),
-                    MOST_BEAT), at.control());
+            loop.submit(() -> {
+                sidecar.outFront.adopt(listening.outbound());
+                sidecar.update.start();
+            }).sync();
+            sidecar.inFront.bind(ListeningSockets.address(at.inbound()), false);
+            new ApiServer(loop, List.of(Beats.beats(settings.app(), sidecar::heard),
+                    Beats.signOffs(sidecar::signedOff)), MOST_BEAT).adopt(listening.control());
             sidecar.watchers.listen();
             sidecar.opens(new ApiServer(loop, List.of(new Readiness(sidecar::isReady)), MOST_BEAT),
                     at.ready());
         } catch (IOException e) {
             throw new ConfigException(e.getMessage());
         }
-        loop.submit(sidecar.update::start).sync();
         loop.scheduleAtFixedRate(sidecar::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("service", settings.depot())
                 .log("asks for news");
@@ -221,17 +202,12 @@
     }
 
     private void opens(ApiServer apiServer, String at) throws IOException, InterruptedException {
-        io.netty.channel.ChannelFuture bound = apiServer.listen(address(at)).await();
+        io.netty.channel.ChannelFuture bound = apiServer.listen(ListeningSockets.address(at)).await();
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + at + ": " + bound.cause().getMessage());
         }
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
-
     private boolean isReady() {
         return edition > 0 && confirmedAt > 0 && !leaving;
     }
@@ -383,7 +359,7 @@
                 members.add(new Member(new Upstream(MeshHeaders.life(registration.upstream()),
                         Math.max(0, zones.indexOf(registration.zone())), kind, 0,
                         registration.ready() ? State.READY : State.DRAINING, 1, began),
-                        address(registration.inbound()), registration.upstream()));
+                        ListeningSockets.address(registration.inbound()), registration.upstream()));
             }
         }
         startedAt.keySet().retainAll(Arrays.asList(members.stream().map(Member::name).toArray()));
--- a/src/test/java/sablehinge/sidecar/Mesh.java
+++ b/src/test/java/sablehinge/sidecar/Mesh.java
@@ -40,6 +40,11 @@
 
     /** One whose core confirms that what it holds is the newest, or does not yet. */
     Mesh(boolean confirms) throws Exception {
+        this(confirms, mesh -> { });
+    }
+
+    /** Likewise; {@code early} is done when the process listens, before it has loaded anything else. */
+    Mesh(boolean confirms, Work early) throws Exception {
         long process = ProcessHandle.current().pid();
         String net = "127." + (1 + process % 250) + "." + (1 + process / 250 % 250) + ".";
         int number = 2 * MADE.incrementAndGet();
@@ -47,13 +52,16 @@
         core.confirms(confirms);
         String ip = net + (number + 1);
         at = new LocalSettings.ListenOn(ip + ":7002", ip + ":7001", ip + ":7003", ip + ":7004");
-        sidecar = Sidecar.start(new LocalSettings("s-1", LocalSettings.Role.SIDECAR, "small",
+        LocalSettings settings = new LocalSettings("s-1", LocalSettings.Role.SIDECAR, "small",
                 List.of("sidecar"), ip, "monza-a", "monza", INNER, INNER + 10,
                 List.of(net + number + ":7090"), true, true, null, 20_000, List.of(), app.address(), CALLER,
                 Map.of("monza-a", "monza"), at,
                 new LocalSettings.Limits(1, 1, 256, 1_264, 1_000, 0), 1,
                 new LocalSettings.Bounds(3, 2, 3_000, 5_000, 4, UNLOAD_MS, 6, 200, 2_500, 250, 8_000, false,
-                        5_000, 0.2, 10, 62, 5, 0, 0, 15)));
+                        5_000, 0.2, 10, 62, 5, 0, 0, 15));
+        ListeningSockets listening = ListeningSockets.open(settings);
+        early.on(this);
+        sidecar = Sidecar.start(settings, listening);
     }
 
     /** One whose upstream is there, and whose configuration has these tenants. */
@@ -143,11 +151,16 @@
         }
     }
 
-    private interface Work {
+    /** What a test does with a mesh. */
+    interface Work {
+        void on(Mesh mesh) throws Exception;
+    }
+
+    private interface Job {
         void run() throws Exception;
     }
 
-    private static void daemon(Work work) {
+    private static void daemon(Job work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
@@ -212,9 +225,20 @@
     }
 
     Wire.Message beat(String id, String state) throws IOException {
-        return call(at.control(), "POST", "/sablehinge/Servers.Heartbeat/" + id, """
+        return call(at.control(), "POST", "/sablehinge/Servers.Heartbeat/" + id, beatBody(state));
+    }
+
+    private String beatBody(String state) {
+        return """
                 {"depot":"huvo11a","address":"%s","zone":"monza-a","edition":"v1","berths":4,"state":"%s",
-                 "coldLeftMs":0,"callCount":4}""".formatted(app.address(), state));
+                 "coldLeftMs":0,"callCount":4}""".formatted(app.address(), state);
+    }
+
+    /** Calls the balancer as its upstream, and does not wait for the answer. */
+    Wire beginsToBeat(String id, String state) throws IOException {
+        String body = beatBody(state);
+        return keep(Wire.to(at.control())).write("POST /sablehinge/Servers.Heartbeat/" + id
+                + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
     int ready() throws IOException {
--- a/src/test/java/sablehinge/sidecar/UpstreamDrainTest.java
+++ b/src/test/java/sablehinge/sidecar/UpstreamDrainTest.java
@@ -65,4 +65,15 @@
             assertEquals(REFUSED, mesh.balancer().ask(Mesh.meant("t-1", "i-1")).status());
         }
     }
+
+    /** The sockets are there long before the rest: a heartbeat that comes meanwhile opens the gate. */
+    @Test
+    void aHeartbeatOfWhileTheProcessLoadsIsHeard() throws Exception {
+        Wire[] upstream = new Wire[1];
+        try (Mesh mesh = new Mesh(true, early -> upstream[0] = early.beginsToBeat("i-1", "ready"))) {
+            mesh.answers(request -> Mesh.ok(request.id(), "x"));
+            assertEquals(200, upstream[0].read().status());
+            assertEquals(200, mesh.balancer().ask(Mesh.meant("t-1", "i-1")).status());
+        }
+    }
 }
