--- a/src/main/java/sablehinge/sidecar/ListeningSockets.java
+++ b/src/main/java/sablehinge/sidecar/ListeningSockets.java
@@ -25,7 +25,8 @@
      * @throws ConfigException where one of them can't be had
      */
     public static ListeningSockets open(LocalSettings settings) throws ConfigException {
-        return new ListeningSockets(listen(settings.listenOn().outbound()), listen(settings.listenOn().control()));
+        LocalSettings.ListenOn at = settings.listenOn();
+        return new ListeningSockets(listen(at.outbound()), listen(at.control()));
     }
 
     private static ServerSocketChannel listen(String at) throws ConfigException {
