Clusters of the tests bear no leader that never was a voter, as before

Cause: the claim "no outsider leads" had become "nobody leads that has applied its own removal". That let a machine lead that was on no list at all, as long as no change of members had been applied: the mend it was made for (a voter that an uncommitted list leaves out) does not need this.

Change: a leader that is not on its newest list must be on the last list that it has applied, or on the founding one.

No code under src/main changes.

--- a/bench/src/sablehinge/consensus/DeploymentStart.java
+++ b/bench/src/sablehinge/consensus/DeploymentStart.java
@@ -39,6 +39,7 @@
             cluster.add(member.address()).self = member;
         }
         cluster.list = List.copyOf(founders);
+        cluster.founding = cluster.list;
     }
 
     /** Whether a machine's name is on the way to its disk. */
--- a/src/test/java/sablehinge/consensus/RaftNodeTest.java
+++ b/src/test/java/sablehinge/consensus/RaftNodeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -30,6 +31,18 @@
         return cluster.list.contains(machine.self);
     }
 
+    /** The clusters' own claim: it must not hold by mere want of a change of members. */
+    @Test
+    void aClusterDoesNotBearALeaderThatNeverWasAVoter() {
+        SimulatedCluster cluster = new SimulatedCluster(1, 3);
+        Machine newcomer = cluster.add("10.0.1.1:1");
+        newcomer.outside();
+        Standing leads = new Standing(Standing.Role.LEADER, 1_000, newcomer.self, cluster.list);
+        assertThrows(AssertionError.class, () -> newcomer.standing(leads));
+        Machine founder = cluster.machines.values().iterator().next();
+        founder.standing(new Standing(Standing.Role.LEADER, 1_001, founder.self, cluster.list));
+    }
+
     @Test
     void commitsInAFewMillisecondsAndTellsWhoLeads() {
         play(cluster -> {
--- a/src/test/java/sablehinge/consensus/SimulatedCluster.java
+++ b/src/test/java/sablehinge/consensus/SimulatedCluster.java
@@ -276,14 +276,15 @@
             }
         }
 
-        private boolean hasAppliedItsRemoval() {
+        /** Whether it is a member by the last list that it has applied, or by the founding before any. */
+        private boolean isMemberAsApplied() {
             for (int i = (int) applied - 1; i >= 0; i--) {
                 Entry entry = committed.get(i);
                 if (entry.kind() == Entry.Kind.MEMBERS) {
-                    return !Members.read(entry.data()).contains(self);
+                    return Members.read(entry.data()).contains(self);
                 }
             }
-            return false;
+            return founding.contains(self);
         }
 
         void compact() {
@@ -333,8 +334,8 @@
                 Long other = leaders.putIfAbsent(now.term(), self.id());
                 check(other == null || other == self.id(), this,
                         () -> "a second leader of term " + now.term());
-                // A list that leaves it out counts as soon as it has applied it.
-                check(now.members().contains(self) || !hasAppliedItsRemoval(), this,
+                // A list that leaves it out counts as soon as it has applied it; who never was on one never leads.
+                check(now.members().contains(self) || isMemberAsApplied(), this,
                         () -> "leads as an outsider");
             }
             standing = now;
@@ -402,6 +403,8 @@
     int losses;
     /** The last list that was committed. */
     List<Member> list;
+    /** Who founded it. */
+    List<Member> founding = List.of();
     private final PriorityQueue<Event> queue = new PriorityQueue<>((a, b) -> a.at() == b.at()
             ? Long.compare(a.order(), b.order()) : Double.compare(a.at(), b.at()));
     private long order;
@@ -435,6 +438,7 @@
             members.add(Member.founder("10.0.0." + i + ":1", "c" + i));
         }
         list = List.copyOf(members);
+        founding = list;
         for (Member member : members) {
             add(member.address()).found(members);
         }
