--- a/src/main/java/sablehinge/watch/Update.java
+++ b/src/main/java/sablehinge/watch/Update.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import sablehinge.state.Registration;
+import sablehinge.rpc.Connection;
 
 /**
  * The answer to an ask.
@@ -13,7 +14,7 @@
  * @param number of the ask
  * @param confirmed whether nothing newer had been acknowledged when the ask came
  * @param edition of the configuration in force; 0 for none
- * @param body that configuration, as it was sent; empty where the asker has it
+ * @param body that configuration as {@link PackedConfiguration} packs it; empty where the asker has it
  * @param term of who keeps the roll
  * @param stamp of the roll
  * @param whole whether the registrations are all there are, rather than those that changed
@@ -35,19 +36,15 @@
 
     /** Writes them. */
     public byte[] bytes() {
-        return bytes(PackedBody.of(body));
+        return Bytes.of(this::write);
     }
 
-    /** The same where the body is packed already. */
-    byte[] bytes(PackedBody packed) {
-        return Bytes.of(out -> write(packed, out));
-    }
-
-    private void write(PackedBody packed, DataOutputStream out) throws IOException {
+    private void write(DataOutputStream out) throws IOException {
         out.writeInt(number);
         out.writeBoolean(confirmed);
         out.writeLong(edition);
-        packed.write(out);
+        out.writeInt(body.length);
+        out.write(body);
         out.writeLong(term);
         out.writeLong(stamp);
         out.writeBoolean(whole);
@@ -69,7 +66,8 @@
         int number = in.readInt();
         boolean confirmed = in.readBoolean();
         long edition = in.readLong();
-        byte[] body = PackedBody.read(in);
+        byte[] body = new byte[Bytes.bounded(in.readInt(), Connection.MOST_BYTES)];
+        in.readFully(body);
         long term = in.readLong();
         long stamp = in.readLong();
         boolean whole = in.readBoolean();
--- a/src/main/java/sablehinge/watch/WatchServer.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -32,7 +32,6 @@
     private long term;
     private long edition;
     private byte[] body = NONE;
-    private PackedBody packed = PackedBody.NONE;
     private List<String> core = List.of();
 
     private static final class Asker {
@@ -43,18 +42,8 @@
         boolean toldComplete;
     }
 
-    /**
-     * An answer for whoever asked.
-     *
-     * @param packed the update's body
-     */
-    public record Told<K>(K to, Update update, PackedBody packed) {
-
-        /** The answer as a record's body. */
-        public byte[] bytes() {
-            return update.bytes(packed);
-        }
-    }
+    /** An answer for whoever asked. */
+    public record Told<K>(K to, Update update) { }
 
     /** A desk over a roll, which it keeps up. */
     public WatchServer(Registry registry) {
@@ -69,13 +58,13 @@
         healthView.begin(now);
     }
 
-    /** The committed configuration, and where the members of the core take records. */
+    /**
+     * The committed configuration as {@link PackedConfiguration} packs it, and where the members of the core
+     * take records.
+     */
     public void holds(long newest, byte[] newestBody, List<String> members) {
         edition = newest;
-        if (newestBody != body) {
-            body = newestBody;
-            packed = PackedBody.of(newestBody);
-        }
+        body = newestBody;
         core = List.copyOf(members);
     }
 
@@ -122,8 +111,7 @@
             if (asker.waits) {
                 Update update = update(now, asker);
                 if (update != null) {
-                    due.add(new Told<>(entry.getKey(), update,
-                            update.body().length > 0 ? packed : PackedBody.NONE));
+                    due.add(new Told<>(entry.getKey(), update));
                 }
             }
         }
--- a/src/test/java/sablehinge/sidecar/StubCore.java
+++ b/src/test/java/sablehinge/sidecar/StubCore.java
@@ -1,21 +1,20 @@
 package sablehinge.sidecar;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.state.Registration;
 import sablehinge.state.Registry;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
 import sablehinge.core.Clock;
 import sablehinge.failuredetection.Accusation;
+import sablehinge.watch.PackedConfiguration;
 import sablehinge.watch.WatchRequest;
 import sablehinge.watch.WatchServer;
 
@@ -23,8 +22,7 @@
 final class StubCore implements Connection.Handler, AutoCloseable {
 
     private static final long TERM = 3;
-    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("stub-core", true), NioIoHandler.newFactory()).next();
+    private final EventLoop loop = ClosingEventLoops.single("stub-core");
     private final Clock clock = Clock.system();
     private final Registry registry = new Registry(0, 600_000);
     private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
@@ -37,6 +35,7 @@
     private boolean confirms = true;
     private int confirmationsAsked;
     private long readyAt;
+    private int connections;
 
     StubCore(String ip, int port) throws Exception {
         address = ip + ":" + port;
@@ -58,10 +57,15 @@
 
     private void answer() {
         for (WatchServer.Told<Connection.Link> told : watchServer.due(clock.now())) {
-            told.to().send(new Frame(Frame.Kind.NEWS, told.bytes()));
+            told.to().send(new Frame(Frame.Kind.NEWS, told.update().bytes()));
         }
     }
 
+    @Override
+    public void opened(Connection.Link link) {
+        connections++;
+    }
+
     @Override
     public void came(Connection.Link link, Frame frame) {
         if (frame.kind() != Frame.Kind.ASK) {
@@ -96,17 +100,32 @@
     void holds(String configuration, long next) {
         request(() -> {
             edition = next;
-            watchServer.holds(next, configuration.getBytes(StandardCharsets.UTF_8), List.of(address));
+            watchServer.holds(next, packed(configuration), List.of(address));
+            answer();
+            return null;
+        });
+    }
+
+    /** What travels as the configuration in force is what the test says. */
+    void holdsAsItTravels(byte[] packed, long next) {
+        request(() -> {
+            edition = next;
+            watchServer.holds(next, packed, List.of(address));
             answer();
             return null;
         });
     }
 
+    /** A configuration as it travels. */
+    static byte[] packed(String configuration) {
+        return PackedConfiguration.pack(configuration.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** A configuration is in force that nobody hears of before somebody asks whether theirs is the newest. */
     void holdsUntilAsked(String configuration, long next) {
         request(() -> {
             nextEdition = next;
-            nextBody = configuration.getBytes(StandardCharsets.UTF_8);
+            nextBody = packed(configuration);
             return null;
         });
     }
@@ -140,6 +159,11 @@
                 && last.registration().upstream().equals(upstream)));
     }
 
+    /** How often somebody has connected. */
+    int connections() {
+        return request(() -> connections);
+    }
+
     /** What it was told last of who asks. */
     Registration told() {
         return request(() -> last == null ? null : last.registration());
