--- a/bench/src/sablehinge/consensus/EveryOrder.java
+++ b/bench/src/sablehinge/consensus/EveryOrder.java
@@ -123,7 +123,7 @@
     private boolean isSeen(int left, int faults, int waits) {
         Fingerprint print = new Fingerprint().add(faults).add(waits).add(cluster.now).add(cluster.cuts)
                 .add(cluster.committed).add(cluster.leaders).add(cluster.graves).add(cluster.made)
-                .add(cluster.claims);
+                .add(cluster.claims).add(cluster.carried());
         for (int i = 0; i < cluster.size(); i++) {
             print.add(cluster.machine(i));
             for (int j = 0; j < cluster.size(); j++) {
--- a/bench/src/sablehinge/consensus/Outrun.java
+++ b/bench/src/sablehinge/consensus/Outrun.java
@@ -35,12 +35,12 @@
         }
         handOut(first, behind);
         player.ways(Step.Kind.CUT, behind);
-        lose(first, behind);
-        depose(first);
+        player.lose(first, behind);
+        player.depose(first);
         for (int i = 1 + player.random.nextInt(MOST_TERMS); i > 0; i--) {
             player.elect();
             if (i > 1) {
-                depose(player.leader());
+                player.depose(player.leader());
             }
         }
         player.ways(Step.Kind.MEND, behind);
@@ -63,19 +63,4 @@
             }
         }
     }
-
-    /** What is on the way between two is lost. */
-    private void lose(int one, int other) {
-        while (!player.cluster.link(one, other).isEmpty()) {
-            player.take(new Step(Step.Kind.DROP, one, other, 0));
-        }
-        while (!player.cluster.link(other, one).isEmpty()) {
-            player.take(new Step(Step.Kind.DROP, other, one, 0));
-        }
-    }
-
-    private void depose(int leader) {
-        player.power(leader);
-        player.take(Step.of(Step.Kind.START, leader));
-    }
 }
--- a/bench/src/sablehinge/consensus/Player.java
+++ b/bench/src/sablehinge/consensus/Player.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import sablehinge.consensus.SimulatedCluster.Machine;
 
 /** Takes steps in the cluster of a seed and keeps them, so that what breaks is a script. */
@@ -11,6 +12,8 @@
     private static final int PACE = 30;
     private static final int ROUNDS = 80;
     private static final int MOST_MOVES = 200;
+    /** Stands for no machine's disk. */
+    private static final int NO_DISK = -1;
 
     final SteppedCluster cluster;
     final Random random;
@@ -88,11 +91,16 @@
 
     /** All writes and messages go on until there are none left, or no more may. */
     void flow() {
+        flow(NO_DISK);
+    }
+
+    /** The same while one disk hangs, by its machine's place. */
+    void flow(int hangs) {
         boolean moved = true;
         for (int moves = 0; moved && moves < MOST_MOVES;) {
             moved = false;
             for (int a = 0; a < cluster.size(); a++) {
-                if (sync(a)) {
+                if (a != hangs && sync(a)) {
                     moved = true;
                     moves++;
                 }
@@ -106,6 +114,30 @@
         }
     }
 
+    /** The places of the voters beside one, as that one knows them. */
+    int[] followers(int leader) {
+        Machine machine = cluster.machine(leader);
+        List<Member> voters = machine.standing == null ? List.of() : machine.standing.members();
+        return IntStream.range(0, cluster.size())
+                .filter(i -> i != leader && voters.contains(cluster.machine(i).self)).toArray();
+    }
+
+    /** What is on the way between two is lost. */
+    void lose(int one, int other) {
+        while (!cluster.link(one, other).isEmpty()) {
+            take(new Step(Step.Kind.DROP, one, other, 0));
+        }
+        while (!cluster.link(other, one).isEmpty()) {
+            take(new Step(Step.Kind.DROP, other, one, 0));
+        }
+    }
+
+    /** A leader loses power and every write that was under way, and starts again. */
+    void depose(int leader) {
+        power(leader);
+        take(Step.of(Step.Kind.START, leader));
+    }
+
     /** The oldest write of a machine ends; false if it has none. */
     boolean sync(int machine) {
         boolean waits = cluster.isStarting(machine) || !cluster.machine(machine).unsynced.isEmpty();
--- a/bench/src/sablehinge/consensus/RandomScheduler.java
+++ b/bench/src/sablehinge/consensus/RandomScheduler.java
@@ -13,6 +13,10 @@
 
     private static final int[] PACES = {5, 20, 50, 100};
     private static final int SPELLS = 10;
+    /** Behind a beginning that leads somewhere there are fewer spells than this. */
+    private static final int FEW_SPELLS = 4;
+    /** The part of the schedules of a focus that have such a beginning. */
+    private static final double LED = 0.1;
     private static final int SHORTEST = 15;
     private static final int VARIES = 80;
     private static final int LONG_WAIT = 350;
@@ -73,10 +77,7 @@
         doubling = draw(2) * 0.03;
         settles = chance(0.5);
         player.startSome(chance(0.5) ? 1 : 0.8);
-        if (focus == Focus.OUTRUN) {
-            new Outrun(player).play();
-        }
-        int spells = focus == Focus.OUTRUN ? SPELLS / 3 : SPELLS;
+        int spells = begin() ? draw(FEW_SPELLS) : SPELLS;
         for (int spell = 0; spell < spells; spell++) {
             spell(spell == 0 || settles && spell % 2 == 0);
             if (chance(0.75)) {
@@ -87,6 +88,20 @@
         take(Step.of(Step.Kind.CALM, 0));
     }
 
+    /** Leads to where a rare fault would bite, in some schedules; whether it did. */
+    private boolean begin() {
+        if (focus == Focus.OUTRUN) {
+            new Outrun(player).play();
+        } else if (focus == Focus.SNAPSHOTS && chance(LED)) {
+            new LostChange(player).play();
+        } else if (focus == Focus.MEMBERSHIP && chance(LED)) {
+            new SlowFollower(player).play();
+        } else {
+            return false;
+        }
+        return true;
+    }
+
     private void spell(boolean calm) {
         int pace = PACES[draw(PACES.length)];
         double lagging = calm ? 0 : draw(3) * 0.15;
--- a/bench/src/sablehinge/consensus/SteppedCluster.java
+++ b/bench/src/sablehinge/consensus/SteppedCluster.java
@@ -1,5 +1,6 @@
 package sablehinge.consensus;
 
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -22,7 +23,7 @@
     private static final int MOST_ON_THE_WAY = 32;
     /** Clocks go 10% wrong at most, of which a lease must take account. */
     private static final double WRONG = 0.1;
-    /** Length of a configuration whose snapshot needs several chunks, bytes; and how many seeds have it. */
+    /** Length of a state whose snapshot needs several chunks, bytes; and how many seeds have it. */
     private static final int LARGE = 70_000;
     private static final int FEW_LARGE = 24;
     private static final double PLAINLY_WRONG = 0.05;
@@ -51,6 +52,7 @@
     private final Captured[] captured = new Captured[MOST];
     /** The life in which a machine's process was told to end; by place. */
     private final long[] leaving = new long[MOST];
+    private final CarriedChanges carried = new CarriedChanges();
     /** Starts of processes on empty disks; null where machines are there from the beginning. */
     private final DeploymentStart deployment;
     /** What the last step has moved, for who reads a script. */
@@ -78,7 +80,7 @@
                 usual.stall(), usual.barrier(), plain ? 1 : 1 + random.nextInt(3), usual.bytes(),
                 usual.waiting());
         if (!plain && (Focus.of(seed) == Focus.SNAPSHOTS && random.nextInt(FEW_LARGE) == 0)) {
-            claims.bodyBytes = LARGE;
+            claims.stateBytes = LARGE;
         }
         int dice = plain ? FOUNDED_BY_THREE : random.nextInt(20);
         if (dice < FOUNDED_BY_THREE) {
@@ -150,6 +152,19 @@
         // So is what its disk does.
     }
 
+    @Override
+    void made(Machine machine, Entry entry) {
+        if (entry.kind() == Entry.Kind.MEMBERS && machine.leads()
+                && machine.standing.term() == entry.term()) {
+            carried.check(this, machine, Members.read(entry.data()));
+        }
+    }
+
+    /** What the machines had applied of late, as far as a check hangs on it. */
+    CarriedChanges carried() {
+        return carried;
+    }
+
     @Override
     boolean compactsByItself() {
         return false;
@@ -184,7 +199,7 @@
             did = move(step);
             checkLease();
         } catch (IllegalStateException | IllegalArgumentException | IndexOutOfBoundsException
-                | NullPointerException e) {
+                | NullPointerException | UncheckedIOException e) {
             throw new AssertionError("seed " + seed + ", " + now + " ms: " + e, e);
         }
         if (did) {
@@ -273,6 +288,7 @@
 
     private void tick(Machine machine) {
         if (machine.up()) {
+            carried.ticks(machine);
             machine.master.tick(machine.clock());
         }
     }
--- a/src/test/java/sablehinge/consensus/Claims.java
+++ b/src/test/java/sablehinge/consensus/Claims.java
@@ -22,6 +22,8 @@
 
     /** Orders that operators remember, to send them again: the latest ones. */
     private static final int REMEMBERED = 8;
+    /** By how much each edition makes a state longer, besides its body. */
+    private static final int EDITION_BYTES = editionBytes();
 
     private final SimulatedCluster cluster;
     private final List<Acknowledged> acknowledged = new ArrayList<>();
@@ -38,11 +40,23 @@
     private long proposed;
     /** Length of the configurations that are proposed; at least 8, so that they differ. */
     int bodyBytes = Long.BYTES;
+    /**
+     * Length to which configurations fill the state; 0 where their own length is given. States of one length and another
+     * content are those whose chunks could be mixed unseen.
+     */
+    int stateBytes;
 
     Claims(SimulatedCluster cluster) {
         this.cluster = cluster;
     }
 
+    private static int editionBytes() {
+        ConfigurationState state = new ConfigurationState();
+        int before = state.state().length;
+        state.apply(ConfigurationState.replace(0, 1, new byte[0], 0));
+        return state.state().length - before;
+    }
+
     int acknowledged() {
         return acknowledged.size();
     }
@@ -51,8 +65,22 @@
     boolean propose(Machine at) {
         long edition = at.configurations.edition();
         // Not each edition is the next number, so that two on one may differ in theirs.
-        return propose(at, new Call(edition, edition + 1 + proposed % 2,
-                ByteBuffer.allocate(bodyBytes).putLong(proposed).array(), 0));
+        return propose(at, new Call(edition, edition + 1 + proposed % 2, body(at), 0));
+    }
+
+    /** A configuration that differs from all others in each of its parts. */
+    private byte[] body(Machine at) {
+        int length = bodyBytes;
+        if (stateBytes > 0) {
+            int others = at.configurations.state().length - at.configurations.body().length;
+            length = Math.max(bodyBytes, stateBytes - others - EDITION_BYTES);
+        }
+        byte[] body = new byte[length];
+        byte[] number = ByteBuffer.allocate(Long.BYTES).putLong(proposed).array();
+        for (int i = 0; i < length; i++) {
+            body[i] = number[i % Long.BYTES];
+        }
+        return body;
     }
 
     /** Proposes the latest configuration again, perhaps to another. */
--- a/src/test/java/sablehinge/consensus/SimulatedCluster.java
+++ b/src/test/java/sablehinge/consensus/SimulatedCluster.java
@@ -213,6 +213,9 @@
                 Entry other = made.putIfAbsent(entry.index() << Integer.SIZE | entry.term(), entry);
                 check(other == null || Arrays.equals(other.data(), entry.data()), this,
                         () -> "another entry " + entry.index() + " of term " + entry.term());
+                if (other == null) {
+                    made(this, entry);
+                }
             }
             unsynced.add(change);
             write(this, change);
@@ -298,17 +301,7 @@
 
         /** A commit stands on the disks of a majority, of which some may have been wiped since. */
         private void checkDurable(Entry entry) {
-            int found = 0;
-            for (Member member : standing.members()) {
-                Disk its = graves.get(member.id());
-                for (Machine machine : machines.values()) {
-                    if (machine.self != null && machine.self.id() == member.id() && its == null) {
-                        its = machine.disk;
-                    }
-                }
-                found += its != null && its.holds(entry.index(), entry.term()) ? 1 : 0;
-            }
-            int on = found;
+            int on = disksWith(entry, standing.members());
             check(on > standing.members().size() / 2, this, () -> "entry " + entry.index() + " committed on "
                     + on + " disks of " + standing.members().size());
         }
@@ -471,6 +464,25 @@
         return random.nextLong();
     }
 
+    /** How many members of a list have an entry on disk, or had it when they lost that. */
+    final int disksWith(Entry entry, List<Member> members) {
+        int found = 0;
+        for (Member member : members) {
+            Disk its = graves.get(member.id());
+            for (Machine machine : machines.values()) {
+                if (machine.self != null && machine.self.id() == member.id() && its == null) {
+                    its = machine.disk;
+                }
+            }
+            found += its != null && its.holds(entry.index(), entry.term()) ? 1 : 0;
+        }
+        return found;
+    }
+
+    /** An entry goes to a disk for the first time. */
+    void made(Machine machine, Entry entry) {
+    }
+
     /** A machine's process has begun, and is to have its ticks. */
     void booted(Machine machine) {
         long mine = machine.life;
