A founder's name and its founding are one commit

Two of three founders that lost power between the sync of their name and that of their founding were bare afterwards, and the core was never founded. firstStart is true only once, so they could not found again.

RaftStore.found puts both down in one commit; DiskWriter keeps a founder's name back until its first change. Other members put their name down first, as before. Disks of before are read as they were.

--- a/bench/src/sablehinge/consensus/DeploymentStart.java
+++ b/bench/src/sablehinge/consensus/DeploymentStart.java
@@ -10,10 +10,10 @@
 import sablehinge.consensus.SimulatedCluster.Machine;
 
 /**
- * Starts of processes as a deployment has them: on an empty disk the first write is the member's name, and
- * only when it is synced does the node found the core or ask to be let in. At the first start of all, every
- * machine has a founder's name, but only those that the seeds name found; after it, whoever has an empty
- * disk has a new name.
+ * Starts of processes as a deployment has them. At the first start of all, every machine has a founder's
+ * name, but only those that the seeds name found; after it, whoever has an empty disk has a new name. A
+ * founder's first write is its name with its founding. That of any other is its name alone, and only when it
+ * is synced does the node ask to be let in.
  */
 final class DeploymentStart {
 
@@ -49,6 +49,10 @@
     /** A process begins on an empty disk. */
     void start(Machine machine) {
         boolean first = unstarted.remove(machine.address);
+        if (first && founders.contains(machine.self)) {
+            machine.begin(machine.self, founders);
+            return;
+        }
         Member name = first ? machine.self
                 : Member.later(cluster.dice(machine), machine.address, machine.self.control());
         machine.life++;
@@ -60,7 +64,7 @@
     boolean take(Machine machine, Step step) {
         Member name = names.remove(machine.address);
         if (step.kind() == Step.Kind.SYNC) {
-            machine.begin(name, founders);
+            machine.begin(name);
         } else if (step.n() > 0) {
             machine.disk.self = name;
         } else {
--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -203,17 +203,22 @@
                 : Member.later(new SecureRandom().nextLong(), at, control);
     }
 
-    private void begin(Member me, Stored stored) {
-        double now = clock.now();
-        self = me;
-        peers = new Peers(connection, self, this::came);
-        List<String> contacts = new ArrayList<>();
+    /** Those that the settings name, as founders of the core. */
+    private List<Member> founders() {
         List<Member> founders = new ArrayList<>();
         for (String seed : settings.seeds()) {
             String at = seed.substring(0, seed.lastIndexOf(':') + 1) + settings.innerFirst();
-            contacts.add(at);
             founders.add(Member.founder(at, seed));
         }
+        return founders;
+    }
+
+    private void begin(Member me, Stored stored) {
+        double now = clock.now();
+        self = me;
+        peers = new Peers(connection, self, this::came);
+        List<Member> founders = founders();
+        List<String> contacts = founders.stream().map(Member::address).toList();
         raft.contacts(contacts);
         if (stored != null) {
             // Even who has nothing but a name, and asks to be let in, may have given its vote.
@@ -399,6 +404,11 @@
             return ControlNode.this.named(damaged);
         }
 
+        @Override
+        public boolean founds(Member me) {
+            return founders().contains(me);
+        }
+
         @Override
         public void opened(Member me, Stored stored) {
             loop.execute(() -> begin(me, stored));
--- a/src/main/java/sablehinge/control/DiskWriter.java
+++ b/src/main/java/sablehinge/control/DiskWriter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Objects;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,6 +30,12 @@
         /** Who this machine is to be, as the disk holds nobody; called once. */
         Member named(boolean damaged);
 
+        /**
+         * Whether a member that the disk does not hold yet is one of those that found the core. Its name goes
+         * to the disk with its first change, in one commit; that of any other before all else.
+         */
+        boolean founds(Member self);
+
         /** The disk is open and holds who this is; {@code stored} is null if it held nobody before. */
         void opened(Member self, Stored stored);
 
@@ -48,6 +55,8 @@
     private RaftStore store;
     private Member self;
     private boolean begun;
+    /** Whether the disk is to get the name with the next change. */
+    private boolean unnamed;
     private boolean pausing;
     private boolean ended;
     /** The store's version with all changes that were reported. */
@@ -98,7 +107,7 @@
             }
             while (!waiting.isEmpty()) {
                 busySince = host.now();
-                store.write(waiting.peekFirst());
+                write();
                 done();
             }
             well();
@@ -109,6 +118,14 @@
         }
     }
 
+    private void write() {
+        if (unnamed) {
+            store.found(self, waiting.peekFirst());
+        } else {
+            store.write(waiting.peekFirst());
+        }
+    }
+
     /** Finds out what is on disk. */
     private void took(RaftStore opened) {
         if (!begun) {
@@ -116,9 +133,10 @@
             return;
         }
         boolean landed = opened.version() == version + 1 && !waiting.isEmpty();
-        if (!self.equals(opened.self()) || opened.version() != version && !landed) {
+        Member expected = unnamed && !landed ? null : self;
+        if (!Objects.equals(expected, opened.self()) || opened.version() != version && !landed) {
             throw new StoreException(StoreException.Code.LOST, "it holds commit " + opened.version() + " of "
-                    + opened.self() + "; commit " + version + " of " + self + " was reported", null);
+                    + opened.self() + "; commit " + version + " of " + expected + " was reported", null);
         }
         if (landed) {
             done();
@@ -131,7 +149,10 @@
             if (self == null) {
                 self = host.named(opened.damaged());
             }
-            opened.begin(self);
+            unnamed = host.founds(self);
+            if (!unnamed) {
+                opened.begin(self);
+            }
         } else if (stored.self().equals(self)) {
             // Its beginning was refused, and has arrived all the same.
             stored = null;
@@ -144,6 +165,7 @@
     }
 
     private void done() {
+        unnamed = false;
         version = store.version();
         host.persisted(waiting.removeFirst().number());
     }
--- a/src/main/java/sablehinge/control/RaftStore.java
+++ b/src/main/java/sablehinge/control/RaftStore.java
@@ -303,16 +303,38 @@
      */
     public void begin(Member member) {
         open();
-        if (self != null) {
-            throw new StoreException(StoreException.Code.ORDER, "it is member " + self.id() + " already",
-                    null);
-        }
+        requireNobody();
         commit(() -> {
             state.put(SELF, Members.write(List.of(member)));
             self = member;
         });
     }
 
+    /**
+     * Puts down who this member is together with its first change, both or neither: a founder that has its
+     * name has its founding, whenever power is lost.
+     *
+     * @throws StoreException {@code ORDER} if it is someone already, or the change doesn't follow on an empty
+     *     log; {@code CLOSED}, {@code REFUSED}
+     */
+    public void found(Member member, Change founding) {
+        open();
+        requireNobody();
+        long next = follows(founding);
+        commit(() -> {
+            state.put(SELF, Members.write(List.of(member)));
+            self = member;
+            apply(founding);
+            last = next;
+        });
+    }
+
+    private void requireNobody() {
+        if (self != null) {
+            throw order("it is member " + self.id() + " already");
+        }
+    }
+
     /**
      * Puts down a change, all of it or nothing.
      *
@@ -321,6 +343,9 @@
      */
     public void write(Change change) {
         open();
+        if (self == null) {
+            throw order("nobody has begun");
+        }
         long next = follows(change);
         commit(() -> {
             apply(change);
@@ -331,9 +356,6 @@
     /** The last index after a change. */
     private long follows(Change change) {
         long base = snapshot == null ? 0 : snapshot.index();
-        if (self == null) {
-            throw order("nobody has begun");
-        }
         if (change.truncateFrom() != 0 && change.truncateFrom() <= base && change.snapshot() == null) {
             throw order("entries from " + change.truncateFrom() + " are in the snapshot to " + base);
         }
--- a/src/test/java/sablehinge/consensus/QuorumTest.java
+++ b/src/test/java/sablehinge/consensus/QuorumTest.java
@@ -183,6 +183,19 @@
         assertNotEquals(Member.founder(cluster.machine(0).address, "").id(), cluster.machine(0).self.id());
     }
 
+    /** Two of three founders lose power as soon as their names are on their disks: so is their founding. */
+    @Test
+    void foundersThatLosePowerAfterTheirFirstWriteHaveFounded() {
+        Script script = Script.parse(List.of("seed " + FIVE_START, "start a", "start b", "start c", "sync a",
+                "sync b", "power a 0", "power b 0", "calm"));
+        assertNull(script.breach());
+        SteppedCluster cluster = new SteppedCluster(FIVE_START);
+        script.steps().forEach(cluster::take);
+        assertFalse(cluster.isBeyond());
+        assertEquals(5, cluster.list.size());
+        assertTrue(cluster.list.contains(Member.founder(cluster.machine(0).address, "c0")), cluster.line());
+    }
+
     /** Found among a million schedules: a leader ended while it removed a voter, which alone heard of it. */
     @Test
     void aVoterThatIsLeftOutByAnEntryOnlyItHoldsDoesNotEndTheCore() throws Exception {
--- a/src/test/java/sablehinge/control/RaftStoreCrashTest.java
+++ b/src/test/java/sablehinge/control/RaftStoreCrashTest.java
@@ -156,6 +156,34 @@
         }
     }
 
+    /** Whenever power is lost at the first start, a founder has its name and its founding, or nothing. */
+    @Test
+    void aFounderHasItsNameWithItsFoundingOrNeither() {
+        Change founding = new Change(1, 0, 0, 0, List.of(), new Snapshot(0, 0, List.of(SELF), new byte[0]));
+        int found = 0;
+        int nothing = 0;
+        boolean died = true;
+        for (int at = 1; died; at++) {
+            CrashDisk disk = new CrashDisk(at);
+            disk.dieAt = at;
+            try (RaftStore store = RaftStore.open(disk)) {
+                store.found(SELF, founding);
+            } catch (StoreException e) {
+                assertTrue(disk.dead, e::toString);
+            }
+            died = disk.dead;
+            disk.powerUp();
+            try (RaftStore store = RaftStore.open(disk)) {
+                Stored stored = store.load();
+                nothing += stored == null ? 1 : 0;
+                found += stored != null ? 1 : 0;
+                assertTrue(stored == null || stored.self().equals(SELF) && stored.snapshot() != null
+                        && stored.snapshot().members().equals(List.of(SELF)), "step " + at);
+            }
+        }
+        assertTrue(found > 1 && nothing > 1, found + " found, " + nothing + " nothing");
+    }
+
     private static void crash(long seed, int at, int fate) {
         String place = "seed " + seed + ", step " + at + ", fate " + fate;
         CrashDisk disk = new CrashDisk(seed * 1000_003 + at * 31L + fate);
