Exchange: an answer that names no request ends its connection

Change: such an answer is treated as noise: the attempt may have run, the connection is closed. The check in the verdict goes, as this one stands before it.

--- a/src/main/java/sablehinge/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/http1/UpstreamClient.java
@@ -1021,6 +1021,11 @@
                 }
                 return;
             }
+            if (!dialect.isNamed(response)) {
+                // It may be anybody's, and what is waited for may still be at work there.
+                spoilt();
+                return;
+            }
             if (!dialect.answers(carried.request, response)) {
                 // A surplus answer in the place of the next: what is waited for may still come behind it.
                 if (++informational > MOST_AHEAD || !HttpUtil.isKeepAlive(response)) {
--- a/src/main/java/sablehinge/http1/UpstreamDialect.java
+++ b/src/main/java/sablehinge/http1/UpstreamDialect.java
@@ -28,6 +28,11 @@
     /** Whether the module may ever send this again once it may have run. */
     boolean resendable(HttpRequest request);
 
+    /** Whether an answer says to which request it belongs, where answers must. */
+    default boolean isNamed(HttpResponse answer) {
+        return true;
+    }
+
     /** Whether an answer is one to this request, and not to one before it. */
     default boolean answers(HttpRequest request, HttpResponse answer) {
         return true;
--- a/src/main/java/sablehinge/sidecar/MeshUpstream.java
+++ b/src/main/java/sablehinge/sidecar/MeshUpstream.java
@@ -76,6 +76,12 @@
         return asked == null || given == null || asked.equals(given);
     }
 
+    /** Every answer of an upstream, and every one of ours to a request that was read, names its request. */
+    @Override
+    public boolean isNamed(HttpResponse answer) {
+        return answer.headers().contains(MeshHeaders.TRY);
+    }
+
     @Override
     public boolean passable(HttpResponse answer) {
         return verdict(answer) == Result.OK;
@@ -92,27 +98,22 @@
 
     private Result verdict(HttpResponse answer) {
         HttpHeaders headers = answer.headers();
-        if (!headers.contains(MeshHeaders.TRY)) {
-            // It names no request, so it proves nothing of this one.
-            return Result.ERROR;
-        }
         if (toBalancers ? MeshHeaders.PROVEN.equals(headers.get(MeshHeaders.VERDICT))
                 : headers.contains(MeshHeaders.NOT_RUN) || answer.status().code() == MISDIRECTED) {
             return Result.FULL;
         }
         boolean served = answer.status().codeClass() == HttpStatusClass.SUCCESS
-                && headers.contains(MeshHeaders.STAMP)
+                && headers.contains(MeshHeaders.STAMP) && headers.contains(MeshHeaders.TRY)
                 && !headers.contains("Content-Encoding");
         return served ? Result.OK : Result.ERROR;
     }
 
     /**
-     * A success that lacks its stamp must not reach a client, and neither must what was encoded on the way
-     * or names no request.
+     * A success that lacks its stamp must not reach a client, and neither must what was encoded on the way.
      */
     @Override
     public boolean keeps(HttpMessage answer) {
-        return answer instanceof HttpResponse response && response.headers().contains(MeshHeaders.TRY)
+        return answer instanceof HttpResponse response
                 && response.status().codeClass() != HttpStatusClass.SUCCESS
                 && response.status().codeClass() != HttpStatusClass.REDIRECTION
                 && !response.headers().contains("Content-Encoding")
