Even parts of quotas are not divided among the few that a new leader knows

Two faults: a balancer adopted the tenants before it was told how many balancers there are, so its first bucket was cut from a whole quota and began full, where half was meant (others may have spent the rest before their processes began anew). And while the roster of a new leader was incomplete, a balancer reckoned with 16 others or with those heard of so far, whichever was more: with 63 balancers each took up to four times its part for that time. On small deployments it was the reverse: 11 balancers reckoned with 16 after each change of the leader.

The roster now comes before the tenants, and until it is complete no fewer are reckoned with than the last complete one held; 16 only before the first one.

--- a/bench/src/sablehinge/sidecar/HollowSidecar.java
+++ b/bench/src/sablehinge/sidecar/HollowSidecar.java
@@ -244,7 +244,6 @@
         complete = update.complete();
         update.registrations().forEach(registration -> roster.put(registration.node(), registration));
         spill.divide(roster.values(), complete ? 1 : RECKONED);
-        quotas.divide(now, complete ? update.size() : Math.max(RECKONED, update.size()));
         if (changed) {
             watchers.registry(roster.values());
         }
@@ -270,6 +269,7 @@
         @Override
         public void update(double askedAt, Update update) {
             double now = clock.now();
+            quotas.divide(now, update.size(), update.complete());
             if (update.edition() > edition && update.body().length > 0) {
                 adopt(now, update);
             }
--- a/src/main/java/sablehinge/sidecar/Quotas.java
+++ b/src/main/java/sablehinge/sidecar/Quotas.java
@@ -23,11 +23,14 @@
     private static final double AHEAD = 0.1;
     private static final int MOST_AT_ONCE = 20;
     private static final double KEPT = 0.5;
+    /** Balancers that are reckoned with until a complete roster has told how many there are. */
+    private static final int RECKONED = 16;
 
     private final LocalSettings.Bounds bounds;
     private final ObjIntConsumer<String> pool;
     private final Map<String, Metered> metered = new HashMap<>();
-    private int balancers = 1;
+    private int least = RECKONED;
+    private int balancers = RECKONED;
 
     /** What became of a request's claim on its tenant's quota. */
     enum Claim { GRANTED, ASKED, REFUSED }
@@ -67,10 +70,22 @@
         }
     }
 
-    /** Among how many balancers the even part is divided. */
-    void divide(double now, int among) {
+    /**
+     * Among how many balancers the even part is divided; to be told before the tenants that come with the
+     * same news, as the first tokens are a part of the even part. A leader that has just begun has heard of
+     * few; until its roster is complete, no fewer are reckoned with than the last complete one held: all of
+     * them still hold their parts.
+     *
+     * @param size balancers on the roster
+     * @param complete whether all that live are on it
+     */
+    void divide(double now, int size, boolean complete) {
+        if (complete) {
+            least = Math.max(1, size);
+        }
+        int among = Math.max(least, size);
         if (among != balancers) {
-            balancers = Math.max(1, among);
+            balancers = among;
             metered.values().forEach(one -> one.bucket.set(now, one.quota.even(balancers)));
         }
     }
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -73,7 +73,7 @@
     private static final double TOLD_MS = 500;
     private static final double ENDS_BEFORE_MS = 600;
     private static final long DRAIN_CHECK_MS = 20;
-    /** Balancers that are reckoned with until the roll is complete. */
+    /** Balancers that are reckoned with for further tries until the roll is complete. */
     private static final int RECKONED = 16;
     private static final Registry NO_REGISTRY = new Registry() {
         @Override
@@ -308,6 +308,7 @@
         @Override
         public void update(double askedAt, Update told) throws IOException {
             double now = clock.now();
+            quotas.divide(now, told.size(), told.complete());
             if (told.edition() > edition && told.body().length > 0) {
                 adopt(now, told.edition(), PackedConfiguration.unpack(told.body()));
             }
@@ -315,7 +316,6 @@
                 confirmedAt = Math.max(confirmedAt, askedAt);
                 wantsConfirmation = false;
             }
-            quotas.divide(now, told.complete() ? told.size() : Math.max(RECKONED, told.size()));
             enter(now, told);
         }
 
