--- a/src/test/java/sablehinge/sidecar/QuotasTest.java
+++ b/src/test/java/sablehinge/sidecar/QuotasTest.java
@@ -36,8 +36,8 @@
         int balancers = 10;
         try (Mesh mesh = new Mesh(false).answers(request -> Mesh.ok(request.id(), ""))) {
             for (int i = 2; i <= balancers; i++) {
-                mesh.core.tells(new Registration("s-" + i, "monza-a", "127.0.0.1:" + i, "other", "o-" + i, true,
-                        4, 0));
+                mesh.core.tells(new Registration("s-" + i, "monza-a", "127.0.0.1:" + i, "other", "o-" + i,
+                        true, 4, 0));
             }
             mesh.core.holds(Mesh.configuration(4, "{\"name\":\"t\",\"passes\":[\"k\"],\"perS\":0.01,"
                     + "\"burst\":400}", ""), 4);
