A quota is not divided anew while those that fell silent may still use their parts

Cause: RULES, QUOTA counts all machines, whether in touch or not. A balancer that is cut off goes on with its even part (0.6 of the quota in all); the others divided that part among themselves as soon as it was silent for 12 s, or 2.5 s after a change of leader whose roll did not have it. With a third of the balancers cut off, 0.6 x 4/3 + 0.4 = 1.2 of a quota could be in use, where 1.1 is allowed.

Change: the leader tells among how many a quota is divided: also those that fell silent without having left, until their row is forgotten (48 s). A balancer keeps to the number of before for 48 s after a change of leader (Quotas.divide). Nobody's part changes where balancers leave in order. It costs a part of a crashed balancer's quota for 36 s more.

--- a/bench/src/sablehinge/sidecar/HollowSidecar.java
+++ b/bench/src/sablehinge/sidecar/HollowSidecar.java
@@ -244,7 +244,7 @@
         complete = update.complete();
         update.registrations().forEach(registration -> roster.put(registration.node(), registration));
         spill.divide(roster.values(), complete ? 1 : RECKONED);
-        quotas.divide(now, complete ? update.size() : Math.max(RECKONED, update.size()));
+        quotas.divide(now, update.term(), complete, update.size());
         if (changed) {
             watchers.registry(roster.values());
         }
--- a/src/main/java/sablehinge/sidecar/Quotas.java
+++ b/src/main/java/sablehinge/sidecar/Quotas.java
@@ -23,11 +23,21 @@
     private static final double AHEAD = 0.1;
     private static final int MOST_AT_ONCE = 20;
     private static final double KEPT = 0.5;
+    /**
+     * For so long after a change of leader, in ms, a quota is divided among as many as before: the new one
+     * does not know who is cut off from it, and goes on with its part.
+     */
+    static final double HELD_MS = 48_000;
 
     private final LocalSettings.Bounds bounds;
     private final ObjIntConsumer<String> pool;
     private final Map<String, Metered> metered = new HashMap<>();
     private int balancers = 1;
+    /** Who told last among how many; how many there were by its roll when that was complete. */
+    private long term;
+    private int complete = 1;
+    private int held = 1;
+    private double heldUntil = Double.NEGATIVE_INFINITY;
 
     /** What became of a request's claim on its tenant's quota. */
     enum Claim { GRANTED, ASKED, REFUSED }
@@ -67,14 +77,35 @@
         }
     }
 
-    /** Among how many balancers the even part is divided. */
-    void divide(double now, int among) {
+    /**
+     * Among how many balancers the even part is divided.
+     *
+     * @param leadersTerm of the leader that tells it
+     * @param whole whether all had the time to be on its roll
+     */
+    void divide(double now, long leadersTerm, boolean whole, int size) {
+        if (leadersTerm != term) {
+            term = leadersTerm;
+            held = now < heldUntil ? Math.max(held, complete) : complete;
+            heldUntil = now + HELD_MS;
+        }
+        if (whole) {
+            complete = size;
+        }
+        int least = Math.max(whole ? 1 : Sidecar.RECKONED, now < heldUntil ? held : 1);
+        int among = Math.max(least, size);
         if (among != balancers) {
-            balancers = Math.max(1, among);
+            balancers = among;
             metered.values().forEach(one -> one.bucket.set(now, one.quota.even(balancers)));
         }
     }
 
+    /** This balancer's even part of a tenant's quota; null where the tenant has none. */
+    Quota part(String tenant) {
+        Metered one = metered.get(tenant);
+        return one == null ? null : one.quota.even(balancers);
+    }
+
     /** Claims a request's token; one that was asked for is claimed again a little later. */
     Claim claim(double now, Configuration.Tenant tenant) {
         Metered one = metered.get(tenant.name());
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -74,7 +74,7 @@
     private static final double ENDS_BEFORE_MS = 600;
     private static final long DRAIN_CHECK_MS = 20;
     /** Balancers that are reckoned with until the roll is complete. */
-    private static final int RECKONED = 16;
+    static final int RECKONED = 16;
     private static final Registry NO_REGISTRY = new Registry() {
         @Override
         public void fetch() {
@@ -315,7 +315,7 @@
                 confirmedAt = Math.max(confirmedAt, askedAt);
                 wantsConfirmation = false;
             }
-            quotas.divide(now, told.complete() ? told.size() : Math.max(RECKONED, told.size()));
+            quotas.divide(now, told.term(), told.complete(), told.size());
             enter(now, told);
         }
 
--- a/src/main/java/sablehinge/state/Registry.java
+++ b/src/main/java/sablehinge/state/Registry.java
@@ -25,6 +25,8 @@
         long stamp;
         double heardAt;
         boolean off;
+        /** Whether it fell silent with its upstream there, rather than that it left. */
+        boolean lost;
 
         Registration told() {
             return off ? new Registration(registration.node(), registration.zone(), registration.inbound(),
@@ -58,6 +60,7 @@
         row.heardAt = now;
         boolean news = row.off || row.registration == null || !sameBut(row.registration, registration);
         row.off = false;
+        row.lost = false;
         if (news) {
             row.registration = registration;
             row.stamp = ++stamp;
@@ -119,6 +122,7 @@
                 row.registration = new Registration(known.node(), known.zone(), known.inbound(),
                         known.service(), "",
                         false, 0, 0);
+                row.lost = true;
                 row.stamp = ++stamp;
                 news = true;
             }
@@ -168,6 +172,18 @@
         return lines;
     }
 
+    /**
+     * Balancers among which a quota is divided: also those that fell silent without having left, until they
+     * are forgotten. One that is cut off goes on with its part, which nobody else may have meanwhile.
+     */
+    public int sharers() {
+        int sharers = 0;
+        for (Row row : rows.values()) {
+            sharers += row.registration.upstream().isEmpty() && !row.lost ? 0 : 1;
+        }
+        return Math.max(1, sharers);
+    }
+
     /** Balancers that were heard of lately. */
     public int size() {
         int alive = 0;
--- a/src/main/java/sablehinge/watch/Update.java
+++ b/src/main/java/sablehinge/watch/Update.java
@@ -19,7 +19,7 @@
  * @param stamp of the roll
  * @param whole whether the registrations are all there are, rather than those that changed
  * @param complete whether who is not on the roll is gone
- * @param size balancers on the roll
+ * @param size balancers among which quotas are divided
  * @param registrations that changed since the stamp of the ask
  * @param core where the members of the core take records
  */
--- a/src/main/java/sablehinge/watch/WatchServer.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -155,7 +155,7 @@
         asker.toldComplete |= complete;
         return new Update(request.number(), asker.confirmed, edition, newer ? body : NONE, term,
                 registry.stamp(),
-                whole, complete, registry.size(), changed ? registry.since(whole ? 0 : request.stamp())
+                whole, complete, registry.sharers(), changed ? registry.since(whole ? 0 : request.stamp())
                         : List.of(),
                 core);
     }
--- a/src/test/java/sablehinge/state/RegistryTest.java
+++ b/src/test/java/sablehinge/state/RegistryTest.java
@@ -36,6 +36,28 @@
         assertEquals(List.of("i-2", "i-3", "i-1"), lives(registry.since(0)));
     }
 
+    /** RULES, QUOTA: counted across all machines, whether in touch or not. */
+    @Test
+    void whoFallsSilentStillHasItsPartOfAQuotaAndWhoLeavesHasNot() {
+        registry.told(0, registration("a", "i-1", true, 0));
+        registry.told(0, registration("b", "i-2", true, 0));
+        registry.told(900, registration("c", "i-3", true, 0));
+        assertEquals(3, registry.sharers());
+        registry.told(900, registration("b", "", false, 0));
+        assertEquals(2, registry.sharers(), "b has left");
+        assertTrue(registry.expire(1_001));
+        assertEquals(1, registry.size());
+        assertEquals(2, registry.sharers(), "a may only be cut off");
+        registry.told(1_500, registration("a", "", false, 0));
+        assertEquals(1, registry.sharers(), "a has come back without an upstream");
+        registry.told(1_600, registration("a", "i-4", true, 0));
+        registry.told(5_000, registration("c", "i-3", true, 0));
+        registry.expire(5_500);
+        assertEquals(2, registry.sharers());
+        registry.expire(5_601);
+        assertEquals(1, registry.sharers(), "a is forgotten");
+    }
+
     @Test
     void toBeToldTheSameOrOnlyToWarmUpIsNoNews() {
         registry.told(0, registration("a", "i-1", true, 900));
