A control node neither loses its ticks nor passes over an entry by an error inside it

Cause: read line by line. A periodic task of the loop that throws is never run again: one error in a tick (direct memory that ran out while news were sent, for one) left a process that answered calls and sent no heartbeat, for ever. And an entry is counted as committed before it is applied: an error in between passed it over, and this member's configuration would have differed from the others' from there on. After a pause of 20 s a thousand ticks were run at once.

Change: Guard. What the pools make of a configuration no longer stands between it and the balancers. Ticks come with a fixed delay.

Result: GuardTest (new), ControlNodeTest, QuorumContactTest, OperatorsTest, OrdersUnderFaultsTest, QuotasTest, LayersTest pass. The guard is tested alone; that ControlNode calls it is held by reading only.

--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -61,6 +61,8 @@
     /** Or after so many bytes of entries, which bounds the file and what a start reads. */
     private static final long MOST_BYTES = 4 << 20;
     private static final int MOST_CONFIGURATION = 15 * 1024 * 1024;
+    /** What the process ends with where it can't go on as who it was. */
+    private static final int HALTED = 3;
 
     private final EventLoop loop;
     private final Clock clock = Clock.system();
@@ -73,6 +75,7 @@
     private final RaftNode raft;
     private final ConfigurationState configurations = new ConfigurationState();
     private final QuorumGate gate;
+    private final Guard guard = new Guard(() -> Runtime.getRuntime().halt(HALTED));
     private final ChangeCoordinator changes;
     private final DataPlane dataPlane;
     private Member self;
@@ -223,7 +226,8 @@
         } else {
             raft.outside(now, self, contacts);
         }
-        loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        // Not at a fixed rate: after a pause of the process all that it missed would be run at once.
+        loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         Log.info(LOG, "starts").addKeyValue("node", settings.node()).addKeyValue("member", self.id())
                 .addKeyValue("founds", stored == null && founders.contains(self))
                 .addKeyValue("outside", stored == null && !founders.contains(self))
@@ -232,10 +236,10 @@
 
     private void tick() {
         double now = clock.now();
-        raft.tick(now);
-        changes.expire(now);
-        gate.expire(now);
-        dataPlane.tell();
+        guard.goOn("agreement", () -> raft.tick(now));
+        guard.goOn("changes", () -> changes.expire(now));
+        guard.goOn("gate", () -> gate.expire(now));
+        guard.goOn("news", dataPlane::tell);
     }
 
     /** A disk that answers nothing says nothing by itself. */
@@ -304,12 +308,7 @@
             sinceSnapshot++;
             bytesSinceSnapshot += entry.data().length;
             if (entry.kind() == Entry.Kind.COMMAND) {
-                ConfigurationState.Outcome outcome = changes.applied(entry);
-                if (outcome == ConfigurationState.Outcome.TAKEN) {
-                    dataPlane.configuration();
-                    Log.info(LOG, "configuration").addKeyValue("edition", configurations.edition())
-                            .addKeyValue("index", entry.index()).log("a configuration is in force");
-                }
+                guard.failStop("entry", () -> command(entry));
             }
             if (sinceSnapshot >= MOST_ENTRIES || bytesSinceSnapshot >= MOST_BYTES) {
                 sinceSnapshot = 0;
@@ -319,10 +318,18 @@
             }
         }
 
+        private void command(Entry entry) {
+            if (changes.applied(entry) == ConfigurationState.Outcome.TAKEN) {
+                guard.goOn("configuration", dataPlane::configuration);
+                Log.info(LOG, "configuration").addKeyValue("edition", configurations.edition())
+                        .addKeyValue("index", entry.index()).log("a configuration is in force");
+            }
+        }
+
         @Override
         public void restore(Snapshot snapshot) {
-            configurations.restore(snapshot.state());
-            dataPlane.configuration();
+            guard.failStop("snapshot", () -> configurations.restore(snapshot.state()));
+            guard.goOn("configuration", dataPlane::configuration);
         }
 
         @Override
@@ -414,7 +421,7 @@
             // The next process finds what is there, and is another member if that is nothing.
             Log.error(LOG, "disk-failed").addKeyValue("code", why.code())
                     .log("what was synced is gone: {}", why.getMessage());
-            Runtime.getRuntime().halt(3);
+            Runtime.getRuntime().halt(HALTED);
         }
     }
 
--- a/src/main/java/sablehinge/control/DataPlane.java
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -183,8 +183,9 @@
 
     /** The committed configuration has changed. */
     void configuration() {
-        adopt();
+        // First what the balancers are told: it must not hang on what the pools make of it.
         holds();
+        adopt();
     }
 
     /** The quotas and services in force are what the pools are filled by. */
--- /dev/null
+++ b/src/test/java/sablehinge/control/GuardTest.java
@@ -0,0 +1,38 @@
+package sablehinge.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of errors inside a control node. */
+class GuardTest {
+
+    private final List<String> came = new ArrayList<>();
+    private final Guard guard = new Guard(() -> came.add("halt"));
+
+    @Test
+    void workThatIsDoneAgainSoonMayFailAndNothingElseIsTouched() {
+        guard.goOn("a tick", () -> {
+            throw new IllegalStateException("broken");
+        });
+        guard.goOn("a tick", () -> {
+            throw new OutOfMemoryError("direct");
+        });
+        guard.goOn("a tick", () -> came.add("done"));
+        assertEquals(List.of("done"), came);
+    }
+
+    @Test
+    void workOfWhichNothingMayBeLeftOutEndsTheProcessWhenItFails() {
+        guard.failStop("an entry", () -> came.add("done"));
+        guard.failStop("an entry", () -> {
+            throw new OutOfMemoryError("heap");
+        });
+        guard.failStop("an entry", () -> {
+            throw new IllegalArgumentException("format");
+        });
+        assertEquals(List.of("done", "halt", "halt"), came);
+    }
+}
--- a/src/test/java/sablehinge/sidecar/QuotasTest.java
+++ b/src/test/java/sablehinge/sidecar/QuotasTest.java
@@ -8,7 +8,7 @@
 import sablehinge.quota.Quota;
 import sablehinge.routing.Configuration;
 
-/** Among how many a tenant's quota is divided, whoever leads and whoever is cut off; the time is the test's. */
+/** Among how many a tenant's quota is divided, whoever leads or is cut off; the time is the test's. */
 class QuotasTest {
 
     private static final int BALANCERS = 40;
