--- a/src/test/java/sablehinge/cli/ReplayVerbsTest.java
+++ b/src/test/java/sablehinge/cli/ReplayVerbsTest.java
@@ -156,8 +156,8 @@
     }
 
     /**
-     * As Ctrl-C does. What a shell starts in its background, and all that comes of it, ignores SIGINT: there it
-     * is SIGTERM, which takes the same way.
+     * As Ctrl-C does. What a shell starts in its background, and all that comes of it, ignores SIGINT:
+     * there it is SIGTERM, which takes the same way.
      */
     private static void interrupt(Process process) throws Exception {
         String ignored = Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
--- a/src/test/java/sablehinge/replay/run/LoadTest.java
+++ b/src/test/java/sablehinge/replay/run/LoadTest.java
@@ -279,8 +279,8 @@
     void aRequestThatIsAddedAsALaneStopsIsNeitherSentNorWaitedFor() throws Exception {
         EventLoop loop = ClosingEventLoops.single("lane");
         try {
-            Lane lane = new Lane(loop, "clients", List.of(new Lane.Target(new InetSocketAddress("127.0.0.1", 9),
-                    "127.0.0.1:9")), 1, ONCE, 1, System.nanoTime(), null);
+            Lane.Target nobody = new Lane.Target(new InetSocketAddress("127.0.0.1", 9), "127.0.0.1:9");
+            Lane lane = new Lane(loop, "clients", List.of(nobody), 1, ONCE, 1, System.nanoTime(), null);
             loop.submit(lane::stop).sync();
             assertTrue(lane.add(new Planned(System.nanoTime(), "look", null, "/look", "", "", 1_000, 0), 0));
             assertTrue(loop.submit(lane::isDone).sync().getNow());
