--- a/src/test/java/sablehinge/sidecar/QuotasTest.java
+++ b/src/test/java/sablehinge/sidecar/QuotasTest.java
@@ -67,6 +67,23 @@
         assertTrue(calm <= 2.0 * PER_SECOND / FLEET, "granted " + calm);
     }
 
+    /** RULES, QUOTA: counted across all machines, whether in touch or not. */
+    @Test
+    void aNewLeaderThatNeverHearsHalfOfThemGivesTheRestNoGreaterPartForAWhile() {
+        quotas.divide(0, FLEET, true);
+        quotas.adopt(0, List.of(TENANT));
+        granted(0, 5_000);
+        int calm = granted(5_000, 2_000);
+        quotas.divide(7_000, 1, false);
+        quotas.divide(9_500, FLEET / 2, true);
+        assertEquals(calm, granted(9_500, 2_000), 1);
+        quotas.divide(12_000, 1, false);
+        quotas.divide(14_500, FLEET / 2, true);
+        assertEquals(calm, granted(14_500, 2_000), 1, "nor does another leader soon after");
+        quotas.divide(12_000 + Quotas.HELD_MS, FLEET / 2, true);
+        assertEquals(2 * calm, granted(12_000 + Quotas.HELD_MS, 2_000), 2);
+    }
+
     @Test
     void aCompleteRosterCountsWhetherItHasMoreOrFewer() {
         quotas.divide(0, FLEET, true);
