A settings file that changes without a signal, or was half written at it, is taken over

It was read at the start and at SIGHUP only: seeds that changed otherwise, that were half written at the signal, or whose signal came before the process had started were not taken over, and a process that is cut off from all machines it knows has no other news of them.

What the watch costs was not measured.

--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/Waterworks.java
@@ -1,5 +1,6 @@
 package sablehinge.cli;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
@@ -47,6 +48,8 @@
                 takes.set(node::reload);
                 Main.drainAtShutdown(node::leave);
             }
+            new SettingsWatch(() -> Files.readAllBytes(Path.of(file)), () -> reread(role, takes.get()))
+                    .start();
         } catch (ConfigException e) {
             System.err.println("sablehinge: " + e.getMessage());
             System.exit(1);
