Who has said that its upstream leaves keeps no part of a quota once it is silent

Cause: read again after: a balancer ends with its upstream some moments after that has signed off, and is then silent with its upstream's life still on its row.

Change: only one that took new requests when it fell silent counts on.

Result: RegistryTest (whoSaidThatItsUpstreamLeavesHasNoPartOnceItIsSilent fails without it), WatchServerTest, QuotasTest, SettingsWatchTest, GuardTest, LayersTest pass.

--- a/src/main/java/sablehinge/state/Registry.java
+++ b/src/main/java/sablehinge/state/Registry.java
@@ -25,7 +25,7 @@
         long stamp;
         double heardAt;
         boolean off;
-        /** Whether it fell silent with its upstream there, rather than that it left. */
+        /** Whether it fell silent while it took new requests, and has not said that it leaves. */
         boolean lost;
 
         Registration told() {
@@ -122,7 +122,7 @@
                 row.registration = new Registration(known.node(), known.zone(), known.inbound(),
                         known.service(), "",
                         false, 0, 0);
-                row.lost = true;
+                row.lost = known.ready();
                 row.stamp = ++stamp;
                 news = true;
             }
--- a/src/test/java/sablehinge/state/RegistryTest.java
+++ b/src/test/java/sablehinge/state/RegistryTest.java
@@ -58,6 +58,18 @@
         assertEquals(1, registry.sharers(), "a is forgotten");
     }
 
+    /** Its process ends with its upstream, some moments after that has said that it leaves. */
+    @Test
+    void whoSaidThatItsUpstreamLeavesHasNoPartOnceItIsSilent() {
+        registry.told(0, registration("a", "i-1", true, 0));
+        registry.told(0, registration("b", "i-2", true, 0));
+        registry.told(100, registration("b", "i-2", false, 0));
+        registry.told(1_000, registration("a", "i-1", true, 0));
+        assertEquals(2, registry.sharers());
+        assertTrue(registry.expire(1_101));
+        assertEquals(1, registry.sharers());
+    }
+
     @Test
     void toBeToldTheSameOrOnlyToWarmUpIsNoNews() {
         registry.told(0, registration("a", "i-1", true, 900));
