--- a/src/main/java/sablehinge/core/Answer.java
+++ b/src/main/java/sablehinge/core/Answer.java
@@ -11,16 +11,28 @@
  * @param retryAfter when a refused caller ought to come back, in ms from now; 0 for no advice
  * @param spent what goes back of its budget; null for nothing
  * @param path the services that a loop has passed; empty where there is none
+ * @param reachedNobody whether it is proven that no server has got the request and none will
  */
-public record Answer(Kind kind, Payload payload, double retryAfter, Report spent, List<Long> path) {
+public record Answer(Kind kind, Payload payload, double retryAfter, Report spent, List<Long> path,
+        boolean reachedNobody) {
 
     /** An answer of which no budget is told. */
     public Answer(Kind kind, Payload payload, double retryAfter) {
-        this(kind, payload, retryAfter, null, List.of());
+        this(kind, payload, retryAfter, null, List.of(), false);
+    }
+
+    /** An answer that tells of a budget, or of the services that a loop has passed. */
+    public Answer(Kind kind, Payload payload, double retryAfter, Report spent, List<Long> path) {
+        this(kind, payload, retryAfter, spent, path, false);
     }
 
     Answer with(Report report) {
-        return new Answer(kind, payload, retryAfter, report, path);
+        return new Answer(kind, payload, retryAfter, report, path, reachedNobody);
+    }
+
+    /** A refusal of what has reached no server; {@code retryAfter} as above. */
+    static Answer refusedUnsent(double retryAfter) {
+        return new Answer(Kind.REFUSED, Payload.NONE, retryAfter, null, List.of(), true);
     }
 
     /** The kinds of answer: only {@link #REFUSED} promises that trying again is harmless. */
