--- a/src/main/java/sablehinge/core/Answer.java
+++ b/src/main/java/sablehinge/core/Answer.java
@@ -11,28 +11,16 @@
  * @param retryAfter when a refused caller ought to come back, in ms from now; 0 for no advice
  * @param spent what goes back of its budget; null for nothing
  * @param path the services that a loop has passed; empty where there is none
- * @param reachedNobody whether it is proven that no server has got the request and none will
  */
-public record Answer(Kind kind, Payload payload, double retryAfter, Report spent, List<Long> path,
-        boolean reachedNobody) {
+public record Answer(Kind kind, Payload payload, double retryAfter, Report spent, List<Long> path) {
 
     /** An answer of which no budget is told. */
     public Answer(Kind kind, Payload payload, double retryAfter) {
-        this(kind, payload, retryAfter, null, List.of(), false);
-    }
-
-    /** An answer that tells of a budget, or of the services that a loop has passed. */
-    public Answer(Kind kind, Payload payload, double retryAfter, Report spent, List<Long> path) {
-        this(kind, payload, retryAfter, spent, path, false);
+        this(kind, payload, retryAfter, null, List.of());
     }
 
     Answer with(Report report) {
-        return new Answer(kind, payload, retryAfter, report, path, reachedNobody);
-    }
-
-    /** A refusal of what has reached no server; {@code retryAfter} as above. */
-    static Answer refusedUnsent(double retryAfter) {
-        return new Answer(Kind.REFUSED, Payload.NONE, retryAfter, null, List.of(), true);
+        return new Answer(kind, payload, retryAfter, report, path);
     }
 
     /** The kinds of answer: only {@link #REFUSED} promises that trying again is harmless. */
--- a/src/main/java/sablehinge/core/Core.java
+++ b/src/main/java/sablehinge/core/Core.java
@@ -594,10 +594,7 @@
 
     @Override
     public void refuse(long requestId, double retryAfter) {
-        Exchange exchange = exchanges.get(requestId);
-        boolean unsent = exchange != null && extras != null && exchange.reached == 0;
-        answer(requestId, unsent ? Answer.refusedUnsent(retryAfter)
-                : new Answer(Answer.Kind.REFUSED, Payload.NONE, retryAfter));
+        answer(requestId, new Answer(Answer.Kind.REFUSED, Payload.NONE, retryAfter));
     }
 
     @Override
--- a/src/main/java/sablehinge/http1/Early.java
+++ b/src/main/java/sablehinge/http1/Early.java
@@ -62,8 +62,7 @@
             kept = new Answer(Answer.Kind.FAILED, Payload.NONE, 0);
         } else {
             Payload payload = answer.payload() == Payload.NONE ? Payload.NONE : answer.payload().keep();
-            kept = new Answer(answer.kind(), payload, answer.retryAfter(), answer.spent(), answer.path(),
-                    answer.reachedNobody());
+            kept = new Answer(answer.kind(), payload, answer.retryAfter(), answer.spent(), answer.path());
         }
     }
 
--- a/src/main/java/sablehinge/http1/FrontDialect.java
+++ b/src/main/java/sablehinge/http1/FrontDialect.java
@@ -54,11 +54,6 @@
     /** The body of an answer, lent. */
     ByteBuf content(Answer answer);
 
-    /** A request that was taken has its answer; called once for each, before the answer is written. */
-    default void answered(Answer answer, HttpRequest request) {
-        // Most need not know.
-    }
-
     /**
      * Sets the headers of an answer, those apart that frame it.
      *
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -869,7 +869,6 @@
 
         @Override
         public void answer(Answer answer) {
-            dialect.answered(answer, current);
             if (answer.payload() instanceof Passing passing) {
                 pass(passing, answer);
                 return;
--- a/src/main/java/sablehinge/quota/Bucket.java
+++ b/src/main/java/sablehinge/quota/Bucket.java
@@ -38,11 +38,6 @@
         tokens += count;
     }
 
-    /** Puts a token back that was taken and not used; what is above the bound is lost. */
-    public void putBack() {
-        tokens = Math.max(tokens, Math.min(most, tokens + 1));
-    }
-
     /** Takes up to so many tokens, and tells how many there were. */
     public int take(double now, int count) {
         fill(now);
--- a/src/main/java/sablehinge/sidecar/OutboundFront.java
+++ b/src/main/java/sablehinge/sidecar/OutboundFront.java
@@ -159,15 +159,6 @@
         return true;
     }
 
-    /** What no upstream has got costs its tenant nothing, or those who try again would use its quota up. */
-    @Override
-    public void answered(Answer answer, HttpRequest request) {
-        String tenant = request.headers().get(MeshHeaders.SENDER);
-        if (answer.reachedNobody() && tenant != null) {
-            quotas.giveBack(tenant);
-        }
-    }
-
     @Override
     public HttpResponseStatus status(Answer answer) {
         return MeshAnswers.status(answer);
--- a/src/main/java/sablehinge/sidecar/Quotas.java
+++ b/src/main/java/sablehinge/sidecar/Quotas.java
@@ -101,14 +101,6 @@
         return Claim.ASKED;
     }
 
-    /** A request that claimed a token was refused without having reached an upstream: the token is free. */
-    void giveBack(String tenant) {
-        Metered one = metered.get(tenant);
-        if (one != null) {
-            one.bucket.putBack();
-        }
-    }
-
     /** In how many ms a token comes by itself. */
     double next(Configuration.Tenant tenant) {
         Metered one = metered.get(tenant.name());
--- a/src/test/java/sablehinge/quota/MeterTest.java
+++ b/src/test/java/sablehinge/quota/MeterTest.java
@@ -41,21 +41,6 @@
         assertEquals(4, bucket.take(50, 100));
     }
 
-    /** Nothing is gained by taking and putting back. */
-    @Test
-    void whatIsPutBackIsThereAgainUpToTheBound() {
-        bucket.set(0, new Quota(10, 4));
-        assertEquals(2, bucket.take(0, 2));
-        bucket.putBack();
-        assertEquals(1, bucket.take(0, 100));
-        assertEquals(4, bucket.take(100_000, 100));
-        bucket.set(100_000, new Quota(10, 2));
-        bucket.putBack();
-        bucket.putBack();
-        bucket.putBack();
-        assertEquals(2, bucket.take(100_000, 100));
-    }
-
     /** Whoever had the duty before may have given all out. */
     @Test
     void aPoolBeginsEmptyWithEachWhoTakesTheDutyOver() {
--- a/src/test/java/sablehinge/sidecar/RequestsTest.java
+++ b/src/test/java/sablehinge/sidecar/RequestsTest.java
@@ -181,24 +181,6 @@
         }
     }
 
-    /** Where no upstream is there, tries that are refused leave the quota to those that come later. */
-    @Test
-    void whatIsRefusedWithoutHavingReachedAnUpstreamCostsItsTenantNothing() throws Exception {
-        try (Mesh mesh = new Mesh().answers(RequestsTest::echo)) {
-            mesh.core.holds(Mesh.configuration(4, TENANTS, ""), 4);
-            mesh.core.awaitKnown("");
-            Wire client = mesh.client();
-            for (int i = 0; i < 30; i++) {
-                assertEquals(503, client.ask(Mesh.get("/u/x", "t-" + i, lines("Sablehinge-Key: k-few"))
-                        .replace("Time-Left: 12000", "Time-Left: 40")).status());
-            }
-            mesh.beat("i-1", "ready");
-            mesh.core.awaitKnown("i-1");
-            assertEquals(200, client.ask(Mesh.get("/u/x", "u-1", lines("Sablehinge-Key: k-few"))).status());
-            assertEquals(List.of("u-1"), mesh.arrivedIds());
-        }
-    }
-
     @Test
     void theTimeLeftIsNeverMoreThanTheClientSaidNorThanTheRoutesTimeOut() throws Exception {
         try (Mesh mesh = Mesh.served().answers(RequestsTest::echo)) {
