--- a/src/main/java/sablehinge/sidecar/Quotas.java
+++ b/src/main/java/sablehinge/sidecar/Quotas.java
@@ -25,11 +25,20 @@
     private static final double KEPT = 0.5;
     /** Balancers that are reckoned with until a complete roster has told how many there are. */
     private static final int RECKONED = 16;
+    /**
+     * For so long after another leader has begun, in ms, no fewer are reckoned with than before it: who is
+     * cut off from it may be on no roster of its, and goes on with its part.
+     */
+    static final double HELD_MS = 48_000;
 
     private final LocalSettings.Bounds bounds;
     private final ObjIntConsumer<String> pool;
     private final Map<String, Metered> metered = new HashMap<>();
     private int least = RECKONED;
+    /** Whether the last roster was complete; one that is not begins another leader's. */
+    private boolean whole;
+    private int held = 1;
+    private double heldUntil = Double.NEGATIVE_INFINITY;
     private int balancers = RECKONED;
 
     /** What became of a request's claim on its tenant's quota. */
@@ -73,17 +82,22 @@
     /**
      * Among how many balancers the even part is divided; to be told before the tenants that come with the
      * same news, as the first tokens are a part of the even part. A leader that has just begun has heard of
-     * few; until its roster is complete, no fewer are reckoned with than the last complete one held: all of
-     * them still hold their parts.
+     * few; until its roster is complete, and for {@link #HELD_MS} at least, no fewer are reckoned with than
+     * the last complete one before it held: all of them may still hold their parts.
      *
      * @param size balancers on the roster
      * @param complete whether all that live are on it
      */
     void divide(double now, int size, boolean complete) {
+        if (whole && !complete) {
+            held = now < heldUntil ? Math.max(held, least) : least;
+            heldUntil = now + HELD_MS;
+        }
+        whole = complete;
         if (complete) {
             least = Math.max(1, size);
         }
-        int among = Math.max(least, size);
+        int among = Math.max(now < heldUntil ? Math.max(held, least) : least, size);
         if (among != balancers) {
             balancers = among;
             metered.values().forEach(one -> one.bucket.set(now, one.quota.even(balancers)));
--- a/src/test/java/sablehinge/consensus/SimulatedCluster.java
+++ b/src/test/java/sablehinge/consensus/SimulatedCluster.java
@@ -139,17 +139,26 @@
                     clock());
         }
 
-        /** Begins as a member whose name is all that its disk holds: as a founder, or asking to be let in. */
-        void begin(Member me, List<Member> founders) {
+        /** Begins as a member whose name is all that its disk holds: it asks to be let in. */
+        void begin(Member me) {
             self = me;
             disk.self = me;
             boot();
-            if (founders.contains(me)) {
-                master.contacts(addresses());
-                master.found(clock(), me, founders);
-            } else {
-                master.outside(clock(), me, addresses());
-            }
+            master.outside(clock(), me, addresses());
+        }
+
+        /** Begins as a founder whose name comes to its empty disk with its first change. */
+        void begin(Member me, List<Member> founders) {
+            self = me;
+            boot();
+            master.contacts(addresses());
+            master.found(clock(), me, founders);
+        }
+
+        /** A change arrives on the disk, the first one with the member's name. */
+        private void store(Change change) {
+            disk.self = self;
+            disk.write(change);
         }
 
         /** Starts with an empty disk long after the founding. */
@@ -174,7 +183,12 @@
             standing = null;
             life++;
             for (Change change : unsynced.subList(0, kept)) {
-                disk.write(change);
+                store(change);
+            }
+            if (disk.self == null) {
+                graves.put(self.id(), disk);
+                unwritten.add(self.id());
+                disk = new Disk();
             }
             unsynced = new ArrayList<>();
         }
@@ -213,6 +227,9 @@
                 Entry other = made.putIfAbsent(entry.index() << Integer.SIZE | entry.term(), entry);
                 check(other == null || Arrays.equals(other.data(), entry.data()), this,
                         () -> "another entry " + entry.index() + " of term " + entry.term());
+                if (other == null) {
+                    made(this, entry);
+                }
             }
             unsynced.add(change);
             write(this, change);
@@ -237,7 +254,7 @@
         /** The oldest change that is under way arrives on the disk. */
         void syncOne() {
             Change change = unsynced.remove(0);
-            disk.write(change);
+            store(change);
             master.persisted(clock(), change.number());
         }
 
@@ -250,7 +267,7 @@
                 return;
             }
             while (!unsynced.isEmpty() && unsynced.get(0).number() <= change.number()) {
-                disk.write(unsynced.remove(0));
+                store(unsynced.remove(0));
             }
             master.persisted(clock(), change.number());
         }
@@ -276,14 +293,15 @@
             }
         }
 
-        private boolean hasAppliedItsRemoval() {
+        /** Whether it is a member by the last list that it has applied, or by the founding before any. */
+        private boolean isMemberAsApplied() {
             for (int i = (int) applied - 1; i >= 0; i--) {
                 Entry entry = committed.get(i);
                 if (entry.kind() == Entry.Kind.MEMBERS) {
-                    return !Members.read(entry.data()).contains(self);
+                    return Members.read(entry.data()).contains(self);
                 }
             }
-            return false;
+            return founding.contains(self);
         }
 
         void compact() {
@@ -298,17 +316,7 @@
 
         /** A commit stands on the disks of a majority, of which some may have been wiped since. */
         private void checkDurable(Entry entry) {
-            int found = 0;
-            for (Member member : standing.members()) {
-                Disk its = graves.get(member.id());
-                for (Machine machine : machines.values()) {
-                    if (machine.self != null && machine.self.id() == member.id() && its == null) {
-                        its = machine.disk;
-                    }
-                }
-                found += its != null && its.holds(entry.index(), entry.term()) ? 1 : 0;
-            }
-            int on = found;
+            int on = disksWith(entry, standing.members());
             check(on > standing.members().size() / 2, this, () -> "entry " + entry.index() + " committed on "
                     + on + " disks of " + standing.members().size());
         }
@@ -333,8 +341,8 @@
                 Long other = leaders.putIfAbsent(now.term(), self.id());
                 check(other == null || other == self.id(), this,
                         () -> "a second leader of term " + now.term());
-                // A list that leaves it out counts as soon as it has applied it.
-                check(now.members().contains(self) || !hasAppliedItsRemoval(), this,
+                // A list that leaves it out counts as soon as it has applied it; who is on none never leads.
+                check(now.members().contains(self) || isMemberAsApplied(), this,
                         () -> "leads as an outsider");
             }
             standing = now;
@@ -391,6 +399,8 @@
     final Set<String> cuts = new HashSet<>();
     final Map<String, Machine> machines = new LinkedHashMap<>();
     final Map<Long, Disk> graves = new HashMap<>();
+    /** Members whose process ended before anything of them was on a disk. */
+    final Set<Long> unwritten = new HashSet<>();
     final List<Entry> committed = new ArrayList<>();
     final List<Long> chains = new ArrayList<>();
     final Map<Long, Long> leaders = new HashMap<>();
@@ -402,6 +412,8 @@
     int losses;
     /** The last list that was committed. */
     List<Member> list;
+    /** Who founded it. */
+    List<Member> founding = List.of();
     private final PriorityQueue<Event> queue = new PriorityQueue<>((a, b) -> a.at() == b.at()
             ? Long.compare(a.order(), b.order()) : Double.compare(a.at(), b.at()));
     private long order;
@@ -435,6 +447,7 @@
             members.add(Member.founder("10.0.0." + i + ":1", "c" + i));
         }
         list = List.copyOf(members);
+        founding = list;
         for (Member member : members) {
             add(member.address()).found(members);
         }
@@ -471,6 +484,25 @@
         return random.nextLong();
     }
 
+    /** How many members of a list have an entry on disk, or had it when they lost that. */
+    final int disksWith(Entry entry, List<Member> members) {
+        int found = 0;
+        for (Member member : members) {
+            Disk its = graves.get(member.id());
+            for (Machine machine : machines.values()) {
+                if (machine.self != null && machine.self.id() == member.id() && its == null) {
+                    its = machine.disk;
+                }
+            }
+            found += its != null && its.holds(entry.index(), entry.term()) ? 1 : 0;
+        }
+        return found;
+    }
+
+    /** An entry goes to a disk for the first time. */
+    void made(Machine machine, Entry entry) {
+    }
+
     /** A machine's process has begun, and is to have its ticks. */
     void booted(Machine machine) {
         long mine = machine.life;
--- a/src/test/java/sablehinge/sidecar/QuotasTest.java
+++ b/src/test/java/sablehinge/sidecar/QuotasTest.java
@@ -36,8 +36,8 @@
         int balancers = 10;
         try (Mesh mesh = new Mesh(false).answers(request -> Mesh.ok(request.id(), ""))) {
             for (int i = 2; i <= balancers; i++) {
-                mesh.core.tells(new Registration("s-" + i, "monza-a", "127.0.0.1:" + i, "other", "o-" + i, true,
-                        4, 0));
+                mesh.core.tells(new Registration("s-" + i, "monza-a", "127.0.0.1:" + i, "other", "o-" + i,
+                        true, 4, 0));
             }
             mesh.core.holds(Mesh.configuration(4, "{\"name\":\"t\",\"passes\":[\"k\"],\"perS\":0.01,"
                     + "\"burst\":400}", ""), 4);
@@ -67,6 +67,23 @@
         assertTrue(calm <= 2.0 * PER_SECOND / FLEET, "granted " + calm);
     }
 
+    /** RULES, QUOTA: counted across all machines, whether in touch or not. */
+    @Test
+    void aNewLeaderThatNeverHearsHalfOfThemGivesTheRestNoGreaterPartForAWhile() {
+        quotas.divide(0, FLEET, true);
+        quotas.adopt(0, List.of(TENANT));
+        granted(0, 5_000);
+        int calm = granted(5_000, 2_000);
+        quotas.divide(7_000, 1, false);
+        quotas.divide(9_500, FLEET / 2, true);
+        assertEquals(calm, granted(9_500, 2_000), 1);
+        quotas.divide(12_000, 1, false);
+        quotas.divide(14_500, FLEET / 2, true);
+        assertEquals(calm, granted(14_500, 2_000), 1, "nor does another leader soon after");
+        quotas.divide(12_000 + Quotas.HELD_MS, FLEET / 2, true);
+        assertEquals(2 * calm, granted(12_000 + Quotas.HELD_MS, 2_000), 2);
+    }
+
     @Test
     void aCompleteRosterCountsWhetherItHasMoreOrFewer() {
         quotas.divide(0, FLEET, true);
