Of many configurations in succession a balancer is sent one a second

The leader now sends one asker two configurations at once and further ones a second apart, the newest each time; who asks for a confirmation (a start, an unknown route or key) is told at once as before.

--- a/src/main/java/sablehinge/watch/WatchServer.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -22,6 +22,11 @@
     private static final double HELD_MS = 400;
     /** How often it is ruled on who is off, in ms. */
     private static final double JUDGE_MS = 40;
+    /**
+     * How often one asker is sent a configuration while many come in succession, in ms; the first two of them
+     * are told at once. Reading one of thousands of routes takes a narrow machine a good part of a second.
+     */
+    private static final double CONFIGURATION_EVERY_MS = 1_000;
     private static final byte[] NONE = new byte[0];
 
     private final Registry registry;
@@ -40,6 +45,17 @@
         boolean waits;
         boolean confirmed;
         boolean toldComplete;
+        /** Until when the configurations that it was sent would have lasted, in ms, at that many a second. */
+        double suppliedUntil = Double.NEGATIVE_INFINITY;
+
+        boolean mayHaveConfiguration(double now) {
+            return request.confirm() || suppliedUntil - now <= CONFIGURATION_EVERY_MS;
+        }
+
+        void hasConfiguration(double now) {
+            double before = Math.min(Math.max(now, suppliedUntil), now + CONFIGURATION_EVERY_MS);
+            suppliedUntil = before + CONFIGURATION_EVERY_MS;
+        }
     }
 
     /** An answer for whoever asked. */
@@ -145,7 +161,7 @@
         WatchRequest request = asker.request;
         boolean complete = registry.isComplete(now);
         boolean whole = request.term() != term || complete && !asker.toldComplete;
-        boolean newer = request.edition() < edition;
+        boolean newer = request.edition() < edition && asker.mayHaveConfiguration(now);
         boolean changed = whole || request.stamp() < registry.stamp();
         boolean held = now - asker.askedAt < HELD_MS;
         if (request.confirm() && !asker.confirmed || !newer && !changed && !request.confirm() && held) {
@@ -153,6 +169,9 @@
         }
         asker.waits = false;
         asker.toldComplete |= complete;
+        if (newer) {
+            asker.hasConfiguration(now);
+        }
         return new Update(request.number(), asker.confirmed, edition, newer ? body : NONE, term,
                 registry.stamp(),
                 whole, complete, registry.sharers(), changed ? registry.since(whole ? 0 : request.stamp())
--- a/src/test/java/sablehinge/watch/WatchServerTest.java
+++ b/src/test/java/sablehinge/watch/WatchServerTest.java
@@ -91,6 +91,53 @@
         assertArrayEquals(new byte[] {9}, update.body());
     }
 
+    /** Who can't read them as fast as they come would do nothing else. */
+    @Test
+    void ofManyEditionsInSuccessionOneIsToldEachSecondAndTheLastOneIsToldInTheEnd() {
+        settled("a");
+        long known = 4;
+        double lastTold = 0;
+        int told = 0;
+        int number = 3;
+        for (double now = 10; now <= 11_000; now += 10) {
+            if (now <= 9_000) {
+                watchServer.holds(4 + (long) (now / 10), BODY, List.of());
+            }
+            for (WatchServer.Told<String> answer : watchServer.due(now)) {
+                if (answer.update().body().length > 0) {
+                    assertTrue(now - lastTold <= 1_000 && now <= 10_000, "told at " + now);
+                    known = answer.update().edition();
+                    lastTold = now;
+                    told++;
+                }
+                asks(now, "a", number++, known, registry.stamp(), false);
+            }
+        }
+        assertEquals(904, known);
+        assertTrue(told <= 11, "told " + told);
+    }
+
+    @Test
+    void whoWantsToBeSureIsToldTheNewestHoweverManyItWasToldBefore() {
+        settled("a");
+        long known = 4;
+        for (int i = 0; i < 50; i++) {
+            watchServer.holds(5 + i, BODY, List.of());
+            asks(20 + i, "a", 3 + i, known, registry.stamp(), true);
+            watchServer.confirmed("a", 3 + i);
+            known = only(20 + i).edition();
+            assertEquals(5 + i, known);
+        }
+        asks(80, "a", 90, known, registry.stamp(), false);
+        watchServer.holds(100, BODY, List.of());
+        none(90);
+        watchServer.due(500);
+        asks(500, "a", 91, known, registry.stamp(), false);
+        none(510);
+        asks(1_070, "a", 92, known, registry.stamp(), false);
+        assertEquals(100, only(1_070).edition());
+    }
+
     @Test
     void whoHasComeIsToldAtOnceToWhoIsHeldAndNothingElse() {
         settled("a");
