--- a/bench/src/sablehinge/fleet/AddedTime.java
+++ b/bench/src/sablehinge/fleet/AddedTime.java
@@ -14,7 +14,8 @@
     /** The JDK's client sets the host itself unless it is told not to; read once, before its first use. */
     private static final String RESTRICTED = "jdk.httpclient.allowRestrictedHeaders";
     private static final Duration PATIENCE = Duration.ofSeconds(3);
-    private static final int WARM_UP = 300;
+    /** Requests before those that are measured. */
+    static final int WARM_UP = 300;
     private static final int OK = 200;
 
     private AddedTime() {
--- a/bench/src/sablehinge/fleet/FleetOperator.java
+++ b/bench/src/sablehinge/fleet/FleetOperator.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import sablehinge.standin.mesh.Ledger;
 
@@ -16,18 +17,32 @@
     private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final long AGAIN_MS = 20;
     private static final int OK = 200;
-    private static final int STALE = 412;
+    /** Answers 4xx that don't say that the configuration is bad: late, stale, too many. */
+    private static final Set<Integer> MAY_COME_TO_OK = Set.of(408, 412, 429);
 
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .followRedirects(HttpClient.Redirect.ALWAYS).connectTimeout(Duration.ofSeconds(1)).build();
-    private final HttpClient direct = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .followRedirects(HttpClient.Redirect.NEVER).connectTimeout(Duration.ofSeconds(1)).build();
+    private final HttpClient client;
+    private final HttpClient direct = client(HttpClient.Redirect.NEVER);
     private final List<String> control;
     private int next;
 
-    /** An operator that knows where the control nodes take calls. */
-    FleetOperator(List<String> control) {
+    private FleetOperator(List<String> control, HttpClient.Redirect redirect) {
         this.control = List.copyOf(control);
+        client = client(redirect);
+    }
+
+    private static HttpClient client(HttpClient.Redirect redirect) {
+        return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).followRedirects(redirect)
+                .connectTimeout(Duration.ofSeconds(1)).build();
+    }
+
+    /** An operator who knows where the control nodes take calls. */
+    static FleetOperator of(List<String> control) {
+        return new FleetOperator(control, HttpClient.Redirect.ALWAYS);
+    }
+
+    /** One who can reach only these control nodes, and so is not led to others. */
+    static FleetOperator confinedTo(List<String> control) {
+        return new FleetOperator(control, HttpClient.Redirect.NEVER);
     }
 
     /**
@@ -38,23 +53,8 @@
     boolean replace(long basedOn, byte[] body, long withinMs) throws InterruptedException {
         double end = Ledger.now() + withinMs;
         while (Ledger.now() < end) {
-            try {
-                HttpRequest request = HttpRequest.newBuilder(URI.create("http://"
-                        + control.get(next % control.size()) + "/sablehinge/Config.Replace"))
-                        .timeout(PATIENCE).header("Content-Type", "application/json")
-                        .header("Sablehinge-Based-On", Long.toString(basedOn))
-                        .POST(HttpRequest.BodyPublishers.ofByteArray(body)).build();
-                HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
-                if (answer.statusCode() == OK) {
-                    return true;
-                }
-                if (answer.statusCode() / 100 == 4 && answer.statusCode() != STALE
-                        && answer.statusCode() != 429 && answer.statusCode() != 408) {
-                    throw new IllegalStateException("the configuration was refused: " + answer.statusCode()
-                            + " " + answer.body());
-                }
-            } catch (IOException e) {
-                // The next one is asked.
+            if (send(basedOn, body) == OK) {
+                return true;
             }
             next++;
             TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
@@ -62,6 +62,31 @@
         return false;
     }
 
+    /**
+     * Sends a configuration once.
+     *
+     * @return the status of the answer; 0 for none
+     * @throws IllegalStateException if the configuration itself is refused
+     */
+    int send(long basedOn, byte[] body) throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://"
+                + control.get(next % control.size()) + "/sablehinge/Config.Replace"))
+                .timeout(PATIENCE).header("Content-Type", "application/json")
+                .header("Sablehinge-Based-On", Long.toString(basedOn))
+                .POST(HttpRequest.BodyPublishers.ofByteArray(body)).build();
+        try {
+            HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+            int status = answer.statusCode();
+            if (status / 100 == 4 && !MAY_COME_TO_OK.contains(status)) {
+                throw new IllegalStateException("the configuration was refused: " + status + " "
+                        + answer.body());
+            }
+            return status;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** The place of the control node that leads; -1 where none says so. */
     int leader() throws InterruptedException {
         for (int i = 0; i < control.size(); i++) {
--- a/bench/src/sablehinge/fleet/FleetPlan.java
+++ b/bench/src/sablehinge/fleet/FleetPlan.java
@@ -1,5 +1,6 @@
 package sablehinge.fleet;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -47,8 +48,13 @@
         return place % REGIONS * (ZONES / REGIONS) + place / REGIONS % (ZONES / REGIONS);
     }
 
+    /** The number of the region of a zone that has this number. */
+    static int regionOfZone(int zone) {
+        return zone % ZONES * REGIONS / ZONES;
+    }
+
     private static String region(int number) {
-        return "region-" + number % ZONES * REGIONS / ZONES;
+        return "region-" + regionOfZone(number);
     }
 
     private static Map<String, String> zones() {
@@ -59,7 +65,8 @@
         return zones;
     }
 
-    private String controlIp(int place) {
+    /** The number of a control node's machine. */
+    String controlIp(int place) {
         return "127." + network + ".0." + (CONTROL_HOST + place);
     }
 
@@ -71,6 +78,20 @@
         return "127." + network + "." + (1 + place / HOSTS) + "." + (1 + place % HOSTS);
     }
 
+    /** The number of the region in which a control node or a hollow sidecar has its address. */
+    int regionAt(InetSocketAddress address) {
+        byte[] ip = address.getAddress().getAddress();
+        int row = Byte.toUnsignedInt(ip[2]);
+        int host = Byte.toUnsignedInt(ip[3]);
+        return regionOfZone(row == 0 ? controlZone(host - CONTROL_HOST)
+                : hollowZone((row - 1) * HOSTS + host - 1));
+    }
+
+    /** Each service's machines take turns over all zones. */
+    private int hollowZone(int place) {
+        return (place + place / (services - 1)) % ZONES;
+    }
+
     /** Where a control node takes operators' calls. */
     String control(int place) {
         return controlIp(place) + ":" + CONTROL;
@@ -112,8 +133,7 @@
     /** The settings of a hollow sidecar. */
     LocalSettings hollowSettings(int place) {
         String ip = hollowIp(place);
-        // Each service's machines take turns over all zones.
-        int zone = (place + place / (services - 1)) % ZONES;
+        int zone = hollowZone(place);
         LocalSettings.ListenOn listen = new LocalSettings.ListenOn(ip + ":" + INBOUND, ip + ":" + OUTBOUND,
                 ip + ":" + READY, ip + ":" + CONTROL);
         return new LocalSettings(node(place), LocalSettings.Role.SIDECAR, "sidecar", List.of("sidecar"), ip,
--- a/bench/src/sablehinge/fleet/FleetRun.java
+++ b/bench/src/sablehinge/fleet/FleetRun.java
@@ -22,6 +22,7 @@
 final class FleetRun implements AutoCloseable {
 
     private static final double MS_PER_S = 1_000;
+    private static final double US_PER_MS = 1_000;
     private static final double MB = 1e6;
     private static final long START_MS = 40_000;
     private static final long SETTLE_MS = 2_000;
@@ -71,7 +72,7 @@
         for (int i = 0; i < plan.controlNodes(); i++) {
             control.add(plan.control(i));
         }
-        operator = new FleetOperator(control);
+        operator = FleetOperator.of(control);
     }
 
     /** Plays all phases; returns what was measured. */
@@ -363,7 +364,14 @@
     /** One request after the other, straight to an upstream and through two sidecars. */
     private void addedTime() throws InterruptedException {
         progress.accept("added time");
+        Map<String, Double> threads = processes.threadsOfSidecars();
+        double begun = Ledger.now();
         AddedTime.Result result = AddedTime.measure(plan, REQUESTS);
+        put("serve", "sidecar", "seconds", "s", (Ledger.now() - begun) / MS_PER_S);
+        // Of all sidecars, for a request that passes two of them; what they do beside is in it.
+        processes.threadsOfSidecars().forEach((name, ms) -> put("serve", "sidecars", "cpu_per_request_of_"
+                + name, "us", (ms - threads.getOrDefault(name, 0.0)) * US_PER_MS
+                / (REQUESTS + AddedTime.WARM_UP)));
         put("serve", "sidecar", "direct_p50", "ms", result.direct().p50());
         put("serve", "sidecar", "direct_p99", "ms", result.direct().p99());
         put("serve", "sidecar", "through_p50", "ms", result.through().p50());
--- a/bench/src/sablehinge/fleet/HollowFleet.java
+++ b/bench/src/sablehinge/fleet/HollowFleet.java
@@ -1,11 +1,13 @@
 package sablehinge.fleet;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
@@ -14,7 +16,11 @@
 import java.util.function.Predicate;
 import sablehinge.api.ConfigurationReader;
 import sablehinge.config.ConfigException;
+import sablehinge.config.local.LocalSettings;
 import sablehinge.routing.Configuration;
+import sablehinge.rpc.Connection;
+import sablehinge.rpc.Cut;
+import sablehinge.rpc.Frame;
 import sablehinge.sidecar.HollowSidecar;
 import sablehinge.standin.mesh.Ledger;
 import sablehinge.watch.PackedConfiguration;
@@ -35,6 +41,8 @@
     private final ConcurrentHashMap<Long, Configuration> parsed = new ConcurrentHashMap<>();
     private final AtomicLong latestNanos = new AtomicLong();
     private int lives;
+    /** Whether the regions are cut from each other now. */
+    private volatile boolean cut;
 
     HollowFleet(FleetPlan plan) {
         this.plan = plan;
@@ -61,11 +69,41 @@
     /** Makes all of them; each only binds its address until {@link #start}. */
     void prepare() throws ConfigException, InterruptedException {
         for (int i = 0; i < plan.hollow(); i++) {
-            sidecars.add(HollowSidecar.prepare(plan.hollowSettings(i), loops.next(), life(i), traffic,
-                    this::read));
+            LocalSettings settings = plan.hollowSettings(i);
+            int region = plan.regionAt(new InetSocketAddress(settings.ip(), 0));
+            Cut regions = new Cut(() -> cut, other -> plan.regionAt(other) != region);
+            HollowSidecar sidecar = HollowSidecar.prepare(settings, loops.next(), life(i),
+                    observer(regions), this::read);
+            regions.over(sidecar.datagrams());
+            sidecars.add(sidecar);
         }
     }
 
+    /** Counts all records, and lays the cut over all connections. */
+    private Connection.Observer observer(Cut regions) {
+        return new Connection.Observer() {
+            @Override
+            public void sent(Frame.Kind kind, int bytes) {
+                traffic.sent(kind, bytes);
+            }
+
+            @Override
+            public void received(Frame.Kind kind, int bytes) {
+                traffic.received(kind, bytes);
+            }
+
+            @Override
+            public void connects(Channel channel, InetSocketAddress to) {
+                regions.over(channel, to);
+            }
+        };
+    }
+
+    /** The regions are cut from each other, or no more, as far as hollow sidecars notice. */
+    void cut(boolean lasts) {
+        cut = lasts;
+    }
+
     /** Starts all of them at once. */
     void start() {
         sidecars.forEach(HollowSidecar::begin);
--- a/bench/src/sablehinge/fleet/Processes.java
+++ b/bench/src/sablehinge/fleet/Processes.java
@@ -13,7 +13,9 @@
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import sablehinge.control.CutControlNode;
 import sablehinge.standin.mesh.Beating;
 import sablehinge.standin.mesh.Daemon;
 import sablehinge.standin.mesh.Ledger;
@@ -39,6 +41,9 @@
     private final List<Daemon> sidecars = new ArrayList<>();
     private final List<Beating> upstreams = new ArrayList<>();
 
+    /** A file that is there while the regions are cut from each other; null where they never are. */
+    private Path cut;
+
     /** Processes that do not run yet, with the commands of the deploy file. */
     Processes(FleetPlan plan) throws IOException {
         this.plan = plan;
@@ -68,9 +73,44 @@
         return new Daemon(name, file, folder.resolve(name + ".log"));
     }
 
+    /** Control nodes that are started from now on can be cut from those of the other region. */
+    void makeCuttable() {
+        cut = folder.resolve("cut");
+    }
+
+    /** The regions are cut from each other, or no more, as far as control nodes notice. */
+    void cut(boolean lasts) throws IOException {
+        if (lasts) {
+            Files.createFile(cut);
+        } else {
+            Files.delete(cut);
+        }
+    }
+
+    /** The deploy file's command, or with its settings for the JVM one that can be cut. */
+    private List<String> controlCommand(int place) {
+        List<String> command = commands.get("control");
+        if (cut == null) {
+            return command;
+        }
+        List<String> cuttable = new ArrayList<>(command.subList(0, command.indexOf("-jar")));
+        cuttable.addAll(List.of("-cp", "target/test-classes:target/sablehinge.jar",
+                CutControlNode.class.getName(), cut.toString(), String.join(",", otherRegion(place))));
+        return cuttable;
+    }
+
+    private List<String> otherRegion(int place) {
+        int region = FleetPlan.regionOfZone(FleetPlan.controlZone(place));
+        return IntStream.range(0, plan.controlNodes())
+                .filter(other -> FleetPlan.regionOfZone(FleetPlan.controlZone(other)) != region)
+                .mapToObj(plan::controlIp).toList();
+    }
+
     /** Starts all of them at once. */
     void start() {
-        control.forEach(daemon -> daemon.start(commands.get("control")));
+        for (int i = 0; i < control.size(); i++) {
+            control.get(i).start(controlCommand(i));
+        }
         sidecars.forEach(daemon -> daemon.start(commands.get("sidecar")));
         Ledger ledger = new Ledger();
         for (int i = 0; i < sidecars.size(); i++) {
@@ -101,7 +141,7 @@
     void restartControl(int place) throws IOException {
         Files.writeString(folder.resolve("control-" + place + ".toml"),
                 plan.controlSettings(place, data(place).toString(), false));
-        control.get(place).start(commands.get("control"));
+        control.get(place).start(controlCommand(place));
     }
 
     /** What each control node has used; null for one that does not run. */
--- a/bench/src/sablehinge/sidecar/HollowSidecar.java
+++ b/bench/src/sablehinge/sidecar/HollowSidecar.java
@@ -1,5 +1,6 @@
 package sablehinge.sidecar;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -138,6 +139,11 @@
         }, random.nextLong(ms), ms, TimeUnit.MILLISECONDS);
     }
 
+    /** What its beats are sent and heard on. */
+    public Channel datagrams() {
+        return watchers.channel();
+    }
+
     /** The settings that it was started with. */
     public LocalSettings settings() {
         return settings;
--- a/src/main/java/sablehinge/control/ControlNode.java
+++ b/src/main/java/sablehinge/control/ControlNode.java
@@ -86,11 +86,12 @@
     /** Opened once nothing that is committed hangs on this process. */
     private final CountDownLatch released = new CountDownLatch(1);
 
-    private ControlNode(LocalSettings settings, long born, EventLoop loop, Supplier<RaftStore> opener) {
+    private ControlNode(LocalSettings settings, long born, EventLoop loop, Supplier<RaftStore> opener,
+            Connection.Observer observer) {
         this.settings = settings;
         this.born = born;
         this.loop = loop;
-        connection = new Connection(loop, PING_MS, DEAD_MS);
+        connection = new Connection(loop, PING_MS, DEAD_MS, observer);
         diskWriter = new DiskWriter(opener, new Puts());
         raft = new RaftNode(new Carries(), Timing.usual(), settings.tolerateMachines(),
                 new SecureRandom().nextLong());
@@ -122,9 +123,15 @@
     /** The same with a store of another kind; it is opened anew after each refusal. */
     static ControlNode start(LocalSettings settings, long born, Supplier<RaftStore> opener)
             throws ConfigException, InterruptedException {
+        return start(settings, born, opener, Connection.Observer.NONE);
+    }
+
+    /** The same with somebody who is told of its records. */
+    static ControlNode start(LocalSettings settings, long born, Supplier<RaftStore> opener,
+            Connection.Observer observer) throws ConfigException, InterruptedException {
         EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
                 new DefaultThreadFactory("control", true), NioIoHandler.newFactory()).next();
-        ControlNode controlNode = new ControlNode(settings, born, loop, opener);
+        ControlNode controlNode = new ControlNode(settings, born, loop, opener, observer);
         String at = settings.ip() + ":" + settings.innerFirst();
         try {
             await(controlNode.connection.listen(new InetSocketAddress(settings.ip(), settings.innerFirst()),
--- a/src/main/java/sablehinge/rpc/Connection.java
+++ b/src/main/java/sablehinge/rpc/Connection.java
@@ -52,6 +52,9 @@
 
         /** A record was read. */
         default void received(Frame.Kind kind, int bytes) { }
+
+        /** A connection is about to be made; handlers may still be put before its others. */
+        default void connects(Channel channel, InetSocketAddress to) { }
     }
 
     /** What one end of a connection hears. */
@@ -118,6 +121,7 @@
         Channel channel = connect.channel();
         Link link = new Link(channel, handler);
         equip(channel, link);
+        observer.connects(channel, address);
         channel.connect(address).addListener(up -> {
             if (!up.isSuccess()) {
                 link.end();
--- a/src/main/java/sablehinge/sidecar/Watchers.java
+++ b/src/main/java/sablehinge/sidecar/Watchers.java
@@ -93,6 +93,11 @@
         channel = bound.channel();
     }
 
+    /** What beats are sent and heard on; handlers may be put before its others. */
+    Channel channel() {
+        return channel;
+    }
+
     /** Beats and hears no more. */
     void close() {
         channel.close();
--- a/src/test/java/sablehinge/fleet/FiguresTest.java
+++ b/src/test/java/sablehinge/fleet/FiguresTest.java
@@ -6,9 +6,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import sablehinge.api.ConfigurationReader;
+import sablehinge.config.local.LocalSettings;
 import sablehinge.routing.Configuration;
 
 /** How the bench of fleets comes to its figures. */
@@ -70,6 +72,19 @@
         }
     }
 
+    @Test
+    void addressesTellTheRegionsThatSettingsName() {
+        FleetPlan plan = new FleetPlan(7, 6, 0, 300, 5);
+        for (int i = 0; i < 300; i++) {
+            LocalSettings settings = plan.hollowSettings(i);
+            assertEquals(settings.region(), "region-" + plan.regionAt(new InetSocketAddress(settings.ip(), 1)));
+        }
+        for (int i = 0; i < 6; i++) {
+            assertEquals(FleetPlan.regionOfZone(FleetPlan.controlZone(i)),
+                    plan.regionAt(new InetSocketAddress(plan.controlIp(i), 1)));
+        }
+    }
+
     @Test
     void slopesTellWhereALineLeadsAndOneSizeHasNone() throws Exception {
         FleetReport report = new FleetReport(List.of(
--- a/src/test/java/sablehinge/rpc/ConnectionObserverTest.java
+++ b/src/test/java/sablehinge/rpc/ConnectionObserverTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -32,6 +33,11 @@
         public void received(Frame.Kind kind, int bytes) {
             notes.add("received " + kind + " " + bytes);
         }
+
+        @Override
+        public void connects(Channel channel, InetSocketAddress to) {
+            notes.add("connects " + channel.isActive() + " " + to.getAddress().getHostAddress());
+        }
     }
 
     @Test
@@ -55,8 +61,9 @@
                 }
             });
             // Four bytes of length and one of kind stand before each body.
-            assertEquals(List.of("sent ASK 12", "received NEWS 105", "handled NEWS"),
-                    List.of(notes.notes.take(), notes.notes.take(), notes.notes.take()));
+            assertEquals(List.of("connects false 127.0.0.1", "sent ASK 12", "received NEWS 105",
+                    "handled NEWS"), List.of(notes.notes.take(), notes.notes.take(), notes.notes.take(),
+                    notes.notes.take()));
         } finally {
             loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
         }
