The leader tells news once for all that asked together, and pauses as long as it took

Each ask made the leader walk all askers, and each change of the roster went to all of them at once and brought as many new asks; answers then came late, sidecars counted as silent, and that was the next change. Now one round tells all that has come in together; after a round the leader pauses as long as it took, 100 ms at most, so that half of its time is left for reading. Where a round takes next to no time, as on the present sites, there is next to no pause. What changed since a stamp is found once a round and not once an asker, and a sidecar looks through its upstreams' ids once a change and not once each. Tests: PacingTest.

--- a/src/main/java/sablehinge/control/DataPlane.java
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.api.ConfigurationReader;
@@ -38,6 +39,7 @@
     /** News are looked at each tick: after a longer pause, in ms, it was this process that stood still. */
     private static final double STOOD_STILL_MS = 1_000;
     private static final byte[] NONE = new byte[0];
+    private static final double MICROS_PER_MS = 1_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -47,6 +49,8 @@
     private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
     private final Pools pools;
     private final Spillways spillways;
+    private final Pacing pacing = new Pacing();
+    private boolean tellsSoon;
     private double toldAt;
     /** The edition in force as all are sent it; packed once for each edition, and only while this leads. */
     private byte[] packed = NONE;
@@ -114,14 +118,14 @@
             if (request.confirm()) {
                 confirm(link, request);
             }
-            loop.execute(this::tell);
+            tellSoon();
         }, refusal -> elsewhere(link, refusal));
     }
 
     private void confirm(Connection.Link link, WatchRequest request) {
         gate.require(clock.now(), ControlRequest.WATCH_CONFIRMED, () -> {
             watchServer.confirmed(link, request.number());
-            tell();
+            tellSoon();
         }, refusal -> elsewhere(link, refusal));
     }
 
@@ -139,9 +143,40 @@
         }, refusal -> { });
     }
 
-    /** Sends the news that are due. */
+    /** Sends the news that are due once what has come in together is read; once for all of it. */
+    private void tellSoon() {
+        if (tellsSoon) {
+            return;
+        }
+        tellsSoon = true;
+        double waits = pacing.waits(clock.now());
+        if (waits == 0) {
+            loop.execute(this::tellNow);
+        } else {
+            loop.schedule(this::tellNow, (long) Math.ceil(waits * MICROS_PER_MS), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void tellNow() {
+        tellsSoon = false;
+        if (pacing.waits(clock.now()) > 0) {
+            // A tick was quicker.
+            tellSoon();
+        } else {
+            tell();
+        }
+    }
+
+    /** Sends the news that are due, unless it has just done so for long; to be called each tick. */
     void tell() {
         double now = clock.now();
+        if (pacing.waits(now) == 0) {
+            tell(now);
+            pacing.ended(now, clock.now());
+        }
+    }
+
+    private void tell(double now) {
         if (now - toldAt > STOOD_STILL_MS) {
             registry.stoodStill(now, now - toldAt);
         }
@@ -200,7 +235,7 @@
         List<String> members = new ArrayList<>();
         standing.members().forEach(member -> members.add(member.address()));
         watchServer.holds(configurations.edition(), packed(), members);
-        loop.execute(this::tell);
+        tellSoon();
     }
 
     private byte[] packed() {
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -10,12 +10,12 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.routing.Configuration;
@@ -387,7 +387,8 @@
                         address(registration.inbound()), registration.upstream()));
             }
         }
-        startedAt.keySet().retainAll(Arrays.asList(members.stream().map(Member::name).toArray()));
+        // A set: a list would be walked for each of them, of whom there may be hundreds.
+        startedAt.keySet().retainAll(members.stream().map(Member::name).collect(Collectors.toSet()));
         return new Roster(rollStamp, true, members);
     }
 
--- a/src/main/java/sablehinge/watch/WatchServer.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -105,11 +106,12 @@
             judge(now);
         }
         registry.expire(now);
+        Round round = new Round(now);
         List<Told<K>> due = new ArrayList<>();
         for (Map.Entry<K, Asker> entry : askers.entrySet()) {
             Asker asker = entry.getValue();
             if (asker.waits) {
-                Update update = update(now, asker);
+                Update update = update(round, asker);
                 if (update != null) {
                     due.add(new Told<>(entry.getKey(), update));
                 }
@@ -118,6 +120,24 @@
         return due;
     }
 
+    /** What answers of one moment share: with many askers it is found once for all of them. */
+    private final class Round {
+        private final double now;
+        private final boolean complete;
+        private final int size;
+        private final Map<Long, List<Registration>> since = new HashMap<>();
+
+        Round(double now) {
+            this.now = now;
+            complete = registry.isComplete(now);
+            size = registry.size();
+        }
+
+        List<Registration> since(long stamp) {
+            return since.computeIfAbsent(stamp, known -> List.copyOf(registry.since(known)));
+        }
+    }
+
     private void judge(double now) {
         List<HealthView.Subject> subjects = new ArrayList<>();
         List<Registration> present = registry.present();
@@ -141,13 +161,13 @@
         return latest;
     }
 
-    private Update update(double now, Asker asker) {
+    private Update update(Round round, Asker asker) {
         WatchRequest request = asker.request;
-        boolean complete = registry.isComplete(now);
+        boolean complete = round.complete;
         boolean whole = request.term() != term || complete && !asker.toldComplete;
         boolean newer = request.edition() < edition;
         boolean changed = whole || request.stamp() < registry.stamp();
-        boolean held = now - asker.askedAt < HELD_MS;
+        boolean held = round.now - asker.askedAt < HELD_MS;
         if (request.confirm() && !asker.confirmed || !newer && !changed && !request.confirm() && held) {
             return null;
         }
@@ -155,8 +175,7 @@
         asker.toldComplete |= complete;
         return new Update(request.number(), asker.confirmed, edition, newer ? body : NONE, term,
                 registry.stamp(),
-                whole, complete, registry.size(), changed ? registry.since(whole ? 0 : request.stamp())
-                        : List.of(),
+                whole, complete, round.size, changed ? round.since(whole ? 0 : request.stamp()) : List.of(),
                 core);
     }
 }
