--- a/src/test/java/sablehinge/sidecar/HollowSidecarTest.java
+++ b/src/test/java/sablehinge/sidecar/HollowSidecarTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -17,6 +15,7 @@
 import org.junit.jupiter.api.Timeout;
 import sablehinge.api.ConfigurationReader;
 import sablehinge.config.local.LocalSettings;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.routing.Configuration;
 import sablehinge.rpc.Connection;
 import sablehinge.rpc.Frame;
@@ -49,7 +48,7 @@
 
     @Test
     void itTellsOfItselfLearnsTheConfigurationAndTheRosterAndClaimsTokens() throws Exception {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         try (StubCore core = new StubCore(CORE, FIRST)) {
             Asks asks = new Asks();
             HollowSidecar hollow = HollowSidecar.start(settings(FIRST), loop, "i-1", asks,
@@ -73,7 +72,7 @@
 
     @Test
     void onceClosedItHasNoConnectionAndMakesNone() throws Exception {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("test");
         CountDownLatch asked = new CountDownLatch(1);
         CountDownLatch gone = new CountDownLatch(1);
         AtomicInteger asks = new AtomicInteger();
