The leader's pauses go; one round of news for all that asked together stays

What stays costs no wait: one round of news for all asks that have come in together, what changed since a stamp found once a round, and a set in the sidecar's look through its upstreams.

--- a/src/main/java/sablehinge/control/DataPlane.java
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.api.ConfigurationReader;
@@ -39,7 +38,6 @@
     /** News are looked at each tick: after a longer pause, in ms, it was this process that stood still. */
     private static final double STOOD_STILL_MS = 1_000;
     private static final byte[] NONE = new byte[0];
-    private static final double MICROS_PER_MS = 1_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -49,7 +47,7 @@
     private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
     private final Pools pools;
     private final Spillways spillways;
-    private final Pacing pacing = new Pacing();
+    /** Whether what is due will be sent once all that has come in together is read. */
     private boolean tellsSoon;
     private double toldAt;
     /** The edition in force as all are sent it; packed once for each edition, and only while this leads. */
@@ -143,40 +141,18 @@
         }, refusal -> { });
     }
 
-    /** Sends the news that are due once what has come in together is read; once for all of it. */
+    /** Sends the news that are due once what has come in together is read: once for all of it. */
     private void tellSoon() {
-        if (tellsSoon) {
-            return;
-        }
-        tellsSoon = true;
-        double waits = pacing.waits(clock.now());
-        if (waits == 0) {
-            loop.execute(this::tellNow);
-        } else {
-            loop.schedule(this::tellNow, (long) Math.ceil(waits * MICROS_PER_MS), TimeUnit.MICROSECONDS);
+        if (!tellsSoon) {
+            tellsSoon = true;
+            loop.execute(this::tell);
         }
     }
 
-    private void tellNow() {
-        tellsSoon = false;
-        if (pacing.waits(clock.now()) > 0) {
-            // A tick was quicker.
-            tellSoon();
-        } else {
-            tell();
-        }
-    }
-
-    /** Sends the news that are due, unless it has just done so for long; to be called each tick. */
+    /** Sends the news that are due. */
     void tell() {
+        tellsSoon = false;
         double now = clock.now();
-        if (pacing.waits(now) == 0) {
-            tell(now);
-            pacing.ended(now, clock.now());
-        }
-    }
-
-    private void tell(double now) {
         if (now - toldAt > STOOD_STILL_MS) {
             registry.stoodStill(now, now - toldAt);
         }
