--- a/bench/src/sablehinge/fleet/RegionCutBench.java
+++ b/bench/src/sablehinge/fleet/RegionCutBench.java
@@ -16,8 +16,8 @@
 import sablehinge.standin.mesh.Ledger;
 
 /**
- * Six control nodes and hollow sidecars in two regions that are cut from each other for a while: what is still
- * acknowledged and known on each side, and how long all takes to be whole again after it.
+ * Six control nodes and hollow sidecars in two regions that are cut from each other for a while: what is
+ * still acknowledged and known on each side, and how long all takes to be whole again after it.
  */
 final class RegionCutBench implements AutoCloseable {
 
--- a/src/test/java/sablehinge/fleet/FiguresTest.java
+++ b/src/test/java/sablehinge/fleet/FiguresTest.java
@@ -77,7 +77,8 @@
         FleetPlan plan = new FleetPlan(7, 6, 0, 300, 5);
         for (int i = 0; i < 300; i++) {
             LocalSettings settings = plan.hollowSettings(i);
-            assertEquals(settings.region(), "region-" + plan.regionAt(new InetSocketAddress(settings.ip(), 1)));
+            int region = plan.regionAt(new InetSocketAddress(settings.ip(), 1));
+            assertEquals(settings.region(), "region-" + region);
         }
         for (int i = 0; i < 6; i++) {
             assertEquals(FleetPlan.regionOfZone(FleetPlan.controlZone(i)),
