--- a/src/main/java/sablehinge/watch/WatchServer.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -124,13 +124,13 @@
     private final class Round {
         private final double now;
         private final boolean complete;
-        private final int size;
+        private final int sharers;
         private final Map<Long, List<Registration>> since = new HashMap<>();
 
         Round(double now) {
             this.now = now;
             complete = registry.isComplete(now);
-            size = registry.size();
+            sharers = registry.sharers();
         }
 
         List<Registration> since(long stamp) {
@@ -175,7 +175,8 @@
         asker.toldComplete |= complete;
         return new Update(request.number(), asker.confirmed, edition, newer ? body : NONE, term,
                 registry.stamp(),
-                whole, complete, round.size, changed ? round.since(whole ? 0 : request.stamp()) : List.of(),
+                whole, complete, round.sharers, changed ? round.since(whole ? 0 : request.stamp())
+                        : List.of(),
                 core);
     }
 }
