--- a/src/main/java/sablehinge/control/DataPlane.java
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -47,6 +47,8 @@
     private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
     private final Pools pools;
     private final Spillways spillways;
+    /** Whether what is due will be sent once all that has come in together is read. */
+    private boolean tellsSoon;
     private double toldAt;
     /** The edition in force as all are sent it; packed once for each edition, and only while this leads. */
     private byte[] packed = NONE;
@@ -114,14 +116,14 @@
             if (request.confirm()) {
                 confirm(link, request);
             }
-            loop.execute(this::tell);
+            tellSoon();
         }, refusal -> elsewhere(link, refusal));
     }
 
     private void confirm(Connection.Link link, WatchRequest request) {
         gate.require(clock.now(), ControlRequest.WATCH_CONFIRMED, () -> {
             watchServer.confirmed(link, request.number());
-            tell();
+            tellSoon();
         }, refusal -> elsewhere(link, refusal));
     }
 
@@ -139,8 +141,17 @@
         }, refusal -> { });
     }
 
+    /** Sends the news that are due once what has come in together is read: once for all of it. */
+    private void tellSoon() {
+        if (!tellsSoon) {
+            tellsSoon = true;
+            loop.execute(this::tell);
+        }
+    }
+
     /** Sends the news that are due. */
     void tell() {
+        tellsSoon = false;
         double now = clock.now();
         if (now - toldAt > STOOD_STILL_MS) {
             registry.stoodStill(now, now - toldAt);
@@ -201,7 +212,7 @@
         List<String> members = new ArrayList<>();
         standing.members().forEach(member -> members.add(member.address()));
         watchServer.holds(configurations.edition(), packed(), members);
-        loop.execute(this::tell);
+        tellSoon();
     }
 
     private byte[] packed() {
