A sidecar's loop closes its sockets when it ends; tests whose time is up end

Cause: Sidecar still used Netty's own loop, whose sockets may outlive it. DaemonStartTest could hang for ever in a read, and had one fixed address for all runs on a machine.

Change: ClosingEventLoops in Sidecar, with its row in LayersTest, as for control; the loops look whether they were interrupted; the time-out of DaemonStartTest runs beside the test, and its address follows the process id. Stricter: a hang is a failure now.

--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -2,9 +2,6 @@
 
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -36,6 +33,7 @@
 import sablehinge.http1.Frontend;
 import sablehinge.http1.Sockets;
 import sablehinge.http1.UpstreamClient;
+import sablehinge.eventloop.ClosingEventLoops;
 import sablehinge.node.LoopTimers;
 import sablehinge.watch.WatchRequest;
 import sablehinge.watch.PackedConfiguration;
@@ -174,8 +172,7 @@
     /** Starts a balancer; it asks for news and says that it is ready once it has them. */
     public static Sidecar start(LocalSettings settings, ListeningSockets listening)
             throws ConfigException, InterruptedException {
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("sidecar", true), NioIoHandler.newFactory()).next();
+        EventLoop loop = ClosingEventLoops.single("sidecar");
         Sidecar[] made = new Sidecar[1];
         loop.submit(() -> {
             made[0] = new Sidecar(settings, loop);
--- a/src/main/java/sablehinge/watch/WatchServer.java
+++ b/src/main/java/sablehinge/watch/WatchServer.java
@@ -181,7 +181,7 @@
         WatchRequest request = asker.request;
         boolean complete = round.complete;
         boolean whole = request.term() != term || complete && !asker.toldComplete;
-        boolean newer = request.edition() < edition && asker.mayHaveConfiguration(now);
+        boolean newer = request.edition() < edition && asker.mayHaveConfiguration(round.now);
         boolean changed = whole || request.stamp() < registry.stamp();
         boolean held = round.now - asker.askedAt < HELD_MS;
         if (request.confirm() && !asker.confirmed || !newer && !changed && !request.confirm() && held) {
@@ -190,7 +190,7 @@
         asker.waits = false;
         asker.toldComplete |= complete;
         if (newer) {
-            asker.hasConfiguration(now);
+            asker.hasConfiguration(round.now);
         }
         return new Update(request.number(), asker.confirmed, edition, newer ? body : NONE, term,
                 registry.stamp(),
--- a/src/test/java/sablehinge/cli/DaemonStartTest.java
+++ b/src/test/java/sablehinge/cli/DaemonStartTest.java
@@ -13,9 +13,12 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The mesh's daemons as processes: signals, and settings of no use. */
-@Timeout(60)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class DaemonStartTest {
 
+    /** An address of this process alone: another run of the tests may be under way on the machine. */
+    private static final String IP = "127." + (1 + ProcessHandle.current().pid() % 250) + "."
+            + (1 + ProcessHandle.current().pid() / 250 % 250) + ".77";
     private static final String SETTINGS = """
             node = "core-1"
             role = "control"
@@ -50,7 +53,7 @@
             regions = 0
             [bounds]
             graceS = 6
-            """;
+            """.replace("127.77.0.1", IP);
 
     @TempDir
     Path folder;
--- a/src/test/java/sablehinge/house/LayersTest.java
+++ b/src/test/java/sablehinge/house/LayersTest.java
@@ -45,7 +45,7 @@
             Map.entry("control", Set.of("consensus", "state", "rpc", "watch", "quota",
                     "retrybudget", "failuredetection", "api", "routing", "config", "core", "eventloop",
                     "io.netty", "org.h2", "org.slf4j")),
-            Map.entry("sidecar", Set.of("routing", "admission", "quota", "retrybudget", "state", "rpc",
+            Map.entry("sidecar", Set.of("eventloop", "routing", "admission", "quota", "retrybudget", "state", "rpc",
                     "watch", "failuredetection", "api", "config", "core", "http1", "policy", "budget", "node",
                     "io.netty",
                     "com.fasterxml.jackson", "org.slf4j")),
--- a/src/test/java/sablehinge/node/OperatorNodeTest.java
+++ b/src/test/java/sablehinge/node/OperatorNodeTest.java
@@ -87,6 +87,7 @@
                     caller.write(i % 2 == 0 ? Stage.get("r" + i, "10") : Stage.spend("r" + i, "x"));
                 }
                 while (stage.servers.get(2).seen.size() + stage.servers.get(3).seen.size() < 500) {
+                    assertFalse(Thread.interrupted(), "the time is up");
                     Thread.onSpinWait();
                 }
                 assertEquals(500, stage.status().path("requests_at_work").asInt());
@@ -192,6 +193,7 @@
                 caller.write(Stage.get("old" + callers.size(), "8"));
                 int sent = callers.size();
                 while (drains.seen.size() + stays.seen.size() < sent) {
+                    assertFalse(Thread.interrupted(), "the time is up");
                     Thread.onSpinWait();
                 }
             }
