Checker: a beginning that leads to a lease which was given up

HandOver, in a tenth of the schedules on machines that are cut off, has a leader that is told to end hand over while an answer to its last question is still on its way.

--- a/bench/src/sablehinge/consensus/RandomScheduler.java
+++ b/bench/src/sablehinge/consensus/RandomScheduler.java
@@ -96,6 +96,8 @@
             new LostChange(player).play();
         } else if (focus == Focus.MEMBERSHIP && chance(LED)) {
             new SlowFollower(player).play();
+        } else if (focus == Focus.CUT_OFF && chance(LED)) {
+            new HandOver(player).play();
         } else {
             return false;
         }
