--- a/src/test/java/sablehinge/consensus/Claims.java
+++ b/src/test/java/sablehinge/consensus/Claims.java
@@ -47,8 +47,8 @@
     /** Length of the configurations that are proposed; at least 8, so that they differ. */
     int bodyBytes = Long.BYTES;
     /**
-     * Length to which configurations fill the state; 0 where their own length is given. States of one length and another
-     * content are those whose chunks could be mixed unseen.
+     * Length to which configurations fill the state; 0 where their own length is given. States of one length
+     * and another content are those whose chunks could be mixed unseen.
      */
     int stateBytes;
 
--- a/src/test/java/sablehinge/consensus/SimulatedCluster.java
+++ b/src/test/java/sablehinge/consensus/SimulatedCluster.java
@@ -341,7 +341,8 @@
                 Long other = leaders.putIfAbsent(now.term(), self.id());
                 check(other == null || other == self.id(), this,
                         () -> "a second leader of term " + now.term());
-                // A list that leaves it out counts as soon as it has applied it; who never was on one never leads.
+                // A list that leaves it out counts as soon as it has applied it; who never was on one never
+                // leads.
                 check(now.members().contains(self) || isMemberAsApplied(), this,
                         () -> "leads as an outsider");
             }
