--- a/src/main/java/sablehinge/cli/Main.java
+++ b/src/main/java/sablehinge/cli/Main.java
@@ -32,7 +32,7 @@
         } else if (args.length == 1 && args[0].equals("serve")) {
             serve();
         } else if (args.length == 1 && (args[0].equals("sidecar") || args[0].equals("control"))) {
-            Waterworks.run(args[0]);
+            MeshDaemon.run(args[0]);
         } else if (args.length > 0 && args[0].equals("mesh")) {
             System.exit(MeshCommands.run(Arrays.copyOfRange(args, 1, args.length),
                     Shell.usual(System.out, System.err)));
--- a/src/main/java/sablehinge/cli/Waterworks.java
+++ b/src/main/java/sablehinge/cli/MeshDaemon.java
@@ -15,14 +15,14 @@
 import sablehinge.sidecar.Sidecar;
 
 /** The mesh's daemons: {@code sidecar} beside an upstream, {@code control node} on a machine of the core. */
-final class Waterworks {
+final class MeshDaemon {
 
     private static final String SETTINGS = "SABLEHINGE_CONFIG";
     /** Netty tells channels of several machines apart by it, and would look at every network interface. */
     private static final String MACHINE = "io.netty.machineId";
     private static final String ANY_MACHINE = "02:00:00:00:00:01";
 
-    private Waterworks() {
+    private MeshDaemon() {
     }
 
     /** Runs a daemon by the settings file that the environment names, until it is ended. */
@@ -74,7 +74,7 @@
                 takes.accept(settings);
             }
         } catch (ConfigException | RuntimeException e) {
-            Log.warn(LoggerFactory.getLogger(Waterworks.class), "settings-malformed")
+            Log.warn(LoggerFactory.getLogger(MeshDaemon.class), "settings-malformed")
                     .addKeyValue("cause", e.getMessage()).log("the settings stay as they were");
         }
     }
