--- a/src/main/java/sablehinge/control/DataPlane.java
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -21,7 +21,7 @@
 import sablehinge.state.ConfigurationState;
 import sablehinge.state.Registry;
 import sablehinge.watch.PackedConfiguration;
-import sablehinge.watch.Spills;
+import sablehinge.watch.RetryBudgetCodec;
 import sablehinge.watch.Tokens;
 import sablehinge.watch.WatchRequest;
 import sablehinge.watch.WatchServer;
@@ -92,7 +92,7 @@
             case ASK -> watch(link, WatchRequest.read(frame.body()));
             case TOKENS -> pools.asked(link, Tokens.read(frame.body()));
             case PULL -> pools.lent(Tokens.read(frame.body()));
-            case SHARES -> claimed(link, Spills.claim(frame.body()));
+            case SHARES -> claimed(link, RetryBudgetCodec.claim(frame.body()));
             default -> {
                 return false;
             }
--- a/src/main/java/sablehinge/control/Spillways.java
+++ b/src/main/java/sablehinge/control/Spillways.java
@@ -5,7 +5,7 @@
 import sablehinge.routing.Configuration;
 import sablehinge.rpc.Frame;
 import sablehinge.config.local.LocalSettings;
-import sablehinge.watch.Spills;
+import sablehinge.watch.RetryBudgetCodec;
 import sablehinge.retrybudget.Claim;
 import sablehinge.retrybudget.Grant;
 import sablehinge.retrybudget.Holder;
@@ -34,6 +34,6 @@
     /** The answer to a claim; null where there is none. */
     Frame answer(double now, Claim claim) {
         Grant grant = holder.claimed(now, claim);
-        return grant == null ? null : new Frame(Frame.Kind.SHARES, Spills.bytes(grant));
+        return grant == null ? null : new Frame(Frame.Kind.SHARES, RetryBudgetCodec.bytes(grant));
     }
 }
--- a/src/main/java/sablehinge/sidecar/NewsClient.java
+++ b/src/main/java/sablehinge/sidecar/NewsClient.java
@@ -17,7 +17,7 @@
 import sablehinge.core.Log;
 import sablehinge.watch.WatchRequest;
 import sablehinge.watch.Update;
-import sablehinge.watch.Spills;
+import sablehinge.watch.RetryBudgetCodec;
 import sablehinge.watch.Tokens;
 import sablehinge.retrybudget.Grant;
 
@@ -174,7 +174,7 @@
                     from.send(new Frame(Frame.Kind.PULL, new Tokens(tenant, lent).bytes()));
                 }
             } else if (frame.kind() == Frame.Kind.SHARES) {
-                teller.shares(Spills.grant(frame.body()));
+                teller.shares(RetryBudgetCodec.grant(frame.body()));
             } else if (frame.kind() == Frame.Kind.ELSEWHERE) {
                 String leader = new String(frame.body(), StandardCharsets.UTF_8);
                 leave(from, leader.isEmpty() ? null : leader);
--- a/src/main/java/sablehinge/sidecar/Spill.java
+++ b/src/main/java/sablehinge/sidecar/Spill.java
@@ -11,7 +11,7 @@
 import sablehinge.core.Clock;
 import sablehinge.core.Extras;
 import sablehinge.core.Version;
-import sablehinge.watch.Spills;
+import sablehinge.watch.RetryBudgetCodec;
 import sablehinge.retrybudget.Claim;
 import sablehinge.retrybudget.Grant;
 import sablehinge.retrybudget.Rule;
@@ -84,7 +84,7 @@
         shares.expire(clock.now());
         Claim claim = shares.claim(clock.now());
         if (claim != null) {
-            claims.accept(new Frame(Frame.Kind.SHARES, Spills.bytes(claim)));
+            claims.accept(new Frame(Frame.Kind.SHARES, RetryBudgetCodec.bytes(claim)));
         }
     }
 
--- a/src/main/java/sablehinge/watch/Spills.java
+++ b/src/main/java/sablehinge/watch/RetryBudgetCodec.java
@@ -8,9 +8,9 @@
 import sablehinge.retrybudget.Grant;
 
 /** Claims on shares of further tries, and what is granted of them, in records. */
-public final class Spills {
+public final class RetryBudgetCodec {
 
-    private Spills() {
+    private RetryBudgetCodec() {
     }
 
     /** Writes a claim. */
--- a/src/test/java/sablehinge/sidecar/SpillTest.java
+++ b/src/test/java/sablehinge/sidecar/SpillTest.java
@@ -27,7 +27,7 @@
 import sablehinge.core.Version;
 import sablehinge.budget.Purses;
 import sablehinge.api.ConfigurationReader;
-import sablehinge.watch.Spills;
+import sablehinge.watch.RetryBudgetCodec;
 import sablehinge.policy.LatencyWeightedBalancer;
 import sablehinge.policy.LoadBalancer.Result;
 import sablehinge.policy.LoadBalancer.State;
@@ -84,8 +84,8 @@
         private void claimed(Frame frame) {
             try {
                 if (reachable) {
-                    spill.granted(Spills.grant(Spills.bytes(
-                            holder.claimed(now, Spills.claim(frame.body())))));
+                    spill.granted(RetryBudgetCodec.grant(RetryBudgetCodec.bytes(
+                            holder.claimed(now, RetryBudgetCodec.claim(frame.body())))));
                 }
             } catch (IOException e) {
                 throw new AssertionError(e);
--- a/src/test/java/sablehinge/watch/RecordsTest.java
+++ b/src/test/java/sablehinge/watch/RecordsTest.java
@@ -83,9 +83,9 @@
         List<Claim.Line> lines = IntStream.range(0, Claim.MOST)
                 .mapToObj(i -> new Claim.Line("service-" + i, i, 0, 0, 0, 1)).toList();
         Claim claim = new Claim(1, 1, 1, "service-0", lines);
-        assertEquals(claim, Spills.claim(Spills.bytes(claim)));
+        assertEquals(claim, RetryBudgetCodec.claim(RetryBudgetCodec.bytes(claim)));
         Grant grant = new Grant(1, 1, lines.stream().map(line -> new Grant.Line(line.service(), 3)).toList());
-        assertEquals(grant, Spills.grant(Spills.bytes(grant)));
+        assertEquals(grant, RetryBudgetCodec.grant(RetryBudgetCodec.bytes(grant)));
     }
 
     @Test
@@ -93,18 +93,18 @@
         Claim claim = new Claim(-3, 7, 1L << 40, "huvo11a", List.of(
                 new Claim.Line("huvo11a", 1 << 30, 0, 5, 9, 65_535),
                 new Claim.Line("wuno96b", 0, 3, 0, 0, 0)));
-        assertEquals(claim, Spills.claim(Spills.bytes(claim)));
+        assertEquals(claim, RetryBudgetCodec.claim(RetryBudgetCodec.bytes(claim)));
         Grant grant = new Grant(7, 1L << 40, List.of(new Grant.Line("huvo11a", 1 << 20)));
-        assertEquals(grant, Spills.grant(Spills.bytes(grant)));
-        byte[] bytes = Spills.bytes(claim);
+        assertEquals(grant, RetryBudgetCodec.grant(RetryBudgetCodec.bytes(grant)));
+        byte[] bytes = RetryBudgetCodec.bytes(claim);
         for (int length = 0; length <= bytes.length + 1; length++) {
             byte[] part = Arrays.copyOf(bytes, length);
             if (length != bytes.length) {
-                assertThrows(IOException.class, () -> Spills.claim(part), "a claim of " + length);
+                assertThrows(IOException.class, () -> RetryBudgetCodec.claim(part), "a claim of " + length);
             }
         }
         // After the life, the number, the term and the service: how many lines there are.
         bytes[8 + 4 + 8 + 2 + 7] = (byte) (Claim.MOST + 1);
-        assertThrows(IOException.class, () -> Spills.claim(bytes));
+        assertThrows(IOException.class, () -> RetryBudgetCodec.claim(bytes));
     }
 }
