--- a/src/main/java/sablehinge/control/DataPlane.java
+++ b/src/main/java/sablehinge/control/DataPlane.java
@@ -46,7 +46,7 @@
     private final Registry registry = new Registry(COMPLETE_MS, GONE_MS);
     private final WatchServer<Connection.Link> watchServer = new WatchServer<>(registry);
     private final Pools pools;
-    private final Spillways spillways;
+    private final RetryBudgetHolder retryBudgetHolder;
     /** Whether what is due will be sent once all that has come in together is read. */
     private boolean tellsSoon;
     private double toldAt;
@@ -61,7 +61,7 @@
         this.clock = clock;
         this.gate = gate;
         this.configurations = configurations;
-        spillways = new Spillways(bounds);
+        retryBudgetHolder = new RetryBudgetHolder(bounds);
         pools = new Pools(loop, clock, bounds, watchServer::askers,
                 now -> gate.allows(now, ControlRequest.QUOTA_TOKENS));
     }
@@ -134,7 +134,7 @@
 
     private void claimed(Connection.Link link, Claim claim) {
         gate.require(clock.now(), ControlRequest.RETRY_SHARES, () -> {
-            Frame answer = spillways.answer(clock.now(), claim);
+            Frame answer = retryBudgetHolder.answer(clock.now(), claim);
             if (answer != null) {
                 link.send(answer);
             }
@@ -179,7 +179,7 @@
         if (leads() && (!led || newTerm)) {
             watchServer.begin(clock.now(), next.term());
             pools.begin();
-            spillways.begin(next.term());
+            retryBudgetHolder.begin(next.term());
             adopt();
         } else if (led && !leads()) {
             QuorumGate.Refusal refusal = gate.refusal(clock.now());
@@ -204,7 +204,7 @@
         if (leads() && configurations.edition() > 0) {
             Configuration configuration = ConfigurationReader.read(configurations.body());
             pools.adopt(configuration);
-            spillways.adopt(clock.now(), configuration);
+            retryBudgetHolder.adopt(clock.now(), configuration);
         }
     }
 
--- a/src/main/java/sablehinge/control/Spillways.java
+++ b/src/main/java/sablehinge/control/RetryBudgetHolder.java
@@ -12,11 +12,11 @@
 import sablehinge.retrybudget.Rule;
 
 /** The duty of holding the budget of further tries: balancers' claims are answered under a lease only. */
-final class Spillways {
+final class RetryBudgetHolder {
 
     private final Holder holder;
 
-    Spillways(LocalSettings.Bounds bounds) {
+    RetryBudgetHolder(LocalSettings.Bounds bounds) {
         holder = new Holder(new Rule(bounds.retryRatio(), bounds.retryWindowS() * 1_000,
                 bounds.retrySlack()));
     }
