--- a/bench/src/sablehinge/sidecar/HollowSidecar.java
+++ b/bench/src/sablehinge/sidecar/HollowSidecar.java
@@ -46,7 +46,7 @@
     private final NewsClient news;
     private final Watchers watchers;
     private final Quotas quotas;
-    private final Spill spill;
+    private final RetryBudget retryBudget;
     private final Function<Update, Configuration> reader;
     private final Map<String, Registration> roster = new HashMap<>();
     private final SplittableRandom random;
@@ -115,7 +115,7 @@
                 new Hears());
         watchers = new Watchers(loop, clock, settings, news::askNow);
         quotas = new Quotas(settings.bounds(), (tenant, count) -> news.tokens(new Tokens(tenant, count)));
-        spill = new Spill(clock, settings, news::shares);
+        retryBudget = new RetryBudget(clock, settings, news::shares);
     }
 
     /** Takes part from now on. */
@@ -123,7 +123,7 @@
         loop.execute(() -> {
             news.start();
             every(Sidecar.TICK_MS, () -> {
-                spill.tick();
+                retryBudget.tick();
                 watchers.tick();
             });
             every(DEMAND_MS, this::claim);
@@ -218,7 +218,7 @@
             } else {
                 asked++;
             }
-            spill.came(called.get(random.nextInt(called.size())), false);
+            retryBudget.came(called.get(random.nextInt(called.size())), false);
         }
     }
 
@@ -226,7 +226,7 @@
         configuration = reader.apply(update);
         edition = update.edition();
         quotas.adopt(now, configuration.tenants());
-        spill.adopt(configuration);
+        retryBudget.adopt(configuration);
         called.clear();
         List<Configuration.Service> services = configuration.services();
         int first = Math.floorMod(settings.depot().hashCode(), services.size());
@@ -249,7 +249,7 @@
         stamp = update.stamp();
         complete = update.complete();
         update.registrations().forEach(registration -> roster.put(registration.node(), registration));
-        spill.divide(roster.values(), complete ? 1 : RECKONED);
+        retryBudget.divide(roster.values(), complete ? 1 : RECKONED);
         if (changed) {
             watchers.registry(roster.values());
         }
@@ -296,7 +296,7 @@
 
         @Override
         public void shares(Grant grant) {
-            spill.granted(grant);
+            retryBudget.granted(grant);
         }
     }
 }
--- a/src/main/java/sablehinge/sidecar/OutboundFront.java
+++ b/src/main/java/sablehinge/sidecar/OutboundFront.java
@@ -46,7 +46,7 @@
 
     private final String caller;
     private final Quotas quotas;
-    private final Spill spill;
+    private final RetryBudget retryBudget;
     private final Confirming confirming;
     private final SplittableRandom random;
     private FrontTerms terms = FIRST;
@@ -65,10 +65,10 @@
     }
 
     /** A front; {@code caller} is the service whose requests begin here. */
-    OutboundFront(String caller, Quotas quotas, Spill spill, Confirming confirming, long seed) {
+    OutboundFront(String caller, Quotas quotas, RetryBudget retryBudget, Confirming confirming, long seed) {
         this.caller = caller;
         this.quotas = quotas;
-        this.spill = spill;
+        this.retryBudget = retryBudget;
         this.confirming = confirming;
         random = new SplittableRandom(seed);
     }
@@ -130,7 +130,7 @@
             }
         }
         String service = plan.choose(route, random.nextDouble());
-        spill.came(service, tenant == null && plan.wantsKeys());
+        retryBudget.came(service, tenant == null && plan.wantsKeys());
         int rank = tenant != null && tenant.priority() >= 0 ? tenant.priority() : route.priority();
         headers.remove(MeshHeaders.KEY).remove(MeshHeaders.SENDER).remove(MeshHeaders.DELIVER)
                 .remove(MeshHeaders.VERDICT);
--- a/src/main/java/sablehinge/sidecar/Spill.java
+++ b/src/main/java/sablehinge/sidecar/RetryBudget.java
@@ -18,7 +18,7 @@
 import sablehinge.retrybudget.Shares;
 
 /** Bounds the further tries of this balancer's requests by its shares, which it asks the core for. */
-final class Spill implements Extras {
+final class RetryBudget implements Extras {
 
     private final Clock clock;
     private final Shares shares;
@@ -27,7 +27,7 @@
     private final Consumer<Frame> claims;
 
     /** Shares under the rule's figures; {@code claims} takes them to the core, where that can be reached. */
-    Spill(Clock clock, LocalSettings settings, Consumer<Frame> claims) {
+    RetryBudget(Clock clock, LocalSettings settings, Consumer<Frame> claims) {
         this.clock = clock;
         this.claims = claims;
         node = settings.node();
--- a/src/main/java/sablehinge/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/sidecar/Sidecar.java
@@ -92,7 +92,7 @@
     private final Frontend inFront;
     private final OutboundFront routes;
     private final Quotas quotas;
-    private final Spill spill;
+    private final RetryBudget retryBudget;
     private final NewsClient update;
     private final Watchers watchers;
     private final List<String> zones;
@@ -123,7 +123,7 @@
         sockets = new Sockets(settings.limits().fds() - 200);
         LoopTimers timers = new LoopTimers(loop, clock);
         quotas = new Quotas(settings.bounds(), this::askPool);
-        spill = new Spill(clock, settings, this::claim);
+        retryBudget = new RetryBudget(clock, settings, this::claim);
         outbound = new Core(clock, timers, actions -> new LatencyWeightedBalancer(actions, Terms.EXTRAS));
         inbound = new Core(clock, timers, actions -> {
             admission = new AdmissionController(actions);
@@ -131,7 +131,7 @@
         });
         lifecycle = new UpstreamLifecycle(admission, MeshHeaders::life, settings.bounds().unloadMs(),
                 settings.beatMs());
-        routes = new OutboundFront(settings.depot(), quotas, spill, new OutboundFront.Confirming() {
+        routes = new OutboundFront(settings.depot(), quotas, retryBudget, new OutboundFront.Confirming() {
             @Override
             public void ask() {
                 if (!wantsConfirmation) {
@@ -150,14 +150,14 @@
         UpstreamClient peers = new UpstreamClient(loop, clock, sockets, memory,
                 new MeshUpstream(clock));
         UpstreamClient app = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock,
-                spill::turnedAway));
+                retryBudget::turnedAway));
         Version first = Terms.gate();
         Upstream own = new Upstream(AdmissionController.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
         inbound.start(first, 1, new Roster(1, true, List.of(new Member(own,
                 ListeningSockets.address(settings.app())))), app, NO_REGISTRY);
         version = new Version(0, first.settings(), first.classes(), List.of(), false);
         versions.put(0, version);
-        outbound.bound(spill);
+        outbound.bound(retryBudget);
         outbound.start(version, System.nanoTime(), new Roster(0, true, List.of()), peers, NO_REGISTRY);
         update = new NewsClient(loop, clock, new Connection(loop, PING_MS, DEAD_MS), contacts(settings),
                 new Telling());
@@ -245,7 +245,7 @@
     }
 
     private void tick() {
-        spill.tick();
+        retryBudget.tick();
         watchers.tick();
         if (lifecycle.tick(clock.now())) {
             update.askNow();
@@ -304,7 +304,7 @@
 
         @Override
         public void shares(Grant grant) {
-            spill.granted(grant);
+            retryBudget.granted(grant);
         }
     }
 
@@ -317,7 +317,7 @@
                 Terms.Place.of(settings.node(), zones.indexOf(settings.zone()), zones.size()));
         routes.adopt(new Plan(configuration), version, places);
         quotas.adopt(now, configuration.tenants());
-        spill.adopt(configuration);
+        retryBudget.adopt(configuration);
         outbound.adopt(version, roster(now));
         outbound.release(before.number());
         Log.info(LOG, "configuration").addKeyValue("edition", next)
@@ -339,7 +339,7 @@
         for (Registration registration : told.registrations()) {
             registry.put(registration.node(), registration);
         }
-        spill.divide(registry.values(), told.complete() ? 1 : RECKONED);
+        retryBudget.divide(registry.values(), told.complete() ? 1 : RECKONED);
         if (changed) {
             outbound.told(Change.FULL, roster(now));
             watchers.registry(registry.values());
--- a/src/main/java/sablehinge/sidecar/Terms.java
+++ b/src/main/java/sablehinge/sidecar/Terms.java
@@ -32,7 +32,7 @@
     private static final double SLIM = 0.3;
     private static final int MOST_ATTEMPTS = 4;
     private static final int MOST_OPEN = 4_000;
-    /** The module's own purse never runs out: {@link Spill} bounds what it sends, by services. */
+    /** The module's own purse never runs out: {@link RetryBudget} bounds what it sends, by services. */
     static final LatencyWeightedBalancer.Extras EXTRAS =
             new LatencyWeightedBalancer.Extras(MOST_ATTEMPTS, MOST_ATTEMPTS * MOST_OPEN, 0, 0.2);
     private static final double CONNECT_MS = 1_000;
--- a/src/test/java/sablehinge/sidecar/SpillTest.java
+++ b/src/test/java/sablehinge/sidecar/RetryBudgetTest.java
@@ -36,7 +36,7 @@
 import sablehinge.retrybudget.Rule;
 
 /** The module and core under the mesh's terms, with shares from a holder that the test plays. */
-class SpillTest {
+class RetryBudgetTest {
 
     private static final double RATIO = 0.2;
     private static final int SLACK = 62;
@@ -47,7 +47,7 @@
         private double now = 1;
         private final Holder holder = new Holder(new Rule(RATIO, 10_000, SLACK));
         private boolean reachable = true;
-        private final Spill spill = new Spill(() -> now, settings(), this::claimed);
+        private final RetryBudget retryBudget = new RetryBudget(() -> now, settings(), this::claimed);
         private final Core core = new Core(() -> now, (at, call) -> () -> { },
                 actions -> new LatencyWeightedBalancer(actions, Terms.EXTRAS));
         private final Map<String, Integer> places = new HashMap<>();
@@ -65,14 +65,14 @@
             version = Terms.version(1, configuration, Terms.kinds(), places, new Terms.Place(0, 0, 1));
             holder.begin(1);
             holder.adopt(now, List.of(Mesh.SERVICE));
-            spill.adopt(configuration);
+            retryBudget.adopt(configuration);
             List<Registration> registry = new ArrayList<>();
             for (int i = 0; i < BALANCERS; i++) {
                 registry.add(new Registration("s-" + i, "monza-a", "127.0.0.1:1", Mesh.SERVICE, "i-" + i,
                         true, 4, 0));
             }
-            spill.divide(registry, 1);
-            core.bound(spill);
+            retryBudget.divide(registry, 1);
+            core.bound(retryBudget);
             List<Roster.Member> members = new ArrayList<>();
             for (long id = 1; id <= 5; id++) {
                 members.add(new Roster.Member(new Upstream(id, 0, version.settings().classes().get(0).kinds()
@@ -84,7 +84,7 @@
         private void claimed(Frame frame) {
             try {
                 if (reachable) {
-                    spill.granted(RetryBudgetCodec.grant(RetryBudgetCodec.bytes(
+                    retryBudget.granted(RetryBudgetCodec.grant(RetryBudgetCodec.bytes(
                             holder.claimed(now, RetryBudgetCodec.claim(frame.body())))));
                 }
             } catch (IOException e) {
@@ -94,7 +94,7 @@
 
         /** A request of the first route, which is safe; its attempts end as the consumer says. */
         void request() {
-            spill.came(Mesh.SERVICE, false);
+            retryBudget.came(Mesh.SERVICE, false);
             Consumer<Answer> hears = answer -> last = answer.kind();
             core.request(version, new Arrival(places.get(Terms.name(routes.get(0), Mesh.SERVICE)), 0, 0,
                     now + 2_000, 0, false, false).within(routes.get(0).attempts()), Payload.NONE,
@@ -149,7 +149,7 @@
             for (int i = 1; i <= requests; i++) {
                 world.now = i * 30;
                 world.answers = random.nextDouble() < failing ? Result.ERROR : Result.OK;
-                world.spill.tick();
+                world.retryBudget.tick();
                 world.request();
             }
             int beyond = world.sends - requests;
