--- a/src/main/java/sablehinge/sidecar/Spill.java
+++ b/src/main/java/sablehinge/sidecar/RetryBudget.java
@@ -11,14 +11,14 @@
 import sablehinge.core.Clock;
 import sablehinge.core.Extras;
 import sablehinge.core.Version;
-import sablehinge.watch.Spills;
+import sablehinge.watch.RetryBudgetCodec;
 import sablehinge.retrybudget.Claim;
 import sablehinge.retrybudget.Grant;
 import sablehinge.retrybudget.Rule;
 import sablehinge.retrybudget.Shares;
 
 /** Bounds the further tries of this balancer's requests by its shares, which it asks the core for. */
-final class Spill implements Extras {
+final class RetryBudget implements Extras {
 
     private final Clock clock;
     private final Shares shares;
@@ -27,7 +27,7 @@
     private final Consumer<Frame> claims;
 
     /** Shares under the rule's figures; {@code claims} takes them to the core, where that can be reached. */
-    Spill(Clock clock, LocalSettings settings, Consumer<Frame> claims) {
+    RetryBudget(Clock clock, LocalSettings settings, Consumer<Frame> claims) {
         this.clock = clock;
         this.claims = claims;
         node = settings.node();
@@ -84,7 +84,7 @@
         shares.expire(clock.now());
         Claim claim = shares.claim(clock.now());
         if (claim != null) {
-            claims.accept(new Frame(Frame.Kind.SHARES, Spills.bytes(claim)));
+            claims.accept(new Frame(Frame.Kind.SHARES, RetryBudgetCodec.bytes(claim)));
         }
     }
 
