Outbound: a request's time counts from when it came, and few are held for news

One without a configuration was held for 1.2 s, well beyond a quarter of any aim, and there was no bound on how many.

Change: the front says when a request was here whole, and its time counts from then; one whose time is over is refused. It is held for a fifth of its aim, or of a seventh of its client's time where its aim is not known, 400 ms at most, and 256 are at once; the rest is refused at once as not run. Retry-After grows with the time that the configuration has been missing. An unknown route or key that nobody has confirmed as unknown gets 503 instead of 404 or 401, as it may be newer than what is known here (CONFIG).

--- a/src/main/java/sablehinge/http1/BadRequestException.java
+++ b/src/main/java/sablehinge/http1/BadRequestException.java
@@ -9,17 +9,20 @@
     private final transient HttpResponseStatus status;
     private final boolean last;
     private final double retryAfter;
+    private final double patience;
 
-    private BadRequestException(HttpResponseStatus status, String message, boolean last, double retryAfter) {
+    private BadRequestException(HttpResponseStatus status, String message, boolean last, double retryAfter,
+            double patience) {
         super(message, null, false, false);
         this.status = status;
         this.last = last;
         this.retryAfter = retryAfter;
+        this.patience = patience;
     }
 
     /** One that its caller has got wrong; what else comes from there may be no better. */
     public BadRequestException(HttpResponseStatus status, String message) {
-        this(status, message, true, 0);
+        this(status, message, true, 0, 0);
     }
 
     /** Likewise, as a bad request. */
@@ -29,13 +32,18 @@
 
     /** One that was read well and is turned away; its connection goes on. */
     public static BadRequestException turnedAway(HttpResponseStatus status, String message) {
-        return new BadRequestException(status, message, false, 0);
+        return new BadRequestException(status, message, false, 0, 0);
     }
 
     /** Likewise, and its caller ought to come back after so many ms. */
     public static BadRequestException turnedAway(HttpResponseStatus status, String message,
             double retryAfter) {
-        return new BadRequestException(status, message, false, retryAfter);
+        return new BadRequestException(status, message, false, retryAfter, 0);
+    }
+
+    /** The same, which may be put off for so many ms from the time at which its request came. */
+    public BadRequestException heldFor(double millis) {
+        return new BadRequestException(status, getMessage(), last, retryAfter, millis);
     }
 
     /** The status that says it. */
@@ -48,6 +56,11 @@
         return last;
     }
 
+    /** For how many ms its request may be put off since it came, as what it asks for may be on its way. */
+    public double patience() {
+        return patience;
+    }
+
     /** When to come back, in ms from now; 0 for no advice. */
     public double retryAfter() {
         return retryAfter;
--- a/src/main/java/sablehinge/http1/FrontDialect.java
+++ b/src/main/java/sablehinge/http1/FrontDialect.java
@@ -33,19 +33,21 @@
      * Reads the head of a request, and may change it for those that it goes on to.
      *
      * @param hasBody whether it has one, which may be still coming
+     * @param cameAt when it was here whole, or now if it is still coming; its time counts from then
      * @param now in ms of the core's clock
      */
-    Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException;
+    Checked read(HttpRequest request, boolean hasBody, double cameAt, double now) throws BadRequestException;
 
     /**
-     * Whether to read this again a little later rather than turn it away: what it asks for may be on its way
-     * here. Asked before the answer is given.
+     * What to answer to a request that can't be taken, or null to read it again a little later: what it asks
+     * for may be on its way here.
      *
-     * @param waited how long that has been put off, in ms
+     * @param mayWait whether it may be put off; false where too many are
+     * @param cameAt when it was here whole, in ms of the core's clock
      * @param now in ms of the core's clock
      */
-    default boolean waits(BadRequestException why, double waited, double now) {
-        return false;
+    default BadRequestException refusal(BadRequestException why, boolean mayWait, double cameAt, double now) {
+        return why;
     }
 
     /** The status of an answer. */
--- a/src/main/java/sablehinge/http1/Frontend.java
+++ b/src/main/java/sablehinge/http1/Frontend.java
@@ -79,6 +79,8 @@
     private static final long SWEEP_MS = 200;
     /** How long a request that waits for news is put off each time. */
     private static final long PUT_OFF_MS = 10;
+    /** So many may wait so at once: each is read again every time. */
+    static final int MOST_PUT_OFF = 256;
     /** How long a caller that was answered for the last time may go on sending, and how much is read. */
     private static final long LINGER_MS = 500;
     private static final int LINGER_BYTES = 1024 * 1024;
@@ -100,6 +102,8 @@
     /** Bytes that are reserved for bodies of more than 64 KiB. */
     private int kept;
     private long woken;
+    /** Requests that wait for news. */
+    private int putOff;
     private boolean draining;
     /** Once its callers have been told to go elsewhere: when it lets in no more, and what then follows. */
     private double closesAt = Double.POSITIVE_INFINITY;
@@ -204,6 +208,11 @@
         return kept;
     }
 
+    /** How many requests wait for news. */
+    int putOff() {
+        return putOff;
+    }
+
     /** How many bodies the sweep had to wake, as the wake-up that was due had been lost. */
     public long woken() {
         return woken;
@@ -351,6 +360,9 @@
         }
     }
 
+    /** A request that is here whole, and since when, in ms. */
+    private record Arrived(FullHttpRequest request, double at) { }
+
     /** One caller's connection: one request at a time, those sent ahead wait for their turn. */
     private final class Connection extends ChannelInboundHandlerAdapter
             implements Caller, Relay.Source, Relay.Sink {
@@ -360,7 +372,7 @@
         /** Null until a watch wants to see it. */
         private Outlet outlet;
         private final Decoder decoder = new Decoder(this, dialect.terms().headerBytes());
-        private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
+        private final ArrayDeque<Arrived> ahead = new ArrayDeque<>();
         /** Those of them that are begun already, in the same order. */
         private final ArrayDeque<Early> early = new ArrayDeque<>(0);
         private int aheadBytes;
@@ -386,8 +398,9 @@
         /** The request at work; the exchange is known once the node has it. */
         private HttpRequest current;
         private Exchange exchange;
-        /** When it was first read. */
-        private double putOffAt;
+        /** When it was here whole; whether it waits for news. */
+        private double cameAt;
+        private boolean isPutOff;
         /** The answer that is being written. */
         private Answer said;
         private String txn;
@@ -687,8 +700,8 @@
 
         private void complete() throws BadRequestException {
             aheadBytes += body.readableBytes();
-            ahead.addLast(new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body,
-                    head.headers(), EmptyHttpHeaders.INSTANCE));
+            ahead.addLast(new Arrived(new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
+                    head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE), core.now()));
             head = null;
             body = null;
             if (ahead.size() > MAX_AHEAD) {
@@ -730,12 +743,12 @@
             advancing = true;
             try {
                 while (current == null && !closing && (flaw != null || !ahead.isEmpty())) {
-                    FullHttpRequest next = ahead.pollFirst();
+                    Arrived next = ahead.pollFirst();
                     if (next == null) {
                         reject(flaw);
                     } else {
-                        aheadBytes -= next.content().readableBytes();
-                        if (early.isEmpty() || early.peekFirst().request != next) {
+                        aheadBytes -= next.request().content().readableBytes();
+                        if (early.isEmpty() || early.peekFirst().request != next.request()) {
                             handle(next);
                         } else {
                             takeTurn(early.pollFirst());
@@ -765,23 +778,24 @@
                 return;
             }
             int place = 0;
-            for (FullHttpRequest next : new ArrayList<>(ahead)) {
+            for (Arrived next : new ArrayList<>(ahead)) {
                 if (place++ < early.size()) {
                     continue;
                 }
-                if (early.size() >= MAX_EARLY || dialect.isHealth(next) || !beginEarly(next)) {
+                if (early.size() >= MAX_EARLY || dialect.isHealth(next.request()) || !beginEarly(next)) {
                     return;
                 }
             }
         }
 
-        private boolean beginEarly(FullHttpRequest next) {
+        private boolean beginEarly(Arrived arrived) {
+            FullHttpRequest next = arrived.request();
             if (!dialect.isRepeatable(next)) {
                 return false;
             }
             Checked checked;
             try {
-                checked = dialect.read(next, next.content().isReadable(), core.now());
+                checked = dialect.read(next, next.content().isReadable(), arrived.at(), core.now());
             } catch (BadRequestException e) {
                 // It is looked at again in its turn.
                 return false;
@@ -793,10 +807,10 @@
             return true;
         }
 
-        private void handle(FullHttpRequest request) {
-            current = request;
-            putOffAt = core.now();
-            begin(request);
+        private void handle(Arrived arrived) {
+            current = arrived.request();
+            cameAt = arrived.at();
+            begin(arrived.request());
         }
 
         private void begin(FullHttpRequest request) {
@@ -807,22 +821,44 @@
             try {
                 begin(request, request.content().isReadable(), new HttpPayload(request));
             } catch (BadRequestException e) {
-                if (dialect.waits(e, core.now() - putOffAt, core.now())) {
-                    loop.schedule(() -> {
-                        if (current == request && exchange == null && channel.isOpen()) {
-                            begin(request);
-                        }
-                    }, PUT_OFF_MS, TimeUnit.MILLISECONDS);
+                boolean mayWait = isPutOff || putOff < MOST_PUT_OFF;
+                BadRequestException refusal = dialect.refusal(e, mayWait, cameAt, core.now());
+                if (refusal == null) {
+                    putOff(request);
                 } else {
-                    reject(e);
+                    settles();
+                    reject(refusal);
                 }
             }
         }
 
+        /** Reads it again a little later; it is bounded how many wait so. */
+        private void putOff(FullHttpRequest request) {
+            if (!isPutOff) {
+                isPutOff = true;
+                putOff++;
+            }
+            loop.schedule(() -> {
+                if (current == request && exchange == null && channel.isOpen()) {
+                    begin(request);
+                }
+            }, PUT_OFF_MS, TimeUnit.MILLISECONDS);
+        }
+
+        /** What is at work waits for news no more. */
+        private void settles() {
+            if (isPutOff) {
+                isPutOff = false;
+                putOff--;
+            }
+        }
+
         /** Hands a request to core, whole or with its body still coming. */
         private void begin(HttpRequest request, boolean hasBody, Payload payload)
                 throws BadRequestException {
-            Checked checked = dialect.read(request, hasBody, core.now());
+            Checked checked = dialect.read(request, hasBody, coming == null ? cameAt : core.now(),
+                    core.now());
+            settles();
             if (!checked.name().isEmpty()) {
                 takeName(checked.name());
             }
@@ -1012,6 +1048,7 @@
 
         /** Nothing is at work any more. */
         private void finish() {
+            settles();
             if (txn != null) {
                 open.remove(txn);
                 txn = null;
@@ -1049,7 +1086,7 @@
         private void dropAhead() {
             early.forEach(begun -> begun.drop(core));
             early.clear();
-            ahead.forEach(FullHttpRequest::release);
+            ahead.forEach(arrived -> arrived.request().release());
             ahead.clear();
             aheadBytes = 0;
         }
--- a/src/main/java/sablehinge/http1/PlatformFront.java
+++ b/src/main/java/sablehinge/http1/PlatformFront.java
@@ -55,7 +55,8 @@
     }
 
     @Override
-    public Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
+    public Checked read(HttpRequest request, boolean hasBody, double cameAt, double now)
+            throws BadRequestException {
         Checked checked;
         try {
             checked = check().read(request, hasBody, now);
--- a/src/main/java/sablehinge/sidecar/InboundFront.java
+++ b/src/main/java/sablehinge/sidecar/InboundFront.java
@@ -41,7 +41,8 @@
     }
 
     @Override
-    public Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
+    public Checked read(HttpRequest request, boolean hasBody, double cameAt, double now)
+            throws BadRequestException {
         HttpHeaders headers = request.headers();
         String meant = MeshHeaders.single(headers, MeshHeaders.DELIVER);
         if (meant == null) {
@@ -51,7 +52,7 @@
         double patience = MeshHeaders.millis(headers, MeshHeaders.PATIENCE, 0);
         int rank = (int) MeshHeaders.millis(headers, MeshHeaders.RANK, 0);
         headers.remove(MeshHeaders.PATIENCE).remove(MeshHeaders.RANK);
-        return new Checked("", new Arrival(0, rank, MeshHeaders.life(meant), now + left,
+        return new Checked("", new Arrival(0, rank, MeshHeaders.life(meant), cameAt + left,
                 Math.min(patience, left), false, false), core.version());
     }
 
--- a/src/main/java/sablehinge/sidecar/OutboundFront.java
+++ b/src/main/java/sablehinge/sidecar/OutboundFront.java
@@ -32,17 +32,15 @@
     private static final double LENIENT = 1.5;
     /** The part of its aim that a request may wait for a slot: after that its answer would come late. */
     private static final double PATIENCE = 0.6;
-    /** How long a request waits for the news that would know its route or key, in ms. */
+    /** How long a request waits at most for news that would let it in, in ms. */
     private static final double WAITS_MS = 400;
-    private static final double NOT_READY_MS = 300;
-
-    private static final BadRequestException NOT_READY = BadRequestException.turnedAway(
-            HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration yet", NOT_READY_MS);
-    /** How long a request waits for the first configuration: it comes within moments, or the core is away. */
-    private static final double FIRST_MS = 1_200;
-    /** The tenant's pool was asked; the answer is a round trip away. */
-    private static final BadRequestException ASKED = BadRequestException.turnedAway(
-            HttpResponseStatus.TOO_MANY_REQUESTS, "beyond the quota", NOT_READY_MS);
+    /** The part of its aim for which it may wait so: one that is refused later earns nothing by that. */
+    private static final double HELD_OF_AIM = 0.2;
+    /** The same of its client's time, where its aim is not known: aims are a seventh of that or more. */
+    private static final double HELD_OF_TIME = HELD_OF_AIM / 7;
+    /** Advice to who was refused for want of news, in ms: at least this, at most this part of its time. */
+    private static final double COME_BACK_MS = 300;
+    private static final double LATEST_RETURN = 0.3;
 
     private final String caller;
     private final Quotas quotas;
@@ -53,6 +51,8 @@
     private Plan plan;
     private Version version;
     private Map<String, Integer> classes = new HashMap<>();
+    /** When the first request came, before which nobody has waited; NaN before that. */
+    private double firstCameAt = Double.NaN;
 
     /** Asks whether the configuration at hand is the newest. */
     interface Confirming {
@@ -101,33 +101,37 @@
     }
 
     @Override
-    public Checked read(HttpRequest request, boolean hasBody, double now) throws BadRequestException {
+    public Checked read(HttpRequest request, boolean hasBody, double cameAt, double now)
+            throws BadRequestException {
+        HttpHeaders headers = request.headers();
+        if (Double.isNaN(firstCameAt)) {
+            firstCameAt = cameAt;
+        }
         if (plan == null) {
-            throw NOT_READY;
+            throw withoutNews(MeshHeaders.millis(headers, MeshHeaders.LEFT, FIRST.requestMs()), now);
         }
-        HttpHeaders headers = request.headers();
         if (MeshHeaders.single(headers, MeshHeaders.TRY) == null) {
             throw new BadRequestException(MeshHeaders.TRY + " is missing");
         }
         Plan.Found found = plan.find(MeshHeaders.single(headers, "Host"), request.uri());
         if (found == null) {
-            throw BadRequestException.turnedAway(HttpResponseStatus.NOT_FOUND, "no route");
+            throw BadRequestException.turnedAway(HttpResponseStatus.NOT_FOUND, "no route")
+                    .heldFor(held(MeshHeaders.millis(headers, MeshHeaders.LEFT, FIRST.requestMs())));
         }
         Configuration.Route route = found.route();
         Configuration.Tenant tenant = plan.tenant(MeshHeaders.single(headers, MeshHeaders.KEY));
         if (plan.wantsKeys() && !route.open() && tenant == null) {
-            throw BadRequestException.turnedAway(HttpResponseStatus.UNAUTHORIZED, "unknown key");
+            throw BadRequestException.turnedAway(HttpResponseStatus.UNAUTHORIZED, "unknown key")
+                    .heldFor(held(route));
         }
-        double left = Math.min(route.timeoutMs(),
+        double given = Math.min(route.timeoutMs(),
                 MeshHeaders.millis(headers, MeshHeaders.LEFT, route.timeoutMs()));
+        double left = given - (now - cameAt);
+        if (left <= 0) {
+            throw BadRequestException.turnedAway(HttpResponseStatus.SERVICE_UNAVAILABLE, "its time is over");
+        }
         if (tenant != null) {
-            Quotas.Claim claim = quotas.claim(now, tenant);
-            if (claim == Quotas.Claim.ASKED) {
-                throw ASKED;
-            } else if (claim == Quotas.Claim.REFUSED) {
-                throw BadRequestException.turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, "beyond the quota",
-                        Math.min(quotas.next(tenant), left));
-            }
+            claim(tenant, route, left, now);
         }
         String service = plan.choose(route, random.nextDouble());
         spill.came(service, tenant == null && plan.wantsKeys());
@@ -138,25 +142,63 @@
         if (tenant != null) {
             headers.set(MeshHeaders.SENDER, tenant.name());
         }
-        headers.set(MeshHeaders.PATIENCE, now + PATIENCE * Math.min(route.targetMs(), left));
+        headers.set(MeshHeaders.PATIENCE, cameAt + PATIENCE * Math.min(route.targetMs(), given));
         headers.set(MeshHeaders.RANK, rank);
         return new Checked("", new Arrival(classes.get(Terms.name(route, service)), 0, 0, now + left, 0,
                 false, route.kind() != Configuration.Kind.SAFE).within(route.attempts()), version);
     }
 
-    /** A key or route that is not known here may be newer than what is known here. */
+    private void claim(Configuration.Tenant tenant, Configuration.Route route, double left, double now)
+            throws BadRequestException {
+        Quotas.Claim claim = quotas.claim(now, tenant);
+        if (claim == Quotas.Claim.ASKED) {
+            // The answer of the tenant's pool is a round trip away.
+            throw BadRequestException.turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, "beyond the quota",
+                    COME_BACK_MS).heldFor(held(route));
+        } else if (claim == Quotas.Claim.REFUSED) {
+            throw BadRequestException.turnedAway(HttpResponseStatus.TOO_MANY_REQUESTS, "beyond the quota",
+                    Math.min(quotas.next(tenant), left));
+        }
+    }
+
+    private static double held(Configuration.Route route) {
+        return Math.min(WAITS_MS, HELD_OF_AIM * route.targetMs());
+    }
+
+    private static double held(double time) {
+        return Math.min(WAITS_MS, HELD_OF_TIME * time);
+    }
+
+    /**
+     * Nothing has run, and it may be tried again once there is news: nobody knows when that will be, and what
+     * has taken long already is likely to take as long again.
+     */
+    private BadRequestException withoutNews(double time, double now) {
+        double comeBack = Math.max(COME_BACK_MS, now - firstCameAt);
+        return BadRequestException.turnedAway(HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration yet",
+                Math.min(comeBack, LATEST_RETURN * time)).heldFor(held(time));
+    }
+
+    /**
+     * A key or route that is not known here may be newer than what is known here. Where nobody says in time
+     * that it is not, the request is refused as one that has not run, and not as one that never may.
+     */
     @Override
-    public boolean waits(BadRequestException why, double waited, double now) {
+    public BadRequestException refusal(BadRequestException why, boolean mayWait, double cameAt, double now) {
         int status = why.status().code();
-        if (why == ASKED || why == NOT_READY) {
-            return waited < (why == ASKED ? WAITS_MS : FIRST_MS);
+        boolean unknown = status == HttpResponseStatus.UNAUTHORIZED.code()
+                || status == HttpResponseStatus.NOT_FOUND.code();
+        if (unknown && confirming.confirmedAt() >= cameAt) {
+            return why;
         }
-        if (status != 401 && status != 404 || waited > WAITS_MS
-                || confirming.confirmedAt() >= now - waited) {
-            return false;
+        if (mayWait && now - cameAt < why.patience()) {
+            if (unknown) {
+                confirming.ask();
+            }
+            return null;
         }
-        confirming.ask();
-        return true;
+        return unknown ? BadRequestException.turnedAway(HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "not known whether this is the newest configuration", COME_BACK_MS) : why;
     }
 
     @Override
