--- a/bench/src/sablehinge/sidecar/OutboundParts.java
+++ b/bench/src/sablehinge/sidecar/OutboundParts.java
@@ -101,7 +101,7 @@
         this.balancers = balancers;
         LocalSettings settings = settings(at);
         quotas = new Quotas(settings.bounds(), (tenant, count) -> { });
-        routes = new OutboundFront(CALLER, quotas, new Spill(clock, settings, claim -> { }),
+        routes = new OutboundFront(CALLER, quotas, new RetryBudget(clock, settings, claim -> { }),
                 new OutboundFront.Confirming() {
                     @Override
                     public void ask() {
