--- a/src/test/java/sablehinge/node/OperatorNodeTest.java
+++ b/src/test/java/sablehinge/node/OperatorNodeTest.java
@@ -82,9 +82,10 @@
             List<Peer> callers = new ArrayList<>();
             try {
                 for (int i = 0; i < 500; i++) {
-                    Peer caller = stage.caller();
-                    callers.add(caller);
-                    caller.write(i % 2 == 0 ? Stage.get("r" + i, "10") : Stage.spend("r" + i, "x"));
+                    callers.add(stage.caller());
+                }
+                for (int i = 0; i < 500; i++) {
+                    callers.get(i).write(i % 2 == 0 ? Stage.get("r" + i, "10") : Stage.spend("r" + i, "x"));
                 }
                 while (stage.servers.get(2).seen.size() + stage.servers.get(3).seen.size() < 500) {
                     assertFalse(Thread.interrupted(), "the time is up");
