bench/run exchange: the outbound hop, with kills and balancers that stand still (partial)

Need: only the gate's hop was played. Change: the real front, core, decision module and transport between callers and three scripted inbound balancers, which may be killed, stand still and run later what lies whole in their buffers; 23 faults.

--- a/bench/src/sablehinge/torture/ExchangeBench.java
+++ b/bench/src/sablehinge/torture/ExchangeBench.java
@@ -10,12 +10,13 @@
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import sablehinge.rig.Logs;
 import sablehinge.torture.ExchangePlay.Event;
 
 /**
- * Plays all orders of events on the connections of a gate, to a stated depth, and then the same on copies of
- * the real classes with one fault each, which must all be found.
+ * Plays all orders of events on the connections of an outbound balancer and of a gate, each to a stated depth,
+ * and then the same on copies of the real classes with one fault each, which must all be found.
  */
 public final class ExchangeBench {
 
@@ -32,7 +33,15 @@
     private static final List<List<Event>> BEGINNINGS = List.of(List.of(Event.CALL),
             List.of(Event.CALL, Event.ANSWER), List.of(Event.UPLOAD_HALF));
 
-    /** All faults. */
+    private static final String MODULE = "policy/LatencyWeightedBalancer";
+    private static final String FRONT = "sidecar/OutboundFront";
+    /** What each order before an outbound balancer begins with. */
+    private static final List<List<OutboundPlay.Event>> OUTBOUND_BEGINNINGS = List.of(
+            List.of(OutboundPlay.Event.CALL), List.of(OutboundPlay.Event.CALL_SAFE),
+            List.of(OutboundPlay.Event.CALL, OutboundPlay.Event.ANSWER),
+            List.of(OutboundPlay.Event.UPLOAD_HALF));
+
+    /** All faults that the gate's hop must show. */
     static final List<Mutant> MUTANTS = List.of(
             new Mutant("a connection that ends proves that nothing ran", STATE, "",
                     "case WRITE_FAILED, CONNECTION_ENDED -> mayHaveRun() ? Result.RESET : ",
@@ -71,72 +80,136 @@
             new Mutant("an attempt that is given up leaves its connection", CLIENT,
                     "private void giveUp(Event event)", "channel.close();", "connection.park(target);"));
 
+    /** All faults that the outbound hop must show. */
+    static final List<Mutant> OUTBOUND_MUTANTS = List.of(
+            MUTANTS.get(0), MUTANTS.get(1), MUTANTS.get(2),
+            new Mutant("what was sent whole counts as half", CLIENT, "private AttemptState reached()",
+                    "state = state.wholeSent();", ""),
+            new Mutant("no answer but a success proves anything but that nothing ran", DIALECT,
+                    "private Result verdict(", "MeshHeaders.PROVEN.equals(headers.get(MeshHeaders.VERDICT))",
+                    "answer.status().code() >= 500"),
+            new Mutant("whatever answer comes is the one", DIALECT, "public boolean answers(",
+                    "asked == null || given == null || asked.equals(given)", "true"),
+            new Mutant("an answer that names no request is the one", DIALECT, "public boolean isNamed(",
+                    "answer.headers().contains(MeshHeaders.TRY)", "true"),
+            new Mutant("another upstream is named", DIALECT, "public void dress(",
+                    "headers.set(MeshHeaders.DELIVER, to.name());",
+                    "headers.set(MeshHeaders.DELIVER, \"i-0\");"),
+            new Mutant("the module refuses what may have run", MODULE, "private void answerUnserved(",
+                    "|| call.firstMaybeRun() == null", "|| call.id > 0"),
+            new Mutant("the module sends again what may have run", MODULE, "private boolean mayGoTo(",
+                    "if (first == null || ", "if (call.id > 0 || "),
+            new Mutant("what ended proves that it never ran", "policy/Call", "Attempt firstMaybeRun()",
+                    "attempt.result == null || !attempt.result.neverRan()", "attempt.result == null"),
+            new Mutant("a reset proves that nothing ran", "policy/LoadBalancer", "public boolean neverRan()",
+                    "this == FULL ||", "this == FULL || this == RESET ||"),
+            new Mutant("a time-out proves that nothing ran", "policy/LoadBalancer",
+                    "public boolean neverRan()", "this == FULL ||", "this == FULL || this == TIMEOUT ||"),
+            new Mutant("a try goes to more upstreams than it may", "core/Exchange", "boolean isSpent()",
+                    "return attemptsAtMost > 0 && ", "return attemptsAtMost < 0 && "),
+            new Mutant("what must not run twice is begun before its turn", FRONT,
+                    "public boolean isRepeatable(", "found != null && found.route().kind()"
+                    + " == Configuration.Kind.SAFE", "found != null"),
+            new Mutant("the caller is not named", FRONT, "public Checked read(",
+                    "headers.set(MeshHeaders.CALLER, caller);", ""),
+            new Mutant("a request is given more time than its route has", FRONT, "public Checked read(",
+                    "Math.min(route.timeoutMs(),", "Math.max(route.timeoutMs(),"),
+            new Mutant("a 503 that ran is passed on", ANSWERS, "private static boolean promises(",
+                    "case 408, 421, 429, 503 -> true;", "case 408, 421, 429 -> true;"),
+            new Mutant("the stamp stays with another status", ANSWERS, "static void dress(",
+                    "response.headers().remove(MeshHeaders.STAMP).remove(MeshHeaders.NOT_RUN);", ""),
+            new Mutant("the verdict reaches a caller", ANSWERS, "static void dress(",
+                    "response.headers().remove(MeshHeaders.VERDICT);", ""),
+            new Mutant("an attempt that is given up leaves its connection", CLIENT,
+                    "private void giveUp(Event event)", "channel.close();", "connection.park(target);"),
+            new Mutant("a connection with bytes behind its answer is kept", CLIENT,
+                    "private void whole(FullHttpResponse response, boolean delimited)",
+                    "&& !decoder.holdsMore()", ""),
+            new Mutant("what was sent behind the last answer is begun", "http1/Frontend",
+                    "private void advance()", "while (current == null && !closing && ",
+                    "while (current == null && "));
+
     private ExchangeBench() {
     }
 
-    /** What a search has found: how many orders could be played, and those that broke something. */
+    /** What a search of the gate's hop has found: how many orders could be played, and those that broke. */
     public static List<String> search(int depth, int enough) throws InterruptedException {
-        Search search = new Search(depth, enough);
-        List<List<Event>> firsts = new ArrayList<>();
-        for (List<Event> beginning : BEGINNINGS) {
-            for (Event event : Event.values()) {
-                firsts.add(with(beginning, event));
-            }
-        }
-        AtomicInteger next = new AtomicInteger();
-        List<Thread> players = new ArrayList<>();
-        for (int i = 0; i < THREADS; i++) {
-            players.add(new Thread(() -> {
-                for (int at = next.getAndIncrement(); at < firsts.size(); at = next.getAndIncrement()) {
-                    search.below(firsts.get(at), 1);
-                }
-            }));
-        }
-        Logs.Undo silence = Logs.level(Level.OFF);
-        try {
-            players.forEach(Thread::start);
-            for (Thread player : players) {
-                player.join();
-            }
-        } finally {
-            silence.close();
-        }
-        List<String> lines = new ArrayList<>(List.of(Long.toString(search.played.get())));
-        lines.addAll(search.found);
-        return lines;
+        return new Search<>(List.of(Event.values()), events -> new ExchangePlay().play(events), depth, enough)
+                .under(BEGINNINGS);
+    }
+
+    /** The same of the outbound hop. */
+    public static List<String> searchOutbound(int depth, int enough) throws InterruptedException {
+        return new Search<>(List.of(OutboundPlay.Event.values()), events -> new OutboundPlay().play(events),
+                depth, enough).under(OUTBOUND_BEGINNINGS);
     }
 
-    private static List<Event> with(List<Event> events, Event next) {
-        List<Event> longer = new ArrayList<>(events);
+    private static <E> List<E> with(List<E> events, E next) {
+        List<E> longer = new ArrayList<>(events);
         longer.add(next);
         return longer;
     }
 
     /** All orders that can happen, one event longer each time: what can't happen is not gone on with. */
-    private static final class Search {
+    private static final class Search<E> {
+        private final List<E> all;
+        private final Function<List<E>, List<String>> player;
         private final int depth;
         private final int enough;
         private final AtomicLong played = new AtomicLong();
         private final List<String> found = Collections.synchronizedList(new ArrayList<>());
 
-        Search(int depth, int enough) {
+        Search(List<E> all, Function<List<E>, List<String>> player, int depth, int enough) {
+            this.all = all;
+            this.player = player;
             this.depth = depth;
             this.enough = enough;
         }
 
-        void below(List<Event> events, int length) {
+        /** How many orders under these beginnings could be played, and then those that broke something. */
+        List<String> under(List<List<E>> beginnings) throws InterruptedException {
+            List<List<E>> firsts = new ArrayList<>();
+            for (List<E> beginning : beginnings) {
+                for (E event : all) {
+                    firsts.add(with(beginning, event));
+                }
+            }
+            AtomicInteger next = new AtomicInteger();
+            List<Thread> players = new ArrayList<>();
+            for (int i = 0; i < THREADS; i++) {
+                players.add(new Thread(() -> {
+                    for (int at = next.getAndIncrement(); at < firsts.size(); at = next.getAndIncrement()) {
+                        below(firsts.get(at), 1);
+                    }
+                }));
+            }
+            Logs.Undo silence = Logs.level(Level.OFF);
+            try {
+                players.forEach(Thread::start);
+                for (Thread one : players) {
+                    one.join();
+                }
+            } finally {
+                silence.close();
+            }
+            List<String> lines = new ArrayList<>(List.of(Long.toString(played.get())));
+            lines.addAll(found);
+            return lines;
+        }
+
+        private void below(List<E> events, int length) {
             if (found.size() >= enough || !play(events) || length >= depth) {
                 return;
             }
-            for (Event event : Event.values()) {
+            for (E event : all) {
                 below(with(events, event), length + 1);
             }
         }
 
         /** Plays an order; whether it could happen and broke nothing. */
-        private boolean play(List<Event> events) {
+        private boolean play(List<E> events) {
             try {
-                List<String> violations = new ExchangePlay().play(events);
+                List<String> violations = player.apply(events);
                 if (violations == null) {
                     return false;
                 }
@@ -152,33 +225,50 @@
         }
     }
 
-    /** {@code [DEPTH [MUTANT-DEPTH]]}: how many events follow each beginning. */
-    public static void main(String[] arguments) throws Exception {
-        int depth = arguments.length > 0 ? Integer.parseInt(arguments[0]) : DEPTH;
-        int mutantDepth = arguments.length > 1 ? Integer.parseInt(arguments[1]) : MUTANT_DEPTH;
-        long begun = System.nanoTime();
-        List<String> real = search(depth, Integer.MAX_VALUE);
-        long schedules = Long.parseLong(real.get(0));
+    /** Prints what a search of the real classes has found; the number of orders that broke something. */
+    private static int told(String hop, List<String> real, int depth) {
         real.stream().skip(1).limit(MOST_SHOWN).forEach(System.out::println);
-        System.out.printf(Locale.ROOT, "%d orders of up to %d events, %d violated%n", schedules, depth + 2,
-                real.size() - 1);
+        System.out.printf(Locale.ROOT, "%s: %s orders of up to %d events, %d violated%n", hop, real.get(0),
+                depth + 2, real.size() - 1);
+        return real.size() - 1;
+    }
+
+    /** How many of the faults a search finds. */
+    private static int found(List<Mutant> mutants, String search, int depth) throws Exception {
         int found = 0;
-        for (Mutant mutant : MUTANTS) {
+        for (Mutant mutant : mutants) {
             MutantLoader loader = MutantLoader.of(mutant, Path.of("src/main/java"));
             List<?> by = (List<?>) loader.loadClass(ExchangeBench.class.getName())
-                    .getMethod("search", int.class, int.class).invoke(null, mutantDepth, 1);
+                    .getMethod(search, int.class, int.class).invoke(null, depth, 1);
             found += by.size() > 1 ? 1 : 0;
             System.out.printf(Locale.ROOT, "%-52s %-28s %s%n", mutant.name(), mutant.in(),
                     by.size() > 1 ? by.get(1) : "NOT FOUND");
         }
+        return found;
+    }
+
+    /** {@code [DEPTH [MUTANT-DEPTH]]}: how many events follow each beginning. */
+    public static void main(String[] arguments) throws Exception {
+        int depth = arguments.length > 0 ? Integer.parseInt(arguments[0]) : DEPTH;
+        int mutantDepth = arguments.length > 1 ? Integer.parseInt(arguments[1]) : MUTANT_DEPTH;
+        long begun = System.nanoTime();
+        List<String> gate = search(depth, Integer.MAX_VALUE);
+        int violations = told("gate", gate, depth);
+        List<String> outbound = searchOutbound(depth, Integer.MAX_VALUE);
+        violations += told("outbound", outbound, depth);
+        int mutants = MUTANTS.size() + OUTBOUND_MUTANTS.size();
+        int found = found(MUTANTS, "search", mutantDepth)
+                + found(OUTBOUND_MUTANTS, "searchOutbound", mutantDepth);
         ObjectNode json = JsonMapper.builder().build().createObjectNode();
-        json.put("schedules", schedules);
+        json.put("schedules", Long.parseLong(gate.get(0)) + Long.parseLong(outbound.get(0)));
+        json.put("schedules_gate", Long.parseLong(gate.get(0)));
+        json.put("schedules_outbound", Long.parseLong(outbound.get(0)));
         json.put("depth", depth);
-        json.put("violations", real.size() - 1);
-        json.put("mutants", MUTANTS.size());
+        json.put("violations", violations);
+        json.put("mutants", mutants);
         json.put("mutants_found", found);
         json.put("seconds", Math.round((System.nanoTime() - begun) / 1e8) / 10.0);
         System.out.println(json);
-        System.exit(real.size() == 1 && found == MUTANTS.size() ? 0 : 1);
+        System.exit(violations == 0 && found == mutants ? 0 : 1);
     }
 }
--- a/src/test/java/sablehinge/torture/ExchangeTest.java
+++ b/src/test/java/sablehinge/torture/ExchangeTest.java
@@ -24,6 +24,21 @@
         assertTrue(Long.parseLong(found.get(0)) > LEAST_PLAYED, found.get(0));
     }
 
+    @Test
+    void noShortOrderOnTheOutboundHopBreaksWhatMustHold() throws Exception {
+        List<String> found = ExchangeBench.searchOutbound(DEPTH, Integer.MAX_VALUE);
+        assertEquals(List.of(), found.subList(1, found.size()));
+        assertTrue(Long.parseLong(found.get(0)) > LEAST_PLAYED, found.get(0));
+    }
+
+    /** A request that an inbound balancer stood still with runs when all has been answered. */
+    @Test
+    void whoStandsStillRunsWhatLiesInItsBuffersLater() {
+        assertEquals(List.of(), new OutboundPlay().play(List.of(OutboundPlay.Event.CALL,
+                OutboundPlay.Event.ANSWER, OutboundPlay.Event.FREEZE, OutboundPlay.Event.CALL,
+                OutboundPlay.Event.WAIT, OutboundPlay.Event.CALLS_AGAIN, OutboundPlay.Event.THAW)));
+    }
+
     @Test
     void whatCannotHappenIsNotPlayed() {
         assertNull(new ExchangePlay().play(List.of(Event.REST_OF_ANSWER)));
@@ -35,6 +50,9 @@
         for (Mutant fault : ExchangeBench.MUTANTS) {
             fault.applied(Files.readString(Path.of("src/main/java/sablehinge/" + fault.in() + ".java")));
         }
+        for (Mutant fault : ExchangeBench.OUTBOUND_MUTANTS) {
+            fault.applied(Files.readString(Path.of("src/main/java/sablehinge/" + fault.in() + ".java")));
+        }
         List<?> found = (List<?>) MutantLoader.of(ExchangeBench.MUTANTS.get(0), Path.of("src/main/java"))
                 .loadClass(ExchangeBench.class.getName()).getMethod("search", int.class, int.class)
                 .invoke(null, DEPTH, 1);
