--- a/bench/src/sablehinge/torture/ExchangeBench.java
+++ b/bench/src/sablehinge/torture/ExchangeBench.java
@@ -15,8 +15,8 @@
 import sablehinge.torture.ExchangePlay.Event;
 
 /**
- * Plays all orders of events on the connections of an outbound balancer and of a gate, each to a stated depth,
- * and then the same on copies of the real classes with one fault each, which must all be found.
+ * Plays all orders of events on the connections of an outbound balancer and of a gate, each to a stated
+ * depth, and then the same on copies of the real classes with one fault each, which must all be found.
  */
 public final class ExchangeBench {
 
