--- a/bench/src/sablehinge/fleet/FleetBench.java
+++ b/bench/src/sablehinge/fleet/FleetBench.java
@@ -44,6 +44,7 @@
         Path folder = Path.of(args.length > 3 ? args[3] : "target/fleet");
         // Hundreds of sidecars would fill the screen with what each of them thinks of its neighbours.
         LogManager.getLogManager().reset();
+        AddedTime.prepare();
         double begun = Ledger.now();
         List<Measurement> all = new ArrayList<>();
         List<String> failures = new ArrayList<>();
--- a/bench/src/sablehinge/fleet/FleetPlan.java
+++ b/bench/src/sablehinge/fleet/FleetPlan.java
@@ -42,6 +42,11 @@
         return "zone-" + number % ZONES;
     }
 
+    /** The number of a control node's zone: they take turns between the regions, the first ones too. */
+    static int controlZone(int place) {
+        return place % REGIONS * (ZONES / REGIONS) + place / REGIONS % (ZONES / REGIONS);
+    }
+
     private static String region(int number) {
         return "region-" + number % ZONES * REGIONS / ZONES;
     }
@@ -145,7 +150,8 @@
 
     /** The settings file of a control node. */
     String controlSettings(int place, String dataDir, boolean firstStart) {
-        return head("control-" + place, "control", controlIp(place), place) + "dataDir = \"" + dataDir
+        return head("control-" + place, "control", controlIp(place),
+                controlZone(place)) + "dataDir = \"" + dataDir
                 + "\"\nfirstStart = " + firstStart + "\ncounted = true\n" + tail(256)
                 + "[listenOn]\ncontrol = \"" + control(place) + "\"\n";
     }
--- a/bench/src/sablehinge/fleet/FleetRun.java
+++ b/bench/src/sablehinge/fleet/FleetRun.java
@@ -3,17 +3,22 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
+import java.util.zip.Deflater;
 import sablehinge.config.ConfigException;
 import sablehinge.rpc.Frame;
 import sablehinge.sidecar.HollowSidecar;
 import sablehinge.standin.mesh.Ledger;
 
-/** A fleet of one size through its phases: start, changes, load, replaced upstreams, calm, a lost leader. */
+/** A fleet of one size through its phases: start, changes, load, replaced upstreams, calm,
+ * requests through real sidecars, a lost leader, a lost zone, a lost region. */
 final class FleetRun implements AutoCloseable {
 
     private static final double MS_PER_S = 1_000;
@@ -29,6 +34,9 @@
     private static final long REPLACED_EVERY_MS = 400;
     private static final long LEADER_MS = 15_000;
     private static final int MOST_FAILURES = 2;
+    private static final int REQUESTS = 1_500;
+    private static final long LOST_MS = 20_000;
+    private static final long UNDECIDED_MS = 6_000;
 
     private final FleetPlan plan;
     private final FleetConfiguration configuration;
@@ -73,8 +81,11 @@
         load();
         replacedUpstreams();
         calm();
+        addedTime();
         lostLeader();
         memory();
+        lostZone();
+        lostRegion();
         processes.failures(MOST_FAILURES).forEach(line -> progress.accept("log: " + line));
         return List.copyOf(measurements);
     }
@@ -103,6 +114,7 @@
         edition = 1;
         put("start", "fleet", "first_ack", "ms", Ledger.now() - begun);
         put("start", "fleet", "configuration", "bytes", body.length);
+        put("start", "fleet", "configuration_deflated", "bytes", deflated(body));
         Times known = hollow.awaited(begun, START_MS);
         times("start", "known_roster", known);
         leader = operator.leader();
@@ -112,6 +124,15 @@
         settle("start");
     }
 
+    private static int deflated(byte[] body) {
+        Deflater deflater = new Deflater();
+        deflater.setInput(body);
+        deflater.finish();
+        int size = deflater.deflate(new byte[body.length]);
+        deflater.end();
+        return size;
+    }
+
     private void settle(String phase) throws InterruptedException {
         put(phase, "hollow", "late", "ms", hollow.lateMs());
         TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
@@ -196,8 +217,12 @@
     private void calm() throws InterruptedException {
         progress.accept("calm");
         Look before = look();
+        Map<String, Double> threads = processes.threadsOfSidecars();
         TimeUnit.MILLISECONDS.sleep(CALM_MS);
         rates("calm", before);
+        double per = plan.sidecars() * CALM_MS / MS_PER_S;
+        processes.threadsOfSidecars().forEach((name, ms) -> put("calm", "sidecar", "cpu_of_" + name, "ms/s",
+                (ms - threads.getOrDefault(name, 0.0)) / per));
         settle("calm");
     }
 
@@ -335,6 +360,54 @@
         TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
     }
 
+    /** One request after the other, straight to an upstream and through two sidecars. */
+    private void addedTime() throws InterruptedException {
+        progress.accept("added time");
+        AddedTime.Result result = AddedTime.measure(plan, REQUESTS);
+        put("serve", "sidecar", "direct_p50", "ms", result.direct().p50());
+        put("serve", "sidecar", "direct_p99", "ms", result.direct().p99());
+        put("serve", "sidecar", "through_p50", "ms", result.through().p50());
+        put("serve", "sidecar", "through_p99", "ms", result.through().p99());
+        put("serve", "sidecar", "failed", "1", result.direct().missing() + result.through().missing());
+    }
+
+    /** A zone without real sidecars goes, with its control node. */
+    private void lostZone() throws InterruptedException {
+        progress.accept("lost zone");
+        lose("zone", zone -> zone == FleetPlan.controlZone(1));
+    }
+
+    /** The region goes that has more of the first control nodes; is a change still acknowledged elsewhere? */
+    private void lostRegion() throws InterruptedException {
+        progress.accept("lost region");
+        processes.killSidecars();
+        lose("region", zone -> zone < FleetPlan.ZONES / 2);
+        double sent = Ledger.now();
+        boolean taken = operator.replace(edition, configuration.body(edition + 1), UNDECIDED_MS);
+        put("region", "fleet", "change_acknowledged", "1", taken ? 1 : 0);
+        put("region", "fleet", "change_answered", "ms", Ledger.now() - sent);
+    }
+
+    private void lose(String phase, IntPredicate lost) throws InterruptedException {
+        Set<String> zones = new HashSet<>();
+        for (int i = 0; i < FleetPlan.ZONES; i++) {
+            if (lost.test(i)) {
+                zones.add(FleetPlan.zone(i));
+            }
+        }
+        double at = Ledger.now();
+        hollow.kill(sidecar -> zones.contains(sidecar.settings().zone()));
+        for (int i = 0; i < plan.controlNodes(); i++) {
+            if (lost.test(FleetPlan.controlZone(i))) {
+                processes.killControl(i);
+            }
+        }
+        hollow.await(view -> view.roster().values().stream().noneMatch(one -> one.ready()
+                && zones.contains(one.zone())));
+        times(phase, "known_roster", hollow.awaited(at, LOST_MS));
+        put(phase, "hollow", "late", "ms", hollow.lateMs());
+    }
+
     private void memory() {
         List<Usage> control = processes.controlUsage();
         double voters = 0;
@@ -347,6 +420,7 @@
             }
             state = Math.max(state, processes.stateBytes(i));
         }
+        put("end", "voter", "members", "1", processes.members());
         put("end", "voter", "resident_most", "MB", voters / MB);
         put("end", "leader", "peak_most", "MB", peak / MB);
         put("end", "voter", "state_on_disk", "MB", state / MB);
--- a/bench/src/sablehinge/fleet/Usage.java
+++ b/bench/src/sablehinge/fleet/Usage.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * What a process has used since it began, as Linux tells under {@code /proc}.
@@ -28,6 +29,7 @@
     /** Clock ticks a second that Linux reports to user space, on all of its common platforms. */
     private static final double TICK_MS = 10;
     private static final int KB = 1_024;
+    private static final double NANOS_PER_MS = 1e6;
 
     /** Of a process that runs. */
     static Usage of(long pid) {
@@ -52,6 +54,22 @@
                 transfers.get("syscr"), transfers.get("syscw"), transfers.get("write_bytes"));
     }
 
+    /** Processor time of a process's threads that still run, in ms, by their names as one word each. */
+    static Map<String, Double> threads(long pid) {
+        Map<String, Double> threads = new HashMap<>();
+        try (Stream<Path> tasks = Files.list(Path.of("/proc", Long.toString(pid), "task"))) {
+            for (Path task : tasks.toList()) {
+                String name = Files.readString(task.resolve("comm")).strip().replaceAll("\\W+|\\d+", "_");
+                // First of three figures: ns on a processor.
+                String[] times = Files.readString(task.resolve("schedstat")).split(" ");
+                threads.merge(name, Long.parseLong(times[0]) / NANOS_PER_MS, Double::sum);
+            }
+        } catch (IOException e) {
+            // A thread has ended meanwhile; what was read of the others stands.
+        }
+        return threads;
+    }
+
     private static Map<String, Long> figures(List<String> lines) {
         Map<String, Long> figures = new HashMap<>();
         for (String line : lines) {
