--- a/bench/lib/any_days.py
+++ b/bench/lib/any_days.py
@@ -20,6 +20,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -49,6 +50,20 @@
     fields: dict
 
 
+@dataclass(frozen=True)
+class Rhythm:
+    """How troubles follow: after `pause_s` on average, or, for a share of them, after a calm of `calm_s`."""
+
+    pause_s: float
+    calm_share: float = 0.0
+    calm_s: tuple[float, float] = (0.0, 0.0)
+
+
+# Without a break; a few at once, then calm for long enough that the rules bind again; widely apart.
+RHYTHMS = (Rhythm(0.5), Rhythm(1.2), Rhythm(0.3, 0.25, (4.0, 9.0)), Rhythm(0.8, 0.35, (4.0, 12.0)),
+           Rhythm(2.0, 0.3, (6.0, 12.0)))
+
+
 @dataclass(frozen=True)
 class Placed:
     """An entry and the second of the day at which it comes."""
@@ -91,9 +106,7 @@
 def troubles(draw, kinds, point, length_s):
     """The day's troubles: one after a short pause upon the other, some of them the same kind once more."""
     weights = [kind.weights[POINTS.index(point)] for kind in kinds]
-    pause_s = draw.choice((0.5, 1.0, 1.8))
-    calm_from = draw.uniform(0.3, 0.8) * length_s
-    calm_s = draw.choice((0.0, 0.0, 12.0))
+    rhythm = draw.choice(RHYTHMS)
     placed, at, core_s, kind = [], draw.uniform(0.5, 3.0), 0.0, None
     while at < length_s - PLANNED_LATEST_S:
         if kind is None or draw.random() > REPEATED_SHARE:
@@ -102,9 +115,8 @@
         if core_s + core_time(drawn) <= CORE_SHARE * length_s:
             core_s += core_time(drawn)
             placed.append(Placed(round(at, 2), drawn))
-        at += draw.expovariate(1.0 / pause_s)
-        if calm_from <= at < calm_from + calm_s:
-            at = calm_from + calm_s
+        calm = draw.random() < rhythm.calm_share
+        at += draw.uniform(*rhythm.calm_s) if calm else draw.expovariate(1.0 / rhythm.pause_s)
     return placed
 
 
@@ -130,8 +142,24 @@
     return 'closing = { kind = "%s", down_s = %.2f%s }\n' % (kind, draw.uniform(0.3, 2.0), variant)
 
 
-def day(site, point, seed):
+def traffic(draw, site_path):
+    """The site's own traffic, up to half as much again: the table of a day."""
+    factor = draw.choice((0.8, 1.0, 1.2, 1.35, 1.5))
+    site = tomllib.loads(site_path.read_text())
+    rows = [dict(row, per_s=round(row["per_s"] * factor, 1)) for row in site["traffic"]]
+    return "traffic = [\n%s\n]\n" % "\n".join("  %s," % inline(row) for row in rows)
+
+
+def inline(value):
+    """The value as TOML on one line."""
+    if isinstance(value, dict):
+        return "{ %s }" % ", ".join("%s = %s" % (key, inline(item)) for key, item in value.items())
+    return json.dumps(value)
+
+
+def day(site_path, point, seed):
     """The text of the day's file."""
+    site = site_path.stem
     draw = random.Random("%s/%s/%d" % (site, point, seed))
     length_s = round(draw.uniform(60, 110) if draw.random() < LONG_SHARE else draw.uniform(32, 45))
     kinds = KINDS + GROWN_KINDS if site.endswith("-grown") else KINDS
@@ -141,7 +169,7 @@
                 for name, planned in (("plan", True), ("faults", False))]
     head = ('[[day]]\nname = "any-%s-%d"\nslot = "trouble"\nseed = %d\nlength_s = %d\ngoal = { floor = 0.4 }\n'
             % (point, seed, seed, length_s))
-    return head + closing(draw) + "\n".join(sections) + "\n"
+    return head + closing(draw) + "\n".join(sections) + "\n" + traffic(draw, site_path)
 
 
 @dataclass(frozen=True)
@@ -205,10 +233,11 @@
         yield options.focus or POINTS[(options.seed + index) % len(POINTS)], options.seed + index
 
 
-def written(site, point, seed, folder):
+def written(site_path, point, seed, folder):
     """Writes the day's file into the folder and returns its play."""
+    site = site_path.stem
     path = folder / ("%s-%d-%s.toml" % (point, seed, site))
-    path.write_text(day(site, point, seed))
+    path.write_text(day(site_path, point, seed))
     return Play(point, site, path, seed)
 
 
@@ -222,17 +251,16 @@
 
 def main():
     options = parsed()
-    site = Path(options.site).stem
-    if options.print:
-        print("\n".join(day(site, point, seed) for point, seed in drawn_plays(options)))
-        return 0
     bench, folders = os.environ.get("FLEETBENCH"), os.environ.get("SITES", "").split(":")
     if not bench or not folders[0]:
         sys.exit("FLEETBENCH has to name the bench's program and SITES the folders of the site files")
-    path = site_file(site, folders)
+    path = site_file(Path(options.site).stem, folders)
+    if options.print:
+        print("\n".join(day(path, point, seed) for point, seed in drawn_plays(options)))
+        return 0
     reports = options.reports or Path(tempfile.mkdtemp(prefix="any-days-"))
     reports.mkdir(parents=True, exist_ok=True)
-    todo = [written(site, point, seed, reports) for point, seed in drawn_plays(options)]
+    todo = [written(path, point, seed, reports) for point, seed in drawn_plays(options)]
 
     def step(play):
         start = time.monotonic()
