--- a/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
@@ -56,8 +56,10 @@
     private Version version;
     /** When it came, had its last answer, or began the request that is coming in. */
     double lastActivityAt;
-    /** Whether it has had an answer. */
-    private boolean served;
+    /** Answers that it has had. */
+    private int answered;
+    /** When it was accepted, ms. */
+    private final double openedAt;
 
     private boolean advancing;
 
@@ -68,7 +70,8 @@
         decoder = new CallerDecoder(this, context.dialect.terms().headerBytes());
         receiver = new RequestReceiver(this, context, channel);
         responses = new ResponseWriter(this, context, channel);
-        lastActivityAt = context.core.now();
+        openedAt = context.core.now();
+        lastActivityAt = openedAt;
     }
 
     // ---- Its state, as its parts and the front see it ----------------------------------------------
@@ -82,6 +85,16 @@
         return responses;
     }
 
+    /** When it was accepted, ms. */
+    double openedAt() {
+        return openedAt;
+    }
+
+    /** Answers that it has had. */
+    int answered() {
+        return answered;
+    }
+
     /** The request at work; null if none is. */
     HttpRequest current() {
         return current;
@@ -166,7 +179,7 @@
 
     private double idleTimeoutMs() {
         FrontTerms terms = context.dialect.terms();
-        return served ? terms.idleMs() : terms.firstRequestTimeoutMs();
+        return answered > 0 ? terms.idleMs() : terms.firstRequestTimeoutMs();
     }
 
     private void endSlowRequest() {
@@ -183,7 +196,7 @@
 
     /** The first byte of a message has come. */
     void onMessageStart() {
-        if (served && current == null) {
+        if (answered > 0 && current == null) {
             touch();
             receiver.resetCount();
         }
@@ -292,6 +305,7 @@
     /** Begins a request whose body is sent on while it comes. */
     void beginRelayed(HttpRequest head, RelayedPayload payload) throws BadRequestException {
         current = head;
+        logIfLate(head, LateRequestLog.Outcome.TAKEN, 0);
         try {
             begin(head, true, payload);
         } catch (BadRequestException e) {
@@ -357,6 +371,7 @@
         if (begun == null) {
             current = next.request();
             receivedAt = next.at();
+            logIfLate(current, LateRequestLog.Outcome.TAKEN, 0);
             begin(next.request());
         } else {
             takeTurn(begun);
@@ -401,6 +416,7 @@
         EarlyRequest begun = new EarlyRequest(next, checked.version());
         pipelined.addBegun(begun);
         next.retain();
+        logIfLate(next, LateRequestLog.Outcome.TAKEN_EARLY, pipelined.begunCount());
         begun.begun(context.core.request(checked.version(), checked.arrival(), new HttpPayload(next), begun));
         return true;
     }
@@ -424,6 +440,13 @@
         }
     }
 
+    private void logIfLate(HttpRequest request, LateRequestLog.Outcome outcome, int ahead) {
+        if (context.draining) {
+            double now = context.core.now();
+            context.lateRequests.add(this, request, outcome, now, now - context.drainingSince, ahead);
+        }
+    }
+
     /** Reads it again a little later; it is bounded how many wait so. */
     private void defer(FullHttpRequest request) {
         if (!deferred) {
@@ -525,7 +548,7 @@
     /** The last of an answer is about to be written. */
     void onAnswered() {
         finish();
-        served = true;
+        answered++;
         touch();
         receiver.resetCount();
         // The longest idle come first.
--- a/src/main/java/sablehinge/dataplane/http1/Frontend.java
+++ b/src/main/java/sablehinge/dataplane/http1/Frontend.java
@@ -176,7 +176,12 @@
 
     /** From now on every answer asks its caller to leave. */
     public void beginDrain() {
-        context.draining = true;
+        context.beginDrain();
+    }
+
+    /** How many requests came to their turn while it drained. */
+    public int lateRequests() {
+        return context.lateRequests.total();
     }
 
     /** Closes what is idle and tells whether nothing is left, so that the process may end. */
@@ -215,7 +220,7 @@
      * @param done called once no connection is left
      */
     public void retire(double grace, Runnable done) {
-        context.draining = true;
+        context.beginDrain();
         closesAt = context.core.now() + grace;
         afterwards = done;
     }
@@ -235,7 +240,7 @@
      * requested to leave with that.
      */
     public void handOver() {
-        context.draining = true;
+        context.beginDrain();
         shut();
     }
 
--- a/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
+++ b/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
@@ -28,6 +28,10 @@
     Channel listening;
     /** Whether every answer asks its caller to leave. */
     boolean draining;
+    /** Since when that is so, ms. */
+    double drainingSince;
+    /** The requests that came meanwhile. */
+    final LateRequestLog lateRequests = new LateRequestLog();
     /** Bytes that are reserved for bodies of more than {@link UpstreamClient#MAX_BODY}. */
     int keptBytes;
     /** Bodies that a sweep had to wake. */
@@ -43,6 +47,14 @@
         this.dialect = dialect;
     }
 
+    /** From now on every answer asks its caller to leave. */
+    void beginDrain() {
+        if (!draining) {
+            draining = true;
+            drainingSince = core.now();
+        }
+    }
+
     /**
      * Lets callers in again if there is room. To do so at each close, room or not, would let in more than leave and use
      * up the descriptors, without which the virtual machine can't even load a class.
--- a/src/main/java/sablehinge/dataplane/http1/PipelinedRequests.java
+++ b/src/main/java/sablehinge/dataplane/http1/PipelinedRequests.java
@@ -45,6 +45,14 @@
         return bytes > MAX_BYTES;
     }
 
+    int size() {
+        return waiting.size();
+    }
+
+    int begunCount() {
+        return begun.size();
+    }
+
     boolean areAllBegun() {
         return begun.size() == waiting.size();
     }
--- a/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
+++ b/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
@@ -307,11 +307,30 @@
         }
     }
 
-    /** Fails what still waits for an answer, as the process is about to end. */
-    public void giveUpAll() {
-        List.copyOf(exchanges.values()).stream()
-                .filter(Exchange::isOpen)
-                .forEach(exchange -> giveUp(exchange, Answer.Kind.UNANSWERED));
+    /**
+     * Fails what still waits for an answer, as the process is about to end.
+     *
+     * @return how many requests that were
+     */
+    public int giveUpAll() {
+        List<Exchange> open =
+                exchanges.values().stream().filter(Exchange::isOpen).toList();
+        for (Exchange exchange : open) {
+            logGivenUp(exchange);
+            giveUp(exchange, Answer.Kind.UNANSWERED);
+        }
+        return open.size();
+    }
+
+    private void logGivenUp(Exchange exchange) {
+        Log.warn(LOG, "given-up")
+                .addKeyValue("request", exchange.id)
+                .addKeyValue("age-ms", Math.round(clock.now() - exchange.arrivedAt))
+                .addKeyValue("left-ms", Math.round(exchange.deadline - clock.now()))
+                .addKeyValue("attempts", exchange.sends)
+                .addKeyValue("running", exchange.running)
+                .addKeyValue("may-have-run", exchange.mayHaveRun())
+                .log("a request is given up at the end of the process");
     }
 
     /**
--- a/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
@@ -38,8 +38,11 @@
         /** Closes what is idle; whether nothing is left. */
         boolean isDrained() throws InterruptedException;
 
-        /** Fails what still waits for an answer. */
-        void giveUpAll() throws InterruptedException;
+        /** Fails what still waits for an answer; how many requests that were. */
+        int giveUpAll() throws InterruptedException;
+
+        /** How many requests came to their turn after {@link #stopAccepting}. */
+        int lateRequests() throws InterruptedException;
     }
 
     private GracefulShutdown() {}
@@ -61,11 +64,17 @@
         // few balancers of a zone are in, clients keep coming to one that says it is not ready.
         stages.stopAccepting();
         boolean done = awaitDrained(clock, begun + graceS * MS_PER_S - SHUTDOWN_RESERVE_MS, stages);
+        int givenUp = 0;
         if (!done) {
-            stages.giveUpAll();
+            givenUp = stages.giveUpAll();
             TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MS);
         }
-        Log.info(LOG, "ends").addKeyValue("done", done).log("ends");
+        Log.info(LOG, "ends")
+                .addKeyValue("done", done)
+                .addKeyValue("ms", Math.round(clock.now() - begun))
+                .addKeyValue("late", stages.lateRequests())
+                .addKeyValue("given-up", givenUp)
+                .log("ends");
     }
 
     private static boolean awaitDrained(Clock clock, double end, Stages stages) throws InterruptedException {
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -426,11 +426,17 @@
         }
 
         @Override
-        public void giveUpAll() throws InterruptedException {
-            runOnLoop(() -> {
-                outbound.giveUpAll();
-                inbound.giveUpAll();
-            });
+        public int giveUpAll() throws InterruptedException {
+            return loop.submit(() -> outbound.giveUpAll() + inbound.giveUpAll())
+                    .sync()
+                    .getNow();
+        }
+
+        @Override
+        public int lateRequests() throws InterruptedException {
+            return loop.submit(() -> outboundFrontend.lateRequests() + inboundFrontend.lateRequests())
+                    .sync()
+                    .getNow();
         }
 
         private void runOnLoop(Runnable stage) throws InterruptedException {
