--- /dev/null
+++ b/src/test/java/sablehinge/dataplane/sidecar/LateRequestTest.java
@@ -0,0 +1,144 @@
+package sablehinge.dataplane.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sablehinge.testing.Listener;
+
+/**
+ * Requests that come on open connections to a balancer that was sent SIGTERM (issue 49: one was taken 4 s after SIGTERM
+ * and given up 1.4 s later).
+ */
+@Timeout(60)
+class LateRequestTest {
+
+    private static final String SAFE = "/s/x";
+    private static final String UNSAFE = "/u/x";
+
+    @Test
+    void whenItLetsInNobodyThenARequestSentBehindAnotherIsNotTaken() throws Exception {
+        try (Drain drain = new Drain()) {
+            PlainConnection client = drain.mesh.client().write(SidecarFixture.get(SAFE, "first"));
+            PlainConnection upstream = drain.nextAttempt("first");
+            drain.begin();
+            drain.awaitClosedListener();
+            client.write(SidecarFixture.get(SAFE, "late"));
+            drain.awaitLoopTurn();
+            upstream.write(SidecarFixture.ok("first", "served"));
+            PlainConnection.Message answer = client.read();
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.one("Connection"));
+            assertNull(client.read());
+            drain.awaitEnd();
+            assertEquals(List.of("first"), drain.arrivedIds);
+        }
+    }
+
+    @Test
+    void whenItGivesUpARequestThenNothingBehindItBegins() throws Exception {
+        try (Drain drain = new Drain()) {
+            PlainConnection client = drain.mesh
+                    .client()
+                    .write(SidecarFixture.post(UNSAFE, "first", "x") + SidecarFixture.post(UNSAFE, "behind", "x"));
+            drain.nextAttempt("first");
+            drain.begin();
+            drain.awaitEnd();
+            PlainConnection.Message answer = client.read();
+            assertEquals(504, answer.status());
+            assertEquals("close", answer.one("Connection"));
+            assertNull(client.read());
+            assertEquals(List.of("first"), drain.arrivedIds);
+        }
+    }
+
+    /** A balancer that drains, and the balancer beside the one upstream, which the test plays. */
+    private static final class Drain implements AutoCloseable {
+
+        final SidecarFixture mesh = new SidecarFixture();
+        final List<String> arrivedIds = new CopyOnWriteArrayList<>();
+        private final Listener other;
+        private final Thread accepts;
+        private final BlockingQueue<PlainConnection> attempts = new LinkedBlockingQueue<>();
+        private final Thread drains = new Thread(this::drain, "drain");
+
+        Drain() throws Exception {
+            mesh.core.holds(SidecarFixture.configuration(4, "", ""), 4);
+            other = mesh.other("i-9");
+            SidecarFixture.await("it is ready", this::isReady);
+            accepts = new Thread(this::accept, "accept");
+            accepts.setDaemon(true);
+            accepts.start();
+        }
+
+        private boolean isReady() {
+            try {
+                return mesh.ready() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    PlainConnection attempt = new PlainConnection(other.accept().socket);
+                    arrivedIds.add(attempt.read().id());
+                    attempts.add(attempt);
+                }
+            } catch (Exception | AssertionError e) {
+                // The test is over.
+            }
+        }
+
+        /** The connection on which the next attempt has come. */
+        PlainConnection nextAttempt(String id) throws InterruptedException {
+            PlainConnection attempt = attempts.take();
+            assertEquals(id, arrivedIds.get(arrivedIds.size() - 1));
+            return attempt;
+        }
+
+        void begin() {
+            drains.start();
+        }
+
+        private void drain() {
+            try {
+                mesh.sidecar.drain();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        void awaitEnd() throws InterruptedException {
+            drains.join();
+        }
+
+        void awaitClosedListener() {
+            SidecarFixture.await("nobody is let in", () -> {
+                try {
+                    PlainConnection.to(mesh.at.outbound()).close();
+                    return false;
+                } catch (IOException e) {
+                    return true;
+                }
+            });
+        }
+
+        /** What was written before has been read once its loop has answered on a new connection. */
+        void awaitLoopTurn() throws IOException {
+            mesh.ready();
+        }
+
+        @Override
+        public void close() throws IOException {
+            mesh.close();
+        }
+    }
+}
