--- a/src/main/java/sablehinge/cli/MeshDaemon.java
+++ b/src/main/java/sablehinge/cli/MeshDaemon.java
@@ -3,7 +3,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.slf4j.LoggerFactory;
@@ -21,8 +25,19 @@
     /** Netty tells channels of several machines apart by it, and would look at every network interface. */
     private static final String MACHINE = "io.netty.machineId";
 
+    private static final double NANOS_PER_MS = 1e6;
+    /** How long a process that is told to end while it starts has for that, ms. */
+    private static final long MAX_START_MS = 2_000;
+
     private static final String ANY_MACHINE = "02:00:00:00:00:01";
 
+    /** Ends a daemon in order; returns when the process may end. */
+    private interface Shutdown {
+
+        /** Some of its grace may be over: {@code elapsedMs} since it was told to end. */
+        void run(double elapsedMs) throws InterruptedException;
+    }
+
     private MeshDaemon() {}
 
     /** Runs a daemon by the settings file that the environment names, until it is ended. */
@@ -33,6 +48,8 @@
         // Before anything else: the signal would end the process, also one that has only just begun.
         AtomicReference<Consumer<LocalSettings>> takes = new AtomicReference<>();
         Main.onHangup(() -> reread(role, takes.get()));
+        CompletableFuture<Shutdown> started = new CompletableFuture<>();
+        Main.drainAtShutdown(() -> drainOnceStarted(started));
         try {
             String file = System.getenv(SETTINGS);
             if (file == null) {
@@ -42,20 +59,38 @@
             if (settings.role() == LocalSettings.Role.SIDECAR) {
                 Sidecar sidecar = Sidecar.start(settings);
                 takes.set(sidecar::reload);
-                Main.drainAtShutdown(sidecar::drain);
+                started.complete(sidecar::drain);
             } else {
                 ControlNode node = ControlNode.start(settings, processStartedAt);
                 takes.set(node::reload);
-                Main.drainAtShutdown(node::leave);
+                started.complete(node::leave);
             }
             new SettingsWatch(() -> Files.readAllBytes(Path.of(file)), () -> reread(role, takes.get())).start();
         } catch (ConfigException e) {
+            started.complete(elapsedMs -> {});
             System.err.println("sablehinge: " + e.getMessage());
             System.exit(1);
         }
         new CountDownLatch(1).await();
     }
 
+    /**
+     * Drains a process that may be told to end while it starts: it listens before it has started completely, and who
+     * was let in by then is owed an answer like anybody else. One that cannot start in time has answered nobody.
+     */
+    private static void drainOnceStarted(CompletableFuture<Shutdown> started) throws InterruptedException {
+        long signalledAt = System.nanoTime();
+        Shutdown shutdown;
+        try {
+            shutdown = started.get(MAX_START_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            Log.warn(LoggerFactory.getLogger(MeshDaemon.class), "ends-unstarted")
+                    .log("ends before it has started");
+            return;
+        }
+        shutdown.run((System.nanoTime() - signalledAt) / NANOS_PER_MS);
+    }
+
     private static LocalSettings read(String role, String file) throws ConfigException {
         LocalSettings settings = LocalSettings.read(Path.of(file));
         if (!settings.role().name().toLowerCase(Locale.ROOT).equals(role)) {
--- a/src/main/java/sablehinge/controlplane/node/ControlNode.java
+++ b/src/main/java/sablehinge/controlplane/node/ControlNode.java
@@ -211,10 +211,12 @@
      * or when the time to end is nearly up. Whether the machine comes back is not known to it, so its place goes to
      * another only if a learner waits for it.
      *
+     * @param elapsedMs how much of the grace is over, ms
      * @return whether others hold it
      */
-    public boolean leave() throws InterruptedException {
-        long ms = Math.max(0, Math.round(settings.bounds().graceS() * MS_PER_S) - SHUTDOWN_RESERVE_MS);
+    public boolean leave(double elapsedMs) throws InterruptedException {
+        long graceMs = Math.round(settings.bounds().graceS() * MS_PER_S - elapsedMs);
+        long ms = Math.max(0, graceMs - SHUTDOWN_RESERVE_MS);
         loop.execute(() -> raft.leave(clock.now()));
         boolean inOrder = released.await(ms, TimeUnit.MILLISECONDS);
         Log.info(LOG, "leaves").addKeyValue("released", inOrder).log("leaves the core");
--- a/src/main/java/sablehinge/dataplane/admission/AdmissionController.java
+++ b/src/main/java/sablehinge/dataplane/admission/AdmissionController.java
@@ -23,6 +23,9 @@
     /** Advice to those refused as full, in ms: about what a slot takes to be free. */
     private static final double RETRY_AFTER_MS = 40;
 
+    /** The timer at which what waits is refused, as the process is about to end; requests count from 1 on. */
+    private static final long DRAIN_TIMER = 0;
+
     private final Actions actions;
     private final Map<Long, PendingRequest> pending = new HashMap<>();
     private final List<PendingRequest> waiting = new ArrayList<>();
@@ -30,6 +33,8 @@
     private int slots;
     private int running;
     private double closesAt = Double.POSITIVE_INFINITY;
+    /** Until when a request may go to the upstream before this process ends, ms. */
+    private double startUntil = Double.POSITIVE_INFINITY;
 
     /** A request from its arrival until its outcome. */
     private static final class PendingRequest {
@@ -89,6 +94,16 @@
         }
     }
 
+    /**
+     * This process is about to end: it sends the upstream nothing after the given time, which others may send it.
+     *
+     * @param until in ms; what still waits then is refused as not run
+     */
+    public void drain(double until) {
+        startUntil = until;
+        actions.setTimer(DRAIN_TIMER, until);
+    }
+
     /** Requests at work there. */
     public int running() {
         return running;
@@ -116,7 +131,7 @@
     }
 
     private boolean isOpen(double now, Request request) {
-        return incarnation != 0 && request.key() == incarnation && now < closesAt;
+        return incarnation != 0 && request.key() == incarnation && now < Math.min(closesAt, startUntil);
     }
 
     private void send(PendingRequest one, double now) {
@@ -194,9 +209,13 @@
         }
     }
 
-    /** A request has waited for as long as it may. */
+    /** A request has waited for as long as it may, or all have. */
     @Override
     public void timer(double now, long token) {
+        if (token == DRAIN_TIMER) {
+            refuseWaiting();
+            return;
+        }
         PendingRequest one = pending.get(token);
         if (one != null && !one.sent && waiting.remove(one)) {
             refuse(one, RETRY_AFTER_MS);
--- a/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
@@ -60,6 +60,8 @@
     private int answered;
     /** When it was accepted, ms. */
     private final double openedAt;
+    /** When the first byte came of the request that is coming in, or came in last, ms. */
+    private double messageStartedAt;
 
     private boolean advancing;
 
@@ -114,9 +116,15 @@
         return current != null || !pipelined.isEmpty();
     }
 
-    /** Whether a request waits for its turn or is coming in. */
-    boolean hasMoreToRead() {
-        return !pipelined.isEmpty() || decoder.receiving;
+    /** Whether the answer that is about to be written must not be the last, though the front drains. */
+    boolean staysWhileDraining() {
+        // What was begun before its turn is answered; the rest has not run, and its caller may send it elsewhere.
+        return context.shutdown != null ? pipelined.begunCount() > 0 : !pipelined.isEmpty() || decoder.receiving;
+    }
+
+    /** Whether the request that is coming in is taken, as far as its first byte tells. */
+    boolean admitsIncoming() {
+        return context.admits(messageStartedAt);
     }
 
     boolean isIdle() {
@@ -196,6 +204,7 @@
 
     /** The first byte of a message has come. */
     void onMessageStart() {
+        messageStartedAt = context.core.now();
         if (answered > 0 && current == null) {
             touch();
             receiver.resetCount();
@@ -290,7 +299,7 @@
 
     /** A complete request waits for its turn; taken over. */
     void enqueue(FullHttpRequest request) throws BadRequestException {
-        pipelined.add(request, context.core.now());
+        pipelined.add(request, messageStartedAt, context.core.now());
         if (pipelined.isTooLong()) {
             // None of them is answered, the one at work neither: it could take all of its time.
             dropPipelined();
@@ -371,13 +380,22 @@
         if (begun == null) {
             current = next.request();
             receivedAt = next.at();
-            logIfLate(current, LateRequestLog.Outcome.TAKEN, 0);
-            begin(next.request());
+            beginInTurn(next);
         } else {
             takeTurn(begun);
         }
     }
 
+    private void beginInTurn(PipelinedRequests.Arrived next) {
+        if (context.admits(next.startedAt())) {
+            logIfLate(next.request(), LateRequestLog.Outcome.TAKEN, 0);
+            begin(next.request());
+        } else {
+            logIfLate(next.request(), LateRequestLog.Outcome.REFUSED, 0);
+            reject(context.shutdownRefusal());
+        }
+    }
+
     private void takeTurn(EarlyRequest begun) {
         current = begun.request;
         version = begun.version;
@@ -388,6 +406,7 @@
     /** Begins what waits for its turn and may be repeated, as far as nothing before it is not begun. */
     private void beginEarly() {
         if (!context.dialect.terms().concurrent()
+                || context.shutdown != null
                 || current == null
                 || responses.isClosing()
                 || receiver.malformed() != null
@@ -440,6 +459,11 @@
         }
     }
 
+    /** A request that is coming in is refused, as it came too late. */
+    void logRefused(HttpRequest request) {
+        logIfLate(request, LateRequestLog.Outcome.REFUSED, pipelined.size());
+    }
+
     private void logIfLate(HttpRequest request, LateRequestLog.Outcome outcome, int ahead) {
         if (context.draining) {
             double now = context.core.now();
@@ -584,6 +608,9 @@
     }
 
     private void dropPipelined() {
+        if (context.draining) {
+            pipelined.notBegun().forEach(unread -> logIfLate(unread.request(), LateRequestLog.Outcome.UNREAD, 1));
+        }
         pipelined.drop(context.core);
     }
 }
--- a/src/main/java/sablehinge/dataplane/http1/Frontend.java
+++ b/src/main/java/sablehinge/dataplane/http1/Frontend.java
@@ -29,6 +29,7 @@
 import sablehinge.dataplane.budget.HeaderText;
 import sablehinge.dataplane.proxy.Passage;
 import sablehinge.dataplane.proxy.RequestProxy;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 
 /**
  * Takes callers' requests and writes each one's answer. A caller that sends what is of no use, or nothing, has an error
@@ -244,6 +245,20 @@
         shut();
     }
 
+    /**
+     * The process is about to end: lets in nobody more, and takes what has come by now. Of what comes from here on
+     * nothing is begun that the given times do not admit; the answer to the last request that was begun on a connection
+     * is its last.
+     */
+    public void stopAdmitting(ShutdownDeadlines deadlines) {
+        shut();
+        for (CallerConnection connection : new ArrayList<>(context.connections)) {
+            context.sockets.readNow(connection.channel);
+        }
+        context.beginDrain();
+        context.shutdown = deadlines;
+    }
+
     private void shut() {
         if (context.listening.isOpen()) {
             int before;
--- a/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
+++ b/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
@@ -3,11 +3,13 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import sablehinge.dataplane.proxy.RequestProxy;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 
 /** What the connections of one {@link Frontend} share. All of it belongs to the event loop. */
 final class FrontendContext {
@@ -30,6 +32,11 @@
     boolean draining;
     /** Since when that is so, ms. */
     double drainingSince;
+    /**
+     * What is still taken, as the process is about to end; null before that. Once it is there, nothing is begun behind
+     * another request any more.
+     */
+    ShutdownDeadlines shutdown;
     /** The requests that came meanwhile. */
     final LateRequestLog lateRequests = new LateRequestLog();
     /** Bytes that are reserved for bodies of more than {@link UpstreamClient#MAX_BODY}. */
@@ -55,6 +62,19 @@
         }
     }
 
+    /** Whether a request may be taken now whose first byte came at the given time, ms. */
+    boolean admits(double firstByteAt) {
+        return shutdown == null || shutdown.admits(firstByteAt, core.now());
+    }
+
+    /** How a request is answered that is not taken, as the process is about to end. */
+    BadRequestException shutdownRefusal() {
+        return BadRequestException.rejectedLast(
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "this balancer is about to end",
+                shutdown.refusal().retryAfter());
+    }
+
     /**
      * Lets callers in again if there is room. To do so at each close, room or not, would let in more than leave and use
      * up the descriptors, without which the virtual machine can't even load a class.
--- a/src/main/java/sablehinge/dataplane/http1/PipelinedRequests.java
+++ b/src/main/java/sablehinge/dataplane/http1/PipelinedRequests.java
@@ -22,9 +22,10 @@
     /**
      * A complete request.
      *
+     * @param startedAt when its first byte came, ms
      * @param at when its last byte came, ms
      */
-    record Arrived(FullHttpRequest request, double at) {}
+    record Arrived(FullHttpRequest request, double startedAt, double at) {}
 
     private final ArrayDeque<Arrived> waiting = new ArrayDeque<>();
     /** Those that are begun already, in the same order. */
@@ -61,9 +62,9 @@
         return begun.size() >= MAX_BEGUN;
     }
 
-    void add(FullHttpRequest request, double now) {
+    void add(FullHttpRequest request, double startedAt, double now) {
         bytes += request.content().readableBytes();
-        waiting.addLast(new Arrived(request, now));
+        waiting.addLast(new Arrived(request, startedAt, now));
     }
 
     /** The next in turn; null if there is none. */
--- a/src/main/java/sablehinge/dataplane/http1/RequestReceiver.java
+++ b/src/main/java/sablehinge/dataplane/http1/RequestReceiver.java
@@ -120,6 +120,11 @@
 
     private void receiveHead(HttpRequest head) throws BadRequestException {
         RequestCheck.head(head, context.dialect.terms().bodyBytes());
+        if (!connection.admitsIncoming()) {
+            // Its body need not come.
+            connection.logRefused(head);
+            throw context.shutdownRefusal();
+        }
         assembler.begin(head);
         // One that waits behind another will send its body without a 100.
         if (HttpUtil.is100ContinueExpected(head) && !connection.hasRequests()) {
@@ -222,7 +227,8 @@
         breakRequestRelay();
         malformed = why;
         drop();
-        if (connection.isAtWork()) {
+        // While the front drains little more can come, and whether the caller leaves is worth knowing.
+        if (connection.isAtWork() && context.shutdown == null) {
             channel.config().setAutoRead(false);
         }
     }
--- a/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
+++ b/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
@@ -149,8 +149,7 @@
         HttpRequest request = connection.current();
         context.dialect.dress(response, answer, connection.version(), request);
         boolean wantsMore = request != null && HttpUtil.isKeepAlive(request);
-        // What has come completely already was taken, and is still answered here.
-        closing |= !wantsMore || context.draining && !connection.hasMoreToRead();
+        closing |= !wantsMore || context.draining && !connection.staysWhileDraining();
         if (closing) {
             response.headers().set("Connection", "close");
         }
--- a/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
+++ b/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
@@ -43,6 +43,8 @@
     private final LiveVersions versions = new LiveVersions();
 
     private long lastId;
+    /** Null unless the process is about to end. */
+    private ShutdownDeadlines shutdown;
 
     /** A core with the given module, which is handed its actions. */
     public RequestProxy(Clock clock, Timers timers, Function<LoadBalancer.Actions, LoadBalancer> module) {
@@ -117,6 +119,11 @@
         return exchanges.size();
     }
 
+    /** The process is about to end: from now on nothing begins that could not be answered before that. */
+    public void drain(ShutdownDeadlines deadlines) {
+        shutdown = deadlines;
+    }
+
     /** Names who sees every answer; null for nobody. */
     public void observe(Observer sees) {
         observer = sees;
@@ -173,7 +180,11 @@
 
     /** Answers a request over the module's head and tells it that the client waits no more. */
     private void giveUp(Exchange exchange, Answer.Kind kind) {
-        answer(exchange, Answer.of(kind));
+        giveUp(exchange, Answer.of(kind));
+    }
+
+    private void giveUp(Exchange exchange, Answer last) {
+        answer(exchange, last);
         exchange.attempts.forEach(RequestProxy::cancel);
         decisions.call(null, () -> balancer.clientGone(clock.now(), exchange.id));
         settle(exchange);
@@ -243,6 +254,9 @@
     }
 
     private Exchange request(Version arrivedUnder, Arrival given, Payload payload, Caller caller, boolean coming) {
+        if (shutdown != null && !shutdown.mayStart(clock.now())) {
+            return refuse(shutdown.refusal(), arrivedUnder, given, payload, caller);
+        }
         RequestAdmission.Decision decision = admission.decide(clock.now(), arrivedUnder, given, exchanges.size());
         if (decision.refusal() != null) {
             return refuse(decision.refusal(), arrivedUnder, given, payload, caller);
@@ -308,7 +322,8 @@
     }
 
     /**
-     * Fails what still waits for an answer, as the process is about to end.
+     * Ends what still waits for an answer, as the process is about to end: refuses what no upstream can have run, and
+     * fails the rest.
      *
      * @return how many requests that were
      */
@@ -317,7 +332,8 @@
                 exchanges.values().stream().filter(Exchange::isOpen).toList();
         for (Exchange exchange : open) {
             logGivenUp(exchange);
-            giveUp(exchange, Answer.Kind.UNANSWERED);
+            boolean refused = shutdown != null && !exchange.mayHaveRun();
+            giveUp(exchange, refused ? shutdown.refusal() : Answer.of(Answer.Kind.UNANSWERED));
         }
         return open.size();
     }
@@ -461,6 +477,7 @@
     private boolean maySend(SentAttempt sent, double now) {
         Exchange exchange = sent.exchange;
         return exchange.isOpen()
+                && (shutdown == null || shutdown.mayStart(now))
                 && now < exchange.deadline
                 && sent.number < exchange.version.settings().limits().maxAttempts()
                 && exchange.request.canBeSent()
--- a/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
@@ -5,69 +5,83 @@
 import org.slf4j.LoggerFactory;
 import sablehinge.common.eventloop.Clock;
 import sablehinge.common.logging.Log;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 
 /**
  * The stages in which a balancer ends after SIGTERM: it says that it is not ready, then that its upstream is to be
- * selected no more, then it lets in nobody and answers what it has, until that is done or its grace is nearly over.
+ * selected no more, then it takes nothing new and answers what it has, until that is done or its grace is nearly over.
+ * When each stage ends is known from the signal on.
  */
 final class GracefulShutdown {
 
     private static final Logger LOG = LoggerFactory.getLogger(GracefulShutdown.class);
     /** How long clients may not have heard yet that it is not ready. */
     private static final double READINESS_NOTICE_MS = 2_300;
-    /** Of that, the last part, in which the other balancers are notified to select this upstream no more. */
-    private static final double DRAIN_NOTICE_MS = 500;
+    /** The share of its time that this may take at most, where the grace is short. */
+    private static final double READINESS_NOTICE_SHARE = 0.45;
+    /** The last part of the notice, in which the other balancers are notified to select this upstream no more. */
+    private static final double DRAIN_NOTICE_SHARE = 500 / READINESS_NOTICE_MS;
     /** What is kept of the grace to end. */
     private static final double SHUTDOWN_RESERVE_MS = 600;
+    /** The part of that which the last answers may take to be written out. */
+    private static final double LAST_ANSWERS_MS = 200;
 
     private static final long DRAIN_CHECK_MS = 20;
-    private static final double MS_PER_S = 1_000;
 
     /** What the stages do; each returns once it is done. */
     interface Stages {
 
-        /** Clients are notified to go elsewhere. */
-        void reportNotReady() throws InterruptedException;
+        /** Clients are notified to go elsewhere; the times of what follows are known. */
+        void reportNotReady(ShutdownDeadlines deadlines) throws InterruptedException;
 
         /** The other balancers are notified to select the upstream beside no more. */
         void withdrawUpstream() throws InterruptedException;
 
-        /** Nobody is let in any more. */
-        void stopAccepting() throws InterruptedException;
+        /** Nobody is let in any more, and nothing new is taken from those who are. */
+        void stopAdmitting(ShutdownDeadlines deadlines) throws InterruptedException;
 
         /** Closes what is idle; whether nothing is left. */
         boolean isDrained() throws InterruptedException;
 
-        /** Fails what still waits for an answer; how many requests that were. */
+        /** Gives up what still waits for an answer; how many requests that were. */
         int giveUpAll() throws InterruptedException;
 
-        /** How many requests came to their turn after {@link #stopAccepting}. */
+        /** How many requests came to their turn after {@link #stopAdmitting}. */
         int lateRequests() throws InterruptedException;
     }
 
     private GracefulShutdown() {}
 
+    /** The times for a process that is told to end now and is killed after the grace; {@code graceMs} in ms. */
+    static ShutdownDeadlines deadlines(double now, double graceMs) {
+        double timeMs = Math.max(0, graceMs - SHUTDOWN_RESERVE_MS);
+        double noticeMs = Math.min(READINESS_NOTICE_MS, READINESS_NOTICE_SHARE * timeMs);
+        return ShutdownDeadlines.between(now + noticeMs, now + timeMs);
+    }
+
     /**
      * Goes through the stages; blocks its thread.
      *
-     * @param graceS how long the process may take to end, s
+     * @param graceMs how long the process may take to end, ms
      */
-    static void run(Clock clock, double graceS, Stages stages) throws InterruptedException {
+    static void run(Clock clock, double graceMs, Stages stages) throws InterruptedException {
         double begun = clock.now();
-        stages.reportNotReady();
+        ShutdownDeadlines deadlines = deadlines(begun, graceMs);
+        double noticeMs = deadlines.admitUntil() - begun;
+        stages.reportNotReady(deadlines);
         // Its upstream is well: it serves the others until the door is about to shut, since while balancers
         // are stopped in turn each of them is out for longer than the next one waits.
-        TimeUnit.MILLISECONDS.sleep((long) (READINESS_NOTICE_MS - DRAIN_NOTICE_MS));
+        sleepUntil(clock, begun + noticeMs * (1 - DRAIN_NOTICE_SHARE));
         stages.withdrawUpstream();
-        TimeUnit.MILLISECONDS.sleep((long) DRAIN_NOTICE_MS);
+        sleepUntil(clock, deadlines.admitUntil());
         // Whoever comes from here on finds no one, rather than someone who has no time left to answer: where
         // few balancers of a zone are in, clients keep coming to one that says it is not ready.
-        stages.stopAccepting();
-        boolean done = awaitDrained(clock, begun + graceS * MS_PER_S - SHUTDOWN_RESERVE_MS, stages);
+        stages.stopAdmitting(deadlines);
+        boolean done = awaitDrained(clock, deadlines.answerUntil(), stages);
         int givenUp = 0;
         if (!done) {
             givenUp = stages.giveUpAll();
-            TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MS);
+            awaitDrained(clock, clock.now() + LAST_ANSWERS_MS, stages);
         }
         Log.info(LOG, "ends")
                 .addKeyValue("done", done)
@@ -77,6 +91,13 @@
                 .log("ends");
     }
 
+    private static void sleepUntil(Clock clock, double at) throws InterruptedException {
+        double left = at - clock.now();
+        if (left > 0) {
+            TimeUnit.MILLISECONDS.sleep((long) Math.ceil(left));
+        }
+    }
+
     private static boolean awaitDrained(Clock clock, double end, Stages stages) throws InterruptedException {
         boolean done = false;
         while (!done && clock.now() < end) {
--- a/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
@@ -11,6 +11,7 @@
 import sablehinge.dataplane.http1.UpstreamDialect;
 import sablehinge.dataplane.http1.UpstreamTerms;
 import sablehinge.dataplane.proxy.Roster.Member;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 import sablehinge.policy.LoadBalancer.Result;
 
 /** What a balancer says to another one beside an upstream, and what that says to its upstream. */
@@ -30,6 +31,8 @@
     private final Clock clock;
     private final boolean toBalancers;
     private final Runnable onRejected;
+    /** Until when a request may wait for its upstream, whatever its front says, ms. */
+    private double startUntil = Double.POSITIVE_INFINITY;
 
     /** The dialect to other balancers. */
     MeshUpstream(Clock clock) {
@@ -47,6 +50,11 @@
         this.onRejected = onRejected;
     }
 
+    /** The process is about to end: no request waits for its upstream until it is too late to answer it. */
+    void drain(ShutdownDeadlines deadlines) {
+        startUntil = deadlines.startUntil();
+    }
+
     @Override
     public UpstreamTerms terms() {
         return toBalancers ? TO_BALANCERS : TO_UPSTREAM;
@@ -61,7 +69,7 @@
         if (toBalancers) {
             headers.set(MeshHeaders.DELIVER, to.name());
             // Kept as the time until which it may wait, as it may be sent more than once.
-            double until = Double.parseDouble(headers.get(MeshHeaders.QUEUE_TIMEOUT));
+            double until = Math.min(startUntil, Double.parseDouble(headers.get(MeshHeaders.QUEUE_TIMEOUT)));
             headers.set(MeshHeaders.QUEUE_TIMEOUT, (long) Math.max(0, until - clock.now()));
         }
     }
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -27,6 +27,7 @@
 import sablehinge.dataplane.proxy.RequestProxy;
 import sablehinge.dataplane.proxy.Roster;
 import sablehinge.dataplane.proxy.Roster.Member;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 import sablehinge.dataplane.proxy.Version;
 import sablehinge.mesh.api.ApiServer;
 import sablehinge.mesh.api.ConfigurationReader;
@@ -57,6 +58,7 @@
     private static final long PING_INTERVAL_MS = 300;
     private static final long CONNECTION_TIMEOUT_MS = 1_200;
     static final long TICK_MS = 100;
+    private static final double MS_PER_S = 1_000;
     private static final int MAX_HEARTBEAT_BYTES = 64 * 1024;
     /** Balancers that are assumed for the retry budget until the registry is complete. */
     private static final int ASSUMED_BALANCERS = 16;
@@ -79,6 +81,7 @@
     private final Sockets sockets;
     private final RequestProxy outbound;
     private final RequestProxy inbound;
+    private final MeshUpstream peerDialect;
     private AdmissionController admission;
     private final Frontend outboundFrontend;
     private final Frontend inboundFrontend;
@@ -145,7 +148,8 @@
                 System.nanoTime());
         outboundFrontend = new Frontend(loop, sockets, memory, outbound, outboundRoutes);
         inboundFrontend = new Frontend(loop, sockets, memory, inbound, new InboundFront(inbound));
-        UpstreamClient peers = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock));
+        peerDialect = new MeshUpstream(clock);
+        UpstreamClient peers = new UpstreamClient(loop, clock, sockets, memory, peerDialect);
         UpstreamClient app =
                 new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, retryBudget::rejected));
         Version first = BalancerSettings.gate();
@@ -387,17 +391,26 @@
     // ---- The end -------------------------------------------------------------------------------------
 
     /** Tells all to go elsewhere, serves what still comes, and returns when nothing is left. */
-    public void drain() throws InterruptedException {
-        GracefulShutdown.run(clock, settings.bounds().graceS(), new ShutdownStages());
+    void drain() throws InterruptedException {
+        drain(0);
+    }
+
+    /** Likewise, where so many ms of the grace are over. */
+    public void drain(double elapsedMs) throws InterruptedException {
+        GracefulShutdown.run(clock, settings.bounds().graceS() * MS_PER_S - elapsedMs, new ShutdownStages());
     }
 
     /** Each stage runs on the event loop. */
     private final class ShutdownStages implements GracefulShutdown.Stages {
 
         @Override
-        public void reportNotReady() throws InterruptedException {
+        public void reportNotReady(ShutdownDeadlines deadlines) throws InterruptedException {
             runOnLoop(() -> {
                 leaving = true;
+                outbound.drain(deadlines);
+                inbound.drain(deadlines);
+                admission.drain(deadlines.startUntil());
+                peerDialect.drain(deadlines);
                 Log.info(LOG, "drain").log("leaves");
             });
         }
@@ -411,10 +424,10 @@
         }
 
         @Override
-        public void stopAccepting() throws InterruptedException {
+        public void stopAdmitting(ShutdownDeadlines deadlines) throws InterruptedException {
             runOnLoop(() -> {
-                outboundFrontend.handOver();
-                inboundFrontend.handOver();
+                outboundFrontend.stopAdmitting(deadlines);
+                inboundFrontend.stopAdmitting(deadlines);
             });
         }
 
--- a/src/test/java/sablehinge/controlplane/node/ControlNodeTest.java
+++ b/src/test/java/sablehinge/controlplane/node/ControlNodeTest.java
@@ -299,7 +299,7 @@
         assertEquals(200, replaced(0, configuration(7, "huvo11a")));
         int leader = leader();
         long end = System.nanoTime() + TIMEOUT_NANOS;
-        while (!members[leader].leave()) {
+        while (!members[leader].leave(0)) {
             assertTrue(System.nanoTime() < end, "nobody takes over");
         }
         assertTrue(leader() != leader);
--- a/src/test/java/sablehinge/dataplane/admission/AdmissionControllerTest.java
+++ b/src/test/java/sablehinge/dataplane/admission/AdmissionControllerTest.java
@@ -114,6 +114,24 @@
         expect("send 3");
     }
 
+    @Test
+    void whenTheProcessIsAboutToEndThenWhatStillWaitsIsRefusedInTime() {
+        admission.open(0, INCARNATION, 1);
+        asks(0, 1);
+        asks(0, 2);
+        asks(0, 3);
+        admission.drain(100);
+        expect("send 1", "timer 2 500", "timer 3 500", "timer 0 100");
+        ends(99, 1, Result.OK);
+        expect("send 2");
+        admission.timer(100, 0);
+        expect("refuse 3");
+        ends(101, 2, Result.OK);
+        admission.open(102, INCARNATION + 1, 1);
+        asks(103, 4, 0, INCARNATION + 1, DEADLINE, 500);
+        expect("refuse 4");
+    }
+
     @Test
     void theHighestRankGoesFirstAndOfOneRankWhatHasTheLeastTimeLeft() {
         admission.open(0, INCARNATION, 2);
--- a/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
+++ b/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 import sablehinge.testing.Peer;
 import sablehinge.testing.Script;
 import sablehinge.testing.Stage;
@@ -133,6 +134,58 @@
         }
     }
 
+    /** The process is about to end: what began to come by now is taken for so many ms more. */
+    private static void stopAdmitting(Stage stage, double startMs) throws Exception {
+        stage.node.onLoop((frontend, upstreams) -> {
+            double now = stage.node.now();
+            frontend.stopAdmitting(new ShutdownDeadlines(now, now + startMs, now + startMs + 10_000));
+            return null;
+        });
+    }
+
+    /** A request of which a part has been read. */
+    private static Peer halfRead(Stage stage) throws Exception {
+        Peer caller = stage.caller();
+        caller.write("POST /credit-spend HTTP/1.1\r\n");
+        while (stage.node.onLoop((frontend, upstreams) -> frontend.callers()) == 0) {
+            Thread.onSpinWait();
+        }
+        return caller;
+    }
+
+    @Test
+    void whenARequestBeganToComeBeforeTheStopThenItIsServedAsTheLast() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = halfRead(stage);
+            stopAdmitting(stage, 60_000);
+            caller.write(Stage.spend("1", "x").replace("POST /credit-spend HTTP/1.1\r\n", ""));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            caller.write(Stage.get("behind", "10"));
+            upstream.write(Stage.ok("served"));
+            Peer.Message answer = caller.read();
+            assertEquals("served", answer.body());
+            assertEquals("close", answer.header("Connection"));
+            assertTrue(caller.ended());
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
+    @Test
+    void whenTheRestOfARequestComesTooLateThenItIsRefusedAsNotRun() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = halfRead(stage);
+            stopAdmitting(stage, 0);
+            caller.write(Stage.spend("1", "x").replace("POST /credit-spend HTTP/1.1\r\n", ""));
+            Peer.Message answer = caller.read();
+            assertEquals(503, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+            assertTrue(caller.ended());
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
     /** Lets so much time pass for callers, as far as their time-outs go. */
     private static void later(Stage stage, double millis) throws Exception {
         stage.node.onLoop((frontend, upstreams) -> {
--- a/src/test/java/sablehinge/dataplane/proxy/RequestProxyTest.java
+++ b/src/test/java/sablehinge/dataplane/proxy/RequestProxyTest.java
@@ -126,6 +126,7 @@
             final Version version;
             Exchange exchange;
             int answers;
+            Answer last;
             int released;
             int sends;
             boolean gone;
@@ -140,6 +141,7 @@
 
             @Override
             public void answer(Answer answer) {
+                last = answer;
                 answers++;
             }
 
@@ -392,6 +394,62 @@
         world.requested.forEach(one -> assertEquals(1, one.answers + one.released - 1));
     }
 
+    @Test
+    void whenTheProcessIsAboutToEndThenNothingBeginsLate() {
+        World world = new World(3);
+        world.core.start(version(1, world.random), 3, roster(new SplittableRandom(8)), world, world);
+        world.core.drain(new ShutdownDeadlines(world.now, world.now + 100, world.now + 500));
+        world.advance(99);
+        world.ask();
+        assertEquals(1, world.requested.get(0).sends);
+        world.advance(1);
+        world.ask();
+        World.TestRequest late = world.requested.get(1);
+        assertEquals(Answer.Kind.REFUSED, late.last.kind());
+        assertTrue(late.last.retryAfter() > 0);
+        assertEquals(0, late.sends);
+        assertEquals(1, late.released);
+    }
+
+    @Test
+    void whenTheProcessIsAboutToEndThenNoAttemptIsRepeatedLate() {
+        World world = new World(3);
+        Version repeatable = new Version(1, settings(Repeat.IDEMPOTENT, 3, 1_000), List.of("one"), List.of(), false);
+        world.core.start(repeatable, 3, roster(new SplittableRandom(8)), world, world);
+        world.ask();
+        world.core.drain(new ShutdownDeadlines(world.now, world.now + 100, world.now + 500));
+        world.advance(100);
+        world.out.get(0).finish(Result.RESET);
+        assertEquals(1, world.requested.get(0).sends);
+        assertEquals(1, world.requested.get(0).answers);
+    }
+
+    @Test
+    void whenTheProcessEndsThenWhatNobodyWasSentIsRefused() {
+        World world = new World(7);
+        long sent = 2;
+        RequestProxy core = new RequestProxy(
+                () -> world.now, world, actions -> (LoadBalancer) java.lang.reflect.Proxy.newProxyInstance(
+                        RequestProxyTest.class.getClassLoader(),
+                        new Class<?>[] {LoadBalancer.class},
+                        (self, method, arguments) -> {
+                            if (method.getName().equals("request")
+                                    && ((LoadBalancer.Request) arguments[1]).id() == sent) {
+                                actions.send(sent, 1, 0);
+                            }
+                            return null;
+                        }));
+        Version only = version(1, world.random);
+        core.start(only, 7, roster(new SplittableRandom(8)), world, world);
+        List<World.TestRequest> both = List.of(world.new TestRequest(only), world.new TestRequest(only));
+        both.forEach(one -> core.request(only, new Arrival(0, 0, 0, world.now + 1_000, 0, false, true), one, one));
+        core.drain(new ShutdownDeadlines(world.now, world.now, world.now));
+        assertEquals(2, core.giveUpAll());
+        assertEquals(Answer.Kind.REFUSED, both.get(0).last.kind());
+        assertEquals(Answer.Kind.UNANSWERED, both.get(1).last.kind());
+        assertEquals(0, world.out.size());
+    }
+
     /** The time of a request counts from its end, for the module, for the attempt and for the answer. */
     @Test
     void whileARequestComesItsClockStandsStill() {
