--- /dev/null
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakTry.java
@@ -0,0 +1,38 @@
+package sablehinge.tools.standin.mesh;
+
+/**
+ * One try of a client in a soak run, as that client saw it. Times in ms of {@link TrafficLog#now}.
+ *
+ * @param machine by its outbound address
+ * @param ahead requests before it on its connection that had no answer when it was sent
+ * @param startedAt when its first byte was sent
+ * @param writtenAt when its last byte was sent; NaN where it could not be
+ * @param end how it ended
+ * @param status of the answer; 0 where there is none
+ * @param stamped whether the answer has an upstream's stamp
+ * @param endedAt when it had ended
+ */
+record SoakTry(
+        String id,
+        TrafficLog.Kind kind,
+        int machine,
+        int ahead,
+        double startedAt,
+        double writtenAt,
+        End end,
+        int status,
+        boolean stamped,
+        double endedAt) {
+
+    /** How a try ends. */
+    enum End {
+        /** With a complete answer. */
+        ANSWERED,
+        /** With the end of its connection. */
+        CUT,
+        /** With an answer before it that closed the connection: it counts as not read. */
+        UNREAD,
+        /** The client has waited in vain. */
+        SILENT
+    }
+}
--- a/src/main/java/sablehinge/dataplane/http1/BadRequestException.java
+++ b/src/main/java/sablehinge/dataplane/http1/BadRequestException.java
@@ -40,11 +40,6 @@
         return new BadRequestException(status, message, false, retryAfter, 0);
     }
 
-    /** Likewise, on a connection that takes nothing more. */
-    static BadRequestException rejectedLast(HttpResponseStatus status, String message, double retryAfter) {
-        return new BadRequestException(status, message, true, retryAfter, 0);
-    }
-
     /** The same, which may be put off for so many ms from the time at which its request came. */
     public BadRequestException heldFor(double millis) {
         return new BadRequestException(status, getMessage(), last, retryAfter, millis);
--- a/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
@@ -118,8 +118,9 @@
 
     /** Whether the answer that is about to be written must not be the last, though the front drains. */
     boolean staysWhileDraining() {
-        // What was begun before its turn is answered; the rest has not run, and its caller may send it elsewhere.
-        return context.shutdown != null ? pipelined.begunCount() > 0 : !pipelined.isEmpty() || decoder.receiving;
+        // What has come completely is answered here, if only by a refusal.
+        boolean mayTakeMore = context.shutdown == null && decoder.receiving;
+        return !pipelined.isEmpty() || receiver.malformed() != null || mayTakeMore;
     }
 
     /** Whether the request that is coming in is taken, as far as its first byte tells. */
--- a/src/main/java/sablehinge/dataplane/http1/Frontend.java
+++ b/src/main/java/sablehinge/dataplane/http1/Frontend.java
@@ -247,8 +247,8 @@
 
     /**
      * The process is about to end: lets in nobody more, and takes what has come by now. Of what comes from here on
-     * nothing is begun that the given times do not admit; the answer to the last request that was begun on a connection
-     * is its last.
+     * nothing is begun that the given times do not admit, and the answer to the last request that was begun on a
+     * connection is its last.
      */
     public void stopAdmitting(ShutdownDeadlines deadlines) {
         shut();
--- a/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
+++ b/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
@@ -33,8 +33,8 @@
     /** Since when that is so, ms. */
     double drainingSince;
     /**
-     * What is still taken, as the process is about to end; null before that. Once it is there, nothing is begun behind
-     * another request any more.
+     * What is still taken, as the process is about to end; null before that. Once it is there, nothing is begun before
+     * its turn any more.
      */
     ShutdownDeadlines shutdown;
     /** The requests that came meanwhile. */
@@ -69,7 +69,7 @@
 
     /** How a request is answered that is not taken, as the process is about to end. */
     BadRequestException shutdownRefusal() {
-        return BadRequestException.rejectedLast(
+        return BadRequestException.rejected(
                 HttpResponseStatus.SERVICE_UNAVAILABLE,
                 "this balancer is about to end",
                 shutdown.refusal().retryAfter());
--- a/src/main/java/sablehinge/dataplane/http1/RequestReceiver.java
+++ b/src/main/java/sablehinge/dataplane/http1/RequestReceiver.java
@@ -120,8 +120,8 @@
 
     private void receiveHead(HttpRequest head) throws BadRequestException {
         RequestCheck.head(head, context.dialect.terms().bodyBytes());
-        if (!connection.admitsIncoming()) {
-            // Its body need not come.
+        if (!connection.admitsIncoming() && hasBody(head)) {
+            // That need not come; a request without one is refused in its turn.
             connection.logRefused(head);
             throw context.shutdownRefusal();
         }
@@ -132,6 +132,10 @@
         }
     }
 
+    private static boolean hasBody(HttpRequest head) {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.getContentLength(head, 0L) > 0;
+    }
+
     private void receiveContent(HttpContent content) throws BadRequestException {
         if (!content.decoderResult().isSuccess()) {
             throw new BadRequestException("malformed HTTP");
--- a/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
@@ -52,26 +52,27 @@
 
     private GracefulShutdown() {}
 
-    /** The times for a process that is told to end now and is killed after the grace; {@code graceMs} in ms. */
-    static ShutdownDeadlines deadlines(double now, double graceMs) {
+    /** The times for a process that was told to end and is killed after the grace; both in ms. */
+    static ShutdownDeadlines deadlines(double signalledAt, double graceMs) {
         double timeMs = Math.max(0, graceMs - SHUTDOWN_RESERVE_MS);
         double noticeMs = Math.min(READINESS_NOTICE_MS, READINESS_NOTICE_SHARE * timeMs);
-        return ShutdownDeadlines.between(now + noticeMs, now + timeMs);
+        return ShutdownDeadlines.between(signalledAt + noticeMs, signalledAt + timeMs);
     }
 
     /**
      * Goes through the stages; blocks its thread.
      *
      * @param graceMs how long the process may take to end, ms
+     * @param elapsedMs how much of that is over, ms: it may have been told to end while it started
      */
-    static void run(Clock clock, double graceMs, Stages stages) throws InterruptedException {
-        double begun = clock.now();
-        ShutdownDeadlines deadlines = deadlines(begun, graceMs);
-        double noticeMs = deadlines.admitUntil() - begun;
+    static void run(Clock clock, double graceMs, double elapsedMs, Stages stages) throws InterruptedException {
+        double signalledAt = clock.now() - elapsedMs;
+        ShutdownDeadlines deadlines = deadlines(signalledAt, graceMs);
+        double noticeMs = deadlines.admitUntil() - signalledAt;
         stages.reportNotReady(deadlines);
         // Its upstream is well: it serves the others until the door is about to shut, since while balancers
         // are stopped in turn each of them is out for longer than the next one waits.
-        sleepUntil(clock, begun + noticeMs * (1 - DRAIN_NOTICE_SHARE));
+        sleepUntil(clock, signalledAt + noticeMs * (1 - DRAIN_NOTICE_SHARE));
         stages.withdrawUpstream();
         sleepUntil(clock, deadlines.admitUntil());
         // Whoever comes from here on finds no one, rather than someone who has no time left to answer: where
@@ -85,7 +86,7 @@
         }
         Log.info(LOG, "ends")
                 .addKeyValue("done", done)
-                .addKeyValue("ms", Math.round(clock.now() - begun))
+                .addKeyValue("ms", Math.round(clock.now() - signalledAt))
                 .addKeyValue("late", stages.lateRequests())
                 .addKeyValue("given-up", givenUp)
                 .log("ends");
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -397,7 +397,7 @@
 
     /** Likewise, where so many ms of the grace are over. */
     public void drain(double elapsedMs) throws InterruptedException {
-        GracefulShutdown.run(clock, settings.bounds().graceS() * MS_PER_S - elapsedMs, new ShutdownStages());
+        GracefulShutdown.run(clock, settings.bounds().graceS() * MS_PER_S, elapsedMs, new ShutdownStages());
     }
 
     /** Each stage runs on the event loop. */
--- a/src/main/java/sablehinge/tools/standin/mesh/Daemon.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/Daemon.java
@@ -73,6 +73,30 @@
         process.destroyForcibly().waitFor();
     }
 
+    /** Sends it SIGTERM. */
+    public void terminate() {
+        process.destroy();
+    }
+
+    /** Sends it SIGHUP. */
+    public void hangUp() throws InterruptedException {
+        try {
+            new ProcessBuilder("kill", "-HUP", Long.toString(pid())).start().waitFor();
+        } catch (IOException e) {
+            throw new MeshException(MeshException.Code.DAEMON, name + " can't be signalled: " + e.getMessage(), e);
+        }
+    }
+
+    /** Runs something once it has ended. */
+    public void onEnd(Runnable then) {
+        process.onExit().thenRun(then);
+    }
+
+    /** Whether it ends within so long. */
+    public boolean ends(long withinMs) throws InterruptedException {
+        return process.waitFor(withinMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Asks it to end; whether it has within so long. */
     public boolean end(long withinMs) throws InterruptedException {
         process.destroy();
--- a/src/main/java/sablehinge/tools/standin/mesh/HeartbeatSender.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/HeartbeatSender.java
@@ -32,6 +32,10 @@
         StandInUpstream.daemon("beats " + upstream.terms().id(), this::heartbeat);
     }
 
+    StandInUpstream upstream() {
+        return upstream;
+    }
+
     private void heartbeat() {
         try {
             while (!ended) {
--- a/src/main/java/sablehinge/tools/standin/mesh/TrafficLog.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/TrafficLog.java
@@ -48,12 +48,16 @@
             long answer,
             double at) {}
 
+    /** That an upstream's work on a request was done, whether or not its answer could be written. */
+    public record Finished(String stamp, double at) {}
+
     /** That a machine acknowledged an upstream's call, {@code gone} when it is the last one. */
     public record Left(String upstream, boolean gone, double at) {}
 
     private final ConcurrentHashMap<String, Sent> sent = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Answered> answered = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
+    private final ConcurrentHashMap<String, Finished> finished = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Left> left = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<String> strays = new ConcurrentLinkedQueue<>();
 
@@ -77,6 +81,11 @@
         runs.add(one);
     }
 
+    /** An upstream has done its work. */
+    public void finished(Finished one) {
+        finished.put(one.stamp(), one);
+    }
+
     /** An upstream's leaving was acknowledged. */
     public void left(Left one) {
         left.add(one);
@@ -99,6 +108,12 @@
         return new ArrayList<>(runs);
     }
 
+    /** When the work with that stamp was done, ms; NaN where it was not. */
+    double finishedAt(String stamp) {
+        Finished one = finished.get(stamp);
+        return one == null ? Double.NaN : one.at();
+    }
+
     List<Left> left() {
         return new ArrayList<>(left);
     }
--- /dev/null
+++ b/src/test/java/sablehinge/tools/standin/mesh/SoakJudgeTest.java
@@ -0,0 +1,95 @@
+package sablehinge.tools.standin.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sablehinge.tools.standin.mesh.SoakTry.End;
+
+/** What the soak's judge finds, and what it lets pass. Each test is a fault that a balancer could have, or none. */
+class SoakJudgeTest {
+
+    private static final int MACHINE = 0;
+    private static final int BESIDE = 1;
+    private static final double START = 1_000;
+    private static final double STOP = 20_000;
+    private static final double TIMEOUT_MS = 4_000;
+
+    private final SoakLives lives = new SoakLives(2);
+    private final TrafficLog trafficLog = new TrafficLog();
+
+    SoakJudgeTest() {
+        lives.startsAt(MACHINE, START).stoppedAt = STOP;
+        lives.current(MACHINE).endedAt = STOP + 5_900;
+        lives.startsAt(BESIDE, START);
+    }
+
+    private List<String> found(SoakTry... tries) {
+        return new SoakJudge(lives, trafficLog, TIMEOUT_MS)
+                .judge(List.of(tries), 2).stream().map(SoakFinding::rule).toList();
+    }
+
+    /** An upstream works on a try for a while. */
+    private void ran(String id, double at, double until) {
+        trafficLog.ran(
+                new TrafficLog.Run(id, "basalt", "i-1-x", "GET", "/", 0, "basalt", "tenant-1", "stamp-" + id, 0, at));
+        trafficLog.finished(new TrafficLog.Finished("stamp-" + id, until));
+    }
+
+    private static SoakTry one(String id, double from, double until, End end, int status) {
+        return new SoakTry(id, TrafficLog.Kind.UNSAFE, MACHINE, 0, from, from, end, status, status / 100 == 2, until);
+    }
+
+    /** The incident of issue 49. */
+    @Test
+    void whenARequestIsTakenLongAfterTheSignalAndGivenUpThenItIsFound() {
+        ran("a", STOP + 4_700, STOP + 5_600);
+        assertEquals(List.of("LATE", "LOST"), found(one("a", STOP + 4_000, STOP + 5_413, End.ANSWERED, 504)));
+    }
+
+    @Test
+    void whenAConnectionIsCutUnderARequestThenItIsFound() {
+        ran("a", STOP + 1_000, STOP + 1_200);
+        assertEquals(List.of("LOST"), found(one("a", STOP + 990, STOP + 1_100, End.CUT, 0)));
+    }
+
+    @Test
+    void whenARequestThatWasReadIsDroppedThenItIsFound() {
+        assertEquals(List.of("LOST"), found(one("a", STOP + 990, STOP + 1_300, End.CUT, 0)));
+    }
+
+    @Test
+    void whenAConnectionIsClosedOnWhatWasPassedOnThenItIsFound() {
+        ran("a", 9_000, 9_100);
+        assertEquals(List.of("LOST"), found(one("a", 8_990, 9_050, End.UNREAD, 0)));
+    }
+
+    @Test
+    void whenAProcessTakesLongerThanItsGraceThenItIsFound() {
+        lives.current(MACHINE).endedAt = STOP + 6_100;
+        assertEquals(List.of("END"), found());
+    }
+
+    @Test
+    void whenAProcessEndsByItselfThenItIsFound() {
+        lives.current(BESIDE).endedAt = STOP;
+        assertEquals(List.of("EXIT"), found());
+    }
+
+    @Test
+    void whenTheRulesLetItPassThenNothingIsFound() {
+        // Its upstream was at work in the last sixth of the grace, and it was sent in time.
+        ran("slow", STOP + 2_000, STOP + 5_500);
+        // Its upstream's machine was killed.
+        ran("killed", STOP + 200, STOP + 900);
+        lives.current(BESIDE).killedAt = STOP + 800;
+        assertEquals(
+                List.of(),
+                found(
+                        one("slow", STOP + 1_900, STOP + 5_410, End.ANSWERED, 504),
+                        one("killed", STOP + 190, STOP + 810, End.ANSWERED, 502),
+                        one("crossed", STOP + 2_400, STOP + 2_401, End.CUT, 0),
+                        one("refused", STOP + 4_000, STOP + 4_001, End.ANSWERED, 503),
+                        one("served", STOP + 100, STOP + 300, End.ANSWERED, 200)));
+    }
+}
--- /dev/null
+++ b/src/test/java/sablehinge/tools/standin/mesh/SoakTest.java
@@ -0,0 +1,58 @@
+package sablehinge.tools.standin.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A short soak run with a fixed seed; {@code bench/run soak} plays many. */
+@Timeout(300)
+class SoakTest {
+
+    private static final long SEED = 49;
+    private static final int SECONDS = 12;
+    private static final int PROCESSES = 8;
+
+    /** The daemons of the classes under test. */
+    private static List<String> command(String role, int place, int start) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of(
+                "-Xmx96m",
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:MaxDirectMemorySize=64m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "sablehinge.cli.Main",
+                role));
+        return command;
+    }
+
+    @Test
+    void whenSignalsRestartsAndChangesOverlapThenNoRuleIsBroken() throws Exception {
+        SoakRun.Result result =
+                SoakRun.play(SoakSchedule.draw(SEED, SECONDS, PROCESSES), SoakTest::command, Path.of("target/soak"));
+        assertNull(result.failure());
+        // Where processes had no time to run, times mean nothing; what doesn't depend on them is judged all the same.
+        List<SoakFinding> judged = result.findings().stream()
+                .filter(one -> !result.isBusy()
+                        || !one.rule().equals("END") && !one.rule().equals("LATE"))
+                .toList();
+        assertEquals(List.of(), judged);
+        assertTrue(result.served() > 0);
+    }
+
+    @Test
+    void whenTheSeedIsTheSameThenTheScheduleIs() {
+        assertEquals(SoakSchedule.draw(SEED, SECONDS, PROCESSES), SoakSchedule.draw(SEED, SECONDS, PROCESSES));
+        assertNotEquals(SoakSchedule.draw(SEED, SECONDS, PROCESSES), SoakSchedule.draw(SEED + 1, SECONDS, PROCESSES));
+    }
+}
