--- a/src/main/java/sablehinge/gateway/node/Node.java
+++ b/src/main/java/sablehinge/gateway/node/Node.java
@@ -25,6 +25,7 @@
 import sablehinge.dataplane.proxy.Observer;
 import sablehinge.dataplane.proxy.RequestProxy;
 import sablehinge.dataplane.proxy.Roster;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 import sablehinge.dataplane.proxy.Version;
 import sablehinge.gateway.admin.CallServer;
 import sablehinge.gateway.config.PlatformConfig;
@@ -57,6 +58,9 @@
     /** The time that is kept of it to answer what has come, once it drains. */
     private static final double LAST_ANSWERS_MS = 1_650;
 
+    /** Of that, the time in which nothing begins any more: hardly a request is answered sooner. */
+    private static final double LAST_START_MS = 250;
+
     /** How often it looks at what another process of this balancer has changed. */
     private static final long LOOK_MS = 200;
     /** How long a version of the settings that was replaced may be the one by which a request is read. */
@@ -280,7 +284,7 @@
         while (clock.now() < begun + rest && !(handsOver && isLeft())) {
             Thread.sleep(DRAIN_CHECK_MS);
         }
-        loop.submit(frontend::beginDrain).sync();
+        loop.submit(() -> beginDrain(latest)).sync();
         boolean done = endDrain();
         while (!done && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
@@ -291,6 +295,12 @@
         leave();
     }
 
+    /** Callers may come until the end, as they may have nowhere else to go; the last are told so in time. */
+    private void beginDrain(double latest) {
+        frontend.beginDrain();
+        core.drain(new ShutdownDeadlines(latest - LAST_START_MS, latest - LAST_START_MS, latest));
+    }
+
     private boolean isLeft() throws InterruptedException {
         return loop.submit(() -> frontend.callers() == 0).sync().getNow();
     }
--- a/src/main/java/sablehinge/gateway/node/OperatorNode.java
+++ b/src/main/java/sablehinge/gateway/node/OperatorNode.java
@@ -31,6 +31,7 @@
 import sablehinge.dataplane.proxy.Answer;
 import sablehinge.dataplane.proxy.ChainBudgets;
 import sablehinge.dataplane.proxy.RequestProxy;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 import sablehinge.dataplane.proxy.Version;
 import sablehinge.gateway.admin.AdminServer;
 import sablehinge.gateway.config.operator.OperatorConfig;
@@ -366,7 +367,7 @@
                 .max()
                 .orElse(0));
         double latest = clock.now() + longest + DRAIN_SLACK_MS;
-        loop.submit(() -> versions.listening().forEach(Frontend::beginDrain)).sync();
+        loop.submit(() -> stopAdmitting(latest)).sync();
         while (!onLoop(this::endDrain) && clock.now() < latest) {
             Thread.sleep(DRAIN_CHECK_MS);
         }
@@ -380,6 +381,13 @@
         closeQuietly(store);
     }
 
+    /** What has come by now is answered by its deadline, which comes before the end; nothing else is taken. */
+    private void stopAdmitting(double latest) {
+        ShutdownDeadlines deadlines = new ShutdownDeadlines(clock.now(), latest, latest);
+        core.drain(deadlines);
+        versions.listening().forEach(front -> front.stopAdmitting(deadlines));
+    }
+
     /** Connections of callers, on the loop. */
     int callers() {
         return versions.listening().stream().mapToInt(Frontend::callers).sum();
--- a/src/test/java/sablehinge/cli/DrainTest.java
+++ b/src/test/java/sablehinge/cli/DrainTest.java
@@ -278,6 +278,23 @@
         }
     }
 
+    @Test
+    void whenADrainGivesUpARequestThenNothingBehindItBegins() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x") + Stage.spend("2", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            stage.node.drain();
+            assertEquals(504, caller.read().status());
+            Peer.Message refused = caller.read();
+            assertEquals(503, refused.status());
+            assertEquals("close", refused.header("Connection"));
+            assertTrue(caller.ended());
+            assertEquals(0, stage.upstreams.get(0).waiting());
+        }
+    }
+
     @Test
     void aDrainDoesNotCloseAConnectionWithARequestInIt() throws Exception {
         try (Stage stage = new Stage().start()) {
--- a/src/test/java/sablehinge/gateway/node/OperatorNodeTest.java
+++ b/src/test/java/sablehinge/gateway/node/OperatorNodeTest.java
@@ -332,6 +332,46 @@
         }
     }
 
+    @Test
+    void whenTheEndHasBegunThenNobodyIsLetInAndNothingMoreBegins() throws Exception {
+        try (OperatorStage stage = new OperatorStage(1)) {
+            stage.start(stage.text(0));
+            stage.servers.get(0).plan = seen -> new Plan(0, 0);
+            InetSocketAddress address = stage.node.addresses().get(0);
+            try (Peer caller = stage.caller()) {
+                caller.write(Stage.spend("a", "x"));
+                stage.servers.get(0).await(1);
+                Thread end = new Thread(() -> {
+                    try {
+                        stage.node.drain();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                end.start();
+                awaitClosed(address);
+                caller.write(Stage.spend("b", "x"));
+                stage.status();
+                stage.servers.get(0).release();
+                assertEquals(200, caller.read().status());
+                assertEquals(503, caller.read().status());
+                assertTrue(caller.ended());
+                end.join();
+                assertEquals(1, stage.servers.get(0).seen.size());
+            }
+        }
+    }
+
+    private static void awaitClosed(InetSocketAddress address) {
+        while (true) {
+            try {
+                Peer.to(address).close();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
     /** Callers of a listener that is being given up are owed as much at the end as all others. */
     @Test
     void theEndWaitsForCallersOfAListenerThatIsBeingGivenUp() throws Exception {
