--- a/src/main/java/sablehinge/dataplane/http1/Frontend.java
+++ b/src/main/java/sablehinge/dataplane/http1/Frontend.java
@@ -247,7 +247,7 @@
 
     /**
      * The process is about to end: lets in nobody more, and takes what has come by now. Of what comes from here on
-     * nothing is begun that the given times do not admit, and the answer to the last request that was begun on a
+     * nothing is begun that the given times do not admit, and the answer to the last request that has come on a
      * connection is its last.
      */
     public void stopAdmitting(ShutdownDeadlines deadlines) {
@@ -256,7 +256,7 @@
             context.sockets.readNow(connection.channel);
         }
         context.beginDrain();
-        context.shutdown = deadlines;
+        context.shutdown = deadlines.admittingWhatCameBy(context.core.now());
     }
 
     private void shut() {
--- a/src/main/java/sablehinge/dataplane/proxy/ShutdownDeadlines.java
+++ b/src/main/java/sablehinge/dataplane/proxy/ShutdownDeadlines.java
@@ -27,6 +27,11 @@
         return new ShutdownDeadlines(admitUntil, (admitUntil + latest) / 2, latest);
     }
 
+    /** The same, for a front that stops to admit only now, later than it was to: what has come by now is admitted. */
+    public ShutdownDeadlines admittingWhatCameBy(double now) {
+        return new ShutdownDeadlines(Math.min(Math.max(admitUntil, now), startUntil), startUntil, answerUntil);
+    }
+
     /** Whether a request may be taken now whose first byte came at the given time. */
     public boolean admits(double firstByteAt, double now) {
         return firstByteAt <= admitUntil && mayStart(now);
--- a/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
@@ -32,6 +32,8 @@
         assertTrue(deadlines.admits(10, 19));
         assertFalse(deadlines.admits(10, 20));
         assertFalse(deadlines.admits(11, 12));
+        assertTrue(deadlines.admittingWhatCameBy(11).admits(11, 12));
+        assertFalse(deadlines.admittingWhatCameBy(21).admits(21, 21));
     }
 
     @Test
