--- a/src/main/java/sablehinge/cli/MeshDaemon.java
+++ b/src/main/java/sablehinge/cli/MeshDaemon.java
@@ -57,9 +57,8 @@
             }
             LocalSettings settings = read(role, file);
             if (settings.role() == LocalSettings.Role.SIDECAR) {
-                Sidecar sidecar = Sidecar.start(settings);
+                Sidecar sidecar = Sidecar.start(settings, made -> started.complete(made::drain));
                 takes.set(sidecar::reload);
-                started.complete(sidecar::drain);
             } else {
                 ControlNode node = ControlNode.start(settings, processStartedAt);
                 takes.set(node::reload);
@@ -75,8 +74,8 @@
     }
 
     /**
-     * Drains a process that may be told to end while it starts: it listens before it has started completely, and who
-     * was let in by then is owed an answer like anybody else. One that cannot start in time has answered nobody.
+     * Drains a process that may be told to end while it starts: it reads requests before it has started completely, and
+     * these are owed an answer like any others. One that has not come so far in time has read nothing.
      */
     private static void drainOnceStarted(CompletableFuture<Shutdown> started) throws InterruptedException {
         long signalledAt = System.nanoTime();
--- a/src/main/java/sablehinge/dataplane/http1/Frontend.java
+++ b/src/main/java/sablehinge/dataplane/http1/Frontend.java
@@ -100,6 +100,10 @@
 
     private void listens(Channel bound) {
         context.listening = bound;
+        if (context.shutdown != null) {
+            // The process was told to end before it listened.
+            bound.close();
+        }
         sweeps = context.loop.scheduleAtFixedRate(
                 () -> sweep(context.core.now()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -187,7 +191,9 @@
 
     /** Closes what is idle and tells whether nothing is left, so that the process may end. */
     public boolean endDrain() {
-        context.sockets.readNow(context.listening);
+        if (context.listening != null) {
+            context.sockets.readNow(context.listening);
+        }
         for (CallerConnection connection : new ArrayList<>(context.connections)) {
             connection.closeIfIdle();
         }
@@ -260,7 +266,7 @@
     }
 
     private void shut() {
-        if (context.listening.isOpen()) {
+        if (context.listening != null && context.listening.isOpen()) {
             int before;
             do {
                 // Who has been let in by the kernel is owed an answer; to close now would reset them.
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.common.eventloop.Clock;
@@ -173,14 +174,24 @@
         peerMonitor = new PeerMonitor(loop, clock, settings, watchClient::requestNow);
     }
 
-    /** Starts a balancer where nobody listens yet. */
-    public static Sidecar start(LocalSettings settings) throws ConfigException, InterruptedException {
-        return start(settings, ListeningSockets.open(settings));
+    /**
+     * Starts a balancer where nobody listens yet.
+     *
+     * @param onMade gets it before it reads its first request; from then on it can be drained, also while it starts
+     */
+    public static Sidecar start(LocalSettings settings, Consumer<Sidecar> onMade)
+            throws ConfigException, InterruptedException {
+        return start(settings, ListeningSockets.open(settings), onMade);
     }
 
     /** Starts a balancer; it requests an update and reports that it is ready once it has it. */
     public static Sidecar start(LocalSettings settings, ListeningSockets listening)
             throws ConfigException, InterruptedException {
+        return start(settings, listening, made -> {});
+    }
+
+    static Sidecar start(LocalSettings settings, ListeningSockets listening, Consumer<Sidecar> onMade)
+            throws ConfigException, InterruptedException {
         EventLoop loop = ClosingEventLoops.single("sidecar");
         Sidecar[] made = new Sidecar[1];
         loop.submit(() -> {
@@ -188,6 +199,7 @@
                 })
                 .sync();
         Sidecar sidecar = made[0];
+        onMade.accept(sidecar);
         LocalSettings.ListenOn at = settings.listenOn();
         try {
             loop.submit(() -> {
--- a/src/test/java/sablehinge/tools/standin/mesh/SoakJudgeTest.java
+++ b/src/test/java/sablehinge/tools/standin/mesh/SoakJudgeTest.java
@@ -80,6 +80,9 @@
     void whenTheRulesLetItPassThenNothingIsFound() {
         // Its upstream was at work in the last sixth of the grace, and it was sent in time.
         ran("slow", STOP + 2_000, STOP + 5_500);
+        // It waited at a process that had not begun to read.
+        lives.startsAt(MACHINE, STOP + 30_000).stoppedAt = STOP + 31_000;
+        lives.current(MACHINE).endedAt = STOP + 33_000;
         // Its upstream's machine was killed.
         ran("killed", STOP + 200, STOP + 900);
         lives.current(BESIDE).killedAt = STOP + 800;
@@ -90,6 +93,7 @@
                         one("killed", STOP + 190, STOP + 810, End.ANSWERED, 502),
                         one("crossed", STOP + 2_400, STOP + 2_401, End.CUT, 0),
                         one("refused", STOP + 4_000, STOP + 4_001, End.ANSWERED, 503),
+                        one("unread", STOP + 30_500, STOP + 32_900, End.CUT, 0),
                         one("served", STOP + 100, STOP + 300, End.ANSWERED, 200)));
     }
 }
