A stop says when its last attempt went out

Need: whether an attempt passes by the deadlines of a stop can't be told from late-request and given-up; both are about requests. Change: event ends has last-attempt-ms, over the attempts to other balancers and to the upstream beside.

--- a/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
@@ -162,6 +162,9 @@
         }
         connection.assign(this);
         state = state.partSent();
+        if (progress != null) {
+            context.lastAttemptAt = now;
+        }
         if (passing != null) {
             HttpRequest copy = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
             setHeaders(copy, now);
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamClient.java
@@ -78,6 +78,11 @@
         context.dialect.budgets(text);
     }
 
+    /** When the last attempt began to be written, ms of the clock; NaN before the first one. */
+    public double lastAttemptAt() {
+        return context.lastAttemptAt;
+    }
+
     @Override
     public void adopt(Version version) {
         Settings before = settings;
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamContext.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamContext.java
@@ -23,6 +23,8 @@
     final Bootstrap bootstrap;
     /** How long idle connections are trusted; another one for each version of the settings. */
     Freshness freshness;
+    /** When the last attempt began to be written, ms; NaN before the first one. Health checks don't count. */
+    double lastAttemptAt = Double.NaN;
 
     UpstreamContext(EventLoop loop, Clock clock, Sockets sockets, ByteBufAllocator memory, UpstreamDialect dialect) {
         this.loop = loop;
--- a/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
@@ -48,6 +48,9 @@
 
         /** How many requests came to their turn after {@link #stopAdmitting}. */
         int lateRequests() throws InterruptedException;
+
+        /** When the last attempt went out, to another balancer or to the upstream beside, ms; NaN if none ever did. */
+        double lastAttemptAt() throws InterruptedException;
     }
 
     private GracefulShutdown() {}
@@ -89,6 +92,7 @@
                 .addKeyValue("ms", Math.round(clock.now() - signalledAt))
                 .addKeyValue("late", stages.lateRequests())
                 .addKeyValue("given-up", givenUp)
+                .addKeyValue("last-attempt-ms", Math.round(stages.lastAttemptAt() - signalledAt))
                 .log("ends");
     }
 
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -83,6 +83,10 @@
     private final RequestProxy outbound;
     private final RequestProxy inbound;
     private final MeshUpstream peerDialect;
+    /** The transport to other balancers, and that to the upstream beside. */
+    private final UpstreamClient peers;
+
+    private final UpstreamClient app;
     private AdmissionController admission;
     private final Frontend outboundFrontend;
     private final Frontend inboundFrontend;
@@ -150,9 +154,8 @@
         outboundFrontend = new Frontend(loop, sockets, memory, outbound, outboundRoutes);
         inboundFrontend = new Frontend(loop, sockets, memory, inbound, new InboundFront(inbound));
         peerDialect = new MeshUpstream(clock);
-        UpstreamClient peers = new UpstreamClient(loop, clock, sockets, memory, peerDialect);
-        UpstreamClient app =
-                new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, retryBudget::rejected));
+        peers = new UpstreamClient(loop, clock, sockets, memory, peerDialect);
+        app = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, retryBudget::rejected));
         Version first = BalancerSettings.gate();
         Upstream own = new Upstream(AdmissionController.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
         inbound.start(
@@ -464,6 +467,17 @@
                     .getNow();
         }
 
+        @Override
+        public double lastAttemptAt() throws InterruptedException {
+            return loop.submit(() -> latest(peers.lastAttemptAt(), app.lastAttemptAt()))
+                    .sync()
+                    .getNow();
+        }
+
+        private double latest(double one, double other) {
+            return Double.isNaN(one) || other > one ? other : one;
+        }
+
         private void runOnLoop(Runnable stage) throws InterruptedException {
             loop.submit(stage).sync();
         }
--- a/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
@@ -74,6 +74,11 @@
             public int lateRequests() {
                 return 0;
             }
+
+            @Override
+            public double lastAttemptAt() {
+                return Double.NaN;
+            }
         });
         // It was told to end while it started: its times count from then.
         assertEquals(GracefulShutdown.deadlines(NOW - GRACE_MS, GRACE_MS), times[0]);
