--- a/src/main/java/sablehinge/dataplane/http1/Frontend.java
+++ b/src/main/java/sablehinge/dataplane/http1/Frontend.java
@@ -165,6 +165,12 @@
         return context.wokenBodies;
     }
 
+    /** Whether no answer is being written: callers that have had their last one may still be there. */
+    public boolean isWrittenOut() {
+        return context.connections.stream()
+                .noneMatch(connection -> connection.responses().isWriting());
+    }
+
     /** Connections on which something is at work. */
     public int busy() {
         int busy = 0;
--- a/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
+++ b/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
@@ -70,14 +70,19 @@
         return unwrittenAnswers > 0;
     }
 
+    /** Whether a response is being written or passes through. */
+    boolean isWriting() {
+        return unwrittenAnswers > 0 || responseRelay != null;
+    }
+
     /** Whether the caller has had its last response. */
     boolean isLingering() {
-        return closing && unwrittenAnswers == 0 && responseRelay == null;
+        return closing && !isWriting();
     }
 
     /** Whether a response is being written, or the caller has had its last. */
     boolean isBusy() {
-        return closing || unwrittenAnswers > 0 || responseRelay != null;
+        return closing || isWriting();
     }
 
     /** Closes the connection if its caller has let nothing in for too long; {@code age} in ms. */
--- a/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
@@ -46,6 +46,9 @@
         /** Gives up what still waits for an answer; how many requests that were. */
         int giveUpAll() throws InterruptedException;
 
+        /** Whether every answer that was begun is written out. */
+        boolean isWrittenOut() throws InterruptedException;
+
         /** How many requests came to their turn after {@link #stopAdmitting}. */
         int lateRequests() throws InterruptedException;
 
@@ -81,11 +84,12 @@
         // Whoever comes from here on finds no one, rather than someone who has no time left to answer: where
         // few balancers of a zone are in, clients keep coming to one that says it is not ready.
         stages.stopAdmitting(deadlines);
-        boolean done = awaitDrained(clock, deadlines.answerUntil(), stages);
+        boolean done = await(clock, deadlines.answerUntil(), stages::isDrained);
         int givenUp = 0;
         if (!done) {
             givenUp = stages.giveUpAll();
-            awaitDrained(clock, clock.now() + LAST_ANSWERS_MS, stages);
+            // Not for callers that are slow to close: the rest of the grace is the virtual machine's, to end in.
+            await(clock, clock.now() + LAST_ANSWERS_MS, stages::isWrittenOut);
         }
         Log.info(LOG, "ends")
                 .addKeyValue("done", done)
@@ -103,12 +107,18 @@
         }
     }
 
-    private static boolean awaitDrained(Clock clock, double end, Stages stages) throws InterruptedException {
-        boolean done = false;
-        while (!done && clock.now() < end) {
-            done = stages.isDrained();
+    private interface Condition {
+
+        boolean holds() throws InterruptedException;
+    }
+
+    /** Looks at a condition until it holds or the time is up; whether it holds. */
+    private static boolean await(Clock clock, double end, Condition condition) throws InterruptedException {
+        boolean holds = condition.holds();
+        while (!holds && clock.now() < end) {
             TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MS);
+            holds = condition.holds();
         }
-        return done;
+        return holds;
     }
 }
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -460,6 +460,13 @@
                     .getNow();
         }
 
+        @Override
+        public boolean isWrittenOut() throws InterruptedException {
+            return loop.submit(() -> outboundFrontend.isWrittenOut() && inboundFrontend.isWrittenOut())
+                    .sync()
+                    .getNow();
+        }
+
         @Override
         public int lateRequests() throws InterruptedException {
             return loop.submit(() -> outboundFrontend.lateRequests() + inboundFrontend.lateRequests())
--- a/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
+++ b/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import sablehinge.dataplane.proxy.ShutdownDeadlines;
+import sablehinge.policy.LoadBalancer.Result;
 import sablehinge.testing.Peer;
 import sablehinge.testing.Script;
 import sablehinge.testing.Stage;
@@ -196,6 +197,32 @@
         }
     }
 
+    @Test
+    void whenAnAnswerIsComingThenItIsNotWrittenOutAndACallerThatStaysChangesNothing() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "10"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            assertTrue(isWrittenOut(stage));
+            String body = "x".repeat(200_000);
+            upstream.write("HTTP/1.1 200 OK\r\nContent-Length: " + 2 * body.length() + "\r\n\r\n" + body);
+            assertEquals(Result.OK, stage.script.result());
+            assertFalse(isWrittenOut(stage));
+            upstream.write(body);
+            assertEquals(body + body, caller.read().body());
+            while (!isWrittenOut(stage)) {
+                Thread.onSpinWait();
+            }
+            int callers = stage.node.onLoop((frontend, upstreams) -> frontend.callers());
+            assertEquals(1, callers);
+        }
+    }
+
+    private static boolean isWrittenOut(Stage stage) throws Exception {
+        return stage.node.onLoop((frontend, upstreams) -> frontend.isWrittenOut());
+    }
+
     @Test
     void whenAHeadComesTooLateThenItsBodyNeedNotCome() throws Exception {
         try (Stage stage = new Stage().start()) {
--- a/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
@@ -38,50 +38,87 @@
 
     @Test
     void whenTimeIsUpThenWhatIsLeftIsGivenUpAfterEveryOtherStage() throws Exception {
-        List<String> done = new ArrayList<>();
-        double[] now = {NOW};
-        ShutdownDeadlines[] times = new ShutdownDeadlines[1];
-        GracefulShutdown.run(() -> now[0], GRACE_MS, GRACE_MS, new GracefulShutdown.Stages() {
-            @Override
-            public void reportNotReady(ShutdownDeadlines deadlines) {
-                times[0] = deadlines;
-                done.add("not ready");
-            }
-
-            @Override
-            public void withdrawUpstream() {
-                done.add("withdrawn");
-            }
-
-            @Override
-            public void stopAdmitting(ShutdownDeadlines deadlines) {
-                done.add("admits nothing");
-            }
-
-            @Override
-            public boolean isDrained() {
-                done.add("drained");
-                return true;
-            }
-
-            @Override
-            public int giveUpAll() {
-                done.add("given up");
-                return 1;
-            }
-
-            @Override
-            public int lateRequests() {
-                return 0;
-            }
-
-            @Override
-            public double lastAttemptAt() {
-                return Double.NaN;
-            }
-        });
+        Shutdown shutdown = new Shutdown();
+        shutdown.unwrittenChecks = 2;
+        shutdown.run();
         // It was told to end while it started: its times count from then.
-        assertEquals(GracefulShutdown.deadlines(NOW - GRACE_MS, GRACE_MS), times[0]);
-        assertEquals(List.of("not ready", "withdrawn", "admits nothing", "given up", "drained"), done);
+        assertEquals(GracefulShutdown.deadlines(NOW - GRACE_MS, GRACE_MS), shutdown.deadlines);
+        assertEquals(
+                List.of(
+                        "not ready",
+                        "withdrawn",
+                        "admits nothing",
+                        "drained?",
+                        "given up",
+                        "written out?",
+                        "written out?",
+                        "written out?"),
+                shutdown.done);
+    }
+
+    /** The soak found it: 200 ms of waiting for callers to close took a process beyond its grace. */
+    @Test
+    void whenEveryAnswerIsWrittenOutThenItEndsAtOnceThoughCallersAreThere() throws Exception {
+        Shutdown shutdown = new Shutdown();
+        shutdown.run();
+        assertEquals(
+                List.of("not ready", "withdrawn", "admits nothing", "drained?", "given up", "written out?"),
+                shutdown.done);
+    }
+
+    /** Stages that note what is done, of a process whose grace is over and whose callers don't leave. */
+    private static final class Shutdown implements GracefulShutdown.Stages {
+        final List<String> done = new ArrayList<>();
+        ShutdownDeadlines deadlines;
+        /** How often an answer is still to be written out. */
+        int unwrittenChecks;
+
+        void run() throws InterruptedException {
+            GracefulShutdown.run(() -> NOW, GRACE_MS, GRACE_MS, this);
+        }
+
+        @Override
+        public void reportNotReady(ShutdownDeadlines times) {
+            deadlines = times;
+            done.add("not ready");
+        }
+
+        @Override
+        public void withdrawUpstream() {
+            done.add("withdrawn");
+        }
+
+        @Override
+        public void stopAdmitting(ShutdownDeadlines times) {
+            done.add("admits nothing");
+        }
+
+        @Override
+        public boolean isDrained() {
+            done.add("drained?");
+            return false;
+        }
+
+        @Override
+        public int giveUpAll() {
+            done.add("given up");
+            return 1;
+        }
+
+        @Override
+        public boolean isWrittenOut() {
+            done.add("written out?");
+            return unwrittenChecks-- <= 0;
+        }
+
+        @Override
+        public int lateRequests() {
+            return 0;
+        }
+
+        @Override
+        public double lastAttemptAt() {
+            return Double.NaN;
+        }
     }
 }
