--- a/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
+++ b/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
@@ -182,6 +182,23 @@
         }
     }
 
+    /** What one segment brings behind the end of a request began to come with that segment, not with that request. */
+    @Test
+    void whenARequestComesInOneSegmentWithTheEndOfAnotherThenItsFirstByteIsItsOwn() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = halfRead(stage);
+            stopAdmitting(stage, 60_000);
+            caller.write(
+                    Stage.spend("1", "x").replace("POST /credit-spend HTTP/1.1\r\n", "") + Stage.spend("behind", "x"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write(Stage.ok("served"));
+            assertEquals("served", caller.read().body());
+            assertEquals(503, caller.read().status());
+            assertTrue(caller.ended());
+        }
+    }
+
     @Test
     void whenTheRestOfARequestComesTooLateThenItIsRefusedAsNotRun() throws Exception {
         try (Stage stage = new Stage().start()) {
--- a/src/test/java/sablehinge/dataplane/proxy/RequestProxyTest.java
+++ b/src/test/java/sablehinge/dataplane/proxy/RequestProxyTest.java
@@ -424,6 +424,24 @@
         assertEquals(1, world.requested.get(0).answers);
     }
 
+    @Test
+    void whenTheRightToRepeatComesLateThenNoAttemptBegins() {
+        World world = new World(3);
+        Version repeatable = new Version(1, settings(Repeat.IDEMPOTENT, 3, 1_000), List.of("one"), List.of(), false);
+        List<Consumer<Runnable>> waiting = new ArrayList<>();
+        int[] returned = {0};
+        world.core.bound((version, serviceClass, beside, then) -> waiting.add(then));
+        world.core.start(repeatable, 3, roster(new SplittableRandom(8)), world, world);
+        World.TestRequest one = world.new TestRequest(repeatable);
+        world.core.request(repeatable, new Arrival(0, 0, 0, world.now + 1_000, 0, false, true), one, one);
+        world.core.drain(new ShutdownDeadlines(world.now, world.now + 100, world.now + 500));
+        world.out.get(0).finish(Result.RESET);
+        world.advance(100);
+        waiting.get(0).accept(() -> returned[0]++);
+        assertEquals(0, world.out.size());
+        assertEquals(1, returned[0]);
+    }
+
     @Test
     void whenTheProcessEndsThenWhatNobodyWasSentIsRefused() {
         World world = new World(7);
