Nothing passes by the deadlines of a process that ends

Cause: four ways on which an attempt could begin, or a request be taken, later than ShutdownDeadlines says. A further attempt that waited for its retry budget was not asked again; an attempt was written to whatever connection came up; the first byte of a request that came in one segment with the end of another had that one's time; a body that came slowly could end when its upstream had no time left. Change: DeferredAttempt asks again; Transport.drain, so that UpstreamAttempt writes nothing late; CallerDecoder takes the time for each request; RequestProxy refuses what is still coming when the last attempt may begin.

--- a/src/main/java/sablehinge/dataplane/http1/CallerDecoder.java
+++ b/src/main/java/sablehinge/dataplane/http1/CallerDecoder.java
@@ -11,6 +11,8 @@
     private final CallerConnection connection;
     /** Whether bytes have come since the last complete request. */
     boolean receiving;
+    /** Whether what is decoded next belongs to another request than what was decoded last. */
+    private boolean betweenRequests;
 
     CallerDecoder(CallerConnection connection, int headerBytes) {
         super(headerBytes);
@@ -29,9 +31,15 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        if (betweenRequests) {
+            // In one segment with the end of the one before, which has been handed on by now.
+            betweenRequests = false;
+            connection.onMessageStart();
+        }
         super.decode(ctx, in, out);
         if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
             receiving = in.isReadable();
+            betweenRequests = receiving;
         }
     }
 }
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
@@ -154,6 +154,7 @@
         boolean dead = grant != null && budget == null;
         if (drained
                 || dead
+                || now >= context.startUntil
                 || now >= until && !isBodyPending()
                 || passing != null && passing.body().isTaken()) {
             connection.release(target);
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamClient.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamClient.java
@@ -27,6 +27,7 @@
 import sablehinge.dataplane.proxy.Payload;
 import sablehinge.dataplane.proxy.Roster;
 import sablehinge.dataplane.proxy.Roster.Member;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 import sablehinge.dataplane.proxy.Transport;
 import sablehinge.dataplane.proxy.Version;
 import sablehinge.policy.LoadBalancer.Result;
@@ -83,6 +84,11 @@
         return context.lastAttemptAt;
     }
 
+    @Override
+    public void drain(ShutdownDeadlines deadlines) {
+        context.startUntil = deadlines.startUntil();
+    }
+
     @Override
     public void adopt(Version version) {
         Settings before = settings;
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamContext.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamContext.java
@@ -23,6 +23,8 @@
     final Bootstrap bootstrap;
     /** How long idle connections are trusted; another one for each version of the settings. */
     Freshness freshness;
+    /** No attempt is written later, as the process is about to end; ms of the clock. */
+    double startUntil = Double.POSITIVE_INFINITY;
     /** When the last attempt began to be written, ms; NaN before the first one. Health checks don't count. */
     double lastAttemptAt = Double.NaN;
 
--- a/src/main/java/sablehinge/dataplane/proxy/DeferredAttempt.java
+++ b/src/main/java/sablehinge/dataplane/proxy/DeferredAttempt.java
@@ -21,7 +21,7 @@
     @Override
     public void accept(Runnable extra) {
         Exchange exchange = sent.exchange;
-        if (ended || !exchange.isOpen() || core.now() >= until || !exchange.request.canBeSent()) {
+        if (ended || !exchange.isOpen() || core.now() >= until || !core.mayStart() || !exchange.request.canBeSent()) {
             if (extra != null) {
                 extra.run();
             }
--- a/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
+++ b/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
@@ -122,6 +122,17 @@
     /** The process is about to end: from now on nothing begins that could not be answered before that. */
     public void drain(ShutdownDeadlines deadlines) {
         shutdown = deadlines;
+        transport.drain(deadlines);
+        timers.at(deadlines.startUntil(), this::refuseIncomplete);
+    }
+
+    /** A request of which the rest has still to come can't be answered any more; no upstream has had all of it. */
+    private void refuseIncomplete() {
+        for (Exchange exchange : List.copyOf(exchanges.values())) {
+            if (exchange.isOpen() && exchange.coming && !exchange.mayHaveRun()) {
+                giveUp(exchange, shutdown.refusal());
+            }
+        }
     }
 
     /** Names who sees every answer; null for nobody. */
@@ -254,7 +265,7 @@
     }
 
     private Exchange request(Version arrivedUnder, Arrival given, Payload payload, Caller caller, boolean coming) {
-        if (shutdown != null && !shutdown.mayStart(clock.now())) {
+        if (!mayStart()) {
             return refuse(shutdown.refusal(), arrivedUnder, given, payload, caller);
         }
         RequestAdmission.Decision decision = admission.decide(clock.now(), arrivedUnder, given, exchanges.size());
@@ -473,11 +484,16 @@
         exchange.attempts.add(sendNow(sent, until, grant));
     }
 
+    /** Whether an attempt may begin now, as far as the end of the process lets it. */
+    boolean mayStart() {
+        return shutdown == null || shutdown.mayStart(clock.now());
+    }
+
     /** Whether an attempt that the module asks for may go out at all. */
     private boolean maySend(SentAttempt sent, double now) {
         Exchange exchange = sent.exchange;
         return exchange.isOpen()
-                && (shutdown == null || shutdown.mayStart(now))
+                && mayStart()
                 && now < exchange.deadline
                 && sent.number < exchange.version.settings().limits().maxAttempts()
                 && exchange.request.canBeSent()
--- a/src/main/java/sablehinge/dataplane/proxy/Transport.java
+++ b/src/main/java/sablehinge/dataplane/proxy/Transport.java
@@ -75,6 +75,12 @@
     /** Takes in a list of servers, complete or a delta. */
     void update(Roster roster);
 
+    /**
+     * The process is about to end: what has not begun to be written by {@link ShutdownDeadlines#startUntil()} never is,
+     * also where its connection was still being made. Nothing to do for a transport that writes at once.
+     */
+    default void drain(ShutdownDeadlines deadlines) {}
+
     /** From now on requests arrive under this version; its limits hold for what is kept between attempts. */
     void adopt(Version version);
 }
--- a/src/test/java/sablehinge/dataplane/http1/UpstreamClientTest.java
+++ b/src/test/java/sablehinge/dataplane/http1/UpstreamClientTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import sablehinge.dataplane.proxy.ShutdownDeadlines;
 import sablehinge.policy.LoadBalancer.Change;
 import sablehinge.policy.LoadBalancer.Result;
 import sablehinge.testing.Backlog;
@@ -498,6 +499,33 @@
         }
     }
 
+    @Test
+    void whenTheProcessIsAboutToEndThenNothingIsWrittenToAConnectionThatComesUpLate() throws Exception {
+        try (Stage stage = new Stage();
+                Backlog full = new Backlog()) {
+            stage.connectTimeout = 15_000;
+            stage.script.onStart = () -> stage.script.actions.watch(true);
+            stage.start();
+            tell(stage, Stage.entry(9, full.address(), "up"));
+            Peer caller = stage.caller();
+            caller.write(Stage.spend("1", "x"));
+            // The node has the request once it has answered what came after it on its one thread.
+            Peer other = stage.caller();
+            other.write("GET /_health HTTP/1.1\r\n\r\n");
+            other.read();
+            stage.node.onLoop((frontend, upstreams) -> {
+                double now = stage.node.now();
+                upstreams.drain(new ShutdownDeadlines(now, now, now + 10_000));
+                return null;
+            });
+            try (Peer late = full.acceptLast()) {
+                assertEquals(Result.CONNECT_FAILED, stage.script.result());
+                assertEquals(502, caller.read().status());
+                assertEquals(0, late.socket.getInputStream().available());
+            }
+        }
+    }
+
     @Test
     void anAttemptThatWaitsToConnectDoesNotBeginAfterTheGraceOfADrain() throws Exception {
         try (Stage stage = new Stage();
--- a/src/test/java/sablehinge/dataplane/proxy/RequestProxyTest.java
+++ b/src/test/java/sablehinge/dataplane/proxy/RequestProxyTest.java
@@ -94,6 +94,7 @@
             final Version version;
             final Payload request;
             private final Progress progress;
+            boolean mayHaveRun = true;
             private boolean over;
 
             Out(Version version, Payload request, Progress progress) {
@@ -115,6 +116,11 @@
                 finish(Result.CANCELLED);
             }
 
+            @Override
+            public boolean mayHaveRun() {
+                return mayHaveRun;
+            }
+
             @Override
             public void waitUntil(double until) {
                 at(until, () -> finish(Result.TIMEOUT));
@@ -442,6 +448,29 @@
         assertEquals(1, returned[0]);
     }
 
+    /** Its upstream would begin once the rest has come, too late to be answered. */
+    @Test
+    void whenTheRestOfARequestIsStillToComeAtTheLastStartThenItIsRefused() {
+        World world = new World(3);
+        Version repeatable = new Version(1, settings(Repeat.AT_MOST_ONCE, 3, 1_000), List.of("one"), List.of(), false);
+        world.core.start(repeatable, 3, roster(new SplittableRandom(8)), world, world);
+        World.TestRequest coming = world.new TestRequest(repeatable);
+        coming.comes = true;
+        World.TestRequest answeredEarly = world.new TestRequest(repeatable);
+        answeredEarly.comes = true;
+        for (World.TestRequest one : List.of(coming, answeredEarly)) {
+            world.core.requestComing(repeatable, new Arrival(0, 0, 0, world.now + 1_000, 0, false, true), one, one);
+        }
+        world.out.get(0).mayHaveRun = false;
+        world.core.drain(new ShutdownDeadlines(world.now, world.now + 100, world.now + 500));
+        world.advance(99);
+        assertEquals(0, coming.answers);
+        world.advance(1);
+        assertEquals(Answer.Kind.REFUSED, coming.last.kind());
+        assertEquals(1, world.out.size());
+        assertEquals(0, answeredEarly.answers);
+    }
+
     @Test
     void whenTheProcessEndsThenWhatNobodyWasSentIsRefused() {
         World world = new World(7);
