--- a/bench/src/sablehinge/tools/standin/mesh/SoakBench.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakBench.java
@@ -1,11 +1,14 @@
 package sablehinge.tools.standin.mesh;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import sablehinge.torture.Mutant;
 
 /**
  * {@code bench/run soak}: meshes of real processes under series of signals, restarts and changes that overlap, with
@@ -15,6 +18,7 @@
  */
 final class SoakBench {
 
+    private static final String PROGRAM = "target/sablehinge.jar";
     private static final int FEW = 11;
     private static final int MANY = 80;
     /** Each so-many-th seed has many processes. */
@@ -32,6 +36,8 @@
 
     private Path logs;
     private Path program;
+    /** Whether balancers with a fault are played, in place of the sound ones. */
+    private boolean faults;
 
     private SoakBench() {}
 
@@ -42,7 +48,7 @@
             bench.read(args);
         } catch (IllegalArgumentException e) {
             System.err.println("soak: " + e.getMessage() + "\nusage: soak [--seeds N] [--first SEED] [--seconds S] "
-                    + "[--processes P] [--logs FOLDER] [--program JAR]");
+                    + "[--processes P] [--logs FOLDER] [--program JAR] [--faults true]");
             System.exit(USAGE);
         }
         System.exit(bench.run());
@@ -60,6 +66,7 @@
                 case "--seconds" -> seconds = Integer.parseInt(value);
                 case "--processes" -> processes = Integer.parseInt(value);
                 case "--logs" -> logs = Path.of(value);
+                case "--faults" -> faults = Boolean.parseBoolean(value);
                 case "--program" -> program = Path.of(value);
                 default -> throw new IllegalArgumentException("unknown: " + args[i]);
             }
@@ -68,9 +75,45 @@
 
     private int run() throws IOException, InterruptedException {
         SmallMesh.Commands commands = program == null ? DeployCommands.ofBuild() : DeployCommands.of(program);
+        printHead();
+        if (faults) {
+            return runFaults(commands);
+        }
+        SoakTotals totals = new SoakTotals(logs);
+        for (long seed = first; seed < first + seeds; seed++) {
+            int count = processes > 0 ? processes : seed % MANY_EACH == 0 ? MANY : FEW;
+            SoakRun.Result result = SoakRun.play(SoakSchedule.draw(seed, seconds, count), commands, logs);
+            print(result);
+            totals.add(result);
+        }
+        System.out.println(totals.json());
+        return totals.isBroken() ? BROKEN : totals.wasBusy() ? BUSY : 0;
+    }
+
+    /** Plays the first seed with each fault; fails if one is not found. */
+    private int runFaults(SmallMesh.Commands sound) throws IOException, InterruptedException {
+        int found = 0;
+        SoakSchedule schedule = SoakSchedule.draw(first, seconds, processes > 0 ? processes : FEW);
+        for (Mutant fault : FaultyCommands.FAULTS) {
+            try (FaultyCommands commands = new FaultyCommands(sound, PROGRAM, fault)) {
+                SoakRun.Result result = SoakRun.play(schedule, commands, logs);
+                Map<String, Long> rules = result.findings().stream()
+                        .collect(Collectors.groupingBy(SoakFinding::rule, TreeMap::new, Collectors.counting()));
+                found += rules.isEmpty() ? 0 : 1;
+                System.out.printf(
+                        Locale.ROOT, "%-64s %s%n", fault.name(), rules.isEmpty() ? "NOT FOUND" : rules.toString());
+            }
+        }
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("seed", first).put("faults", FaultyCommands.FAULTS.size()).put("faults_found", found);
+        System.out.println(json);
+        return found == FaultyCommands.FAULTS.size() ? 0 : BROKEN;
+    }
+
+    private static void printHead() {
         System.out.printf(
                 Locale.ROOT,
-                "%6s %9s %7s %8s %7s %7s %7s %8s  %s%n",
+                "%6s %9s %7s %8s %7s %7s %7s %7s %7s %8s  %s%n",
                 "seed",
                 "processes",
                 "work ms",
@@ -78,38 +121,10 @@
                 "served",
                 "signals",
                 "changes",
+                "endings",
+                "excused",
                 "stall ms",
                 "found");
-        ObjectNode json = JsonNodeFactory.instance.objectNode().put("seeds", seeds);
-        ArrayNode found = JsonNodeFactory.instance.arrayNode();
-        int[] sums = new int[4];
-        int busy = 0;
-        int failed = 0;
-        int most = 0;
-        for (long seed = first; seed < first + seeds; seed++) {
-            int count = processes > 0 ? processes : seed % MANY_EACH == 0 ? MANY : FEW;
-            SoakRun.Result result = SoakRun.play(SoakSchedule.draw(seed, seconds, count), commands, logs);
-            print(result);
-            result.findings().forEach(one -> add(found, result, one));
-            sums[0] += result.requests();
-            sums[1] += result.served();
-            sums[2] += result.signals();
-            sums[3] += result.changes();
-            busy += result.isBusy() ? 1 : 0;
-            failed += result.failure() == null ? 0 : 1;
-            most = Math.max(most, result.processes());
-        }
-        json.put("requests", sums[0])
-                .put("served", sums[1])
-                .put("signals", sums[2])
-                .put("changes", sums[3]);
-        json.put("processes", most)
-                .put("broken", found.size())
-                .put("failed", failed)
-                .put("busy", busy);
-        json.set("findings", found);
-        System.out.println(json);
-        return found.size() + failed > 0 ? BROKEN : busy > 0 ? BUSY : 0;
     }
 
     private static void print(SoakRun.Result result) {
@@ -118,7 +133,7 @@
                 : result.findings().size() + (result.isBusy() ? ", the machine was too busy" : "");
         System.out.printf(
                 Locale.ROOT,
-                "%6d %9d %7d %8d %7d %7d %7d %8.0f  %s%n",
+                "%6d %9d %7d %8d %7d %7d %7d %7d %7d %8.0f  %s%n",
                 result.seed(),
                 result.processes(),
                 result.workMs(),
@@ -126,6 +141,10 @@
                 result.served(),
                 result.signals(),
                 result.changes(),
+                result.report().endings(),
+                result.report().excused().values().stream()
+                        .mapToInt(Integer::intValue)
+                        .sum(),
                 result.longestStallMs(),
                 found);
         result.findings()
@@ -137,17 +156,4 @@
                         one.at(),
                         one.words()));
     }
-
-    private void add(ArrayNode found, SoakRun.Result result, SoakFinding one) {
-        found.addObject()
-                .put("seed", result.seed())
-                .put("rule", one.rule())
-                .put("at_ms", one.at())
-                .put("words", one.words())
-                .put(
-                        "logs",
-                        logs == null
-                                ? ""
-                                : logs.resolve("seed-" + result.seed()).toString());
-    }
 }
--- a/bench/src/sablehinge/tools/standin/mesh/SoakClients.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakClients.java
@@ -5,11 +5,8 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -19,11 +16,16 @@
 final class SoakClients implements AutoCloseable {
 
     /** The time that a client gives its request, ms. */
-    static final int LEFT_MS = 4_000;
+    private static final int LEFT_MS = 4_000;
     /** How long a client waits for an answer, ms. */
     private static final int SILENCE_MS = 9_000;
 
     private static final int RECONNECT_MS = 40;
+    /** The longest that an upstream takes for one of the requests that stand before others, ms. */
+    private static final int LONG_WORK_MS = 1_500;
+    /** The largest answer to a client that reads slowly, bytes. */
+    private static final int LONG_ANSWER_BYTES = 1_200_000;
+
     private static final int SMALL_BYTES = 300;
     private static final int LARGE_BYTES = 150_000;
 
@@ -31,12 +33,16 @@
     private enum Habit {
         /** One request after the other. */
         KEEPS(1, 1, 0),
-        /** Safe requests, of which one is always written before the answer to the one before has come. */
+        /**
+         * Safe requests, long ones among them, of which one is always written before the answer to the last has come.
+         */
         SENDS_AHEAD(3, 1, 0),
         /** Requests that come in parts. */
         SENDS_SLOWLY(1, 5, 0),
         /** One after the other, with pauses in which the connection may be closed. */
-        RESTS(1, 1, 3_000);
+        RESTS(1, 1, 3_000),
+        /** Safe requests, whose long answers are read slowly. */
+        READS_SLOWLY(1, 1, 0);
 
         private final int window;
         private final int parts;
@@ -47,6 +53,10 @@
             this.parts = parts;
             this.restMs = restMs;
         }
+
+        private boolean isSafe() {
+            return this == SENDS_AHEAD || this == READS_SLOWLY;
+        }
     }
 
     private final int machine;
@@ -54,23 +64,10 @@
     private final String service;
     private final List<MeshVersion.Route> routes;
     private final int pauseMs;
-    private final TrafficLog trafficLog;
-    private final ConcurrentLinkedQueue<SoakTry> tries = new ConcurrentLinkedQueue<>();
+    private final SoakTries tries;
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean ended;
 
-    /** A try that has no end yet. */
-    private static final class Pending {
-        final TrafficLog.Sent sent;
-        final int ahead;
-        double writtenAt = Double.NaN;
-
-        Pending(TrafficLog.Sent sent, int ahead) {
-            this.sent = sent;
-            this.ahead = ahead;
-        }
-    }
-
     /**
      * Clients of a machine.
      *
@@ -83,13 +80,13 @@
             String service,
             List<MeshVersion.Route> routes,
             int pauseMs,
-            TrafficLog trafficLog) {
+            SoakTries tries) {
         this.machine = machine;
         this.outbound = outbound;
         this.service = service;
         this.routes = List.copyOf(routes);
         this.pauseMs = pauseMs;
-        this.trafficLog = trafficLog;
+        this.tries = tries;
     }
 
     /** Begins to send, each client by random numbers of its own. */
@@ -103,15 +100,10 @@
         }
     }
 
-    /** What became of the tries so far. */
-    List<SoakTry> tries() {
-        return List.copyOf(tries);
-    }
-
     private void run(SplittableRandom random, Habit habit) {
         try {
             while (!ended) {
-                try (ClientCall call = new ClientCall(outbound, SILENCE_MS)) {
+                try (ClientCall call = new ClientCall(outbound, SILENCE_MS, habit == Habit.READS_SLOWLY)) {
                     use(call, random, habit);
                 } catch (IOException e) {
                     // Nobody listens.
@@ -125,7 +117,7 @@
 
     /** Uses a connection until it ends, or there is nothing more to send. */
     private void use(ClientCall call, SplittableRandom random, Habit habit) throws InterruptedException {
-        ArrayDeque<Pending> waiting = new ArrayDeque<>();
+        ArrayDeque<SoakTries.Pending> waiting = new ArrayDeque<>();
         SoakTry.End rest = SoakTry.End.CUT;
         boolean writes = true;
         try {
@@ -140,7 +132,7 @@
                 if (answer == null) {
                     break;
                 }
-                note(waiting.poll(), SoakTry.End.ANSWERED, answer);
+                tries.end(waiting.poll(), SoakTry.End.ANSWERED, answer);
                 if (answer.closes()) {
                     rest = SoakTry.End.UNREAD;
                     break;
@@ -152,8 +144,8 @@
         } catch (IOException e) {
             // Cut off.
         }
-        for (Pending one : waiting) {
-            note(one, rest, null);
+        for (SoakTries.Pending one : waiting) {
+            tries.end(one, rest, null);
         }
     }
 
@@ -166,7 +158,7 @@
     }
 
     /** Writes the next request; false if the connection takes nothing more, though answers may still come. */
-    private boolean write(ClientCall call, SplittableRandom random, Habit habit, ArrayDeque<Pending> waiting)
+    private boolean write(ClientCall call, SplittableRandom random, Habit habit, ArrayDeque<SoakTries.Pending> waiting)
             throws InterruptedException {
         MeshVersion.Route route = draw(random, habit);
         byte[] body = body(random, route);
@@ -175,15 +167,16 @@
                 id,
                 service,
                 route.kind(),
-                method(route.kind()),
-                route.prefix() + random.nextInt(1_000) + "?of=" + machine,
+                route.kind().method(),
+                route.prefix() + random.nextInt(1_000) + "?of=" + machine + query(random, habit),
                 route.prefix(),
                 Message.sum(body),
                 TrafficLog.now());
-        Pending one = new Pending(sent, waiting.size());
+        double readMs = habit == Habit.READS_SLOWLY ? SlowInputStream.pausesMs(LONG_ANSWER_BYTES) : 0;
+        SoakTries.Pending one = tries.begin(sent, waiting.size(), LEFT_MS, readMs);
         waiting.add(one);
-        trafficLog.sent(sent);
-        byte[] bytes = ClientCall.request(sent.method(), sent.uri(), headers(id), body, random.nextBoolean());
+        byte[] bytes = ClientCall.request(
+                sent.method(), sent.uri(), MeshVersion.headers(id, LEFT_MS), body, random.nextBoolean());
         try {
             int part = 1 + bytes.length / habit.parts;
             for (int from = 0; from < bytes.length; from += part) {
@@ -192,7 +185,7 @@
                 }
                 call.write(bytes, from, Math.min(part, bytes.length - from));
             }
-            one.writtenAt = TrafficLog.now();
+            one.isWritten();
             return true;
         } catch (IOException e) {
             return false;
@@ -201,16 +194,17 @@
 
     private MeshVersion.Route draw(SplittableRandom random, Habit habit) {
         List<MeshVersion.Route> fit = routes.stream()
-                .filter(route -> habit.window == 1 || route.kind() == TrafficLog.Kind.SAFE)
+                .filter(route -> !habit.isSafe() || route.kind() == TrafficLog.Kind.SAFE)
                 .toList();
         return fit.get(random.nextInt(fit.size()));
     }
 
-    private static String method(TrafficLog.Kind kind) {
-        return switch (kind) {
-            case SAFE -> "GET";
-            case UNSAFE -> "POST";
-            case UPLOAD -> "PUT";
+    /** What a request asks of its upstream beside the usual. */
+    private static String query(SplittableRandom random, Habit habit) {
+        return switch (habit) {
+            case SENDS_AHEAD -> random.nextInt(3) == 0 ? "&work=" + random.nextInt(LONG_WORK_MS) : "";
+            case READS_SLOWLY -> "&bytes=" + random.nextInt(LONG_ANSWER_BYTES);
+            default -> "";
         };
     }
 
@@ -226,39 +220,6 @@
         return body;
     }
 
-    private static Map<String, String> headers(String id) {
-        Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("Host", MeshVersion.HOST);
-        headers.put("Sablehinge-Try-Id", id);
-        headers.put("Sablehinge-Time-Left", Integer.toString(LEFT_MS));
-        headers.put("Sablehinge-Key", MeshVersion.KEY);
-        return headers;
-    }
-
-    private void note(Pending one, SoakTry.End end, Message answer) {
-        int status = answer == null ? 0 : answer.status();
-        String stamp = answer == null ? null : answer.header("Sablehinge-Postmark");
-        double now = TrafficLog.now();
-        tries.add(new SoakTry(
-                one.sent.id(),
-                one.sent.kind(),
-                machine,
-                one.ahead,
-                one.sent.at(),
-                one.writtenAt,
-                end,
-                status,
-                stamp != null,
-                now));
-        trafficLog.answered(new TrafficLog.Answered(
-                one.sent.id(),
-                status,
-                answer == null ? null : answer.header("Sablehinge-Try-Id"),
-                stamp,
-                answer == null ? 0 : Message.sum(answer.body()),
-                now));
-    }
-
     /** Sends nothing more, and returns when all that was sent has come to an end. */
     @Override
     public void close() {
--- a/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
@@ -1,6 +1,7 @@
 package sablehinge.tools.standin.mesh;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -8,8 +9,8 @@
 import java.util.Set;
 
 /**
- * Holds what clients and upstreams saw in a soak run against the rules on ends in order (RULES, LOST), beside those of
- * {@link MeshJudge}. A fault that a kill or a crash explains is not one.
+ * Holds what clients and upstreams saw in a soak run against the rules on ends in order (RULES and NEWS-18, LOST),
+ * beside those of {@link MeshJudge}. It lets pass no more than those rules do, and counts what it lets pass.
  */
 final class SoakJudge {
 
@@ -25,50 +26,67 @@
     private static final double READ_MS = 200;
     /** By when a process reads what comes, ms after its start. */
     private static final double STARTED_MS = 3_000;
-    /** A kill or a crash is felt for so long, ms. */
-    private static final double FELT_MS = 3_000;
+    /** A signal is noted a little before it is sent; what was written since then may have met it, ms. */
+    private static final double SIGNAL_MS = 50;
 
     private static final Set<Integer> FAILURES = Set.of(500, 502, 504);
 
+    /** Why an end that would break a rule does not. */
+    enum Excuse {
+        /** The process that took it was killed under it. */
+        KILLED,
+        /** It was told to end before it had come to read. */
+        UNSTARTED,
+        /** Its time was over. */
+        DEADLINE,
+        /** Its upstream crashed under it, or the process beside that was killed. */
+        UPSTREAM_STRUCK,
+        /** Its upstream was at work in the last sixth of its process's grace. */
+        LAST_SIXTH
+    }
+
+    /**
+     * What was judged.
+     *
+     * @param endings tries that were under way at, or begun after, SIGTERM of the process that took them
+     * @param crossed tries that crossed the close of their connection and were not passed on
+     * @param excused those of all tries whose end would break a rule, by why it does not
+     */
+    record Report(List<SoakFinding> findings, int endings, int crossed, Map<Excuse, Integer> excused) {}
+
     private final SoakLives lives;
     private final TrafficLog trafficLog;
-    private final double timeoutMs;
     private final Map<String, List<TrafficLog.Run>> runs = new HashMap<>();
     private final List<SoakFinding> findings = new ArrayList<>();
+    private final Map<Excuse, Integer> excused = new EnumMap<>(Excuse.class);
+    private int endings;
+    private int crossed;
 
-    /**
-     * A judge of one run.
-     *
-     * @param timeoutMs that the clients' requests have
-     */
-    SoakJudge(SoakLives lives, TrafficLog trafficLog, double timeoutMs) {
+    /** A judge of one run. */
+    SoakJudge(SoakLives lives, TrafficLog trafficLog) {
         this.lives = lives;
         this.trafficLog = trafficLog;
-        this.timeoutMs = timeoutMs;
         trafficLog.runs().forEach(run -> runs.computeIfAbsent(run.id(), id -> new ArrayList<>())
                 .add(run));
     }
 
-    /** What breaks a rule. */
-    List<SoakFinding> judge(List<SoakTry> tries, int machines) {
-        findings.clear();
+    /** What breaks a rule; to be called once. */
+    Report judge(List<SoakTry> tries, int machines) {
         tries.forEach(this::judge);
         for (int machine = 0; machine < machines; machine++) {
-            ends(machine);
+            lives.of(machine).forEach(this::judgeEnd);
         }
-        return List.copyOf(findings);
+        return new Report(List.copyOf(findings), endings, crossed, Map.copyOf(excused));
     }
 
-    private void ends(int machine) {
-        for (SoakLives.Life life : lives.of(machine)) {
-            boolean ended = !Double.isNaN(life.endedAt);
-            if (ended && !life.wasToEnd()) {
-                found("EXIT", machine, life.endedAt, "ended by itself");
-            } else if (!Double.isNaN(life.stoppedAt) && Double.isNaN(life.killedAt)) {
-                double took = (ended ? life.endedAt : TrafficLog.now()) - life.stoppedAt;
-                if (took > GRACE_MS) {
-                    found("END", machine, life.stoppedAt, String.format(Locale.ROOT, "took %.0f ms to end", took));
-                }
+    private void judgeEnd(SoakLives.Life life) {
+        boolean ended = !Double.isNaN(life.endedAt);
+        if (ended && !life.wasToEnd()) {
+            found("EXIT", life.machine, life.endedAt, "ended by itself");
+        } else if (!Double.isNaN(life.stoppedAt) && Double.isNaN(life.killedAt)) {
+            double took = (ended ? life.endedAt : TrafficLog.now()) - life.stoppedAt;
+            if (took > GRACE_MS) {
+                found("END", life.machine, life.stoppedAt, String.format(Locale.ROOT, "took %.0f ms to end", took));
             }
         }
     }
@@ -79,71 +97,84 @@
 
     private void judge(SoakTry one) {
         SoakLives.Life life = lives.at(one.machine(), one.startedAt());
-        List<TrafficLog.Run> ran = runs.getOrDefault(one.id(), List.of());
-        if (life == null || isExplained(one, ran)) {
+        if (life == null) {
             return;
         }
+        List<TrafficLog.Run> ran = runs.getOrDefault(one.id(), List.of());
+        endings += one.endedAt() >= life.stoppedAt ? 1 : 0;
         double sinceStop = one.startedAt() - life.stoppedAt;
         if (!ran.isEmpty() && sinceStop > TAKEN_MS) {
             found("LATE", one.machine(), one.startedAt(), one + " was taken " + (long) sinceStop + " ms after SIGTERM");
         }
-        boolean late = one.endedAt() - one.startedAt() >= timeoutMs - READ_MS;
-        if (late || workedToTheEnd(one, life, ran)) {
+        crossed += one.end() == SoakTry.End.CUT && ran.isEmpty() && one.ahead() == 0 && !wasRead(one) ? 1 : 0;
+        String loss = loss(one, life, ran);
+        if (loss == null) {
             return;
         }
-        if (one.end() == SoakTry.End.CUT && (!ran.isEmpty() || wasReadAndDropped(one, life))) {
-            found("LOST", one.machine(), one.endedAt(), one + " has no answer" + (ran.isEmpty() ? "" : ", and ran"));
-        } else if (one.end() == SoakTry.End.UNREAD && !ran.isEmpty()) {
-            found("LOST", one.machine(), one.endedAt(), one + " ran, and its connection was closed before its answer");
-        } else if (isBrokenOff(one, life) && !ran.isEmpty()) {
-            found("LOST", one.machine(), one.endedAt(), one + " ran, and was broken off");
+        Excuse excuse = excuse(one, life, ran);
+        if (excuse == null) {
+            found("LOST", one.machine(), one.endedAt(), one + loss);
+        } else {
+            excused.merge(excuse, 1, Integer::sum);
         }
     }
 
-    /** A kill or a crash on its way explains what became of it. */
-    private boolean isExplained(SoakTry one, List<TrafficLog.Run> ran) {
-        double from = one.startedAt() - FELT_MS;
-        return lives.wasStruck(one.machine(), from, one.endedAt())
-                || ran.stream().anyMatch(run -> lives.wasStruck(machine(run), from, one.endedAt()));
+    /** How a request was lost, in words; null if it was not. */
+    private static String loss(SoakTry one, SoakLives.Life life, List<TrafficLog.Run> ran) {
+        return switch (one.end()) {
+            case CUT ->
+                !ran.isEmpty()
+                        ? " has no answer, and ran"
+                        : wasRead(one) ? " has no answer, long after it was written" : null;
+            case UNREAD -> ran.isEmpty() ? null : " ran, and its connection was closed before its answer";
+            case SILENT -> ran.isEmpty() && !wasRead(one) ? null : " was never answered";
+            case ANSWERED -> !ran.isEmpty() && isBrokenOff(one, life) ? " ran, and was broken off" : null;
+        };
     }
 
-    /**
-     * Whether a process that was told to end has read a request and dropped it. What waits at one that has not come so
-     * far as to read was not read, which nobody outside can see: one that was still starting is not judged by this.
-     */
-    private boolean wasReadAndDropped(SoakTry one, SoakLives.Life life) {
-        return one.ahead() == 0
-                && life.stoppedAt - life.startedAt > STARTED_MS
-                && inEnd(one, life)
-                && !Double.isNaN(one.writtenAt())
-                && one.endedAt() - one.writtenAt() > READ_MS;
+    /** Whether it was written completely, as the first on its connection, long before that ended. */
+    private static boolean wasRead(SoakTry one) {
+        return one.ahead() == 0 && !Double.isNaN(one.writtenAt()) && one.endedAt() - one.writtenAt() > READ_MS;
     }
 
-    private boolean isBrokenOff(SoakTry one, SoakLives.Life life) {
-        return one.end() == SoakTry.End.ANSWERED
-                && FAILURES.contains(one.status())
+    /** Whether it ends, around the end of its process, with a failure that is none of its upstream's. */
+    private static boolean isBrokenOff(SoakTry one, SoakLives.Life life) {
+        return FAILURES.contains(one.status())
                 && !one.stamped()
-                && inEnd(one, life);
+                && one.endedAt() >= life.stoppedAt
+                && one.endedAt() <= life.stoppedAt + GRACE_MS + AFTER_MS;
+    }
+
+    /** Why a loss breaks no rule; null if it does. */
+    private Excuse excuse(SoakTry one, SoakLives.Life life, List<TrafficLog.Run> ran) {
+        if (lives.wasKilled(one.machine(), one.startedAt() - SIGNAL_MS, one.endedAt())) {
+            return Excuse.KILLED;
+        }
+        if (ran.isEmpty() && Math.min(one.endedAt(), life.stoppedAt) - life.startedAt <= STARTED_MS) {
+            return Excuse.UNSTARTED;
+        }
+        double waitsFrom = Double.isNaN(one.writtenAt()) ? one.startedAt() : one.writtenAt();
+        if (one.endedAt() - waitsFrom - one.readMs() >= one.leftMs() - READ_MS) {
+            return Excuse.DEADLINE;
+        }
+        // A struck upstream is a failure, which is to be told; it is no reason to close a caller's connection.
+        if (one.end() == SoakTry.End.ANSWERED && ran.stream().anyMatch(run -> wasStruck(run, one.endedAt()))) {
+            return Excuse.UPSTREAM_STRUCK;
+        }
+        return ran.stream().anyMatch(run -> workedToTheEnd(one, life, run)) ? Excuse.LAST_SIXTH : null;
     }
 
-    private static boolean inEnd(SoakTry one, SoakLives.Life life) {
-        return one.endedAt() >= life.stoppedAt && one.endedAt() <= life.stoppedAt + GRACE_MS + AFTER_MS;
+    private boolean wasStruck(TrafficLog.Run run, double until) {
+        int machine = machine(run);
+        double from = run.at() - SIGNAL_MS;
+        return lives.wasKilled(machine, from, until) || lives.hasCrashed(machine, from, until);
     }
 
-    /** Whether an upstream was at work in the last part of a process's grace, the client's or its own balancer's. */
-    private boolean workedToTheEnd(SoakTry one, SoakLives.Life life, List<TrafficLog.Run> ran) {
-        for (TrafficLog.Run run : ran) {
-            double finishedAt = trafficLog.finishedAt(run.stamp());
-            double until = Double.isNaN(finishedAt) ? one.endedAt() : finishedAt;
-            SoakLives.Life beside = lives.at(machine(run), run.at());
-            boolean own =
-                    one.startedAt() <= life.stoppedAt + TAKEN_MS && until >= life.stoppedAt + GRACE_MS - LAST_PART_MS;
-            boolean others = beside != null && until >= beside.stoppedAt + GRACE_MS - LAST_PART_MS;
-            if (own || others) {
-                return true;
-            }
-        }
-        return false;
+    /** Whether an upstream was at work on it in the last part of its process's grace, and it was sent in time. */
+    private boolean workedToTheEnd(SoakTry one, SoakLives.Life life, TrafficLog.Run run) {
+        double finishedAt = trafficLog.finishedAt(run.stamp());
+        double until = (Double.isNaN(finishedAt) ? one.endedAt() : finishedAt) + one.readMs();
+        return one.startedAt() <= life.stoppedAt + TAKEN_MS && until >= life.stoppedAt + GRACE_MS - LAST_PART_MS;
     }
 
     private static int machine(TrafficLog.Run run) {
--- a/bench/src/sablehinge/tools/standin/mesh/SoakLives.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakLives.java
@@ -9,6 +9,7 @@
 
     /** One process of a machine, from its start to its end. */
     static final class Life {
+        final int machine;
         final double startedAt;
         /** When it was sent the first SIGTERM; NaN where it was not. */
         volatile double stoppedAt = Double.NaN;
@@ -17,7 +18,8 @@
         /** When it was seen to be gone; NaN while it runs. */
         volatile double endedAt = Double.NaN;
 
-        Life(double startedAt) {
+        Life(int machine, double startedAt) {
+            this.machine = machine;
             this.startedAt = startedAt;
         }
 
@@ -45,7 +47,7 @@
 
     /** A process of a machine starts at a time. */
     Life startsAt(int machine, double time) {
-        Life life = new Life(time);
+        Life life = new Life(machine, time);
         machines.get(machine).add(life);
         return life;
     }
@@ -77,9 +79,13 @@
         return found;
     }
 
-    /** Whether a process of a machine was killed, or its upstream crashed, between two times. */
-    boolean wasStruck(int machine, double from, double until) {
-        return machines.get(machine).stream().anyMatch(life -> life.killedAt >= from && life.killedAt <= until)
-                || crashes.get(machine).stream().anyMatch(at -> at >= from && at <= until);
+    /** Whether a process of a machine was killed between two times. */
+    boolean wasKilled(int machine, double from, double until) {
+        return machines.get(machine).stream().anyMatch(life -> life.killedAt >= from && life.killedAt <= until);
+    }
+
+    /** Whether the upstream of a machine crashed between two times. */
+    boolean hasCrashed(int machine, double from, double until) {
+        return crashes.get(machine).stream().anyMatch(at -> at >= from && at <= until);
     }
 }
--- a/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -32,7 +34,10 @@
     /** Requests a second of all clients together, about. */
     private static final int REQUESTS_PER_S = 500;
 
-    private static final int CLIENTS_PER_MACHINE = 4;
+    private static final int CLIENTS_PER_MACHINE = 5;
+    /** Each so-many-th run of an upstream fails. */
+    private static final int FAILS_EACH = 40;
+
     private static final int MS_PER_S = 1_000;
     /** A process that is older handles its signals, ms. */
     private static final double LOADED_MS = 3_000;
@@ -43,6 +48,8 @@
     private final SmallMesh mesh;
     private final SoakLives lives;
     private final List<SoakClients> clients = new ArrayList<>();
+    private final List<SoakTries> tries = new ArrayList<>();
+    private final List<SoakCalls> calls = new ArrayList<>();
     private final List<ExecutorService> machines = new ArrayList<>();
     private final ExecutorService core = Executors.newSingleThreadExecutor();
     private final ExecutorService operator = Executors.newSingleThreadExecutor();
@@ -52,6 +59,7 @@
     private final AtomicInteger signals = new AtomicInteger();
     private final AtomicInteger changes = new AtomicInteger();
     private volatile String failure;
+    private SoakJudge.Report report = new SoakJudge.Report(List.of(), 0, 0, Map.of());
     private long edition = 1;
     private int coreStarts;
 
@@ -61,6 +69,8 @@
      * @param changes of the configuration that were acknowledged
      * @param longestStallMs for how long a thread of the bench could not run
      * @param findings rules that were broken, if the machine left time to judge that
+     * @param report what was judged of the ends of processes
+     * @param unconnectedCalls calls of upstreams that found nobody beside them
      * @param failure why it could not be played to its end; null if it was
      */
     record Result(
@@ -73,6 +83,8 @@
             int changes,
             double longestStallMs,
             List<SoakFinding> findings,
+            SoakJudge.Report report,
+            int unconnectedCalls,
             String failure) {
 
         /** Whether the machine was too busy for times to mean anything. */
@@ -151,43 +163,47 @@
     }
 
     private Result result(double longestStallMs, List<SoakFinding> findings) {
-        List<SoakTry> tries = tries();
+        List<SoakTry> ended = tries();
         return new Result(
                 schedule.seed(),
                 schedule.sidecars() + schedule.controlNodes(),
                 schedule.workMs(),
-                tries.size(),
-                (int) tries.stream().filter(one -> one.status() / 100 == 2).count(),
+                ended.size(),
+                (int) ended.stream().filter(one -> one.status() / 100 == 2).count(),
                 signals.get(),
                 changes.get(),
                 longestStallMs,
                 List.copyOf(findings),
+                report,
+                calls.stream().mapToInt(SoakCalls::unconnected).sum(),
                 failure);
     }
 
     private List<SoakTry> tries() {
-        return clients.stream().flatMap(one -> one.tries().stream()).toList();
+        return tries.stream().flatMap(one -> one.ended().stream()).toList();
     }
 
     private void startClients() {
         SplittableRandom random = new SplittableRandom(schedule.seed());
         int pauseMs = MS_PER_S * CLIENTS_PER_MACHINE * schedule.sidecars() / REQUESTS_PER_S;
+        List<MeshVersion.Route> routes = mesh.version(1, 0, SmallMesh.BASALT).routes();
         for (int i = 0; i < schedule.sidecars(); i++) {
-            SoakClients one = new SoakClients(
-                    i,
-                    ClientCall.address(mesh.plan().outbound(i)),
-                    mesh.plan().services().get(i),
-                    mesh.version(1, 0, SmallMesh.BASALT).routes(),
-                    pauseMs,
-                    mesh.trafficLog());
+            InetSocketAddress outbound = ClientCall.address(mesh.plan().outbound(i));
+            String service = mesh.plan().services().get(i);
+            SoakTries own = new SoakTries(i, mesh.trafficLog());
+            tries.add(own);
+            SoakCalls called = new SoakCalls(outbound, service, routes.get(0), own);
+            calls.add(called);
+            mesh.upstreamDepends(i, FAILS_EACH, called);
+            SoakClients one = new SoakClients(i, outbound, service, routes, pauseMs, own);
             clients.add(one);
             one.start(random);
         }
     }
 
     private void judge(List<SoakFinding> findings) throws InterruptedException {
-        findings.addAll(
-                new SoakJudge(lives, mesh.trafficLog(), SoakClients.LEFT_MS).judge(tries(), schedule.sidecars()));
+        report = new SoakJudge(lives, mesh.trafficLog()).judge(tries(), schedule.sidecars());
+        findings.addAll(report.findings());
         byte[] readBack = mesh.operator().read(WITHIN_MS);
         new MeshJudge(mesh.trafficLog(), mesh.operator().orders(), MeshPlan.UNLOAD_MS, MeshPlan.EDITION_MS)
                 .breaches(readBack).stream()
--- a/bench/src/sablehinge/tools/standin/mesh/SoakTry.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakTry.java
@@ -11,6 +11,8 @@
  * @param status of the answer; 0 where there is none
  * @param stamped whether the answer has an upstream's stamp
  * @param endedAt when it had ended
+ * @param leftMs the time that it has, from its last byte on
+ * @param readMs how much of the time its client takes to read its answer by itself, ms
  */
 record SoakTry(
         String id,
@@ -22,7 +24,9 @@
         End end,
         int status,
         boolean stamped,
-        double endedAt) {
+        double endedAt,
+        double leftMs,
+        double readMs) {
 
     /** How a try ends. */
     enum End {
--- a/bench/src/sablehinge/torture/MutantLoader.java
+++ b/bench/src/sablehinge/torture/MutantLoader.java
@@ -29,8 +29,13 @@
         this.classes = classes;
     }
 
-    /** Compiles a mutant from the sources under the given root. */
+    /** Loads a mutant, compiled from the sources under the given root. */
     public static MutantLoader of(Mutant mutant, Path sources) throws IOException {
+        return new MutantLoader(compile(mutant, sources));
+    }
+
+    /** Compiles a mutant from the sources under the given root: its classes by their names. */
+    public static Map<String, byte[]> compile(Mutant mutant, Path sources) throws IOException {
         Path file = sources.resolve("sablehinge/" + mutant.in() + ".java");
         String text = mutant.applied(Files.readString(file));
         Map<String, byte[]> made = new HashMap<>();
@@ -74,7 +79,7 @@
                 throw new IllegalStateException("mutant '" + mutant.name() + "' is no Java:\n" + errors);
             }
         }
-        return new MutantLoader(made);
+        return made;
     }
 
     /** The program's own classes are loaded here, so that they meet the mutant; the rest comes from above. */
--- a/src/main/java/sablehinge/tools/standin/mesh/ClientCall.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/ClientCall.java
@@ -13,15 +13,27 @@
 final class ClientCall implements AutoCloseable {
 
     private static final int CHUNK = 7_000;
+    /** Room for what has come and is not read yet, of a caller that reads slowly; bytes. */
+    private static final int SLOW_BUFFER = 16 * 1024;
+
     private final Socket socket = new Socket();
     private final InputStream in;
 
     ClientCall(InetSocketAddress to, int timeoutMs) throws IOException {
+        this(to, timeoutMs, false);
+    }
+
+    /** Likewise; one that reads slowly lets little of an answer in at a time. */
+    ClientCall(InetSocketAddress to, int timeoutMs, boolean readsSlowly) throws IOException {
         try {
+            if (readsSlowly) {
+                socket.setReceiveBufferSize(SLOW_BUFFER);
+            }
             socket.connect(to, timeoutMs);
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(timeoutMs);
-            in = new BufferedInputStream(socket.getInputStream());
+            InputStream received = socket.getInputStream();
+            in = new BufferedInputStream(readsSlowly ? new SlowInputStream(received) : received);
         } catch (IOException e) {
             socket.close();
             throw e;
--- a/src/main/java/sablehinge/tools/standin/mesh/LoadClients.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/LoadClients.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -60,17 +58,11 @@
     }
 
     private TrafficLog.Sent draw(SplittableRandom random, MeshVersion.Route route, byte[] body, String id) {
-        String method =
-                switch (route.kind()) {
-                    case SAFE -> "GET";
-                    case UNSAFE -> "POST";
-                    case UPLOAD -> "PUT";
-                };
         return new TrafficLog.Sent(
                 id,
                 depot,
                 route.kind(),
-                method,
+                route.kind().method(),
                 route.prefix() + random.nextInt(1_000) + "?of=" + name,
                 route.prefix(),
                 Message.sum(body),
@@ -81,18 +73,9 @@
         return String.format("%016x", random.nextLong());
     }
 
-    private static Map<String, String> headers(String id) {
-        Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("Host", MeshVersion.HOST);
-        headers.put("Sablehinge-Try-Id", id);
-        headers.put("Sablehinge-Time-Left", Integer.toString(LEFT_MS));
-        headers.put("Sablehinge-Key", MeshVersion.KEY);
-        return headers;
-    }
-
     private void send(ClientCall call, TrafficLog.Sent one, byte[] body, boolean chunked) throws IOException {
         trafficLog.sent(one);
-        call.send(one.method(), one.uri(), headers(one.id()), body, chunked);
+        call.send(one.method(), one.uri(), MeshVersion.headers(one.id(), LEFT_MS), body, chunked);
     }
 
     private void note(TrafficLog.Sent one, Message answer) {
--- a/src/main/java/sablehinge/tools/standin/mesh/MeshVersion.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/MeshVersion.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A configuration of a small mesh, as the operator sends it.
@@ -38,6 +40,16 @@
         services = List.copyOf(services);
     }
 
+    /** The headers of a client's request, which has so many ms left. */
+    static Map<String, String> headers(String id, int leftMs) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Host", HOST);
+        headers.put("Sablehinge-Try-Id", id);
+        headers.put("Sablehinge-Time-Left", Integer.toString(leftMs));
+        headers.put("Sablehinge-Key", KEY);
+        return headers;
+    }
+
     /** Whether a service may run the requests of a prefix. */
     boolean allows(String prefix, String service) {
         return routes.stream()
--- a/src/main/java/sablehinge/tools/standin/mesh/SmallMesh.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/SmallMesh.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -38,6 +39,10 @@
     private final List<Daemon> sidecars = new ArrayList<>();
     private final List<HeartbeatSender> upstreams = new ArrayList<>();
     private final List<LoadClients> clients = new ArrayList<>();
+    /** What the upstreams' runs depend on, by machine. */
+    private final Map<Integer, StandInUpstream.DependentCall> dependencies = new ConcurrentHashMap<>();
+
+    private volatile int failsEach;
 
     /**
      * How large it is.
@@ -214,6 +219,13 @@
         upstreams.get(place).upstream().slows(times);
     }
 
+    /** The upstreams of a machine fail each so-many-th run, and the others depend on a call; what comes later too. */
+    void upstreamDepends(int place, int failing, StandInUpstream.DependentCall on) {
+        failsEach = failing;
+        dependencies.put(place, on);
+        upstreams.get(place).upstream().depends(failing, on);
+    }
+
     private HeartbeatSender newUpstream(int place) {
         StandInUpstream upstream = new StandInUpstream(
                 new StandInUpstream.Terms(
@@ -224,6 +236,7 @@
                         shape.berths(),
                         shape.workMs()),
                 trafficLog);
+        upstream.depends(failsEach, dependencies.get(place));
         return new HeartbeatSender(
                 upstream, ClientCall.address(plan.control(place)), MeshPlan.ZONE, MeshPlan.HEARTBEAT_MS, trafficLog);
     }
--- a/src/main/java/sablehinge/tools/standin/mesh/StandInUpstream.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/StandInUpstream.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * An upstream by PROTOCOL: it works on so many requests at once, rejects what is not meant for it, stamps its answers,
@@ -35,8 +37,20 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private volatile boolean unloading;
     private volatile int slowness = 1;
+    /** Each so-many-th of its runs fails; 0 for none. */
+    private volatile int failsEach;
+    /** What it calls while it works; null for nothing. */
+    private volatile DependentCall dependency;
+
     private volatile boolean closed;
 
+    /** A call to another service that a run depends on. */
+    interface DependentCall {
+
+        /** Makes the call; whether it was served. */
+        boolean isServed() throws InterruptedException;
+    }
+
     /**
      * What an upstream is like.
      *
@@ -90,6 +104,12 @@
         slowness = times;
     }
 
+    /** From now on each so-many-th of its runs fails, and the others depend on a call. */
+    void depends(int failing, DependentCall on) {
+        failsEach = failing;
+        dependency = on;
+    }
+
     boolean isUnloading() {
         return unloading;
     }
@@ -177,33 +197,45 @@
     private boolean run(Socket socket, Message request, String id) throws IOException, InterruptedException {
         long number = stamps.incrementAndGet();
         String stamp = Integer.toHexString(terms.id().hashCode()) + "." + number;
-        long sum = Message.sum(request.body());
-        byte[] body = ("ran " + id + " at " + terms.id() + ", " + request.body().length + " bytes of sum "
-                        + Long.toHexString(sum) + "\n" + ".".repeat((int) (number % PADDING)))
-                .getBytes(StandardCharsets.UTF_8);
+        byte[] body = body(request, id, number);
         trafficLog.ran(new TrafficLog.Run(
                 id,
                 terms.depot(),
                 terms.id(),
                 request.word(0),
                 request.word(1),
-                sum,
+                Message.sum(request.body()),
                 request.header("Sablehinge-Caller"),
                 request.header("Sablehinge-Sender"),
                 stamp,
                 Message.sum(body),
                 TrafficLog.now()));
-        TimeUnit.MILLISECONDS.sleep(
-                (long) slowness * ThreadLocalRandom.current().nextInt(1 + terms.workMs()));
+        long workMs = parameter(request, "work", ThreadLocalRandom.current().nextInt(1 + terms.workMs()));
+        TimeUnit.MILLISECONDS.sleep(slowness * workMs);
+        DependentCall needed = dependency;
+        boolean served = (failsEach == 0 || number % failsEach != 0) && (needed == null || needed.isServed());
         trafficLog.finished(new TrafficLog.Finished(stamp, TrafficLog.now()));
         return write(
                 socket,
-                "HTTP/1.1 200 OK\r\nSablehinge-Try-Id: " + id + "\r\nSablehinge-Postmark: " + stamp
-                        + "\r\nContent-Type: text/plain\r\n",
+                "HTTP/1.1 " + (served ? "200 OK" : "500 Internal Server Error") + "\r\nSablehinge-Try-Id: " + id
+                        + "\r\nSablehinge-Postmark: " + stamp + "\r\nContent-Type: text/plain\r\n",
                 body,
                 number % 3 == 0);
     }
 
+    private byte[] body(Message request, String id, long number) {
+        String text = "ran " + id + " at " + terms.id() + ", " + request.body().length + " bytes of sum "
+                + Long.toHexString(Message.sum(request.body())) + "\n";
+        int padding = (int) parameter(request, "bytes", number % PADDING);
+        return (text + ".".repeat(padding)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** A number that a request's query names, else the given one. */
+    private static long parameter(Message request, String name, long otherwise) {
+        Matcher named = Pattern.compile("[?&]" + name + "=(\\d{1,9})").matcher(request.word(1));
+        return named.find() ? Long.parseLong(named.group(1)) : otherwise;
+    }
+
     private boolean write(Socket socket, String head, byte[] body, boolean chunked) throws IOException {
         boolean leaves = unloading;
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/src/main/java/sablehinge/tools/standin/mesh/TrafficLog.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/TrafficLog.java
@@ -10,9 +10,20 @@
 
     /** What may be repeated of a request. */
     public enum Kind {
-        SAFE,
-        UNSAFE,
-        UPLOAD
+        SAFE("GET"),
+        UNSAFE("POST"),
+        UPLOAD("PUT");
+
+        private final String method;
+
+        Kind(String method) {
+            this.method = method;
+        }
+
+        /** The method of its requests. */
+        String method() {
+            return method;
+        }
     }
 
     /**
--- a/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
@@ -7,15 +7,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import sablehinge.dataplane.proxy.ShutdownDeadlines;
 
 /** The stages of a shutdown and their times. */
+@Timeout(60)
 class GracefulShutdownTest {
 
     private static final double NOW = 10_000;
     private static final double GRACE_MS = 6_000;
+    private static final double LOOK_MS = 40;
 
     @ParameterizedTest
     @CsvSource({"6000, 2300, 3850, 5400", "2000, 630, 1015, 1400", "600, 0, 0, 0", "100, 0, 0, 0"})
@@ -73,8 +76,17 @@
         /** How often an answer is still to be written out. */
         int unwrittenChecks;
 
+        /** Each look at the clock takes a while, so that no wait is without end. */
+        private double now = NOW;
+
         void run() throws InterruptedException {
-            GracefulShutdown.run(() -> NOW, GRACE_MS, GRACE_MS, this);
+            GracefulShutdown.run(this::passingTime, GRACE_MS, GRACE_MS, this);
+        }
+
+        private double passingTime() {
+            double at = now;
+            now += LOOK_MS;
+            return at;
         }
 
         @Override
--- a/src/test/java/sablehinge/tools/standin/mesh/SoakJudgeTest.java
+++ b/src/test/java/sablehinge/tools/standin/mesh/SoakJudgeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import sablehinge.tools.standin.mesh.SoakTry.End;
 
@@ -25,8 +26,10 @@
     }
 
     private List<String> found(SoakTry... tries) {
-        return new SoakJudge(lives, trafficLog, TIMEOUT_MS)
-                .judge(List.of(tries), 2).stream().map(SoakFinding::rule).toList();
+        return new SoakJudge(lives, trafficLog)
+                .judge(List.of(tries), 2).findings().stream()
+                        .map(SoakFinding::rule)
+                        .toList();
     }
 
     /** An upstream works on a try for a while. */
@@ -37,7 +40,19 @@
     }
 
     private static SoakTry one(String id, double from, double until, End end, int status) {
-        return new SoakTry(id, TrafficLog.Kind.UNSAFE, MACHINE, 0, from, from, end, status, status / 100 == 2, until);
+        return new SoakTry(
+                id,
+                TrafficLog.Kind.UNSAFE,
+                MACHINE,
+                0,
+                from,
+                from,
+                end,
+                status,
+                status / 100 == 2,
+                until,
+                TIMEOUT_MS,
+                0);
     }
 
     /** The incident of issue 49. */
@@ -76,6 +91,58 @@
         assertEquals(List.of("EXIT"), found());
     }
 
+    @Test
+    void whenTheUpstreamsOwnBalancerEndsThenThatIsNoExcuse() {
+        lives.current(BESIDE).stoppedAt = STOP - 3_000;
+        lives.current(BESIDE).endedAt = STOP + 2_900;
+        ran("a", STOP, STOP + 2_400);
+        assertEquals(List.of("LOST"), found(one("a", STOP - 10, STOP + 2_400, End.ANSWERED, 502)));
+    }
+
+    @Test
+    void whenAKillCameBeforeTheRequestThenThatIsNoExcuse() {
+        lives.startsAt(BESIDE, STOP + 100);
+        lives.of(BESIDE).get(0).killedAt = STOP;
+        ran("a", STOP + 1_000, STOP + 1_200);
+        assertEquals(List.of("LOST"), found(one("a", STOP + 990, STOP + 1_100, End.ANSWERED, 502)));
+    }
+
+    @Test
+    void whenTheUpstreamsMachineIsKilledThenTheConnectionOfItsCallerStays() {
+        ran("a", 9_000, 9_900);
+        lives.current(BESIDE).killedAt = 9_500;
+        assertEquals(List.of("LOST"), found(one("a", 8_990, 9_501, End.CUT, 0)));
+    }
+
+    @Test
+    void whenARequestIsDroppedFarFromAnySignalThenItIsFound() {
+        assertEquals(
+                List.of("LOST", "LOST"),
+                found(one("a", 9_000, 9_300, End.CUT, 0), one("b", 9_000, 12_700, End.SILENT, 0)));
+    }
+
+    @Test
+    void whenTheRulesLetItPassThenItIsCounted() {
+        ran("slow", STOP + 2_000, STOP + 5_500);
+        ran("killed", STOP + 200, STOP + 900);
+        lives.current(BESIDE).killedAt = STOP + 800;
+        SoakJudge.Report report = new SoakJudge(lives, trafficLog)
+                .judge(
+                        List.of(
+                                one("slow", STOP + 1_900, STOP + 5_410, End.ANSWERED, 504),
+                                one("killed", STOP + 190, STOP + 810, End.ANSWERED, 502),
+                                one("late", STOP - 3_900, STOP + 10, End.CUT, 0),
+                                one("before", STOP - 200, STOP - 100, End.ANSWERED, 200)),
+                        2);
+        assertEquals(3, report.endings());
+        assertEquals(
+                Map.of(
+                        SoakJudge.Excuse.LAST_SIXTH, 1,
+                        SoakJudge.Excuse.UPSTREAM_STRUCK, 1,
+                        SoakJudge.Excuse.DEADLINE, 1),
+                report.excused());
+    }
+
     @Test
     void whenTheRulesLetItPassThenNothingIsFound() {
         // Its upstream was at work in the last sixth of the grace, and it was sent in time.
--- a/src/test/java/sablehinge/tools/standin/mesh/SoakTest.java
+++ b/src/test/java/sablehinge/tools/standin/mesh/SoakTest.java
@@ -50,6 +50,19 @@
         assertTrue(result.served() > 0);
     }
 
+    /** Without it a soak that finds nothing would say nothing; the other faults are played by hand. */
+    @Test
+    void whenRequestsAreTakenUntilTheProcessEndsThenItIsFound() throws Exception {
+        String classPath = System.getProperty("java.class.path");
+        try (FaultyCommands commands = new FaultyCommands(SoakTest::command, classPath, FaultyCommands.FAULTS.get(0))) {
+            SoakRun.Result result = SoakRun.play(SoakSchedule.draw(SEED, SECONDS, PROCESSES), commands, null);
+            assertNull(result.failure());
+            assertTrue(
+                    result.findings().stream().anyMatch(one -> one.rule().equals("LATE")),
+                    () -> "found: " + result.findings());
+        }
+    }
+
     @Test
     void whenTheSeedIsTheSameThenTheScheduleIs() {
         assertEquals(SoakSchedule.draw(SEED, SECONDS, PROCESSES), SoakSchedule.draw(SEED, SECONDS, PROCESSES));
