CallerConnection and RequestProxy split by concern; upstreams of the soak break off too

Change: CurrentRequest has the request at work on a connection, ProxyShutdown what the end of the process means for a proxy, ChainBudgets the settling of attempts' grants. Of 30 runs of a stand-in one fails and one is broken off.

--- a/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
@@ -39,7 +39,7 @@
         UNSTARTED,
         /** Its time was over. */
         DEADLINE,
-        /** Its upstream crashed under it, or the process beside that was killed. */
+        /** Its upstream broke off or crashed under it, or the process beside that was killed. */
         UPSTREAM_STRUCK,
         /** Its upstream was at work in the last sixth of its process's grace. */
         LAST_SIXTH
@@ -167,7 +167,9 @@
     private boolean wasStruck(TrafficLog.Run run, double until) {
         int machine = machine(run);
         double from = run.at() - SIGNAL_MS;
-        return lives.wasKilled(machine, from, until) || lives.hasCrashed(machine, from, until);
+        return trafficLog.hasBrokenOff(run.stamp())
+                || lives.wasKilled(machine, from, until)
+                || lives.hasCrashed(machine, from, until);
     }
 
     /** Whether an upstream was at work on it in the last part of its process's grace, and it was sent in time. */
--- a/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
@@ -35,8 +35,8 @@
     private static final int REQUESTS_PER_S = 500;
 
     private static final int CLIENTS_PER_MACHINE = 5;
-    /** Each so-many-th run of an upstream fails. */
-    private static final int FAILS_EACH = 40;
+    /** Of so many runs of an upstream, one fails and one is broken off. */
+    private static final int FAILS_EACH = 30;
 
     private static final int MS_PER_S = 1_000;
     /** A process that is older handles its signals, ms. */
--- a/bench/src/sablehinge/torture/ExchangeBench.java
+++ b/bench/src/sablehinge/torture/ExchangeBench.java
@@ -264,8 +264,8 @@
                     "what was sent behind the last answer is begun",
                     "dataplane/http1/CallerConnection",
                     "private void advance()",
-                    "while (current == null && !responses.isClosing() && ",
-                    "while (current == null && "));
+                    "while (!current.isAtWork() && !responses.isClosing() && ",
+                    "while (!current.isAtWork() && "));
 
     private ExchangeBench() {}
 
--- a/bench/src/sablehinge/torture/Mutant.java
+++ b/bench/src/sablehinge/torture/Mutant.java
@@ -15,6 +15,7 @@
 
     private static final Pattern TOKEN = Pattern.compile("\\w+|[^\\w\\s]");
     private static final String CALLER = "dataplane/http1/CallerConnection";
+    private static final String CURRENT = "dataplane/http1/CurrentRequest";
     private static final String RECEIVER = "dataplane/http1/RequestReceiver";
     private static final String RESPONSES = "dataplane/http1/ResponseWriter";
     private static final String ASSEMBLER = "dataplane/http1/RequestAssembler";
@@ -55,11 +56,7 @@
                     "ReferenceCountUtil.release(message);",
                     "message.hashCode();"),
             new Mutant(
-                    "bytes kept are never given back",
-                    CALLER,
-                    "private void finish()",
-                    "receiver.releaseReservation();",
-                    ""),
+                    "bytes kept are never given back", CURRENT, "void finish()", "receiver.releaseReservation();", ""),
             new Mutant(
                     "an answer is read on after its caller left", RESPONSES, "void abandon()", "rest.abandon();", ""),
             new Mutant(
@@ -216,12 +213,7 @@
                     "void releaseReservation()",
                     "context.keptBytes -= reserved;",
                     "context.keptBytes -= 2 * reserved;"),
-            new Mutant(
-                    "LEFT_OVER never given back",
-                    CALLER,
-                    "private void finish()",
-                    "receiver.releaseReservation();",
-                    ""),
+            new Mutant("LEFT_OVER never given back", CURRENT, "void finish()", "receiver.releaseReservation();", ""),
             new Mutant(
                     "LEAK a message that is not released",
                     CALLER,
--- a/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/CallerConnection.java
@@ -11,31 +11,24 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sablehinge.common.logging.Log;
 import sablehinge.dataplane.proxy.Answer;
-import sablehinge.dataplane.proxy.Arrival;
-import sablehinge.dataplane.proxy.Caller;
-import sablehinge.dataplane.proxy.Exchange;
 import sablehinge.dataplane.proxy.Passage;
 import sablehinge.dataplane.proxy.Payload;
 import sablehinge.dataplane.proxy.TraceEvent;
-import sablehinge.dataplane.proxy.Version;
 
 /**
  * One caller's connection: one request is at work at a time, those sent ahead wait for their turn. What comes in is the
- * job of {@link RequestReceiver}, what goes out that of {@link ResponseWriter}; this class has the request at work
- * between them. All of it runs on the connection's event loop.
+ * job of {@link RequestReceiver}, what goes out that of {@link ResponseWriter}, and the one at work between them is
+ * {@link CurrentRequest}; this class has the connection, and whose turn it is. All of it runs on the connection's event
+ * loop.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements Caller {
+final class CallerConnection extends ChannelInboundHandlerAdapter {
 
     private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
-    /** How long a request that waits for a configuration is put off each time, ms. */
-    private static final long DEFER_MS = 10;
-
     private final FrontendContext context;
     final Channel channel;
     private final int number;
@@ -43,17 +36,7 @@
     private final RequestReceiver receiver;
     private final ResponseWriter responses;
     private final PipelinedRequests pipelined = new PipelinedRequests();
-    /** The request at work; the exchange is known once the node has it. */
-    private HttpRequest current;
-
-    private Exchange exchange;
-    /** When it was complete, ms; whether it waits for an update. */
-    private double receivedAt;
-
-    private boolean deferred;
-    private String requestName;
-    /** The version under which it came, once it is read. */
-    private Version version;
+    private final CurrentRequest current;
     /** When it came, had its last answer, or began the request that is coming in. */
     double lastActivityAt;
     /** Answers that it has had. */
@@ -72,6 +55,7 @@
         decoder = new CallerDecoder(this, context.dialect.terms().headerBytes());
         receiver = new RequestReceiver(this, context, channel);
         responses = new ResponseWriter(this, context, channel);
+        current = new CurrentRequest(this, context, receiver, responses);
         openedAt = context.core.now();
         lastActivityAt = openedAt;
     }
@@ -97,23 +81,14 @@
         return answered;
     }
 
-    /** The request at work; null if none is. */
-    HttpRequest current() {
+    /** The request at work, or none. */
+    CurrentRequest current() {
         return current;
     }
 
-    /** The version under which the request at work came; null before it is read. */
-    Version version() {
-        return version;
-    }
-
-    boolean isAtWork() {
-        return current != null;
-    }
-
     /** Whether a request is at work or waits for its turn. */
     boolean hasRequests() {
-        return current != null || !pipelined.isEmpty();
+        return current.isAtWork() || !pipelined.isEmpty();
     }
 
     /** Whether the answer that is about to be written must not be the last, though the front drains. */
@@ -206,7 +181,7 @@
     /** The first byte of a message has come. */
     void onMessageStart() {
         messageStartedAt = context.core.now();
-        if (answered > 0 && current == null) {
+        if (answered > 0 && !current.isAtWork()) {
             touch();
             receiver.resetCount();
         }
@@ -266,7 +241,7 @@
         dropPipelined();
         receiver.drop();
         receiver.breakRequestRelay();
-        abandon();
+        current.abandon();
         responses.abandon();
         receiver.releaseReservation();
         ctx.fireChannelInactive();
@@ -304,47 +279,14 @@
         if (pipelined.isTooLong()) {
             // None of them is answered, the one at work neither: it could take all of its time.
             dropPipelined();
-            abandon();
+            current.abandon();
             throw new BadRequestException("too many requests sent ahead");
         }
-        if (current != null && pipelined.holdsTooManyBytes()) {
+        if (current.isAtWork() && pipelined.holdsTooManyBytes()) {
             channel.config().setAutoRead(false);
         }
     }
 
-    /** Begins a request whose body is sent on while it comes. */
-    void beginRelayed(HttpRequest head, RelayedPayload payload) throws BadRequestException {
-        current = head;
-        logIfLate(head, LateRequestLog.Outcome.TAKEN, 0);
-        try {
-            begin(head, true, payload);
-        } catch (BadRequestException e) {
-            current = null;
-            throw e;
-        }
-    }
-
-    /** The body that was sent on while it came is complete, or nobody wants the rest. */
-    void onBodyOver() {
-        if (exchange != null) {
-            context.core.ended(exchange);
-        }
-    }
-
-    /** Whether the request at work may have run. */
-    boolean mayCurrentHaveRun() {
-        return exchange != null && exchange.mayHaveRun();
-    }
-
-    /** Nobody waits for the request at work any more. */
-    void abandon() {
-        Exchange left = exchange;
-        finish();
-        if (left != null) {
-            context.core.clientGone(left);
-        }
-    }
-
     // ---- The requests' turns -----------------------------------------------------------------------
 
     /** Goes on to what is next, as long as nothing is at work. */
@@ -354,7 +296,7 @@
         }
         advancing = true;
         try {
-            while (current == null
+            while (!current.isAtWork()
                     && !responses.isClosing()
                     && (receiver.malformed() != null || !pipelined.isEmpty())) {
                 takeNext();
@@ -379,36 +321,27 @@
         }
         EarlyRequest begun = pipelined.pollBegun(next);
         if (begun == null) {
-            current = next.request();
-            receivedAt = next.at();
             beginInTurn(next);
         } else {
-            takeTurn(begun);
+            current.takeTurn(begun);
         }
     }
 
     private void beginInTurn(PipelinedRequests.Arrived next) {
         if (context.admits(next.startedAt())) {
             logIfLate(next.request(), LateRequestLog.Outcome.TAKEN, 0);
-            begin(next.request());
+            current.begin(next.request(), next.at());
         } else {
             logIfLate(next.request(), LateRequestLog.Outcome.REFUSED, 0);
-            reject(context.shutdownRefusal());
+            current.refuse(next.request(), context.shutdownRefusal());
         }
     }
 
-    private void takeTurn(EarlyRequest begun) {
-        current = begun.request;
-        version = begun.version;
-        exchange = begun.exchange();
-        begun.turns(this::answer);
-    }
-
     /** Begins what waits for its turn and may be repeated, as far as nothing before it is not begun. */
     private void beginEarly() {
         if (!context.dialect.terms().concurrent()
                 || context.shutdown != null
-                || current == null
+                || !current.isAtWork()
                 || responses.isClosing()
                 || receiver.malformed() != null
                 || pipelined.areAllBegun()) {
@@ -441,100 +374,22 @@
         return true;
     }
 
-    private void begin(FullHttpRequest request) {
-        if (context.dialect.isHealth(request)) {
-            responses.write(HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER, 0, null);
-            return;
-        }
-        try {
-            begin(request, request.content().isReadable(), new HttpPayload(request));
-        } catch (BadRequestException e) {
-            boolean mayWait = deferred || context.deferredRequests < FrontendContext.MAX_DEFERRED;
-            BadRequestException refusal = context.dialect.refusal(e, mayWait, receivedAt, context.core.now());
-            if (refusal == null) {
-                defer(request);
-            } else {
-                endDeferral();
-                reject(refusal);
-            }
-        }
-    }
-
     /** A request that is coming in is refused, as it came too late. */
     void logRefused(HttpRequest request) {
         logIfLate(request, LateRequestLog.Outcome.REFUSED, pipelined.size());
     }
 
-    private void logIfLate(HttpRequest request, LateRequestLog.Outcome outcome, int ahead) {
+    void logIfLate(HttpRequest request, LateRequestLog.Outcome outcome, int ahead) {
         if (context.draining) {
             double now = context.core.now();
             context.lateRequests.add(this, request, outcome, now, now - context.drainingSince, ahead);
         }
     }
 
-    /** Reads it again a little later; it is bounded how many wait so. */
-    private void defer(FullHttpRequest request) {
-        if (!deferred) {
-            deferred = true;
-            context.deferredRequests++;
-        }
-        context.loop.schedule(
-                () -> {
-                    if (current == request && exchange == null && channel.isOpen()) {
-                        begin(request);
-                    }
-                },
-                DEFER_MS,
-                TimeUnit.MILLISECONDS);
-    }
-
-    /** The current request waits for an update no more. */
-    private void endDeferral() {
-        if (deferred) {
-            deferred = false;
-            context.deferredRequests--;
-        }
-    }
-
-    /** Hands a request to core, complete or with its body still coming. */
-    private void begin(HttpRequest request, boolean hasBody, Payload payload) throws BadRequestException {
-        boolean coming = receiver.isRelaying();
-        CheckedRequest checked =
-                context.dialect.read(request, hasBody, coming ? context.core.now() : receivedAt, context.core.now());
-        endDeferral();
-        if (!checked.name().isEmpty()) {
-            registerName(checked.name());
-        }
-        version = checked.version();
-        ReferenceCountUtil.retain(request);
-        trace(TraceEvent.REQUEST, 0);
-        Arrival arrival = checked.arrival();
-        Exchange begun = coming
-                ? context.core.requestComing(version, arrival, payload, this)
-                : context.core.request(version, arrival, payload, this);
-        // The answer may have come already, and with it the next request.
-        if (begun.isOpen()) {
-            exchange = begun;
-        }
-    }
-
-    private void registerName(String name) throws BadRequestException {
-        CallerConnection first = context.byName.get(name);
-        if (first != null) {
-            // Its client may have left, and sent the request again here.
-            context.sockets.readNow(first.channel);
-        }
-        if (context.byName.containsKey(name)) {
-            throw new BadRequestException(HttpResponseStatus.CONFLICT, "X-Txn is at work");
-        }
-        requestName = name;
-        context.byName.put(name, this);
-    }
-
     // ---- Answers -----------------------------------------------------------------------------------
 
     /** An error is the last answer: what else comes from there may be no better. */
-    private void reject(BadRequestException why) {
+    void reject(BadRequestException why) {
         if (why.isLast() || why == receiver.malformed()) {
             responses.close();
             dropPipelined();
@@ -549,30 +404,9 @@
         responses.write(why.status(), reason, why.retryAfter(), null);
     }
 
-    @Override
-    public void answer(Answer answer) {
-        if (answer.payload() instanceof RelayedPayload passing) {
-            responses.startRelay(passing, answer);
-            return;
-        }
-        responses.write(
-                context.dialect.status(answer), context.dialect.content(answer).retain(), answer.retryAfter(), answer);
-    }
-
-    @Override
-    public String name() {
-        return requestName == null ? "" : requestName;
-    }
-
-    /** The head of an answer has been given whose body passes through. */
-    void onResponseStarted() {
-        exchange = null;
-        touch();
-    }
-
     /** The last of an answer is about to be written. */
     void onAnswered() {
-        finish();
+        current.finish();
         answered++;
         touch();
         receiver.resetCount();
@@ -592,22 +426,6 @@
         context.resumeAccepting();
     }
 
-    /** Nothing is at work any more. */
-    private void finish() {
-        endDeferral();
-        if (requestName != null) {
-            context.byName.remove(requestName);
-            requestName = null;
-        }
-        if (current != null) {
-            ReferenceCountUtil.release(current);
-            current = null;
-        }
-        receiver.releaseReservation();
-        exchange = null;
-        version = null;
-    }
-
     private void dropPipelined() {
         if (context.draining) {
             pipelined.notBegun().forEach(unread -> logIfLate(unread.request(), LateRequestLog.Outcome.UNREAD, 1));
--- a/src/main/java/sablehinge/dataplane/http1/RequestReceiver.java
+++ b/src/main/java/sablehinge/dataplane/http1/RequestReceiver.java
@@ -81,7 +81,7 @@
     boolean isTooSlow(double age) {
         FrontTerms terms = context.dialect.terms();
         // One that is not read from now is not to blame.
-        return (!connection.isAtWork() || requestRelay != null)
+        return (!connection.current().isAtWork() || requestRelay != null)
                 && channel.config().isAutoRead()
                 && age > terms.requestMs() + bytesReceived / terms.bytesPerMs();
     }
@@ -164,7 +164,9 @@
         requestRelay = relay;
         forwardedBytes = assembler.handBodyTo(relay);
         try {
-            connection.beginRelayed(head, new RelayedPayload(head, HttpUtil.getContentLength(head, -1L), relay));
+            connection
+                    .current()
+                    .beginRelayed(head, new RelayedPayload(head, HttpUtil.getContentLength(head, -1L), relay));
         } catch (BadRequestException e) {
             requestRelay = null;
             relay.abandon();
@@ -183,7 +185,7 @@
             requestRelay = null;
             assembler.clear();
             complete.end();
-            connection.onBodyOver();
+            connection.current().onBodyOver();
         }
     }
 
@@ -223,7 +225,7 @@
         connection.touch();
         bytesReceived = 0;
         channel.config().setAutoRead(true);
-        connection.onBodyOver();
+        connection.current().onBodyOver();
     }
 
     /** Nothing after this is read; a body that was sent on meanwhile won't be complete. */
@@ -232,7 +234,7 @@
         malformed = why;
         drop();
         // While the front drains little more can come, and whether the caller leaves is worth knowing.
-        if (connection.isAtWork() && context.shutdown == null) {
+        if (connection.current().isAtWork() && context.shutdown == null) {
             channel.config().setAutoRead(false);
         }
     }
@@ -242,9 +244,9 @@
         if (requestRelay != null) {
             Relay half = requestRelay;
             requestRelay = null;
-            mayHaveRun = connection.mayCurrentHaveRun();
+            mayHaveRun = connection.current().mayHaveRun();
             // Reported to the module before the attempt's outcome.
-            connection.abandon();
+            connection.current().abandon();
             half.broke();
         }
     }
@@ -252,7 +254,7 @@
     /** What has come of a request that is not complete is of no use. */
     void drop() {
         assembler.drop();
-        if (!connection.isAtWork()) {
+        if (!connection.current().isAtWork()) {
             assembler.releaseReservation();
         }
     }
--- a/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
+++ b/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
@@ -151,8 +151,8 @@
     }
 
     private void setHeaders(HttpResponse response, Answer answer) {
-        HttpRequest request = connection.current();
-        context.dialect.dress(response, answer, connection.version(), request);
+        HttpRequest request = connection.current().request();
+        context.dialect.dress(response, answer, connection.current().version(), request);
         boolean wantsMore = request != null && HttpUtil.isKeepAlive(request);
         closing |= !wantsMore || context.draining && !connection.staysWhileDraining();
         if (closing) {
@@ -166,14 +166,14 @@
         endIsMarked = true;
         if (passing.length() >= 0) {
             response.headers().set("Content-Length", passing.length());
-        } else if (connection.current().protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+        } else if (connection.current().request().protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             endIsMarked = false;
             closing = true;
         } else {
             response.headers().set("Transfer-Encoding", "chunked");
         }
         setHeaders(response, answer);
-        connection.onResponseStarted();
+        connection.current().onResponseStarted();
         responseRelay = passing.body();
         channel.write(response).addListener(this::onWritten);
         responseRelay.attach(this);
--- a/src/main/java/sablehinge/dataplane/proxy/ChainBudgets.java
+++ b/src/main/java/sablehinge/dataplane/proxy/ChainBudgets.java
@@ -10,6 +10,8 @@
 import sablehinge.dataplane.budget.LoopDetector;
 import sablehinge.dataplane.budget.MinimumTime;
 import sablehinge.dataplane.budget.PauseDetector;
+import sablehinge.dataplane.budget.Report;
+import sablehinge.policy.LoadBalancer;
 import sablehinge.policy.LoadBalancer.Result;
 
 /** The budgets of a chain of tiers at this hop, where they are switched on. */
@@ -79,7 +81,7 @@
     }
 
     /** How an attempt ended: what is late, or was rejected by a full server, is a sign of overload. */
-    void ended(double now, double sentAt, double deadline, Result result) {
+    private void ended(double now, double sentAt, double deadline, Result result) {
         if (result == Result.OK) {
             least.served(now, now - sentAt);
         }
@@ -89,6 +91,46 @@
         }
     }
 
+    /** What the next attempt of a request may take of its budget; null if that is used up. */
+    AttemptBudgets.Grant take(Exchange exchange, double now) {
+        return attemptBudgets.take(exchange.budget, now, mayRepeat(exchange), least.value(now));
+    }
+
+    /** An attempt is over, whether it went out or not: its grant is settled. */
+    void attemptFinished(double now, SentAttempt sent, AttemptResult end) {
+        Exchange exchange = sent.exchange;
+        AttemptBudgets.Grant grant = sent.number < exchange.grants.size() ? exchange.grants.get(sent.number) : null;
+        if (grant == null) {
+            return;
+        }
+        if (end.result().neverRan()) {
+            attemptBudgets.neverRan(grant);
+        } else {
+            attemptBudgets.over(grant, end.spent(), end.result() == Result.OK);
+        }
+        if (end.result() != Result.NOT_SENT && end.result() != Result.CANCELLED) {
+            ended(now, Math.max(sent.at, exchange.endedAt), exchange.deadline, end.result());
+        }
+    }
+
+    /** A request is answered; what it has spent. A refusal promises that another try is harmless. */
+    Report close(Exchange exchange, Answer.Kind kind) {
+        // A failure may be tried again where its class may.
+        boolean again = kind == Answer.Kind.REFUSED || kind != Answer.Kind.SERVED && mayRepeat(exchange);
+        return attemptBudgets.close(exchange.budget, again);
+    }
+
+    /** A request is forgotten. */
+    void close(Exchange exchange) {
+        attemptBudgets.close(exchange.budget, false);
+    }
+
+    /** Whether the class of a request lets it run more than once. */
+    private static boolean mayRepeat(Exchange exchange) {
+        return exchange.version.settings().classes().get(exchange.serviceClass).repeat()
+                != LoadBalancer.Repeat.AT_MOST_ONCE;
+    }
+
     /** A call has come back to this service: logged once a loop. */
     void looped(List<Long> path) {
         if (loops.isNew(path)) {
--- a/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
+++ b/src/main/java/sablehinge/dataplane/proxy/RequestProxy.java
@@ -11,7 +11,6 @@
 import sablehinge.common.eventloop.Timers;
 import sablehinge.common.logging.Log;
 import sablehinge.dataplane.budget.AttemptBudgets;
-import sablehinge.dataplane.budget.Report;
 import sablehinge.policy.LoadBalancer;
 import sablehinge.policy.LoadBalancer.Change;
 import sablehinge.policy.LoadBalancer.Outcome;
@@ -43,14 +42,14 @@
     private final LiveVersions versions = new LiveVersions();
 
     private long lastId;
-    /** Null unless the process is about to end. */
-    private ShutdownDeadlines shutdown;
+    private final ProxyShutdown shutdown;
 
     /** A core with the given module, which is handed its actions. */
     public RequestProxy(Clock clock, Timers timers, Function<LoadBalancer.Actions, LoadBalancer> module) {
         this.clock = clock;
         this.timers = timers;
         balancer = module.apply(this);
+        shutdown = new ProxyShutdown(clock, timers, exchanges.values(), this::giveUp);
     }
 
     /** Begins to decide with a first version and the servers as they were last known. */
@@ -121,18 +120,8 @@
 
     /** The process is about to end: from now on nothing begins that could not be answered before that. */
     public void drain(ShutdownDeadlines deadlines) {
-        shutdown = deadlines;
+        shutdown.begin(deadlines);
         transport.drain(deadlines);
-        timers.at(deadlines.startUntil(), this::refuseIncomplete);
-    }
-
-    /** A request of which the rest has still to come can't be answered any more; no upstream has had all of it. */
-    private void refuseIncomplete() {
-        for (Exchange exchange : List.copyOf(exchanges.values())) {
-            if (exchange.isOpen() && exchange.coming && !exchange.mayHaveRun()) {
-                giveUp(exchange, shutdown.refusal());
-            }
-        }
     }
 
     /** Names who sees every answer; null for nobody. */
@@ -265,7 +254,7 @@
     }
 
     private Exchange request(Version arrivedUnder, Arrival given, Payload payload, Caller caller, boolean coming) {
-        if (!mayStart()) {
+        if (!shutdown.mayStart()) {
             return refuse(shutdown.refusal(), arrivedUnder, given, payload, caller);
         }
         RequestAdmission.Decision decision = admission.decide(clock.now(), arrivedUnder, given, exchanges.size());
@@ -339,25 +328,7 @@
      * @return how many requests that were
      */
     public int giveUpAll() {
-        List<Exchange> open =
-                exchanges.values().stream().filter(Exchange::isOpen).toList();
-        for (Exchange exchange : open) {
-            logGivenUp(exchange);
-            boolean refused = shutdown != null && !exchange.mayHaveRun();
-            giveUp(exchange, refused ? shutdown.refusal() : Answer.of(Answer.Kind.UNANSWERED));
-        }
-        return open.size();
-    }
-
-    private void logGivenUp(Exchange exchange) {
-        Log.warn(LOG, "given-up")
-                .addKeyValue("request", exchange.id)
-                .addKeyValue("age-ms", Math.round(clock.now() - exchange.arrivedAt))
-                .addKeyValue("left-ms", Math.round(exchange.deadline - clock.now()))
-                .addKeyValue("attempts", exchange.sends)
-                .addKeyValue("running", exchange.running)
-                .addKeyValue("may-have-run", exchange.mayHaveRun())
-                .log("a request is given up at the end of the process");
+        return shutdown.giveUpAll();
     }
 
     /**
@@ -386,6 +357,11 @@
         finished(sent, begunAt, result);
     }
 
+    /** Whether an attempt may begin now, as far as the end of the process lets it. */
+    boolean mayStart() {
+        return shutdown.mayStart();
+    }
+
     /** Sends an attempt now. */
     Transport.Attempt sendNow(SentAttempt sent, double until, AttemptBudgets.Grant grant) {
         Exchange exchange = sent.exchange;
@@ -400,14 +376,8 @@
         exchange.running--;
         exchange.begun.remove((Integer) number);
         tracer.note(TraceEvent.ATTEMPT_ENDED, 0, exchange.id, end.result().ordinal());
-        AttemptBudgets.Grant grant = number < exchange.grants.size() ? exchange.grants.get(number) : null;
-        if (grant != null && end.result().neverRan()) {
-            budgets.attemptBudgets.neverRan(grant);
-        } else if (grant != null) {
-            budgets.attemptBudgets.over(grant, end.spent(), end.result() == Result.OK);
-        }
-        if (grant != null && end.result() != Result.NOT_SENT && end.result() != Result.CANCELLED) {
-            budgets.ended(clock.now(), Math.max(sent.at, exchange.endedAt), exchange.deadline, end.result());
+        if (budgets != null) {
+            budgets.attemptFinished(clock.now(), sent, end);
         }
         if (end.result() == Result.OK) {
             answer(exchange, new Answer(Answer.Kind.SERVED, end.payload(), 0));
@@ -436,7 +406,7 @@
     private void settle(Exchange exchange) {
         if (!exchange.isOpen() && exchange.running == 0 && exchanges.remove(exchange.id) != null) {
             if (exchange.budget != null) {
-                budgets.attemptBudgets.close(exchange.budget, false);
+                budgets.close(exchange);
             }
             exchange.request.release();
             exchange.failed(Payload.NONE);
@@ -464,7 +434,7 @@
         }
         AttemptBudgets.Grant grant = null;
         if (exchange.budget != null) {
-            grant = takeGrant(exchange, now);
+            grant = budgets.take(exchange, now);
             exchange.grants.add(grant);
             if (grant == null) {
                 notSent(sent);
@@ -484,16 +454,11 @@
         exchange.attempts.add(sendNow(sent, until, grant));
     }
 
-    /** Whether an attempt may begin now, as far as the end of the process lets it. */
-    boolean mayStart() {
-        return shutdown == null || shutdown.mayStart(clock.now());
-    }
-
     /** Whether an attempt that the module asks for may go out at all. */
     private boolean maySend(SentAttempt sent, double now) {
         Exchange exchange = sent.exchange;
         return exchange.isOpen()
-                && mayStart()
+                && shutdown.mayStart()
                 && now < exchange.deadline
                 && sent.number < exchange.version.settings().limits().maxAttempts()
                 && exchange.request.canBeSent()
@@ -506,17 +471,6 @@
         finished(sent, Double.NaN, AttemptResult.without(Result.NOT_SENT));
     }
 
-    /** What an attempt may take of the request's budget; null if that is used up. */
-    private AttemptBudgets.Grant takeGrant(Exchange exchange, double now) {
-        return budgets.attemptBudgets.take(exchange.budget, now, mayRepeat(exchange), budgets.least.value(now));
-    }
-
-    /** Whether the class of a request lets it run more than once. */
-    private static boolean mayRepeat(Exchange exchange) {
-        return exchange.version.settings().classes().get(exchange.serviceClass).repeat()
-                != LoadBalancer.Repeat.AT_MOST_ONCE;
-    }
-
     @Override
     public void refuse(long requestId, double retryAfter) {
         answer(requestId, new Answer(Answer.Kind.REFUSED, Payload.NONE, retryAfter));
@@ -543,7 +497,7 @@
         Answer given = answer.payload() == Payload.NONE && exchange.failure != Payload.NONE
                 ? new Answer(Answer.Kind.FAILED, exchange.failure, 0)
                 : answer;
-        if (exchange.answer(exchange.budget == null ? given : given.with(closed(exchange, answer.kind())))
+        if (exchange.answer(exchange.budget == null ? given : given.with(budgets.close(exchange, answer.kind())))
                 && observer != null) {
             observer.answered(
                     name,
@@ -555,12 +509,6 @@
         }
     }
 
-    /** A refusal promises that another try is harmless; a failure may be tried again where its class may. */
-    private Report closed(Exchange exchange, Answer.Kind kind) {
-        boolean again = kind == Answer.Kind.REFUSED || kind != Answer.Kind.SERVED && mayRepeat(exchange);
-        return budgets.attemptBudgets.close(exchange.budget, again);
-    }
-
     @Override
     public void cancel(long requestId, int attempt) {
         Exchange exchange = exchanges.get(requestId);
--- a/src/main/java/sablehinge/tools/standin/mesh/SmallMesh.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/SmallMesh.java
@@ -219,7 +219,7 @@
         upstreams.get(place).upstream().slows(times);
     }
 
-    /** The upstreams of a machine fail each so-many-th run, and the others depend on a call; what comes later too. */
+    /** Of so many runs on a machine one fails and one is broken off, and the others depend on a call; from now on. */
     void upstreamDepends(int place, int failing, StandInUpstream.DependentCall on) {
         failsEach = failing;
         dependencies.put(place, on);
--- a/src/main/java/sablehinge/tools/standin/mesh/StandInUpstream.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/StandInUpstream.java
@@ -37,7 +37,7 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private volatile boolean unloading;
     private volatile int slowness = 1;
-    /** Each so-many-th of its runs fails; 0 for none. */
+    /** Of so many runs one fails, and one has its connection closed in place of an answer; 0 for none. */
     private volatile int failsEach;
     /** What it calls while it works; null for nothing. */
     private volatile DependentCall dependency;
@@ -104,7 +104,7 @@
         slowness = times;
     }
 
-    /** From now on each so-many-th of its runs fails, and the others depend on a call. */
+    /** From now on, of so many runs, one fails and one is broken off; the others depend on a call. */
     void depends(int failing, DependentCall on) {
         failsEach = failing;
         dependency = on;
@@ -215,6 +215,10 @@
         DependentCall needed = dependency;
         boolean served = (failsEach == 0 || number % failsEach != 0) && (needed == null || needed.isServed());
         trafficLog.finished(new TrafficLog.Finished(stamp, TrafficLog.now()));
+        if (failsEach > 0 && number % failsEach == 1) {
+            trafficLog.brokeOff(stamp);
+            return false;
+        }
         return write(
                 socket,
                 "HTTP/1.1 " + (served ? "200 OK" : "500 Internal Server Error") + "\r\nSablehinge-Try-Id: " + id
--- a/src/main/java/sablehinge/tools/standin/mesh/TrafficLog.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/TrafficLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
@@ -69,6 +70,7 @@
     private final ConcurrentLinkedQueue<Answered> answered = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
     private final ConcurrentHashMap<String, Finished> finished = new ConcurrentHashMap<>();
+    private final Set<String> brokenOff = ConcurrentHashMap.newKeySet();
     private final ConcurrentLinkedQueue<Left> left = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<String> strays = new ConcurrentLinkedQueue<>();
 
@@ -125,6 +127,16 @@
         return one == null ? Double.NaN : one.at();
     }
 
+    /** An upstream closes the connection under a run, with that stamp, in place of an answer. */
+    void brokeOff(String stamp) {
+        brokenOff.add(stamp);
+    }
+
+    /** Whether the run with that stamp ended without an answer by its upstream's will. */
+    boolean hasBrokenOff(String stamp) {
+        return brokenOff.contains(stamp);
+    }
+
     List<Left> left() {
         return new ArrayList<>(left);
     }
