A process that stood still counts its shutdown from as much earlier

Change: PauseHistory, from the ticks of the event loop; a pause of over 200 ms that ended in the last second is counted as part of the grace. The soak tells the longest such delay (heard_after_ms). PauseHistoryTest, GracefulShutdownTest, LateRequestTest, SidecarShutdownTest pass.

--- a/bench/src/sablehinge/tools/standin/mesh/SoakBench.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakBench.java
@@ -113,7 +113,7 @@
     private static void printHead() {
         System.out.printf(
                 Locale.ROOT,
-                "%6s %9s %7s %8s %7s %7s %7s %7s %7s %8s  %s%n",
+                "%6s %9s %7s %8s %7s %7s %7s %7s %7s %8s %8s  %s%n",
                 "seed",
                 "processes",
                 "work ms",
@@ -124,6 +124,7 @@
                 "endings",
                 "excused",
                 "stall ms",
+                "heard ms",
                 "found");
     }
 
@@ -133,7 +134,7 @@
                 : result.findings().size() + (result.isBusy() ? ", the machine was too busy" : "");
         System.out.printf(
                 Locale.ROOT,
-                "%6d %9d %7d %8d %7d %7d %7d %7d %7d %8.0f  %s%n",
+                "%6d %9d %7d %8d %7d %7d %7d %7d %7d %8.0f %8.0f  %s%n",
                 result.seed(),
                 result.processes(),
                 result.workMs(),
@@ -146,6 +147,7 @@
                         .mapToInt(Integer::intValue)
                         .sum(),
                 result.longestStallMs(),
+                result.report().heardAfterMs(),
                 found);
         result.findings()
                 .forEach(one -> System.out.printf(
--- a/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
@@ -49,10 +49,12 @@
      * What was judged.
      *
      * @param endings tries that were under way at, or begun after, SIGTERM of the process that took them
+     * @param heardAfterMs the longest that a process took to say that it leaves
      * @param crossed tries that crossed the close of their connection and were not passed on
      * @param excused those of all tries whose end would break a rule, by why it does not
      */
-    record Report(List<SoakFinding> findings, int endings, int crossed, Map<Excuse, Integer> excused) {}
+    record Report(
+            List<SoakFinding> findings, int endings, int crossed, double heardAfterMs, Map<Excuse, Integer> excused) {}
 
     private final SoakLives lives;
     private final TrafficLog trafficLog;
@@ -61,6 +63,7 @@
     private final Map<Excuse, Integer> excused = new EnumMap<>(Excuse.class);
     private int endings;
     private int crossed;
+    private double heardAfterMs;
 
     /** A judge of one run. */
     SoakJudge(SoakLives lives, TrafficLog trafficLog) {
@@ -76,10 +79,12 @@
         for (int machine = 0; machine < machines; machine++) {
             lives.of(machine).forEach(this::judgeEnd);
         }
-        return new Report(List.copyOf(findings), endings, crossed, Map.copyOf(excused));
+        return new Report(List.copyOf(findings), endings, crossed, heardAfterMs, Map.copyOf(excused));
     }
 
     private void judgeEnd(SoakLives.Life life) {
+        // NaN compares false: it was not stopped, or had not come so far as to say so.
+        heardAfterMs = life.heardAfterMs > heardAfterMs ? life.heardAfterMs : heardAfterMs;
         boolean ended = !Double.isNaN(life.endedAt);
         if (ended && !life.wasToEnd()) {
             found("EXIT", life.machine, life.endedAt, "ended by itself");
@@ -104,7 +109,7 @@
         endings += one.endedAt() >= life.stoppedAt ? 1 : 0;
         double sinceStop = one.startedAt() - life.stoppedAt;
         if (!ran.isEmpty() && sinceStop > TAKEN_MS) {
-            found("LATE", one.machine(), one.startedAt(), one + " was taken " + (long) sinceStop + " ms after SIGTERM");
+            found("LATE", one.machine(), one.startedAt(), one + " was taken late" + described(one, life, ran));
         }
         crossed += one.end() == SoakTry.End.CUT && ran.isEmpty() && one.ahead() == 0 && !wasRead(one) ? 1 : 0;
         String loss = loss(one, life, ran);
@@ -150,7 +155,8 @@
         StringBuilder words = new StringBuilder();
         words.append(String.format(
                 Locale.ROOT,
-                " (after SIGTERM, ms: sent %.0f, written %.0f, ended %.0f",
+                " (after SIGTERM, ms: heard %.0f, sent %.0f, written %.0f, ended %.0f",
+                life.heardAfterMs,
                 one.startedAt() - life.stoppedAt,
                 one.writtenAt() - life.stoppedAt,
                 one.endedAt() - life.stoppedAt));
--- a/bench/src/sablehinge/tools/standin/mesh/SoakLives.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakLives.java
@@ -13,6 +13,8 @@
         final double startedAt;
         /** When it was sent the first SIGTERM; NaN where it was not. */
         volatile double stoppedAt = Double.NaN;
+        /** How long after that it said that it leaves, ms; NaN where it did not. */
+        volatile double heardAfterMs = Double.NaN;
         /** When it was sent SIGKILL; NaN where it was not. */
         volatile double killedAt = Double.NaN;
         /** When it was seen to be gone; NaN while it runs. */
--- a/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
@@ -26,6 +26,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(SoakRun.class);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Pattern STANDING = Pattern.compile("event=standing role=(\\w+) .*members=(\\d+)");
+    private static final Pattern LEAVES = Pattern.compile("at=(\\d+) .*event=drain ");
     private static final long WITHIN_MS = 30_000;
     private static final long LOOK_MS = 50;
     private static final int BERTHS = 6;
@@ -59,7 +60,7 @@
     private final AtomicInteger signals = new AtomicInteger();
     private final AtomicInteger changes = new AtomicInteger();
     private volatile String failure;
-    private SoakJudge.Report report = new SoakJudge.Report(List.of(), 0, 0, Map.of());
+    private SoakJudge.Report report = new SoakJudge.Report(List.of(), 0, 0, 0, Map.of());
     private long edition = 1;
     private int coreStarts;
 
@@ -299,9 +300,7 @@
         if (hangUps) {
             hangUp(place);
         }
-        lives.current(place).stoppedAt = TrafficLog.now();
-        signals.incrementAndGet();
-        sidecar.terminate();
+        long stoppedAt = terminate(place);
         if (hangUps) {
             hangUp(place);
         }
@@ -310,17 +309,30 @@
             signals.incrementAndGet();
             sidecar.terminate();
         }
-        awaitEnd(place);
+        awaitEnd(place, stoppedAt);
         TimeUnit.MILLISECONDS.sleep(delayMs);
         start(place);
     }
 
-    private void awaitEnd(int place) throws InterruptedException {
+    /** Sends SIGTERM to the sidecar of a machine for the first time; when, ms since the epoch. */
+    private long terminate(int place) {
+        signals.incrementAndGet();
+        long at = System.currentTimeMillis();
+        lives.current(place).stoppedAt = TrafficLog.now();
+        mesh.sidecar(place).terminate();
+        return at;
+    }
+
+    private void awaitEnd(int place, long stoppedAt) throws InterruptedException {
         Daemon sidecar = mesh.sidecar(place);
         if (!sidecar.ends((long) (2 * SoakJudge.GRACE_MS))) {
             lives.current(place).killedAt = TrafficLog.now();
             sidecar.kill();
         }
+        Matcher leaves = LEAVES.matcher(sidecar.output());
+        if (leaves.find()) {
+            lives.current(place).heardAfterMs = Long.parseLong(leaves.group(1)) - stoppedAt;
+        }
     }
 
     private void stopEarly(int place, long afterStartMs) throws InterruptedException {
@@ -354,13 +366,12 @@
         for (int i = 0; i < schedule.sidecars(); i++) {
             mesh.ready(i);
         }
-        for (int i = 0; i < schedule.sidecars(); i++) {
-            lives.current(i).stoppedAt = TrafficLog.now();
-            signals.incrementAndGet();
-            mesh.sidecar(i).terminate();
+        long[] stoppedAt = new long[schedule.sidecars()];
+        for (int i = 0; i < stoppedAt.length; i++) {
+            stoppedAt[i] = terminate(i);
         }
-        for (int i = 0; i < schedule.sidecars(); i++) {
-            awaitEnd(i);
+        for (int i = 0; i < stoppedAt.length; i++) {
+            awaitEnd(i, stoppedAt[i]);
         }
     }
 
--- a/bench/src/sablehinge/tools/standin/mesh/SoakTotals.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakTotals.java
@@ -22,6 +22,7 @@
     private int most;
     private int endings;
     private int crossed;
+    private double heardAfterMs;
     private int unconnectedCalls;
     private int busy;
     private int failed;
@@ -40,6 +41,7 @@
         most = Math.max(most, result.processes());
         endings += result.report().endings();
         crossed += result.report().crossed();
+        heardAfterMs = Math.max(heardAfterMs, result.report().heardAfterMs());
         result.report().excused().forEach((why, count) -> excused.merge(why, count, Integer::sum));
         unconnectedCalls += result.unconnectedCalls();
         busy += result.isBusy() ? 1 : 0;
@@ -79,6 +81,7 @@
                 .put("busy", busy)
                 .put("endings", endings)
                 .put("crossed", crossed)
+                .put("heard_after_ms", heardAfterMs)
                 .put("unconnected_calls", unconnectedCalls);
         ObjectNode reasons = json.putObject("excused");
         for (SoakJudge.Excuse why : SoakJudge.Excuse.values()) {
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -111,6 +111,7 @@
 
     private final UpstreamLifecycle lifecycle;
     private final double startedListeningAt = clock.now();
+    private final PauseHistory pauses = new PauseHistory(TICK_MS);
 
     private Sidecar(LocalSettings settings, EventLoop loop) {
         this.settings = settings;
@@ -281,6 +282,7 @@
     }
 
     private void tick() {
+        pauses.tick(clock.now());
         retryBudget.tick();
         peerMonitor.tick();
         if (lifecycle.tick(clock.now())) {
@@ -410,9 +412,13 @@
         drain(0);
     }
 
-    /** Likewise, where so many ms of the grace are over. */
+    /** Likewise, where so many ms of the grace are over, or more: a process that stood still saw its signal late. */
     public void drain(double elapsedMs) throws InterruptedException {
-        GracefulShutdown.run(clock, settings.bounds().graceS() * MS_PER_S, elapsedMs, new ShutdownStages());
+        double pausedMs = loop.submit(() -> pauses.recentMs(clock.now())).sync().getNow();
+        if (pausedMs > 0) {
+            Log.info(LOG, "paused").addKeyValue("ms", Math.round(pausedMs)).log("it stood still before its signal");
+        }
+        GracefulShutdown.run(clock, settings.bounds().graceS() * MS_PER_S, elapsedMs + pausedMs, new ShutdownStages());
     }
 
     /** Each stage runs on the event loop. */
