The pause before a signal is a matter of the shutdown's stages, with a test

Need: nothing failed where Sidecar.drain forgot the pause. Change: GracefulShutdown asks its stages for how long the process stood still, and logs it.

--- a/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/GracefulShutdown.java
@@ -31,6 +31,9 @@
     /** What the stages do; each returns once it is done. */
     interface Stages {
 
+        /** For how long the process stood still before it saw the signal, which may have come as much earlier; ms. */
+        double pausedMs() throws InterruptedException;
+
         /** Clients are notified to go elsewhere; the times of what follows are known. */
         void reportNotReady(ShutdownDeadlines deadlines) throws InterruptedException;
 
@@ -72,7 +75,11 @@
      * @param elapsedMs how much of that is over, ms: it may have been told to end while it started
      */
     static void run(Clock clock, double graceMs, double elapsedMs, Stages stages) throws InterruptedException {
-        double signalledAt = clock.now() - elapsedMs;
+        double pausedMs = stages.pausedMs();
+        if (pausedMs > 0) {
+            Log.info(LOG, "paused").addKeyValue("ms", Math.round(pausedMs)).log("it stood still before its signal");
+        }
+        double signalledAt = clock.now() - elapsedMs - pausedMs;
         ShutdownDeadlines deadlines = deadlines(signalledAt, graceMs);
         double noticeMs = deadlines.admitUntil() - signalledAt;
         stages.reportNotReady(deadlines);
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -414,16 +414,17 @@
 
     /** Likewise, where so many ms of the grace are over, or more: a process that stood still saw its signal late. */
     public void drain(double elapsedMs) throws InterruptedException {
-        double pausedMs = loop.submit(() -> pauses.recentMs(clock.now())).sync().getNow();
-        if (pausedMs > 0) {
-            Log.info(LOG, "paused").addKeyValue("ms", Math.round(pausedMs)).log("it stood still before its signal");
-        }
-        GracefulShutdown.run(clock, settings.bounds().graceS() * MS_PER_S, elapsedMs + pausedMs, new ShutdownStages());
+        GracefulShutdown.run(clock, settings.bounds().graceS() * MS_PER_S, elapsedMs, new ShutdownStages());
     }
 
     /** Each stage runs on the event loop. */
     private final class ShutdownStages implements GracefulShutdown.Stages {
 
+        @Override
+        public double pausedMs() throws InterruptedException {
+            return loop.submit(() -> pauses.recentMs(clock.now())).sync().getNow();
+        }
+
         @Override
         public void reportNotReady(ShutdownDeadlines deadlines) throws InterruptedException {
             runOnLoop(() -> {
--- a/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/GracefulShutdownTest.java
@@ -80,6 +80,15 @@
                 shutdown.done);
     }
 
+    /** The soak found it beside load: a process that had no core saw its signal 1.3 s late. */
+    @Test
+    void whenTheProcessStoodStillThenItsTimesCountFromAsMuchEarlier() throws Exception {
+        Shutdown shutdown = new Shutdown();
+        shutdown.pausedMs = 1_300;
+        shutdown.run();
+        assertEquals(GracefulShutdown.deadlines(NOW - GRACE_MS - 1_300, GRACE_MS), shutdown.deadlines);
+    }
+
     /** Stages that note what is done, of a process whose grace is over and whose callers don't leave. */
     private static final class Shutdown implements GracefulShutdown.Stages {
         final List<String> done = new ArrayList<>();
@@ -87,6 +96,8 @@
         /** How often an answer is still to be written out. */
         int unwrittenChecks;
 
+        double pausedMs;
+
         /** Each look at the clock takes a while, so that no wait is without end. */
         private double now = NOW;
 
@@ -100,6 +111,11 @@
             return at;
         }
 
+        @Override
+        public double pausedMs() {
+            return pausedMs;
+        }
+
         @Override
         public void reportNotReady(ShutdownDeadlines times) {
             deadlines = times;
