Review case 2: silence within an answer loses an unsafe request over a SIGTERM

Cause: the review of how answers are passed on while a sidecar stops. Change: a script in which an upstream sends part of its answer, is silent for 6 s and sends the rest.

--- a/review/standin/Silence.java
+++ b/review/standin/Silence.java
@@ -8,17 +8,19 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Case 2: an upstream sends the head and the first part of its answer, computes for six seconds and sends the rest. The
- * sidecar that took the requests from its clients gets SIGTERM while it computes.
+ * Case 2: unsafe requests take their upstream six seconds, and the sidecar that took them from its clients gets SIGTERM
+ * meanwhile. With trouble the upstream falls silent within its answer: it sends the head and a first part at once and the
+ * rest after the six seconds. Without, it is silent before its answer, for as long.
  */
 public final class Silence {
 
     private static final String PORTAL = "portale";
     private static final String INTAKE = "accettazione";
     private static final int SILENT_MS = 6_000;
-    /** The last requests are sent this long before the SIGTERM. */
-    private static final int BEFORE_TERM_MS = 4_600;
-    private static final int REQUESTS = 8;
+    /** The SIGTERM comes so long after the first request is sent. */
+    private static final int TERM_AFTER_MS = 5_000;
+    private static final int REQUESTS = 10;
+    private static final int REQUEST_EVERY_MS = 100;
     private static final int DEADLINE_MS = 12_000;
     private static final int GRACE_MS = 6_000;
 
@@ -31,20 +33,27 @@
 
     private Silence() {}
 
+    private static volatile boolean silentWithinAnswer;
+
     private static boolean report(Upstream upstream, Upstream.Connection connection, Http.Message request)
             throws IOException {
         String id = request.header("sablehinge-try-id");
         RUN_AT.put(id, Mesh.now());
         upstream.mesh.record.line("upstream: runs try %s", id);
         byte[] body = ("report of " + id + ", ").repeat(20).getBytes(StandardCharsets.ISO_8859_1);
-        Mesh.sleep(100);
-        Mesh.write(connection.socket, Upstream.head(id, "p." + id, body.length));
-        connection.socket.getOutputStream().write(body, 0, 40);
-        upstream.mesh.record.line("upstream: has sent the head and 40 of %d bytes for try %s", body.length, id);
+        int sent = silentWithinAnswer ? 40 : 0;
+        if (silentWithinAnswer) {
+            Mesh.write(connection.socket, Upstream.head(id, "p." + id, body.length));
+            connection.socket.getOutputStream().write(body, 0, sent);
+            upstream.mesh.record.line("upstream: has sent the head and %d of %d bytes for try %s", sent, body.length, id);
+        }
         Mesh.sleep(SILENT_MS);
         DONE_AT.put(id, Mesh.now());
         upstream.mesh.record.line("upstream: sends the rest for try %s", id);
-        connection.socket.getOutputStream().write(body, 40, body.length - 40);
+        if (!silentWithinAnswer) {
+            Mesh.write(connection.socket, Upstream.head(id, "p." + id, body.length));
+        }
+        connection.socket.getOutputStream().write(body, sent, body.length - sent);
         return true;
     }
 
@@ -75,16 +84,16 @@
                         new Upstream(mesh, 0, 12, Silence::report), new Upstream(mesh, 1, 12, Silence::report)),
                 Mesh.configuration(1,
                         List.of(new Mesh.Route("/buy/", "unsafe", INTAKE, 2_000, DEADLINE_MS, 2)), mesh.services));
+        silentWithinAnswer = trouble;
+        double begun = Mesh.now();
         for (int i = 0; i < REQUESTS; i++) {
             String id = "t" + i + "-" + Long.toHexString(System.nanoTime());
             Upstream.daemon(() -> buy(mesh, id));
-            Mesh.sleep(20);
-        }
-        Mesh.sleep(BEFORE_TERM_MS);
-        double termAt = trouble ? Mesh.now() : Double.POSITIVE_INFINITY;
-        if (trouble) {
-            mesh.terminate(0);
+            Mesh.sleep(begun + (i + 1) * REQUEST_EVERY_MS - Mesh.now());
         }
+        Mesh.sleep(begun + TERM_AFTER_MS - Mesh.now());
+        double termAt = Mesh.now();
+        mesh.terminate(0);
         Mesh.sleep(GRACE_MS + 2_000);
         return judge(mesh, termAt);
     }
