Review case 8: an upload that an upstream has begun is answered with 503

Cause: a request whose last byte was not sent counts as never run, even if an upstream has taken in parts of it.

Nothing is fixed.

--- a/review/standin-2/review2/Upstream.java
+++ b/review/standin-2/review2/Upstream.java
@@ -81,6 +81,14 @@
     /** Try ids whose answer was written completely. */
     final Set<String> answered = ConcurrentHashMap.newKeySet();
 
+    /** What it does with the head of a POST before it reads the body; null to read the body first. */
+    interface Streaming {
+        /** Handles the request whose body is still to be read from {@code in}; returns whether to go on. */
+        boolean run(Socket socket, InputStream in, Wire.Head head, String tryId)
+                throws IOException, InterruptedException;
+    }
+
+    volatile Streaming streaming;
     volatile Work work = run -> run.ok("done\n".getBytes(StandardCharsets.ISO_8859_1));
     volatile boolean beating = true;
     volatile String state = "ready";
@@ -123,6 +131,14 @@
                 if (head == null) {
                     return;
                 }
+                Streaming streams = streaming;
+                if (streams != null && head.word(0).equals("POST")) {
+                    String deliverTo = head.headers.get("Sablehinge-Deliver-To");
+                    if (deliverTo == null || deliverTo.equals(id)) {
+                        keep = streams.run(socket, in, head, head.headers.get("Sablehinge-Try-Id"));
+                        continue;
+                    }
+                }
                 byte[] body = Wire.body(in, head);
                 keep = handle(socket, head, body) && !head.closes();
             }
@@ -183,6 +199,20 @@
         }
     }
 
+    /** Ends at once, as a process that is killed: its connections are reset. */
+    void crash() {
+        closed = true;
+        try {
+            listener.close();
+            for (Socket socket : open) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        } catch (IOException e) {
+            // Closed already.
+        }
+    }
+
     @Override
     public void close() {
         closed = true;
