--- a/review/standin-2/review2/Case4.java
+++ b/review/standin-2/review2/Burst.java
@@ -11,7 +11,7 @@
  * CONFIG: 50 users of one machine send an upload of 600,000 bytes each at the same moment. With TROUBLE=0 they send the
  * same uploads one after the other.
  */
-final class Case4 {
+final class Burst {
     private static final int CLIENTS = 50;
     private static final int BODY_BYTES = 600_000;
     private static final long ROUTE_TIMEOUT_MS = 5_000;
@@ -20,7 +20,7 @@
     /** The bounds of the rule. */
     private static final int MIN_UNANSWERED = 8;
 
-    private Case4() {}
+    private Burst() {}
 
     private static final class Upload {
         final String id = Client.newId();
@@ -125,6 +125,6 @@
     }
 
     public static void main(String[] args) {
-        Case.main(args, 3, List.of("basalt", "marl"), Case4::run);
+        Case.main(args, 3, List.of("basalt", "marl"), Burst::run);
     }
 }
--- a/review/standin-2/review2/Case8.java
+++ b/review/standin-2/review2/Upload.java
@@ -11,12 +11,12 @@
 /**
  * REFUSED: an upstream takes an upload in as it comes and crashes in the middle of it. With TROUBLE=0 it does not crash.
  */
-final class Case8 {
+final class Upload {
     private static final int BODY_BYTES = 6_000_000;
     private static final int PIECE_BYTES = 64_000;
     private static final int CRASH_AFTER_BYTES = 1_500_000;
 
-    private Case8() {}
+    private Upload() {}
 
     /** Sends an upload in pieces, some 3 MB a second; returns the answer. */
     private static Client.Answer upload(Log log, Mesh mesh, String id) throws IOException {
@@ -98,6 +98,6 @@
     }
 
     public static void main(String[] args) {
-        Case.main(args, 3, List.of("basalt", "marl", "basalt"), Case8::run);
+        Case.main(args, 3, List.of("basalt", "marl", "basalt"), Upload::run);
     }
 }
