--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,5 @@
 # disruption. Needs the build of the deploy file and review/build-2.sh.
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-[ -f target/sablehinge.jar ] && [ -f target/review-2/review2/Silence.class ] || { echo "not built"; exit 2; }
-exec java -Xmx256m -XX:TieredStopAtLevel=1 -cp target/review-2 review2.Silence "$here/record.txt"
+[ -f target/sablehinge.jar ] && [ -f target/review-2/review2/Unframed.class ] || { echo "not built"; exit 2; }
+exec java -Xmx256m -XX:TieredStopAtLevel=1 -cp target/review-2 review2.Unframed "$here/record.txt"
