Review case 5: an upload is also refused after a SIGTERM

Cause: the case showed the refusal only for an upstream that crashes; the machine's own end does the same to an upload in progress.

--- a/review/standin-2/review2/Mesh.java
+++ b/review/standin-2/review2/Mesh.java
@@ -334,7 +334,8 @@
     /** Sends a signal to a process of this deployment. */
     void signal(Process process, String signal) throws IOException {
         try {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
+            // By the shell, whose own kill is always there.
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).inheritIO().start().waitFor();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/review/standin-2/review2/Upload.java
+++ b/review/standin-2/review2/Upload.java
@@ -9,25 +9,29 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * REFUSED: an upstream takes an upload in as it comes and crashes in the middle of it. With TROUBLE=0 it does not crash.
+ * REFUSED: upstreams take uploads in as they come. First an upstream crashes in the middle of an upload; then the machine
+ * that takes an upload from its client gets SIGTERM. With TROUBLE=0 neither happens.
  */
 final class Upload {
     private static final int BODY_BYTES = 6_000_000;
     private static final int PIECE_BYTES = 64_000;
+    private static final long FAST_PAUSE_MS = 20;
+    private static final long SLOW_PAUSE_MS = 60;
+    private static final long CALM_MS = 3_500;
     private static final int CRASH_AFTER_BYTES = 1_500_000;
 
     private Upload() {}
 
-    /** Sends an upload in pieces, some 3 MB a second; returns the answer. */
-    private static Client.Answer upload(Log log, Mesh mesh, String id) throws IOException {
-        try (Client client = new Client(log, mesh.outbound(1))) {
+    /** Sends an upload in pieces with pauses between them, through the given machine; returns the answer. */
+    private static Client.Answer upload(Log log, Mesh mesh, int machine, String id, long pauseMs) throws IOException {
+        try (Client client = new Client(log, mesh.outbound(machine))) {
             double sentAt = log.now();
             byte[] all = Client.request("POST", "/up/survey-1", id, 5_000, new byte[BODY_BYTES], "");
             try {
                 for (int at = 0; at < all.length && client.socket.getInputStream().available() == 0;
                         at += PIECE_BYTES) {
                     client.write(Arrays.copyOfRange(all, at, Math.min(all.length, at + PIECE_BYTES)));
-                    Mesh.sleep(20);
+                    Mesh.sleep(pauseMs);
                 }
             } catch (IOException e) {
                 log.quiet("upload " + id + ": " + e.getMessage());
@@ -81,20 +85,41 @@
                 return true;
             };
         }
-        String first = Client.newId();
-        Client.Answer answer = upload(log, mesh, first);
+        int broken = 0;
+        log.line("an upload of some 3 MB a second" + (Mesh.trouble() ? "; its upstream will crash" : ""));
+        String id = Client.newId();
+        broken += judge(log, mesh, begun, id, upload(log, mesh, 1, id, FAST_PAUSE_MS));
+        log.line("an upload of some 1 MB a second" + (Mesh.trouble() ? "; its machine will get SIGTERM" : ""));
+        Mesh.sleep(CALM_MS);
+        if (Mesh.trouble()) {
+            Mesh.thread("platform", () -> {
+                Mesh.sleep(500);
+                try {
+                    mesh.signal(mesh.sidecarProcesses[1], "TERM");
+                    log.line("SIGTERM to the machine that takes the upload");
+                } catch (IOException e) {
+                    log.line("no SIGTERM: " + e.getMessage());
+                }
+            });
+        }
+        id = Client.newId();
+        broken += judge(log, mesh, begun, id, upload(log, mesh, 1, id, SLOW_PAUSE_MS));
+        log.line(broken + " of 2 uploads were answered with a promise that they have not run, though an upstream had begun");
+        return broken > 0;
+    }
+
+    /** Counts an upload that was begun and is answered with a promise; the client then tries it again elsewhere. */
+    private static int judge(Log log, Mesh mesh, List<String> begun, String id, Client.Answer answer) throws IOException {
         boolean promised = answer.complete()
                 && (answer.status == 503 || answer.status == 429 || answer.status == 408 || answer.status == 421);
-        boolean ran = begun.contains(first);
-        if (promised) {
-            // A client repeats what can't be repeated only after such a promise.
-            Mesh.sleep(500);
-            upload(log, mesh, Client.newId());
+        if (!promised || !begun.contains(id)) {
+            return 0;
         }
-        log.line("the first try was begun by an upstream: " + ran + "; it was answered with " + answer.status
-                + (promised ? ", which promises that it has not run; the client's next try was begun too: "
-                        + (begun.size() > 1) : ""));
-        return promised && ran;
+        log.line("upload " + id + " was begun by an upstream, and is answered with " + answer.status
+                + ", which promises that it has not run; its client tries again");
+        Mesh.sleep(500);
+        upload(log, mesh, 2, Client.newId(), FAST_PAUSE_MS);
+        return 1;
     }
 
     public static void main(String[] args) {
