A connection never carries the same request twice while it may be sent again

Cause: a request that its upstream turned away is sent there again under the same try id, and the pool handed out the connection that was idle last, that of the refusal. A late second copy of the refusal on it names the request in progress, and was taken for the refusal of the second arrival, which ran; the request was sent a third time.

Change: a connection remembers the requests it has carried until they can't be sent any more (CarriedRequests), and the pool passes over it for these. It goes on carrying others. At both hops, for every outcome and a service of any size. It works as then at most one response on a connection can name a request that is written to it.

--- a/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
@@ -104,7 +104,7 @@
             end(state.resultOf(Event.NO_CONNECTION), Payload.NONE);
             return;
         }
-        UpstreamConnection idle = newTarget.takeIdle(context, resendable());
+        UpstreamConnection idle = newTarget.takeIdle(context, requestId(), resendable());
         if (idle != null) {
             idle.trace(TraceEvent.REUSED, newTarget.member.upstream().id());
             begin(idle);
@@ -307,6 +307,16 @@
         return now == AttemptState.SENT || now == AttemptState.ANSWERING;
     }
 
+    /** The id by which responses name the request, or null. */
+    String requestId() {
+        return context.dialect.requestId(request);
+    }
+
+    /** How long after this attempt the request may be sent again at most, in ms; 0 for a health check. */
+    double maxRetryMs() {
+        return progress == null ? 0 : progress.requestTimeMs();
+    }
+
     /** Whether the load balancer may retry the request after it may have run. */
     private boolean resendable() {
         return context.dialect.resendable(request);
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
@@ -38,6 +38,11 @@
     double idleSince = Double.NaN;
 
     UpstreamAttempt attempt;
+    private final CarriedRequests carriedRequests = new CarriedRequests();
+    /** The id of the request in progress, or null, and how long after its end it may be sent again, in ms. */
+    private String requestId;
+
+    private double maxRetryMs;
     private UpstreamTarget target;
     /**
      * Whether a response was received in part, whether bytes were received since the last check, and the checks so far.
@@ -70,6 +75,8 @@
 
     void assign(UpstreamAttempt attempt) {
         this.attempt = attempt;
+        requestId = attempt.requestId();
+        maxRetryMs = attempt.maxRetryMs();
         target = attempt.target;
         decoder.expectMessage();
         responseStartReported = false;
@@ -81,7 +88,8 @@
     void release(UpstreamTarget owner) {
         attempt = null;
         target = owner;
-        if (!Double.isNaN(owner.drainingSince)) {
+        rememberRequest();
+        if (!Double.isNaN(owner.drainingSince) || !carriedRequests.hasRoom()) {
             channel.close();
             return;
         }
@@ -89,6 +97,19 @@
         owner.idle.addLast(this);
     }
 
+    private void rememberRequest() {
+        if (requestId != null) {
+            double now = context.clock.now();
+            carriedRequests.add(requestId, now, now + maxRetryMs);
+            requestId = null;
+        }
+    }
+
+    /** Whether the connection has carried a request that may be sent again; false if responses don't name requests. */
+    boolean hasCarried(String id) {
+        return id != null && carriedRequests.contains(id, context.clock.now());
+    }
+
     /**
      * Fails the attempt because of a malformed response: the request may have run, and the connection can't be used
      * again.
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamDialect.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamDialect.java
@@ -28,6 +28,11 @@
     /** Whether the load balancer may retry a request after it may have run. */
     boolean resendable(HttpRequest request);
 
+    /** The id by which responses name this request; null if the protocol has no such ids. */
+    default String requestId(HttpRequest request) {
+        return null;
+    }
+
     /** Whether a response names the request that it belongs to, if the protocol requires that. */
     default boolean identifiesRequest(HttpResponse answer) {
         return true;
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamTarget.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamTarget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 import sablehinge.dataplane.proxy.Roster.Member;
 
@@ -24,16 +25,20 @@
         }
     }
 
-    /** Removes and returns an idle connection that may be used; null if there is none. */
-    UpstreamConnection takeIdle(UpstreamContext context, boolean resendable) {
-        for (UpstreamConnection c = idle.pollLast(); c != null; c = idle.pollLast()) {
+    /**
+     * Removes and returns an idle connection that may carry a request; null if there is none.
+     *
+     * @param requestId the id by which responses name the request, or null
+     */
+    UpstreamConnection takeIdle(UpstreamContext context, String requestId, boolean resendable) {
+        for (UpstreamConnection c = latestIdle(requestId); c != null; c = latestIdle(requestId)) {
             if (!context.freshness.mayUse(context.clock.now() - c.idleSince, resendable)) {
-                // The other connections have been idle for longer; one is closed in favour of the new one, so that idle
-                // connections don't accumulate.
-                idle.addLast(c);
+                // The connections before it have been idle for longer; one is closed in favour of the new one, so that
+                // idle connections don't accumulate.
                 idle.pollFirst().channel.close();
                 return null;
             }
+            idle.removeLastOccurrence(c);
             // The upstream may have closed the connection; a request written to it would then count as one that may
             // have run.
             context.sockets.readNow(c.channel);
@@ -43,4 +48,15 @@
         }
         return null;
     }
+
+    /** The connection that has been idle for the shortest time, of those that have not carried the request before. */
+    private UpstreamConnection latestIdle(String requestId) {
+        for (Iterator<UpstreamConnection> latestFirst = idle.descendingIterator(); latestFirst.hasNext(); ) {
+            UpstreamConnection connection = latestFirst.next();
+            if (!connection.hasCarried(requestId)) {
+                return connection;
+            }
+        }
+        return null;
+    }
 }
--- a/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
@@ -83,9 +83,14 @@
         return false;
     }
 
+    @Override
+    public String requestId(HttpRequest request) {
+        return request.headers().get(MeshHeaders.TRY_ID);
+    }
+
     @Override
     public boolean isResponseTo(HttpRequest request, HttpResponse answer) {
-        String sentTryId = request.headers().get(MeshHeaders.TRY_ID);
+        String sentTryId = requestId(request);
         String answeredTryId = answer.headers().get(MeshHeaders.TRY_ID);
         return sentTryId == null || answeredTryId == null || sentTryId.equals(answeredTryId);
     }
