A head that is joined from two responses proves nothing about the request

Cause: a late copy that is broken off within its head takes the status line of the next response as the value of a header, or into its reason phrase. The refusal of the copy and the try id of the response were read as one head.

Change: ResponseMatch classifies each head as it comes: awaited, interim, surplus or untrusted. Untrusted is a head with a status line inside, without an id, or with a header of the protocol twice: the request may have run, and the connection ends. A connection with a surplus response is closed after the awaited one. A response with an id is none to a request without one. Two mutants of the exchange checker name the new conditions. It works as each joined head contains the second status line, or is no head.

--- a/bench/src/sablehinge/torture/ExchangeBench.java
+++ b/bench/src/sablehinge/torture/ExchangeBench.java
@@ -84,7 +84,7 @@
                     "whatever answer comes is the one",
                     DIALECT,
                     "public boolean isResponseTo(",
-                    "sentTryId == null || answeredTryId == null || sentTryId.equals(answeredTryId)",
+                    "sentTryId != null && sentTryId.equals(answer.headers().get(MeshHeaders.TRY_ID))",
                     "true"),
             new Mutant(
                     "any 503 is a refusal",
@@ -102,7 +102,7 @@
                     "an answer that names no request is the one",
                     DIALECT,
                     "public boolean identifiesRequest(",
-                    "answer.headers().contains(MeshHeaders.TRY_ID)",
+                    "answer.headers().getAll(MeshHeaders.TRY_ID).size() == 1",
                     "true"),
             new Mutant(
                     "a 503 that ran is passed on",
@@ -162,13 +162,13 @@
                     "whatever answer comes is the one",
                     DIALECT,
                     "public boolean isResponseTo(",
-                    "sentTryId == null || answeredTryId == null || sentTryId.equals(answeredTryId)",
+                    "sentTryId != null && sentTryId.equals(answer.headers().get(MeshHeaders.TRY_ID))",
                     "true"),
             new Mutant(
                     "an answer that names no request is the one",
                     DIALECT,
                     "public boolean identifiesRequest(",
-                    "answer.headers().contains(MeshHeaders.TRY_ID)",
+                    "answer.headers().getAll(MeshHeaders.TRY_ID).size() == 1",
                     "true"),
             new Mutant(
                     "another upstream is named",
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
@@ -53,9 +52,13 @@
     private int stallChecks;
     private int skippedResponses;
     private Future<?> stallCheck;
+    /** Whether a response to another request was received while the last attempt was in progress. */
+    private boolean surplusReceived;
     /** The response that is being received: its head, its body so far, and its relay once the body is relayed. */
     private HttpResponse head;
 
+    private ResponseMatch match;
+
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     Relay relay;
     private long forwardedBytes;
@@ -81,6 +84,7 @@
         decoder.expectMessage();
         responseStartReported = false;
         skippedResponses = 0;
+        surplusReceived = false;
         stallChecks = 0;
     }
 
@@ -169,8 +173,8 @@
         if (attempt != null
                 && head != null
                 && !responseStartReported
-                && context.dialect.canRelay(head)
-                && context.dialect.isResponseTo(attempt.request, head)) {
+                && match == ResponseMatch.AWAITED
+                && context.dialect.canRelay(head)) {
             responseStartReported = true;
             attempt.onResponseStart();
         }
@@ -227,12 +231,9 @@
             }
             return;
         }
-        if (message instanceof HttpResponse begun) {
-            head = begun;
-            if (HttpUtil.getContentLength(begun, 0L) > UpstreamClient.MAX_RELAYED_BYTES) {
-                failMalformed();
-                return;
-            }
+        if (message instanceof HttpResponse begun && !begin(begun)) {
+            failMalformed();
+            return;
         }
         if (message instanceof HttpContent content && head != null) {
             if (relay == null) {
@@ -246,6 +247,22 @@
         }
     }
 
+    /** Begins a response; returns whether it may be received. */
+    private boolean begin(HttpResponse begun) {
+        head = null;
+        if (attempt == null || HttpUtil.getContentLength(begun, 0L) > UpstreamClient.MAX_RELAYED_BYTES) {
+            return false;
+        }
+        match = ResponseMatch.of(context.dialect, attempt.request, begun);
+        if (match == ResponseMatch.UNTRUSTED) {
+            // The upstream may still be processing the request.
+            return false;
+        }
+        surplusReceived |= match == ResponseMatch.SURPLUS;
+        head = begun;
+        return true;
+    }
+
     /** Buffers a short response, so that it is passed on completely or not at all; starts to relay a long one. */
     private void appendBody(ByteBuf part) {
         boolean fits = body.readableBytes() + part.readableBytes() <= UpstreamClient.MAX_BUFFERED_BODY_BYTES;
@@ -267,8 +284,8 @@
                 || relayed.ended
                 || !relayed.isComplete()
                 || !channel.isActive()
-                || !context.dialect.canRelay(head)
-                || !context.dialect.isResponseTo(relayed.request, head)) {
+                || match != ResponseMatch.AWAITED
+                || !context.dialect.canRelay(head)) {
             failMalformed();
             return;
         }
@@ -307,7 +324,8 @@
         }
         Relay done = relay;
         relay = null;
-        boolean keep = channel.isActive() && HttpUtil.isKeepAlive(head) && !decoder.hasUnreadBytes();
+        boolean keep =
+                channel.isActive() && HttpUtil.isKeepAlive(head) && !surplusReceived && !decoder.hasUnreadBytes();
         head = null;
         done.end();
         channel.config().setAutoRead(true);
@@ -357,28 +375,17 @@
             failMalformed();
             return;
         }
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            if (response.status().code() == 101 || ++skippedResponses > MAX_SKIPPED_RESPONSES) {
-                failMalformed();
-            }
-            return;
-        }
-        if (!context.dialect.identifiesRequest(response)) {
-            // The response may belong to any request, and the upstream may still be processing the awaited one.
-            failMalformed();
-            return;
-        }
-        if (!context.dialect.isResponseTo(attempt.request, response)) {
-            // A surplus response came before the awaited one, which may still follow.
-            if (++skippedResponses > MAX_SKIPPED_RESPONSES || !HttpUtil.isKeepAlive(response)) {
-                failMalformed();
-            }
+        if (match != ResponseMatch.AWAITED) {
+            skip(response);
             return;
         }
         UpstreamAttempt served = attempt;
         attempt = null;
-        boolean keep =
-                !served.ended && served.isComplete() && HttpUtil.isKeepAlive(response) && !decoder.hasUnreadBytes();
+        boolean keep = !served.ended
+                && served.isComplete()
+                && HttpUtil.isKeepAlive(response)
+                && !surplusReceived
+                && !decoder.hasUnreadBytes();
         served.onResponse(response, new HttpPayload(response));
         // The connection is released only now: the load balancer's next attempt must not use a connection that is still
         // reading.
@@ -389,6 +396,14 @@
         }
     }
 
+    /** Skips a response that came before the awaited one, which may still follow. */
+    private void skip(HttpResponse response) {
+        boolean last = match == ResponseMatch.SURPLUS && !HttpUtil.isKeepAlive(response);
+        if (last || ++skippedResponses > MAX_SKIPPED_RESPONSES) {
+            failMalformed();
+        }
+    }
+
     /** Pauses and resumes the relay of a request body as the upstream reads it. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamDialect.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamDialect.java
@@ -33,7 +33,10 @@
         return null;
     }
 
-    /** Whether a response names the request that it belongs to, if the protocol requires that. */
+    /**
+     * Whether a response names the request that it belongs to, if the protocol requires that, and contains each header
+     * once that tells something about this request.
+     */
     default boolean identifiesRequest(HttpResponse answer) {
         return true;
     }
--- a/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.List;
 import sablehinge.common.eventloop.Clock;
 import sablehinge.dataplane.budget.Budget;
 import sablehinge.dataplane.http1.HopHeaders;
@@ -29,6 +30,9 @@
             new UpstreamTerms(RESPONSE_STALL_MS, UNSAFE_REUSE_IDLE_MS, BODY_STALL_MS, false);
 
     private static final int MISDIRECTED = 421;
+    /** Headers of a response that contradict each other if they are repeated. */
+    private static final List<String> SINGLE_HEADERS =
+            List.of(MeshHeaders.NOT_RUN, MeshHeaders.POSTMARK, MeshHeaders.VERDICT);
 
     private final Clock clock;
     private final boolean toSidecars;
@@ -91,8 +95,7 @@
     @Override
     public boolean isResponseTo(HttpRequest request, HttpResponse answer) {
         String sentTryId = requestId(request);
-        String answeredTryId = answer.headers().get(MeshHeaders.TRY_ID);
-        return sentTryId == null || answeredTryId == null || sentTryId.equals(answeredTryId);
+        return sentTryId != null && sentTryId.equals(answer.headers().get(MeshHeaders.TRY_ID));
     }
 
     /**
@@ -100,7 +103,9 @@
      */
     @Override
     public boolean identifiesRequest(HttpResponse answer) {
-        return answer.headers().contains(MeshHeaders.TRY_ID);
+        return answer.headers().getAll(MeshHeaders.TRY_ID).size() == 1
+                && SINGLE_HEADERS.stream()
+                        .allMatch(name -> answer.headers().getAll(name).size() <= 1);
     }
 
     @Override
