The model of exchanges plays late and broken-off refusals

Change: events for a request that is sent again after a refusal, for a late second copy of a refusal and for a part of one, and a beginning with the first; two mutants (the same request again on one connection, a status line inside a head). The mutant on unnamed answers stands in ResponseMatch. A request on a connection with bytes behind its last answer is a violation of its own now: the mutant that keeps such a connection was found by a joined head alone, which ResponseMatch rejects.

--- a/bench/src/sablehinge/torture/ExchangeBench.java
+++ b/bench/src/sablehinge/torture/ExchangeBench.java
@@ -27,11 +27,18 @@
     private static final String STATE = "dataplane/proxy/AttemptState";
     private static final String ATTEMPT = "dataplane/http1/UpstreamAttempt";
     private static final String DIALECT = "dataplane/sidecar/MeshUpstream";
+    private static final String MATCH = "dataplane/http1/ResponseMatch";
     private static final String ANSWERS = "dataplane/sidecar/MeshResponses";
 
-    /** What each order begins with: a request at the upstream, one that was served, and an upload. */
-    private static final List<List<Event>> BEGINNINGS =
-            List.of(List.of(Event.CALL), List.of(Event.CALL, Event.ANSWER), List.of(Event.UPLOAD_HALF));
+    /**
+     * What each order begins with: a request at the upstream, one that was served, an upload, and a request that was
+     * refused and is sent again.
+     */
+    private static final List<List<Event>> BEGINNINGS = List.of(
+            List.of(Event.CALL),
+            List.of(Event.CALL, Event.ANSWER),
+            List.of(Event.UPLOAD_HALF),
+            List.of(Event.CALL, Event.REFUSE, Event.CALL_AGAIN));
 
     private static final String ATTEMPT_RULES = "policy/AttemptRules";
     private static final String FRONT = "dataplane/sidecar/OutboundFront";
@@ -100,10 +107,10 @@
                     ""),
             new Mutant(
                     "an answer that names no request is the one",
-                    DIALECT,
-                    "public boolean identifiesRequest(",
-                    "answer.headers().getAll(MeshHeaders.TRY_ID).size() == 1",
-                    "true"),
+                    MATCH,
+                    "static ResponseMatch of(",
+                    "if (!dialect.identifiesRequest(head)) { return UNTRUSTED;",
+                    "if (!dialect.identifiesRequest(head)) { return AWAITED;"),
             new Mutant(
                     "a 503 that ran is passed on",
                     ANSWERS,
@@ -134,6 +141,18 @@
                     "private void complete(FullHttpResponse response, boolean delimited)",
                     "&& !decoder.hasUnreadBytes()",
                     ""),
+            new Mutant(
+                    "a connection carries the same request again",
+                    "dataplane/http1/UpstreamTarget",
+                    "private UpstreamConnection latestIdle(",
+                    "!connection.hasCarried(requestId)",
+                    "!connection.hasCarried(null)"),
+            new Mutant(
+                    "a head with a status line inside is one answer",
+                    MATCH,
+                    "static ResponseMatch of(",
+                    "if (containsStatusLine(head)) {",
+                    "if (head == null) {"),
             new Mutant(
                     "an attempt that is given up leaves its connection",
                     ATTEMPT,
@@ -166,10 +185,10 @@
                     "true"),
             new Mutant(
                     "an answer that names no request is the one",
-                    DIALECT,
-                    "public boolean identifiesRequest(",
-                    "answer.headers().getAll(MeshHeaders.TRY_ID).size() == 1",
-                    "true"),
+                    MATCH,
+                    "static ResponseMatch of(",
+                    "if (!dialect.identifiesRequest(head)) { return UNTRUSTED;",
+                    "if (!dialect.identifiesRequest(head)) { return AWAITED;"),
             new Mutant(
                     "another upstream is named",
                     DIALECT,
--- a/bench/src/sablehinge/torture/ExchangePlay.java
+++ b/bench/src/sablehinge/torture/ExchangePlay.java
@@ -27,6 +27,8 @@
         UPLOAD_HALF,
         UPLOAD_REST,
         CALLER_RESETS,
+        /** The caller sends a request that the upstream has refused once more, with the same id. */
+        CALL_AGAIN,
         /** Somebody else calls on a connection of its own: a neighbour, or the same client once more. */
         NEIGHBOUR_CALLS,
         ANSWER,
@@ -43,6 +45,10 @@
         NOISE,
         /** The upstream says that the request has not run. */
         REFUSE,
+        /** A second copy of a refusal, at any later time. */
+        LATE_REFUSAL,
+        /** The beginning of a refusal, broken off within its head, before the answer. */
+        PART_OF_REFUSAL,
         /** A complete answer that says so and names no request, while the one there goes on. */
         UNNAMED_REFUSAL,
         /** The upstream has run it and answers 503. */
@@ -78,6 +84,17 @@
         Sent(String id, int length) {
             super(id, length);
         }
+
+        /** Whether the upstream has refused it and the caller was told so. */
+        boolean mayBeSentAgain() {
+            return refused && promised;
+        }
+
+        void sentAgain() {
+            refused = false;
+            promised = false;
+            made = 0;
+        }
     }
 
     private final Net net = new Net(1, new Memory());
@@ -144,6 +161,7 @@
             case CALL -> caller.isOpen() && !caller.uploads() && caller.sends(id(), 4);
             case UPLOAD_HALF -> caller.isOpen() && caller.waiting.isEmpty() && caller.sends(id(), LONG_BODY);
             case UPLOAD_REST -> caller.isOpen() && caller.uploads() && caller.sendsRest();
+            case CALL_AGAIN -> caller.isOpen() && !caller.uploads() && caller.sendsAgain();
             case CALLER_RESETS -> caller.isOpen() && caller.end(true);
             case NEIGHBOUR_CALLS -> clients.size() < 4 && new Client().sends(id(), 4);
             case ANSWER -> working(line -> line.serves(line.at, true, ""));
@@ -160,6 +178,8 @@
             // In the middle of a body its bytes would be the body.
             case NOISE -> live(line -> line.rest == null && line.write("\u0001what is this?\r\n\r\n"));
             case REFUSE -> working(line -> line.fails("503 Full\r\nSablehinge-Not-Run: 1", true));
+            case LATE_REFUSAL -> live(Line::lateRefusal);
+            case PART_OF_REFUSAL -> working(Line::partOfRefusal);
             case UNNAMED_REFUSAL ->
                 working(line ->
                         line.write("HTTP/1.1 503 Full\r\nSablehinge-Not-Run: 1" + "\r\nContent-Length: 0\r\n\r\n"));
@@ -226,8 +246,23 @@
         boolean sends(String id, int length) {
             Sent sent = new Sent(id, length);
             all.put(id, sent);
+            return sends(sent);
+        }
+
+        boolean sendsAgain() {
+            for (Sent sent : all.values()) {
+                if (sent.mayBeSentAgain() && sent.length <= HALF_BODY) {
+                    sent.sentAgain();
+                    return sends(sent);
+                }
+            }
+            return false;
+        }
+
+        private boolean sends(Sent sent) {
+            int length = sent.length;
             waiting.add(sent);
-            byte[] head = ("POST /u/x HTTP/1.1\r\nHost: h\r\nSablehinge-Try-Id: " + id
+            byte[] head = ("POST /u/x HTTP/1.1\r\nHost: h\r\nSablehinge-Try-Id: " + sent.id
                             + "\r\nSablehinge-Time-Left: " + TIME_LEFT + "\r\nSablehinge-Patience: " + TIMEOUT
                             + "\r\nSablehinge-Rank: 1\r\nSablehinge-Deliver-To: " + GateParts.INCARNATION
                             + "\r\nContent-Length: " + length + "\r\n\r\n")
@@ -285,6 +320,12 @@
         private boolean beganEarly;
         private Sent before;
         private String rest;
+        /** The last refusal that was sent; null for none, and once its second copy was sent. */
+        private String refusal;
+
+        private boolean partSent;
+        /** Whether bytes were sent behind its last answer. */
+        private boolean spoilt;
 
         Line(PipeChannel channel) {
             super(net, channel, false);
@@ -313,6 +354,9 @@
             if (at != null) {
                 net.violated("a second request on a connection at work");
             }
+            if (spoilt) {
+                net.violated("a request on a connection with bytes behind its last answer");
+            }
             at = all.get(message.headers.get("sablehinge-try-id"));
             isComplete = false;
             beganEarly = false;
@@ -355,6 +399,7 @@
 
         boolean serves(Sent to, boolean stamped, String more) {
             answered(stamped ? 200 : 0);
+            spoilt = !more.isEmpty();
             return write(answer(to, stamped) + more);
         }
 
@@ -381,7 +426,21 @@
                 to.ran--;
             }
             answered(503);
-            return write("HTTP/1.1 " + status + "\r\nSablehinge-Try-Id: " + to.id + "\r\nContent-Length: 0\r\n\r\n");
+            String text = "HTTP/1.1 " + status + "\r\nSablehinge-Try-Id: " + to.id + "\r\nContent-Length: 0\r\n\r\n";
+            refusal = notRun ? text : null;
+            return write(text);
+        }
+
+        boolean lateRefusal() {
+            String copy = refusal;
+            refusal = null;
+            return copy != null && rest == null && write(copy);
+        }
+
+        boolean partOfRefusal() {
+            boolean first = !partSent;
+            partSent = true;
+            return first && write("HTTP/1.1 503 Full\r\nSablehinge-Not-Run: 1\r\nContent-Type: ");
         }
 
         boolean early() {
--- a/src/test/java/sablehinge/torture/ExchangeTest.java
+++ b/src/test/java/sablehinge/torture/ExchangeTest.java
@@ -47,6 +47,21 @@
                                 OutboundPlay.Event.THAW)));
     }
 
+    /** TWICE: the late copy of a refusal and the refusal that is due are told apart by their connections. */
+    @Test
+    void requestThatIsSentAgainIsNotRefusedByLateCopy() {
+        assertEquals(
+                List.of(),
+                new ExchangePlay()
+                        .play(List.of(Event.CALL, Event.REFUSE, Event.CALL_AGAIN, Event.LATE_REFUSAL, Event.ANSWER)));
+    }
+
+    /** TWICE: a broken-off refusal and the answer behind it are not read as one. */
+    @Test
+    void partOfRefusalBeforeAnswerIsNoRefusal() {
+        assertEquals(List.of(), new ExchangePlay().play(List.of(Event.CALL, Event.PART_OF_REFUSAL, Event.ANSWER)));
+    }
+
     @Test
     void whatCannotHappenIsNotPlayed() {
         assertNull(new ExchangePlay().play(List.of(Event.REST_OF_ANSWER)));
