One line of JoinedResponseTest within the length that Checkstyle allows

Cause: a string of 121 characters; the formatter doesn't break strings.

Change: the string is broken, its value stays.

--- a/src/test/java/sablehinge/dataplane/sidecar/JoinedResponseTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/JoinedResponseTest.java
@@ -188,7 +188,8 @@
                 "Sablehinge-Try-Id: t-1\r\nSablehinge-Try-Id: t-2\r\nSablehinge-Not-Run: 1\r\n",
                 "Sablehinge-Try-Id: t-1\r\nSablehinge-Try-Id: t-1\r\nSablehinge-Not-Run: 1\r\n",
                 "Sablehinge-Try-Id: t-1\r\nSablehinge-Not-Run: 1\r\nSablehinge-Not-Run: 1\r\n",
-                "Sablehinge-Try-Id: t-1\r\nSablehinge-Not-Run: 1\r\nSablehinge-Postmark: a\r\nSablehinge-Postmark: b\r\n"
+                "Sablehinge-Try-Id: t-1\r\nSablehinge-Not-Run: 1\r\nSablehinge-Postmark: a\r\nSablehinge-Postmark: b"
+                        + "\r\n"
             })
     void repeatedHeaderProvesNothing(String headers) throws Exception {
         try (SidecarFixture mesh = SidecarFixture.withUpstream()
