A response without a valid status line, or with a folded line, is no response

Cause: Netty parses status lines leniently (any number as a code, white space and control octets around it, any octet in a reason phrase, control octets before a status line that follows an interim response in one segment), and appends a line that begins with a blank to the value of the line before. Nothing after the decoder looked at either again.

Change: ResponseDecoder (common.http) compares each status line with the grammar of RFC 9112 before Netty decodes it, and rejects folded lines in heads, interim heads and trailers; UpstreamDecoder extends it, in place of its own check of the first seven octets. So both hops, the gateway and health checks, complete and relayed responses have it. The attempt ends as after any malformed response: it may have run, the connection is closed. SidecarFixture goes on to another network after 125 fixtures, as a class of tests more needs more addresses.

Why it works: each response passes this decoder, which compares octets with the grammar and not with a list of what was seen.

Malformed names other than with a blank in first place were rejected before; they stay in the test.

--- a/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
@@ -81,7 +81,6 @@
         requestId = attempt.requestId();
         maxRetryMs = attempt.maxRetryMs();
         target = attempt.target;
-        decoder.expectMessage();
         responseStartReported = false;
         skippedResponses = 0;
         surplusReceived = false;
@@ -210,12 +209,6 @@
     private void onMessageComplete() {
         trace(TraceEvent.LAST_BYTE, 0);
         answerStarted = decoder.hasUnreadBytes();
-        // The prefix of buffered bytes is not checked again; they are decoded as the next message.
-        if (answerStarted) {
-            decoder.skipPrefixCheck();
-        } else {
-            decoder.expectMessage();
-        }
         if (stallCheck != null) {
             stallCheck.cancel(false);
             stallCheck = null;
--- a/src/test/java/sablehinge/architecture/LayersTest.java
+++ b/src/test/java/sablehinge/architecture/LayersTest.java
@@ -68,6 +68,7 @@
                             "com.fasterxml.jackson",
                             "com.github.rvesse")),
             Map.entry("sablehinge.common.eventloop", Set.of("io.netty")),
+            Map.entry("sablehinge.common.http", Set.of("io.netty")),
             Map.entry("sablehinge.common.logging", Set.of("ch.qos.logback", "net.logstash.logback", "org.slf4j")),
             Map.entry("sablehinge.common.mapping", Set.of()),
             Map.entry("sablehinge.common.rpc", Set.of("io.netty")),
@@ -100,6 +101,7 @@
                     "sablehinge.dataplane.http1",
                     Set.of(
                             "sablehinge.common.eventloop",
+                            "sablehinge.common.http",
                             "sablehinge.common.logging",
                             "sablehinge.dataplane.budget",
                             "sablehinge.dataplane.proxy",
--- a/src/test/java/sablehinge/dataplane/sidecar/SidecarFixture.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/SidecarFixture.java
@@ -25,6 +25,8 @@
     static final int INNER = 7_100;
     private static final long TIMEOUT_NANOS = 20_000_000_000L;
     private static final AtomicInteger FIXTURES = new AtomicInteger();
+    /** Each takes two addresses of a network, whose last octet is under 255. */
+    private static final int FIXTURES_PER_NET = 125;
 
     final StubCore core;
     final Listener app = new Listener();
@@ -52,8 +54,10 @@
     /** Likewise; {@code onMade} receives the sidecar before it reads its first request. */
     SidecarFixture(boolean confirms, Setup early, Consumer<Sidecar> onMade) throws Exception {
         long process = ProcessHandle.current().pid();
-        String net = "127." + (1 + process % 250) + "." + (1 + process / 250 % 250) + ".";
-        int number = 2 * FIXTURES.incrementAndGet();
+        int fixture = FIXTURES.getAndIncrement();
+        String net =
+                "127." + (1 + process % 250) + "." + (1 + (process / 250 + fixture / FIXTURES_PER_NET) % 250) + ".";
+        int number = 2 + 2 * (fixture % FIXTURES_PER_NET);
         core = new StubCore(net + number, INNER);
         core.setConfirming(confirms);
         String ip = net + (number + 1);
