Discovery's responses are held to the grammar too

Seen by callers: none seen here; a roster in a response with a malformed status line (HTTP/1.1 +200, 0200, 200 with a control octet behind it) or with a folded line in its head was adopted, so the gateway could send requests by a roster that its discovery did not send.

Cause: the same lenient decoder, here as part of HttpClientCodec.

Change: Discovery decodes with ResponseDecoder. A malformed response fails the call, and its connection is closed, as before for what was not HTTP at all.

--- a/src/main/java/sablehinge/gateway/discovery/Discovery.java
+++ b/src/main/java/sablehinge/gateway/discovery/Discovery.java
@@ -14,9 +14,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -27,6 +27,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sablehinge.common.http.ResponseDecoder;
 import sablehinge.common.logging.Log;
 import sablehinge.dataplane.proxy.Registry;
 import sablehinge.dataplane.proxy.Roster;
@@ -101,7 +102,8 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new HttpRequestEncoder(),
+                                        new ResponseDecoder(),
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                         new ResponseHandler());
                     }
--- a/src/test/java/sablehinge/architecture/LayersTest.java
+++ b/src/test/java/sablehinge/architecture/LayersTest.java
@@ -164,6 +164,7 @@
             Map.entry(
                     "sablehinge.gateway.discovery",
                     Set.of(
+                            "sablehinge.common.http",
                             "sablehinge.common.logging",
                             "sablehinge.dataplane.proxy",
                             "sablehinge.gateway.settings",
--- a/src/test/java/sablehinge/gateway/discovery/DiscoveryTest.java
+++ b/src/test/java/sablehinge/gateway/discovery/DiscoveryTest.java
@@ -8,6 +8,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -19,6 +21,7 @@
 import sablehinge.policy.LoadBalancer.Change;
 import sablehinge.testing.Listener;
 import sablehinge.testing.Peer;
+import sablehinge.testing.ResponseGrammar;
 import sablehinge.testing.Script;
 import sablehinge.testing.Stage;
 
@@ -133,6 +136,35 @@
         }
     }
 
+    /** A roster in a response without a valid status line, or with a malformed field name, is not adopted. */
+    @Test
+    void reportsMalformedHeadAsFailureAndKeepsOldRoster() throws Exception {
+        try (stage) {
+            startStage();
+            stage.script.onRequest = request -> {
+                stage.script.actions.refuse(request.id(), 0);
+                stage.script.actions.watch(true);
+            };
+            String rest = Stage.ok(Stage.roster(45, false)).substring("HTTP/1.1 200 OK\r\n".length());
+            List<String> heads = new ArrayList<>();
+            ResponseGrammar.malformedStatusLines().forEach(line -> heads.add(line + "\r\n"));
+            ResponseGrammar.malformedNames()
+                    .forEach(name -> heads.add("HTTP/1.1 200 OK\r\nA: b\r\n" + name + ": v\r\n"));
+            Peer caller = stage.caller();
+            for (String head : heads) {
+                Peer watch = stage.discovery.accept();
+                assertEquals(
+                        "GET /catalog/members?index=41&wait=20000 HTTP/1.1",
+                        watch.read().first());
+                watch.write(head + rest);
+                assertEquals(Change.FAILED, Script.next(stage.script.changes), () -> ResponseGrammar.escape(head));
+                assertTrue(watch.ended());
+                caller.write(Stage.get("again", "10"));
+                assertEquals(503, caller.read().status());
+            }
+        }
+    }
+
     @Test
     void reportsUnreachableDiscoveryAsFailure() throws Exception {
         try (stage) {
