The operators' client holds answers of the core to the grammar

Seen by callers: none seen here; mesh status, mesh config and the other operators' commands took 2000, 600 or HTTP/1.x 200 for an answer, so a broken answer to Config.Replace could be reported as an acknowledgement.

Cause: the JDK's client reads three characters as the code whatever is around them, ends a line at a bare line feed or carriage return, joins folded lines and takes an empty name. It shows nothing of the status line, so none of that can be checked from outside.

Change: NettyHttpCaller calls with Netty, which is there already, and decodes with ResponseDecoder; AnswerHandler collects the answer. What holds besides stays: a call that was certainly not sent is a ConnectException, an answer has a Content-Length of 16 MiB at most, and a malformed one is no whole answer (the call may have been carried out). Each call has a connection of its own.

Why it works: one decoder for all responses.

--- a/src/main/java/sablehinge/cli/mesh/operator/CommandContext.java
+++ b/src/main/java/sablehinge/cli/mesh/operator/CommandContext.java
@@ -29,7 +29,7 @@
 
     /** The environment of this process. */
     public static CommandContext ofProcess(PrintStream out, PrintStream err) {
-        return new CommandContext(out, err, new JdkHttpCaller(), new SystemClock(), System.getenv(CORE));
+        return new CommandContext(out, err, new NettyHttpCaller(), new SystemClock(), System.getenv(CORE));
     }
 
     /** Prints a line with control characters replaced by question marks. */
