The client of the admin listener holds answers to the grammar

Seen by callers: none seen here; the config commands printed a NumberFormatException for an answer with a status that is no number, and took 600, 2000 or an incomplete answer for an answer.

Cause: a parser of its own, which read three characters behind HTTP/1.1 as the status and all behind the first empty line as the body.

Change: what was received goes through ResponseDecoder; a malformed or incomplete answer is an IOException with the endpoint.

Why it works: one decoder for all responses, and it knows where a body ends.

--- a/src/main/java/sablehinge/cli/AdminClient.java
+++ b/src/main/java/sablehinge/cli/AdminClient.java
@@ -2,14 +2,22 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.SocketAddress;
 import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import sablehinge.common.http.ResponseDecoder;
 import sablehinge.gateway.settings.Addresses;
 
 /** A client of a running balancer's admin listener; opens one connection per request. */
@@ -55,12 +63,26 @@
         } catch (IOException e) {
             throw new IOException("no balancer answers at " + endpoint + ": " + e.getMessage(), e);
         }
-        String text = answer.toString(StandardCharsets.UTF_8);
-        int end = text.indexOf("\r\n\r\n");
-        if (!text.startsWith("HTTP/1.1 ") || end < 0) {
-            throw new IOException("the balancer at " + endpoint + " ended the connection without an answer");
+        return parse(answer.toByteArray());
+    }
+
+    private Answer parse(byte[] received) throws IOException {
+        EmbeddedChannel decoder =
+                new EmbeddedChannel(new ResponseDecoder(), new HttpObjectAggregator(MAX_RESPONSE_BYTES));
+        try {
+            decoder.writeInbound(Unpooled.wrappedBuffer(received));
+            FullHttpResponse response = decoder.readInbound();
+            if (response == null || !response.decoderResult().isSuccess()) {
+                throw new IOException("the balancer at " + endpoint + " ended the connection without an answer");
+            }
+            try (InputStream body = new ByteBufInputStream(response.content(), true)) {
+                return new Answer(response.status().code(), JSON.readTree(body));
+            }
+        } catch (DecoderException e) {
+            throw new IOException("the balancer at " + endpoint + " sent a malformed answer", e);
+        } finally {
+            decoder.releaseInbound();
         }
-        return new Answer(Integer.parseInt(text.substring(9, 12)), JSON.readTree(text.substring(end + 4)));
     }
 
     private static void write(SocketChannel channel, byte[] bytes) throws IOException {
--- a/src/test/java/sablehinge/architecture/LayersTest.java
+++ b/src/test/java/sablehinge/architecture/LayersTest.java
@@ -26,6 +26,7 @@
                     Set.of(
                             "sablehinge.cli.mesh",
                             "sablehinge.cli.mesh.operator",
+                            "sablehinge.common.http",
                             "sablehinge.common.logging",
                             "sablehinge.common.mapping",
                             "sablehinge.common.settings",
