The load tool holds answers to the grammar and never sends a request again after one

Seen by users: a rehearsal counted a status of 000 or +200, and a head with a folded line, as an answer. Where a name was malformed, the connection stayed open and the attempt waited until its time was over (SILENT).

Cause: HttpClientCodec's lenient decoder; and a head that Netty reports as malformed has no last part, which alone was looked at.

Change: the load tool decodes with ResponseDecoder. A malformed head ends the connection and the attempt as PARTIAL: something of an answer came. It must not count as an idle connection's end that crossed the request, which is sent again.

Why it works: one decoder for all responses, and each failed result is looked at when it comes.

--- a/src/main/java/sablehinge/tools/replay/run/ReplayConnection.java
+++ b/src/main/java/sablehinge/tools/replay/run/ReplayConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -112,6 +113,10 @@
             }
             if (message instanceof HttpResponse head) {
                 current.begun = true;
+                if (!head.decoderResult().isSuccess()) {
+                    ctx.close();
+                    return;
+                }
                 status = head.status().code();
                 keep = HttpUtil.isKeepAlive(head);
                 current.retryAfter = retryAfter(head.headers().get("Retry-After"));
@@ -181,6 +186,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (current != null && cause instanceof DecoderException) {
+            // An answer has begun, though a malformed one: its request has been read.
+            current.begun = true;
+        }
         ctx.close();
     }
 
--- a/src/main/java/sablehinge/tools/replay/run/ReplayWorker.java
+++ b/src/main/java/sablehinge/tools/replay/run/ReplayWorker.java
@@ -7,12 +7,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import sablehinge.common.http.ResponseDecoder;
 import sablehinge.tools.audit.EvidenceStamps;
 import sablehinge.tools.audit.judge.AuditRules.Effect;
 import sablehinge.tools.audit.judge.Evidence.ClientAttempt;
@@ -190,7 +191,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), connection);
+                        channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(), connection);
                     }
                 })
                 .connect(one.target.address)
--- a/src/test/java/sablehinge/architecture/LayersTest.java
+++ b/src/test/java/sablehinge/architecture/LayersTest.java
@@ -232,6 +232,7 @@
                     "sablehinge.tools.replay.run",
                     Set.of(
                             "sablehinge.common.eventloop",
+                            "sablehinge.common.http",
                             "sablehinge.common.mapping",
                             "sablehinge.tools.audit",
                             "sablehinge.tools.audit.judge",
--- a/src/test/java/sablehinge/tools/replay/run/LoadTest.java
+++ b/src/test/java/sablehinge/tools/replay/run/LoadTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import sablehinge.common.eventloop.ClosingEventLoops;
 import sablehinge.common.mapping.MappedRequest;
 import sablehinge.testing.Listener;
@@ -243,6 +245,32 @@
                 tries().stream().map(ClientAttempt::end).toList());
     }
 
+    /** On a connection that has served before, it must not be taken for an end that crossed the request. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\n",
+                "HTTP/1.1 +200 OK\r\n",
+                "HTTP/1.1 200 \1\r\n",
+                "HTTP/1.1 200 OK\r\nA: b\r\n Ab: v\r\n",
+                "HTTP/1.1 200 OK\r\nA\1b: v\r\n"
+            })
+    void aMalformedAnswerIsPartialAndNotSentAgain(String head) throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        against(
+                peer -> {
+                    connections.incrementAndGet();
+                    write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    write(peer, head + "Content-Length: 2\r\n\r\nok");
+                    return true;
+                },
+                2);
+        assertEquals(
+                List.of(End.ANSWERED, End.PARTIAL),
+                tries().stream().map(ClientAttempt::end).toList());
+        assertEquals(1, connections.get());
+    }
+
     @Test
     void aSecondAnswerIsNoted() throws Exception {
         String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
