An orderly end of its connection completes an answer without a length

Cause: UpstreamConnection took the end of a connection for the end of an answer only behind Connection: close. RFC 9112, 6.3 lets any response without a length and without chunks extend to the end of its connection.

Change: ResponseDecoder decides where a response ends, for upstreams, peers, the gateway, health checks, discovery and the load tool. Only the orderly end of the peer completes a response that its connection delimits; a reset, or a close from this side, does not. The checks in UpstreamConnection are gone. A body in a transfer coding other than chunked, which was passed on with its coding, is malformed.

Why it works: the event of a half-closed channel shows the peer's end, and an exception before it tells a reset from it.

--- a/bench/src/sablehinge/torture/PipeChannel.java
+++ b/bench/src/sablehinge/torture/PipeChannel.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.DefaultChannelConfig;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -40,6 +41,7 @@
     private boolean reading;
     private boolean readSoon;
     private boolean outputShut;
+    private boolean inputShut;
     private int linger = -1;
     /** Whether a write waits for room. */
     private boolean blocked;
@@ -141,10 +143,20 @@
             pipeline().fireExceptionCaught(cause);
             closes = true;
         }
-        if (closes && open) {
-            unsafe().close(voidPromise());
-        } else {
+        if (!closes) {
             readSoon();
+        } else if (open) {
+            closeInput();
+        }
+    }
+
+    /** The stream has ended or broken; as on a selector's channel, the same event follows either. */
+    private void closeInput() {
+        if (!config.halfClosure) {
+            unsafe().close(voidPromise());
+        } else if (!inputShut) {
+            inputShut = true;
+            pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
         }
     }
 
@@ -288,7 +300,7 @@
 
     @Override
     public boolean isInputShutdown() {
-        return false;
+        return inputShut;
     }
 
     @Override
@@ -358,6 +370,7 @@
     private static final class Config extends DefaultChannelConfig {
 
         private final PipeChannel channel;
+        private boolean halfClosure;
 
         Config(PipeChannel channel) {
             super(channel);
@@ -370,6 +383,10 @@
                 channel.linger = (Integer) value;
                 return true;
             }
+            if (option == ChannelOption.ALLOW_HALF_CLOSURE) {
+                halfClosure = (Boolean) value;
+                return true;
+            }
             return option == ChannelOption.TCP_NODELAY
                     || option == ChannelOption.SO_SNDBUF
                     || super.setOption(option, value);
--- a/bench/src/sablehinge/torture/Upstream.java
+++ b/bench/src/sablehinge/torture/Upstream.java
@@ -209,7 +209,7 @@
             pending = ((fate == Fate.AHEAD ? "HTTP/1.1 103 Early Hints\r\n\r\n" : "") + "HTTP/1.1 " + status
                             + "\r\n"
                             + (unframed
-                                    ? "Connection: close\r\n"
+                                    ? body.length % 2 == 0 ? "Connection: close\r\n" : ""
                                     : made.chunked
                                             ? "Transfer-Encoding: chunked\r\n"
                                             : "Content-Length: " + body.length + "\r\n")
--- a/src/main/java/sablehinge/common/http/ResponseDecoder.java
+++ b/src/main/java/sablehinge/common/http/ResponseDecoder.java
@@ -1,12 +1,20 @@
 package sablehinge.common.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
@@ -17,6 +25,12 @@
  *
  * <p>A malformed response ends in an exception or in a failed {@linkplain HttpResponse#decoderResult() result}; either
  * way the connection must be closed, as nothing is known about the bytes that follow.
+ *
+ * <p>The decoder also decides where a response ends (RFC 9112, section 6.3): after its Content-Length, with its last
+ * chunk, or, if it has neither, with the orderly end of its connection. A reset completes no response, nor does a close
+ * from this side. A successful {@link LastHttpContent} is thus emitted for complete responses only. Only the event of a
+ * half-closed channel tells an orderly end from the others, so a channel whose server may delimit responses that way
+ * needs {@link io.netty.channel.ChannelOption#ALLOW_HALF_CLOSURE}; the decoder closes it when its input has ended.
  */
 public class ResponseDecoder extends HttpResponseDecoder {
 
@@ -33,6 +47,10 @@
     private ByteBuf input;
 
     private int uncheckedFrom;
+    /** Whether reading has failed, and whether the server has ended its output in order. */
+    private boolean broken;
+
+    private boolean inputEnded;
 
     /** Creates a decoder with Netty's default limits. */
     public ResponseDecoder() {
@@ -60,12 +78,66 @@
         for (Object decoded : out) {
             if (decoded instanceof LastHttpContent) {
                 part = Part.STATUS_LINE;
-            } else if (decoded instanceof HttpResponse) {
+            } else if (decoded instanceof HttpResponse head) {
                 part = Part.BODY;
+                checkFraming(head);
             }
         }
     }
 
+    /** Rejects an unknown transfer coding, and lets a head say that its connection ends if that delimits its body. */
+    private void checkFraming(HttpResponse head) {
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunked = codings.size() == 1
+                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                        codings.get(0).strip());
+        if (!codings.isEmpty() && !chunked) {
+            throw new CorruptedFrameException("an unknown transfer coding");
+        }
+        if (!chunked && !HttpUtil.isContentLengthSet(head) && !isContentAlwaysEmpty(head)) {
+            HttpUtil.setKeepAlive(head, false);
+        }
+    }
+
+    /** Whether the server has ended its output in order; no more responses follow. */
+    public final boolean hasInputEnded() {
+        return inputEnded;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (!(event instanceof ChannelInputShutdownEvent)) {
+            super.userEventTriggered(ctx, event);
+            return;
+        }
+        inputEnded = !broken;
+        super.userEventTriggered(ctx, event);
+        ctx.close();
+    }
+
+    /** A reset, like any failure to read, is followed by the same event as an orderly end. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) throws Exception {
+        broken = true;
+        super.exceptionCaught(ctx, cause);
+    }
+
+    /** Netty completes a response that has no length by any end of its connection. */
+    @Override
+    protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        super.decodeLast(ctx, in, out);
+        if (!inputEnded) {
+            out.replaceAll(decoded -> decoded == LastHttpContent.EMPTY_LAST_CONTENT ? truncation() : decoded);
+        }
+    }
+
+    private static LastHttpContent truncation() {
+        LastHttpContent truncated = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+        truncated.setDecoderResult(
+                DecoderResult.failure(new PrematureChannelClosureException("the connection broke within a response")));
+        return truncated;
+    }
+
     private void checkHead(ByteBuf in) {
         int fields = in.readerIndex();
         if (part == Part.STATUS_LINE) {
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
@@ -62,7 +62,6 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     Relay relay;
     private long forwardedBytes;
-    private boolean reset;
     /** Whether the attempt was notified that the response has begun. */
     private boolean responseStartReported;
 
@@ -219,7 +218,7 @@
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (!message.decoderResult().isSuccess()) {
             // If the message is truncated by the end of the connection, the attempt is notified by channelInactive.
-            if (channel.isActive()) {
+            if (channel.isActive() && !decoder.hasInputEnded()) {
                 failMalformed();
             }
             return;
@@ -311,10 +310,6 @@
             return;
         }
         onMessageComplete();
-        if (!channel.isActive() && !endsWithConnection()) {
-            breakRelay();
-            return;
-        }
         Relay done = relay;
         relay = null;
         boolean keep =
@@ -329,14 +324,6 @@
         }
     }
 
-    /** Whether the end of the connection delimits the response. A process that dies resets its connection instead. */
-    private boolean endsWithConnection() {
-        return !reset
-                && !HttpUtil.isKeepAlive(head)
-                && !HttpUtil.isTransferEncodingChunked(head)
-                && !HttpUtil.isContentLengthSet(head);
-    }
-
     private void releaseBody() {
         ByteBuf dropped = body;
         body = Unpooled.EMPTY_BUFFER;
@@ -348,22 +335,16 @@
         FullHttpResponse response = new DefaultFullHttpResponse(
                 answer.protocolVersion(), answer.status(), body, answer.headers(), EmptyHttpHeaders.INSTANCE);
         body = Unpooled.EMPTY_BUFFER;
-        boolean delimited = endsWithConnection();
         head = null;
         try {
-            complete(response, delimited);
+            complete(response);
         } finally {
             response.release();
         }
     }
 
-    private void complete(FullHttpResponse response, boolean delimited) {
+    private void complete(FullHttpResponse response) {
         onMessageComplete();
-        if (attempt != null && !channel.isActive() && !delimited) {
-            // The end of the connection does not complete a response: a crash would look the same.
-            attempt.connectionEnded();
-            return;
-        }
         if (attempt == null) {
             failMalformed();
             return;
@@ -428,7 +409,6 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
             // The attempt is notified by channelInactive.
-            reset = true;
             channel.close();
         } else {
             // The response is too large or not HTTP; the upstream has received the request.
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamContext.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamContext.java
@@ -40,6 +40,7 @@
                 .channelFactory(sockets.kind().connecting())
                 .option(ChannelOption.ALLOCATOR, memory)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/sablehinge/gateway/discovery/Discovery.java
+++ b/src/main/java/sablehinge/gateway/discovery/Discovery.java
@@ -97,6 +97,7 @@
                 .option(ChannelOption.ALLOCATOR, allocator)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/sablehinge/tools/replay/run/ReplayWorker.java
+++ b/src/main/java/sablehinge/tools/replay/run/ReplayWorker.java
@@ -188,6 +188,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/test/java/sablehinge/common/http/ResponseDecoderTest.java
+++ b/src/test/java/sablehinge/common/http/ResponseDecoderTest.java
@@ -1,17 +1,28 @@
 package sablehinge.common.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import sablehinge.testing.ResponseGrammar;
 
 /** What is decoded does not depend on the segments in which the octets arrive. */
@@ -117,4 +128,56 @@
     private static String chunked(String trailers) {
         return OK + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailers + "\r\n";
     }
+
+    /** How the input of a channel ends. */
+    private enum End {
+        ORDERLY,
+        RESET,
+        CLOSED_HERE
+    }
+
+    /** MIXED: Netty tells an orderly end, a reset and a close from this side alike. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void onlyOrderlyEndCompletesResponseWithoutLength(End end) {
+        for (String headers : List.of("", "Connection: close\r\n", "Connection: keep-alive\r\n")) {
+            EmbeddedChannel channel = new EmbeddedChannel(new ResponseDecoder());
+            channel.writeInbound(
+                    Unpooled.copiedBuffer(OK + "\r\n" + headers + "\r\nbody", StandardCharsets.ISO_8859_1));
+            HttpResponse head = channel.readInbound();
+            assertFalse(HttpUtil.isKeepAlive(head), headers);
+            HttpContent body = channel.readInbound();
+            assertEquals("body", body.content().toString(StandardCharsets.ISO_8859_1));
+            body.release();
+            if (end == End.RESET) {
+                channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+            }
+            if (end != End.CLOSED_HERE) {
+                channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+            }
+            channel.close();
+            LastHttpContent last = channel.readInbound();
+            assertEquals(end == End.ORDERLY, last.decoderResult().isSuccess(), headers);
+            assertNull(channel.readInbound());
+            assertFalse(channel.isOpen());
+        }
+    }
+
+    /** Responses that end by themselves leave their connection open. */
+    @Test
+    void responseThatEndsByItselfKeepsConnection() {
+        for (String response : List.of(
+                OK + "\r\nContent-Length: 0\r\n\r\n",
+                OK + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "HTTP/1.1 204 No Content\r\n\r\n",
+                "HTTP/1.1 304 Not Modified\r\n\r\n")) {
+            EmbeddedChannel channel = new EmbeddedChannel(new ResponseDecoder());
+            channel.writeInbound(Unpooled.copiedBuffer(response, StandardCharsets.ISO_8859_1));
+            HttpResponse head = channel.readInbound();
+            assertTrue(HttpUtil.isKeepAlive(head), response);
+            LastHttpContent last = channel.readInbound();
+            assertTrue(last.decoderResult().isSuccess(), response);
+            channel.finishAndReleaseAll();
+        }
+    }
 }
--- a/src/test/java/sablehinge/gateway/discovery/DiscoveryTest.java
+++ b/src/test/java/sablehinge/gateway/discovery/DiscoveryTest.java
@@ -226,6 +226,25 @@
         }
     }
 
+    /** A reset completes no roster, even if all of it was received. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void fetchesRosterDelimitedByConnectionEnd(boolean abruptly) throws Exception {
+        try (stage) {
+            stage.script.onStart = () -> stage.script.actions.fetch();
+            startStage();
+            Peer call = stage.discovery.accept();
+            call.read();
+            call.write("HTTP/1.1 200 OK\r\n\r\n" + Stage.roster(50, true));
+            if (abruptly) {
+                call.reset();
+            } else {
+                call.close();
+            }
+            assertEquals(abruptly ? Change.FAILED : Change.FULL, Script.next(stage.script.changes));
+        }
+    }
+
     @Test
     void fetchClosesItsConnection() throws Exception {
         try (stage) {
--- a/src/test/java/sablehinge/tools/replay/run/LoadTest.java
+++ b/src/test/java/sablehinge/tools/replay/run/LoadTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -41,6 +42,8 @@
 @Timeout(120)
 class LoadTest {
 
+    private static final int READING_MS = 200;
+
     private static final ReplayClient.Terms ONCE = new ReplayClient.Terms(0, 0.5, 0.5, 10, 1, 2_000);
     private static final ReplayClient.Terms TWICE = new ReplayClient.Terms(1, 0.5, 0.5, 10, 1, 2_000);
 
@@ -271,6 +274,32 @@
         assertEquals(1, connections.get());
     }
 
+    /** A reset within an answer that has no length was counted as the end of it. */
+    @Test
+    void anAnswerWithoutLengthIsCompletedByAnOrderlyEndOnly() throws Exception {
+        AtomicInteger turn = new AtomicInteger();
+        against(
+                peer -> {
+                    write(peer, "HTTP/1.1 200 OK\r\n\r\nbody");
+                    return turn.getAndIncrement() == 0 ? end(peer) : reset(peer);
+                },
+                2);
+        assertEquals(
+                List.of(End.ANSWERED, End.PARTIAL),
+                tries().stream().map(ClientAttempt::end).toList());
+    }
+
+    /** Resets the connection once the client has had time to read what was written. */
+    private static boolean reset(Peer peer) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(READING_MS));
+        try {
+            peer.reset();
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+        return true;
+    }
+
     @Test
     void aSecondAnswerIsNoted() throws Exception {
         String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
