An acknowledged departure of an upstream binds the next process of its sidecar

What callers saw: an upstream signed off, was acknowledged and served on; its sidecar was killed and started again.

Cause: what a process of a sidecar has acknowledged stood in its memory alone. The next one took the first heartbeat of an id that it did not know for a new life, and the leader published the upstream as ready.

Change: sign-offs and acknowledged unloading are departures, final for their incarnation. The leader publishes no departed incarnation as ready and tells each new process of the sidecar; the other sidecars remember departures and tell the next leader. A process admits nothing before a confirmed leader has answered it. The records between our processes keep their form: a departure is a registration that is not ready and has 0 berths.

Tests changed: UpstreamLifecycleTest lost a late heartbeat with the process it was sent to; it now comes at any time (stricter). acceptsHeartbeatSentDuringStart waits until the process has heard of the control plane, without which it may not admit, and then expects the same.

Why it works: an acknowledgement is given only when somebody else knows of it, and a process admits only after it has asked.

--- a/src/main/java/sablehinge/controlplane/node/WatchServer.java
+++ b/src/main/java/sablehinge/controlplane/node/WatchServer.java
@@ -97,11 +97,19 @@
         subscriber.requestedAtMs = now;
         subscriber.pending = true;
         subscriber.confirmed = false;
+        request.vouched().forEach(registration -> recordReport(now, registration));
         registry.register(now, request.registration());
-        request.vouched().forEach(registration -> registry.recordPeerReport(now, registration));
         healthView.onHeartbeat(now, request.registration().node(), request.suspicions());
     }
 
+    private void recordReport(double now, Registration reported) {
+        if (reported.isLeaving()) {
+            registry.recordDeparture(now, reported);
+        } else {
+            registry.recordPeerReport(now, reported);
+        }
+    }
+
     /** Confirms a request: everything committed before it arrived was passed to {@link #configurationChanged}. */
     public void confirmed(K subscriber, int number) {
         Subscriber entry = subscribers.get(subscriber);
@@ -208,7 +216,19 @@
                 full,
                 complete,
                 round.quotaSharers,
-                changed ? round.since(full ? 0 : request.stamp()) : List.of(),
+                changed ? registrations(round, full ? 0 : request.stamp(), request) : List.of(),
                 memberAddresses);
     }
+
+    private List<Registration> registrations(Round round, long knownStamp, WatchRequest request) {
+        List<Registration> departures =
+                registry.departuresSince(knownStamp, request.registration().node());
+        if (departures.isEmpty()) {
+            return round.since(knownStamp);
+        }
+        // A later entry of a balancer replaces an earlier one.
+        List<Registration> all = new ArrayList<>(departures);
+        all.addAll(round.since(knownStamp));
+        return all;
+    }
 }
--- a/src/main/java/sablehinge/controlplane/state/Registry.java
+++ b/src/main/java/sablehinge/controlplane/state/Registry.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import sablehinge.mesh.watch.Departures;
 import sablehinge.mesh.watch.Registration;
 
 /**
@@ -12,12 +13,18 @@
  * nor on disk, since all balancers register again with the next leader. Each entry has the stamp of its last change, so
  * that a reader that knows the changes up to a stamp can request the later ones. An ejected balancer is published as
  * not ready until it registers again.
+ *
+ * <p>An upstream that has announced that it leaves is never published as ready again, whatever its balancer registers:
+ * the process that acknowledged the announcement may have been replaced by one that does not know of it.
  */
 public final class Registry {
 
     private final double expiryMs;
     private final double completeAfterMs;
     private final Map<String, Row> rows = new HashMap<>();
+    /** Marked with the stamps at which they were recorded. */
+    private final Departures departures = new Departures();
+
     private long stamp;
     private double resetAt = Double.NaN;
 
@@ -58,12 +65,14 @@
     /** Removes all entries and restarts the time until the registry is complete. */
     public void reset(double now) {
         rows.clear();
+        departures.clear();
         stamp = 0;
         resetAt = now;
     }
 
     /** Registers a balancer; returns whether its entry has changed. */
-    public boolean register(double now, Registration registration) {
+    public boolean register(double now, Registration registered) {
+        Registration registration = departures.contains(registered.upstream()) ? registered.leaving() : registered;
         Row row = rows.computeIfAbsent(registration.node(), node -> new Row());
         row.lastContactAt = now;
         boolean changed =
@@ -100,6 +109,33 @@
         }
     }
 
+    /** Records that an upstream has announced that it leaves. */
+    public void recordDeparture(double now, Registration leaving) {
+        if (!departures.record(now, leaving)) {
+            return;
+        }
+        departures.mark(leaving.upstream(), ++stamp);
+        Row row = rows.get(leaving.node());
+        if (row != null && row.registration.upstream().equals(leaving.upstream())) {
+            row.registration = row.registration.leaving();
+            row.stamp = ++stamp;
+        }
+    }
+
+    /**
+     * The upstreams of a balancer that were recorded after a stamp as leaving, followed by the present entry of the
+     * balancer; empty if there are none. A process that has just started knows none of those that it must not serve.
+     */
+    public List<Registration> departuresSince(long knownStamp, String node) {
+        List<Registration> leaving = new ArrayList<>(departures.withMark(mark -> mark > knownStamp));
+        leaving.removeIf(registration -> !registration.node().equals(node));
+        Row row = rows.get(node);
+        if (!leaving.isEmpty() && row != null) {
+            leaving.add(row.published());
+        }
+        return leaving;
+    }
+
     /** Ejects a balancer or revokes its ejection: an ejected balancer gets no new requests, whatever it registered. */
     public void setEjected(String node, boolean ejected) {
         Row row = rows.get(node);
@@ -142,6 +178,7 @@
             }
         }
         rows.values().removeIf(row -> now - row.lastContactAt > 4 * expiryMs);
+        departures.expire(now);
         return changed;
     }
 
--- a/src/main/java/sablehinge/dataplane/admission/UpstreamLifecycle.java
+++ b/src/main/java/sablehinge/dataplane/admission/UpstreamLifecycle.java
@@ -11,6 +11,11 @@
  *
  * <p>Only a heartbeat opens admission. A health check response also names the incarnation, but it does not show whether
  * an earlier process of this balancer acknowledged that the incarnation unloads, and it may be false.
+ *
+ * <p>An incarnation whose sign-off or {@code unloading} was acknowledged never opens admission again, whichever process
+ * acknowledged it. A process that has just started does not know what earlier ones acknowledged, and a heartbeat may be
+ * late; admission therefore stays closed until the caller has passed the {@linkplain #handleDeparture departures} that
+ * the control plane knows of and {@linkplain #startAdmitting started} it.
  */
 public final class UpstreamLifecycle {
 
@@ -55,6 +60,7 @@
     private double closesAt = Double.POSITIVE_INFINITY;
     private boolean unloading;
     private boolean timedOut;
+    private boolean admitting;
 
     /**
      * Creates a tracker without a known upstream; admission is closed.
@@ -104,7 +110,13 @@
         unloading = false;
         timedOut = false;
         closesAt = Double.POSITIVE_INFINITY;
-        admission.open(now, incarnationOf.applyAsLong(heartbeat.id()), heartbeat.berths());
+        open(now);
+    }
+
+    private void open(double now) {
+        if (admitting) {
+            admission.open(now, incarnationOf.applyAsLong(current.id()), current.berths());
+        }
     }
 
     private boolean handleRepeated(double now, Heartbeat heartbeat) {
@@ -121,7 +133,7 @@
         lastHeartbeatAt = now;
         timedOut = false;
         if (resized && !unloading) {
-            admission.open(now, incarnationOf.applyAsLong(heartbeat.id()), heartbeat.berths());
+            open(now);
         }
         return changed;
     }
@@ -148,6 +160,25 @@
         return true;
     }
 
+    /** An earlier process of this balancer has acknowledged that an incarnation leaves. */
+    public void handleDeparture(double now, String id) {
+        boolean draining = unloading && current.id().equals(id);
+        if (!draining) {
+            handleSignOff(now, id);
+        }
+    }
+
+    /** Admits requests from now on: all departures that were acknowledged before are known. */
+    public void startAdmitting(double now) {
+        if (admitting) {
+            return;
+        }
+        admitting = true;
+        if (current != null && !unloading) {
+            open(now);
+        }
+    }
+
     /** Checks the timeouts. Returns true if other balancers must be notified of a change. */
     public boolean tick(double now) {
         if (unloading && now >= closesAt) {
@@ -165,9 +196,9 @@
         return timedOut ? null : current;
     }
 
-    /** Whether an upstream is present and not draining. */
+    /** Whether an upstream is present, not draining and admitted. */
     public boolean isReady() {
-        return present() != null && !unloading;
+        return admitting && present() != null && !unloading;
     }
 
     /** Time in milliseconds at which admission closes for the current incarnation; infinite if it is not known. */
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -32,6 +32,7 @@
 import sablehinge.dataplane.proxy.Version;
 import sablehinge.mesh.api.ApiServer;
 import sablehinge.mesh.api.ConfigurationReader;
+import sablehinge.mesh.failuredetection.Monitor;
 import sablehinge.mesh.retrybudget.Grant;
 import sablehinge.mesh.routing.Configuration;
 import sablehinge.mesh.routing.RoutingTable;
@@ -111,6 +112,7 @@
     private boolean upstreamWithdrawn;
 
     private final UpstreamLifecycle lifecycle;
+    private final DepartureReporter departures = new DepartureReporter();
     private final double startedListeningAt = clock.now();
     private final PauseHistory pauses = new PauseHistory(TICK_MS);
 
@@ -250,14 +252,17 @@
 
     // ---- Local upstream -------------------------------------------------------------------------
 
-    private void handleHeartbeat(UpstreamLifecycle.Heartbeat heartbeat) {
+    private void handleHeartbeat(
+            UpstreamLifecycle.Heartbeat heartbeat, Consumer<UpstreamCalls.Acknowledgement> callback) {
         double now = clock.now();
         UpstreamLifecycle.Heartbeat before = lifecycle.present();
         double closed = lifecycle.closesAt();
         if (lifecycle.handleHeartbeat(now, heartbeat)) {
             watchClient.requestNow();
         }
-        if (before == null || !before.id().equals(heartbeat.id())) {
+        UpstreamLifecycle.Heartbeat present = lifecycle.present();
+        boolean isFirst = present != null && (before == null || !before.id().equals(present.id()));
+        if (isFirst) {
             Log.info(LOG, "upstream")
                     .addKeyValue("id", heartbeat.id())
                     .addKeyValue("berths", heartbeat.berths())
@@ -268,11 +273,34 @@
         if (lifecycle.closesAt() < closed) {
             startDrain(heartbeat.id(), lifecycle.closesAt() - now);
         }
+        if (heartbeat.unloading()) {
+            announceDeparture(now, heartbeat.id(), callback);
+        } else {
+            callback.accept(UpstreamCalls.Acknowledgement.GIVEN);
+        }
     }
 
-    private void handleSignOff(UpstreamCalls.SignOff call) {
-        if (lifecycle.handleSignOff(clock.now(), call.id())) {
+    private void handleSignOff(UpstreamCalls.SignOff call, Consumer<UpstreamCalls.Acknowledgement> callback) {
+        double now = clock.now();
+        if (lifecycle.handleSignOff(now, call.id())) {
             startDrain(call.id(), 0);
+        }
+        announceDeparture(now, call.id(), callback);
+    }
+
+    private void announceDeparture(double now, String upstream, Consumer<UpstreamCalls.Acknowledgement> callback) {
+        Registration leaving = new Registration(
+                settings.node(),
+                settings.zone(),
+                settings.listenOn().inbound(),
+                settings.depot(),
+                upstream,
+                false,
+                0,
+                0);
+        departures.announce(now, leaving, callback);
+        if (departures.isWaiting()) {
+            wantsConfirmation = true;
             watchClient.requestNow();
         }
     }
@@ -290,6 +318,7 @@
         pauses.tick(clock.now());
         retryBudget.tick();
         peerMonitor.tick();
+        departures.tick(clock.now());
         if (lifecycle.tick(clock.now())) {
             watchClient.requestNow();
         }
@@ -330,7 +359,17 @@
                     registry.stamp(),
                     wantsConfirmation,
                     peerMonitor.suspicions(),
-                    peerMonitor.vouched());
+                    vouched());
+        }
+
+        private List<Registration> vouched() {
+            List<Registration> vouched = new ArrayList<>(departures.report(registry.term(), Monitor.MAX_REPORTED));
+            for (Registration peer : peerMonitor.vouched()) {
+                if (vouched.size() < Monitor.MAX_REPORTED) {
+                    vouched.add(peer);
+                }
+            }
+            return vouched;
         }
 
         @Override
@@ -344,6 +383,7 @@
                 confirmedAt = Math.max(confirmedAt, requestedAt);
                 wantsConfirmation = false;
             }
+            applyDepartures(now, requestedAt, update);
             applyRegistry(now, update);
         }
 
@@ -385,6 +425,20 @@
                 .log("configuration adopted");
     }
 
+    /** Applies what is known of upstreams that leave, before admission may begin. */
+    private void applyDepartures(double now, double requestedAt, Update update) {
+        for (Registration registration : update.registrations()) {
+            if (registration.isLeaving() && registration.node().equals(settings.node())) {
+                lifecycle.handleDeparture(now, registration.upstream());
+            }
+        }
+        if (update.confirmed()) {
+            lifecycle.startAdmitting(now);
+        }
+        departures.onUpdate(now, requestedAt, update);
+        wantsConfirmation |= departures.isWaiting();
+    }
+
     private void applyRegistry(double now, Update update) {
         RegistryView.Outcome outcome = registry.apply(update);
         if (outcome == RegistryView.Outcome.STALE) {
--- a/src/main/java/sablehinge/dataplane/sidecar/UpstreamCalls.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/UpstreamCalls.java
@@ -12,8 +12,28 @@
 
     private UpstreamCalls() {}
 
-    /** The acknowledgement of a call. */
-    record Acknowledgement() {}
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    /** Handles calls of one kind. */
+    interface Listener<Q> {
+
+        /** Handles a call and reports once, possibly later, whether it is acknowledged. */
+        void onCall(Q call, Consumer<Acknowledgement> callback);
+    }
+
+    /** Whether a call is acknowledged. If not, the upstream calls again. */
+    enum Acknowledgement {
+        GIVEN,
+        /** The control plane has not recorded in time what the acknowledgement would promise. */
+        WITHHELD;
+
+        private ApiResponse response() {
+            return this == GIVEN
+                    ? ApiResponse.of(OK)
+                    : ApiResponse.error(UNAVAILABLE, "NOT_RECORDED", "the control plane has not recorded it yet");
+        }
+    }
 
     /** The sign-off of an upstream that leaves. */
     record SignOff(String id) {}
@@ -24,7 +44,7 @@
      *
      * @param app the address of the local upstream, {@code ip:port}
      */
-    static Operation<Heartbeat, Acknowledgement> heartbeats(String app, Consumer<Heartbeat> listener) {
+    static Operation<Heartbeat, Acknowledgement> heartbeats(String app, Listener<Heartbeat> listener) {
         return new HttpOperation<>("POST", "/sablehinge/Servers.Heartbeat/") {
             @Override
             public Heartbeat read(ApiRequest request) {
@@ -33,19 +53,18 @@
 
             @Override
             public void execute(Heartbeat heartbeat, Consumer<Acknowledgement> callback) {
-                listener.accept(heartbeat);
-                callback.accept(new Acknowledgement());
+                listener.onCall(heartbeat, callback);
             }
 
             @Override
             public ApiResponse write(Acknowledgement acknowledgement) {
-                return ApiResponse.of(200);
+                return acknowledgement.response();
             }
         };
     }
 
     /** The sign-off operation. */
-    static Operation<SignOff, Acknowledgement> signOffs(Consumer<SignOff> listener) {
+    static Operation<SignOff, Acknowledgement> signOffs(Listener<SignOff> listener) {
         return new HttpOperation<>("POST", "/sablehinge/Servers.SignOff/") {
             @Override
             public SignOff read(ApiRequest request) {
@@ -54,13 +73,12 @@
 
             @Override
             public void execute(SignOff call, Consumer<Acknowledgement> callback) {
-                listener.accept(call);
-                callback.accept(new Acknowledgement());
+                listener.onCall(call, callback);
             }
 
             @Override
             public ApiResponse write(Acknowledgement acknowledgement) {
-                return ApiResponse.of(200);
+                return acknowledgement.response();
             }
         };
     }
--- a/src/main/java/sablehinge/mesh/watch/Registration.java
+++ b/src/main/java/sablehinge/mesh/watch/Registration.java
@@ -9,7 +9,8 @@
  * @param service the service of the upstream
  * @param upstream the id of the upstream's current incarnation; empty if there is none
  * @param ready whether it accepts new requests
- * @param berths maximum number of concurrent requests of the upstream
+ * @param berths maximum number of concurrent requests of the upstream; 0 once the incarnation has announced that it
+ *     leaves
  * @param warmUpMs remaining warm-up time of the upstream, in milliseconds, when its incarnation first registered
  */
 public record Registration(
@@ -20,4 +21,15 @@
         String upstream,
         boolean ready,
         int berths,
-        int warmUpMs) {}
+        int warmUpMs) {
+
+    /** Whether the upstream's incarnation has announced that it leaves. It never accepts requests again. */
+    public boolean isLeaving() {
+        return !upstream.isEmpty() && !ready && berths == 0;
+    }
+
+    /** The registration of the same upstream once it has announced that it leaves. */
+    public Registration leaving() {
+        return new Registration(node, zone, inbound, service, upstream, false, 0, 0);
+    }
+}
--- a/src/main/java/sablehinge/mesh/watch/WatchRequest.java
+++ b/src/main/java/sablehinge/mesh/watch/WatchRequest.java
@@ -19,7 +19,8 @@
  * @param stamp the change counter of that registry
  * @param confirm whether the leader must confirm that nothing newer was acknowledged before the request
  * @param suspicions monitored peers that send no heartbeats; at most {@link Monitor#MAX_REPORTED}
- * @param vouched peers that send heartbeats and are missing in the registry; at most as many
+ * @param vouched peers that send heartbeats and are missing in the registry, and upstreams that
+ *     {@linkplain Registration#isLeaving leave}, of which the leader may not know; together at most as many
  */
 public record WatchRequest(
         int number,
--- a/src/test/java/sablehinge/dataplane/admission/UpstreamLifecycleTest.java
+++ b/src/test/java/sablehinge/dataplane/admission/UpstreamLifecycleTest.java
@@ -60,6 +60,11 @@
         void start() {
             admission = new AdmissionController(this);
             lifecycle = new UpstreamLifecycle(admission, Machine::incarnationNumber, UNLOAD_MS, HEARTBEAT_MS);
+            // What earlier processes acknowledged is known to the control plane.
+            if (drainAcknowledgedAt < Double.POSITIVE_INFINITY) {
+                lifecycle.handleDeparture(now, INCARNATION);
+            }
+            lifecycle.startAdmitting(now);
         }
 
         void kill() {
@@ -96,12 +101,8 @@
                     draining = true;
                     heartbeat(true, ++callCount);
                 }
-                case LATE_READY_HEARTBEAT -> {
-                    // A heartbeat in transit is lost if the process stops.
-                    if (drainAcknowledgedAt == Double.POSITIVE_INFINITY || isRunning() && lifecycle.present() != null) {
-                        heartbeat(false, 3);
-                    }
-                }
+                // It may arrive at any time, also at a process that was started after it was sent.
+                case LATE_READY_HEARTBEAT -> heartbeat(false, 3);
                 case KILL -> kill();
                 case START -> {
                     if (!isRunning()) {
@@ -272,11 +273,51 @@
     }
 
     private static UpstreamLifecycle lifecycle() {
+        UpstreamLifecycle lifecycle = unstartedLifecycle();
+        lifecycle.startAdmitting(0);
+        return lifecycle;
+    }
+
+    private static UpstreamLifecycle unstartedLifecycle() {
         Machine machine = new Machine();
         return new UpstreamLifecycle(
                 new AdmissionController(machine), Machine::incarnationNumber, UNLOAD_MS, HEARTBEAT_MS);
     }
 
+    @Test
+    void admitsNothingBeforeItIsStarted() {
+        UpstreamLifecycle lifecycle = unstartedLifecycle();
+        lifecycle.handleHeartbeat(0, heartbeat(INCARNATION, 5));
+        assertFalse(lifecycle.isReady());
+        lifecycle.startAdmitting(1);
+        assertTrue(lifecycle.isReady());
+    }
+
+    @Test
+    void departureThatEarlierProcessAcknowledgedIsFinal() {
+        UpstreamLifecycle lifecycle = unstartedLifecycle();
+        lifecycle.handleHeartbeat(0, heartbeat(INCARNATION, 5));
+        lifecycle.handleDeparture(1, INCARNATION);
+        lifecycle.startAdmitting(1);
+        assertFalse(lifecycle.isReady());
+        assertFalse(lifecycle.handleHeartbeat(2, heartbeat(INCARNATION, 50)));
+        assertFalse(lifecycle.isReady());
+        assertTrue(lifecycle.handleHeartbeat(3, heartbeat(NEXT_INCARNATION, 1)));
+        assertTrue(lifecycle.isReady());
+    }
+
+    /** The control plane repeats what this process has acknowledged, which must not shorten the drain. */
+    @Test
+    void ownDepartureDoesNotCloseEarlier() {
+        UpstreamLifecycle lifecycle = lifecycle();
+        lifecycle.handleHeartbeat(0, heartbeat(INCARNATION, 1));
+        lifecycle.handleHeartbeat(5_000, heartbeat(INCARNATION, 2));
+        lifecycle.handleHeartbeat(10_000, new Heartbeat(INCARNATION, SERVICE, true, 4, 0, 3));
+        double closesAt = lifecycle.closesAt();
+        lifecycle.handleDeparture(10_001, INCARNATION);
+        assertEquals(closesAt, lifecycle.closesAt());
+    }
+
     @Test
     void ignoresLateHeartbeat() {
         UpstreamLifecycle lifecycle = lifecycle();
--- a/src/test/java/sablehinge/dataplane/sidecar/SidecarFixture.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/SidecarFixture.java
@@ -30,7 +30,8 @@
 
     final StubCore core;
     final Listener app = new Listener();
-    final Sidecar sidecar;
+    Sidecar sidecar;
+    private final LocalSettings settings;
     final LocalSettings.ListenOn at;
     final List<PlainConnection.Message> arrived = new CopyOnWriteArrayList<>();
     private final List<Socket> served = new CopyOnWriteArrayList<>();
@@ -62,7 +63,7 @@
         core.setConfirming(confirms);
         String ip = net + (number + 1);
         at = new LocalSettings.ListenOn(ip + ":7002", ip + ":7001", ip + ":7003", ip + ":7004");
-        LocalSettings settings = new LocalSettings(
+        settings = new LocalSettings(
                 "s-1",
                 LocalSettings.Role.SIDECAR,
                 "small",
@@ -92,6 +93,12 @@
         sidecar = Sidecar.start(settings, listening, onMade);
     }
 
+    /** Kills the sidecar's process and starts another one in its place; the upstream and the control plane stay. */
+    void restartSidecar() throws Exception {
+        sidecar.close();
+        sidecar = Sidecar.start(settings, ListeningSockets.open(settings), made -> {});
+    }
+
     /** Creates a mesh with a ready upstream and a configuration with the given tenants. */
     static SidecarFixture withUpstream(String senders) throws Exception {
         SidecarFixture mesh = new SidecarFixture();
@@ -265,6 +272,10 @@
         return call(at.control(), "POST", "/sablehinge/Servers.Heartbeat/" + id, heartbeatBody(state));
     }
 
+    PlainConnection.Message signOff(String id) throws IOException {
+        return call(at.control(), "POST", "/sablehinge/Servers.SignOff/" + id, "");
+    }
+
     private String heartbeatBody(String state) {
         return """
                 {"depot":"huvo11a","address":"%s","zone":"monza-a","edition":"v1","berths":4,"state":"%s",
--- a/src/test/java/sablehinge/dataplane/sidecar/UpstreamDrainTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/UpstreamDrainTest.java
@@ -98,6 +98,8 @@
                 new SidecarFixture(true, early -> upstream[0] = early.sendHeartbeat("i-1", "ready"))) {
             mesh.respond(request -> SidecarFixture.ok(request.id(), "x"));
             assertEquals(200, upstream[0].read().status());
+            // The process must know what an earlier one has acknowledged.
+            mesh.core.awaitKnown("i-1");
             assertEquals(
                     200,
                     mesh.connectAsPeer()
