Silence of an upstream within its answer ends nothing before its deadline

Cause: UpstreamConnection failed a response that had begun after 5 s without a byte, whatever time its request had left; ResponseWriter closed a client's connection 10 s after the last byte written, also where only the upstream was silent.

Change: ResponseProgress decides who ends a silent response. In the mesh, an attempt ends with its deadline, and a relayed response at its request's deadline if it is silent then. ResponseWriter counts only time in which the client leaves bytes unread. The platform's gateway keeps the stall timeout of its protocol, with the same rule for clients that read nothing.

Why it works: each end of an answer is tied to the time of its request or to a client that does not read; no timer counts silence alone.

--- a/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
+++ b/src/main/java/sablehinge/dataplane/http1/ResponseWriter.java
@@ -30,7 +30,7 @@
 
     /** Time for which input is still read after the last response, ms. */
     private static final long LINGER_MS = 500;
-    /** Time after which a response that the client does not read is aborted, ms. */
+    /** Time after which a response that the client does not read is aborted, ms. A silent upstream is not its fault. */
     private static final double WRITE_TIMEOUT_MS = 10_000;
 
     private final CallerConnection connection;
@@ -85,9 +85,13 @@
         return closing || isWriting();
     }
 
-    /** Closes the connection if the client has read nothing for too long; {@code age} in ms. */
+    /**
+     * Closes the connection if the client has read nothing for too long.
+     *
+     * @param age time since the last part was written out or began to wait for the client, ms
+     */
     void sweep(double age) {
-        if (age > WRITE_TIMEOUT_MS) {
+        if (age > WRITE_TIMEOUT_MS && !isWaitingForUpstream()) {
             channel.close();
         } else if (responseRelay != null && responseRelay.isPaused() && channel.isWritable()) {
             wakeIfStalled();
@@ -96,6 +100,11 @@
         }
     }
 
+    /** Whether the client has taken all of the relayed response that was received so far. */
+    private boolean isWaitingForUpstream() {
+        return responseRelay != null && ChannelOutlet.unwrittenBytes(channel) == 0;
+    }
+
     /**
      * Resumes a relay that is paused although its channel is writable, for whatever reason. The wake-up may already be
      * pending in this iteration of the event loop, so the relay is resumed only when a second sweep finds it paused.
@@ -181,6 +190,10 @@
 
     @Override
     public void writePart(ByteBuf part) {
+        if (ChannelOutlet.unwrittenBytes(channel) == 0) {
+            // The time that the client has for it begins now, however long the upstream was silent before.
+            connection.touch();
+        }
         channel.write(new DefaultHttpContent(part)).addListener(written -> {
             connection.touch();
             onWritten(written);
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
@@ -312,6 +312,11 @@
         return context.dialect.requestId(request);
     }
 
+    /** Until when a response that has begun may be silent, in ms of the clock. */
+    double responseDeadline() {
+        return progress == null ? deadline : progress.requestDeadline();
+    }
+
     /** How long after this attempt the request may be sent again at most, in ms; 0 for a health check. */
     double maxRetryMs() {
         return progress == null ? 0 : progress.requestTimeMs();
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
@@ -22,10 +22,6 @@
 /** A connection to an upstream. It is assigned to one attempt at a time. */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> implements Relay.Source {
 
-    /** Checks after which the head of a response must be complete once its first byte was received. */
-    private static final int MAX_STALLS = 5;
-    /** Checks without progress after which a relayed response is aborted; it can't be retried, so it gets more time. */
-    private static final int MAX_RELAY_RESTS = 16;
     /** Informational responses, or responses to other requests, that are skipped before the awaited one. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
 
@@ -43,15 +39,13 @@
 
     private double maxRetryMs;
     private UpstreamTarget target;
-    /**
-     * Whether a response was received in part, whether bytes were received since the last check, and the checks so far.
-     */
+    /** Whether a response was received in part. */
     private boolean answerStarted;
 
-    private boolean progressed;
-    private int stallChecks;
+    private final ResponseProgress progress;
     private int skippedResponses;
-    private Future<?> stallCheck;
+    /** The next check for progress; null if none is needed. */
+    private Future<?> progressCheck;
     /** Whether a response to another request was received while the last attempt was in progress. */
     private boolean surplusReceived;
     /** The response that is being received: its head, its body so far, and its relay once the body is relayed. */
@@ -68,6 +62,7 @@
     UpstreamConnection(UpstreamContext context, Channel channel) {
         this.context = context;
         this.channel = channel;
+        progress = new ResponseProgress(context.dialect.terms());
         number = context.sockets.nextConnectionNumber();
     }
 
@@ -83,7 +78,6 @@
         responseStartReported = false;
         skippedResponses = 0;
         surplusReceived = false;
-        stallChecks = 0;
     }
 
     /** Puts the connection into the pool for the next attempt. */
@@ -155,17 +149,18 @@
     }
 
     void onBytes() {
+        double now = context.clock.now();
         if (!answerStarted) {
             trace(TraceEvent.FIRST_BYTE, 0);
+            answerStarted = true;
+            progress.onStart(now);
         }
-        answerStarted = true;
-        progressed = true;
+        progress.onProgress(now);
         if (attempt != null) {
             attempt.onAnswerBytes();
         }
     }
 
-    /** Starts the check for progress: a response that stalls will not be complete in time. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (attempt != null
@@ -176,10 +171,8 @@
             responseStartReported = true;
             attempt.onResponseStart();
         }
-        if (answerStarted && (attempt != null || relay != null) && stallCheck == null) {
-            progressed = false;
-            stallCheck = context.loop.schedule(
-                    this::checkProgress, context.dialect.terms().responseStallTimeoutMs(), TimeUnit.MILLISECONDS);
+        if (progressCheck == null) {
+            scheduleProgressCheck();
         }
         if (relay != null) {
             relay.flush();
@@ -187,20 +180,33 @@
         ctx.fireChannelReadComplete();
     }
 
+    /** Schedules a check for when the response is given up if it makes no progress until then. */
+    private void scheduleProgressCheck() {
+        boolean receiving = answerStarted && (attempt != null || relay != null);
+        double checkAt = progress.nextCheckAt(context.clock.now());
+        if (receiving && !Double.isInfinite(checkAt)) {
+            progressCheck =
+                    context.loop.schedule(this::checkProgress, context.nanosUntil(checkAt), TimeUnit.NANOSECONDS);
+        }
+    }
+
     private void checkProgress() {
-        stallCheck = null;
-        if (progressed || relay != null && !channel.config().isAutoRead()) {
-            // A body may be slow as long as it makes progress, a head may not.
-            stallChecks = head == null && relay == null ? stallChecks + 1 : 0;
-        } else {
-            stallChecks += relay == null ? MAX_STALLS : 1;
+        progressCheck = null;
+        double now = context.clock.now();
+        if (relay != null && !channel.config().isAutoRead()) {
+            progress.onProgress(now);
         }
-        if (stallChecks >= (relay == null ? MAX_STALLS : MAX_RELAY_RESTS)) {
+        if (now >= progress.failsAt()) {
             failMalformed();
         } else {
-            progressed = false;
-            stallCheck = context.loop.schedule(
-                    this::checkProgress, context.dialect.terms().responseStallTimeoutMs(), TimeUnit.MILLISECONDS);
+            scheduleProgressCheck();
+        }
+    }
+
+    private void cancelProgressCheck() {
+        if (progressCheck != null) {
+            progressCheck.cancel(false);
+            progressCheck = null;
         }
     }
 
@@ -208,10 +214,10 @@
     private void onMessageComplete() {
         trace(TraceEvent.LAST_BYTE, 0);
         answerStarted = decoder.hasUnreadBytes();
-        if (stallCheck != null) {
-            stallCheck.cancel(false);
-            stallCheck = null;
+        if (answerStarted) {
+            progress.onStart(context.clock.now());
         }
+        cancelProgressCheck();
     }
 
     @Override
@@ -252,6 +258,7 @@
         }
         surplusReceived |= match == ResponseMatch.SURPLUS;
         head = begun;
+        progress.onHead();
         return true;
     }
 
@@ -284,7 +291,8 @@
         attempt = null;
         relay = new Relay(this);
         forwardedBytes = 0;
-        stallChecks = 0;
+        progress.onRelay(relayed.responseDeadline());
+        cancelProgressCheck();
         Relay begun = relay;
         forward(body);
         relayed.onResponse(head, new RelayedPayload(head, HttpUtil.getContentLength(head, -1L), begun));
@@ -390,9 +398,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        if (stallCheck != null) {
-            stallCheck.cancel(false);
-        }
+        cancelProgressCheck();
         trace(TraceEvent.UPSTREAM_CLOSED, 0);
         if (target != null) {
             target.idle.remove(this);
--- a/src/main/java/sablehinge/dataplane/proxy/SentAttempt.java
+++ b/src/main/java/sablehinge/dataplane/proxy/SentAttempt.java
@@ -38,6 +38,11 @@
         return exchange.timeoutMs;
     }
 
+    @Override
+    public double requestDeadline() {
+        return exchange.deadline;
+    }
+
     @Override
     public void finished(AttemptResult result) {
         proxy.onAttemptEnded(this, responseStartedAt, result);
--- a/src/main/java/sablehinge/dataplane/proxy/Transport.java
+++ b/src/main/java/sablehinge/dataplane/proxy/Transport.java
@@ -30,6 +30,14 @@
             return Double.POSITIVE_INFINITY;
         }
 
+        /**
+         * The deadline of the request, in ms of the {@link Clock}, which may be later than that of the attempt;
+         * infinite while the request is still being received.
+         */
+        default double requestDeadline() {
+            return Double.POSITIVE_INFINITY;
+        }
+
         /** Called once, when the attempt has ended. */
         void finished(AttemptResult result);
     }
--- a/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
@@ -18,8 +18,8 @@
 /** The HTTP dialect between sidecars, and between a sidecar and its local upstream. */
 final class MeshUpstream implements UpstreamDialect {
 
-    /** So long that a response that does not arrive or that stalls is ended by its deadline and not by this timeout. */
-    private static final long RESPONSE_STALL_MS = 5_000;
+    /** Silence of an upstream gives no ground for ending a response before its request's deadline (RULES, LOST). */
+    private static final double RESPONSE_STALL_MS = Double.POSITIVE_INFINITY;
 
     private static final double UNSAFE_REUSE_IDLE_MS = 60_000;
     private static final long BODY_STALL_MS = 10_000;
--- a/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
+++ b/src/test/java/sablehinge/dataplane/http1/FrontendTest.java
@@ -5,6 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -298,6 +302,79 @@
         }
     }
 
+    /** LOST: the time limit for a client that reads nothing also counted while the upstream was silent. */
+    @Test
+    void silentUpstreamDoesNotUseUpTimeOfClientThatReads() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            String body = "x".repeat(200_000);
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "60"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            upstream.write("HTTP/1.1 200 OK\r\nContent-Length: " + 2 * body.length() + "\r\n\r\n" + body);
+            CompletableFuture<Peer.Message> answer = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return caller.read();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            awaitWritten(stage);
+            advanceTime(stage, 30_000);
+            upstream.write(body);
+            assertEquals(body + body, answer.get().body());
+        }
+    }
+
+    private static void awaitWritten(Stage stage) throws Exception {
+        assertEquals(Result.OK, stage.script.result());
+        while (unwrittenBytes(stage) > 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static long unwrittenBytes(Stage stage) throws Exception {
+        AtomicLong bytes = new AtomicLong();
+        return stage.node.onLoop((frontend, upstreams) -> {
+            frontend.forEachRelay(relay -> bytes.addAndGet(relay.unwrittenBytes()));
+            return bytes.get();
+        });
+    }
+
+    private static int callers(Stage stage) throws Exception {
+        return stage.node.onLoop((frontend, upstreams) -> frontend.callers());
+    }
+
+    /** A client that takes nothing of a relayed response is still given up, and not before its time. */
+    @Test
+    void closesConnectionOfClientThatReadsNothing() throws Exception {
+        try (Stage stage = new Stage().start()) {
+            Peer caller = stage.caller();
+            caller.write(Stage.get("1", "60"));
+            Peer upstream = stage.upstreams.get(0).accept();
+            upstream.read();
+            CompletableFuture<Boolean> written = CompletableFuture.supplyAsync(() -> {
+                try {
+                    upstream.write("HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + "x".repeat(30_000_000));
+                    return true;
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+            assertEquals(Result.OK, stage.script.result());
+            while (unwrittenBytes(stage) == 0) {
+                Thread.onSpinWait();
+            }
+            advanceTime(stage, 9_000);
+            assertEquals(1, callers(stage));
+            // The buffers of the kernel may still take some of it.
+            while (callers(stage) == 1) {
+                advanceTime(stage, 11_000);
+            }
+            assertFalse(written.get());
+        }
+    }
+
     @Test
     void closesIdleConnectionButNotOneWithRequestInProgress() throws Exception {
         try (Stage stage = new Stage().start()) {
