Nothing of a response with an unknown transfer coding is passed on

Need: the decoder threw with the head still among its output, which Netty then hands to the next handler before the exception. The head was harmless, as the response never became complete. Change: the output is cleared first, as for folded trailers; the check is one method that says whether the framing is known. Result: ResponseDecoderTest and ResponseEndTest (143) pass.

--- a/src/main/java/sablehinge/common/http/ResponseDecoder.java
+++ b/src/main/java/sablehinge/common/http/ResponseDecoder.java
@@ -80,23 +80,29 @@
                 part = Part.STATUS_LINE;
             } else if (decoded instanceof HttpResponse head) {
                 part = Part.BODY;
-                checkFraming(head);
+                if (!isFramingKnown(head)) {
+                    out.clear();
+                    throw new CorruptedFrameException("an unknown transfer coding");
+                }
             }
         }
     }
 
-    /** Rejects an unknown transfer coding, and lets a head say that its connection ends if that delimits its body. */
-    private void checkFraming(HttpResponse head) {
+    /**
+     * Whether it is known how a response is framed. If the end of its connection delimits it, its head says from now on
+     * that the connection ends.
+     */
+    private boolean isFramingKnown(HttpResponse head) {
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean chunked = codings.size() == 1
+        if (codings.isEmpty()) {
+            if (!HttpUtil.isContentLengthSet(head) && !isContentAlwaysEmpty(head)) {
+                HttpUtil.setKeepAlive(head, false);
+            }
+            return true;
+        }
+        return codings.size() == 1
                 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
                         codings.get(0).strip());
-        if (!codings.isEmpty() && !chunked) {
-            throw new CorruptedFrameException("an unknown transfer coding");
-        }
-        if (!chunked && !HttpUtil.isContentLengthSet(head) && !isContentAlwaysEmpty(head)) {
-            HttpUtil.setKeepAlive(head, false);
-        }
     }
 
     /** Whether the server has ended its output in order; no more responses follow. */
