Departures are found by node, and peers can't vouch for a departed upstream

Need: for each update of each sidecar the leader looked through all departures of the last minute: 680 sidecars that are replaced in turn make that 680 times 680 for one change. A peer that vouches for a sidecar by old knowledge could have had a departed upstream published as ready. Change: Departures keeps its entries by node too; Registry holds what peers report to the same rule as what sidecars register. The cost at 680 sidecars was not measured.

--- a/src/main/java/sablehinge/controlplane/state/Registry.java
+++ b/src/main/java/sablehinge/controlplane/state/Registry.java
@@ -72,7 +72,7 @@
 
     /** Registers a balancer; returns whether its entry has changed. */
     public boolean register(double now, Registration registered) {
-        Registration registration = departures.contains(registered.upstream()) ? registered.leaving() : registered;
+        Registration registration = withDeparture(registered);
         Row row = rows.computeIfAbsent(registration.node(), node -> new Row());
         row.lastContactAt = now;
         boolean changed =
@@ -86,6 +86,10 @@
         return changed;
     }
 
+    private Registration withDeparture(Registration registration) {
+        return departures.contains(registration.upstream()) ? registration.leaving() : registration;
+    }
+
     /** Compares without the remaining warm-up time, which runs down by itself and counts as no change. */
     private static boolean equalsIgnoringWarmUp(Registration a, Registration b) {
         return a.upstream().equals(b.upstream())
@@ -104,7 +108,7 @@
         Row row = rows.computeIfAbsent(registration.node(), node -> new Row());
         row.lastContactAt = now;
         if (row.registration == null) {
-            row.registration = registration;
+            row.registration = withDeparture(registration);
             row.stamp = ++stamp;
         }
     }
@@ -127,8 +131,7 @@
      * balancer; empty if there are none. A process that has just started knows none of those that it must not serve.
      */
     public List<Registration> departuresSince(long knownStamp, String node) {
-        List<Registration> leaving = new ArrayList<>(departures.withMark(mark -> mark > knownStamp));
-        leaving.removeIf(registration -> !registration.node().equals(node));
+        List<Registration> leaving = departures.withMark(node, mark -> mark > knownStamp);
         Row row = rows.get(node);
         if (!leaving.isEmpty() && row != null) {
             leaving.add(row.published());
--- a/src/main/java/sablehinge/mesh/watch/Departures.java
+++ b/src/main/java/sablehinge/mesh/watch/Departures.java
@@ -1,5 +1,8 @@
 package sablehinge.mesh.watch;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,6 +26,8 @@
 
     /** In the order in which they were recorded. */
     private final Map<String, Entry> entries = new LinkedHashMap<>();
+    /** The same by the node of their balancer, as each update for a balancer needs its own. */
+    private final Map<String, List<Entry>> entriesByNode = new HashMap<>();
 
     private static final class Entry {
         final Registration registration;
@@ -41,12 +46,28 @@
             return false;
         }
         if (entries.size() == MAX_ENTRIES) {
-            entries.remove(entries.keySet().iterator().next());
+            removeOldest();
         }
-        entries.put(leaving.upstream(), new Entry(leaving, now));
+        Entry entry = new Entry(leaving, now);
+        entries.put(leaving.upstream(), entry);
+        entriesByNode
+                .computeIfAbsent(leaving.node(), node -> new ArrayList<>(1))
+                .add(entry);
         return true;
     }
 
+    private void removeOldest() {
+        Iterator<Entry> oldest = entries.values().iterator();
+        Entry removed = oldest.next();
+        oldest.remove();
+        String node = removed.registration.node();
+        List<Entry> ofNode = entriesByNode.get(node);
+        ofNode.remove(removed);
+        if (ofNode.isEmpty()) {
+            entriesByNode.remove(node);
+        }
+    }
+
     /** Whether an incarnation has announced that it leaves. */
     public boolean contains(String incarnation) {
         return entries.containsKey(incarnation);
@@ -62,22 +83,34 @@
 
     /** The registrations whose marks match, in the order in which they were recorded. */
     public List<Registration> withMark(LongPredicate matches) {
-        return entries.values().stream()
-                .filter(entry -> matches.test(entry.mark))
-                .map(entry -> entry.registration)
-                .toList();
+        return registrations(entries.values(), matches);
+    }
+
+    /** Likewise, of one balancer's upstreams. */
+    public List<Registration> withMark(String node, LongPredicate matches) {
+        return registrations(entriesByNode.getOrDefault(node, List.of()), matches);
+    }
+
+    private static List<Registration> registrations(Collection<Entry> from, LongPredicate matches) {
+        List<Registration> registrations = new ArrayList<>();
+        for (Entry entry : from) {
+            if (matches.test(entry.mark)) {
+                registrations.add(entry.registration);
+            }
+        }
+        return registrations;
     }
 
     /** Removes the entries whose time is over. */
     public void expire(double now) {
-        Iterator<Entry> oldest = entries.values().iterator();
-        while (oldest.hasNext() && now - oldest.next().recordedAt > RETENTION_MS) {
-            oldest.remove();
+        while (!entries.isEmpty() && now - entries.values().iterator().next().recordedAt > RETENTION_MS) {
+            removeOldest();
         }
     }
 
     /** Removes all entries. */
     public void clear() {
         entries.clear();
+        entriesByNode.clear();
     }
 }
--- a/src/test/java/sablehinge/controlplane/state/RegistryTest.java
+++ b/src/test/java/sablehinge/controlplane/state/RegistryTest.java
@@ -71,6 +71,31 @@
         assertEquals(1, registry.quotaSharers());
     }
 
+    /** DRAIN: a process that does not know of the departure registers the upstream as ready again. */
+    @Test
+    void departedUpstreamIsNeverPublishedAsReadyAgain() {
+        registry.register(0, registration("a", "i-1", true, 0));
+        registry.recordDeparture(1, registration("a", "i-1", false, 0).leaving());
+        assertTrue(registry.since(0).get(0).isLeaving());
+        assertFalse(registry.register(2, registration("a", "i-1", true, 0)));
+        assertTrue(registry.since(0).get(0).isLeaving());
+        registry.recordPeerReport(3, registration("b", "i-1", true, 0));
+        assertFalse(registry.since(0).stream().anyMatch(Registration::ready));
+        assertTrue(registry.register(4, registration("a", "i-2", true, 0)));
+        assertEquals(
+                List.of("i-1", "i-2"), upstreams(registry.departuresSince(0, "a")), "followed by the present entry");
+        assertEquals(List.of(), registry.departuresSince(registry.stamp(), "a"));
+        assertEquals(List.of(), registry.departuresSince(0, "b"));
+    }
+
+    @Test
+    void repeatedDepartureIsNoChange() {
+        registry.recordDeparture(0, registration("a", "i-1", false, 0).leaving());
+        long stamp = registry.stamp();
+        registry.recordDeparture(1, registration("a", "i-1", false, 0).leaving());
+        assertEquals(stamp, registry.stamp());
+    }
+
     @Test
     void repeatedRegistrationOrWarmUpProgressIsNoChange() {
         registry.register(0, registration("a", "i-1", true, 900));
