--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -20,7 +20,6 @@
 import sablehinge.common.settings.ConfigException;
 import sablehinge.common.settings.LocalSettings;
 import sablehinge.dataplane.admission.AdmissionController;
-import sablehinge.dataplane.admission.UpstreamLifecycle;
 import sablehinge.dataplane.http1.Frontend;
 import sablehinge.dataplane.http1.Sockets;
 import sablehinge.dataplane.http1.UpstreamClient;
@@ -108,12 +107,8 @@
     private boolean wantsConfirmation = true;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
     private boolean shuttingDown;
-    /** Whether the local upstream is withdrawn because this process is shutting down. */
-    private boolean upstreamWithdrawn;
 
-    private final UpstreamLifecycle lifecycle;
-    private final DepartureReporter departures = new DepartureReporter();
-    private final double startedListeningAt = clock.now();
+    private final LocalUpstream localUpstream;
     private final PauseHistory pauses = new PauseHistory(TICK_MS);
 
     private Sidecar(LocalSettings settings, EventLoop loop) {
@@ -134,8 +129,18 @@
             admission = new AdmissionController(actions);
             return admission;
         });
-        lifecycle = new UpstreamLifecycle(
-                admission, MeshHeaders::incarnation, settings.bounds().unloadMs(), settings.heartbeatMs());
+        localUpstream = new LocalUpstream(settings, loop, clock, admission, new LocalUpstream.ControlPlane() {
+            @Override
+            public void requestUpdate() {
+                watchClient.requestNow();
+            }
+
+            @Override
+            public void requestConfirmation() {
+                wantsConfirmation = true;
+                watchClient.requestNow();
+            }
+        });
         outboundFront = new OutboundFront(
                 settings.depot(),
                 quotas,
@@ -219,8 +224,8 @@
             new ApiServer(
                             loop,
                             List.of(
-                                    UpstreamCalls.heartbeats(settings.app(), sidecar::handleHeartbeat),
-                                    UpstreamCalls.signOffs(sidecar::handleSignOff)),
+                                    UpstreamCalls.heartbeats(settings.app(), sidecar.localUpstream::handleHeartbeat),
+                                    UpstreamCalls.signOffs(sidecar.localUpstream::handleSignOff)),
                             MAX_HEARTBEAT_BYTES)
                     .adopt(listening.control());
             sidecar.peerMonitor.listen();
@@ -250,91 +255,11 @@
         return edition > 0 && confirmedAt > 0 && !shuttingDown;
     }
 
-    // ---- Local upstream -------------------------------------------------------------------------
-
-    private void handleHeartbeat(
-            UpstreamLifecycle.Heartbeat heartbeat, Consumer<UpstreamCalls.Acknowledgement> callback) {
-        double now = clock.now();
-        UpstreamLifecycle.Heartbeat before = lifecycle.present();
-        double closed = lifecycle.closesAt();
-        if (lifecycle.handleHeartbeat(now, heartbeat)) {
-            watchClient.requestNow();
-        }
-        UpstreamLifecycle.Heartbeat present = lifecycle.present();
-        boolean isFirst = present != null && (before == null || !before.id().equals(present.id()));
-        if (isFirst) {
-            Log.info(LOG, "upstream")
-                    .addKeyValue("id", heartbeat.id())
-                    .addKeyValue("berths", heartbeat.berths())
-                    .addKeyValue("unloading", heartbeat.unloading())
-                    .addKeyValue("after-ms", (long) (now - startedListeningAt))
-                    .log("first heartbeat of an upstream received");
-        }
-        if (lifecycle.closesAt() < closed) {
-            startDrain(heartbeat.id(), lifecycle.closesAt() - now);
-        }
-        if (heartbeat.unloading()) {
-            announceDeparture(now, heartbeat.id(), callback);
-        } else {
-            callback.accept(UpstreamCalls.Acknowledgement.GIVEN);
-        }
-    }
-
-    private void handleSignOff(UpstreamCalls.SignOff call, Consumer<UpstreamCalls.Acknowledgement> callback) {
-        double now = clock.now();
-        if (lifecycle.handleSignOff(now, call.id())) {
-            startDrain(call.id(), 0);
-        }
-        announceDeparture(now, call.id(), callback);
-    }
-
-    private void announceDeparture(double now, String upstream, Consumer<UpstreamCalls.Acknowledgement> callback) {
-        Registration leaving = new Registration(
-                settings.node(),
-                settings.zone(),
-                settings.listenOn().inbound(),
-                settings.depot(),
-                upstream,
-                false,
-                0,
-                0);
-        departures.announce(now, leaving, callback);
-        if (departures.isWaiting()) {
-            wantsConfirmation = true;
-            watchClient.requestNow();
-        }
-    }
-
-    /**
-     * Schedules a tick for the end of admission, so that waiting requests are rejected then and not at the next regular
-     * tick.
-     */
-    private void startDrain(String id, double closesInMs) {
-        Log.info(LOG, "upstream-leaves").addKeyValue("id", id).log("the upstream is shuttingDown");
-        loop.schedule(() -> lifecycle.tick(clock.now()), (long) Math.max(0, closesInMs) + 1, TimeUnit.MILLISECONDS);
-    }
-
     private void tick() {
         pauses.tick(clock.now());
         retryBudget.tick();
         peerMonitor.tick();
-        departures.tick(clock.now());
-        if (lifecycle.tick(clock.now())) {
-            watchClient.requestNow();
-        }
-    }
-
-    private Registration ownRegistration() {
-        UpstreamLifecycle.Heartbeat present = lifecycle.present();
-        return new Registration(
-                settings.node(),
-                settings.zone(),
-                settings.listenOn().inbound(),
-                present == null ? settings.depot() : present.service(),
-                present == null ? "" : present.id(),
-                lifecycle.isReady() && !upstreamWithdrawn,
-                present == null ? 0 : present.berths(),
-                present == null ? 0 : present.warmUpMs());
+        localUpstream.tick();
     }
 
     private void claim(Frame frame) {
@@ -353,7 +278,7 @@
         public WatchRequest createRequest(int number) {
             return new WatchRequest(
                     number,
-                    ownRegistration(),
+                    localUpstream.registration(),
                     edition,
                     registry.term(),
                     registry.stamp(),
@@ -363,7 +288,7 @@
         }
 
         private List<Registration> vouched() {
-            List<Registration> vouched = new ArrayList<>(departures.report(registry.term(), Monitor.MAX_REPORTED));
+            List<Registration> vouched = new ArrayList<>(localUpstream.reportDepartures(registry.term()));
             for (Registration peer : peerMonitor.vouched()) {
                 if (vouched.size() < Monitor.MAX_REPORTED) {
                     vouched.add(peer);
@@ -383,7 +308,8 @@
                 confirmedAt = Math.max(confirmedAt, requestedAt);
                 wantsConfirmation = false;
             }
-            applyDepartures(now, requestedAt, update);
+            localUpstream.onUpdate(now, requestedAt, update);
+            wantsConfirmation |= localUpstream.awaitsConfirmation();
             applyRegistry(now, update);
         }
 
@@ -425,20 +351,6 @@
                 .log("configuration adopted");
     }
 
-    /** Applies what is known of upstreams that leave, before admission may begin. */
-    private void applyDepartures(double now, double requestedAt, Update update) {
-        for (Registration registration : update.registrations()) {
-            if (registration.isLeaving() && registration.node().equals(settings.node())) {
-                lifecycle.handleDeparture(now, registration.upstream());
-            }
-        }
-        if (update.confirmed()) {
-            lifecycle.startAdmitting(now);
-        }
-        departures.onUpdate(now, requestedAt, update);
-        wantsConfirmation |= departures.isWaiting();
-    }
-
     private void applyRegistry(double now, Update update) {
         RegistryView.Outcome outcome = registry.apply(update);
         if (outcome == RegistryView.Outcome.STALE) {
@@ -502,8 +414,7 @@
         @Override
         public void withdrawUpstream() throws InterruptedException {
             runOnLoop(() -> {
-                upstreamWithdrawn = true;
-                watchClient.requestNow();
+                localUpstream.withdraw();
             });
         }
 
