The soak plays sign-offs first, late heartbeats and answers that end their connection

On top of the schedule of a seed, which stays as it is, upstreams sign off first and serve on for 7 s, the sidecar beside them is killed and starts again, and the heartbeat that they sent before comes 3 s late; one of four responses has no length and ends with its connection, without saying so.

--- a/bench/src/sablehinge/tools/standin/mesh/SoakBench.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakBench.java
@@ -36,6 +36,8 @@
 
     private Path logs;
     private Path program;
+    /** Whether upstreams also sign off first, and end responses with their connection. */
+    private boolean signOffs;
     /** Whether balancers with a fault are played, in place of the sound ones. */
     private boolean faults;
 
@@ -48,7 +50,7 @@
             bench.read(args);
         } catch (IllegalArgumentException e) {
             System.err.println("soak: " + e.getMessage() + "\nusage: soak [--seeds N] [--first SEED] [--seconds S] "
-                    + "[--processes P] [--logs FOLDER] [--program JAR] [--faults true]");
+                    + "[--processes P] [--logs FOLDER] [--program JAR] [--faults true] [--sign-offs true]");
             System.exit(USAGE);
         }
         System.exit(bench.run());
@@ -67,6 +69,7 @@
                 case "--processes" -> processes = Integer.parseInt(value);
                 case "--logs" -> logs = Path.of(value);
                 case "--faults" -> faults = Boolean.parseBoolean(value);
+                case "--sign-offs" -> signOffs = Boolean.parseBoolean(value);
                 case "--program" -> program = Path.of(value);
                 default -> throw new IllegalArgumentException("unknown: " + args[i]);
             }
@@ -82,7 +85,7 @@
         SoakTotals totals = new SoakTotals(logs);
         for (long seed = first; seed < first + seeds; seed++) {
             int count = processes > 0 ? processes : seed % MANY_EACH == 0 ? MANY : FEW;
-            SoakRun.Result result = SoakRun.play(SoakSchedule.draw(seed, seconds, count), commands, logs);
+            SoakRun.Result result = SoakRun.play(schedule(seed, count), commands, logs);
             print(result);
             totals.add(result);
         }
@@ -90,10 +93,15 @@
         return totals.isBroken() ? BROKEN : totals.wasBusy() ? BUSY : 0;
     }
 
+    private SoakSchedule schedule(long seed, int count) {
+        SoakSchedule schedule = SoakSchedule.draw(seed, seconds, count);
+        return signOffs ? schedule.withSignOffs(seconds) : schedule;
+    }
+
     /** Plays the first seed with each fault; fails if one is not found. */
     private int runFaults(SmallMesh.Commands sound) throws IOException, InterruptedException {
         int found = 0;
-        SoakSchedule schedule = SoakSchedule.draw(first, seconds, processes > 0 ? processes : FEW);
+        SoakSchedule schedule = schedule(first, processes > 0 ? processes : FEW);
         for (Mutant fault : FaultyCommands.FAULTS) {
             try (FaultyCommands commands = new FaultyCommands(sound, PROGRAM, fault)) {
                 SoakRun.Result result = SoakRun.play(schedule, commands, logs);
--- a/bench/src/sablehinge/tools/standin/mesh/SoakEvent.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakEvent.java
@@ -1,5 +1,8 @@
 package sablehinge.tools.standin.mesh;
 
+import java.util.Arrays;
+import java.util.List;
+
 /**
  * Something that is done to a mesh while its clients go on.
  *
@@ -40,11 +43,21 @@
         /** SIGTERM to the machine that leads; it starts again that much after it has ended. */
         LEADER_STOP,
         /** A machine of the core is gone for good; that much later an empty one comes at another address. */
-        CONTROL_REPLACE;
+        CONTROL_REPLACE,
+        /**
+         * An upstream signs off first and serves on; the sidecar beside it has SIGKILL and starts again that much
+         * later, and the last heartbeat of the upstream arrives late. Not among those that every schedule draws from.
+         */
+        UPSTREAM_SIGNS_OFF;
+
+        /** Those that every schedule draws from, so that a seed keeps its schedule. */
+        static final List<Kind> USUAL = Arrays.stream(values())
+                .filter(kind -> kind != UPSTREAM_SIGNS_OFF)
+                .toList();
 
         /** Whether it is done to a machine of the core. */
         boolean isOfCore() {
-            return ordinal() >= CONTROL_KILL.ordinal();
+            return ordinal() >= CONTROL_KILL.ordinal() && this != UPSTREAM_SIGNS_OFF;
         }
     }
 
--- a/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakRun.java
@@ -39,6 +39,13 @@
     /** Of so many runs of an upstream, one fails and one is broken off. */
     private static final int FAILS_EACH = 30;
 
+    /** How long an upstream serves on once it has signed off, ms. */
+    private static final long SERVES_ON_MS = 7_000;
+    /** How soon the address of an upstream that has ended is used again, ms. */
+    private static final long READDRESS_MS = 2_000;
+    /** How late the last heartbeat of an upstream arrives that has signed off, ms. */
+    private static final long LATE_HEARTBEAT_MS = 3_000;
+
     private static final int MS_PER_S = 1_000;
     /** A process that is older handles its signals, ms. */
     private static final double LOADED_MS = 3_000;
@@ -143,6 +150,7 @@
             }
             stalls.begin();
             startClients();
+            mesh.setUnframedInterval(schedule.runsPerUnframed());
             double begun = TrafficLog.now();
             for (SoakEvent event : schedule.events()) {
                 long waitMs = (long) (begun + event.atMs() - TrafficLog.now());
@@ -276,6 +284,7 @@
                     TimeUnit.MILLISECONDS.sleep(delayMs);
                     mesh.slowUpstream(place, 1);
                 };
+            case UPSTREAM_SIGNS_OFF -> () -> signOff(place, delayMs);
             case CHANGES -> () -> change(event.count(), delayMs);
             case CONTROL_KILL -> () -> restartControl(place, delayMs, true);
             case CONTROL_STOP -> () -> restartControl(place, delayMs, false);
@@ -349,6 +358,18 @@
         start(place);
     }
 
+    /** The upstream serves on after its sign-off, while the sidecar beside it is killed and started again. */
+    private void signOff(int place, long delayMs) throws InterruptedException {
+        double end = TrafficLog.now() + SERVES_ON_MS;
+        mesh.signOffUpstream(place, LATE_HEARTBEAT_MS);
+        kill(place, delayMs);
+        TimeUnit.MILLISECONDS.sleep(Math.max(0, (long) (end - TrafficLog.now())));
+        lives.crashes(place);
+        mesh.crashUpstream(place);
+        TimeUnit.MILLISECONDS.sleep(READDRESS_MS);
+        mesh.startUpstream(place);
+    }
+
     private void hangUp(int place) throws InterruptedException {
         signals.incrementAndGet();
         SoakLives.Life life = lives.current(place);
--- a/bench/src/sablehinge/tools/standin/mesh/SoakSchedule.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakSchedule.java
@@ -10,9 +10,11 @@
  * come at any time, also to the same machine. The same seed gives the same schedule.
  *
  * @param workMs the longest that an upstream takes for a request
+ * @param runsPerUnframed of so many responses of upstreams one ends with its connection; 0 for none
  * @param events in the order of their times
  */
-record SoakSchedule(long seed, int sidecars, int controlNodes, int workMs, List<SoakEvent> events) {
+record SoakSchedule(
+        long seed, int sidecars, int controlNodes, int workMs, int runsPerUnframed, List<SoakEvent> events) {
 
     private static final int[] WORK_MS = {30, 250, 900, 1_600};
     private static final int CONTROL_NODES = 3;
@@ -23,7 +25,12 @@
     private static final int MAX_CHANGES = 60;
     private static final int MAX_GAP_MS = 150;
     private static final int MAX_SLOWNESS = 4;
-    private static final SoakEvent.Kind[] KINDS = SoakEvent.Kind.values();
+    /** One sign-off for each so much time, where upstreams sign off first. */
+    private static final int SIGN_OFF_GAP_MS = 3_000;
+    /** Of so many responses one ends with its connection, where upstreams sign off first. */
+    private static final int RUNS_PER_UNFRAMED = 4;
+    /** Makes the numbers of sign-offs others than those of the schedule that they come on top of. */
+    private static final long SIGN_OFF_SEED = 0x516e_0ffL;
 
     SoakSchedule {
         events = List.copyOf(events);
@@ -43,7 +50,7 @@
         int more = seconds * MS_PER_S / EVENT_GAP_MS;
         boolean replaced = false;
         for (int i = 0; i < more; i++) {
-            SoakEvent.Kind kind = KINDS[random.nextInt(KINDS.length)];
+            SoakEvent.Kind kind = SoakEvent.Kind.USUAL.get(random.nextInt(SoakEvent.Kind.USUAL.size()));
             if (kind == SoakEvent.Kind.CONTROL_REPLACE && replaced) {
                 kind = SoakEvent.Kind.CHANGES;
             }
@@ -51,7 +58,18 @@
             events.add(one(random, kind, random.nextInt(seconds * MS_PER_S), sidecars));
         }
         Collections.sort(events);
-        return new SoakSchedule(seed, sidecars, CONTROL_NODES, workMs, events);
+        return new SoakSchedule(seed, sidecars, CONTROL_NODES, workMs, 0, events);
+    }
+
+    /** The schedule with upstreams that also sign off first, and with responses that end with their connection. */
+    SoakSchedule withSignOffs(int seconds) {
+        SplittableRandom random = new SplittableRandom(seed ^ SIGN_OFF_SEED);
+        List<SoakEvent> more = new ArrayList<>(events);
+        for (int i = 0; i < 1 + seconds * MS_PER_S / SIGN_OFF_GAP_MS; i++) {
+            more.add(one(random, SoakEvent.Kind.UPSTREAM_SIGNS_OFF, random.nextInt(seconds * MS_PER_S), sidecars));
+        }
+        Collections.sort(more);
+        return new SoakSchedule(seed, sidecars, controlNodes, workMs, RUNS_PER_UNFRAMED, more);
     }
 
     /** Sidecars are stopped one after the other, so that stops overlap. */
--- a/src/main/java/sablehinge/tools/standin/mesh/HeartbeatSender.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/HeartbeatSender.java
@@ -46,9 +46,14 @@
         }
     }
 
-    private synchronized boolean call(String name) {
+    private boolean call(String name) {
+        return send(name, nextBody());
+    }
+
+    /** Returns the body of the next call. */
+    private synchronized byte[] nextBody() {
         StandInUpstream.Terms terms = upstream.terms();
-        String body = JsonNodeFactory.instance
+        return JsonNodeFactory.instance
                 .objectNode()
                 .put("depot", terms.depot())
                 .put(
@@ -61,15 +66,19 @@
                 .put("state", upstream.isUnloading() ? "unloading" : "ready")
                 .put("coldLeftMs", 0)
                 .put("callCount", ++callCount)
-                .toString();
+                .toString()
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private synchronized boolean send(String name, byte[] body) {
         try {
             Message answer = ClientCall.once(
                     control,
                     TIMEOUT_MS,
                     "POST",
-                    "/sablehinge/" + name + "/" + terms.id(),
+                    "/sablehinge/" + name + "/" + upstream.terms().id(),
                     Map.of("Host", "control", "Content-Type", "application/json"),
-                    body.getBytes(StandardCharsets.UTF_8));
+                    body);
             return answer != null && answer.status() / 100 == 2;
         } catch (IOException e) {
             return false;
@@ -96,6 +105,28 @@
         upstream.close();
     }
 
+    /**
+     * Signs off without announcing that it unloads, and serves on until it is closed. The last heartbeat, which was
+     * sent before the sign-off, arrives late.
+     *
+     * @param unloadMs how long the sign-off is repeated until it is acknowledged
+     * @param heartbeatDelayMs how late the last heartbeat arrives
+     */
+    void signOffFirst(long unloadMs, long heartbeatDelayMs) throws InterruptedException {
+        ended = true;
+        byte[] lateHeartbeat = nextBody();
+        double lateAt = TrafficLog.now() + heartbeatDelayMs;
+        announce("Servers.SignOff", true, TrafficLog.now() + unloadMs);
+        StandInUpstream.daemon("late heartbeat of " + upstream.terms().id(), () -> {
+            try {
+                TimeUnit.MILLISECONDS.sleep(Math.max(0, (long) (lateAt - TrafficLog.now())));
+                send("Servers.Heartbeat", lateHeartbeat);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     @Override
     public void close() {
         ended = true;
--- a/src/main/java/sablehinge/tools/standin/mesh/SmallMesh.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/SmallMesh.java
@@ -43,6 +43,7 @@
     private final Map<Integer, StandInUpstream.DependentCall> dependencies = new ConcurrentHashMap<>();
 
     private volatile int failureInterval;
+    private volatile int unframedInterval;
 
     /**
      * The size of a mesh.
@@ -210,6 +211,13 @@
         upstreams.get(index).leave(MeshPlan.UNLOAD_MS);
     }
 
+    /**
+     * Makes the upstream of a machine sign off first; it serves on until it is crashed, and its last heartbeat is late.
+     */
+    void signOffUpstream(int index, long heartbeatDelayMs) throws InterruptedException {
+        upstreams.get(index).signOffFirst(MeshPlan.UNLOAD_MS, heartbeatDelayMs);
+    }
+
     /** Starts an upstream on a machine, as a new incarnation. */
     public void startUpstream(int index) {
         upstreams.set(index, newUpstream(index));
@@ -230,6 +238,12 @@
         upstreams.get(index).upstream().setDependency(runsPerFailure, dependency);
     }
 
+    /** Makes one of each {@code runsPerUnframed} responses of all upstreams end with its connection. */
+    void setUnframedInterval(int runsPerUnframed) {
+        unframedInterval = runsPerUnframed;
+        upstreams.forEach(sender -> sender.upstream().setUnframedInterval(runsPerUnframed));
+    }
+
     private HeartbeatSender newUpstream(int index) {
         StandInUpstream upstream = new StandInUpstream(
                 new StandInUpstream.Terms(
@@ -241,6 +255,7 @@
                         shape.workMs()),
                 trafficLog);
         upstream.setDependency(failureInterval, dependencies.get(index));
+        upstream.setUnframedInterval(unframedInterval);
         return new HeartbeatSender(
                 upstream, ClientCall.address(plan.control(index)), MeshPlan.ZONE, MeshPlan.HEARTBEAT_MS, trafficLog);
     }
--- a/src/main/java/sablehinge/tools/standin/mesh/StandInUpstream.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/StandInUpstream.java
@@ -39,6 +39,8 @@
     private volatile int slowdown = 1;
     /** The number of runs of which one fails and one is aborted by closing its connection; 0 for none. */
     private volatile int failureInterval;
+    /** The number of runs of which one has a response without a length, which ends with its connection; 0 for none. */
+    private volatile int unframedInterval;
     /** The call that each run makes; null for none. */
     private volatile DependentCall dependency;
 
@@ -110,6 +112,11 @@
         dependency = call;
     }
 
+    /** Makes one of each {@code runsPerUnframed} responses end with its connection, without saying so. */
+    void setUnframedInterval(int runsPerUnframed) {
+        unframedInterval = runsPerUnframed;
+    }
+
     boolean isUnloading() {
         return unloading;
     }
@@ -220,6 +227,9 @@
             trafficLog.aborted(stamp);
             return false;
         }
+        if (unframedInterval > 0 && number % unframedInterval == 2) {
+            return writeUnframed(socket, served, id, stamp, body);
+        }
         return write(
                 socket,
                 "HTTP/1.1 " + (served ? "200 OK" : "500 Internal Server Error") + "\r\nSablehinge-Try-Id: " + id
@@ -228,6 +238,20 @@
                 number % 3 == 0);
     }
 
+    /** Writes a response that has no length and ends with its connection, and does not announce that. */
+    private static boolean writeUnframed(Socket socket, boolean served, String id, String stamp, byte[] body)
+            throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ClientCall.text(
+                out,
+                "HTTP/1.1 " + (served ? "200 OK" : "500 Internal Server Error") + "\r\nSablehinge-Try-Id: " + id
+                        + "\r\nSablehinge-Postmark: " + stamp + "\r\n\r\n");
+        out.write(body);
+        socket.getOutputStream().write(out.toByteArray());
+        socket.shutdownOutput();
+        return false;
+    }
+
     private byte[] body(Message request, String id, long number) {
         String text = "ran " + id + " at " + terms.id() + ", " + request.body().length + " bytes of sum "
                 + Long.toHexString(Message.sum(request.body())) + "\n";
