Departures of upstreams that no entry shows are published to all sidecars

Cause: Registry.recordDeparture changed, and so published, only an entry that showed the leaving upstream. A process that had never heard its upstream acknowledged a departure that only the leader knew of; likewise one whose next upstream registered before the others had asked. The next leader was told by nobody. Change: Registry.since publishes each departure that the present entries do not show, followed by the present entry. The query by node is not needed any more: departuresSince and the index of Departures by node are gone. Their test lines compare all entries by mark in place of one node's. Why it works: every sidecar learns of what was acknowledged and reports it to the next leader, as it did with others.

--- a/src/main/java/sablehinge/controlplane/node/WatchServer.java
+++ b/src/main/java/sablehinge/controlplane/node/WatchServer.java
@@ -216,19 +216,7 @@
                 full,
                 complete,
                 round.quotaSharers,
-                changed ? registrations(round, full ? 0 : request.stamp(), request) : List.of(),
+                changed ? round.since(full ? 0 : request.stamp()) : List.of(),
                 memberAddresses);
     }
-
-    private List<Registration> registrations(Round round, long knownStamp, WatchRequest request) {
-        List<Registration> departures =
-                registry.departuresSince(knownStamp, request.registration().node());
-        if (departures.isEmpty()) {
-            return round.since(knownStamp);
-        }
-        // A later entry of a balancer replaces an earlier one.
-        List<Registration> all = new ArrayList<>(departures);
-        all.addAll(round.since(knownStamp));
-        return all;
-    }
 }
--- a/src/main/java/sablehinge/controlplane/state/Registry.java
+++ b/src/main/java/sablehinge/controlplane/state/Registry.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import sablehinge.mesh.watch.Departures;
 import sablehinge.mesh.watch.Registration;
 
@@ -126,19 +128,6 @@
         }
     }
 
-    /**
-     * The upstreams of a balancer that were recorded after a stamp as leaving, followed by the present entry of the
-     * balancer; empty if there are none. A process that has just started knows none of those that it must not serve.
-     */
-    public List<Registration> departuresSince(long knownStamp, String node) {
-        List<Registration> leaving = departures.withMark(node, mark -> mark > knownStamp);
-        Row row = rows.get(node);
-        if (!leaving.isEmpty() && row != null) {
-            leaving.add(row.published());
-        }
-        return leaving;
-    }
-
     /** Ejects a balancer or revokes its ejection: an ejected balancer gets no new requests, whatever it registered. */
     public void setEjected(String node, boolean ejected) {
         Row row = rows.get(node);
@@ -195,16 +184,29 @@
         return now - resetAt >= completeAfterMs;
     }
 
-    /** The registrations that changed after a stamp, in the order of the changes. */
+    /**
+     * The registrations that changed after a stamp, in the order of the changes. They follow the upstreams that were
+     * recorded after the stamp as leaving and that the present entries of their balancers don't show: all balancers
+     * must learn of these, so that the next leader is told even if this one and the process that reported them are
+     * lost. The last registration of a balancer is its present entry.
+     */
     public List<Registration> since(long knownStamp) {
+        List<Registration> changes = new ArrayList<>();
+        Set<String> nodes = new HashSet<>();
+        for (Registration leaving : departures.withMark(mark -> mark > knownStamp)) {
+            Row row = rows.get(leaving.node());
+            if (row == null || !row.registration.upstream().equals(leaving.upstream())) {
+                changes.add(leaving);
+                nodes.add(leaving.node());
+            }
+        }
         List<Row> changed = new ArrayList<>();
-        for (Row row : rows.values()) {
-            if (row.stamp > knownStamp) {
+        rows.forEach((node, row) -> {
+            if (row.stamp > knownStamp || nodes.contains(node)) {
                 changed.add(row);
             }
-        }
+        });
         changed.sort(Comparator.comparingLong(row -> row.stamp));
-        List<Registration> changes = new ArrayList<>(changed.size());
         changed.forEach(row -> changes.add(row.published()));
         return changes;
     }
--- a/src/main/java/sablehinge/mesh/watch/Departures.java
+++ b/src/main/java/sablehinge/mesh/watch/Departures.java
@@ -1,8 +1,6 @@
 package sablehinge.mesh.watch;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,8 +24,6 @@
 
     /** In the order in which they were recorded. */
     private final Map<String, Entry> entries = new LinkedHashMap<>();
-    /** The same by the node of their balancer, as each update for a balancer needs its own. */
-    private final Map<String, List<Entry>> entriesByNode = new HashMap<>();
 
     private static final class Entry {
         final Registration registration;
@@ -48,24 +44,14 @@
         if (entries.size() == MAX_ENTRIES) {
             removeOldest();
         }
-        Entry entry = new Entry(leaving, now);
-        entries.put(leaving.upstream(), entry);
-        entriesByNode
-                .computeIfAbsent(leaving.node(), node -> new ArrayList<>(1))
-                .add(entry);
+        entries.put(leaving.upstream(), new Entry(leaving, now));
         return true;
     }
 
     private void removeOldest() {
         Iterator<Entry> oldest = entries.values().iterator();
-        Entry removed = oldest.next();
+        oldest.next();
         oldest.remove();
-        String node = removed.registration.node();
-        List<Entry> ofNode = entriesByNode.get(node);
-        ofNode.remove(removed);
-        if (ofNode.isEmpty()) {
-            entriesByNode.remove(node);
-        }
     }
 
     /** Whether an incarnation has announced that it leaves. */
@@ -83,17 +69,8 @@
 
     /** The registrations whose marks match, in the order in which they were recorded. */
     public List<Registration> withMark(LongPredicate matches) {
-        return registrations(entries.values(), matches);
-    }
-
-    /** Likewise, of one balancer's upstreams. */
-    public List<Registration> withMark(String node, LongPredicate matches) {
-        return registrations(entriesByNode.getOrDefault(node, List.of()), matches);
-    }
-
-    private static List<Registration> registrations(Collection<Entry> from, LongPredicate matches) {
         List<Registration> registrations = new ArrayList<>();
-        for (Entry entry : from) {
+        for (Entry entry : entries.values()) {
             if (matches.test(entry.mark)) {
                 registrations.add(entry.registration);
             }
@@ -111,6 +88,5 @@
     /** Removes all entries. */
     public void clear() {
         entries.clear();
-        entriesByNode.clear();
     }
 }
--- a/src/test/java/sablehinge/controlplane/state/RegistryTest.java
+++ b/src/test/java/sablehinge/controlplane/state/RegistryTest.java
@@ -82,10 +82,23 @@
         registry.recordPeerReport(3, registration("b", "i-1", true, 0));
         assertFalse(registry.since(0).stream().anyMatch(Registration::ready));
         assertTrue(registry.register(4, registration("a", "i-2", true, 0)));
-        assertEquals(
-                List.of("i-1", "i-2"), upstreams(registry.departuresSince(0, "a")), "followed by the present entry");
-        assertEquals(List.of(), registry.departuresSince(registry.stamp(), "a"));
-        assertEquals(List.of(), registry.departuresSince(0, "b"));
+        List<Registration> ofBalancer =
+                registry.since(0).stream().filter(one -> one.node().equals("a")).toList();
+        assertEquals(List.of("i-1", "i-2"), upstreams(ofBalancer), "followed by the present entry");
+        assertEquals(List.of(), registry.since(registry.stamp()));
+    }
+
+    /** DRAIN: each balancer is told, so that one of them can tell the next leader. */
+    @Test
+    void departureOfUpstreamThatIsNotRegisteredIsPublished() {
+        registry.recordDeparture(0, registration("a", "i-1", false, 0).leaving());
+        assertEquals(List.of("i-1"), upstreams(registry.since(0)));
+        registry.register(1, registration("a", "", false, 0));
+        registry.register(1, registration("b", "i-2", true, 0));
+        long known = registry.stamp();
+        registry.recordDeparture(2, registration("a", "i-3", false, 0).leaving());
+        assertEquals(List.of("i-3", ""), upstreams(registry.since(known)));
+        assertEquals(List.of("i-1", "i-3", "", "i-2"), upstreams(registry.since(0)));
     }
 
     @Test
--- a/src/test/java/sablehinge/dataplane/sidecar/DepartureReporterTest.java
+++ b/src/test/java/sablehinge/dataplane/sidecar/DepartureReporterTest.java
@@ -166,6 +166,55 @@
         assertFalse(isPublishedAsReady("i-1"));
     }
 
+    /** A process that never heard its upstream acknowledges that it leaves; it and the leader are lost. */
+    @Test
+    void peerTellsNextLeaderOfUpstreamThatWasNeverRegistered() {
+        elect();
+        Process peer = new Process("s-2", "i-9", true);
+        peer.watch(true);
+        Process first = new Process("s-1", "", false);
+        first.watch(true);
+        peer.watch(true);
+        first.departures.announce(now, first.registration("i-1", false).leaving(), first.given::add);
+        first.watch(true);
+        assertEquals(List.of(Acknowledgement.GIVEN), first.given);
+        peer.watch(true);
+        assertTrue(peer.knowsAsLeaving("i-1"));
+        assertEquals("", peer.view.byNode().get("s-1").upstream());
+
+        elect();
+        peer.watch(true);
+        peer.watch(true);
+        Process next = new Process("s-1", "i-1", true);
+        next.watch(true);
+        assertTrue(next.knowsAsLeaving("i-1"));
+        assertFalse(isPublishedAsReady("i-1"));
+    }
+
+    /** The next incarnation registers before the peer has asked again; it and the leader are lost. */
+    @Test
+    void peerTellsNextLeaderOfUpstreamThatWasReplaced() {
+        elect();
+        Process peer = new Process("s-2", "i-9", true);
+        peer.watch(true);
+        Process first = new Process("s-1", "i-1", true);
+        first.watch(true);
+        first.announce("i-1");
+        first.watch(true);
+        first.own = first.registration("i-2", true);
+        first.watch(true);
+        peer.watch(true);
+        assertEquals("i-2", peer.view.byNode().get("s-1").upstream());
+
+        elect();
+        peer.watch(true);
+        peer.watch(true);
+        Process next = new Process("s-1", "i-1", true);
+        next.watch(true);
+        assertTrue(next.knowsAsLeaving("i-1"));
+        assertFalse(isPublishedAsReady("i-1"));
+    }
+
     /** A late heartbeat reopens admission before a peer has told the next leader; then it is closed again. */
     @Test
     void peerTellsNextLeaderLate() {
--- a/src/test/java/sablehinge/mesh/watch/DeparturesTest.java
+++ b/src/test/java/sablehinge/mesh/watch/DeparturesTest.java
@@ -29,15 +29,15 @@
     }
 
     @Test
-    void findsEntriesByMarkAndNode() {
+    void findsEntriesByMark() {
         departures.record(0, leaving("s-1", "i-1"));
         departures.record(0, leaving("s-2", "i-2"));
         departures.record(0, leaving("s-1", "i-3"));
         departures.mark("i-3", 7);
         assertEquals(List.of("i-1", "i-2"), upstreams(departures.withMark(mark -> mark < 0)));
-        assertEquals(List.of("i-1", "i-3"), upstreams(departures.withMark("s-1", mark -> true)));
-        assertEquals(List.of("i-3"), upstreams(departures.withMark("s-1", mark -> mark == 7)));
-        assertEquals(List.of(), departures.withMark("s-3", mark -> true));
+        assertEquals(List.of("i-1", "i-2", "i-3"), upstreams(departures.withMark(mark -> true)));
+        assertEquals(List.of("i-3"), upstreams(departures.withMark(mark -> mark == 7)));
+        assertEquals(List.of(), departures.withMark(mark -> mark == 8));
     }
 
     @Test
@@ -47,7 +47,7 @@
         departures.expire(60_000);
         assertTrue(departures.contains("i-1"));
         departures.expire(60_001);
-        assertEquals(List.of("i-2"), upstreams(departures.withMark("s-1", mark -> true)));
+        assertEquals(List.of("i-2"), upstreams(departures.withMark(mark -> true)));
         departures.expire(100_000);
         assertEquals(List.of(), departures.withMark(mark -> true));
     }
