A long answer to a pipelined request is held back until its turn

Cause: EarlyRequest replaced an answer whose body is relayed by a failure, and the connection to its upstream closed. Change: the relay of such an answer is held for a reader that comes later; its source is paused, as for a client that reads slowly. One that breaks off before its turn is answered by 502; a client that leaves abandons it. Why it works: the size no longer matters, as the rest stays at the upstream.

--- a/src/main/java/sablehinge/dataplane/http1/EarlyRequest.java
+++ b/src/main/java/sablehinge/dataplane/http1/EarlyRequest.java
@@ -10,8 +10,9 @@
 import sablehinge.dataplane.proxy.Version;
 
 /**
- * A pipelined request that was started before those ahead of it were answered; its answer is buffered until then. Only
- * requests that may be repeated are started early, as a response ahead of them may close the connection.
+ * A pipelined request that was started before those ahead of it were answered; its answer is kept until then. Of a
+ * relayed answer only the part that was read already is buffered, and its upstream is read on when its turn has come.
+ * Only requests that may be repeated are started early, as a response ahead of them may close the connection.
  */
 final class EarlyRequest implements Caller {
 
@@ -39,8 +40,20 @@
             Answer answer = bufferedAnswer;
             bufferedAnswer = null;
             finished = true;
+            deliver(answer, to);
+        }
+    }
+
+    private static void deliver(Answer answer, Consumer<Answer> to) {
+        if (!(answer.payload() instanceof RelayedPayload relayed)) {
             to.accept(answer);
             answer.payload().release();
+        } else if (relayed.body().hasFailed()) {
+            relayed.release();
+            to.accept(new Answer(Answer.Kind.FAILED, Payload.NONE, 0));
+        } else {
+            // Its sink is attached now, and takes it over.
+            to.accept(answer);
         }
     }
 
@@ -57,9 +70,9 @@
         if (recipient != null) {
             finished = true;
             recipient.accept(answer);
-        } else if (answer.payload() instanceof RelayedPayload) {
-            // A relayed body can't be buffered; the client may retry the request.
-            bufferedAnswer = new Answer(Answer.Kind.FAILED, Payload.NONE, 0);
+        } else if (answer.payload() instanceof RelayedPayload relayed) {
+            relayed.body().hold();
+            bufferedAnswer = answer;
         } else {
             Payload payload = answer.payload() == Payload.NONE
                     ? Payload.NONE
--- a/src/main/java/sablehinge/dataplane/http1/Relay.java
+++ b/src/main/java/sablehinge/dataplane/http1/Relay.java
@@ -51,6 +51,9 @@
 
     private boolean failed;
     private boolean finished;
+    /** Whether a sink is attached later, so that the body waits for it. */
+    private boolean held;
+
     private boolean paused;
     private long forwardedBytes;
 
@@ -104,6 +107,21 @@
         }
     }
 
+    /** Keeps the body until its sink is attached; only what was read already is buffered meanwhile. */
+    void hold() {
+        held = true;
+    }
+
+    /** Whether the body is still needed: it has a sink, or one is attached later. */
+    boolean isWanted() {
+        return !finished && (sink != null || held);
+    }
+
+    /** Whether the body was truncated before a sink was attached. */
+    boolean hasFailed() {
+        return failed;
+    }
+
     /** Whether the last part was added. */
     boolean hasEnded() {
         return ended;
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamConnection.java
@@ -296,7 +296,7 @@
         Relay begun = relay;
         forward(body);
         relayed.onResponse(head, new RelayedPayload(head, HttpUtil.getContentLength(head, -1L), begun));
-        if (!begun.isTaken()) {
+        if (!begun.isTaken() && !begun.isWanted()) {
             // The client has closed its connection.
             begun.abandon();
         }
