Both fronts of a sidecar share one limit for buffered bodies, of its direct memory

Cause: two limits of 48 and 64 MB for complete bodies, that knew nothing of each other, stood against 64 MB of direct memory; each body reserved 1 MB in a buffer that doubles. An allocation that fails makes the event loop wait for half a second in the Java runtime. Change: BodyMemory, one for a process, of a third of its direct memory; a body reserves its length and gets a buffer of that size. Without a reservation it is relayed. The gateway keeps its limit. Why it works: what the fronts buffer follows from the memory that there is, and two thirds stay free.

--- a/bench/src/sablehinge/dataplane/sidecar/GateParts.java
+++ b/bench/src/sablehinge/dataplane/sidecar/GateParts.java
@@ -8,6 +8,7 @@
 import sablehinge.common.eventloop.Clock;
 import sablehinge.common.eventloop.Timers;
 import sablehinge.dataplane.admission.AdmissionController;
+import sablehinge.dataplane.http1.BodyMemory;
 import sablehinge.dataplane.http1.Frontend;
 import sablehinge.dataplane.http1.Sockets;
 import sablehinge.dataplane.http1.UpstreamClient;
@@ -42,7 +43,7 @@
             admission = new AdmissionController(actions);
             return admission;
         });
-        Frontend front = new Frontend(loop, sockets, memory, proxy, new InboundFront(proxy));
+        Frontend front = new Frontend(loop, sockets, memory, BodyMemory.ofProcess(), proxy, new InboundFront(proxy));
         UpstreamClient transport = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, () -> {}));
         Upstream localUpstream = new Upstream(AdmissionController.UPSTREAM, 0, 0, 0, State.READY, 1, 0);
         proxy.start(
--- a/bench/src/sablehinge/dataplane/sidecar/OutboundParts.java
+++ b/bench/src/sablehinge/dataplane/sidecar/OutboundParts.java
@@ -12,6 +12,7 @@
 import sablehinge.common.eventloop.Clock;
 import sablehinge.common.eventloop.Timers;
 import sablehinge.common.settings.LocalSettings;
+import sablehinge.dataplane.http1.BodyMemory;
 import sablehinge.dataplane.http1.Frontend;
 import sablehinge.dataplane.http1.Sockets;
 import sablehinge.dataplane.http1.UpstreamClient;
@@ -145,7 +146,7 @@
                 1);
         proxy = new RequestProxy(
                 clock, timers, actions -> new LatencyWeightedBalancer(actions, BalancerSettings.EXTRAS));
-        Frontend front = new Frontend(loop, sockets, memory, proxy, outboundFront);
+        Frontend front = new Frontend(loop, sockets, memory, BodyMemory.ofProcess(), proxy, outboundFront);
         UpstreamClient transport = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock));
         proxy.setRetryLimiter((version, serviceClass, concurrent, callback) -> callback.accept(() -> {}));
         proxy.start(BalancerSettings.inboundVersion(), 1, new Roster(0, true, List.of()), transport, NO_REGISTRY);
--- a/bench/src/sablehinge/torture/Mutant.java
+++ b/bench/src/sablehinge/torture/Mutant.java
@@ -214,8 +214,8 @@
                     "BELOW_ZERO given back twice",
                     ASSEMBLER,
                     "void releaseReservation()",
-                    "context.reservedBytes -= reserved;",
-                    "context.reservedBytes -= 2 * reserved;"),
+                    "context.bodyMemory.release(reserved);",
+                    "context.bodyMemory.release(2 * reserved);"),
             new Mutant("LEFT_OVER never given back", CURRENT, "void finish()", "receiver.releaseReservation();", ""),
             new Mutant(
                     "LEAK a message that is not released",
--- a/src/main/java/sablehinge/dataplane/http1/FrontTerms.java
+++ b/src/main/java/sablehinge/dataplane/http1/FrontTerms.java
@@ -11,7 +11,6 @@
  * @param firstRequestTimeoutMs how long a connection may stay open without a first request
  * @param idleTimeoutMs how long a connection may be idle between two requests
  * @param maxBufferedBodyBytes the largest body that is buffered completely, so that it can be sent again
- * @param maxBufferedBytes limit on the reservations for such bodies of all connections
  * @param concurrent whether pipelined requests that may be repeated are started at once
  */
 public record FrontTerms(
@@ -22,5 +21,4 @@
         double firstRequestTimeoutMs,
         double idleTimeoutMs,
         int maxBufferedBodyBytes,
-        int maxBufferedBytes,
         boolean concurrent) {}
--- a/src/main/java/sablehinge/dataplane/http1/Frontend.java
+++ b/src/main/java/sablehinge/dataplane/http1/Frontend.java
@@ -53,13 +53,27 @@
 
     /** Creates a frontend for the platform's clients. */
     public Frontend(EventLoop loop, Sockets sockets, ByteBufAllocator memory, RequestProxy proxy) {
-        this(loop, sockets, memory, proxy, new PlatformFront(proxy));
+        this(
+                loop,
+                sockets,
+                memory,
+                new BodyMemory(PlatformFront.MAX_REPEATABLE_BYTES),
+                proxy,
+                new PlatformFront(proxy));
     }
 
-    /** Creates a frontend on the given event loop whose connections count towards the given sockets. */
+    /**
+     * Creates a frontend on the given event loop whose connections count towards the given sockets, and their bodies
+     * towards the given memory.
+     */
     public Frontend(
-            EventLoop loop, Sockets sockets, ByteBufAllocator memory, RequestProxy proxy, FrontDialect dialect) {
-        context = new FrontendContext(loop, sockets, memory, proxy, dialect);
+            EventLoop loop,
+            Sockets sockets,
+            ByteBufAllocator memory,
+            BodyMemory bodyMemory,
+            RequestProxy proxy,
+            FrontDialect dialect) {
+        context = new FrontendContext(loop, sockets, memory, bodyMemory, proxy, dialect);
         sockets.addCallerEviction(evict);
     }
 
@@ -154,8 +168,8 @@
     }
 
     /** Bytes that are reserved for bodies of more than 64 KiB, of requests in progress or still being received. */
-    public int reservedBytes() {
-        return context.reservedBytes;
+    public long reservedBytes() {
+        return context.bodyMemory.reservedBytes();
     }
 
     /** The number of requests that wait for a configuration. */
--- a/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
+++ b/src/main/java/sablehinge/dataplane/http1/FrontendContext.java
@@ -20,6 +20,7 @@
     final EventLoop loop;
     final Sockets sockets;
     final ByteBufAllocator memory;
+    final BodyMemory bodyMemory;
     final RequestProxy proxy;
     final FrontDialect dialect;
     /** All client connections, in the order in which they were accepted or last became idle. */
@@ -36,18 +37,22 @@
     ShutdownDeadlines shutdown;
     /** The requests that became due during the drain. */
     final LateRequestLog lateRequests = new LateRequestLog();
-    /** Bytes that are reserved for bodies of more than {@link UpstreamClient#MAX_BUFFERED_BODY_BYTES}. */
-    int reservedBytes;
     /** Relays that a sweep had to resume. */
     long wokenBodies;
     /** The number of requests that wait for a configuration. */
     int deferredRequests;
 
     FrontendContext(
-            EventLoop loop, Sockets sockets, ByteBufAllocator memory, RequestProxy proxy, FrontDialect dialect) {
+            EventLoop loop,
+            Sockets sockets,
+            ByteBufAllocator memory,
+            BodyMemory bodyMemory,
+            RequestProxy proxy,
+            FrontDialect dialect) {
         this.loop = loop;
         this.sockets = sockets;
         this.memory = memory;
+        this.bodyMemory = bodyMemory;
         this.proxy = proxy;
         this.dialect = dialect;
     }
--- a/src/main/java/sablehinge/dataplane/http1/PlatformFront.java
+++ b/src/main/java/sablehinge/dataplane/http1/PlatformFront.java
@@ -20,17 +20,11 @@
 
     private static final int HEADER_BYTES = 8_192;
     private static final int MAX_REPEATABLE_BODY_BYTES = 256 * 1024;
+    /** Limit on the memory for such bodies of all connections. */
+    static final int MAX_REPEATABLE_BYTES = 32 * MAX_REPEATABLE_BODY_BYTES;
     /** The slowest legitimate clients send 64 kB a s. */
     private static final FrontTerms TERMS = new FrontTerms(
-            HEADER_BYTES,
-            UpstreamClient.MAX_RELAYED_BYTES,
-            2_400,
-            40,
-            2_300,
-            3_000,
-            MAX_REPEATABLE_BODY_BYTES,
-            32 * MAX_REPEATABLE_BODY_BYTES,
-            false);
+            HEADER_BYTES, UpstreamClient.MAX_RELAYED_BYTES, 2_400, 40, 2_300, 3_000, MAX_REPEATABLE_BODY_BYTES, false);
 
     private final RequestProxy proxy;
     private RequestCheck check;
--- a/src/main/java/sablehinge/dataplane/http1/RequestAssembler.java
+++ b/src/main/java/sablehinge/dataplane/http1/RequestAssembler.java
@@ -11,9 +11,8 @@
 
 /**
  * The request that is being received on a client connection: its head, and its body as long as that is buffered. A body
- * of more than {@link UpstreamClient#MAX_BUFFERED_BODY_BYTES} is buffered only while the reservations of all
- * connections stay within {@link FrontTerms#maxBufferedBytes}; the owner has to release the reservation with
- * {@link #releaseReservation}.
+ * of more than {@link UpstreamClient#MAX_BUFFERED_BODY_BYTES} is buffered only if the {@link BodyMemory} has room for
+ * it; the owner has to release the reservation with {@link #releaseReservation}.
  */
 final class RequestAssembler {
 
@@ -48,16 +47,9 @@
 
     /** Buffers a part of the body; false if the body is too long to be buffered. */
     boolean append(ByteBuf part) {
-        FrontTerms terms = context.dialect.terms();
         int size = body.readableBytes() + part.readableBytes();
-        if (size > UpstreamClient.MAX_BUFFERED_BODY_BYTES
-                && reserved == 0
-                && size <= terms.maxBufferedBodyBytes()
-                && HttpUtil.getContentLength(head, 0L) <= terms.maxBufferedBodyBytes()
-                && context.reservedBytes + terms.maxBufferedBodyBytes() <= terms.maxBufferedBytes()) {
-            reserved = terms.maxBufferedBodyBytes();
-            context.reservedBytes += reserved;
-            context.sockets.tracer().note(TraceEvent.KEPT, connection, 0, context.reservedBytes);
+        if (size > UpstreamClient.MAX_BUFFERED_BODY_BYTES && reserved == 0) {
+            reserve(size);
         }
         if (size > (reserved > 0 ? reserved : UpstreamClient.MAX_BUFFERED_BODY_BYTES)) {
             return false;
@@ -66,13 +58,28 @@
             if (body == Unpooled.EMPTY_BUFFER) {
                 body = context.memory.buffer(
                         part.readableBytes(),
-                        Math.max(terms.maxBufferedBodyBytes(), UpstreamClient.MAX_BUFFERED_BODY_BYTES));
+                        Math.max(
+                                context.dialect.terms().maxBufferedBodyBytes(),
+                                UpstreamClient.MAX_BUFFERED_BODY_BYTES));
             }
             body.writeBytes(part);
         }
         return true;
     }
 
+    /** Reserves memory for the complete body, and no more than that if its length is known. */
+    private void reserve(int received) {
+        int max = context.dialect.terms().maxBufferedBodyBytes();
+        long wanted = HttpUtil.getContentLength(head, (long) max);
+        if (received > wanted || wanted > max || !context.bodyMemory.reserve((int) wanted)) {
+            return;
+        }
+        reserved = (int) wanted;
+        // Without this the buffer would be copied, and doubled, several times on its way to its size.
+        body.capacity(reserved);
+        context.sockets.tracer().note(TraceEvent.KEPT, connection, 0, context.bodyMemory.reservedBytes());
+    }
+
     /** Moves the buffered part of the body to a relay, which gets the rest of it too; returns its bytes. */
     int handBodyTo(Relay relay) {
         int bytes = body.readableBytes();
@@ -106,7 +113,7 @@
 
     /** Releases the reservation after the request with the buffered body was answered or cancelled. */
     void releaseReservation() {
-        context.reservedBytes -= reserved;
+        context.bodyMemory.release(reserved);
         reserved = 0;
     }
 }
--- a/src/main/java/sablehinge/dataplane/sidecar/InboundFront.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/InboundFront.java
@@ -35,7 +35,6 @@
             IDLE_MS,
             IDLE_MS,
             MAX_BUFFERED_BYTES,
-            64 * MAX_BUFFERED_BYTES,
             false);
 
     private final RequestProxy proxy;
--- a/src/main/java/sablehinge/dataplane/sidecar/OutboundFront.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/OutboundFront.java
@@ -23,19 +23,10 @@
 
     private static final int HEADER_BYTES = 64 * 1024;
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
-    private static final int MAX_TOTAL_BUFFERED_BYTES = 48 * MAX_BUFFERED_BYTES;
     private static final int MIN_BYTES_PER_MS = 10;
     /** Used before the first configuration arrives. */
     private static final FrontTerms DEFAULT_TERMS = new FrontTerms(
-            HEADER_BYTES,
-            MAX_BUFFERED_BYTES,
-            5_000,
-            MIN_BYTES_PER_MS,
-            15_000,
-            15_000,
-            MAX_BUFFERED_BYTES,
-            MAX_TOTAL_BUFFERED_BYTES,
-            true);
+            HEADER_BYTES, MAX_BUFFERED_BYTES, 5_000, MIN_BYTES_PER_MS, 15_000, 15_000, MAX_BUFFERED_BYTES, true);
     /** Extends the header timeout to bodies, which take longer because they are sent over a network link. */
     private static final double BODY_TIMEOUT_FACTOR = 1.5;
     /**
@@ -105,7 +96,6 @@
                 limits.idleMs(),
                 limits.idleMs(),
                 MAX_BUFFERED_BYTES,
-                MAX_TOTAL_BUFFERED_BYTES,
                 true);
     }
 
--- a/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/Sidecar.java
@@ -20,6 +20,7 @@
 import sablehinge.common.settings.ConfigException;
 import sablehinge.common.settings.LocalSettings;
 import sablehinge.dataplane.admission.AdmissionController;
+import sablehinge.dataplane.http1.BodyMemory;
 import sablehinge.dataplane.http1.Frontend;
 import sablehinge.dataplane.http1.Sockets;
 import sablehinge.dataplane.http1.UpstreamClient;
@@ -160,8 +161,9 @@
                     }
                 },
                 System.nanoTime());
-        outboundFrontend = new Frontend(loop, sockets, memory, outbound, outboundFront);
-        inboundFrontend = new Frontend(loop, sockets, memory, inbound, new InboundFront(inbound));
+        BodyMemory bodyMemory = BodyMemory.ofProcess();
+        outboundFrontend = new Frontend(loop, sockets, memory, bodyMemory, outbound, outboundFront);
+        inboundFrontend = new Frontend(loop, sockets, memory, bodyMemory, inbound, new InboundFront(inbound));
         peerDialect = new MeshUpstream(clock);
         peers = new UpstreamClient(loop, clock, sockets, memory, peerDialect);
         app = new UpstreamClient(loop, clock, sockets, memory, new MeshUpstream(clock, retryBudget::onRejected));
--- a/src/main/java/sablehinge/tools/standin/mesh/MeshVersion.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/MeshVersion.java
@@ -22,7 +22,7 @@
     /** The key of the tenant. */
     public static final String KEY = "k3y0f7h3d3m0";
 
-    private static final int TIMEOUT_MS = 4_000;
+    static final int TIMEOUT_MS = 4_000;
     private static final int TARGET_MS = 600;
 
     /** The target of the requests with a path prefix; several services share them evenly. */
