An upload of which a part was sent may have run

Cause: AttemptState took a request that was not sent completely for one that can't have run. Change: a state BODY_STARTED, from the first bytes of a body that the kernel has accepted; what ends there may have run. It is a term of the upstreams' dialect, true in the mesh and false for the platform. A shutdown refuses only uploads of which nothing was sent; the others go on within the grace. AttemptStateTest's table has a column for the new state; no line of it is taken out. Why it works: the four promising statuses come only from states in which no byte of the body has left.

--- a/bench/src/sablehinge/torture/ExchangeBench.java
+++ b/bench/src/sablehinge/torture/ExchangeBench.java
@@ -79,8 +79,8 @@
                     "what was sent whole counts as half",
                     STATE,
                     "public AttemptState fullySent()",
-                    "case UNSENT, PARTLY_SENT, SENT -> SENT;",
-                    "case UNSENT, PARTLY_SENT, SENT -> this;"),
+                    "case UNSENT, PARTLY_SENT, BODY_STARTED, SENT -> SENT;",
+                    "case UNSENT, PARTLY_SENT, BODY_STARTED, SENT -> this;"),
             new Mutant(
                     "an answer to half a request proves nothing",
                     STATE,
--- a/src/main/java/sablehinge/dataplane/http1/PlatformUpstream.java
+++ b/src/main/java/sablehinge/dataplane/http1/PlatformUpstream.java
@@ -17,7 +17,7 @@
 final class PlatformUpstream implements UpstreamDialect {
 
     private static final UpstreamTerms TERMS =
-            new UpstreamTerms(300, Freshness.DEFAULT_MAX_IDLE_FOR_UNSAFE_MS, 10_000, false);
+            new UpstreamTerms(300, Freshness.DEFAULT_MAX_IDLE_FOR_UNSAFE_MS, 10_000, false, false);
     /**
      * The headers of a request that are forwarded. Others concern only the client's connection, or must not be trusted.
      */
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamAttempt.java
@@ -50,6 +50,8 @@
     private UpstreamConnection connection;
     /** How far the attempt has progressed, which decides the result that its end is reported as. */
     private AttemptState state = AttemptState.UNSENT;
+    /** Whether a part of a relayed body was written to the channel. */
+    private boolean bodyStarted;
     /** The write of the request's last byte; null before that. */
     private ChannelFuture lastWrite;
 
@@ -194,6 +196,13 @@
         write(copy);
     }
 
+    /** A part of the body was flushed, and no write has failed: the kernel has accepted its first bytes at least. */
+    private void onBodyStarted() {
+        if (context.dialect.terms().mayBeginEarly()) {
+            state = state.bodyStarted();
+        }
+    }
+
     private void setHeaders(HttpRequest copy, double now) {
         context.dialect.setHeaders(copy, request, target.member, deadline - now, budget);
     }
@@ -201,6 +210,9 @@
     /** Writes the last part of the request. */
     private void write(Object last) {
         lastWrite = channel.writeAndFlush(last);
+        if (!lastWrite.isDone()) {
+            onBodyStarted();
+        }
         lastWrite.addListener(write -> {
             connection.trace(TraceEvent.SENT, write.isSuccess() ? 1 : 0);
             if (!write.isSuccess()) {
@@ -273,9 +285,10 @@
             // The upstream has read all earlier parts: it is not at fault if the client sends slowly.
             lastProgressAt = context.clock.now();
         }
+        bodyStarted = true;
         channel.write(new DefaultHttpContent(part)).addListener(this::onPartWritten);
         if (!channel.isWritable()) {
-            channel.flush();
+            flush();
         }
         relayedPayload.body().setWritable(channel.isWritable());
     }
@@ -283,6 +296,9 @@
     @Override
     public void flush() {
         channel.flush();
+        if (bodyStarted && !ended) {
+            onBodyStarted();
+        }
     }
 
     @Override
@@ -327,7 +343,7 @@
         return context.dialect.resendable(request);
     }
 
-    /** Fails the attempt with its connection. A request that was not written completely can't have run. */
+    /** Fails the attempt with its connection. A request of whose body nothing was written can't have run. */
     private void failConnection(Event event) {
         if (!ended && !Double.isNaN(idleMs) && context.clock.now() - startedAt < Freshness.IMMEDIATE_RESET_MS) {
             context.freshness.onReset(idleMs);
--- a/src/main/java/sablehinge/dataplane/http1/UpstreamTerms.java
+++ b/src/main/java/sablehinge/dataplane/http1/UpstreamTerms.java
@@ -10,6 +10,11 @@
  *     if the request has less time
  * @param mayVanishSilently whether upstreams may be lost without a reset: idle connections are probed by TCP
  *     keep-alives, and a broken connection closes the other idle ones of its upstream
+ * @param mayBeginEarly whether upstreams may begin to work on a request before its last byte has arrived
  */
 public record UpstreamTerms(
-        double responseStallTimeoutMs, double maxIdleForUnsafeMs, long bodyStallTimeoutMs, boolean mayVanishSilently) {}
+        double responseStallTimeoutMs,
+        double maxIdleForUnsafeMs,
+        long bodyStallTimeoutMs,
+        boolean mayVanishSilently,
+        boolean mayBeginEarly) {}
--- a/src/main/java/sablehinge/dataplane/proxy/AttemptState.java
+++ b/src/main/java/sablehinge/dataplane/proxy/AttemptState.java
@@ -6,15 +6,17 @@
  * The progress of an attempt on its connection to a server, and the result for each way in which it can end. This table
  * alone decides whether an attempt may have run ({@link Verdict}); transports only report states and events.
  *
- * <p>A server can't run a request that was not sent to it completely. A server that has started to respond may have
- * received more of the request than the proxy can know, so from then on only the server's own response proves that the
- * request has not run.
+ * <p>A server can't run a request of whose body it has received nothing. Some begin to work on a request as soon as the
+ * first part of its body arrives; the transports to them report {@link #bodyStarted}, and from then on only the
+ * server's own response proves that the request has not run. The same holds for all once they have started to respond.
  */
 public enum AttemptState {
     /** No byte of the request was written to a connection. */
     UNSENT,
-    /** Part of the request was written, but not its last byte. */
+    /** The request is being written, but not its last byte, and the server has begun nothing. */
     PARTLY_SENT,
+    /** The kernel accepted a part of the body, but not the last byte of the request, and the server may have begun. */
+    BODY_STARTED,
     /** The kernel accepted the last byte of the request. */
     SENT,
     /** The first byte of the response arrived before the last byte of the request was written. */
@@ -49,7 +51,7 @@
     /** The state after the first byte of the response. */
     public AttemptState responseStarted() {
         return switch (this) {
-            case UNSENT, PARTLY_SENT, ANSWERED_EARLY -> ANSWERED_EARLY;
+            case UNSENT, PARTLY_SENT, BODY_STARTED, ANSWERED_EARLY -> ANSWERED_EARLY;
             case SENT, ANSWERING -> ANSWERING;
         };
     }
@@ -59,10 +61,15 @@
         return this == UNSENT ? PARTLY_SENT : this;
     }
 
+    /** The state after the kernel accepted a part of the body. */
+    public AttemptState bodyStarted() {
+        return this == UNSENT || this == PARTLY_SENT ? BODY_STARTED : this;
+    }
+
     /** The state after the last byte of the request was written. */
     public AttemptState fullySent() {
         return switch (this) {
-            case UNSENT, PARTLY_SENT, SENT -> SENT;
+            case UNSENT, PARTLY_SENT, BODY_STARTED, SENT -> SENT;
             case ANSWERED_EARLY, ANSWERING -> ANSWERING;
         };
     }
--- a/src/main/java/sablehinge/dataplane/proxy/ProxyShutdown.java
+++ b/src/main/java/sablehinge/dataplane/proxy/ProxyShutdown.java
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Rejects requests that are still being received: they can't be answered in time, and no upstream has received one
-     * completely.
+     * Rejects requests that are still being received and of which no upstream has received a part: they can't be
+     * answered in time. The others go on until the end, as their upstream may be at work on them.
      */
     private void refuseIncomplete() {
         for (Exchange exchange : List.copyOf(exchanges)) {
--- a/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
+++ b/src/main/java/sablehinge/dataplane/sidecar/MeshUpstream.java
@@ -24,10 +24,10 @@
     private static final double UNSAFE_REUSE_IDLE_MS = 60_000;
     private static final long BODY_STALL_MS = 10_000;
     private static final UpstreamTerms TO_SIDECARS =
-            new UpstreamTerms(RESPONSE_STALL_MS, UNSAFE_REUSE_IDLE_MS, BODY_STALL_MS, true);
+            new UpstreamTerms(RESPONSE_STALL_MS, UNSAFE_REUSE_IDLE_MS, BODY_STALL_MS, true, true);
     /** An upstream that aborts a response continues to serve on its other connections. */
     private static final UpstreamTerms TO_UPSTREAM =
-            new UpstreamTerms(RESPONSE_STALL_MS, UNSAFE_REUSE_IDLE_MS, BODY_STALL_MS, false);
+            new UpstreamTerms(RESPONSE_STALL_MS, UNSAFE_REUSE_IDLE_MS, BODY_STALL_MS, false, true);
 
     private static final int MISDIRECTED = 421;
     /** Headers of a response that contradict each other if they are repeated. */
--- a/src/test/java/sablehinge/dataplane/http1/ResponseProgressTest.java
+++ b/src/test/java/sablehinge/dataplane/http1/ResponseProgressTest.java
@@ -9,7 +9,7 @@
     private static final double STALL_MS = 300;
 
     private static ResponseProgress started(double stallTimeoutMs) {
-        ResponseProgress progress = new ResponseProgress(new UpstreamTerms(stallTimeoutMs, 0, 0, false));
+        ResponseProgress progress = new ResponseProgress(new UpstreamTerms(stallTimeoutMs, 0, 0, false, false));
         progress.onStart(1_000);
         return progress;
     }
--- a/src/test/java/sablehinge/dataplane/proxy/AttemptStateTest.java
+++ b/src/test/java/sablehinge/dataplane/proxy/AttemptStateTest.java
@@ -15,19 +15,19 @@
 /** The result and verdict of every attempt state for every event that can end the attempt. */
 class AttemptStateTest {
 
-    /** Rows are events; columns are the states UNSENT, PARTLY_SENT, SENT, ANSWERED_EARLY, ANSWERING. */
+    /** Rows are events; columns are the states UNSENT, PARTLY_SENT, BODY_STARTED, SENT, ANSWERED_EARLY, ANSWERING. */
     private static final String TABLE =
             """
-            NO_ROOM           NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            NO_CONNECTION     NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            WRITE_FAILED      NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            CONNECTION_ENDED  NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            MALFORMED_ANSWER  NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            DEADLINE          NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            CANCELLED         MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            REFUSED_ANSWER    NOT_RUN      NOT_RUN      NOT_RUN      NOT_RUN      NOT_RUN
-            FAILED_ANSWER     MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
-            SERVED_ANSWER     MAY_HAVE_RUN MAY_HAVE_RUN RAN          MAY_HAVE_RUN RAN
+            NO_ROOM           NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            NO_CONNECTION     NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            WRITE_FAILED      NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            CONNECTION_ENDED  NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            MALFORMED_ANSWER  NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            DEADLINE          NOT_RUN      NOT_RUN      MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            CANCELLED         MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            REFUSED_ANSWER    NOT_RUN      NOT_RUN      NOT_RUN      NOT_RUN      NOT_RUN      NOT_RUN
+            FAILED_ANSWER     MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN
+            SERVED_ANSWER     MAY_HAVE_RUN MAY_HAVE_RUN MAY_HAVE_RUN RAN          MAY_HAVE_RUN RAN
             """;
 
     @Test
@@ -55,6 +55,8 @@
     @ParameterizedTest
     @CsvSource({
         "SENT,DEADLINE,TIMEOUT",
+        "BODY_STARTED,CONNECTION_ENDED,RESET",
+        "PARTLY_SENT,CONNECTION_ENDED,CONNECT_FAILED",
         "SENT,CONNECTION_ENDED,RESET",
         "SENT,MALFORMED_ANSWER,ERROR",
         "UNSENT,NO_ROOM,NOT_SENT",
@@ -72,11 +74,14 @@
     @Test
     void neverReturnsToStateThatCannotHaveRun() {
         for (AttemptState state : AttemptState.values()) {
-            for (AttemptState next : List.of(state.partSent(), state.fullySent(), state.responseStarted())) {
+            for (AttemptState next :
+                    List.of(state.partSent(), state.bodyStarted(), state.fullySent(), state.responseStarted())) {
                 assertEquals(state.mayHaveRun() || next.mayHaveRun(), next.mayHaveRun(), state + " " + next);
             }
         }
         assertEquals(AttemptState.ANSWERED_EARLY, AttemptState.PARTLY_SENT.responseStarted());
+        assertEquals(AttemptState.ANSWERED_EARLY, AttemptState.BODY_STARTED.responseStarted());
+        assertEquals(AttemptState.BODY_STARTED, AttemptState.PARTLY_SENT.bodyStarted());
         assertEquals(AttemptState.ANSWERING, AttemptState.ANSWERED_EARLY.fullySent());
     }
 }
