--- a/bench/src/sablehinge/tools/standin/mesh/SoakCalls.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakCalls.java
@@ -92,7 +92,7 @@
         } catch (IOException e) {
             // Cut off.
         }
-        tries.end(one, end, answer);
+        tries.end(one, end, answer, call.isResponseBegun());
         if (answer == null || answer.closes()) {
             call.close();
         } else {
--- a/bench/src/sablehinge/tools/standin/mesh/SoakClients.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakClients.java
@@ -132,7 +132,7 @@
                 if (answer == null) {
                     break;
                 }
-                tries.end(waiting.poll(), SoakTry.End.ANSWERED, answer);
+                tries.end(waiting.poll(), SoakTry.End.ANSWERED, answer, true);
                 if (answer.closes()) {
                     rest = SoakTry.End.UNREAD;
                     break;
@@ -144,8 +144,11 @@
         } catch (IOException e) {
             // Cut off.
         }
+        boolean begun = call.isResponseBegun() && rest == SoakTry.End.CUT;
         for (SoakTries.Pending one : waiting) {
-            tries.end(one, rest, null);
+            tries.end(one, rest, null, begun);
+            // Only the first of them can have been answered in part.
+            begun = false;
         }
     }
 
--- a/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakJudge.java
@@ -183,8 +183,10 @@
         if (one.endedAt() - waitsFrom - one.readMs() >= one.leftMs() - READ_MS) {
             return Excuse.DEADLINE;
         }
-        // A struck upstream is a failure, which is to be told; it is no reason to close a caller's connection.
-        if (one.end() == SoakTry.End.ANSWERED && ran.stream().anyMatch(run -> wasStruck(run, one.endedAt()))) {
+        // A struck upstream is a failure, which is to be told; it is no reason to close a caller's connection, unless
+        // its answer has begun, which can then only be cut.
+        boolean told = one.end() == SoakTry.End.ANSWERED || one.end() == SoakTry.End.CUT && one.begun();
+        if (told && ran.stream().anyMatch(run -> wasStruck(run, one.endedAt()))) {
             return Excuse.UPSTREAM_STRUCK;
         }
         return ran.stream().anyMatch(run -> workedToTheEnd(one, life, run)) ? Excuse.LAST_SIXTH : null;
--- a/bench/src/sablehinge/tools/standin/mesh/SoakTries.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakTries.java
@@ -50,8 +50,8 @@
         return new Pending(sent, ahead, leftMs, readMs);
     }
 
-    /** A try has ended; {@code answer} is null where there is none. */
-    void end(Pending one, SoakTry.End end, Message answer) {
+    /** A try has ended; {@code answer} is null where there is none, of which a part may have come. */
+    void end(Pending one, SoakTry.End end, Message answer, boolean begun) {
         int status = answer == null ? 0 : answer.status();
         String stamp = answer == null ? null : answer.header("Sablehinge-Postmark");
         double now = TrafficLog.now();
@@ -63,6 +63,7 @@
                 one.sent.at(),
                 one.writtenAt,
                 end,
+                begun,
                 status,
                 stamp != null,
                 now,
--- a/bench/src/sablehinge/tools/standin/mesh/SoakTry.java
+++ b/bench/src/sablehinge/tools/standin/mesh/SoakTry.java
@@ -8,6 +8,7 @@
  * @param startedAt when its first byte was sent
  * @param writtenAt when its last byte was sent; NaN where it could not be
  * @param end how it ended
+ * @param begun whether a part of its answer had come
  * @param status of the answer; 0 where there is none
  * @param stamped whether the answer has an upstream's stamp
  * @param endedAt when it had ended
@@ -22,6 +23,7 @@
         double startedAt,
         double writtenAt,
         End end,
+        boolean begun,
         int status,
         boolean stamped,
         double endedAt,
--- a/src/main/java/sablehinge/tools/standin/mesh/ClientCall.java
+++ b/src/main/java/sablehinge/tools/standin/mesh/ClientCall.java
@@ -18,6 +18,7 @@
 
     private final Socket socket = new Socket();
     private final InputStream in;
+    private boolean responseBegun;
 
     ClientCall(InetSocketAddress to, int timeoutMs) throws IOException {
         this(to, timeoutMs, false);
@@ -85,9 +86,18 @@
 
     /** Receives the next response; returns null if the connection has ended. */
     Message receive() throws IOException {
+        responseBegun = false;
+        in.mark(1);
+        responseBegun = in.read() >= 0;
+        in.reset();
         return Message.read(in);
     }
 
+    /** Whether a part of the response was received that {@link #receive} returned, or failed to. */
+    boolean isResponseBegun() {
+        return responseBegun;
+    }
+
     /** Sends one request on a new connection and returns the response. */
     static Message once(
             InetSocketAddress to, int timeoutMs, String method, String uri, Map<String, String> headers, byte[] body)
--- a/src/test/java/sablehinge/tools/standin/mesh/SoakJudgeTest.java
+++ b/src/test/java/sablehinge/tools/standin/mesh/SoakJudgeTest.java
@@ -48,6 +48,7 @@
                 from,
                 from,
                 end,
+                end == End.ANSWERED,
                 status,
                 status / 100 == 2,
                 until,
@@ -55,6 +56,11 @@
                 0);
     }
 
+    private static SoakTry begunAndCut(String id, double from, double until) {
+        return new SoakTry(
+                id, TrafficLog.Kind.SAFE, MACHINE, 0, from, from, End.CUT, true, 0, false, until, TIMEOUT_MS, 0);
+    }
+
     /** The incident of issue 49. */
     @Test
     void reportsRequestAdmittedLateAndAbandoned() {
@@ -114,6 +120,16 @@
         assertEquals(List.of("LOST"), found(one("a", 8_990, 9_501, End.CUT, 0)));
     }
 
+    /** An answer that had begun can only be cut; without a kill that is a loss too. */
+    @Test
+    void killOfUpstreamMachineExcusesCutOfBegunAnswer() {
+        ran("a", 9_000, 9_900);
+        SoakTry cut = begunAndCut("a", 8_990, 9_501);
+        assertEquals(List.of("LOST"), found(cut));
+        lives.current(BESIDE).killedAt = 9_500;
+        assertEquals(List.of(), found(cut));
+    }
+
     @Test
     void reportsDroppedRequestsWithoutAnySignal() {
         assertEquals(
--- a/src/test/java/sablehinge/tools/standin/mesh/SoakTest.java
+++ b/src/test/java/sablehinge/tools/standin/mesh/SoakTest.java
@@ -18,6 +18,10 @@
     private static final long SEED = 49;
     private static final int SECONDS = 12;
     private static final int PROCESSES = 8;
+    /** A schedule in which a process that never heard its upstream acknowledges its sign-off. */
+    private static final long SIGN_OFF_SEED = 37;
+
+    private static final int SIGN_OFF_SECONDS = 10;
 
     /** Returns the command of a daemon with the classes under test. */
     private static List<String> command(String role, int place, int start) {
@@ -50,6 +54,22 @@
         assertTrue(result.served() > 0);
     }
 
+    /** DRAIN, LOST: a sign-off is forgotten when the leader changes; a response that ends its connection is cut. */
+    @Test
+    void whenUpstreamsSignOffFirstThenNoRuleIsBroken() throws Exception {
+        SoakSchedule schedule =
+                SoakSchedule.draw(SIGN_OFF_SEED, SIGN_OFF_SECONDS, PROCESSES).withSignOffs(SIGN_OFF_SECONDS);
+        SoakRun.Result result = SoakRun.play(schedule, SoakTest::command, Path.of("target/soak"));
+        assertNull(result.failure());
+        assertEquals(
+                List.of(),
+                result.findings().stream()
+                        .filter(one ->
+                                !result.isBusy() || !List.of("END", "LATE").contains(one.rule()))
+                        .toList());
+        assertTrue(result.served() > 0);
+    }
+
     /** Shows that the soak detects a fault; the other faults are run manually. */
     @Test
     void whenRequestsAreTakenUntilTheProcessEndsThenItIsFound() throws Exception {
